Silence refuses no target; places are claimed by proof, not by a late word

Cause: an entry dropped after 20 s of silence left a refusal behind, so the same incarnation was refused for 2 minutes after its domain healed; and any word of an unknown incarnation evicted the one that stood under its name or at its address, a late word of a dead start included, because who was superseded was known to one leader only.

Ruled out: ordering incarnations by number (clocks jump, and the number only has to differ); refusals kept in the agreed log (a write per start on small disks).

Change: only a sign-off or being superseded refuses an incarnation, for as long as it goes on speaking. A word of one whose place is taken is a claim: its own answer to a probe decides at an address, and under a name the incumbent stays while it answers or until it leaves, the design's stickiness. A target known by one word is not served before it has answered a probe or beaten three times. One that was leaving when it fell silent is held when it speaks again.

Seen on the way: two live targets of one name are the simulated operators' fault; one of them is served, which is what the check now wants.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -201,7 +201,7 @@
 		cc.Close()
 		return nil, err
 	}
-	if b.Service != t.Service || b.Name != t.Name || b.Incarnation != t.Inc {
+	if b.ID() != t.ID() {
 		cc.Close()
 		c.Counts.Foreign.Add(1)
 		return nil, errors.Wrapf(errForeign, "%s/%s/%d", b.Service, b.Name, b.Incarnation)
--- a/core/core.go
+++ b/core/core.go
@@ -144,7 +144,11 @@
 	seen     wire.Seen
 	seenAt   time.Duration
 	silentAt time.Duration
-	told     bool // known from a proxy's table only, not heard of since: not served
+	misses   int // probes in a row without its own answer
+	words    int // beats since it is known, and when the first came
+	wordAt   time.Duration
+	told     bool // known by hearsay: one word, or a proxy's table; not served until it has proved itself
+	freed    bool // its address had another target's entry
 }
 
 // force is something that waits until a table is in force everywhere.
@@ -193,7 +197,9 @@
 	demandAt  time.Duration
 	gates     map[string]*gate
 	targets   map[wire.ID]*target
-	tombs     map[wire.ID]time.Duration
+	claims    map[wire.ID]*target       // words of targets in whose place another stands
+	tombs     map[wire.ID]time.Duration // signed off or superseded: refused while it goes on speaking
+	left      map[wire.ID]time.Duration // held when it fell silent: held again if it comes back
 	judge     *judge.Judge
 	judged    uint64 // revision whose policies are in force
 	forces    []*force
@@ -230,8 +236,8 @@
 // given the shell's.
 func New(now time.Duration, set Settings, img quorum.Image) *Core {
 	c := &Core{set: set, img: img, known: Book{}, gates: map[string]*gate{},
-		targets: map[wire.ID]*target{}, tombs: map[wire.ID]time.Duration{}, judge: judge.New(),
-		pend: map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, state: newState(), relaySeq: set.Self.Inc << 20}
+		judge: judge.New(),
+		pend:  map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, state: newState(), relaySeq: set.Self.Inc << 20}
 	c.set.Self.Disk = img.Disk
 	if img.Epoch != 0 {
 		c.start(now)
@@ -610,7 +616,8 @@
 	case Adopting:
 		c.proposed = false
 	case Warming:
-		c.targets, c.tombs, c.judge, c.judged = map[wire.ID]*target{}, map[wire.ID]time.Duration{}, judge.New(), 0
+		c.targets, c.claims, c.judge, c.judged = map[wire.ID]*target{}, map[wire.ID]*target{}, judge.New(), 0
+		c.tombs, c.left = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
 		c.table, c.best, c.sig, c.wideUntil = nil, wire.Key{}, 0, 0
 		c.policies()
 		// Whatever an earlier leader granted may still run.
@@ -754,7 +761,7 @@
 	for _, s := range m.Pull.Seen {
 		if t := c.targets[wire.ID{Service: s.Service, Name: s.Name, Inc: s.Inc}]; t != nil {
 			if s.Ok > 0 {
-				t.okAt, t.told = now, false
+				t.okAt, t.told, t.misses = now, false, 0
 			}
 			t.seen.Ok += s.Ok
 			t.seen.Errors += s.Errors
@@ -799,7 +806,11 @@
 			}
 		}
 		for _, w := range b.Targets {
-			if c.targets[w.ID()] != nil || c.tombs[w.ID()] != 0 || c.displaced(w) {
+			if c.targets[w.ID()] != nil || c.tombs[w.ID()] != 0 {
+				continue
+			}
+			if len(c.rivals(w)) > 0 {
+				c.displaced(w)
 				continue
 			}
 			t := &target{Target: w, told: true, beatAt: now - limit.BeatLapse/2, aliveAt: now, probeAt: now - limit.ProbeEvery, seenAt: now}
@@ -821,17 +832,14 @@
 	}
 }
 
-// displaced says that another target has registered in w's place since. One at
-// w's address waits until w is out of every table.
-func (c *Core) displaced(w wire.Target) bool {
-	hit := false
-	for id, t := range c.targets {
+// displaced has a target at w's address wait until w, which a table still names,
+// is out of every table.
+func (c *Core) displaced(w wire.Target) {
+	for _, t := range c.targets {
 		if t.Addr == w.Addr && t.Name != w.Name {
 			t.Pending = true
 		}
-		hit = hit || t.Addr == w.Addr || id.Service == w.Service && id.Name == w.Name
 	}
-	return hit
 }
 
 // ---- targets ----
@@ -846,13 +854,16 @@
 	c.do(Note{Decision: &d})
 }
 
+// drop takes a target's entry away; silence alone refuses nobody.
 func (c *Core) drop(now time.Duration, id wire.ID, why string) {
 	t := c.targets[id]
 	if t == nil {
 		return
 	}
 	delete(c.targets, id)
-	c.tombs[id] = now
+	if t.Held {
+		c.left[id] = now
+	}
 	c.judge.Forget(id)
 	d := judge.Decision{At: now, Policy: "registry", Kind: "gone", Service: id.Service, Name: id.Name, Inc: id.Inc, Why: why}
 	c.do(Note{Decision: &d})
@@ -868,11 +879,13 @@
 	}
 	id := w.ID()
 	if c.tombs[id] != 0 {
+		c.tombs[id] = now
 		return
 	}
 	t := c.targets[id]
 	if w.State == model.Gone {
 		c.drop(now, id, "signed off")
+		delete(c.claims, id)
 		c.tombs[id] = now
 		c.rebuild(now, false)
 		return
@@ -882,9 +895,12 @@
 		return
 	}
 	if t == nil {
-		t = c.register(now, w)
+		if t = c.register(now, w); t == nil {
+			return
+		}
 	}
-	t.beatAt, t.aliveAt, t.told = now, now, false
+	t.beatAt, t.aliveAt = now, now
+	c.word(now, t)
 	if w.HasDemand {
 		t.Demand, t.HasDemand = w.Demand, true
 	}
@@ -908,30 +924,84 @@
 	}
 }
 
-func (c *Core) register(now time.Duration, w wire.Target) *target {
-	var freed bool
+// word counts a beat. One alone proves nothing, since it may be a late one of a
+// start that is over; who goes on beating is there, even if no probe gets through.
+func (c *Core) word(now time.Duration, t *target) {
+	if t.words++; t.words == 1 {
+		t.wordAt = now
+	}
+	if t.words >= limit.ProofWords && now-t.wordAt >= limit.ProofSpan {
+		t.told = false
+	}
+}
+
+// rivals are the known targets under w's name or at its address.
+func (c *Core) rivals(w wire.Target) (l []*target) {
 	for _, id := range slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare) {
-		o := c.targets[id]
-		switch {
-		case id.Service == w.Service && id.Name == w.Name:
-			c.drop(now, id, "another incarnation registered")
-		case o.Addr == w.Addr:
-			c.drop(now, id, "another target registered at its address")
-			freed = true
+		if o := c.targets[id]; id != w.ID() && (id.Service == w.Service && id.Name == w.Name || o.Addr == w.Addr) {
+			l = append(l, o)
+		}
+	}
+	return l
+}
+
+// register takes in a target that is new. Where another stands under its name or
+// at its address it only claims that place, and its own answer to a probe decides.
+func (c *Core) register(now time.Duration, w wire.Target) *target {
+	t := c.claims[w.ID()]
+	if t == nil {
+		t = &target{Target: wire.Target{Service: w.Service, Name: w.Name, Inc: w.Inc, Addr: w.Addr, Domain: w.Domain, State: model.Warming},
+			beatAt: now, aliveAt: now, probeAt: now - limit.ProbeEvery, seenAt: now, told: true}
+	}
+	if len(c.rivals(w)) > 0 {
+		t.beatAt, t.Addr = now, w.Addr
+		c.word(now, t)
+		c.claims[w.ID()] = t
+		if !c.succeed(now, t, false) {
+			return nil
+		}
+	}
+	c.enter(now, t, w.State)
+	return t
+}
+
+// succeed lets a claimant have its place if those who stand there don't hold it:
+// an answer at the very address says whose it is; an incumbent elsewhere that
+// lives stays, by the design's incumbency, and keeps its name until it leaves or
+// misses its probes. proved is the claimant's own answer.
+func (c *Core) succeed(now time.Duration, t *target, proved bool) bool {
+	rs := c.rivals(t.Target)
+	for _, o := range rs {
+		lives := !o.told && !o.Held && o.misses < limit.ProbeMisses
+		silent := now-o.beatAt > limit.BeatLapse && o.misses >= limit.ProbeMisses
+		if proved && o.Addr != t.Addr && lives || !proved && (t.told || !silent) {
+			return false
 		}
 	}
-	t := &target{Target: wire.Target{Service: w.Service, Name: w.Name, Inc: w.Inc, Addr: w.Addr, Domain: w.Domain, State: model.Warming},
-		beatAt: now, aliveAt: now, probeAt: now - limit.ProbeEvery, seenAt: now}
-	if w.State == model.Ready {
+	for _, o := range rs {
+		c.drop(now, o.ID(), "superseded by another start, or at its address by another target")
+		c.tombs[o.ID()] = now
+		t.freed = t.freed || o.Addr == t.Addr && (o.Service != t.Service || o.Name != t.Name)
+	}
+	delete(c.claims, t.ID())
+	return true
+}
+
+// enter puts a target into the registry.
+func (c *Core) enter(now time.Duration, t *target, state string) {
+	id := t.ID()
+	if state == model.Ready {
 		t.State = model.Ready
 	}
-	t.Pending = freed
-	c.targets[w.ID()] = t
+	t.Pending = t.freed
+	c.targets[id] = t
+	if c.left[id] != 0 {
+		c.hold(now, t, "it was leaving when it fell silent")
+	}
 	if t.Pending && c.lead == Deciding {
 		c.rebuild(now, true)
-		c.forces = append(c.forces, &force{ver: c.ver, since: now, clear: w.ID()})
+		c.forces = append(c.forces, &force{ver: c.ver, since: now, clear: id})
 	}
-	return t
 }
 
 func (c *Core) judgeEvent(e judge.Event) {
@@ -959,14 +1029,7 @@
 func (c *Core) watch(now time.Duration) {
 	for _, id := range slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare) {
 		t := c.targets[id]
-		if t.sentAt != 0 && now-t.sentAt > 2*limit.ProbeCap {
-			t.sentAt = 0 // the shell never answered
-		}
-		if t.sentAt == 0 && now-t.probeAt >= limit.ProbeEvery {
-			t.probeAt, t.sentAt = now, now
-			c.counts.Probes++
-			c.do(Probe{id, t.Addr})
-		}
+		c.probe(now, id, t)
 		if now-t.seenAt >= limit.SeenEvery {
 			t.seenAt = now
 			if s := t.seen; s.Ok+s.Errors > 0 {
@@ -983,9 +1046,19 @@
 			c.drop(now, id, "silent and unreachable")
 		}
 	}
+	for _, id := range slices.SortedFunc(maps.Keys(c.claims), wire.ID.Compare) {
+		t := c.claims[id]
+		if now-t.beatAt > limit.BeatLapse {
+			delete(c.claims, id)
+		} else {
+			c.probe(now, id, t)
+		}
+	}
 	if now-c.cleanAt > limit.ReconcileEvery {
 		c.cleanAt = now
-		maps.DeleteFunc(c.tombs, func(_ wire.ID, at time.Duration) bool { return now-at > limit.TombKeep })
+		old := func(_ wire.ID, at time.Duration) bool { return now-at > limit.TombKeep }
+		maps.DeleteFunc(c.tombs, old)
+		maps.DeleteFunc(c.left, old)
 	}
 	c.decided(c.judge.Tick(now))
 	if c.lead != Deciding {
@@ -996,15 +1069,36 @@
 	c.roster(now)
 }
 
+func (c *Core) probe(now time.Duration, id wire.ID, t *target) {
+	if t.sentAt != 0 && now-t.sentAt > 2*limit.ProbeCap {
+		t.sentAt = 0 // the shell never answered
+	}
+	if t.sentAt == 0 && now-t.probeAt >= limit.ProbeEvery {
+		t.probeAt, t.sentAt = now, now
+		c.counts.Probes++
+		c.do(Probe{id, t.Addr})
+	}
+}
+
 func (c *Core) probed(now time.Duration, p Probed) {
-	t := c.targets[p.ID]
-	if t == nil || c.lead < Warming {
+	if c.lead < Warming {
 		return
 	}
+	t := c.targets[p.ID]
+	if t == nil {
+		if t = c.claims[p.ID]; t == nil {
+			return
+		}
+		t.sentAt = 0
+		if b := p.Beat; b == nil || b.ID() != p.ID || !c.succeed(now, t, true) {
+			return
+		}
+		c.enter(now, t, p.Beat.State)
+	}
 	t.sentAt = 0
 	e := judge.Event{At: now, Slice: "probe", Service: t.Service, Name: t.Name, Inc: t.Inc, Ms: p.Ms}
 	b := p.Beat
-	e.Ok = b != nil && b.Service == t.Service && b.Name == t.Name && b.Incarnation == t.Inc
+	e.Ok = b != nil && b.ID() == p.ID
 	if !e.Ok {
 		c.counts.Misses++
 		if t.okAt-limit.PullEvery >= p.SentAt {
@@ -1012,8 +1106,9 @@
 			c.counts.Overruled++
 			return
 		}
+		t.misses++
 	} else {
-		t.aliveAt, t.told = now, false
+		t.aliveAt, t.told, t.misses = now, false, 0
 		c.advanceState(now, t, b.State)
 		if b.Demand != nil {
 			t.Demand, t.HasDemand = *b.Demand, true
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -588,7 +588,7 @@
 	}
 	t.sentAt = 0
 	b := p.Beat
-	if b == nil || b.Service != t.Service || b.Name != t.Name || b.Incarnation != t.Inc {
+	if b == nil || b.ID() != p.ID {
 		if t.misses++; t.misses >= limit.ProbeMisses && g.doubts(now) {
 			if t.ownBar <= now {
 				g.Counts.OwnBars++
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -96,7 +96,11 @@
 	SeenEvery = 500 * time.Millisecond
 	// TargetGone is how long silence and missed probes together last before the entry goes.
 	TargetGone = 20 * time.Second
-	// TombKeep is how long a signed-off or superseded incarnation is refused if it speaks again.
+	// ProofWords beats over ProofSpan prove that a target is there when no probe reaches it: a
+	// late word comes once, a repeated one with its first, who lives beats every BeatEvery.
+	ProofWords = 3
+	ProofSpan  = 900 * time.Millisecond
+	// TombKeep is how long after its last word a signed-off or superseded incarnation is refused.
 	TombKeep = 2 * time.Minute
 	// Window is the longest look back that a policy's condition has, in samples.
 	Window = 32
--- a/model/model.go
+++ b/model/model.go
@@ -462,6 +462,11 @@
 	Demand      *float64 `json:"demand,omitempty"`
 }
 
+// ID is who speaks.
+func (b *Beat) ID() wire.ID {
+	return wire.ID{Service: b.Service, Name: b.Name, Inc: b.Incarnation}
+}
+
 // Target checks a beat and gives it the form that travels.
 func (b *Beat) Target() (wire.Target, []Fault) {
 	c := &checker{}
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -69,6 +69,22 @@
 	})
 }
 
+// cutDomain parts a domain's machines from all others; within it they talk on.
+func (w *World) cutDomain(dom string, d time.Duration) {
+	var in []string
+	for _, n := range w.names {
+		if w.procs[n].domain == dom {
+			in = append(in, n)
+		}
+	}
+	for _, t := range w.targets {
+		if t.domain == dom {
+			in = append(in, t.name)
+		}
+	}
+	w.isolate(in, d, true, true)
+}
+
 func both(a, b string) [][2]string { return [][2]string{{a, b}, {b, a}} }
 
 func (w *World) all(kind string) []string {
@@ -417,6 +433,29 @@
 		}
 		w.cutFor(ks, w.ms(1000, 6000))
 	}},
+	{"domain cut off", func(w *World) {
+		dom := w.domain()
+		w.log("domain %s cut off", dom)
+		w.cutDomain(dom, w.ms(3000, 30000))
+	}},
+	{"late words", func(w *World) {
+		for range 6 {
+			t := w.targets[w.rnd.IntN(len(w.targets))]
+			if p := w.pick([]string{"core", "gate"}[w.rnd.IntN(2)], true); p != nil && !t.alive {
+				state := []string{model.Ready, model.Warming}[w.rnd.IntN(2)]
+				w.at(w.ms(0, 3000), func() { w.say(p, t, state) })
+			}
+		}
+	}},
+	{"target moves", func(w *World) {
+		if t := w.pickTarget(); t != nil && w.spare(t.service) > 1 {
+			w.Crash(t)
+			w.at(w.ms(0, 1500), func() {
+				w.log("%s/%s starts elsewhere", t.service, t.name)
+				w.AddTarget(t.service, t.name, t.domain, fmt.Sprintf("10.3.0.%d:80", len(w.targets)), w.ms(0, 1000))
+			})
+		}
+	}},
 	{"domain loses power", func(w *World) {
 		if w.mayHurtCore() == nil {
 			return
@@ -602,9 +641,43 @@
 
 // Back wants service within d.
 func (w *World) Back(d time.Duration) {
+	from := w.now
 	if !w.Settle(d) && w.Fail == "" {
 		w.broken("back in 15 s", "not serving %v after healing: %s", d, w.why())
 	}
+	for w.Fail == "" && w.missing() != "" {
+		if w.now-from > d {
+			w.broken("capacity back", "%s not served %v after healing", w.missing(), d)
+		}
+		w.Run(w.now + 100*time.Millisecond)
+	}
+	w.Stats.Back = w.now - from
+}
+
+// missing names a target that lives and is ready, and that the leader's table does
+// not offer. Of two that claim one name, one is enough.
+func (w *World) missing() string {
+	for _, t := range w.targets {
+		if t.alive && t.state == model.Ready && w.listen[t.addr] == t && !w.served(t) &&
+			!slices.ContainsFunc(w.targets, func(o *Target) bool { return o.service == t.service && o.name == t.name && w.served(o) }) {
+			return t.service + "/" + t.name
+		}
+	}
+	return ""
+}
+
+// served says whether the leader's table offers a target.
+func (w *World) served(t *Target) bool {
+	l := w.Leader()
+	if l == nil || l.core.Table() == nil {
+		return false
+	}
+	for _, x := range l.core.Table().Targets {
+		if x.Service == t.service && x.Name == t.name && x.Inc == t.inc {
+			return !x.Held && !x.Pending && x.BarLeft == 0
+		}
+	}
+	return false
 }
 
 func (w *World) why() string {
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -178,6 +178,7 @@
 	Steps                                       int
 	MaxWarm                                     int
 	Orphaned                                    int
+	Back                                        time.Duration // from healing to full capacity
 }
 
 func New(seed uint64, p Plan) *World {
@@ -527,6 +528,12 @@
 	w.at(limit.BeatEvery/2, again)
 }
 
+// say has a daemon hear a target's word, as a late or repeated one would be.
+func (w *World) say(p *Proc, t *Target, state string) {
+	b, _ := json.Marshal(model.Beat{Service: t.service, Name: t.name, Incarnation: t.inc, Address: t.addr, Domain: t.domain, State: state})
+	w.call(p, "POST", "/v1/targets", "", b, "", func(core.Reply) {})
+}
+
 // Crash ends a back end without a word.
 func (w *World) Crash(t *Target) {
 	if !t.alive {
--- /dev/null
+++ b/sim/targets_test.go
@@ -0,0 +1,132 @@
+package sim
+
+import (
+	"testing"
+	"time"
+
+	"myrtlefold/model"
+)
+
+// Silence alone refuses nobody: a domain cut off for longer than a silent target's
+// entry lasts is back at full capacity within seconds of healing.
+func TestHealedTargets(t *testing.T) {
+	for seed, cut := range []time.Duration{15 * time.Second, 25 * time.Second, 50 * time.Second, 90 * time.Second} {
+		w := Start(uint64(seed), Small)
+		w.cutDomain("d2", cut)
+		w.Run(w.now + cut)
+		healed := w.now
+		for w.missing() != "" && w.now < healed+30*time.Second {
+			w.Run(w.now + 100*time.Millisecond)
+		}
+		check(t, w)
+		if took := w.now - healed; took > 4*time.Second {
+			t.Errorf("cut for %v: %s missing %v after healing", cut, w.missing(), took)
+		}
+	}
+}
+
+// A late word of an earlier start neither evicts the present one nor comes back
+// itself, whether or not the leader that knew better is still there.
+func TestLateWords(t *testing.T) {
+	for seed := range uint64(12) {
+		w := Start(seed, Small)
+		old := w.targets[int(seed)%len(w.targets)]
+		w.Crash(old)
+		w.Run(w.now + 300*time.Millisecond)
+		n := w.AddTarget(old.service, old.name, old.domain, old.addr, 0)
+		n.inc = old.inc - 1 // a clock that went back, or plain chance: numbers have no order
+		if seed%3 == 1 {    // under another address
+			delete(w.listen, n.addr)
+			n.addr = "10.9.9.9:80"
+			w.listen[n.addr] = n
+		}
+		w.Run(w.now + 4*time.Second)
+		if !w.served(n) {
+			t.Fatalf("seed %d: the new start is not served\n%s", seed, w.Trace(20))
+		}
+		if seed%2 == 0 {
+			w.Kill(w.Leader())
+			for w.Leader() == nil && w.now < 30*time.Second {
+				w.Run(w.now + 5*time.Millisecond)
+			}
+			w.say(w.Leader(), old, model.Ready) // before anything else is heard
+		}
+		for range 20 {
+			w.say(w.pick("gate", true), old, model.Ready)
+			w.say(w.Leader(), old, model.Warming)
+			w.Run(w.now + 50*time.Millisecond)
+			if w.served(old) {
+				t.Fatalf("seed %d: the old start is served\n%s", seed, w.Trace(20))
+			}
+		}
+		w.Run(w.now + 2*time.Second)
+		check(t, w)
+		if !w.served(n) || w.served(old) {
+			t.Fatalf("seed %d: new served %v, old served %v\n%s", seed, w.served(n), w.served(old), w.Trace(20))
+		}
+	}
+}
+
+// Two live targets under one name, or at one address: one of them stays, and no
+// word of the other moves anything back and forth.
+func TestTwoClaimOne(t *testing.T) {
+	for seed := range uint64(8) {
+		w := Start(seed, Small)
+		a := w.targets[0]
+		b := w.AddTarget("pay", "rival", a.domain, "10.9.9.8:80", 0)
+		if seed%2 == 0 {
+			b.service, b.name = a.service, a.name
+		} else {
+			b.addr = a.addr // a still listens there
+			w.listen[a.addr] = a
+			delete(w.listen, "10.9.9.8:80")
+		}
+		w.Run(w.now + 3*time.Second)
+		if w.served(a) == w.served(b) {
+			t.Fatalf("seed %d: %v %v\n%s", seed, w.served(a), w.served(b), w.Trace(20))
+		}
+		first, turns := w.served(a), 0
+		for range 900 {
+			w.Run(w.now + 100*time.Millisecond)
+			if now := w.served(a); now != first {
+				first = now
+				turns++
+			}
+			if w.now > 60*time.Second && w.now < 60*time.Second+100*time.Millisecond {
+				w.Kill(w.Leader())
+				w.Run(w.now + 2*time.Second)
+				w.Restart(w.pick("core", false))
+			}
+		}
+		check(t, w)
+		if turns > 2 { // a new leader may find out anew
+			t.Errorf("seed %d: %d turns", seed, turns)
+		}
+	}
+}
+
+// A target that has left does not come back by a late word, also when the leader
+// that saw it leave is gone.
+func TestLeftStaysAway(t *testing.T) {
+	for seed := range uint64(8) {
+		w := Start(seed, Small)
+		old := w.targets[1]
+		w.Leave(old, func() {})
+		w.Run(w.now + 6*time.Second)
+		if old.alive {
+			t.Fatal("still there")
+		}
+		w.Kill(w.Leader())
+		for w.Leader() == nil {
+			w.Run(w.now + 5*time.Millisecond)
+		}
+		for range 10 {
+			w.say(w.Leader(), old, model.Ready)
+			w.Run(w.now + 30*time.Millisecond)
+			if w.served(old) {
+				t.Fatalf("seed %d: served again\n%s", seed, w.Trace(20))
+			}
+		}
+		check(t, w)
+	}
+}
