--- a/core/core.go
+++ b/core/core.go
@@ -899,8 +899,8 @@
 			return
 		}
 	}
-	t.beatAt, t.aliveAt = now, now
 	c.word(now, t)
+	t.aliveAt = now
 	if w.HasDemand {
 		t.Demand, t.HasDemand = w.Demand, true
 	}
@@ -927,12 +927,24 @@
 // word counts a beat. One alone proves nothing, since it may be a late one of a
 // start that is over; who goes on beating is there, even if no probe gets through.
 func (c *Core) word(now time.Duration, t *target) {
+	if now-t.beatAt > limit.BeatLapse {
+		t.words = 0
+	}
 	if t.words++; t.words == 1 {
 		t.wordAt = now
 	}
-	if t.words >= limit.ProofWords && now-t.wordAt >= limit.ProofSpan {
-		t.told = false
-	}
+	t.beatAt = now
+	t.told = t.told && !t.speaks(now)
+}
+
+// speaks says that a target's words come as a living one's do.
+func (t *target) speaks(now time.Duration) bool {
+	return t.words >= limit.ProofWords && t.beatAt-t.wordAt >= limit.ProofSpan && now-t.beatAt < limit.BeatLapse
+}
+
+// beats is what the table says of it: one that misses its probes has to speak on.
+func (t *target) beats(now time.Duration) bool {
+	return now-t.beatAt < limit.BeatLapse && (t.misses < limit.ProbeMisses || t.speaks(now))
 }
 
 // rivals are the known targets under w's name or at its address.
@@ -954,7 +966,7 @@
 			beatAt: now, aliveAt: now, probeAt: now - limit.ProbeEvery, seenAt: now, told: true}
 	}
 	if len(c.rivals(w)) > 0 {
-		t.beatAt, t.Addr = now, w.Addr
+		t.Addr = w.Addr
 		c.word(now, t)
 		c.claims[w.ID()] = t
 		if !c.succeed(now, t, false) {
@@ -1139,7 +1151,7 @@
 		w.Pending = w.Pending || c.targets[id].told
 		until, why := c.judge.Barred(now, id)
 		w.BarLeft, w.BarWhy = max(0, int64(until-now)), why
-		w.Beating = now-c.targets[id].beatAt < limit.BeatLapse
+		w.Beating = c.targets[id].beats(now)
 		t.Targets = append(t.Targets, w)
 		fmt.Fprintf(h, "%s %s %d %s %s %s %v %v %s %v\n", w.Service, w.Name, w.Inc, w.Addr, w.Domain, w.State, w.Held, w.Pending, w.BarWhy, w.Beating)
 		demand = demand*31 + uint64(w.Demand*8)
--- a/core/operate.go
+++ b/core/operate.go
@@ -598,7 +598,7 @@
 	for _, id := range slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare) {
 		t := c.targets[id]
 		v := TargetView{Target: t.Target, BeatMs: float64(now-t.beatAt) / 1e6, Why: "serving"}
-		v.Beating = now-t.beatAt < limit.BeatLapse
+		v.Beating = t.beats(now)
 		until, why := c.judge.Barred(now, id)
 		if until > now {
 			v.Bar, v.BarMs = why, (until - now).Milliseconds()
--- a/sim/targets_test.go
+++ b/sim/targets_test.go
@@ -130,3 +130,25 @@
 		check(t, w)
 	}
 }
+
+// When every target of a service is out, a late word of a dead one does not make it
+// the last resort.
+func TestLateWordOfTheLast(t *testing.T) {
+	for seed := range uint64(6) {
+		w := Start(seed, Small)
+		var dead []*Target
+		for _, x := range w.targets {
+			if x.service == "fares" {
+				w.Crash(x)
+				dead = append(dead, x)
+			}
+		}
+		w.Run(w.now + 3*time.Second)
+		for _, x := range dead {
+			w.say(w.Leader(), x, model.Ready)
+			w.say(w.pick("gate", true), x, model.Ready)
+		}
+		w.Run(w.now + 2*time.Second)
+		check(t, w)
+	}
+}
