A choice of a target lives 0.6 s: a thawed proxy writes nothing on an old one

Cause: a proxy frozen between choosing and writing sent when it thawed, whatever had been said of the target, the domain or the configuration meanwhile; only the exchange's deadline bounded that. Ruled out: asking the owner again before each write (a second crossing of threads for every exchange), and checking before RoundTrip only (the library writes from another goroutine). Change: Give carries a moment on the owner's monotonic clock; the pipe's own Write looks at it right before an exchange's first byte, and one past it goes back to the owner unsent. TestOldChoice does the same over HTTP, on new and kept pipes.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -44,6 +44,7 @@
 // Owner passes events to the proxy's owner. Ask waits for the Give or Refuse
 // that answers an event for an exchange.
 type Owner struct {
+	Now  func() time.Duration
 	Tell func(ev any)
 	Ask  func(ctx context.Context, id uint64, ev any) any
 }
@@ -54,20 +55,36 @@
 }
 
 type pipe struct {
-	cc      *http.ClientConn
-	written *atomic.Int64
-	id      wire.ID
-	idle    time.Time
+	cc   *http.ClientConn
+	out  *writes
+	id   wire.ID
+	idle time.Time
+}
+
+// writes is what has gone out on a pipe, and until when the next exchange's first
+// byte may.
+type writes struct {
+	n    atomic.Int64
+	till atomic.Int64 // 0: at any time
+	now  func() time.Duration
 }
 
 type countConn struct {
 	net.Conn
-	n *atomic.Int64
+	w *writes
 }
 
+var errStale = errors.New("the choice of this target is too old")
+
 func (c countConn) Write(b []byte) (int, error) {
+	if till := c.w.till.Load(); till != 0 {
+		if int64(c.w.now()) > till {
+			return 0, errStale
+		}
+		c.w.till.Store(0)
+	}
 	n, err := c.Conn.Write(b)
-	c.n.Add(int64(n))
+	c.w.n.Add(int64(n))
 	return n, err
 }
 
@@ -151,9 +168,12 @@
 
 var errForeign = errors.New("another identity answers at the target's address")
 
-// Dial opens a pipe and returns it with a count of the bytes written to it.
-func Dial(ctx context.Context, addr string) (*http.ClientConn, *atomic.Int64, error) {
-	n := &atomic.Int64{}
+// Dial opens a pipe.
+func Dial(ctx context.Context, addr string) (*http.ClientConn, error) {
+	return dial(ctx, addr, &writes{})
+}
+
+func dial(ctx context.Context, addr string, w *writes) (*http.ClientConn, error) {
 	t := &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: 4 * limit.HeaderMax,
 		DialContext: func(ctx context.Context, network, a string) (net.Conn, error) {
 			var d net.Dialer
@@ -161,10 +181,9 @@
 			if err != nil {
 				return nil, err
 			}
-			return countConn{c, n}, nil
+			return countConn{c, w}, nil
 		}}
-	cc, err := t.NewClientConn(ctx, "http", addr)
-	return cc, n, err
+	return t.NewClientConn(ctx, "http", addr)
 }
 
 // Identify asks a back end who it is.
@@ -192,7 +211,8 @@
 func (c *Carrier) open(ctx context.Context, t *wire.Target) (*pipe, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit.DialCap)
 	defer cancel()
-	cc, n, err := Dial(ctx, t.Addr)
+	w := &writes{now: c.owner.Now}
+	cc, err := dial(ctx, t.Addr, w)
 	if err != nil {
 		return nil, err
 	}
@@ -207,7 +227,7 @@
 		return nil, errors.Wrapf(errForeign, "%s/%s/%d", b.Service, b.Name, b.Incarnation)
 	}
 	c.Counts.Opened.Add(1)
-	return &pipe{cc: cc, written: n, id: t.ID()}, nil
+	return &pipe{cc: cc, out: w, id: t.ID()}, nil
 }
 
 func (c *Carrier) pipe(ctx context.Context, t *wire.Target) (*pipe, error) {
@@ -486,16 +506,19 @@
 		req.Header.Set("X-Forwarded-For", strings.Join(append(slices.Clone(r.Header.Values("X-Forwarded-For")), ip), ", "))
 	}
 	req.Header.Set(DeadlineHeader, strconv.FormatInt(max(1, (g.Left-time.Since(start)).Milliseconds()), 10))
-	before := p.written.Load()
+	before := p.out.n.Load()
+	p.out.till.Store(int64(g.Till))
 	resp, err := p.cc.RoundTrip(req)
 	if err != nil {
 		p.cc.Close()
-		t = tried{sent: p.written.Load() != before, outcome: gate.Lost, code: "lost", msg: "the target's answer was lost"}
+		t = tried{sent: p.out.n.Load() != before, outcome: gate.Lost, code: "lost", msg: "the target's answer was lost"}
 		switch {
 		case r.Context().Err() != nil:
 			t.outcome = gate.Dropped
 		case ctx.Err() != nil:
 			t.late, t.code, t.msg = true, "late", "no answer within the deadline"
+		case !t.sent && p.out.till.Load() != 0 && c.owner.Now() > g.Till:
+			t.outcome, t.code, t.msg = gate.Stale, "stale", "the choice of a target grew too old before anything was sent"
 		case !t.sent:
 			t.outcome, t.code, t.msg = gate.Closed, "closed", "the pipe to the target was closed"
 		}
--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"myrtlefold/gate"
+	"myrtlefold/limit"
 	"myrtlefold/model"
 	"myrtlefold/wire"
 )
@@ -67,6 +68,7 @@
 	told   chan any
 	addr   string
 	client *http.Client
+	now    atomic.Int64
 }
 
 func carrier(t *testing.T, targets ...wire.Target) *front {
@@ -76,7 +78,7 @@
 		live[x.ID()] = x.Addr
 	}
 	f.pool.Live(live)
-	c := New(Owner{Tell: func(ev any) { f.told <- ev }, Ask: func(_ context.Context, id uint64, ev any) any {
+	c := New(Owner{Now: func() time.Duration { return time.Duration(f.now.Load()) }, Tell: func(ev any) { f.told <- ev }, Ask: func(_ context.Context, id uint64, ev any) any {
 		f.asked = append(f.asked, ev)
 		n := 0
 		for _, a := range f.asked {
@@ -89,7 +91,7 @@
 		if n >= len(targets) {
 			return gate.Refuse{ID: id, Status: 503, Retry: 2, Code: "busy", Message: "none left"}
 		}
-		return gate.Give{ID: id, Service: "s", Target: targets[n], Left: 5 * time.Second, Set: model.Service{BodyMax: 100 << 10, Tries: 3}}
+		return gate.Give{ID: id, Service: "s", Target: targets[n], Left: 5 * time.Second, Till: limit.ChoiceLife, Set: model.Service{BodyMax: 100 << 10, Tries: 3}}
 	}}, f.pool)
 	srv := httptest.NewServer(c)
 	t.Cleanup(func() { srv.Close(); f.pool.Close() })
@@ -187,6 +189,30 @@
 	}
 }
 
+// A choice has a short life: a proxy that froze between choosing and writing
+// writes nothing, on a new pipe or a kept one, and asks its owner again.
+func TestOldChoice(t *testing.T) {
+	a := serve(t, "a", fine)
+	f := carrier(t, a.Target)
+	if status, _, _ := f.do(t, "POST", "/x", "body"); status != 200 {
+		t.Fatal(status)
+	}
+	<-f.told
+	f.now.Store(int64(limit.ChoiceLife + 1)) // the pool holds a pipe by now
+	for range 2 {
+		status, h, _ := f.do(t, "POST", "/x", "body")
+		if d := (<-f.told).(gate.Done); status != 503 || h.Get(RanHeader) != "no" || d.Outcome != gate.Stale {
+			t.Fatalf("%d, ran %q, outcome %v", status, h.Get(RanHeader), d.Outcome)
+		}
+		if e := f.asked[len(f.asked)-1].(gate.Again); e.Sent {
+			t.Fatal("counted as sent")
+		}
+	}
+	if a.runs.Load() != 1 {
+		t.Fatalf("ran %d times", a.runs.Load())
+	}
+}
+
 // No pipe outlives its target's entry in the table.
 func TestPipeLeavesWithItsTarget(t *testing.T) {
 	a := serve(t, "a", fine)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -64,6 +64,7 @@
 	Lost                   // no answer, garbage, or one that was cut
 	Closed                 // no pipe could be opened; nothing was written
 	Foreign                // another identity answered there; nothing was written
+	Stale                  // the choice grew too old before anything was written
 	Dropped                // the user agent went away
 )
 
@@ -76,6 +77,7 @@
 		Set     model.Service
 		Target  wire.Target
 		Left    time.Duration // until the exchange's deadline
+		Till    time.Duration // nothing of it may be written to this target later than this
 	}
 	// Refuse is an exchange's final answer, given before anything was sent on its behalf
 	// (or, after Again, after a try that its caller has classified).
@@ -150,7 +152,7 @@
 
 // Counts are the owner's counters.
 type Counts struct {
-	Admitted, Refused, Busy, NoTarget, NotServing, Retries, RetriesDenied, Waited, Tables, StaleTables, OwnBars, Shunned uint64
+	Admitted, Refused, Busy, NoTarget, NotServing, Retries, RetriesDenied, Waited, Tables, StaleTables, StaleChoices, OwnBars, Shunned uint64
 }
 
 type Gate struct {
@@ -772,7 +774,7 @@
 		t.inflight++
 		s.inflight++
 		g.Counts.Admitted++
-		g.do(Give{x.id, x.svc, x.set, t.Target, x.deadline - now})
+		g.do(Give{x.id, x.svc, x.set, t.Target, x.deadline - now, now + limit.ChoiceLife})
 	case !any:
 		g.Counts.NoTarget++
 		g.refuse(now, x, 503, "no_target", "no target of the service may be used")
@@ -880,8 +882,10 @@
 		t.inflight--
 		g.service(x.svc).inflight--
 		x.at = nil
-		x.tried = append(x.tried, t.ID())
-		if e.Outcome != Closed && e.Outcome != Foreign && e.Outcome != Dropped {
+		if e.Outcome != Stale {
+			x.tried = append(x.tried, t.ID())
+		}
+		if e.Outcome != Stale && e.Outcome != Closed && e.Outcome != Foreign && e.Outcome != Dropped {
 			t.closed = 0
 		}
 		switch e.Outcome {
@@ -894,6 +898,8 @@
 		case Broken, Lost:
 			t.seen.Errors++
 			t.seen.SumMs += e.Ms
+		case Stale:
+			g.Counts.StaleChoices++
 		case Closed, Foreign:
 			t.seen.Errors++
 			t.shun = now + limit.Shun
--- a/host/gate.go
+++ b/host/gate.go
@@ -22,7 +22,7 @@
 	h := Start("gate", args)
 	own := gate.New(gate.Settings{Self: h.Daemon(), Seeds: h.Set.Seeds})
 	pool := carry.NewPool()
-	car := carry.New(carry.Owner{Tell: h.Loop.Tell, Ask: func(ctx context.Context, id uint64, ev any) any {
+	car := carry.New(carry.Owner{Now: h.Now, Tell: h.Loop.Tell, Ask: func(ctx context.Context, id uint64, ev any) any {
 		return h.Loop.Ask(ctx, id, ev, gate.Cancel{ID: id})
 	}}, pool)
 	exec := func(cmd any) {
--- a/host/host.go
+++ b/host/host.go
@@ -388,7 +388,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), limit.ProbeCap)
 		defer cancel()
 		var b *model.Beat
-		cc, _, err := carry.Dial(ctx, p.Addr)
+		cc, err := carry.Dial(ctx, p.Addr)
 		if err == nil {
 			b, err = carry.Identify(ctx, cc, p.Addr)
 			cc.Close()
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -125,6 +125,9 @@
 	RetryFree = 10
 	// TriesMax is how often one exchange may be sent in all.
 	TriesMax = 3
+	// ChoiceLife is how long after a target was chosen an exchange may begin to be written to it: a
+	// new pipe's time and a little. A process that freezes in between sends nothing on an old choice.
+	ChoiceLife = DialCap + 100*time.Millisecond
 	// DialCap is how long opening a pipe and checking its identity may take.
 	DialCap = 500 * time.Millisecond
 	// Shun is how long a target that refused a pipe is used last by that proxy.
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -286,6 +286,19 @@
 			w.Freeze(p, w.ms(300, 5000))
 		}
 	}},
+	{"gate frozen with work in hand", func(w *World) {
+		p := w.pick("gate", true)
+		if p == nil || p.frozen {
+			return
+		}
+		for i := range 4 * len(w.Plan.Services) { // chosen, and not yet written
+			w.exchangeAt(p, slices.Sorted(maps.Keys(w.Plan.Services))[i%len(w.Plan.Services)], i%2 == 0, 9)
+		}
+		w.Freeze(p, w.ms(300, 8000))
+		if t := w.pickTarget(); t != nil && w.spare(t.service) > 2 {
+			w.Leave(t, func() { w.replace(t, w.ms(100, 3000), 0) })
+		}
+	}},
 	{"gate isolated", func(w *World) {
 		if p := w.pick("gate", true); p != nil {
 			w.isolate([]string{p.name}, w.ms(500, 6000), true, true)
--- a/sim/guards_test.go
+++ b/sim/guards_test.go
@@ -360,3 +360,24 @@
 		}
 	}
 }
+
+// A proxy freezes with exchanges in hand, chosen and not yet written. What happens
+// meanwhile holds for them too: on the thaw they go elsewhere or back.
+func TestFrozenWithWorkInHand(t *testing.T) {
+	f, _ := ByName("gate frozen with work in hand")
+	stale := uint64(0)
+	for seed := range uint64(12) {
+		w := Start(seed, Small)
+		w.Run(w.now + time.Second)
+		f.Do(w)
+		w.Change(w.Leader(), "POST", "/v1/domains/d1/empty", "", nil, &change{what: "empty d1", empty: "d1"})
+		w.Run(w.now + 9*time.Second)
+		check(t, w)
+		for _, n := range w.all("gate") {
+			stale += w.procs[n].gate.Counts.StaleChoices
+		}
+	}
+	if stale < 12 {
+		t.Fatalf("only %d choices grew old", stale)
+	}
+}
--- a/sim/rules.go
+++ b/sim/rules.go
@@ -52,6 +52,26 @@
 	if at, ok := w.emptied[c.Target.Domain]; ok && w.now > at {
 		w.broken("emptied domain", "%s gives an exchange to %s/%s in %s, emptied %v ago", p.name, c.Target.Service, c.Target.Name, c.Target.Domain, w.now-at)
 	}
+	x.rev = p.gate.Revision()
+	w.checkTarget(p, c)
+}
+
+// checkWrite: the same once more when the first byte goes out, which a frozen process
+// does late. A choice that was right may be carried out for its short life.
+func (w *World) checkWrite(p *Proc, c *gate.Give, x *exchange) {
+	life := limit.ChoiceLife * 21 / 20
+	for r, at := range w.ackedAt {
+		if r > x.rev && w.now-at > life {
+			w.broken("not in force", "%s writes what it chose on revision %d, %d was acknowledged %v ago", p.name, x.rev, r, w.now-at)
+		}
+	}
+	if at, ok := w.emptied[c.Target.Domain]; ok && w.now-at > life {
+		w.broken("emptied domain", "%s writes to %s/%s in %s, emptied %v ago", p.name, c.Target.Service, c.Target.Name, c.Target.Domain, w.now-at)
+	}
+	w.checkTarget(p, c)
+}
+
+func (w *World) checkTarget(p *Proc, c *gate.Give) {
 	for _, t := range w.targets {
 		if t.service != c.Target.Service || t.name != c.Target.Name || t.inc != c.Target.Inc {
 			continue
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -69,6 +69,7 @@
 	alive  bool
 	frozen bool
 	held   []any
+	thawed []func()
 	gen    int
 	boot   time.Duration
 	base   time.Duration
@@ -109,6 +110,7 @@
 	retry  bool
 	final  string
 	hard   int
+	rev    uint64 // the proxy's when it chose
 }
 
 type change struct {
@@ -151,7 +153,7 @@
 	nextAsk  uint64
 	changes  []*change
 	acked    uint64
-	ackDoc   map[uint64]string
+	ackedAt  map[uint64]time.Duration
 	emptied  map[string]time.Duration
 	sends    map[string][]tick
 	trace    []string
@@ -184,7 +186,7 @@
 func New(seed uint64, p Plan) *World {
 	w := &World{Plan: p, Seed: seed, rnd: rand.New(rand.NewPCG(seed, 0x6d79727465)), procs: map[string]*Proc{}, byAddr: map[string]*Proc{},
 		listen: map[string]*Target{}, cut: map[[2]string]bool{}, open: map[uint64]*exchange{}, link: map[[2]string]time.Duration{},
-		asks: map[uint64]*ask{}, ackDoc: map[uint64]string{}, emptied: map[string]time.Duration{}, sends: map[string][]tick{}, delay: time.Millisecond}
+		asks: map[uint64]*ask{}, ackedAt: map[uint64]time.Duration{}, emptied: map[string]time.Duration{}, sends: map[string][]tick{}, delay: time.Millisecond}
 	for i := range p.Cores {
 		w.addProc("core", fmt.Sprintf("c%d", i+1), i%p.Domains)
 	}
@@ -268,7 +270,7 @@
 
 func (w *World) start(p *Proc) {
 	p.gen++
-	p.alive, p.frozen, p.held = true, false, nil
+	p.alive, p.frozen, p.held, p.thawed = true, false, nil, nil
 	p.boot, p.since = w.now, w.now
 	p.base = time.Duration(1 + w.rnd.Int64N(int64(time.Hour)))
 	p.rate = 0.98 + 0.04*w.rnd.Float64()
@@ -346,6 +348,10 @@
 			p.frozen = false
 			held := p.held
 			p.held = nil
+			for _, fn := range p.thawed { // traffic goes on at once, before the owner is told anything
+				fn()
+			}
+			p.thawed = nil
 			for _, ev := range held {
 				w.deliver(p, ev)
 			}
@@ -626,7 +632,10 @@
 	if len(ready) == 0 {
 		return
 	}
-	p := ready[w.rnd.IntN(len(ready))]
+	w.exchangeAt(ready[w.rnd.IntN(len(ready))], svc, unsafe, hard)
+}
+
+func (w *World) exchangeAt(p *Proc, svc string, unsafe bool, hard int) {
 	w.nextEx++
 	x := &exchange{id: w.nextEx, svc: svc, unsafe: unsafe, gate: p, gen: p.gen, hard: hard}
 	w.open[x.id] = x
@@ -732,12 +741,31 @@
 		fail(w.ms(1, 3), gate.Foreign, false, false)
 		return
 	}
+	w.at(w.ms(0, 2), func() { w.write(p, c, x, t, back, fail) })
+}
+
+// write is the moment at which an exchange's first byte goes out; a process that
+// is frozen then goes on with it when it thaws.
+func (w *World) write(p *Proc, c gate.Give, x *exchange, t *Target, back func(time.Duration, func()), fail func(time.Duration, gate.Outcome, bool, bool)) {
+	id := c.Target.ID()
+	if !p.alive || p.gen != x.gen {
+		return
+	}
+	if p.frozen {
+		p.thawed = append(p.thawed, func() { w.write(p, c, x, t, back, fail) })
+		return
+	}
+	if p.local() > c.Till {
+		fail(0, gate.Stale, false, false)
+		return
+	}
+	w.checkWrite(p, &c, x)
 	if x.retry {
 		w.Stats.Retries++
 	}
 	w.sends[x.svc] = append(w.sends[x.svc], tick{w.now, x.retry})
 	x.retry = false
-	w.at(w.ms(0, 2), func() {
+	w.at(0, func() {
 		if t.service != x.svc {
 			w.broken("wrong service", "exchange %d for %s reached %s/%s", x.id, x.svc, t.service, t.name)
 		}
@@ -827,7 +855,9 @@
 			w.Stats.Forces = append(w.Stats.Forces, w.now-c.at)
 			w.Stats.MaxForce = max(w.Stats.MaxForce, w.now-c.at)
 			w.log("%s accepted as revision %d", c.what, v.Revision)
-			w.acked = max(w.acked, v.Revision)
+			if w.acked = max(w.acked, v.Revision); w.ackedAt[v.Revision] == 0 {
+				w.ackedAt[v.Revision] = w.now
+			}
 			if c.what == "config" {
 				for _, o := range w.changes {
 					if o != c && o.what == "config" && o.state == "accepted" && o.base == c.base {
