Orphans take the restart of a known target and trust only beats heard now

Cause, one: while the core is gone nobody takes a target in, so a service rolled meanwhile ended with none.

Weighed: orphans agreeing on new targets among themselves (an agreement of its own, for a case that a restart's name already decides); taking any newcomer after a probe (its address may be another service's in a table somewhere). Kept out: new names, and addresses that the table gives to another.

Change: an orphan puts a later start of the same service and name in its place once that answers a probe as itself, and who stood there left, misses its probes or had that very address. A leader's table replaces all of it.

--- a/core/core.go
+++ b/core/core.go
@@ -134,6 +134,25 @@
 	told    bool // its table of before this lead is merged
 }
 
+// Voice is how a target's words come: its beats without a gap.
+type Voice struct {
+	words       int
+	first, last time.Duration
+}
+
+func (v *Voice) Hear(now time.Duration) {
+	if v.words == 0 || now-v.last > limit.BeatLapse {
+		v.words, v.first = 0, now
+	}
+	v.words++
+	v.last = now
+}
+
+// Speaks says that they come as a living one's do, not as one late word.
+func (v *Voice) Speaks(now time.Duration) bool {
+	return v.words >= limit.ProofWords && v.last-v.first >= limit.ProofSpan && now-v.last < limit.BeatLapse
+}
+
 type target struct {
 	wire.Target
 	beatAt   time.Duration
@@ -145,8 +164,7 @@
 	seenAt   time.Duration
 	silentAt time.Duration
 	misses   int // probes in a row without its own answer
-	words    int // beats since it is known, and when the first came
-	wordAt   time.Duration
+	voice    Voice
 	told     bool // known by hearsay: one word, or a proxy's table; not served until it has proved itself
 	freed    bool // its address had another target's entry
 }
@@ -927,24 +945,14 @@
 // word counts a beat. One alone proves nothing, since it may be a late one of a
 // start that is over; who goes on beating is there, even if no probe gets through.
 func (c *Core) word(now time.Duration, t *target) {
-	if now-t.beatAt > limit.BeatLapse {
-		t.words = 0
-	}
-	if t.words++; t.words == 1 {
-		t.wordAt = now
-	}
 	t.beatAt = now
-	t.told = t.told && !t.speaks(now)
-}
-
-// speaks says that a target's words come as a living one's do.
-func (t *target) speaks(now time.Duration) bool {
-	return t.words >= limit.ProofWords && t.beatAt-t.wordAt >= limit.ProofSpan && now-t.beatAt < limit.BeatLapse
+	t.voice.Hear(now)
+	t.told = t.told && !t.voice.Speaks(now)
 }
 
 // beats is what the table says of it: one that misses its probes has to speak on.
 func (t *target) beats(now time.Duration) bool {
-	return now-t.beatAt < limit.BeatLapse && (t.misses < limit.ProbeMisses || t.speaks(now))
+	return now-t.beatAt < limit.BeatLapse && (t.misses < limit.ProbeMisses || t.voice.Speaks(now))
 }
 
 // rivals are the known targets under w's name or at its address.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -114,6 +114,8 @@
 	barUntil time.Duration // the table's bar
 	ownBar   time.Duration // an orphan's bar, from its own probes
 	held     bool          // heard here that it leaves
+	voice    core.Voice    // what was heard here of its beats
+	heir     *target       // a later start of it that claims its place while no leader can say
 	shun     time.Duration
 	backAt   time.Duration // when a bar was lifted
 	inflight int
@@ -431,6 +433,11 @@
 		}
 		t.Targets = append(t.Targets, w)
 	}
+	for _, id := range slices.SortedFunc(maps.Keys(g.targets), wire.ID.Compare) {
+		if l := g.targets[id]; !slices.ContainsFunc(g.table.Targets, func(w wire.Target) bool { return w.ID() == id }) {
+			t.Targets = append(t.Targets, l.Target)
+		}
+	}
 	return &t
 }
 
@@ -555,8 +562,14 @@
 	g.do(r)
 }
 
-// heardBeat acts at once on a target that leaves; all else is the leader's.
+// heardBeat acts at once on a target that leaves; all else is the leader's, or
+// kept for the time when there is none.
 func (g *Gate) heardBeat(now time.Duration, w wire.Target) {
+	if t := g.targets[w.ID()]; t != nil {
+		t.voice.Hear(now)
+	} else if g.state == Orphan && w.State != model.Gone {
+		g.claim(now, w)
+	}
 	if w.State != model.Leaving && w.State != model.Gone {
 		return
 	}
@@ -568,24 +581,84 @@
 	}
 }
 
+// claim notes a later start of a target that the table knows. No leader can take it
+// in, so an orphan does for itself, once it has answered for itself: a service that
+// is rolled while the core is gone goes on. The same service and name, and an address
+// that no other target of the table has; all else waits for a leader.
+func (g *Gate) claim(now time.Duration, w wire.Target) {
+	var at *target
+	for id, t := range g.targets {
+		switch {
+		case id.Service == w.Service && id.Name == w.Name:
+			at = t
+		case t.Addr == w.Addr:
+			return
+		}
+	}
+	if at == nil || g.leaving[w.ID()] != 0 || at.heir != nil && at.heir.Inc != w.Inc && at.heir.voice.Speaks(now) {
+		return
+	}
+	if at.heir == nil || at.heir.ID() != w.ID() || at.heir.Addr != w.Addr {
+		at.heir = &target{Target: wire.Target{Service: w.Service, Name: w.Name, Inc: w.Inc, Addr: w.Addr, Domain: w.Domain, State: model.Warming}}
+	}
+	at.heir.voice.Hear(now)
+}
+
+// inherit puts an heir that has answered for itself in its place, unless who
+// stands there still answers too.
+func (g *Gate) inherit(now time.Duration, p core.Probed) {
+	for id, t := range g.targets {
+		h := t.heir
+		if h == nil || h.ID() != p.ID {
+			continue
+		}
+		h.sentAt = 0
+		gone := t.held || t.Held || t.misses >= limit.ProbeMisses || t.Addr == h.Addr
+		if g.state != Orphan || !gone || p.Beat == nil || p.Beat.ID() != p.ID || p.Beat.State == model.Leaving {
+			return
+		}
+		if p.Beat.State == model.Ready {
+			h.State = model.Ready
+		}
+		g.do(core.Change{What: "target", From: fmt.Sprint(id.Inc), To: fmt.Sprint(h.Inc), Why: "a later start of " + id.Service + "/" + id.Name + " answers, and no leader is there"})
+		delete(g.targets, id)
+		g.leaving[id] = now
+		g.targets[p.ID] = h
+		live := map[wire.ID]string{}
+		for id, t := range g.targets {
+			live[id] = t.Addr
+		}
+		g.do(Targets{live})
+		return
+	}
+}
+
 // watch is the watchdog of a proxy without a leader. A cut one keeps it up, so that
 // it does not come back with an old opinion.
 func (g *Gate) watch(now time.Duration) {
 	for _, id := range slices.SortedFunc(maps.Keys(g.targets), wire.ID.Compare) {
 		t := g.targets[id]
-		if t.sentAt != 0 && now-t.sentAt > 2*limit.ProbeCap {
-			t.sentAt = 0
-		}
-		if t.sentAt == 0 && now-t.probeAt >= limit.ProbeEvery {
-			t.probeAt, t.sentAt = now, now
-			g.do(core.Probe{ID: id, Addr: t.Addr})
+		g.probe(now, t)
+		if t.heir != nil {
+			g.probe(now, t.heir)
 		}
 	}
 }
 
+func (g *Gate) probe(now time.Duration, t *target) {
+	if t.sentAt != 0 && now-t.sentAt > 2*limit.ProbeCap {
+		t.sentAt = 0
+	}
+	if t.sentAt == 0 && (t.probeAt == 0 || now-t.probeAt >= limit.ProbeEvery) {
+		t.probeAt, t.sentAt = now, now
+		g.do(core.Probe{ID: t.ID(), Addr: t.Addr})
+	}
+}
+
 func (g *Gate) probed(now time.Duration, p core.Probed) {
 	t := g.targets[p.ID]
 	if t == nil {
+		g.inherit(now, p)
 		return
 	}
 	t.sentAt = 0
@@ -600,6 +673,9 @@
 		return
 	}
 	t.misses = 0
+	if b.State == model.Ready && t.State == model.Warming && g.state == Orphan {
+		t.State = model.Ready
+	}
 	if t.ownBar > now {
 		t.ownBar, t.backAt = 0, now
 	}
@@ -670,7 +746,7 @@
 			continue
 		}
 		if t.barUntil > now || t.ownBar > now {
-			if t.Beating && t.ownBar <= now {
+			if g.beats(now, t) && t.ownBar <= now {
 				barred = append(barred, t)
 			}
 			continue
@@ -699,6 +775,15 @@
 	return best, true
 }
 
+// beats says whether a target is known to beat: by the table while the leader
+// keeps it fresh, else by what was heard here, straight or through a partner.
+func (g *Gate) beats(now time.Duration, t *target) bool {
+	if g.state == Granted {
+		return t.Beating
+	}
+	return t.voice.Speaks(now)
+}
+
 func (g *Gate) better(now time.Duration, a, b *target, x *exchange) *target {
 	sa, sb := g.burden(now, a, x), g.burden(now, b, x)
 	switch {
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -246,3 +246,98 @@
 		t.Fatalf("%+v", a)
 	}
 }
+
+// orphan has the bench's proxy stand by its partners alone.
+func (b *bench) orphan() {
+	b.now += limit.GateGrant + time.Millisecond
+	b.touch()
+}
+
+func (b *bench) touch() {
+	for _, p := range []string{"g2", "g3"} {
+		b.step(core.Recv{M: &wire.Msg{Kind: uint16(wire.KHello), From: p, Hello: &wire.Hello{Self: wire.Daemon{Name: p, Kind: "gate", Addr: p}}}})
+		b.step(core.Recv{M: &wire.Msg{Kind: uint16(wire.KPush), From: p, Stamp: int64(b.now), Disk: 9, Push: &wire.Push{Grant: true, Key: b.g.Table().Key}}})
+	}
+}
+
+func (b *bench) hear(t wire.Target) {
+	b.step(core.Recv{M: &wire.Msg{Kind: uint16(wire.KBeat), From: "g2", Stamp: 1, Beat: &t}})
+}
+
+// An orphan whose table bars every target uses those that beat now, not those that
+// did when the leader still kept the table.
+func TestOrphansLastResort(t *testing.T) {
+	b := newBench("g1", 3, plain, to("a", barred), to("b", barred))
+	if _, ok := b.admit(1).(Give); !ok {
+		t.Fatal("the leader's word that they beat counts while it is fresh")
+	}
+	b.step(Done{ID: 1, Last: true})
+	b.orphan()
+	if r, ok := b.admit(2).(Refuse); !ok || r.Code != "no_target" {
+		t.Fatalf("%+v", r)
+	}
+	b.hear(to("b"))
+	if r, ok := b.admit(3).(Refuse); !ok {
+		t.Fatalf("one late word made %+v the last resort", r)
+	}
+	for range 3 {
+		b.now += limit.BeatEvery
+		b.hear(to("b"))
+	}
+	b.touch()
+	if g, ok := b.admit(4).(Give); !ok || g.Target.Name != "b" {
+		t.Fatalf("%+v", g)
+	}
+}
+
+// An orphan takes the restart of a target that its table knows, once the new
+// start has answered for itself, and takes nobody else.
+func TestOrphanTakesRestart(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		heir  wire.Target
+		beat  *model.Beat
+		taken bool
+	}{
+		{"the same place", wire.Target{Service: "s", Name: "a", Inc: 2, Addr: "a"}, &model.Beat{Service: "s", Name: "a", Incarnation: 2, State: model.Ready}, true},
+		{"another place", wire.Target{Service: "s", Name: "a", Inc: 2, Addr: "z"}, &model.Beat{Service: "s", Name: "a", Incarnation: 2, State: model.Ready}, true},
+		{"no answer", wire.Target{Service: "s", Name: "a", Inc: 2, Addr: "z"}, nil, false},
+		{"somebody else answers", wire.Target{Service: "s", Name: "a", Inc: 2, Addr: "z"}, &model.Beat{Service: "s", Name: "a", Incarnation: 3, State: model.Ready}, false},
+		{"a name that the table lacks", wire.Target{Service: "s", Name: "new", Inc: 2, Addr: "z"}, &model.Beat{Service: "s", Name: "new", Incarnation: 2, State: model.Ready}, false},
+		{"another target's address", wire.Target{Service: "s", Name: "a", Inc: 2, Addr: "other"}, &model.Beat{Service: "s", Name: "a", Incarnation: 2, State: model.Ready}, false},
+		{"one that has left", wire.Target{Service: "s", Name: "a", Inc: 2, Addr: "gone"}, &model.Beat{Service: "s", Name: "a", Incarnation: 2, State: model.Leaving}, false},
+	} {
+		away := wire.Target{Service: "t", Name: "other", Inc: 1, Addr: "other", State: model.Ready}
+		b := newBench("g1", 3, plain, to("a"), away)
+		word := c.heir
+		word.State = model.Ready
+		b.hear(word)
+		b.orphan()
+		old := to("a")
+		old.State = model.Gone
+		b.hear(old)
+		b.hear(word)
+		b.now += limit.TickEvery
+		probed := false
+		for _, cmd := range b.step(core.Tick{}) {
+			if p, ok := cmd.(core.Probe); ok && p.ID == word.ID() && p.Addr == word.Addr {
+				probed = true
+			}
+		}
+		if r, ok := b.admit(1).(Refuse); !ok {
+			t.Errorf("%s: chosen before it answered: %+v", c.name, r)
+		}
+		if probed {
+			b.step(core.Probed{ID: word.ID(), SentAt: b.now, Beat: c.beat})
+		}
+		g, ok := b.admit(2).(Give)
+		if ok != c.taken || ok && g.Target.Inc != 2 {
+			t.Errorf("%s: %+v", c.name, g)
+		}
+		b.now += time.Millisecond
+		b.table(3, plain, to("a"), away)
+		if g, ok := b.admit(3).(Give); ok && g.Target.Inc == 2 {
+			t.Errorf("%s: still taken under a leader's table that lacks it", c.name)
+		}
+	}
+}
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -114,6 +114,30 @@
 	return n
 }
 
+// roll restarts a service, one target at a time.
+func (w *World) roll() {
+	svcs := slices.Sorted(maps.Keys(w.Plan.Services))
+	svc := svcs[w.rnd.IntN(len(svcs))]
+	w.log("roll %s", svc)
+	var l []*Target
+	for _, t := range w.targets {
+		if t.alive && t.service == svc && t.state != model.Leaving {
+			l = append(l, t)
+		}
+	}
+	var next func(i int)
+	next = func(i int) {
+		if i >= len(l) || !l[i].alive {
+			return
+		}
+		w.Leave(l[i], func() {
+			w.AddTarget(svc, l[i].name, l[i].domain, l[i].addr, 500*time.Millisecond)
+			w.at(1200*time.Millisecond, func() { next(i + 1) })
+		})
+	}
+	next(0)
+}
+
 // Faults are all kinds, by name.
 var Faults = []Fault{
 	{"target crash", func(w *World) {
@@ -185,28 +209,7 @@
 			w.Leave(t, func() { w.replace(t, w.ms(100, 3000), w.ms(0, 3000)) })
 		}
 	}},
-	{"service rolled", func(w *World) {
-		svcs := slices.Sorted(maps.Keys(w.Plan.Services))
-		svc := svcs[w.rnd.IntN(len(svcs))]
-		w.log("roll %s", svc)
-		var l []*Target
-		for _, t := range w.targets {
-			if t.alive && t.service == svc && t.state != model.Leaving {
-				l = append(l, t)
-			}
-		}
-		var next func(i int)
-		next = func(i int) {
-			if i >= len(l) || !l[i].alive {
-				return
-			}
-			w.Leave(l[i], func() {
-				w.AddTarget(svc, l[i].name, l[i].domain, l[i].addr, 500*time.Millisecond)
-				w.at(1200*time.Millisecond, func() { next(i + 1) })
-			})
-		}
-		next(0)
-	}},
+	{"service rolled", (*World).roll},
 	{"address handed over", func(w *World) {
 		t := w.pickTarget()
 		if t == nil || w.spare(t.service) < 3 {
@@ -344,6 +347,17 @@
 			}
 		})
 	}},
+	{"core gone for long, service rolled", func(w *World) {
+		if w.mayHurtCore() == nil {
+			return
+		}
+		for _, n := range w.all("core") {
+			p := w.procs[n]
+			w.Kill(p)
+			w.at(w.ms(9000, 20000), func() { w.Restart(p) })
+		}
+		w.at(time.Second, w.roll)
+	}},
 	{"power fails everywhere", func(w *World) {
 		if w.mayHurtCore() == nil {
 			return
--- a/sim/targets_test.go
+++ b/sim/targets_test.go
@@ -152,3 +152,28 @@
 		check(t, w)
 	}
 }
+
+// The core is gone for a minute while a whole service is rolled: it goes on, and the
+// core finds it whole when it is back.
+func TestRollWithoutCore(t *testing.T) {
+	roll, _ := ByName("service rolled")
+	for seed := range uint64(6) {
+		w := Start(seed, Small)
+		for _, n := range w.all("core") {
+			w.Kill(w.procs[n])
+		}
+		w.Run(w.now + 2*time.Second)
+		roll.Do(w)
+		for end := w.now + 45*time.Second; w.now < end; {
+			from := w.now
+			w.Run(w.now + 2*time.Second)
+			if n := w.ServedBetween(from, w.now); w.Fail == "" && n < 90 {
+				t.Fatalf("seed %d: %d exchanges served in 2 s\n%s", seed, n, w.Trace(30))
+			}
+		}
+		w.restartAll()
+		w.Back(15 * time.Second)
+		w.Finish()
+		check(t, w)
+	}
+}
