A core is founded again when a machine never returns, and never twice

Cause: founding waited for all members by name, so with one machine gone for good, or most disks lost while another machine stays away, service did not come back.

Change: the founders are a majority of the last core's members by name (of the places, if nobody remembers one). Whoever locks a founding on disk takes part in no earlier epoch, so once all founders have locked, an earlier core has no majority left. Places of machines that were not there are kept by names without a disk; so two foundings always share a machine, and absent ones get their place back when they are seen. Without all machines they wait 5 s, and do it by themselves only if the last core is over whatever the unseen still hold. Otherwise an operator decides: mfctl core refound, refused while a leader is heard, while those seen can elect one, or while those not seen and not vouched to be gone may be a majority. Proxies without a leader tell the members what they remember, the list of members included.

--- a/core/core.go
+++ b/core/core.go
@@ -10,7 +10,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -91,39 +90,6 @@
 
 func (l Lead) String() string { return [...]string{"idle", "adopting", "warming", "deciding"}[l] }
 
-// Known is what a daemon has heard of another.
-type Known struct {
-	wire.Daemon
-	At     time.Duration
-	Leader string
-	Term   uint64
-}
-
-// Book is a daemon's list of the others, by name.
-type Book map[string]*Known
-
-// Meet merges what a hello says of the daemons: its sender is taken at its word,
-// others are only added.
-func (b Book) Meet(now time.Duration, self string, h *wire.Hello) {
-	if h.Self.Name == "" || h.Self.Name == self {
-		return
-	}
-	b[h.Self.Name] = &Known{h.Self, now, h.Leader, h.Term}
-	for _, d := range h.Known {
-		if b[d.Name] == nil && d.Name != self && d.Name != "" {
-			b[d.Name] = &Known{Daemon: d, At: now - limit.DaemonGone/2}
-		}
-	}
-}
-
-// List is the book as it is handed on.
-func (b Book) List() (l []wire.Daemon) {
-	for _, n := range slices.Sorted(maps.Keys(b)) {
-		l = append(l, b[n].Daemon)
-	}
-	return l
-}
-
 type gate struct {
 	inc     uint64
 	past    []uint64 // incarnations that this one replaced
@@ -198,6 +164,10 @@
 	known    Book
 	helloAt  time.Duration
 	offer    uint64
+	seen     string // who could found, as last looked at, and since when
+	seenAt   time.Duration
+	memories map[string]Legacy // what proxies said that they remember
+	vow      vow
 	lockSeq  uint64 // batch that has the lock; it is told to nobody before that is synced
 	safeSeq  uint64
 	freshAt  uint64 // number of the last founding batch; a node's batches count on from it
@@ -253,7 +223,7 @@
 // New starts a member from what its disk holds; a disk without a number yet is
 // given the shell's.
 func New(now time.Duration, set Settings, img quorum.Image) *Core {
-	c := &Core{set: set, img: img, known: Book{}, gates: map[string]*gate{},
+	c := &Core{set: set, img: img, known: Book{}, memories: map[string]Legacy{}, gates: map[string]*gate{},
 		judge: judge.New(),
 		pend:  map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, state: newState(), relaySeq: set.Self.Inc << 20}
 	c.set.Self.Disk = img.Disk
@@ -370,7 +340,7 @@
 func (c *Core) tick(now time.Duration) {
 	if now-c.helloAt >= limit.HelloEvery {
 		c.helloAt = now
-		c.hello()
+		c.hello(now)
 		for n, k := range c.known {
 			if now-k.At > limit.DaemonGone {
 				delete(c.known, n)
@@ -378,7 +348,7 @@
 		}
 		c.found(now)
 	}
-	if c.node != nil {
+	if c.node != nil && !c.retired() {
 		c.node.Tick(now)
 	}
 	for _, t := range slices.Sorted(maps.Keys(c.pend)) {
@@ -401,161 +371,7 @@
 	}
 }
 
-// ---- finding one another, founding, joining ----
-
-func (c *Core) self() wire.Daemon {
-	d := c.set.Self
-	d.Disk, d.Lock, d.Offer = c.img.Disk, c.img.Lock, c.offer
-	if c.safeSeq < c.lockSeq {
-		d.Lock = 0
-	}
-	if c.node != nil {
-		d.Epoch = c.node.Epoch()
-		d.Ready = c.node.Leader() != ""
-		d.State = c.node.Role().String()
-	} else {
-		d.State = "empty"
-	}
-	return d
-}
-
-func (c *Core) helloMsg(reply bool) *wire.Msg {
-	h := &wire.Hello{Self: c.self(), Reply: reply, Known: c.known.List()}
-	if c.node != nil {
-		h.Leader, h.Term = c.node.Leader(), c.node.Term()
-	}
-	if c.node != nil && !c.state.Adopted {
-		h.Legacy = c.img.Legacy
-	}
-	return &wire.Msg{Kind: uint16(wire.KHello), From: c.set.Self.Name, Epoch: h.Self.Epoch, Hello: h}
-}
-
-func (c *Core) hello() {
-	m := c.helloMsg(false)
-	done := map[string]bool{c.set.Self.Addr: true}
-	for _, n := range slices.Sorted(maps.Keys(c.known)) {
-		if k := c.known[n]; k.Kind == "core" && !done[k.Addr] {
-			done[k.Addr] = true
-			c.do(Send{k.Addr, m})
-		}
-	}
-	for _, a := range c.set.Seeds {
-		if !done[a] {
-			done[a] = true
-			c.do(Send{a, m})
-		}
-	}
-}
-
-func (c *Core) cores(now time.Duration, fresh bool) []wire.Daemon {
-	l := []wire.Daemon{c.self()}
-	for _, k := range c.known {
-		if k.Kind == "core" && (!fresh || now-k.At < 4*limit.HelloEvery) {
-			l = append(l, k.Daemon)
-		}
-	}
-	slices.SortFunc(l, func(a, b wire.Daemon) int { return cmp.Compare(a.Name, b.Name) })
-	return l
-}
-
-// found forms a core once: all of its members must be empty, or be survivors
-// that can never be a majority again, must offer the same founding, and must
-// have locked it on disk before any of them acts on it. Once one has acted, all
-// had locked, so the others follow by what they locked, whatever they see by then.
-func (c *Core) found(now time.Duration) {
-	all := c.cores(now, true)
-	if c.img.Lock != 0 && c.img.Founding > c.img.Epoch && c.safeSeq >= c.lockSeq {
-		locked := len(all) == c.set.Size
-		for _, d := range all {
-			if d.Name != c.set.Self.Name {
-				locked = locked && d.Lock == c.img.Lock
-				if d.Lock == c.img.Lock && d.Epoch == c.img.Founding {
-					c.establish(now)
-					return
-				}
-			}
-		}
-		if locked {
-			c.establish(now)
-			return
-		}
-	}
-	if len(all) != c.set.Size || !c.vacant() && !c.lost(all) {
-		c.offer = 0
-		return
-	}
-	h := fnv.New64a()
-	epoch := c.nextEpoch()
-	var b [16]byte
-	var ms []wire.Member
-	for _, d := range all {
-		binary.LittleEndian.PutUint64(b[:], d.Disk)
-		binary.LittleEndian.PutUint64(b[8:], epoch)
-		h.Write([]byte(d.Name))
-		h.Write(b[:])
-		ms = append(ms, wire.Member{Name: d.Name, Disk: d.Disk})
-	}
-	c.offer = h.Sum64()
-	for _, d := range all {
-		if d.Offer != c.offer && d.Name != c.set.Self.Name {
-			return
-		}
-	}
-	if c.img.Lock != c.offer {
-		k := &wire.Batch{Lock: c.offer, Founders: ms, Founding: epoch}
-		c.img.Fold(k)
-		if c.node == nil {
-			c.whole()
-			c.lockSeq = c.freshAt
-		} else {
-			c.lockSeq = c.freshAt + c.node.Keep(now, k)
-		}
-	}
-}
-
-func (c *Core) nextEpoch() uint64 {
-	e := c.img.Epoch
-	for _, k := range c.known {
-		e = max(e, k.Epoch)
-	}
-	return e + 1
-}
-
-// lost says that this formed member's epoch is over: so many of its members are
-// back with other disks that those who still hold theirs are no majority.
-func (c *Core) lost(all []wire.Daemon) bool {
-	ms := c.node.Members()
-	held := 0
-	for _, m := range ms {
-		i := slices.IndexFunc(all, func(d wire.Daemon) bool { return d.Name == m.Name })
-		if i < 0 || all[i].Disk == m.Disk {
-			held++ // one not heard may still hold its disk
-		}
-	}
-	return held*2 <= len(ms)
-}
-
-// vacant says that this process is no member of anything: empty, or only learning.
-func (c *Core) vacant() bool {
-	return c.node == nil || !slices.Contains(c.node.Members(), wire.Member{Name: c.set.Self.Name, Disk: c.img.Disk})
-}
-
-func (c *Core) establish(now time.Duration) {
-	epoch := c.img.Founding
-	// The founding is entry 1, so that a member that was too slow to found learns it as a snapshot.
-	img := quorum.Image{Epoch: epoch, Disk: c.img.Disk, Lock: c.img.Lock, Founders: c.img.Founders, Founding: epoch,
-		Snap: wire.Snap{Index: 1, Members: c.img.Founders}}
-	img.Legacy = c.img.Legacy
-	if s, term := survived(&c.img); s.Adopted && !c.vacant() {
-		b, _ := json.Marshal(s)
-		img.Legacy, _ = json.Marshal(Legacy{c.node.Epoch(), term, s.Seq, b})
-	}
-	c.node, c.img, c.offer = nil, img, 0
-	c.freshAt += 1 << 32 // past every number of the old node
-	c.whole()
-	c.start(now)
-	c.do(Change{"epoch", "", fmt.Sprint(epoch), "all members agreed to found"})
-}
+// ---- messages ----
 
 func (c *Core) recv(now time.Duration, m *wire.Msg) {
 	switch wire.Kind(m.Kind) {
@@ -568,15 +384,25 @@
 			var l Legacy
 			if json.Unmarshal(m.Hello.Legacy, &l) == nil {
 				c.remember(l)
+				if m.Hello.Self.Kind == "gate" {
+					c.memories[m.From] = l
+				}
 			}
 		}
 		if !m.Hello.Reply {
-			c.send(m.From, c.helloMsg(true))
+			c.send(m.From, c.helloMsg(now, true))
 		}
 	case wire.KVote, wire.KAppend:
+		if m.Epoch < c.img.Founding {
+			return // this member has promised to found a later epoch and takes no more part in this one
+		}
 		if m.Append != nil && !m.Append.Reply && (c.node == nil || m.Epoch > c.node.Epoch()) {
 			// An empty member, or one of an older epoch that has been passed by, learns from a leader.
-			c.join(now, m.Epoch)
+			if m.Epoch == c.lockedFor() {
+				c.establish(now) // a founder that had not seen all the locks: what it remembers counts
+			} else {
+				c.join(now, m.Epoch)
+			}
 		}
 		if c.node != nil {
 			c.node.Recv(now, m)
@@ -602,15 +428,6 @@
 	}
 }
 
-func (c *Core) join(now time.Duration, epoch uint64) {
-	c.do(Change{"epoch", fmt.Sprint(c.img.Epoch), fmt.Sprint(epoch), "joined"})
-	c.node, c.offer = nil, 0
-	c.img = quorum.Image{Epoch: epoch, Disk: c.img.Disk}
-	c.freshAt += 1 << 32
-	c.whole()
-	c.start(now)
-}
-
 // ---- leading ----
 
 func (c *Core) setLead(now time.Duration, l Lead, why string) {
@@ -652,7 +469,7 @@
 }
 
 func (c *Core) leadership(now time.Duration) {
-	leads := c.node != nil && !c.stopping && c.node.Leads(now)
+	leads := c.node != nil && !c.stopping && !c.retired() && c.node.Leads(now)
 	if !leads {
 		c.setLead(now, Idle, "no grant from a majority")
 		return
@@ -671,6 +488,9 @@
 					c.remember(l)
 				}
 			}
+			for _, n := range slices.Sorted(maps.Keys(c.memories)) {
+				c.remember(c.memories[n])
+			}
 			c.setLead(now, Adopting, "elected in a new epoch")
 		} else {
 			c.setLead(now, Warming, "elected")
@@ -1146,7 +966,7 @@
 	if c.lead != Deciding {
 		return
 	}
-	t := &wire.Table{Seq: c.state.Seq, Revision: c.state.Revision, Doc: c.state.Doc, State: c.state.slim(), Emptied: c.state.Emptied}
+	t := &wire.Table{Seq: c.state.Seq, Revision: c.state.Revision, Doc: c.state.Doc, State: c.state.slim(c.node.Members()), Emptied: c.state.Emptied}
 	for _, r := range c.state.Roster {
 		g := c.gates[r.Name]
 		t.Gates = append(t.Gates, wire.Gate{Name: r.Name, Addr: r.Addr, Domain: r.Domain,
@@ -1295,6 +1115,7 @@
 		return
 	}
 	ms := c.node.Members()
+	ghost := slices.IndexFunc(ms, func(m wire.Member) bool { return m.Disk == 0 })
 	for _, d := range c.cores(now, true) {
 		if d.Name == c.set.Self.Name || d.Disk == 0 {
 			continue
@@ -1307,6 +1128,11 @@
 			c.swaps[d.Name] = true
 			c.node.Change(now, slices.Delete(slices.Clone(ms), i, i+1))
 			return
+		case i < 0 && c.state.Out[d.Name] == 0 && ghost >= 0:
+			c.do(Change{"member", ms[ghost].Name, "out", "its place was kept for who was not there at the founding"})
+			c.swaps[d.Name] = true
+			c.node.Change(now, slices.Delete(slices.Clone(ms), ghost, ghost+1))
+			return
 		case i < 0 && (c.swaps[d.Name] || len(ms) < c.set.Size && c.state.Out[d.Name] == 0):
 			c.node.Learn(m)
 			if c.node.CaughtUp(m) {
--- /dev/null
+++ b/core/found.go
@@ -0,0 +1,428 @@
+// This file is how daemons find one another and how a core comes to be: the first
+// time, and again after a loss that no majority survived.
+//
+// A founding is an epoch with its members. Its founders are a majority of the last
+// core's members by name, and whoever locks one on disk takes part in no earlier
+// epoch any more; so once all founders have locked, those left of any earlier core
+// are no majority. Places of machines that were not there are kept by names without
+// a disk, so that any two foundings share a machine that locked both, one after the
+// other. docs/design.md goes through the cases.
+package core
+
+import (
+	"cmp"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"myrtlefold/limit"
+	"myrtlefold/model"
+	"myrtlefold/quorum"
+	"myrtlefold/wire"
+)
+
+// Known is what a daemon has heard of another.
+type Known struct {
+	wire.Daemon
+	At       time.Duration
+	Leader   string
+	Term     uint64
+	members  membership
+	founding uint64
+	vow      vow
+}
+
+// membership is a list of members as of an epoch and a place in its log.
+type membership struct {
+	epoch, index uint64
+	list         []wire.Member
+}
+
+func (m membership) less(o membership) bool {
+	return cmp.Or(cmp.Compare(m.epoch, o.epoch), cmp.Compare(m.index, o.index)) < 0
+}
+
+// vow is an operator's word that a core must be founded again, and that the disks of
+// some of its members will never come back.
+type vow struct {
+	refound bool
+	gone    []string
+	at      time.Duration
+}
+
+// Book is a daemon's list of the others, by name.
+type Book map[string]*Known
+
+// Meet merges what a hello says of the daemons: its sender is taken at its word,
+// others are only added.
+func (b Book) Meet(now time.Duration, self string, h *wire.Hello) {
+	if h.Self.Name == "" || h.Self.Name == self {
+		return
+	}
+	b[h.Self.Name] = &Known{Daemon: h.Self, At: now, Leader: h.Leader, Term: h.Term, founding: h.Founding,
+		members: membership{h.MembersEpoch, h.MembersIndex, h.Members}, vow: vow{h.Refound, h.Gone, now}}
+	for _, d := range h.Known {
+		if b[d.Name] == nil && d.Name != self && d.Name != "" {
+			b[d.Name] = &Known{Daemon: d, At: now - limit.DaemonGone/2}
+		}
+	}
+}
+
+// List is the book as it is handed on.
+func (b Book) List() (l []wire.Daemon) {
+	for _, n := range slices.Sorted(maps.Keys(b)) {
+		l = append(l, b[n].Daemon)
+	}
+	return l
+}
+
+func (c *Core) self() wire.Daemon {
+	d := c.set.Self
+	d.Disk, d.Lock, d.Offer = c.img.Disk, c.img.Lock, c.offer
+	if c.safeSeq < c.lockSeq {
+		d.Lock = 0
+	}
+	if c.node != nil {
+		d.Epoch = c.node.Epoch()
+		d.Ready = c.node.Leader() != ""
+		d.State = c.node.Role().String()
+	} else {
+		d.State = "empty"
+	}
+	return d
+}
+
+// led is the leader that this member hears or is, "" if there is none.
+func (c *Core) led(now time.Duration) string {
+	if c.node == nil || c.retired() || !c.node.Led(now) {
+		return ""
+	}
+	return c.node.Leader()
+}
+
+// retired says that this member has locked a later founding than the epoch it stands in.
+func (c *Core) retired() bool { return c.node != nil && c.img.Founding > c.node.Epoch() }
+
+// lockedFor is the epoch of a lock that is on disk.
+func (c *Core) lockedFor() uint64 {
+	if c.safeSeq < c.lockSeq {
+		return 0
+	}
+	return c.img.Founding
+}
+
+func (c *Core) helloMsg(now time.Duration, reply bool) *wire.Msg {
+	h := &wire.Hello{Self: c.self(), Reply: reply, Known: c.known.List(), Leader: c.led(now), Founding: c.lockedFor()}
+	if c.node != nil {
+		h.Term = c.node.Term()
+	}
+	m := c.lastMembers()
+	h.Members, h.MembersEpoch, h.MembersIndex = m.list, m.epoch, m.index
+	h.Refound, h.Gone = c.vow.refound, c.vow.gone
+	if c.node != nil && !c.state.Adopted {
+		h.Legacy = c.img.Legacy
+	}
+	return &wire.Msg{Kind: uint16(wire.KHello), From: c.set.Self.Name, Epoch: h.Self.Epoch, Hello: h}
+}
+
+func (c *Core) hello(now time.Duration) {
+	m := c.helloMsg(now, false)
+	done := map[string]bool{c.set.Self.Addr: true}
+	for _, n := range slices.Sorted(maps.Keys(c.known)) {
+		if k := c.known[n]; k.Kind == "core" && !done[k.Addr] {
+			done[k.Addr] = true
+			c.do(Send{k.Addr, m})
+		}
+	}
+	for _, a := range c.set.Seeds {
+		if !done[a] {
+			done[a] = true
+			c.do(Send{a, m})
+		}
+	}
+}
+
+func (c *Core) cores(now time.Duration, fresh bool) []wire.Daemon {
+	l := []wire.Daemon{c.self()}
+	for _, k := range c.known {
+		if k.Kind == "core" && (!fresh || c.fresh(now, k.Name)) {
+			l = append(l, k.Daemon)
+		}
+	}
+	slices.SortFunc(l, func(a, b wire.Daemon) int { return cmp.Compare(a.Name, b.Name) })
+	return l
+}
+
+func (c *Core) fresh(now time.Duration, name string) bool {
+	k := c.known[name]
+	return name == c.set.Self.Name || k != nil && now-k.At < 4*limit.HelloEvery
+}
+
+// ---- founding ----
+
+// lastMembers is the latest list known here: its own, other members', or proxies'.
+func (c *Core) lastMembers() (m membership) {
+	if c.node != nil && len(c.node.Members()) > 0 {
+		m = membership{c.node.Epoch(), c.node.Commit(), c.node.Members()}
+	}
+	for _, n := range slices.Sorted(maps.Keys(c.known)) {
+		if k := c.known[n]; k.Kind == "core" && m.less(k.members) {
+			m = k.members
+		}
+	}
+	for _, n := range slices.Sorted(maps.Keys(c.memories)) {
+		if l := c.memories[n]; m.less(membership{epoch: l.Epoch, index: l.Seq}) {
+			var s State
+			if json.Unmarshal(l.State, &s) == nil && len(s.Members) > 0 {
+				m = membership{l.Epoch, l.Seq, s.Members}
+			}
+		}
+	}
+	return m
+}
+
+// outlook is what can be said of the last core from those who are seen.
+type outlook struct {
+	last               membership
+	places             int // how many members a founding has
+	lost, held, absent int // of the last members: disk gone, here with their disk and no later lock, not seen
+}
+
+func (c *Core) outlook(now time.Duration, all []wire.Daemon, gone []string) outlook {
+	o := outlook{last: c.lastMembers()}
+	o.places = cmp.Or(len(o.last.list), c.set.Size)
+	for _, n := range gone {
+		if !slices.ContainsFunc(all, func(d wire.Daemon) bool { return d.Name == n }) &&
+			(len(o.last.list) == 0 || slices.ContainsFunc(o.last.list, func(m wire.Member) bool { return m.Name == n })) {
+			o.places--
+		}
+	}
+	for _, m := range o.last.list {
+		i := slices.IndexFunc(all, func(d wire.Daemon) bool { return d.Name == m.Name })
+		switch {
+		case m.Disk == 0: // nobody
+		case i < 0 && slices.Contains(gone, m.Name) || i >= 0 && all[i].Disk != m.Disk:
+			o.lost++
+		case i < 0:
+			o.absent++
+		case c.foundingOf(m.Name) <= o.last.epoch:
+			o.held++
+		}
+	}
+	return o
+}
+
+func (c *Core) foundingOf(name string) uint64 {
+	if name == c.set.Self.Name {
+		return c.img.Founding
+	}
+	return c.known[name].founding
+}
+
+// founders are those of the seen who may found: the last core's members by name,
+// or whoever is there if nobody remembers one.
+func (o outlook) founders(all []wire.Daemon) []wire.Daemon {
+	return slices.DeleteFunc(slices.Clone(all), func(d wire.Daemon) bool {
+		return len(o.last.list) > 0 && !slices.ContainsFunc(o.last.list, func(m wire.Member) bool { return m.Name == d.Name })
+	})
+}
+
+// elects says that the last core can go on by itself.
+func (o outlook) elects() bool { return 2*o.held > len(o.last.list) }
+
+// certain says that it can't decide, whatever those that are not seen still hold.
+func (o outlook) certain() bool { return 2*(o.held+o.absent) <= len(o.last.list) }
+
+func (c *Core) vows(now time.Duration, all []wire.Daemon) (refound bool, gone []string) {
+	for _, d := range all {
+		v := c.vow
+		if k := c.known[d.Name]; d.Name != c.set.Self.Name && k != nil {
+			v = k.vow
+		}
+		refound = refound || v.refound
+		gone = append(gone, v.gone...)
+	}
+	slices.Sort(gone)
+	return refound, slices.Compact(gone)
+}
+
+// found forms a core. Those who are seen are its founders if none of them hears a
+// leader, if they are a majority of the places, and if the last core that any of
+// them, or a proxy, knows of is over once they have locked. Without all of them it
+// must be over whatever those not seen still hold, or an operator must say so. All
+// must offer the same founding, and have locked it on disk, before any acts on it.
+func (c *Core) found(now time.Duration) {
+	if c.vow.refound && now-c.vow.at > limit.VowLife {
+		c.vow = vow{}
+	}
+	all := c.cores(now, true)
+	if c.lockedFor() > c.img.Epoch && c.carryOut(now, all) {
+		return
+	}
+	c.offer = 0
+	var b strings.Builder
+	for _, d := range all {
+		if l := c.led(now); l != "" || d.Name != c.set.Self.Name && c.known[d.Name].Leader != "" {
+			c.seen = ""
+			return
+		}
+		fmt.Fprintf(&b, "%s %d ", d.Name, d.Disk)
+	}
+	if b.String() != c.seen {
+		c.seen, c.seenAt = b.String(), now
+	}
+	refound, gone := c.vows(now, all)
+	o := c.outlook(now, all, gone)
+	all = o.founders(all)
+	if len(all) > o.places || 2*len(all) <= o.places || o.elects() || !slices.ContainsFunc(all, func(d wire.Daemon) bool { return d.Name == c.set.Self.Name }) {
+		return
+	}
+	offer, epoch, ms := c.founding(all, o.places)
+	if len(all) < o.places {
+		waited := now-c.seenAt >= limit.FoundWait && o.certain()
+		if !waited && !refound && !slices.ContainsFunc(all, func(d wire.Daemon) bool { return d.Name != c.set.Self.Name && d.Offer == offer }) {
+			return
+		}
+	}
+	c.offer = offer
+	for _, d := range all {
+		if d.Offer != c.offer && d.Name != c.set.Self.Name {
+			return
+		}
+	}
+	if c.img.Lock != c.offer {
+		k := &wire.Batch{Lock: c.offer, Founders: ms, Founding: epoch}
+		c.img.Fold(k)
+		if c.node == nil {
+			c.whole()
+			c.lockSeq = c.freshAt
+		} else {
+			c.lockSeq = c.freshAt + c.node.Keep(now, k)
+		}
+	}
+}
+
+// founding is what those seen would found: the epoch after all that they know, or
+// the one that some of them have locked already for this very set.
+func (c *Core) founding(all []wire.Daemon, places int) (offer, epoch uint64, ms []wire.Member) {
+	for _, d := range all {
+		epoch = max(epoch, d.Epoch, c.foundingOf(d.Name))
+		ms = append(ms, wire.Member{Name: d.Name, Disk: d.Disk})
+	}
+	for _, k := range c.known {
+		epoch = max(epoch, k.Epoch, k.founding)
+	}
+	for i := len(ms); i < places; i++ {
+		ms = append(ms, wire.Member{Name: fmt.Sprintf("absent-%d", i+1)})
+	}
+	sum := func(epoch uint64) uint64 {
+		var b [16]byte
+		h := fnv.New64a()
+		for _, m := range ms {
+			binary.LittleEndian.PutUint64(b[:], m.Disk)
+			binary.LittleEndian.PutUint64(b[8:], epoch)
+			h.Write([]byte(m.Name))
+			h.Write(b[:])
+		}
+		return h.Sum64()
+	}
+	offer = sum(epoch)
+	for _, d := range all {
+		if epoch > 0 && d.Epoch < epoch && d.Lock == offer {
+			return offer, epoch, ms
+		}
+	}
+	return sum(epoch + 1), epoch + 1, ms
+}
+
+// carryOut acts on a lock: when all founders have it, or when one has acted, since
+// then all had.
+func (c *Core) carryOut(now time.Duration, all []wire.Daemon) bool {
+	locked := true
+	for _, m := range c.img.Founders {
+		i := slices.IndexFunc(all, func(d wire.Daemon) bool { return d.Name == m.Name && d.Disk == m.Disk })
+		locked = locked && (m.Disk == 0 || i >= 0 && all[i].Lock == c.img.Lock)
+		if i >= 0 && all[i].Lock == c.img.Lock && all[i].Epoch == c.img.Founding {
+			locked = true
+			break
+		}
+	}
+	if locked {
+		c.establish(now)
+	}
+	return locked
+}
+
+// vacant says that this process is no member of anything: empty, or only learning.
+func (c *Core) vacant() bool {
+	return c.node == nil || !slices.Contains(c.node.Members(), wire.Member{Name: c.set.Self.Name, Disk: c.img.Disk})
+}
+
+func (c *Core) establish(now time.Duration) {
+	epoch := c.img.Founding
+	// The founding is entry 1, so that a member that was too slow to found learns it as a snapshot.
+	img := quorum.Image{Epoch: epoch, Disk: c.img.Disk, Lock: c.img.Lock, Founders: c.img.Founders, Founding: epoch,
+		Snap: wire.Snap{Index: 1, Members: c.img.Founders}}
+	img.Legacy = c.img.Legacy
+	if s, term := survived(&c.img); s.Adopted && !c.vacant() {
+		b, _ := json.Marshal(s)
+		img.Legacy, _ = json.Marshal(Legacy{c.node.Epoch(), term, s.Seq, b})
+	}
+	there := 0
+	for _, m := range img.Founders {
+		if m.Disk != 0 {
+			there++
+		}
+	}
+	c.node, c.img, c.offer, c.vow = nil, img, 0, vow{}
+	c.freshAt += 1 << 32 // past every number of the old node
+	c.whole()
+	c.start(now)
+	c.do(Change{"epoch", "", fmt.Sprint(epoch), fmt.Sprintf("%d of %d members agreed to found", there, len(img.Founders))})
+}
+
+func (c *Core) join(now time.Duration, epoch uint64) {
+	c.do(Change{"epoch", fmt.Sprint(c.img.Epoch), fmt.Sprint(epoch), "joined"})
+	c.node, c.offer = nil, 0
+	c.img = quorum.Image{Epoch: epoch, Disk: c.img.Disk}
+	c.freshAt += 1 << 32
+	c.whole()
+	c.start(now)
+}
+
+// refound is an operator's override for what can't be decided safely from here: the
+// members who are seen found again without waiting for anybody's memory. It is
+// refused while a majority of the last core may still live; machines that are
+// vouched to be gone for good count as lost, unless they were heard of lately.
+func (c *Core) refound(now time.Duration, list string) Reply {
+	no := func(code, f string, a ...any) Reply {
+		return trouble(409, model.Trouble{Code: code, Message: fmt.Sprintf(f, a...) + "; nothing was changed"})
+	}
+	gone := strings.FieldsFunc(list, func(r rune) bool { return r == ',' })
+	all := c.cores(now, true)
+	for _, d := range all {
+		if l := c.led(now); l != "" || d.Name != c.set.Self.Name && c.known[d.Name].Leader != "" {
+			return no("living", "%s hears a leader", d.Name)
+		}
+	}
+	for _, n := range gone {
+		if k := c.known[n]; n == c.set.Self.Name || k != nil && now-k.At < limit.DaemonGone {
+			return no("alive", "%s was heard less than %v ago", n, limit.DaemonGone)
+		}
+	}
+	o := c.outlook(now, all, gone)
+	all = o.founders(all)
+	switch {
+	case 2*len(all) <= o.places:
+		return no("may_live", "%d of %d machines are seen, and the others may be a living majority; name those that are gone for good", len(all), o.places)
+	case o.elects():
+		return no("living", "%d of %d members are here with their disks and can elect a leader", o.held, len(o.last.list))
+	}
+	c.vow = vow{true, gone, now}
+	return Reply{Status: 202, Body: body(map[string]any{"refounding": true, "seen": len(all), "lost": o.lost, "not_seen": o.absent})}
+}
--- a/core/operate.go
+++ b/core/operate.go
@@ -53,7 +53,8 @@
 	Records  []Record          `json:"records,omitempty"`
 	Roster   []Gate            `json:"roster,omitempty"`
 	Emptied  []string          `json:"emptied,omitempty"`
-	Out      map[string]uint64 `json:"out,omitempty"` // members taken out by an operator
+	Out      map[string]uint64 `json:"out,omitempty"`     // members taken out by an operator
+	Members  []wire.Member     `json:"members,omitempty"` // in proxies' copies only: who a core could be rebuilt with
 }
 
 // order is a log entry's text.
@@ -71,10 +72,10 @@
 func newState() State { return State{Doc: json.RawMessage(`{}`), Out: map[string]uint64{}} }
 
 // slim is the state as proxies keep it, without the texts of past changes and
-// without the document, which travels beside it.
-func (s *State) slim() []byte {
+// without the document, which travels beside it, and with the members of the time.
+func (s *State) slim(ms []wire.Member) []byte {
 	t := *s
-	t.Doc = nil
+	t.Doc, t.Members = nil, ms
 	t.Records = slices.Clone(s.Records)
 	for i := range t.Records {
 		t.Records[i].Doc = nil
@@ -156,6 +157,7 @@
 			var t State
 			if err := json.Unmarshal(o.State, &t); err == nil {
 				*s = t
+				s.Members = nil
 			}
 		}
 		if len(s.Doc) == 0 {
@@ -303,6 +305,10 @@
 		c.answer(p, TargetCall(e, func(t wire.Target) { c.beat(now, t, true) }))
 		return
 	}
+	if e.Path == "/v1/core/refound" && e.Method == "POST" {
+		c.answer(p, c.refound(now, query(e.Query, "gone")))
+		return
+	}
 	if e.Path == "/v1/status" {
 		c.answer(p, Reply{Status: 200, Body: body(c.Status(now))})
 		return
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"maps"
@@ -343,7 +344,7 @@
 func (g *Gate) tick(now time.Duration) {
 	if now-g.helloAt >= limit.HelloEvery {
 		g.helloAt = now
-		h := &wire.Msg{Kind: uint16(wire.KHello), From: g.set.Self.Name, Hello: &wire.Hello{Self: g.self()}}
+		h := &wire.Msg{Kind: uint16(wire.KHello), From: g.set.Self.Name, Hello: &wire.Hello{Self: g.self(), Legacy: g.memory()}}
 		sent := map[string]bool{}
 		for _, n := range slices.Sorted(maps.Keys(g.known)) {
 			k := g.known[n]
@@ -390,6 +391,21 @@
 	}
 }
 
+// memory is what this proxy tells a core that has lost its own.
+func (g *Gate) memory() []byte {
+	if g.table == nil || g.state == Granted {
+		return nil
+	}
+	var s core.State
+	if json.Unmarshal(g.table.State, &s) != nil {
+		return nil
+	}
+	s.Doc = g.table.Doc
+	b, _ := json.Marshal(s)
+	l, _ := json.Marshal(core.Legacy{Epoch: g.table.Key.Epoch, Term: g.table.Key.Term, Seq: g.table.Seq, State: b})
+	return l
+}
+
 // doubts says that the leader has been silent for half a grant: partners are
 // touched and targets probed from then on, so that both are known when it lapses.
 func (g *Gate) doubts(now time.Duration) bool { return now > g.grantTill-limit.GateGrant/2 }
--- a/host/ctl.go
+++ b/host/ctl.go
@@ -110,6 +110,8 @@
 	addName := add.Arg("name", "daemon").Required().String()
 	rm := mem.Command("remove", "take a member out")
 	rmName := rm.Arg("name", "member").Required().String()
+	refound := mem.Command("refound", "found the core again with the members that are there; the override for when no majority will return (see docs/operate.md)")
+	refoundGone := refound.Flag("gone", "a member whose disk will never come back (repeat)").Strings()
 	gt := app.Command("gate", "proxies")
 	forget := gt.Command("forget", "drop a proxy that is gone for good from the roster")
 	forgetName := forget.Arg("name", "proxy").Required().String()
@@ -178,6 +180,11 @@
 		return c.change("POST", "/v1/core/"+url.PathEscape(*addName)+"/add", url.Values{}, nil)
 	case "core remove":
 		return c.change("POST", "/v1/core/"+url.PathEscape(*rmName)+"/remove", url.Values{}, nil)
+	case "core refound":
+		status, out, err := c.call("POST", "/v1/core/refound", url.Values{"gone": {strings.Join(*refoundGone, ",")}}, nil)
+		return c.end(status, out, err, func(b []byte) {
+			fmt.Printf("founding again: %s; watch it with 'mfctl status'\n", strings.TrimSpace(string(b)))
+		})
 	case "gate forget":
 		return c.change("POST", "/v1/gates/"+url.PathEscape(*forgetName)+"/forget", url.Values{}, nil)
 	}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -31,6 +31,11 @@
 	AppendMax = 1 << 20
 	// LegacyWait is how long a leader of a refounded core collects what proxies and survivors remember.
 	LegacyWait = 1500 * time.Millisecond
+	// FoundWait is how long those who could found a core without one of its machines wait for it:
+	// longer than a daemon's restart, and with all that follows within 15 s.
+	FoundWait = 5 * time.Second
+	// VowLife is how long an operator's order to found again holds.
+	VowLife = time.Minute
 	// HelloEvery is how often daemons tell each other who is there.
 	HelloEvery = 300 * time.Millisecond
 	// DaemonGone is how long a silent daemon stays in the list that is handed on.
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -24,7 +24,7 @@
 		{"a stalled disk's leader's end", FsyncStall + TickEvery, ElectMin},
 		{"three beats lost at most", 3*BeatEvery + TickEvery, BeatLapse},
 		{"partners touched before a grant lapses", PullEvery*2 + TickEvery, GateGrant / 2},
-		{"from nothing to deciding", 3*HelloEvery + ElectMin + ElectSpread + LegacyWait + WarmLeader + FirstRoster, 15 * time.Second},
+		{"from nothing to deciding, a machine gone", 4*HelloEvery + FoundWait + 3*HelloEvery + ElectMin + ElectSpread + LegacyWait + WarmLeader + FirstRoster, 15 * time.Second},
 		{"a look back over the retry window in events", RetryWindow / (Window / 2), SeenEvery * 2},
 	} {
 		if c.sum > c.max {
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -312,6 +312,11 @@
 	}
 }
 
+// Led says whether a leader is heard, or is this node.
+func (n *Node) Led(now time.Duration) bool {
+	return n.role == Leader || n.leader != "" && now-n.heard < 3*limit.ElectMin
+}
+
 func (n *Node) voterName(name string) bool {
 	return slices.ContainsFunc(n.members, func(m wire.Member) bool { return m.Name == name })
 }
--- /dev/null
+++ b/sim/found_test.go
@@ -0,0 +1,176 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// What becomes of one core machine in a total loss.
+const (
+	whole  = 'w' // its disk survives
+	lost   = 'l' // it comes back with an empty disk
+	gone   = 'g' // it never comes back; its disk is lost with it
+	cutOff = 'c' // it runs on with its disk, reached by nobody, and is back later
+)
+
+// strike lets fates befall the core machines at once; the proxies live on, or
+// forget too.
+func (w *World) strike(fates string, forget bool) {
+	w.log("fates %s, proxies forget %v", fates, forget)
+	var cut []string
+	for i, f := range fates {
+		p := w.procs[w.all("core")[i]]
+		switch f {
+		case cutOff:
+			cut = append(cut, p.name)
+			continue
+		case lost, gone:
+			w.Kill(p)
+			w.WipeDisk(p)
+		default:
+			w.Kill(p)
+		}
+		if f != gone {
+			w.at(w.ms(200, 2000), func() { w.Restart(p) })
+		}
+	}
+	if len(cut) > 0 { // alone or together
+		w.isolate(cut, time.Hour, true, true)
+	}
+	for _, n := range w.all("gate") {
+		if p := w.procs[n]; forget {
+			w.Kill(p)
+			w.at(w.ms(200, 2000), func() { w.Restart(p) })
+		}
+	}
+}
+
+// An operator has a survivor found again just when the member comes back with which
+// it is a majority of the old core: one of the two cores goes on, never both.
+func TestRefoundMeetsReturn(t *testing.T) {
+	for seed := range uint64(60) {
+		p := Small
+		p.Rate = 20
+		w := Start(seed, p)
+		w.strike("wlc", seed%2 == 0)
+		w.Run(w.now + 8*time.Second)
+		if w.Leader() != nil {
+			t.Fatal("leads")
+		}
+		r, _ := w.inquire(t, w.procs["c1"], "POST", "/v1/core/refound", "", "", "")
+		if r.Status != 202 {
+			t.Fatalf("%s", r.Body)
+		}
+		w.Run(w.now + time.Duration(seed)*25*time.Millisecond)
+		clear(w.cut)
+		w.Back(15 * time.Second)
+		w.Run(w.now + 3*time.Second)
+		check(t, w)
+		if l := w.Leader(); l == nil || l.core.Revision() < w.acked {
+			t.Fatalf("seed %d: forgotten or no leader", seed)
+		}
+	}
+}
+
+// Every mix of disks lost, machines gone, members cut off and members whole, for 3
+// and 5 members, with proxies that remember and that forget. There are never two
+// cores (checked at each step). If the last core can't decide whatever those out of
+// reach hold, and a majority of machines is there, a new one leads within 15 s; where
+// it might, nobody founds until an operator vouches for who is gone, and not even
+// then while a majority may be cut off. Those out of reach join when they are back.
+func TestTotalLossMixes(t *testing.T) {
+	mixes := map[string]bool{}
+	var gen func(prefix string, n int)
+	gen = func(prefix string, n int) {
+		if n == 0 {
+			mixes[prefix] = true
+			return
+		}
+		for _, f := range "wlgc" {
+			if prefix == "" || strings.IndexRune("wlgc", f) >= strings.IndexByte("wlgc", prefix[len(prefix)-1]) {
+				gen(prefix+string(f), n-1)
+			}
+		}
+	}
+	gen("", 3)
+	gen("", 5)
+	for fates := range mixes {
+		for _, forget := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s-%v", fates, forget), func(t *testing.T) {
+				t.Parallel()
+				n := len(fates)
+				p := Small
+				p.Cores, p.Rate = n, 10
+				seed := uint64(len(fates)*100 + strings.Count(fates, "l")*7 + strings.Count(fates, "c"))
+				w := Start(seed, p)
+				w.PutConfig(w.Leader(), 1, 2)
+				w.Run(w.now + 2*time.Second)
+				count := func(f string) int { return strings.Count(fates, f) }
+				there, cut := count("w")+count("l"), count("c")
+				elects := 2*count("w") > n
+				founds := 2*there > n && 2*(n-count("l")) <= n
+				vouched := 2*there > n-count("g") && !elects
+				w.strike(fates, forget)
+				w.Run(w.now + 15*time.Second)
+				check(t, w)
+				leader := func() *Proc {
+					if l := w.Leader(); l != nil && !w.cut[[2]string{l.name, "g1"}] {
+						return l
+					}
+					return nil // nobody, or among the cut off only
+				}
+				l := leader()
+				if (l != nil) != (elects || founds) {
+					t.Fatalf("leads %v after 15 s, wanted %v\n%s", l != nil, elects || founds, w.Trace(40))
+				}
+				if l == nil && there > 0 {
+					var gone []string
+					for i, f := range fates {
+						if f == 'g' {
+							gone = append(gone, w.all("core")[i])
+						}
+					}
+					at := w.procs[w.all("core")[strings.IndexAny(fates, "wl")]]
+					r, _ := w.inquire(t, at, "POST", "/v1/core/refound", "gone="+strings.Join(gone, ","), "", "")
+					w.Run(w.now + 10*time.Second)
+					check(t, w)
+					if l = leader(); (r.Status == 202) != vouched || (l != nil) != vouched {
+						t.Fatalf("vouched for: %d %s, leads %v, wanted %v\n%s", r.Status, r.Body, l != nil, vouched, w.Trace(40))
+					}
+				}
+				if l != nil {
+					if r := l.core.Revision(); r != 2 && (count("w") > 0 || !forget) {
+						t.Errorf("revision %d\n%s", r, w.Trace(40))
+					}
+					if r, _ := w.inquire(t, l, "POST", "/v1/core/refound", "", "", ""); r.Status != 409 {
+						t.Errorf("a living core is founded anew: %d", r.Status)
+					}
+				}
+				if l != nil && l.core.Revision() == 0 {
+					w.acked, w.changes = 0, nil // all that knew is lost
+					clear(w.ackedAt)
+					w.PutConfig(l, 0, 3)
+				}
+				clear(w.cut)
+				w.Run(w.now + 8*time.Second)
+				check(t, w)
+				leads := elects || vouched || 2*(count("w")+cut) > n || 2*(there+cut) > n && 2*(n-count("l")) <= n
+				if l := w.Leader(); leads != (l != nil) {
+					t.Fatalf("after healing: leader %v\n%s", l != nil, w.Trace(40))
+				} else if l != nil {
+					epoch := l.core.Status(0).Epoch
+					for i, f := range fates {
+						if s := w.procs[w.all("core")[i]].core.Status(0); f != gone && (s.Epoch != epoch || s.Leader == "") {
+							t.Errorf("c%d: epoch %d, leader %q, the leader's epoch %d\n%s", i+1, s.Epoch, s.Leader, epoch, w.Trace(30))
+						}
+					}
+					if w.acked >= 2 && l.core.Revision() < 2 {
+						t.Errorf("forgotten")
+					}
+				}
+			})
+		}
+	}
+}
--- a/wire/msg.capnp
+++ b/wire/msg.capnp
@@ -42,6 +42,12 @@
   leader @3 :Text;
   term @4 :UInt64;
   legacy @5 :Data;
+  members @6 :List(MemberC);
+  membersEpoch @7 :UInt64;
+  membersIndex @8 :UInt64;
+  founding @9 :UInt64;
+  gone @10 :List(Text);
+  refound @11 :Bool;
 }
 struct VoteC {
   pre @0 :Bool;
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -69,6 +69,14 @@
 	Leader string
 	Term   uint64
 	Legacy []byte
+	// Members are the latest list that the sender knows, as of an epoch and a place in its log.
+	Members      []Member
+	MembersEpoch uint64
+	MembersIndex uint64
+	// Founding is the epoch that the sender's lock stands for; Gone and Refound are an operator's word.
+	Founding uint64
+	Gone     []string
+	Refound  bool
 }
 
 type Vote struct {
