Ring: what was synced last is written twice, so damage to it is no torn tail

Cause: a damaged last record looked like one that a crash had cut short and was dropped in silence, though it was synced and an answer may have rested on it: with one member's tail gone and a partner that never had the entry, a majority could forget it. Ruled out: a mark synced after each piece (a second sync per answer); asking the other members (their copies can't be told from ones that were never promised). Change: each piece is followed by its echo, which the next piece overwrites. A torn piece has no sound echo; a damaged one is read from it, and the next write starts a new file, as it does after any echo of a piece that was never whole. The torn-tail tests now cut the echo too, which stands behind.

--- a/ring/ring.go
+++ b/ring/ring.go
@@ -2,9 +2,11 @@
 // folder. A file starts with a record that holds the whole state, then takes
 // records until it is full; then the next file takes over with a new whole
 // record, so the disk in use never grows. Every record carries its file's
-// generation, its number and a checksum. What was cut short at the end of the
-// newest file by a crash is dropped; damage followed by sound records is
-// refused aloud, because what came after the damage may have been promised.
+// generation, its number and a checksum. What is synced in one piece is written
+// twice: its echo stands behind it until the next piece is written there. So what
+// was cut short at the end of the newest file by a crash, and never promised, can
+// be told from damage to what was synced last: the one has no echo and is dropped,
+// the other is read from it. Damage followed by sound records is refused aloud.
 package ring
 
 import (
@@ -20,6 +22,7 @@
 
 const (
 	magic = 0x4d46524e
+	again = 0x4d45524e        // an echo's magic; its last byte is the same
 	head  = 4 + 8 + 4 + 4 + 4 // magic, generation, number, length, checksum
 )
 
@@ -101,8 +104,8 @@
 	return errors.Wrap(f.Sync(), "sync ring file")
 }
 
-func parse(b []byte, off int64) (gen uint64, num uint32, data []byte, ok bool) {
-	if off+head > int64(len(b)) || binary.LittleEndian.Uint32(b[off:]) != magic {
+func parse(b []byte, off int64, kind uint32) (gen uint64, num uint32, data []byte, ok bool) {
+	if off+head > int64(len(b)) || binary.LittleEndian.Uint32(b[off:]) != kind {
 		return
 	}
 	gen = binary.LittleEndian.Uint64(b[off+4:])
@@ -116,14 +119,20 @@
 	return gen, num, data, sum == binary.LittleEndian.Uint32(b[off+20:])
 }
 
-// sound yields every sound record's place in a file, whatever lies between.
-func sound(b []byte, from int64) iter.Seq2[uint64, uint32] {
-	return func(yield func(uint64, uint32) bool) {
+type frame struct {
+	gen  uint64
+	num  uint32
+	data []byte
+}
+
+// sound yields every sound record or echo in a file, whatever lies between.
+func sound(b []byte, from int64, kind uint32) iter.Seq[frame] {
+	return func(yield func(frame) bool) {
 		for o := from; o+head <= int64(len(b)); o++ {
 			if b[o] != magic&0xff {
 				continue
 			}
-			if g, num, _, ok := parse(b, o); ok && !yield(g, num) {
+			if g, num, data, ok := parse(b, o, kind); ok && !yield(frame{g, num, data}) {
 				return
 			}
 		}
@@ -134,28 +143,41 @@
 // whose whole record was torn while it was taken over holds nothing of the new
 // generation, so the file before it, still complete, stays the newest.
 func newest(b []byte) (max uint64) {
-	for g := range sound(b, 0) {
-		if g > max {
-			max = g
+	for _, kind := range []uint32{magic, again} {
+		for f := range sound(b, 0, kind) {
+			if f.gen > max {
+				max = f.gen
+			}
 		}
 	}
 	return max
 }
 
-// scan reads the records of a generation from a file's start. A sound record
-// behind an unsound place means damage.
+// scan reads the records of a generation from a file's start, the last of them from
+// their echoes if they are damaged; off is then the file's end, so that the next
+// write starts another file. A sound record behind an unsound place means damage.
 func scan(b []byte, gen uint64) (recs [][]byte, off int64, err error) {
 	for {
-		g, num, data, ok := parse(b, off)
+		g, num, data, ok := parse(b, off, magic)
 		if !ok || g != gen || num != uint32(len(recs)) {
 			break
 		}
 		recs = append(recs, append([]byte(nil), data...))
 		off += head + int64(len(data))
 	}
-	for g, num := range sound(b, off) {
-		if g == gen {
-			return nil, 0, errors.Wrapf(ErrDamaged, "unsound at byte %d, but record %d of generation %d behind it is sound", off, num, gen)
+	behind := off
+	for f := range sound(b, behind, again) {
+		if f.gen != gen || f.num < uint32(len(recs)) {
+			continue
+		}
+		off = int64(len(b)) // also after an echo of what was never whole: it must not come back
+		if f.num == uint32(len(recs)) {
+			recs = append(recs, append([]byte(nil), f.data...))
+		}
+	}
+	for f := range sound(b, behind, magic) {
+		if f.gen == gen && f.num >= uint32(len(recs)) {
+			return nil, 0, errors.Wrapf(ErrDamaged, "unsound at byte %d, but record %d of generation %d behind it is sound", behind, f.num, gen)
 		}
 	}
 	return recs, off, nil
@@ -168,12 +190,14 @@
 	for _, d := range recs {
 		n += head + int64(len(d))
 	}
-	if r.cur < 0 || r.off+n > r.size {
+	if r.cur < 0 || r.off+2*n > r.size {
 		return false, nil
 	}
 	r.buf = r.buf[:0]
-	for i, d := range recs {
-		r.frame(r.gen, r.num+uint32(i), d)
+	for _, kind := range []uint32{magic, again} {
+		for i, d := range recs {
+			r.frame(kind, r.gen, r.num+uint32(i), d)
+		}
 	}
 	if err := r.put(r.files[r.cur], r.off); err != nil {
 		return true, err
@@ -190,7 +214,8 @@
 	}
 	next := (r.cur + 1) % len(r.files)
 	r.buf = r.buf[:0]
-	r.frame(r.gen+1, 0, whole)
+	r.frame(magic, r.gen+1, 0, whole)
+	r.frame(again, r.gen+1, 0, whole)
 	if err := r.put(r.files[next], 0); err != nil {
 		return err
 	}
@@ -198,9 +223,9 @@
 	return nil
 }
 
-func (r *Ring) frame(gen uint64, num uint32, d []byte) {
+func (r *Ring) frame(kind uint32, gen uint64, num uint32, d []byte) {
 	var h [head]byte
-	binary.LittleEndian.PutUint32(h[0:], magic)
+	binary.LittleEndian.PutUint32(h[0:], kind)
 	binary.LittleEndian.PutUint64(h[4:], gen)
 	binary.LittleEndian.PutUint32(h[12:], num)
 	binary.LittleEndian.PutUint32(h[16:], uint32(len(d)))
--- a/ring/ring_test.go
+++ b/ring/ring_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -53,8 +54,8 @@
 		fill(t, dir, "one", "two", "three")
 		f := filepath.Join(dir, "ring-0")
 		b, _ := os.ReadFile(f)
-		at := bytes.LastIndex(b, []byte("three")) - head + keep%(head+5)
-		copy(b[at:], make([]byte, head+5-keep%(head+5)))
+		at := bytes.Index(b, []byte("three")) - head + keep%(head+5)
+		clear(b[at:]) // and with it the echo, which is written behind it
 		os.WriteFile(f, b, 0o600)
 		got, err := read(t, dir)
 		if err != nil || fmt.Sprint(got) != "[whole one two]" {
@@ -67,6 +68,84 @@
 	}
 }
 
+// Damage to what was synced last is told from a torn tail by its echo: nothing that
+// may have been promised is lost, be it one record, several synced as one, or the
+// whole record at a file's start.
+func TestDamagedLast(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(r *Ring) error
+		want string
+	}{
+		{"one", func(r *Ring) error { _, err := r.Append([]byte("three")); return err }, "[whole one two three]"},
+		{"several", func(r *Ring) error { _, err := r.Append([]byte("three"), []byte("four")); return err }, "[whole one two three four]"},
+		{"whole", func(r *Ring) error { return r.Rotate([]byte("three")) }, "[three]"},
+	} {
+		for _, echo := range []bool{false, true} {
+			dir := t.TempDir()
+			fill(t, dir, "one", "two")
+			r, _, err := Open(dir, 3, size)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := c.do(r); err != nil {
+				t.Fatal(err)
+			}
+			f := r.files[r.cur].Name()
+			r.Close()
+			b, _ := os.ReadFile(f)
+			find := bytes.Index
+			if echo {
+				find = bytes.LastIndex
+			}
+			for i := find(b, []byte("three")) - head; b[i] != 0 && i < len(b); i++ {
+				d := bytes.Clone(b)
+				d[i] ^= 0x10
+				os.WriteFile(f, d, 0o600)
+				if got, err := read(t, dir); err != nil || fmt.Sprint(got) != c.want {
+					t.Fatalf("%s, echo %v, byte %d: %v %v", c.name, echo, i, got, err)
+				}
+			}
+			r, _, _ = Open(dir, 3, size)
+			room, err := r.Append([]byte("five"))
+			if err == nil && !room {
+				err = r.Rotate([]byte("all and five"))
+			}
+			r.Close()
+			if got, rerr := read(t, dir); err != nil || rerr != nil || !strings.Contains(got[len(got)-1], "five") {
+				t.Fatalf("%s: %v %v after going on", c.name, got, err)
+			}
+		}
+	}
+}
+
+// What is left of a piece that was cut short never comes back behind later records.
+func TestNoEchoOfTheTorn(t *testing.T) {
+	dir := t.TempDir()
+	fill(t, dir, "one")
+	r, _, _ := Open(dir, 3, size)
+	r.Append([]byte("torn-a"), []byte("torn-b"))
+	f := r.files[r.cur].Name()
+	r.Close()
+	b, _ := os.ReadFile(f)
+	at := bytes.Index(b, []byte("torn-a")) - head
+	echo := bytes.LastIndex(b, []byte("torn-b")) - head
+	clear(b[at:echo]) // only the echo of the second reached the disk
+	os.WriteFile(f, b, 0o600)
+	r, _, err := Open(dir, 3, size)
+	if err != nil {
+		t.Fatal(err)
+	}
+	room, err := r.Append([]byte("x"))
+	if err == nil && !room {
+		err = r.Rotate([]byte("whole one x"))
+	}
+	r.Close()
+	if got, rerr := read(t, dir); err != nil || rerr != nil || strings.Contains(fmt.Sprint(got), "torn") || !strings.HasSuffix(got[len(got)-1], "x") {
+		t.Fatalf("%v %v %v", got, err, rerr)
+	}
+}
+
 // One flipped bit before a later sound record is refused aloud, wherever it is.
 func TestDamagedMiddle(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -78,7 +157,7 @@
 		fill(t, dir, "one", "two", "three")
 		f := filepath.Join(dir, "ring-0")
 		b, _ := os.ReadFile(f)
-		end := bytes.LastIndex(b, []byte("three")) - head
+		end := bytes.Index(b, []byte("three")) - head
 		i := rapid.IntRange(0, end-1).Draw(rt, "byte")
 		b[i] ^= 1 << rapid.IntRange(0, 7).Draw(rt, "bit")
 		os.WriteFile(f, b, 0o600)
