Caps are dealt, and a warming target never gets more than its cap

Cause: a small cap was split over the live proxies with its remainder thrown by a hash, so a proxy could have no part in any target of a warming service while others idled; and while proxies stood on different tables, or some were orphans, the parts could add up to more than the cap.

Change: each target of a service deals its remainder on from where the one before it ended, by a number that it keeps in the tables; over a fleet of warming targets proxies differ by one at most. A warming cap is dealt among the whole roster, and while a change of the roster is not in force everywhere tables name the earlier one too and a proxy has the smaller part. After warming the cap grows over 3 s. Ordinary caps stay split over the live proxies: there, losing a third of the proxies for a minute would cost more than the few exchanges over the cap while tables differ.

Ruled out: leasing single places from the leader (a round trip for each exchange); a rotation by time (proxies' clocks are their own).

--- a/core/core.go
+++ b/core/core.go
@@ -199,6 +199,8 @@
 	out       []any
 	counts    Counts
 	cleanAt   time.Duration
+	was       []string // roster's names before a change that is not in force everywhere yet
+	turns     map[string]uint32
 	wideUntil uint64 // entry of the roster's last change
 	proposed  bool   // the epoch's first state, while adopting
 }
@@ -452,6 +454,7 @@
 		c.proposed = false
 	case Warming:
 		c.targets, c.claims, c.judge, c.judged = map[wire.ID]*target{}, map[wire.ID]*target{}, judge.New(), 0
+		c.was, c.turns = nil, map[string]uint32{}
 		c.tombs, c.left = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
 		c.table, c.best, c.sig, c.wideUntil = nil, wire.Key{}, 0, 0
 		c.policies()
@@ -520,6 +523,9 @@
 			2*told > need && now-c.leadAt > limit.WarmLeader/3 {
 			c.setLead(now, Deciding, fmt.Sprintf("heard %d of %d proxies", told, need))
 			c.rebuild(now, true)
+			if c.was != nil {
+				c.forces = append(c.forces, &force{ver: c.ver, since: now, wide: true})
+			}
 			for _, id := range slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare) {
 				if c.targets[id].Pending {
 					c.forces = append(c.forces, &force{ver: c.ver, since: now, clear: id})
@@ -549,6 +555,13 @@
 
 // ---- proxies ----
 
+func (c *Core) rosterNames() (l []string) {
+	for _, g := range c.state.Roster {
+		l = append(l, g.Name)
+	}
+	return l
+}
+
 func (c *Core) inRoster(name string) bool {
 	return slices.ContainsFunc(c.state.Roster, func(g Gate) bool { return g.Name == name })
 }
@@ -638,6 +651,14 @@
 func (c *Core) merge(now time.Duration, b *wire.Table) {
 	if c.lead == Warming && c.best.Less(b.Key) {
 		c.best = b.Key
+		if c.was = b.Was; c.was == nil {
+			for _, g := range b.Gates {
+				c.was = append(c.was, g.Name)
+			}
+		}
+		if slices.Equal(c.was, c.rosterNames()) {
+			c.was = nil
+		}
 		for id, t := range c.targets {
 			if t.told {
 				delete(c.targets, id) // known only from an earlier table
@@ -654,6 +675,7 @@
 			t := &target{Target: w, told: true, beatAt: now - limit.BeatLapse/2, aliveAt: now, probeAt: now - limit.ProbeEvery, seenAt: now}
 			t.BarLeft, t.BarWhy, t.Held = 0, "", false
 			c.targets[w.ID()] = t
+			c.turns[w.Service] = max(c.turns[w.Service], w.Turn)
 		}
 	}
 	for _, w := range b.Targets {
@@ -834,6 +856,8 @@
 		t.State = model.Ready
 	}
 	t.Pending = t.freed
+	c.turns[id.Service]++
+	t.Turn = c.turns[id.Service]
 	c.targets[id] = t
 	if c.left[id] != 0 {
 		c.hold(now, t, "it was leaving when it fell silent")
@@ -966,7 +990,7 @@
 	if c.lead != Deciding {
 		return
 	}
-	t := &wire.Table{Seq: c.state.Seq, Revision: c.state.Revision, Doc: c.state.Doc, State: c.state.slim(c.node.Members()), Emptied: c.state.Emptied}
+	t := &wire.Table{Was: c.was, Seq: c.state.Seq, Revision: c.state.Revision, Doc: c.state.Doc, State: c.state.slim(c.node.Members()), Emptied: c.state.Emptied}
 	for _, r := range c.state.Roster {
 		g := c.gates[r.Name]
 		t.Gates = append(t.Gates, wire.Gate{Name: r.Name, Addr: r.Addr, Domain: r.Domain,
@@ -984,7 +1008,7 @@
 		fmt.Fprintf(h, "%s %s %d %s %s %s %v %v %s %v\n", w.Service, w.Name, w.Inc, w.Addr, w.Domain, w.State, w.Held, w.Pending, w.BarWhy, w.Beating)
 		demand = demand*31 + uint64(w.Demand*8)
 	}
-	fmt.Fprintf(h, "%d %d %v", t.Seq, t.Revision, t.Gates)
+	fmt.Fprintf(h, "%d %d %v %v", t.Seq, t.Revision, t.Gates, t.Was)
 	sig := h.Sum64()
 	if c.table != nil && sig == c.sig && !refresh && (now-c.demandAt < limit.DemandEvery || demand == c.demandOf()) {
 		c.counts.Same++
@@ -1064,6 +1088,10 @@
 		if f.p != nil {
 			c.answer(f.p, f.reply)
 		}
+		if f.wide {
+			c.was = nil
+			c.rebuild(now, false)
+		}
 		if t := c.targets[f.clear]; t != nil && t.Pending {
 			t.Pending = false
 			c.rebuild(now, false)
--- a/core/operate.go
+++ b/core/operate.go
@@ -212,7 +212,7 @@
 	if err := json.Unmarshal(e.Data, &o); err != nil {
 		panic(errors.Wrapf(err, "entry %d", e.Index))
 	}
-	was := c.state.Revision
+	was, names := c.state.Revision, c.rosterNames()
 	c.state.Apply(e.Index, o)
 	if c.state.Revision != was {
 		c.do(Change{"revision", fmt.Sprint(was), fmt.Sprint(c.state.Revision), o.What})
@@ -226,6 +226,9 @@
 	if c.lead == Idle || c.lead == Adopting {
 		return
 	}
+	if c.was == nil && len(names) > 0 && !slices.Equal(names, c.rosterNames()) {
+		c.was = names
+	}
 	c.policies()
 	p := c.pend[o.Token]
 	delete(c.pend, o.Token)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -119,6 +119,7 @@
 	heir     *target       // a later start of it that claims its place while no leader can say
 	shun     time.Duration
 	backAt   time.Duration // when a bar was lifted
+	warmAt   time.Duration // when it ended its warming
 	inflight int
 	closed   int // pipes in a row that could not be opened
 	misses   int
@@ -551,6 +552,9 @@
 			n = &target{}
 		}
 		was := n.barUntil > now
+		if n.State == model.Warming && w.State == model.Ready {
+			n.warmAt = now
+		}
 		n.Target = w
 		n.barUntil = 0
 		if w.BarLeft > 0 {
@@ -702,7 +706,7 @@
 	}
 	t.misses = 0
 	if b.State == model.Ready && t.State == model.Warming && g.state == Orphan {
-		t.State = model.Ready
+		t.State, t.warmAt = model.Ready, now
 	}
 	if t.ownBar > now {
 		t.ownBar, t.backAt = 0, now
@@ -729,37 +733,70 @@
 	return s
 }
 
-// share is this proxy's part of a number that holds for all proxies together:
-// the parts of the live proxies add up to it, and the remainder falls on other
-// proxies for other keys.
+// share is this proxy's part of a number that holds for all proxies together: the
+// parts of the live proxies add up to it, and the remainder falls on other proxies
+// for other keys.
 func (g *Gate) share(total int, key string) int {
-	n, at := 0, -1
+	h := fnv.New32a()
+	h.Write([]byte(key))
+	return deal(total, int(h.Sum32()>>1), g.set.Self.Name, g.live())
+}
+
+// live are the proxies that share what all may do: the roster's that the leader
+// hears, or all of them if there is no leader to say.
+func (g *Gate) live() (l []string) {
 	for _, r := range g.table.Gates {
 		if r.Live || r.Name == g.set.Self.Name || g.state != Granted {
-			if r.Name == g.set.Self.Name {
-				at = n
-			}
-			n++
+			l = append(l, r.Name)
 		}
 	}
+	return l
+}
+
+func (g *Gate) roster() (l []string) {
+	for _, r := range g.table.Gates {
+		l = append(l, r.Name)
+	}
+	return l
+}
+
+// deal is one name's part of a number dealt among names: all get the same, and the
+// remainder goes to those that follow a place.
+func deal(total, place int, name string, among []string) int {
+	n, at := len(among), slices.Index(among, name)
 	if at < 0 {
 		return 0
 	}
-	h := fnv.New32a()
-	h.Write([]byte(key))
-	s := total / n
-	if (at+int(h.Sum32()%uint32(n)))%n < total%n {
-		s++
+	part := total / n
+	if (at-place%n+n)%n < total%n {
+		part++
 	}
-	return s
+	return part
 }
 
-func (g *Gate) room(t *target, set model.Service) int {
-	c := set.Cap
+// room is how many exchanges this proxy may have at a target. Each target deals its
+// remainder on from where its service's one before it ended, so that every proxy
+// reaches some of them. A warming one must never get more than its cap, whatever
+// tables the proxies stand on: its cap is dealt among the whole roster, and while a
+// change of that is not in force everywhere, a proxy has the smaller of both parts.
+func (g *Gate) room(now time.Duration, t *target, set model.Service) int {
+	h := fnv.New32a()
+	h.Write([]byte(t.Service))
+	part := func(c int, among []string) int {
+		return deal(c, int(h.Sum32()>>8)+int(t.Turn)*(c%max(1, len(among))), g.set.Self.Name, among)
+	}
 	if t.State == model.Warming {
-		c = set.WarmCap
+		n := part(set.WarmCap, g.roster())
+		if len(g.table.Was) > 0 {
+			n = min(n, part(set.WarmCap, g.table.Was))
+		}
+		return n
+	}
+	c := set.Cap
+	if since := now - t.warmAt; t.warmAt > 0 && since < limit.RampUp && set.WarmCap < c {
+		c = set.WarmCap + int(float64(c-set.WarmCap)*float64(since)/float64(limit.RampUp))
 	}
-	return g.share(c, t.Service+"/"+t.Name)
+	return part(c, g.live())
 }
 
 // choose picks the less burdened of two admitted targets, met in a turn that
@@ -828,7 +865,7 @@
 	if t == nil {
 		return -1
 	}
-	room := g.room(t, x.set)
+	room := g.room(now, t, x.set)
 	if t.inflight >= room {
 		return -1
 	}
@@ -1116,7 +1153,7 @@
 		v.Table = g.table.Key
 		for _, id := range slices.SortedFunc(maps.Keys(g.targets), wire.ID.Compare) {
 			t := g.targets[id]
-			tv := TargetView{Target: t.Target, InFlight: t.inflight, Room: g.room(t, g.cfg.Services[t.Service])}
+			tv := TargetView{Target: t.Target, InFlight: t.inflight, Room: g.room(now, t, g.cfg.Services[t.Service])}
 			tv.Held = t.Held || t.held
 			tv.BarMs, tv.OwnBarMs = max(0, (t.barUntil-now).Milliseconds()), max(0, (t.ownBar-now).Milliseconds())
 			v.Targets = append(v.Targets, tv)
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"myrtlefold/core"
 	"myrtlefold/limit"
 	"myrtlefold/model"
@@ -372,3 +374,91 @@
 		b.step(Done{ID: id + 1, Last: true})
 	}
 }
+
+// However the proxies stand on the tables before, during and after a change of the
+// roster, the parts of a warming target's cap never add up to more than it; on one
+// table they add up to it, and a fleet's parts are dealt so that no proxy has two
+// more than another.
+func TestWarmCapIsDealt(t *testing.T) {
+	names := func(n int) (l []string) {
+		for i := range n {
+			l = append(l, fmt.Sprintf("g%02d", i+1))
+		}
+		return l
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		before := names(rapid.IntRange(1, 13).Draw(t, "proxies"))
+		after := names(14)[:len(before)+1]
+		if i := rapid.IntRange(-1, len(before)-1).Draw(t, "leaves"); i >= 0 && len(before) > 1 {
+			after = append(append([]string{}, before[:i]...), before[i+1:]...)
+		}
+		set := model.Service{Cap: 64, WarmCap: rapid.IntRange(1, 30).Draw(t, "cap")}
+		fleet := rapid.IntRange(1, 12).Draw(t, "targets")
+		first := rapid.Uint32Range(1, 1000).Draw(t, "turn")
+		part := func(name string, turn uint32, among, was []string) int {
+			g := New(Settings{Self: wire.Daemon{Name: name}})
+			g.table = &wire.Table{Was: was}
+			for _, n := range among {
+				g.table.Gates = append(g.table.Gates, wire.Gate{Name: n, Live: true})
+			}
+			return g.room(0, &target{Target: wire.Target{Service: "s", State: model.Warming, Turn: turn}}, set)
+		}
+		every := append(append([]string{}, before...), after[len(after)-1])
+		if len(after) < len(before) {
+			every = before
+		}
+		// The old and the changing table stand together, or the changing and the new one.
+		late := rapid.Bool().Draw(t, "late")
+		stands := map[string]int{}
+		for _, n := range every {
+			stands[n] = rapid.IntRange(0, 1).Draw(t, n)
+		}
+		for turn := first; turn < first+3; turn++ {
+			sum := 0
+			for _, n := range every {
+				switch {
+				case !late && stands[n] == 0:
+					sum += part(n, turn, before, nil)
+				case late && stands[n] == 0:
+					sum += part(n, turn, after, nil)
+				default:
+					sum += part(n, turn, after, before)
+				}
+			}
+			if sum > set.WarmCap {
+				t.Fatalf("parts add up to %d of %d", sum, set.WarmCap)
+			}
+		}
+		lo, hi := 1<<30, 0
+		for _, n := range after {
+			sum := 0
+			for turn := first; turn < first+uint32(fleet); turn++ {
+				sum += part(n, turn, after, nil)
+			}
+			lo, hi = min(lo, sum), max(hi, sum)
+		}
+		if hi-lo > 1 {
+			t.Fatalf("a fleet of %d with %d each: proxies have from %d to %d", fleet, set.WarmCap, lo, hi)
+		}
+	})
+}
+
+// After warming what a target takes rises, it does not jump.
+func TestRampAfterWarming(t *testing.T) {
+	b := newBench("g1", 1, plain, to("a", warming))
+	last := 0
+	for i := range 40 {
+		if i == 1 {
+			b.table(1, plain, to("a"))
+		}
+		v := b.g.View(b.now).Targets[0].Room
+		if v < last || v > last+1 && i > 0 {
+			t.Fatalf("room from %d to %d", last, v)
+		}
+		last = v
+		b.now += 100 * time.Millisecond
+	}
+	if last != 8 {
+		t.Fatalf("room %d in the end", last)
+	}
+}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -156,6 +156,8 @@
 	CapDefault = 64
 	// WarmDefault is the same for a warming target.
 	WarmDefault = 4
+	// RampUp is over what time a target's cap grows from its warming one to the full one.
+	RampUp = 3 * time.Second
 	// RetryAfterMin and RetryAfterSpan make the Retry-After of a refusal, in seconds, spread by exchange.
 	RetryAfterMin  = 1
 	RetryAfterSpan = 3
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"myrtlefold/core"
 	"myrtlefold/gate"
 	"myrtlefold/model"
 )
@@ -284,6 +285,26 @@
 			}
 		}
 	}},
+	{"gate added, another gone for good", func(w *World) {
+		if len(w.all("gate")) > w.Plan.Gates+2 {
+			return
+		}
+		w.log("a proxy is added")
+		w.addProc("gate", fmt.Sprintf("g%d", 10+len(w.names)), w.rnd.IntN(w.Plan.Domains))
+		w.start(w.procs[w.names[len(w.names)-1]])
+		p := w.pick("gate", false)
+		if p == nil {
+			p = w.pick("gate", true)
+		}
+		w.Kill(p)
+		var forget func()
+		forget = func() {
+			if l := w.Leader(); l != nil && !p.alive {
+				w.call(l, "POST", "/v1/gates/"+p.name+"/forget", "", nil, "", func(core.Reply) {})
+			}
+		}
+		w.at(3*time.Second, forget)
+	}},
 	{"gate frozen", func(w *World) {
 		if p := w.pick("gate", true); p != nil {
 			w.Freeze(p, w.ms(300, 5000))
--- a/wire/msg.capnp
+++ b/wire/msg.capnp
@@ -97,6 +97,7 @@
   barWhy @10 :Text;
   pending @11 :Bool;
   beating @12 :Bool;
+  turn @13 :UInt32;
 }
 struct SeenC {
   service @0 :Text;
@@ -129,6 +130,7 @@
   gates @5 :List(GateC);
   emptied @6 :List(Text);
   targets @7 :List(TargetC);
+  was @8 :List(Text);
 }
 struct PullC {
   self @0 :DaemonC;
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -134,6 +134,7 @@
 	BarWhy    string  `json:"bar_why,omitempty"`
 	Pending   bool    `json:"pending,omitempty"`
 	Beating   bool    `json:"beating"`
+	Turn      uint32  `json:"-"` // its place in the dealing of caps among proxies
 }
 
 type ID struct {
@@ -194,6 +195,7 @@
 	Gates    []Gate
 	Emptied  []string
 	Targets  []Target
+	Was      []string // proxies of the roster before, while this one is not in force everywhere
 }
 
 type Pull struct {
