A scene per rule, checks that can fail, availability per kind; changes outlive their leader

'In flight' is a rule now: planned work on proxies, leaders, members, targets, configurations and domains may lose no exchange.

A follower now passes it to the next leader under the same id. Two: a proxy cut one way asked on, was granted on, and held every change up as long as it lasted (2.8 s, 5.4 at most). One that does not take what it is sent for 0.5 s is granted nothing more.

--- a/core/core.go
+++ b/core/core.go
@@ -97,7 +97,8 @@
 	stamp   int64
 	pullAt  time.Duration
 	grantAt time.Duration
-	told    bool // its table of before this lead is merged
+	movedAt time.Duration // when it last stood on the table of the time, or came on
+	told    bool          // its table of before this lead is merged
 }
 
 // Voice is how a target's words come: its beats without a gap.
@@ -154,6 +155,8 @@
 	at    time.Duration
 	relay string // asker's daemon, when it came over the wire
 	rid   uint64
+	to    string // the leader that it was passed to
+	call  *wire.Ask
 }
 
 type Core struct {
@@ -360,9 +363,16 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.relays)) {
-		if p := c.relays[id]; now-p.at > limit.AskWait+limit.CoreGrant {
+		p := c.relays[id]
+		switch l := c.led(now); {
+		case now-p.at > limit.AskWait+limit.CoreGrant:
 			delete(c.relays, id)
 			c.unknown(p)
+		case c.lead == Deciding:
+			delete(c.relays, id)
+			c.operate(now, p, p.call)
+		case l != "" && l != p.to:
+			c.pass(id, p, l) // under its id a change is made once, whoever hears it how often
 		}
 	}
 	if c.stopping && (now-c.stopAt > limit.ElectMin || c.node == nil || c.node.Role() != quorum.Leader && now-c.stopAt > limit.CoreGrant) {
@@ -420,7 +430,7 @@
 			return
 		}
 		if m.Ask.Reply {
-			if p := c.relays[m.Ask.Id]; p != nil {
+			if p := c.relays[m.Ask.Id]; p != nil && p.to == m.From {
 				delete(c.relays, m.Ask.Id)
 				c.answer(p, Reply{p.ask, int(m.Ask.Status), int(m.Ask.Retry), m.Ask.Body})
 			}
@@ -600,6 +610,9 @@
 	}
 	g.pullAt = now
 	g.stamp = max(g.stamp, m.Stamp)
+	if c.table == nil || g.key != m.Pull.Key || m.Pull.Key == c.table.Key {
+		g.movedAt = now
+	}
 	g.key = m.Pull.Key
 	if t := m.Pull.Table; t != nil && c.lead >= Warming && !g.told {
 		g.told = true
@@ -627,10 +640,13 @@
 		c.push(m.From, g, false)
 		return
 	}
-	if c.inRoster(m.From) {
+	// One that asks but does not take what it is sent hears nothing: it must not hold up
+	// what is to be in force, so it is granted nothing more.
+	grant := c.inRoster(m.From) && now-g.movedAt < limit.GateDeaf
+	if grant {
 		g.grantAt = now
 	}
-	c.push(m.From, g, c.inRoster(m.From))
+	c.push(m.From, g, grant)
 }
 
 // push sends a proxy what it lacks. A grant runs from the proxy's own stamp.
@@ -1025,7 +1041,7 @@
 	c.table = t
 	for _, n := range slices.Sorted(maps.Keys(c.gates)) {
 		if g := c.gates[n]; c.inRoster(n) && now-g.pullAt < limit.GateLive {
-			c.push(n, g, true)
+			c.push(n, g, now-g.movedAt < limit.GateDeaf)
 		}
 	}
 }
--- a/core/operate.go
+++ b/core/operate.go
@@ -333,7 +333,14 @@
 	}
 	c.relaySeq++
 	c.relays[c.relaySeq] = p
-	c.send(l, &wire.Msg{Kind: uint16(wire.KAsk), Ask: &wire.Ask{Id: c.relaySeq, Token: p.token, Method: e.Method, Path: e.Path, Query: e.Query, Body: e.Body}})
+	p.call = &wire.Ask{Id: c.relaySeq, Token: p.token, Method: e.Method, Path: e.Path, Query: e.Query, Body: e.Body}
+	c.pass(c.relaySeq, p, l)
+}
+
+// pass hands a call to the leader.
+func (c *Core) pass(id uint64, p *pending, leader string) {
+	p.to = leader
+	c.send(leader, &wire.Msg{Kind: uint16(wire.KAsk), Ask: p.call})
 }
 
 // TargetCall is a back end's own call, which any daemon takes.
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -53,6 +53,9 @@
 	// GrantMargin is what the leader adds before it takes a grant as lapsed, for clock speed.
 	// Worst wait for a change to be in force: GateGrant + GrantMargin = 1.1 s, under the 2 s rule.
 	GrantMargin = 200 * time.Millisecond
+	// GateDeaf is how long a proxy may go on asking without taking the table that it is sent before
+	// it is granted nothing more: a few lost answers. GateDeaf + GateGrant + GrantMargin = 1.6 s.
+	GateDeaf = 500 * time.Millisecond
 	// GateForget is how long a proxy may be silent before the leader drops it from the roster:
 	// long enough for a machine's restart.
 	GateForget = 60 * time.Second
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -18,6 +18,7 @@
 		{"a proxy's doubt to its own bar, as an orphan", GateGrant/2 + 2*ProbeEvery + ProbeCap + push, 2 * time.Second},
 		{"silence until a target no longer counts as beating", BeatLapse + push, 2 * time.Second},
 		{"a change agreed to in force, with a proxy cut off", drift(GateGrant) + GrantMargin + push, 2 * time.Second},
+		{"the same with a proxy that asks and hears nothing", GateDeaf + drift(GateGrant) + GrantMargin + push, 2 * time.Second},
 		{"a touch's end, seen from the majority's stand", drift(TouchGrant) + TickEvery, TouchGrant + GrantMargin},
 		{"a grant's end, seen from the pull", drift(GateGrant) + TickEvery, GateGrant + GrantMargin},
 		{"the old leader's end, seen by members", drift(CoreGrant) + TickEvery, ElectMin},
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -534,6 +534,101 @@
 			w.PutConfig(p, w.Revision(), w.rnd.IntN(1000))
 		}
 	}},
+	{"config patch", func(w *World) {
+		if p := w.pick("core", true); p != nil {
+			b := w.Revision()
+			doc := fmt.Sprintf(`{"services":{"%s":{"timeout_ms":%d}}}`, slices.Sorted(maps.Keys(w.Plan.Services))[0], 1000+w.rnd.IntN(1000))
+			w.Change(p, "PATCH", "/v1/config", fmt.Sprintf("base=%d", b), []byte(doc), &change{what: "config", base: b})
+		}
+	}},
+	{"config rolled back", func(w *World) {
+		if p := w.pick("core", true); p != nil {
+			b := w.Revision()
+			w.Change(p, "POST", "/v1/config/rollback", fmt.Sprintf("base=%d&to=%d", b, max(1, b-1)), nil, &change{what: "config", base: b})
+		}
+	}},
+	{"policy replaced", func(w *World) {
+		b, p := w.Revision(), w.pick("core", true)
+		if p == nil {
+			return
+		}
+		doc := []string{`{"slice":"probe","when":"misses_in_row >= 2","clear":"ok_in_row >= 1","decide":"bar","ttl_ms":30000,"note":"anew"}`,
+			`{"slice":"probe","when":"misses_in_row >= 2 && missed >= 2","clear":"ok_in_row >= 1","decide":"bar","ttl_ms":20000}`}[w.rnd.IntN(2)]
+		w.Change(p, "PUT", "/v1/policies/default", fmt.Sprintf("base=%d", b), []byte(doc), &change{what: "config", base: b})
+		w.at(200*time.Millisecond, func() {
+			if p := w.pick("core", true); p != nil {
+				b := w.Revision()
+				w.Change(p, "PUT", "/v1/policies/flap", fmt.Sprintf("base=%d", b), []byte(`{"slice":"probe","when":"flaps > 8","decide":"bar","ttl_ms":5000,"mode":"shadow"}`), &change{what: "config", base: b})
+			}
+		})
+	}},
+	{"member swapped", func(w *World) {
+		old := w.mayHurtCore()
+		if old == nil || w.swapping || w.Leader() == nil {
+			return
+		}
+		w.swapping = true
+		name := fmt.Sprintf("c%d", 20+len(w.names))
+		w.addProc("core", name, w.rnd.IntN(w.Plan.Domains))
+		w.start(w.procs[name])
+		w.log("%s is swapped for %s", old.name, name)
+		var ask func(what, name string, left int, then func())
+		ask = func(what, name string, left int, then func()) {
+			l := w.Leader()
+			if l == nil || left == 0 {
+				if left > 0 {
+					w.at(500*time.Millisecond, func() { ask(what, name, left-1, then) })
+				}
+				return
+			}
+			w.call(l, "POST", "/v1/core/"+name+"/"+what, "", nil, "", func(r core.Reply) {
+				if r.Status == 200 || r.Status == 409 && what == "add" {
+					then()
+				} else {
+					w.at(500*time.Millisecond, func() { ask(what, name, left-1, then) })
+				}
+			})
+		}
+		w.at(time.Second, func() {
+			ask("add", name, 30, func() {
+				ask("remove", old.name, 30, func() {
+					w.log("%s is out", old.name)
+					w.Kill(old)
+					w.names = slices.DeleteFunc(w.names, func(n string) bool { return n == old.name })
+				})
+			})
+		})
+	}},
+	{"machines restarted in turn", func(w *World) {
+		if w.mayHurtCore() == nil {
+			return
+		}
+		w.log("core machines restart in turn")
+		for i, n := range w.all("core") {
+			p := w.procs[n]
+			w.at(time.Duration(i)*8500*time.Millisecond, func() {
+				if w.mayHurtCore() == nil {
+					return
+				}
+				gen := p.gen
+				w.stop(p)
+				w.at(1500*time.Millisecond, func() {
+					if p.gen == gen {
+						w.Kill(p)
+						w.Restart(p)
+					}
+				})
+			})
+		}
+	}},
+	{"all proxies forget", func(w *World) {
+		w.log("all proxies are killed at once")
+		for _, n := range w.all("gate") {
+			p := w.procs[n]
+			w.Kill(p)
+			w.at(w.ms(100, 1000), func() { w.Restart(p) })
+		}
+	}},
 	{"config burst", func(w *World) {
 		for i := range 4 {
 			w.at(time.Duration(i)*40*time.Millisecond, func() {
@@ -600,7 +695,14 @@
 }
 
 // stop is the polite signal.
-func (w *World) stop(p *Proc) { w.deliver(p, stopEvent) }
+func (w *World) stop(p *Proc) {
+	w.Stats.Stops++
+	if w.sabotage == "stop" && p.gate != nil {
+		w.exec(p, core.Exit{})
+		return
+	}
+	w.deliver(p, stopEvent)
+}
 
 // ByName finds a fault.
 func ByName(name string) (Fault, bool) {
@@ -636,10 +738,15 @@
 // Day runs a seed: so many faults drawn from kinds (all if none is named) over
 // a span, then healing, then the last checks.
 func Day(seed uint64, p Plan, kinds []Fault, faults int, span time.Duration) *World {
+	return day(seed, p, kinds, faults, span, func(*World) {})
+}
+
+func day(seed uint64, p Plan, kinds []Fault, faults int, span time.Duration, prepare func(*World)) *World {
 	w := Start(seed, p)
 	if w.Fail != "" {
 		return w
 	}
+	prepare(w)
 	if len(kinds) == 0 {
 		kinds = Faults
 	}
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -166,6 +166,10 @@
 	late     float64 // part of messages that come seconds late and out of order
 	lostLead time.Duration
 	removing bool // one service at a time is taken away
+	swapping bool // one member at a time is swapped
+	planned  bool // only planned work is done: nothing may be lost
+	sabotage string
+	lastOk   map[string]time.Duration
 }
 
 type ask struct {
@@ -182,12 +186,15 @@
 	MaxWarm                                     int
 	Orphaned                                    int
 	Back                                        time.Duration // from healing to full capacity
+	Lost, LostUnsafe, Foreign, NoAnswer         int           // answers lost, pipes to another identity, callers whose proxy died
+	Leaves, Deaths, Empties, Slips, Stops       int
+	Gap                                         time.Duration // longest time without a served exchange of some service
 }
 
 func New(seed uint64, p Plan) *World {
 	w := &World{Plan: p, Seed: seed, rnd: rand.New(rand.NewPCG(seed, 0x6d79727465)), procs: map[string]*Proc{}, byAddr: map[string]*Proc{},
 		listen: map[string]*Target{}, cut: map[[2]string]bool{}, open: map[uint64]*exchange{}, link: map[[2]string]time.Duration{},
-		asks: map[uint64]*ask{}, ackedAt: map[uint64]time.Duration{}, emptied: map[string]time.Duration{}, sends: map[string][]tick{}, delay: time.Millisecond}
+		asks: map[uint64]*ask{}, ackedAt: map[uint64]time.Duration{}, emptied: map[string]time.Duration{}, sends: map[string][]tick{}, delay: time.Millisecond, lastOk: map[string]time.Duration{}}
 	for i := range p.Cores {
 		w.addProc("core", fmt.Sprintf("c%d", i+1), i%p.Domains)
 	}
@@ -274,7 +281,7 @@
 	p.alive, p.frozen, p.held, p.thawed = true, false, nil, nil
 	p.boot, p.since = w.now, w.now
 	p.base = time.Duration(1 + w.rnd.Int64N(int64(time.Hour)))
-	p.rate = 0.98 + 0.04*w.rnd.Float64()
+	p.rate = w.rate()
 	p.pool, p.live, p.rev = map[wire.ID][]*Target{}, nil, 0
 	var seeds []string
 	for _, n := range w.names[:min(3, len(w.names))] {
@@ -318,6 +325,10 @@
 	for _, id := range slices.Sorted(maps.Keys(w.open)) {
 		if x := w.open[id]; x.gate == p && x.gen == p.gen {
 			delete(w.open, id)
+			w.Stats.NoAnswer++
+			if w.planned {
+				w.broken("in flight", "exchange %d was left behind by %s", x.id, p.name)
+			}
 		}
 	}
 }
@@ -397,12 +408,17 @@
 		d := w.delay/5 + time.Duration(w.rnd.Int64N(int64(w.delay)))
 		k := [2]string{p.name, to.name}
 		at := max(w.now+d, w.link[k]+1) // a pipe keeps its order
+		m, tg := w.spoil(p, to, c.M), to.gen
+		if m == nil {
+			return
+		}
 		if w.rnd.Float64() < w.late {
 			at = w.now + w.ms(200, 4000) // left over in an earlier pipe
+			w.Stats.Slips++
+			m = w.spoilLate(m)
 		} else {
 			w.link[k] = at
 		}
-		m, tg := c.M, to.gen
 		w.at(at-w.now, func() {
 			if to.gen == tg && w.reach(p.name, to.name) {
 				w.deliver(to, core.Recv{M: m})
@@ -411,6 +427,10 @@
 	case core.Sync:
 		p.disk.open = append(p.disk.open, c.B)
 		d := p.disk
+		if w.sabotage == "sync" {
+			w.at(0, func() { w.deliver(p, core.Synced{Seq: c.B.Seq}) })
+			return
+		}
 		w.at(w.ms(0, 4), func() { w.flush(p, gen, d) })
 	case core.Probe:
 		w.probe(p, c)
@@ -421,6 +441,9 @@
 		}
 	case core.Change:
 		w.log("%s %s %s -> %s (%s)", p.name, c.What, c.From, c.To, c.Why)
+		if w.sabotage == "early answer" && c.What == "revision" && p.core != nil {
+			w.acked = max(w.acked, p.core.Revision())
+		}
 		if c.What == "lead" && c.To == "idle" || c.To == "cut" || c.To == "orphan" {
 			w.lostLead = w.now
 		}
@@ -524,11 +547,12 @@
 		w.at(w.ms(0, 3), again)
 		return
 	}
-	b, _ := json.Marshal(model.Beat{Service: t.service, Name: t.name, Incarnation: t.inc, Address: t.addr, Domain: t.domain, State: state})
+	b, _ := json.Marshal(model.Beat{Service: t.service, Name: t.name, Incarnation: t.inc, Address: t.addr, Domain: t.domain, State: w.heard(state)})
 	w.call(p, "POST", "/v1/targets", "", b, "", func(r core.Reply) {
 		done = true
 		if r.Status == 202 && state == model.Leaving && t.leftAt == 0 {
 			t.leftAt = w.now
+			w.Stats.Leaves++
 			w.log("%s/%s leaving, taken by %s", t.service, t.name, p.name)
 		}
 	})
@@ -548,6 +572,7 @@
 	}
 	w.log("crash %s/%s", t.service, t.name)
 	t.alive, t.goneAt = false, w.now
+	w.Stats.Deaths++
 	if w.listen[t.addr] == t {
 		delete(w.listen, t.addr)
 	}
@@ -587,6 +612,8 @@
 	}
 	t := w.listen[c.Addr]
 	switch {
+	case w.sabotage == "probes":
+		answer(w.ms(1, 5), &model.Beat{Service: c.ID.Service, Name: c.ID.Name, Incarnation: c.ID.Inc, State: model.Ready})
 	case t != nil && (t.hang || t.deaf || !w.reach(p.name, t.name) || !w.reach(t.name, p.name)):
 		answer(limit.ProbeCap, nil)
 	case t == nil:
@@ -596,7 +623,7 @@
 			answer(limit.ProbeCap, nil)
 		}
 	default:
-		answer(w.ms(1, 5), &model.Beat{Service: t.service, Name: t.name, Incarnation: t.inc, Address: t.addr, Domain: t.domain, State: t.state})
+		answer(w.ms(1, 5), &model.Beat{Service: t.service, Name: t.name, Incarnation: t.inc, Address: t.addr, Domain: t.domain, State: w.heard(t.state)})
 	}
 }
 
@@ -654,6 +681,10 @@
 	switch final {
 	case "served":
 		w.Stats.Served++
+		if !w.quiet {
+			w.Stats.Gap = max(w.Stats.Gap, w.now-w.lastOk[x.svc])
+		}
+		w.lastOk[x.svc] = w.now
 		w.okAt = append(w.okAt, w.now)
 	case "no":
 		w.Stats.NotRun++
@@ -662,6 +693,9 @@
 		}
 	case "unknown":
 		w.Stats.Unknown++
+		if w.planned {
+			w.broken("in flight", "exchange %d at %s was lost during planned work", x.id, x.gate.name)
+		}
 	}
 	if final != "served" && x.hard < 3 && w.rnd.Float64() < w.Plan.Hard {
 		w.at(w.ms(0, 5), func() { w.exchange(x.svc, x.unsafe, x.hard+1) })
@@ -676,7 +710,7 @@
 	if c.Status == 503 && c.Retry == 0 {
 		w.broken("come back when", "a refusal without Retry-After")
 	}
-	if x.sent {
+	if x.sent && w.sabotage != "say no" {
 		w.end(x, "unknown")
 	} else {
 		w.end(x, "no")
@@ -718,7 +752,7 @@
 				return
 			}
 			x.sent = x.sent || sent
-			if late || sent && x.unsafe {
+			if late || sent && x.unsafe && w.sabotage != "resend" {
 				w.deliver(p, gate.Cancel{ID: x.id})
 				if x.sent {
 					w.end(x, "unknown")
@@ -728,7 +762,7 @@
 				return
 			}
 			x.retry = sent
-			w.deliver(p, gate.Again{ID: x.id, Sent: sent})
+			w.deliver(p, gate.Again{ID: x.id, Sent: sent && w.sabotage != "budget"})
 		})
 	}
 	switch {
@@ -738,7 +772,8 @@
 	case !pooled && (t.hang || !w.reach(p.name, t.name) || !w.reach(t.name, p.name)):
 		fail(min(limit.DialCap, c.Left), gate.Closed, false, false)
 		return
-	case !pooled && (t.service != id.Service || t.name != id.Name || t.inc != id.Inc):
+	case !pooled && (t.service != id.Service || t.name != id.Name || t.inc != id.Inc) && w.sabotage != "identity":
+		w.Stats.Foreign++
 		fail(w.ms(1, 3), gate.Foreign, false, false)
 		return
 	}
@@ -787,6 +822,10 @@
 			t.works = slices.DeleteFunc(t.works, func(o *exchange) bool { return o == x })
 			switch {
 			case !t.alive || t.lose:
+				w.Stats.Lost++
+				if x.unsafe {
+					w.Stats.LostUnsafe++
+				}
 				fail(0, gate.Lost, true, false)
 			default:
 				o := gate.Served
@@ -814,7 +853,14 @@
 		token = fmt.Sprintf("t%d", id)
 	}
 	w.asks[id] = &ask{fn}
-	w.at(w.ms(0, 2), func() {
+	late := 2
+	if w.sabotage == "base" {
+		late = 60
+	}
+	w.at(w.ms(0, late), func() {
+		if w.sabotage == "base" && p.core != nil && strings.HasPrefix(query, "base=") {
+			query = fmt.Sprintf("base=%d", p.core.Revision())
+		}
 		w.deliver(p, core.Ask{ID: id, Token: token, Method: method, Path: path, Query: query, Body: body})
 	})
 }
@@ -825,12 +871,19 @@
 // warmCap is what a warming target bears in all of them.
 const warmCap = 6
 
+func (w *World) warm(cap int) int {
+	if w.sabotage == "warm cap" {
+		return cap
+	}
+	return min(cap, warmCap)
+}
+
 // DocOf is one for some services, with a cap per target.
 func (w *World) DocOf(n, cap int, services []string) []byte {
 	svcs := map[string]any{}
 	var rules []any
 	for _, s := range services {
-		svcs[s] = map[string]any{"cap": cap, "warm_cap": min(cap, warmCap), "timeout_ms": 1000 + n}
+		svcs[s] = map[string]any{"cap": cap, "warm_cap": w.warm(cap), "timeout_ms": 1000 + n}
 		rules = append(rules, map[string]any{"path": "/" + s + "/", "service": s})
 	}
 	b, _ := json.Marshal(map[string]any{"services": svcs, "rules": rules})
@@ -873,6 +926,7 @@
 			}
 			if strings.HasSuffix(path, "/empty") && !slices.ContainsFunc(w.changes, func(o *change) bool { return o.what == "restore "+c.empty && o.at > c.at }) {
 				w.emptied[c.empty] = w.now
+				w.Stats.Empties++
 			}
 		case r.Status == 504:
 			c.state = "unknown"
