The lab cuts, splits and delays real processes through relays of its own

Daemons may listen apart from where they are reached (bind) and name the address that their pipes leave from (from): ordinary settings, checked like the others. mflab puts a relay before each address that is told to others, so it can part machines both ways or one, split the core, cut a domain or the leader's sight of targets off, and delay all, without privileges; it also wipes a domain with its disks, restarts a service cold and changes settings files under daemons, and wants full capacity back. What is held back arrives late, which is harder than losing it. mfload tells user agents that ask again at once from the others.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -168,15 +168,15 @@
 
 var errForeign = errors.New("another identity answers at the target's address")
 
-// Dial opens a pipe.
-func Dial(ctx context.Context, addr string) (*http.ClientConn, error) {
-	return dial(ctx, addr, &writes{})
+// Dial opens a pipe; from is where it leaves from, nil for the system's choice.
+func Dial(ctx context.Context, addr string, from net.Addr) (*http.ClientConn, error) {
+	return dial(ctx, addr, from, &writes{})
 }
 
-func dial(ctx context.Context, addr string, w *writes) (*http.ClientConn, error) {
+func dial(ctx context.Context, addr string, from net.Addr, w *writes) (*http.ClientConn, error) {
 	t := &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: 4 * limit.HeaderMax,
 		DialContext: func(ctx context.Context, network, a string) (net.Conn, error) {
-			var d net.Dialer
+			d := net.Dialer{LocalAddr: from}
 			c, err := d.DialContext(ctx, network, a)
 			if err != nil {
 				return nil, err
@@ -212,7 +212,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit.DialCap)
 	defer cancel()
 	w := &writes{now: c.owner.Now}
-	cc, err := dial(ctx, t.Addr, w)
+	cc, err := dial(ctx, t.Addr, c.From, w)
 	if err != nil {
 		return nil, err
 	}
@@ -250,6 +250,8 @@
 	Observe func(svc string, status int, sec float64)
 	// Leaving has each answer end its caller's pipe, so that callers move to other proxies.
 	Leaving atomic.Bool
+	// From is where pipes leave from, nil for the system's choice.
+	From net.Addr
 }
 
 func New(o Owner, p *Pool) *Carrier {
--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -57,6 +57,7 @@
 	args               []string
 	cmd                *exec.Cmd
 	addr, http, listen string
+	bind               string // where it listens; the others reach it at addr, through a relay
 	service            string
 	frozen             bool
 	stopped            bool
@@ -75,6 +76,7 @@
 	config []byte
 	faults []string
 	forces []float64
+	net    fabric
 	broken map[string]int
 	notes  []string
 }
@@ -157,8 +159,10 @@
 
 func (l *lab) path(s ...string) string { return filepath.Join(append([]string{l.dir}, s...)...) }
 
-// machine gives each machine an address of its own on loopback.
+// machine gives each machine an address of its own on loopback, and one at which the
+// others reach it through the lab's relays.
 func (l *lab) machine(block, i int) string { return fmt.Sprintf("127.20.%d.%d", block, i+1) }
+func (l *lab) reached(block, i int) string { return fmt.Sprintf("127.21.%d.%d", block, i+1) }
 
 func (l *lab) up() error {
 	if err := os.RemoveAll(l.dir); err != nil {
@@ -172,7 +176,8 @@
 	var seeds []string
 	for i := range l.dep.Cores {
 		ip := l.machine(1, i)
-		p := &proc{name: fmt.Sprintf("core-%d", i+1), kind: "mfcore", domain: l.dep.Domains[i%len(l.dep.Domains)], addr: ip + ":7001", http: ip + ":7101"}
+		p := &proc{name: fmt.Sprintf("core-%d", i+1), kind: "mfcore", domain: l.dep.Domains[i%len(l.dep.Domains)],
+			addr: l.reached(1, i) + ":7001", bind: ip + ":7001", http: ip + ":7101"}
 		l.cores = append(l.cores, p)
 		if i < 3 {
 			seeds = append(seeds, p.addr)
@@ -181,10 +186,15 @@
 	for i := range l.dep.Gates {
 		ip := l.machine(2, i)
 		l.gates = append(l.gates, &proc{name: fmt.Sprintf("gate-%d", i+1), kind: "mfgate", domain: l.dep.Domains[i%len(l.dep.Domains)],
-			addr: ip + ":7001", http: ip + ":7101", listen: ip + ":7201"})
+			addr: l.reached(2, i) + ":7001", bind: ip + ":7001", http: ip + ":7101", listen: ip + ":7201"})
 	}
 	for _, p := range slices.Concat(l.cores, l.gates) {
-		s := host.Settings{Name: p.name, Domain: p.domain, Addr: p.addr, Http: p.http, Listen: p.listen, Seeds: seeds, Log: "info"}
+		for _, a := range []string{p.bind, p.http} {
+			if err := l.net.relay(reachedAt(a), a); err != nil {
+				return err
+			}
+		}
+		s := host.Settings{Name: p.name, Domain: p.domain, Addr: p.addr, Bind: p.bind, From: hostOf(p.bind), Http: p.http, Listen: p.listen, Seeds: seeds, Log: "info"}
 		if p.kind == "mfcore" {
 			s.Data, s.Size = l.path("data", p.name), l.dep.Cores
 		}
@@ -198,7 +208,10 @@
 	k := 0
 	for si, s := range l.dep.Services {
 		for i := range s.Targets {
-			addr := fmt.Sprintf("%s:7301", l.machine(3+si, i))
+			addr := fmt.Sprintf("%s:7301", l.reached(3+si, i))
+			if err := l.net.relay(addr, fmt.Sprintf("%s:7301", l.machine(3+si, i))); err != nil {
+				return err
+			}
 			l.stubs = append(l.stubs, l.stub(s, fmt.Sprintf("%s-%d", s.Name, i+1), addr, l.dep.Domains[k%len(l.dep.Domains)], "0s"))
 			k++
 		}
@@ -216,16 +229,17 @@
 }
 
 func (l *lab) stub(s Service, name, addr, domain, warm string) *proc {
-	p := &proc{name: name, kind: "mfstub", domain: domain, addr: addr, http: addr, service: s.Name}
-	p.args = []string{"--service", s.Name, "--name", name, "--addr", addr, "--domain", domain, "--work", s.Work, "--bears", strconv.Itoa(s.Bears),
+	bind := boundAt(addr)
+	p := &proc{name: name, kind: "mfstub", domain: domain, addr: addr, bind: bind, http: bind, service: s.Name}
+	p.args = []string{"--service", s.Name, "--name", name, "--addr", addr, "--bind", bind, "--from", hostOf(bind), "--domain", domain, "--work", s.Work, "--bears", strconv.Itoa(s.Bears),
 		"--warm", warm, "--ledger", l.path("ledger", name+".ledger")}
 	for i, g := range l.gates {
 		if i%4 == len(name)%4 {
-			p.args = append(p.args, "--daemon", g.http)
+			p.args = append(p.args, "--daemon", reachedAt(g.http))
 		}
 	}
 	for _, c := range l.cores {
-		p.args = append(p.args, "--daemon", c.http)
+		p.args = append(p.args, "--daemon", reachedAt(c.http))
 	}
 	return p
 }
@@ -585,6 +599,110 @@
 			l.again(p)
 		}
 	}},
+	{"domain loses power and its disks", func(l *lab) {
+		d := l.dep.Domains[l.rnd.IntN(len(l.dep.Domains))]
+		l.say("domain %s loses power, and its core disks", d)
+		var off []*proc
+		for _, p := range slices.Concat(l.cores, l.gates, l.stubs) {
+			if p.domain == d && !p.stopped {
+				p.kill()
+				off = append(off, p)
+				os.RemoveAll(l.path("data", p.name))
+			}
+		}
+		l.pause(2000, 5000)
+		for _, p := range off {
+			l.again(p)
+		}
+		l.whole()
+	}},
+	{"machine isolated", func(l *lab) {
+		if p := l.some(slices.Concat(l.gates, l.cores)); p != nil {
+			l.say("isolate %s", p.name)
+			l.cut([]*proc{p}, true, true, 2000, 6000)
+		}
+	}},
+	{"machine cut one way", func(l *lab) {
+		if p := l.some(slices.Concat(l.gates, l.cores)); p != nil {
+			out := l.rnd.IntN(2) == 0
+			l.say("cut %s one way, outward %v", p.name, out)
+			l.cut([]*proc{p}, out, !out, 2000, 6000)
+		}
+	}},
+	{"leader isolated", func(l *lab) {
+		if p := l.leader(); p != nil {
+			l.say("isolate leader %s", p.name)
+			l.cut([]*proc{p}, true, true, 2000, 6000)
+		}
+	}},
+	{"core split", func(l *lab) {
+		cs := slices.Clone(l.cores)
+		l.rnd.Shuffle(len(cs), func(i, j int) { cs[i], cs[j] = cs[j], cs[i] })
+		a, b := cs[:len(cs)/2], cs[len(cs)/2:]
+		l.say("split the core: %s against the others", a[0].name)
+		l.net.set(pairs(a, b, true, true))
+		l.pause(2000, 6000)
+		l.net.set(nil)
+	}},
+	{"leader cut off from targets", func(l *lab) {
+		if p := l.leader(); p != nil {
+			l.say("cut leader %s off from all targets", p.name)
+			l.net.set(pairs([]*proc{p}, l.stubs, true, true))
+			l.pause(2000, 5000)
+			l.net.set(nil)
+		}
+	}},
+	{"domain cut off", func(l *lab) {
+		d := l.dep.Domains[l.rnd.IntN(len(l.dep.Domains))]
+		l.say("cut domain %s off", d)
+		var in []*proc
+		for _, p := range slices.Concat(l.cores, l.gates, l.stubs) {
+			if p.domain == d {
+				in = append(in, p)
+			}
+		}
+		l.cut(in, true, true, 3000, 12000)
+		l.whole()
+	}},
+	{"net slow", func(l *lab) {
+		l.say("every message takes 60 ms more")
+		l.net.delay.Store(int64(60 * time.Millisecond))
+		l.pause(2000, 5000)
+		l.net.delay.Store(0)
+	}},
+	{"service comes back cold", func(l *lab) {
+		s := l.dep.Services[l.rnd.IntN(len(l.dep.Services))]
+		l.say("all of %s restarts cold", s.Name)
+		for _, p := range l.stubs {
+			if p.service == s.Name && !p.stopped {
+				p.kill()
+				*p = *l.stub(s, p.name, p.addr, p.domain, s.Warm)
+				l.again(p)
+			}
+		}
+		l.whole()
+	}},
+	{"settings changed under a daemon", func(l *lab) {
+		p := l.some(slices.Concat(l.gates, l.cores))
+		f := l.path("set", p.name+".json")
+		was, err := os.ReadFile(f)
+		if err != nil {
+			l.note("lab", "%v", err)
+			return
+		}
+		l.say("settings of %s: nonsense, then another log level, then as before", p.name)
+		for _, b := range [][]byte{[]byte("{ nonsense"), bytes.Replace(was, []byte(`"info"`), []byte(`"debug"`), 1), was} {
+			os.WriteFile(f, b, 0o644)
+			l.pause(2500, 2500)
+			if s, _ := get("http://" + p.http + "/live"); s != 200 {
+				l.note("settings changed", "%s is not there after %.12q", p.name, b)
+			}
+		}
+		log, _ := os.ReadFile(l.path("log", p.name+".log"))
+		if !bytes.Contains(log, []byte("unsound; the old ones stay")) || !bytes.Contains(log, []byte("settings changed")) {
+			l.note("settings changed", "%s said nothing of it", p.name)
+		}
+	}},
 	{"config", func(l *lab) { l.reconfigure() }},
 	{"config pair", func(l *lab) {
 		b := strconv.Itoa(l.revision())
@@ -629,6 +747,29 @@
 	}},
 }
 
+// cut parts some machines from all others for a while in ms.
+func (l *lab) cut(in []*proc, out, back bool, lo, hi int) {
+	var others []*proc
+	for _, p := range slices.Concat(l.cores, l.gates, l.stubs) {
+		if !slices.Contains(in, p) {
+			others = append(others, p)
+		}
+	}
+	l.net.set(pairs(in, others, out, back))
+	l.pause(lo, hi)
+	l.net.set(nil)
+}
+
+// whole wants full capacity back.
+func (l *lab) whole() {
+	t := time.Now()
+	if err := l.serving(15 * time.Second); err != nil {
+		l.note("capacity back", "%v", err)
+		return
+	}
+	l.say("whole again after %.1f s", time.Since(t).Seconds())
+}
+
 func (l *lab) reconfigure() {
 	b := l.revision()
 	t := time.Now()
@@ -775,7 +916,7 @@
 		fmt.Println("  e.g.", e)
 	}
 	for _, r := range []string{"runs twice", "refused but ran", "wrong answer", "wrong service", "leaving target", "come back when", "emptied domain",
-		"in force everywhere", "one base", "invalid configuration", "planned restart", "back in 15 s"} {
+		"in force everywhere", "one base", "invalid configuration", "planned restart", "settings changed", "capacity back", "back in 15 s"} {
 		v := "held"
 		if l.broken[r] > 0 {
 			v = fmt.Sprintf("BROKEN %d times", l.broken[r])
--- /dev/null
+++ b/cmd/mflab/net.go
@@ -0,0 +1,117 @@
+// This file is the lab's network: a relay before each address that daemons and back
+// ends tell the others, which can hold back what one machine sends another, or delay
+// all. What is held back arrives when the cut ends, as late as it then is; that is
+// harder on the fleet than losing it. Machines are told apart by the addresses that
+// their pipes leave from, so no privileges are needed.
+package main
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+type fabric struct {
+	cuts  atomic.Pointer[map[[2]string]bool] // from machine, to machine; replaced as a whole
+	delay atomic.Int64
+}
+
+func hostOf(addr string) string {
+	h, _, _ := net.SplitHostPort(addr)
+	return h
+}
+
+// machineOf is an address's machine, whichever of its addresses it is.
+func machineOf(addr string) string { return strings.TrimPrefix(boundAt(hostOf(addr)), "127.20.") }
+
+func reachedAt(addr string) string { return strings.Replace(addr, "127.20.", "127.21.", 1) }
+func boundAt(addr string) string   { return strings.Replace(addr, "127.21.", "127.20.", 1) }
+
+// pairs are the ways between two groups of machines.
+func pairs(a, b []*proc, out, back bool) map[[2]string]bool {
+	m := map[[2]string]bool{}
+	for _, x := range a {
+		for _, y := range b {
+			p, q := machineOf(x.bind), machineOf(y.bind)
+			if out && p != q {
+				m[[2]string{p, q}] = true
+			}
+			if back && p != q {
+				m[[2]string{q, p}] = true
+			}
+		}
+	}
+	return m
+}
+
+func (f *fabric) set(cuts map[[2]string]bool) { f.cuts.Store(&cuts) }
+
+func (f *fabric) parted(from, to string) bool {
+	m := f.cuts.Load()
+	return m != nil && (*m)[[2]string{from, to}]
+}
+
+// relay takes pipes at one address and passes them on to another.
+func (f *fabric) relay(at, to string) error {
+	ln, err := net.Listen("tcp", at)
+	if err != nil {
+		return err
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go f.pass(c, to)
+		}
+	}()
+	return nil
+}
+
+func (f *fabric) pass(c net.Conn, to string) {
+	defer c.Close()
+	src, dst := machineOf(c.RemoteAddr().String()), machineOf(to)
+	for f.parted(src, dst) || f.parted(dst, src) { // a handshake needs both ways
+		time.Sleep(5 * time.Millisecond)
+	}
+	d, err := net.DialTimeout("tcp", to, time.Second)
+	if err != nil {
+		c.(*net.TCPConn).SetLinger(0) // refused there is refused here
+		return
+	}
+	defer d.Close()
+	done := make(chan bool, 2)
+	go func() { f.pump(c, d, src, dst); done <- true }()
+	go func() { f.pump(d, c, dst, src); done <- true }()
+	<-done
+}
+
+// pump copies one way.
+func (f *fabric) pump(from, to net.Conn, src, dst string) {
+	b := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(b)
+		for f.parted(src, dst) {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if d := f.delay.Load(); d > 0 {
+			time.Sleep(time.Duration(d))
+		}
+		if n > 0 {
+			if _, werr := to.Write(b[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			if err == io.EOF {
+				if t, ok := to.(*net.TCPConn); ok {
+					t.CloseWrite()
+				}
+			}
+			return
+		}
+	}
+}
--- a/cmd/mfload/main.go
+++ b/cmd/mfload/main.go
@@ -71,6 +71,16 @@
 	wrong  string // what is wrong with the answer
 	err    string
 	name   string
+	hard   bool
+	again  int
+}
+
+// Group is what the user agents of one sort got, however often they asked.
+type Group struct {
+	Agents int                `json:"user_agents"`
+	Asked  int                `json:"asked"`
+	Served int                `json:"user_agents_served"`
+	Ms     map[string]float64 `json:"latency_ms"`
 }
 
 type load struct {
@@ -104,6 +114,7 @@
 	MedianRefl float64                       `json:"refusal_median_ms"`
 	Ms         map[string]float64            `json:"latency_ms"`
 	Kinds      map[string]map[string]float64 `json:"kinds"`
+	Groups     map[string]*Group             `json:"groups"`
 	RetryAfter map[string]int                `json:"retry_after,omitempty"`
 	PerSecond  []map[string]int              `json:"per_second,omitempty"`
 	Examples   []string                      `json:"examples,omitempty"`
@@ -237,6 +248,7 @@
 	go func() {
 		defer l.live.Add(-1)
 		o := l.one(k, id, due, pick)
+		o.hard, o.again = hard, again
 		l.out <- o
 		// A hard user agent asks again at once as long as it is refused, each time as a new exchange.
 		if hard && o.ran != "" && again < 5 && time.Now().Before(l.until) {
@@ -313,6 +325,8 @@
 	rep := &Report{Ms: map[string]float64{}, Kinds: map[string]map[string]float64{}, RetryAfter: map[string]int{}}
 	var lat, ref []float64
 	perKind := map[string][]float64{}
+	rep.Groups = map[string]*Group{"polite": {}, "at_once": {}}
+	perGroup := map[string][]float64{}
 	refused := map[string]bool{}
 	unsafe := map[string]bool{}
 	secs := map[int]map[string]int{}
@@ -323,6 +337,13 @@
 			unsafe[o.id] = true
 		}
 		sort := ""
+		who := "polite"
+		if o.hard {
+			who = "at_once"
+		}
+		if rep.Groups[who].Asked++; o.again == 0 {
+			rep.Groups[who].Agents++
+		}
 		switch {
 		case o.wrong != "":
 			rep.Wrong++
@@ -351,6 +372,8 @@
 			sort = "served"
 			lat = append(lat, o.sec*1000)
 			perKind[o.kind.Name] = append(perKind[o.kind.Name], o.sec*1000)
+			rep.Groups[who].Served++
+			perGroup[who] = append(perGroup[who], o.sec*1000)
 		}
 		s := int(o.due.Sub(begin).Seconds())
 		if secs[s] == nil {
@@ -365,6 +388,9 @@
 	for k, v := range perKind {
 		rep.Kinds[k] = quantiles(v)
 	}
+	for k, v := range perGroup {
+		rep.Groups[k].Ms = quantiles(v)
+	}
 	rep.MedianRefl = quantiles(ref)["p50"]
 	if curve {
 		for _, s := range slices.Sorted(maps.Keys(secs)) {
@@ -448,6 +474,10 @@
 	for _, k := range slices.Sorted(maps.Keys(r.Kinds)) {
 		fmt.Printf("  %-12s %6.0f  p50 %.1f p99 %.1f\n", k, r.Kinds[k]["count"], r.Kinds[k]["p50"], r.Kinds[k]["p99"])
 	}
+	for _, k := range []string{"polite", "at_once"} {
+		g := r.Groups[k]
+		fmt.Printf("  %-12s %6d user agents asked %d times, %d were served  p50 %.1f p99 %.1f\n", k, g.Agents, g.Asked, g.Served, g.Ms["p50"], g.Ms["p99"])
+	}
 	fmt.Printf("ran twice %d, ran though refused %d, wrong answers %d, wrong service %d, to leaving after 2 s %d (latest %d ms), refused without Retry-After %d\n",
 		r.Twice, r.RanRefused, r.Wrong, r.Misrouted, r.LateLeave, r.MaxLeaveMs, r.NoRetry)
 	for _, s := range r.PerSecond {
--- a/cmd/mfstub/main.go
+++ b/cmd/mfstub/main.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -69,6 +70,8 @@
 	app.Flag("service", "service that it belongs to").Required().StringVar(&s.service)
 	app.Flag("name", "its name in the service").Required().StringVar(&s.name)
 	app.Flag("addr", "IP:port to serve on").Required().StringVar(&s.addr)
+	bind := app.Flag("bind", "IP:port to listen on, if it is not addr itself").String()
+	from := app.Flag("from", "IP that its words leave from").String()
 	app.Flag("domain", "domain (zone)").Default("").StringVar(&s.domain)
 	app.Flag("daemon", "HTTP address of a daemon to beat to (repeat)").Required().StringsVar(&s.daemons)
 	app.Flag("work", "how long an exchange takes").Default("10ms").DurationVar(&s.work)
@@ -79,6 +82,10 @@
 		fmt.Fprintf(os.Stderr, "mfstub: %v, see --help\n", err)
 		os.Exit(2)
 	}
+	if *from != "" {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(*from)}}
+		client.Transport = &http.Transport{DialContext: d.DialContext}
+	}
 	s.inc = uint64(time.Now().UnixNano())
 	s.state.Store(model.Ready)
 	if *warm > 0 {
@@ -103,7 +110,7 @@
 		}
 		close(s.done)
 	}()
-	ln, err := net.Listen("tcp", s.addr)
+	ln, err := net.Listen("tcp", cmp.Or(*bind, s.addr))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "mfstub:", err)
 		os.Exit(1)
--- a/host/gate.go
+++ b/host/gate.go
@@ -25,6 +25,7 @@
 	car := carry.New(carry.Owner{Now: h.Now, Tell: h.Loop.Tell, Ask: func(ctx context.Context, id uint64, ev any) any {
 		return h.Loop.Ask(ctx, id, ev, gate.Cancel{ID: id})
 	}}, pool)
+	car.From = h.From()
 	exec := func(cmd any) {
 		switch c := cmd.(type) {
 		case gate.Give:
--- a/host/host.go
+++ b/host/host.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -46,6 +47,8 @@
 	Name   string   `koanf:"name" json:"name"`
 	Domain string   `koanf:"domain" json:"domain"`
 	Addr   string   `koanf:"addr" json:"addr"`
+	Bind   string   `koanf:"bind" json:"bind,omitempty"`
+	From   string   `koanf:"from" json:"from,omitempty"`
 	Http   string   `koanf:"http" json:"http"`
 	Listen string   `koanf:"listen" json:"listen,omitempty"`
 	Seeds  []string `koanf:"seeds" json:"seeds"`
@@ -71,6 +74,16 @@
 	}
 	addr("addr", s.Addr)
 	addr("http", s.Http)
+	if s.Bind != "" {
+		if ap, err := netip.ParseAddrPort(s.Bind); err != nil || ap.Port() == 0 {
+			add("bind", "%q is not IP:port", s.Bind)
+		}
+	}
+	if s.From != "" {
+		if ip, err := netip.ParseAddr(s.From); err != nil || ip.IsUnspecified() {
+			add("from", "%q is not an IP of this machine", s.From)
+		}
+	}
 	for i, a := range s.Seeds {
 		addr(fmt.Sprintf("seeds[%d]", i), a)
 	}
@@ -114,6 +127,8 @@
 	app.Flag("name", "this daemon's name, unique in the fleet").StringVar(&f.set.Name)
 	app.Flag("domain", "the domain (zone) that this machine stands in").StringVar(&f.set.Domain)
 	app.Flag("addr", "IP:port for the other daemons").StringVar(&f.set.Addr)
+	app.Flag("bind", "IP:port to listen on for the other daemons, if it is not addr itself").StringVar(&f.set.Bind)
+	app.Flag("from", "IP that pipes to daemons and back ends leave from (default: the system's choice)").StringVar(&f.set.From)
 	app.Flag("http", "IP:port for operators, back ends, /ready, /live and /metrics").StringVar(&f.set.Http)
 	app.Flag("seed", "address of another daemon (repeat for up to three)").StringsVar(&f.set.Seeds)
 	app.Flag("log", "log level: error, warn, info or debug").StringVar(&f.set.Log)
@@ -210,6 +225,14 @@
 // Now is monotonic time since the process started, never 0.
 func (h *Host) Now() time.Duration { return time.Since(h.start) + time.Millisecond }
 
+// From is where pipes leave from, nil for the system's choice.
+func (h *Host) From() net.Addr {
+	if h.Set.From == "" {
+		return nil
+	}
+	return &net.TCPAddr{IP: net.ParseIP(h.Set.From)}
+}
+
 func (h *Host) Daemon() wire.Daemon {
 	return wire.Daemon{Name: h.Set.Name, Kind: h.Kind, Domain: h.Set.Domain, Addr: h.Set.Addr, Http: h.Set.Http, Inc: h.Inc}
 }
@@ -299,7 +322,7 @@
 
 // Listen takes messages from other daemons.
 func (h *Host) Listen() error {
-	ln, err := net.Listen("tcp", h.Set.Addr)
+	ln, err := net.Listen("tcp", cmp.Or(h.Set.Bind, h.Set.Addr))
 	if err != nil {
 		return errors.Wrap(err, "listen for daemons")
 	}
@@ -355,7 +378,8 @@
 			continue
 		}
 		if c == nil {
-			if c, err = net.DialTimeout("tcp", addr, limit.ProbeCap); err != nil {
+			d := net.Dialer{Timeout: limit.ProbeCap, LocalAddr: h.From()}
+			if c, err = d.Dial("tcp", addr); err != nil {
 				c = nil
 				time.Sleep(limit.CoreBeat)
 				for len(ch) > 0 {
@@ -388,7 +412,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), limit.ProbeCap)
 		defer cancel()
 		var b *model.Beat
-		cc, err := carry.Dial(ctx, p.Addr)
+		cc, err := carry.Dial(ctx, p.Addr, h.From())
 		if err == nil {
 			b, err = carry.Identify(ctx, cc, p.Addr)
 			cc.Close()
