Policies scored on live traffic; the judge's stream over HTTP, with policies replaced in it

The same scorer serves comparisons of recordings, so they can't differ; there a sign of trouble seen by probes is no longer taken back by an exchange counted before it (a crash showed 60 ms to its bar instead of 450).

POST /v1/judge on a core member takes target events and gives decisions line by line, as 'mfctl policy judge' does: a line may replace policies, one that can't be taken is answered by its number and changes nothing, targets, lines and streams are bounded, and a stream that breaks off is kept for 2 minutes and goes on from the line it had got to. A refusal is answered before the rest of what is asked has come: the first test hung on that.

--- a/core/core.go
+++ b/core/core.go
@@ -192,6 +192,7 @@
 	tombs     map[wire.ID]time.Duration // signed off or superseded: refused while it goes on speaking
 	left      map[wire.ID]time.Duration // held when it fell silent: held again if it comes back
 	judge     *judge.Judge
+	scorer    *judge.Scorer
 	judged    uint64 // revision whose policies are in force
 	forces    []*force
 	pend      map[string]*pending
@@ -229,8 +230,8 @@
 // given the shell's.
 func New(now time.Duration, set Settings, img quorum.Image) *Core {
 	c := &Core{set: set, img: img, known: Book{}, memories: map[string]Legacy{}, gates: map[string]*gate{},
-		judge: judge.New(),
-		pend:  map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, state: newState(), relaySeq: set.Self.Inc << 20}
+
+		pend: map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, state: newState(), relaySeq: set.Self.Inc << 20}
 	c.set.Self.Disk = img.Disk
 	if img.Epoch != 0 {
 		c.start(now)
@@ -464,6 +465,7 @@
 		c.proposed = false
 	case Warming:
 		c.targets, c.claims, c.judge, c.judged = map[wire.ID]*target{}, map[wire.ID]*target{}, judge.New(), 0
+		c.scorer = judge.NewScorer(c.judge)
 		c.was, c.turns = nil, map[string]uint32{}
 		c.tombs, c.left = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
 		c.table, c.best, c.sig, c.wideUntil = nil, wire.Key{}, 0, 0
@@ -740,7 +742,7 @@
 	if t.Held {
 		c.left[id] = now
 	}
-	c.judge.Forget(id)
+	c.scorer.Forget(now, id)
 	d := judge.Decision{At: now, Policy: "registry", Kind: "gone", Service: id.Service, Name: id.Name, Inc: id.Inc, Why: why}
 	c.do(Note{Decision: &d})
 }
@@ -886,7 +888,7 @@
 
 func (c *Core) judgeEvent(e judge.Event) {
 	c.do(Note{Event: &e})
-	c.decided(c.judge.Step(e))
+	c.decided(c.scorer.Step(e))
 }
 
 func (c *Core) decided(ds []judge.Decision) {
@@ -940,7 +942,7 @@
 		maps.DeleteFunc(c.tombs, old)
 		maps.DeleteFunc(c.left, old)
 	}
-	c.decided(c.judge.Tick(now))
+	c.decided(c.scorer.Tick(now))
 	if c.lead != Deciding {
 		return
 	}
--- a/core/operate.go
+++ b/core/operate.go
@@ -429,7 +429,7 @@
 	case call == "GET targets":
 		c.answer(p, Reply{Status: 200, Body: body(map[string]any{"revision": c.state.Revision, "targets": c.Targets(now)})})
 	case call == "GET policies":
-		c.answer(p, Reply{Status: 200, Body: body(map[string]any{"revision": c.state.Revision, "policies": c.judge.Stats()})})
+		c.answer(p, Reply{Status: 200, Body: body(map[string]any{"revision": c.state.Revision, "policies": c.policyStats(now), "since_ms": (now - c.leadAt).Milliseconds()})})
 	case call == "PUT policies":
 		c.patch(now, p, a, patchOf(seg[2], a.Body), "policy "+seg[2])
 	case call == "DELETE policies":
@@ -638,6 +638,17 @@
 	return l
 }
 
+// policyStats are the policies in force with their scores since this leader began.
+func (c *Core) policyStats(now time.Duration) map[string]judge.Stat {
+	l := c.judge.Stats()
+	for name, s := range c.scorer.Scores(now) {
+		x := l[name]
+		x.Score = &s
+		l[name] = x
+	}
+	return l
+}
+
 type DaemonView struct {
 	wire.Daemon
 	Roster  bool    `json:"in_roster"`
--- a/host/ctl.go
+++ b/host/ctl.go
@@ -4,6 +4,7 @@
 package host
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -25,6 +26,7 @@
 	"myrtlefold/core"
 	"myrtlefold/gate"
 	"myrtlefold/judge"
+	"myrtlefold/limit"
 	"myrtlefold/model"
 )
 
@@ -443,14 +445,20 @@
 func policiesText(b []byte) {
 	var v struct {
 		Revision uint64
+		Since    float64 `json:"since_ms"`
 		Policies map[string]judge.Stat
 	}
 	json.Unmarshal(b, &v)
 	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(tw, "revision %d\nNAME\tMODE\tSLICE\tDECIDES\tTTL MS\tEVALUATED\tFAILED\tOUT\tWHEN\tLAST ERROR\n", v.Revision)
+	fmt.Fprintf(tw, "revision %d, scores of the last %.0f s\nNAME\tMODE\tSLICE\tDECIDES\tTTL MS\tEVALUATED\tFAILED\tOUT\tBARS\tWRONG\tERRORS\tMISSED\tTO BAR MS\tWHEN\tLAST ERROR\n", v.Revision, v.Since/1000)
 	for _, n := range slices.Sorted(maps.Keys(v.Policies)) {
 		s := v.Policies[n]
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\t%s\n", n, s.Policy.Mode, s.Policy.Slice, s.Policy.Decide, s.Policy.TtlMs, s.Ran, s.Failed, s.Marks, s.Policy.When, s.Error)
+		x := judge.Score{}
+		if s.Score != nil {
+			x = *s.Score
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%s\t%s\n", n, s.Policy.Mode, s.Policy.Slice, s.Policy.Decide, s.Policy.TtlMs, s.Ran, s.Failed, s.Marks,
+			x.Bars, x.Wrong, x.Errors, x.Missed, x.ToBarMs, s.Policy.When, s.Error)
 	}
 	tw.Flush()
 }
@@ -522,22 +530,26 @@
 			return exitInvalid
 		}
 	}
-	j := judge.New()
-	j.Replace(cfg)
+	d := judge.NewDesk(cfg)
 	enc := json.NewEncoder(os.Stdout)
-	err := judge.ReadEvents(os.Stdin, func(e judge.Event) error {
-		for _, d := range append(j.Tick(e.At), j.Step(e)...) {
-			if err := enc.Encode(d); err != nil {
-				return err
+	code := exitOK
+	sc := bufio.NewScanner(os.Stdin)
+	sc.Buffer(nil, limit.LineMax)
+	for sc.Scan() {
+		for _, l := range d.Take(sc.Bytes()) {
+			if l.Error != "" {
+				code = exitInvalid // said at the end; the stream goes on
+			}
+			if enc.Encode(l) != nil {
+				return exitFailed
 			}
 		}
-		return nil
-	})
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
+	}
+	if err := sc.Err(); err != nil {
+		fmt.Fprintf(os.Stderr, "mfctl: line %d: %v\n", d.Line+1, err)
 		return exitInvalid
 	}
-	return exitOK
+	return code
 }
 
 func (c *ctl) stream(from string, d time.Duration) int {
--- a/host/stream_test.go
+++ b/host/stream_test.go
@@ -1,6 +1,11 @@
 package host
 
 import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"myrtlefold/core"
@@ -55,3 +60,69 @@
 		u.Put(4, note()) // nobody reads, nobody waits
 	}
 }
+
+// The judge over HTTP: each line is answered while the stream is open, and one that
+// broke off goes on where it was.
+func TestDoor(t *testing.T) {
+	srv := httptest.NewServer(NewDoor())
+	defer srv.Close()
+	open := func(q string) (*io.PipeWriter, *json.Decoder, *http.Response) {
+		r, w := io.Pipe()
+		req, _ := http.NewRequest("POST", srv.URL+q, r)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return w, json.NewDecoder(resp.Body), resp
+	}
+	miss := func(w io.Writer, at int) {
+		fmt.Fprintf(w, `{"at_ns":%d,"slice":"probe","service":"s","name":"a","incarnation":1}`+"\n", at)
+	}
+	var hello struct {
+		Stream string
+		Line   uint64
+	}
+	var l judge.OutLine
+	w, d, resp := open("")
+	if err := d.Decode(&hello); err != nil || hello.Line != 0 {
+		t.Fatal(err, hello)
+	}
+	if pw, _, other := open("?resume=" + hello.Stream); other.StatusCode != 409 {
+		t.Fatal(other.Status)
+	} else {
+		pw.Close()
+	}
+	fmt.Fprintln(w, "nonsense")
+	if err := d.Decode(&l); err != nil || l.Line != 1 || l.Error == "" {
+		t.Fatal(err, l)
+	}
+	miss(w, 1e9)
+	w.Close()
+	for d.Decode(&l) == nil {
+	}
+	resp.Body.Close()
+	again := func() (*io.PipeWriter, *json.Decoder, *http.Response) {
+		for {
+			w, d, resp := open("?resume=" + hello.Stream)
+			if resp.StatusCode != 409 {
+				return w, d, resp
+			}
+			w.Close()
+		}
+	}
+	w, d, resp = again()
+	if err := d.Decode(&hello); err != nil || hello.Line != 2 {
+		t.Fatal(err, hello)
+	}
+	miss(w, 2e9)
+	if err := d.Decode(&l); err != nil || l.Line != 3 || l.Decision == nil || l.Decision.Kind != "bar" {
+		t.Fatal(err, l)
+	}
+	w.Close()
+	resp.Body.Close()
+	if pw, _, none := open("?resume=gone"); none.StatusCode != 404 {
+		t.Fatal(none.Status)
+	} else {
+		pw.Close()
+	}
+}
--- a/judge/compare.go
+++ b/judge/compare.go
@@ -5,7 +5,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"io"
 	"maps"
 	"slices"
@@ -13,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"myrtlefold/limit"
 	"myrtlefold/model"
 	"myrtlefold/wire"
 )
@@ -39,8 +39,6 @@
 type track struct {
 	events  []Event
 	trouble time.Duration // first sign since all was well, 0: none
-	out     bool
-	outAt   time.Duration
 }
 
 func (t *track) serving(now time.Duration) bool {
@@ -62,94 +60,164 @@
 	return n > 0 && bad*10 < n
 }
 
-// Compare scores each policy of the given ones on the events.
-func Compare(events []Event, policies map[string]model.Policy) []Score {
-	var out []Score
-	for _, name := range slices.Sorted(maps.Keys(policies)) {
-		p := policies[name]
-		p.Mode = "live"
-		cfg := &model.Config{Policies: map[string]model.Policy{name: p}}
-		if name != model.DefaultPolicy {
-			off := model.Default()
-			off.Mode = "off"
-			cfg.Policies[model.DefaultPolicy] = off
-		}
-		out = append(out, score(events, name, cfg))
-	}
-	return out
+// Scorer keeps the scores of a judge's policies, live and shadow ones, while it
+// judges. Each is scored by its own word on a target, whatever the others decide.
+type Scorer struct {
+	j      *Judge
+	tracks map[wire.ID]*track
+	scores map[string]*tally
 }
 
-func score(events []Event, name string, cfg *model.Config) Score {
-	j := New()
-	j.Replace(cfg)
-	s := Score{Policy: name, Events: len(events)}
-	tracks := map[wire.ID]*track{}
-	var toBar []float64
-	turn := func(now time.Duration, id wire.ID) {
-		t := tracks[id]
-		until, _ := j.Barred(now, id)
-		if out := until > now; out != t.out {
-			s.Moves++
-			t.out = out
+type tally struct {
+	Score
+	of    model.Policy
+	out   map[wire.ID]time.Duration // since when it has kept a target out
+	toBar []float64
+}
+
+func NewScorer(j *Judge) *Scorer {
+	return &Scorer{j: j, tracks: map[wire.ID]*track{}, scores: map[string]*tally{}}
+}
+
+// Step has the judge take an event and scores what came of it.
+func (s *Scorer) Step(e Event) []Decision {
+	id := e.ID()
+	t := s.tracks[id]
+	if t == nil {
+		t = &track{}
+		s.tracks[id] = t
+	}
+	for _, name := range s.j.names() {
+		p := s.j.policies[name].p
+		y := s.scores[name]
+		if y == nil || y.of != p {
+			y = &tally{Score: Score{Policy: name}, of: p, out: map[wire.ID]time.Duration{}}
+			s.scores[name] = y
+		}
+		y.Events++
+		if e.Slice == "exchange" {
+			_, out := y.out[id]
+			y.Errors += e.Errors
+			y.Slow += e.Slow
 			if !out {
-				s.BarredMs += float64(now-t.outAt) / 1e6
-				return
-			}
-			t.outAt = now
-			s.Bars++
-			if t.serving(now) {
-				s.Wrong++
-			}
-			if t.trouble > 0 {
-				toBar = append(toBar, float64(now-t.trouble)/1e6)
+				y.Missed += e.Errors
+				y.MissedSlow += e.Slow
 			}
 		}
 	}
-	var last time.Duration
-	for _, e := range events {
-		id := e.ID()
-		t := tracks[id]
-		if t == nil {
-			t = &track{}
-			tracks[id] = t
-		}
-		for _, d := range j.Tick(e.At) {
-			turn(e.At, wire.ID{Service: d.Service, Name: d.Name, Inc: d.Inc})
+	bad := (e.Slice == "probe" || e.Slice == "beat") && !e.Ok || e.Slice == "exchange" && (e.Errors+e.Slow)*2 > e.Count
+	good := e.Slice == "probe" && e.Ok && t.lastBad() == "probe" || e.Slice == "exchange" && t.lastBad() != "probe" && e.Count > 0 && (e.Errors+e.Slow)*10 < e.Count
+	if bad && t.trouble == 0 {
+		t.trouble = e.At
+	} else if good {
+		t.trouble = 0
+	}
+	t.events = append(t.events, e)
+	if len(t.events) > 64 {
+		t.events = t.events[1:]
+	}
+	ds := s.j.Step(e)
+	for name, y := range s.scores {
+		if s.j.policies[name] == nil {
+			delete(s.scores, name)
+			continue
 		}
-		if e.Slice == "exchange" {
-			s.Errors += e.Errors
-			s.Slow += e.Slow
-			if !t.out {
-				s.Missed += e.Errors
-				s.MissedSlow += e.Slow
-			}
+		s.turn(e.At, y, name, id)
+	}
+	return ds
+}
+
+// Tick lets bars lapse.
+func (s *Scorer) Tick(now time.Duration) []Decision {
+	ds := s.j.Tick(now)
+	for _, d := range ds {
+		if y := s.scores[d.Policy]; y != nil {
+			s.turn(now, y, d.Policy, wire.ID{Service: d.Service, Name: d.Name, Inc: d.Inc})
 		}
-		bad := (e.Slice == "probe" || e.Slice == "beat") && !e.Ok || e.Slice == "exchange" && (e.Errors+e.Slow)*2 > e.Count
-		good := e.Slice == "probe" && e.Ok && t.lastBad() == "probe" || e.Slice == "exchange" && e.Count > 0 && (e.Errors+e.Slow)*10 < e.Count
-		if bad && t.trouble == 0 {
-			t.trouble = e.At
-		} else if good {
-			t.trouble = 0
+	}
+	return ds
+}
+
+func (s *Scorer) turn(now time.Duration, y *tally, name string, id wire.ID) {
+	m, marked := s.j.marks[id][name]
+	out := marked && m.until > now
+	at, was := y.out[id]
+	t := s.tracks[id]
+	if out == was || t == nil {
+		return
+	}
+	y.Moves++
+	if !out {
+		delete(y.out, id)
+		y.BarredMs += float64(now-at) / 1e6
+		return
+	}
+	y.out[id] = now
+	y.Bars++
+	if t.serving(now) {
+		y.Wrong++
+	}
+	if t.trouble > 0 {
+		y.toBar = append(y.toBar, float64(now-t.trouble)/1e6)
+		if len(y.toBar) > 256 {
+			y.toBar = y.toBar[1:]
 		}
-		t.events = append(t.events, e)
-		if len(t.events) > 64 {
-			t.events = t.events[1:]
+	}
+}
+
+// Forget drops a target that is gone for good.
+func (s *Scorer) Forget(now time.Duration, id wire.ID) {
+	for _, y := range s.scores {
+		if at, out := y.out[id]; out {
+			y.BarredMs += float64(now-at) / 1e6
+			delete(y.out, id)
 		}
-		j.Step(e)
-		turn(e.At, id)
-		last = e.At
 	}
-	for _, t := range tracks {
-		if t.out {
-			s.BarredMs += float64(last-t.outAt) / 1e6
+	delete(s.tracks, id)
+	s.j.Forget(id)
+}
+
+// Scores are the policies' standings as of now, by name.
+func (s *Scorer) Scores(now time.Duration) map[string]Score {
+	l := map[string]Score{}
+	for name, y := range s.scores {
+		x := y.Score
+		for _, at := range y.out {
+			x.BarredMs += float64(now-at) / 1e6
+		}
+		if len(y.toBar) > 0 {
+			x.ToBarMs = slices.Sorted(slices.Values(y.toBar))[len(y.toBar)/2]
+		}
+		if p := s.j.policies[name]; p != nil {
+			x.Failed = p.failed
 		}
+		l[name] = x
 	}
-	if len(toBar) > 0 {
-		slices.Sort(toBar)
-		s.ToBarMs = toBar[len(toBar)/2]
+	return l
+}
+
+// Compare scores each policy of the given ones on the events.
+func Compare(events []Event, policies map[string]model.Policy) []Score {
+	cfg := &model.Config{Policies: map[string]model.Policy{}}
+	for name, p := range policies {
+		p.Mode = "shadow"
+		cfg.Policies[name] = p
+	}
+	j := New()
+	j.Replace(cfg)
+	s := NewScorer(j)
+	var last time.Duration
+	for _, e := range events {
+		s.Tick(e.At)
+		s.Step(e)
+		last = e.At
 	}
-	s.Failed = j.policies[name].failed
-	return s
+	all := s.Scores(last)
+	var out []Score
+	for _, name := range slices.Sorted(maps.Keys(policies)) {
+		out = append(out, all[name])
+	}
+	return out
 }
 
 // lastBad is the slice of the latest bad event.
@@ -166,29 +234,18 @@
 // those with an event count.
 func ReadEvents(r io.Reader, each func(Event) error) error {
 	sc := bufio.NewScanner(r)
-	sc.Buffer(nil, 1<<20)
+	sc.Buffer(nil, limit.LineMax)
 	for n := 1; sc.Scan(); n++ {
-		var l struct {
-			Event *Event `json:"event"`
-			Event0
-		}
-		if err := json.Unmarshal(sc.Bytes(), &l); err != nil {
+		l, err := parseLine(sc.Bytes())
+		if err != nil {
 			return errors.Wrapf(err, "line %d", n)
 		}
-		e := l.Event
-		if e == nil && l.Slice != "" {
-			x := Event(l.Event0)
-			e = &x
-		}
-		if e == nil {
+		if l.Event == nil {
 			continue
 		}
-		if err := each(*e); err != nil {
+		if err := each(*l.Event); err != nil {
 			return err
 		}
 	}
 	return sc.Err()
 }
-
-// Event0 lets a line be an event itself.
-type Event0 Event
--- a/judge/judge.go
+++ b/judge/judge.go
@@ -198,6 +198,7 @@
 	Failed uint64       `json:"failed"`
 	Error  string       `json:"last_error,omitempty"`
 	Marks  int          `json:"targets_out"`
+	Score  *Score       `json:"score,omitempty"`
 }
 
 type Judge struct {
@@ -325,7 +326,7 @@
 	}
 	env := j.env(id, e, w)
 	var out []Decision
-	for _, name := range slices.Sorted(maps.Keys(j.policies)) {
+	for _, name := range j.names() {
 		p := j.policies[name]
 		if p.p.Slice != e.Slice {
 			continue
@@ -482,6 +483,8 @@
 	return t
 }
 
+func (j *Judge) names() []string { return slices.Sorted(maps.Keys(j.policies)) }
+
 // Stats describes the policies in force by name.
 func (j *Judge) Stats() map[string]Stat {
 	out := map[string]Stat{}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -194,6 +194,12 @@
 	SettingsEvery = 2 * time.Second
 	// StreamBuffer is how many decisions wait for a slow reader before it is told what it missed.
 	StreamBuffer = 512
+	// LineMax bounds a line of the judge's stream in bytes, DeskTargets the targets of one stream,
+	// Desks the streams at once on one daemon, and DeskKept is how long one that broke off can be resumed.
+	LineMax     = 256 << 10
+	DeskTargets = 4096
+	Desks       = 16
+	DeskKept    = 2 * time.Minute
 	// EventsKept is how many target events a leader keeps for readers that resume.
 	EventsKept = 4096
 )
--- a/sim/operate_test.go
+++ b/sim/operate_test.go
@@ -187,3 +187,33 @@
 		t.Fatalf("%+v", w.Stats)
 	}
 }
+
+// Policies are compared on the traffic of the day: the live one and a shadow one that
+// bars at the first miss see the same, and each has its own score.
+func TestLiveScores(t *testing.T) {
+	w := Start(13, Small)
+	r, _ := w.inquire(t, w.Leader(), "PUT", "/v1/policies/hasty", "base=1", `{"slice":"probe","when":"misses_in_row >= 1","clear":"ok_in_row >= 1","decide":"bar","ttl_ms":30000,"mode":"shadow"}`, "p")
+	if r.Status != 200 {
+		t.Fatalf("%s", r.Body)
+	}
+	for i := range 4 { // pauses that only the hasty one takes for deaths, and a death
+		w.targets[i].hang = true
+		w.Run(w.now + 430*time.Millisecond)
+		w.targets[i].hang = false
+		w.Run(w.now + 2*time.Second)
+	}
+	w.Crash(w.targets[5])
+	w.Run(w.now + 3*time.Second)
+	check(t, w)
+	_, m := w.inquire(t, w.Leader(), "GET", "/v1/policies", "", "", "q")
+	score := func(n string) (bars, wrong, toBar float64) {
+		s := m["policies"].(map[string]any)[n].(map[string]any)["score"].(map[string]any)
+		return s["bars"].(float64), s["wrong_bars"].(float64), s["to_bar_ms"].(float64)
+	}
+	bars, wrong, toBar := score("default")
+	hbars, hwrong, htoBar := score("hasty")
+	t.Logf("default: %v bars, %v wrong, %v ms; hasty: %v bars, %v wrong, %v ms", bars, wrong, toBar, hbars, hwrong, htoBar)
+	if bars != 1 || hbars < 3 || htoBar >= toBar {
+		t.Errorf("default %v bars after %v ms, hasty %v after %v ms", bars, toBar, hbars, htoBar)
+	}
+}
