--- a/core/operate.go
+++ b/core/operate.go
@@ -625,7 +625,7 @@
 		case v.Bar != "":
 			v.Why = fmt.Sprintf("barred by policy %s: %s", why, c.judge.Stats()[why].Policy.When)
 		case t.told:
-			v.Why = "known from before this leader only: not served until it is heard of again"
+			v.Why = "known by hearsay: not served until it has answered for itself"
 		case t.Pending:
 			v.Why = "pending: its address's earlier target is not yet out of every table"
 		case slices.Contains(c.state.Emptied, t.Domain):
--- a/sim/operate_test.go
+++ b/sim/operate_test.go
@@ -217,3 +217,45 @@
 		t.Errorf("default %v bars after %v ms, hasty %v after %v ms", bars, toBar, hbars, htoBar)
 	}
 }
+
+// What policies decided outlives leaders and replacements: a bar by the default
+// policy and a hold by an operator's stand under the next leader from its first table
+// on, and under a changed policy of the same name.
+func TestDecisionsOutliveLeaders(t *testing.T) {
+	for seed := range uint64(6) {
+		w := Start(seed, Small)
+		r, _ := w.inquire(t, w.Leader(), "PUT", "/v1/policies/mute", "base=1", `{"slice":"beat","when":"silent_ms > 2000","clear":"silent_ms == 0","decide":"hold"}`, "p")
+		if r.Status != 200 {
+			t.Fatalf("%s", r.Body)
+		}
+		shut, mute := w.targets[0], w.targets[1]
+		delete(w.listen, shut.addr) // its port is shut, its process beats on
+		mute.state = "mute"         // no daemon takes such a word, but it answers probes
+		w.Run(w.now + 4*time.Second)
+		out := func() (a, b bool) {
+			a, b = true, true
+			for _, x := range w.Leader().core.Table().Targets {
+				a = a && (x.Name != shut.name || x.BarLeft > 0 || x.Pending)
+				b = b && (x.Name != mute.name || x.BarLeft > 0 || x.Pending)
+			}
+			return a, b
+		}
+		if a, b := out(); !a || !b {
+			t.Fatalf("seed %d: not out: %v %v\n%s", seed, a, b, w.Trace(20))
+		}
+		if seed%2 == 0 {
+			w.Kill(w.Leader())
+		} else if r, _ := w.inquire(t, w.Leader(), "PUT", "/v1/policies/mute", "base=2", `{"slice":"beat","when":"silent_ms > 2100","clear":"silent_ms == 0","decide":"hold"}`, "q"); r.Status != 200 {
+			t.Fatalf("%s", r.Body)
+		}
+		for range 300 {
+			w.Run(w.now + 10*time.Millisecond)
+			if w.Leader() != nil && w.Leader().core.Table() != nil {
+				if a, b := out(); !a || !b {
+					t.Fatalf("seed %d: back in a table: shut %v, mute %v\n%s", seed, !a, !b, w.Trace(20))
+				}
+			}
+		}
+		check(t, w)
+	}
+}
