Terms are learnt from refused asks; a change passed on is never wrongly called refused

A refusal now carries the term. TestDesign shut a port but let pooled pipes live on, whose answers rightly overrule misses; it shuts them too now. Tests of the simulator run in parallel.

--- a/core/core.go
+++ b/core/core.go
@@ -150,13 +150,14 @@
 }
 
 type pending struct {
-	token string
-	ask   uint64
-	at    time.Duration
-	relay string // asker's daemon, when it came over the wire
-	rid   uint64
-	to    string // the leader that it was passed to
-	call  *wire.Ask
+	token  string
+	ask    uint64
+	at     time.Duration
+	relay  string // asker's daemon, when it came over the wire
+	rid    uint64
+	to     string // the leader that it was passed to
+	passes int    // how many leaders have had it
+	call   *wire.Ask
 }
 
 type Core struct {
@@ -371,6 +372,7 @@
 			c.unknown(p)
 		case c.lead == Deciding:
 			delete(c.relays, id)
+			p.passes++
 			c.operate(now, p, p.call)
 		case l != "" && l != p.to:
 			c.pass(id, p, l) // under its id a change is made once, whoever hears it how often
@@ -432,6 +434,10 @@
 		}
 		if m.Ask.Reply {
 			if p := c.relays[m.Ask.Id]; p != nil && p.to == m.From {
+				if p.passes > 1 && m.Ask.Status == 503 {
+					p.to = "" // an earlier leader may have agreed it: the next that decides will know
+					return
+				}
 				delete(c.relays, m.Ask.Id)
 				c.answer(p, Reply{p.ask, int(m.Ask.Status), int(m.Ask.Retry), m.Ask.Body})
 			}
--- a/core/operate.go
+++ b/core/operate.go
@@ -281,6 +281,10 @@
 }
 
 func (c *Core) answer(p *pending, r Reply) {
+	if r.Status == 503 && p.passes > 1 {
+		c.unknown(p) // not 'nothing was changed': an earlier leader had it too
+		return
+	}
 	if p.relay != "" {
 		c.send(p.relay, &wire.Msg{Kind: uint16(wire.KAsk), Ask: &wire.Ask{Id: p.rid, Reply: true, Status: uint16(r.Status), Retry: uint32(r.Retry), Body: r.Body}})
 		return
@@ -340,6 +344,7 @@
 // pass hands a call to the leader.
 func (c *Core) pass(id uint64, p *pending, leader string) {
 	p.to = leader
+	p.passes++
 	c.send(leader, &wire.Msg{Kind: uint16(wire.KAsk), Ask: p.call})
 }
 
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -626,7 +626,9 @@
 	if v.Pre {
 		r.Vote.Granted = quiet && upToDate && m.Term > n.term
 		n.send(r, false)
-		r.Term = m.Term
+		if r.Vote.Granted {
+			r.Term = m.Term
+		} // else the asker learns this node's term, or it might never ask for a later one
 		return
 	}
 	if !quiet || m.Term < n.term {
@@ -654,7 +656,7 @@
 	switch {
 	case n.role == Asking && m.Vote.Pre && m.Vote.Granted && m.Term == n.term+1:
 		n.count(now, m.From)
-	case !m.Vote.Pre && m.Term > n.term:
+	case !m.Vote.Granted && m.Term > n.term:
 		n.follow(now, m.Term)
 	case n.role == Candidate && !m.Vote.Pre && m.Vote.Granted && m.Term == n.term:
 		n.count(now, m.From)
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -107,3 +107,37 @@
 	}()
 	app(3, 2, 1, 3, e(3, 3))
 }
+
+// One of two members left has the longer log, the other the higher term, from standing
+// once without success: neither may block the other for good.
+func TestTermIsLearnt(t *testing.T) {
+	ms := []wire.Member{{Name: "a", Disk: 1}, {Name: "b", Disk: 2}, {Name: "c", Disk: 3}}
+	snap := wire.Snap{Index: 1, Term: 5, Members: ms}
+	nodes := map[string]*Node{
+		"a": New(0, "a", Image{Epoch: 1, Disk: 1, Term: 5, Snap: snap, Log: []wire.Entry{{Index: 2, Term: 5}}}),
+		"b": New(0, "b", Image{Epoch: 1, Disk: 2, Term: 6, Vote: "b", Snap: snap})}
+	for now := time.Duration(0); now < 10*time.Second; now += limit.TickEvery {
+		for _, name := range []string{"a", "b"} {
+			n := nodes[name]
+			n.Tick(now)
+			for {
+				o := n.Take()
+				if len(o.Batches)+len(o.Send) == 0 {
+					break
+				}
+				for _, m := range o.Send {
+					if to := nodes[m.To]; to != nil {
+						to.Recv(now, m)
+					}
+				}
+				if k := len(o.Batches); k > 0 {
+					n.Synced(now, o.Batches[k-1].Seq)
+				}
+			}
+		}
+		if nodes["a"].Leads(now) {
+			return
+		}
+	}
+	t.Fatalf("no leader: a is %v in term %d, b %v in term %d", nodes["a"].Role(), nodes["a"].Term(), nodes["b"].Role(), nodes["b"].Term())
+}
--- a/sim/clocks_test.go
+++ b/sim/clocks_test.go
@@ -13,6 +13,7 @@
 // Clocks that jump change nothing: owners are told the time and read no clock, draw
 // no chance and do no I/O; and the shells look at wall time only to name things.
 func TestClocks(t *testing.T) {
+	t.Parallel()
 	owners := []string{"core", "gate", "judge", "quorum"}
 	barred := []string{"math/rand", "math/rand/v2", "os", "net", "net/http", "sync", "sync/atomic", "context"}
 	wall := []string{"Unix", "UnixNano", "UnixMilli", "UnixMicro", "UTC", "Local", "Date", "Clock", "Format", "Round", "Truncate"}
--- a/sim/found_test.go
+++ b/sim/found_test.go
@@ -50,6 +50,7 @@
 // An operator has a survivor found again just when the member comes back with which
 // it is a majority of the old core: one of the two cores goes on, never both.
 func TestRefoundMeetsReturn(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(60) {
 		p := Small
 		p.Rate = 20
@@ -81,6 +82,7 @@
 // it might, nobody founds until an operator vouches for who is gone, and not even
 // then while a majority may be cut off. Those out of reach join when they are back.
 func TestTotalLossMixes(t *testing.T) {
+	t.Parallel()
 	mixes := map[string]bool{}
 	var gen func(prefix string, n int)
 	gen = func(prefix string, n int) {
--- a/sim/guards_test.go
+++ b/sim/guards_test.go
@@ -38,6 +38,7 @@
 // disks stalled it must survive a power cut and the loss of the third disk, or not
 // have been acknowledged.
 func TestSyncBeforeAnswer(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		for _, leaderToo := range []bool{false, true} {
 			w := Start(seed, Small)
@@ -69,6 +70,7 @@
 // A member that lost its disk has no vote until it has been admitted again: it and
 // one that was behind must not elect a leader that forgets what was acknowledged.
 func TestLostDiskHasNoVote(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		w := Start(seed, Small)
 		l, fs := w.Leader(), followers(w)
@@ -97,6 +99,7 @@
 // A proxy that was cut off just after a grant goes on for that grant's time, so an
 // acknowledgement waits for its end, be it this leader's grant or an earlier one's.
 func TestAcknowledgementWaitsForGrants(t *testing.T) {
+	t.Parallel()
 	p := Small
 	p.Rate = 900
 	for seed := range uint64(24) {
@@ -128,6 +131,7 @@
 
 // A stopping proxy ends only when its exchanges have.
 func TestStopFinishesWork(t *testing.T) {
+	t.Parallel()
 	w := Start(2, Small)
 	for _, tg := range w.targets {
 		tg.work = 4 * time.Second
@@ -151,6 +155,7 @@
 // A proxy that has just started and has a table from one partner only does not
 // stand surety for others: it may have forgotten what it once confirmed.
 func TestNewProxyStandsNoSurety(t *testing.T) {
+	t.Parallel()
 	tab := &wire.Table{Key: wire.Key{Epoch: 1, Term: 1, Ver: 1}, Doc: []byte(`{}`)}
 	for _, n := range []string{"g1", "g2", "g3", "g4", "g5"} {
 		tab.Gates = append(tab.Gates, wire.Gate{Name: n, Addr: n})
@@ -174,6 +179,7 @@
 // every proxy's table at once, though its beats go on; the regular refresh keeps
 // it out; an answer clears the bar and what runs well stays where it is.
 func TestDesign(t *testing.T) {
+	t.Parallel()
 	w := Start(5, Small)
 	w.Run(w.now + 5*time.Second)
 	tg := w.targets[0]
@@ -187,7 +193,10 @@
 		}
 		return n
 	}
-	delete(w.listen, tg.addr) // its port is shut while its process beats on
+	delete(w.listen, tg.addr) // its port is shut, pipes included, while its process beats on
+	for _, p := range w.procs {
+		delete(p.pool, wire.ID{Service: tg.service, Name: tg.name, Inc: tg.inc})
+	}
 	at := w.now
 	for in() > 0 && w.now < at+5*time.Second {
 		w.Run(w.now + 10*time.Millisecond)
@@ -228,6 +237,7 @@
 // When every target of a service is barred, those that still beat are used; held
 // and gone ones never are.
 func TestAllBarred(t *testing.T) {
+	t.Parallel()
 	w := Start(6, Small)
 	w.Run(w.now + 3*time.Second)
 	var fares []*Target
@@ -255,6 +265,7 @@
 // A leader that is cut off from healthy targets does not bar them: proxies have
 // answers from them. What no proxy can vouch for is barred all the same.
 func TestLeaderCutFromTargets(t *testing.T) {
+	t.Parallel()
 	p := Small
 	p.Rate = 300
 	w := Start(4, p)
@@ -274,6 +285,7 @@
 // A leader that was frozen must not, on its first event after the thaw, grant
 // anything: another may have led and acknowledged meanwhile.
 func TestThawedLeaderGrantsNothing(t *testing.T) {
+	t.Parallel()
 	p := Small
 	p.Rate = 600
 	for seed := range uint64(12) {
@@ -299,6 +311,7 @@
 // A proxy that could reach nothing for a while serves again as soon as the leader
 // grants it: what it held against targets then was its own trouble.
 func TestBackFromIsolation(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		w := Start(seed, Small)
 		d := 4*time.Second + time.Duration(seed)*45*time.Millisecond // the heal meets its probes anywhere
@@ -334,6 +347,7 @@
 // A leader and a target die together: a new leader probes while it gathers tables,
 // and serves nothing that only old tables vouch for.
 func TestTargetDiesWithLeader(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(40) {
 		if late := latest(t, seed, func(w *World, tg *Target) {
 			w.Kill(w.Leader())
@@ -350,6 +364,7 @@
 
 // A leader is cut off just before its bar: proxies judge by probes of their own.
 func TestTargetDiesBeforeLeaderIsCutOff(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(40) {
 		if late := latest(t, seed, func(w *World, tg *Target) {
 			w.Crash(tg)
@@ -364,6 +379,7 @@
 // A proxy freezes with exchanges in hand, chosen and not yet written. What happens
 // meanwhile holds for them too: on the thaw they go elsewhere or back.
 func TestFrozenWithWorkInHand(t *testing.T) {
+	t.Parallel()
 	f, _ := ByName("gate frozen with work in hand")
 	stale := uint64(0)
 	for seed := range uint64(12) {
--- a/sim/operate_test.go
+++ b/sim/operate_test.go
@@ -32,6 +32,7 @@
 
 // What an operator is told, and that only 200 has changed anything.
 func TestOperatorsCalls(t *testing.T) {
+	t.Parallel()
 	w := Start(9, Small)
 	f := followers(w)[0] // passes on to the leader
 	doc := string(w.Doc(5))
@@ -88,6 +89,7 @@
 // Without a leader nothing is changed and the answer says so; when the proxies
 // can't be made to follow, it is 'unknown', and the id tells later what became of it.
 func TestOperatorsDoubt(t *testing.T) {
+	t.Parallel()
 	w := Start(10, Small)
 	for _, n := range []string{"g1", "g2", "g3"} {
 		w.Kill(w.procs[n])
@@ -118,6 +120,7 @@
 // An address that another target has registered for is served for the new one
 // only once the old entry is out of every table, and the old one is refused.
 func TestAddressTakenOver(t *testing.T) {
+	t.Parallel()
 	w := Start(11, Small)
 	old := w.targets[0]
 	w.isolate([]string{"g1"}, 3*time.Second, true, true) // has the old entry, and a grant
@@ -154,6 +157,7 @@
 // Large configurations in quick succession, with followers that can't keep up,
 // never grow a member's state past what its ring holds.
 func TestStateFitsTheRing(t *testing.T) {
+	t.Parallel()
 	w := Start(12, Small)
 	pad := strings.Repeat("x", limit.DocMax-2000)
 	most := 0
@@ -191,6 +195,7 @@
 // Policies are compared on the traffic of the day: the live one and a shadow one that
 // bars at the first miss see the same, and each has its own score.
 func TestLiveScores(t *testing.T) {
+	t.Parallel()
 	w := Start(13, Small)
 	r, _ := w.inquire(t, w.Leader(), "PUT", "/v1/policies/hasty", "base=1", `{"slice":"probe","when":"misses_in_row >= 1","clear":"ok_in_row >= 1","decide":"bar","ttl_ms":30000,"mode":"shadow"}`, "p")
 	if r.Status != 200 {
@@ -222,6 +227,7 @@
 // policy and a hold by an operator's stand under the next leader from its first table
 // on, and under a changed policy of the same name.
 func TestDecisionsOutliveLeaders(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		w := Start(seed, Small)
 		r, _ := w.inquire(t, w.Leader(), "PUT", "/v1/policies/mute", "base=1", `{"slice":"beat","when":"silent_ms > 2000","clear":"silent_ms == 0","decide":"hold"}`, "p")
@@ -259,3 +265,26 @@
 		check(t, w)
 	}
 }
+
+// A change passed to a leader that is lost is passed to the next; what the first may
+// have had agreed is never called refused, and in the end it is told what became of it.
+func TestChangeOutlivesItsLeader(t *testing.T) {
+	t.Parallel()
+	told := 0
+	for seed := range uint64(60) {
+		w := Start(seed, Small)
+		l := w.Leader()
+		w.PutConfig(followers(w)[int(seed)%2], 1, 2)
+		w.Run(w.now + time.Duration(seed%20)*time.Millisecond)
+		w.isolate([]string{l.name}, 5*time.Second, true, true)
+		w.Run(w.now + 8*time.Second)
+		w.CheckState()
+		check(t, w)
+		if w.changes[1].state == "accepted" {
+			told++
+		}
+	}
+	if told < 55 {
+		t.Errorf("only %d of 60 were in force and said so", told)
+	}
+}
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -215,7 +215,7 @@
 }
 
 func (w *World) addProc(kind, name string, domain int) {
-	p := &Proc{w: w, name: name, kind: kind, domain: fmt.Sprintf("d%d", domain+1), addr: fmt.Sprintf("10.0.0.%d:1", len(w.names)+1), disk: &disk{}}
+	p := &Proc{w: w, name: name, kind: kind, domain: fmt.Sprintf("d%d", domain+1), addr: fmt.Sprintf("10.0.0.%d:1", len(w.byAddr)+1), disk: &disk{}}
 	if kind == "core" {
 		p.disk.img.Disk = w.rnd.Uint64() | 1
 	}
--- a/sim/sim_test.go
+++ b/sim/sim_test.go
@@ -6,6 +6,7 @@
 )
 
 func TestCalm(t *testing.T) {
+	t.Parallel()
 	w := Start(1, Small)
 	w.Run(w.now + 20*time.Second)
 	if w.Fail != "" || w.Stats.Served < 1000 || w.Stats.NotRun+w.Stats.Unknown > 0 {
@@ -15,6 +16,7 @@
 
 // One seed gives the same run twice, step by step.
 func TestReplay(t *testing.T) {
+	t.Parallel()
 	a, b := Day(7, Small, nil, 12, 20*time.Second), Day(7, Small, nil, 12, 20*time.Second)
 	if a.Hash() != b.Hash() {
 		t.Fatalf("two runs of a seed differ:\n%s\n---\n%s", a.Trace(20), b.Trace(20))
@@ -31,6 +33,7 @@
 // Every core disk is lost at once while the proxies live: the core founds a new
 // epoch and takes configuration and emptied domains back from the proxies.
 func TestCoreLosesAllDisks(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		w := Start(seed, Small)
 		w.PutConfig(w.Leader(), 1, 2)
@@ -57,6 +60,7 @@
 // Two of three disks are lost: the survivor's state is what the new epoch starts from,
 // even when no proxy remembers.
 func TestCoreLosesMostDisks(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		w := Start(seed, Small)
 		w.PutConfig(w.Leader(), 1, 2)
@@ -83,6 +87,7 @@
 
 // Everything is wiped: an empty core founds itself and takes a configuration anew.
 func TestAllWiped(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(30) {
 		p := Small
 		p.Cores = 3 + 2*int(seed%2)
@@ -116,6 +121,7 @@
 
 // The core's members are swapped one by one until none of the first is left.
 func TestSwapAllMembers(t *testing.T) {
+	t.Parallel()
 	w := Start(3, Small)
 	for i := range 3 {
 		name := []string{"c7", "c8", "c9"}[i]
@@ -156,6 +162,7 @@
 
 // A bounded sweep of random days; mfsim runs more.
 func TestDays(t *testing.T) {
+	t.Parallel()
 	n := uint64(64)
 	if testing.Short() {
 		n = 8
@@ -171,6 +178,7 @@
 // Asked for twice what its caps let through, a service still does nearly all that
 // it can, refuses the rest at once, and is as before when the demand falls.
 func TestOverload(t *testing.T) {
+	t.Parallel()
 	p := Small
 	p.Services = map[string]int{"fares": 5}
 	p.Rate, p.Unsafe, p.Hard = 100, 0.3, 0.3
