--- a/core/core.go
+++ b/core/core.go
@@ -204,8 +204,9 @@
 	out       []any
 	counts    Counts
 	cleanAt   time.Duration
-	was       []string // roster's names before a change that is not in force everywhere yet
-	turns     map[string]uint32
+	was       []string          // roster's names before a change that is not in force everywhere yet
+	turns     map[string]uint32 // last place dealt in each service, and each name's own
+	turnOf    map[[2]string]uint32
 	wideUntil uint64 // entry of the roster's last change
 	proposed  bool   // the epoch's first state, while adopting
 }
@@ -472,7 +473,7 @@
 	case Warming:
 		c.targets, c.claims, c.judge, c.judged = map[wire.ID]*target{}, map[wire.ID]*target{}, judge.New(), 0
 		c.scorer = judge.NewScorer(c.judge)
-		c.was, c.turns = nil, map[string]uint32{}
+		c.was, c.turns, c.turnOf = nil, map[string]uint32{}, map[[2]string]uint32{}
 		c.tombs, c.left = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
 		c.table, c.best, c.sig, c.wideUntil = nil, wire.Key{}, 0, 0
 		c.policies()
@@ -700,6 +701,7 @@
 			t.BarLeft, t.BarWhy, t.Held = 0, "", false
 			c.targets[w.ID()] = t
 			c.turns[w.Service] = max(c.turns[w.Service], w.Turn)
+			c.turnOf[[2]string{w.Service, w.Name}] = w.Turn
 		}
 	}
 	for _, w := range b.Targets {
@@ -880,8 +882,12 @@
 		t.State = model.Ready
 	}
 	t.Pending = t.freed
-	c.turns[id.Service]++
-	t.Turn = c.turns[id.Service]
+	name := [2]string{id.Service, id.Name}
+	if c.turnOf[name] == 0 {
+		c.turns[id.Service]++
+		c.turnOf[name] = c.turns[id.Service]
+	}
+	t.Turn = c.turnOf[name] // a restart keeps it: orphans may have dealt by it already
 	c.targets[id] = t
 	if c.left[id] != 0 {
 		c.hold(now, t, "it was leaving when it fell silent")
@@ -946,6 +952,9 @@
 		c.cleanAt = now
 		old := func(_ wire.ID, at time.Duration) bool { return now-at > limit.TombKeep }
 		maps.DeleteFunc(c.tombs, old)
+		if len(c.turnOf) > 2*len(c.targets)+limit.NamesKept {
+			c.turnOf = map[[2]string]uint32{} // names that never come back; a new place costs little
+		}
 		maps.DeleteFunc(c.left, old)
 	}
 	c.decided(c.scorer.Tick(now))
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -638,7 +638,7 @@
 		return
 	}
 	if at.heir == nil || at.heir.ID() != w.ID() || at.heir.Addr != w.Addr {
-		at.heir = &target{Target: wire.Target{Service: w.Service, Name: w.Name, Inc: w.Inc, Addr: w.Addr, Domain: w.Domain, State: model.Warming}}
+		at.heir = &target{Target: wire.Target{Service: w.Service, Name: w.Name, Inc: w.Inc, Addr: w.Addr, Domain: w.Domain, State: model.Warming, Turn: at.Turn}}
 	}
 	at.heir.voice.Hear(now)
 }
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -310,7 +310,7 @@
 		{"one that has left", wire.Target{Service: "s", Name: "a", Inc: 2, Addr: "gone"}, &model.Beat{Service: "s", Name: "a", Incarnation: 2, State: model.Leaving}, false},
 	} {
 		away := wire.Target{Service: "t", Name: "other", Inc: 1, Addr: "other", State: model.Ready}
-		b := newBench("g1", 3, plain, to("a"), away)
+		b := newBench("g1", 3, plain, to("a", func(t *wire.Target) { t.Turn = 5 }), away)
 		word := c.heir
 		word.State = model.Ready
 		b.hear(word)
@@ -333,7 +333,7 @@
 			b.step(core.Probed{ID: word.ID(), SentAt: b.now, Beat: c.beat})
 		}
 		g, ok := b.admit(2).(Give)
-		if ok != c.taken || ok && g.Target.Inc != 2 {
+		if ok != c.taken || ok && (g.Target.Inc != 2 || g.Target.Turn != 5) {
 			t.Errorf("%s: %+v", c.name, g)
 		}
 		b.now += time.Millisecond
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -114,6 +114,8 @@
 	// late word comes once, a repeated one with its first, who lives beats every BeatEvery.
 	ProofWords = 3
 	ProofSpan  = 900 * time.Millisecond
+	// NamesKept is how many names of targets that are gone a leader remembers the places of.
+	NamesKept = 4096
 	// TombKeep is how long after its last word a signed-off or superseded incarnation is refused.
 	TombKeep = 2 * time.Minute
 	// Window is the longest look back that a policy's condition has, in samples.
