A proxy back from a freeze learns its partners' restarted targets too

Change: on an equal table it takes over the later start as well. Before: TestThawedOrphanLearnsRestarts gives to the earlier start; after: to the later.

--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -639,7 +639,11 @@
 		cs := slices.Clone(l.cores)
 		l.rnd.Shuffle(len(cs), func(i, j int) { cs[i], cs[j] = cs[j], cs[i] })
 		a, b := cs[:len(cs)/2], cs[len(cs)/2:]
-		l.say("split the core: %s against the others", a[0].name)
+		var names []string
+		for _, p := range a {
+			names = append(names, p.name)
+		}
+		l.say("split the core: %s against the others", strings.Join(names, ", "))
 		l.net.set(pairs(a, b, true, true))
 		l.pause(2000, 6000)
 		l.net.set(nil)
@@ -1031,6 +1035,12 @@
 		Refusal                           float64            `json:"refusal_median_ms"`
 		Ms                                map[string]float64 `json:"latency_ms"`
 		RetryAfter                        map[string]int     `json:"retry_after"`
+		Groups                            map[string]struct {
+			Agents int                `json:"user_agents"`
+			Asked  int                `json:"asked"`
+			Served int                `json:"user_agents_served"`
+			Ms     map[string]float64 `json:"latency_ms"`
+		} `json:"groups"`
 	}) {
 		out, err := exec.Command(filepath.Join(l.bin, "mfload"), l.loadArgs(rate, phase)...).Output()
 		if err != nil {
@@ -1043,6 +1053,10 @@
 	row := func(rate float64) {
 		r := load(rate)
 		l.say("%8.0f %8d %8.1f %8d %8d %9.1f %9.1f %9.1f  %v", rate, r.Offered, r.Goodput, r.Refused, r.Unknown, r.Ms["p50"], r.Ms["p99"], r.Refusal, r.RetryAfter)
+		for _, k := range []string{"polite", "at_once"} {
+			g := r.Groups[k]
+			l.say("%26s: %d user agents asked %d times, %d served, p50 %.0f p99 %.0f ms", k, g.Agents, g.Asked, g.Served, g.Ms["p50"], g.Ms["p99"])
+		}
 	}
 	for _, x := range []float64{0.5, 0.9, 1, 2, 0.5} {
 		row(l.dep.Rate * x)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -515,11 +515,26 @@
 	g.send(m.From, &wire.Msg{Kind: uint16(wire.KPush), Stamp: m.Stamp, Disk: m.Disk, Push: p})
 }
 
-// heed takes over what a partner holds against the targets of the same table; a
-// probe of this proxy's own soon says more.
+// heed takes over what a partner holds against the targets of the same table, and
+// the later starts that it has put in the place of some; a probe of this proxy's own
+// soon says more.
 func (g *Gate) heed(now time.Duration, b *wire.Table) {
+	listed := map[wire.ID]bool{}
 	for _, w := range b.Targets {
-		if t := g.targets[w.ID()]; t != nil {
+		listed[w.ID()] = true
+	}
+	for _, w := range b.Targets {
+		t := g.targets[w.ID()]
+		if t == nil {
+			for id := range g.targets {
+				if id.Service == w.Service && id.Name == w.Name && !listed[id] && g.leaving[w.ID()] == 0 {
+					t = &target{Target: w}
+					g.succeed(now, id, t)
+					break
+				}
+			}
+		}
+		if t != nil {
 			t.held = t.held || w.Held
 			if w.BarLeft > 0 {
 				t.ownBar = max(t.ownBar, now+time.Duration(w.BarLeft))
@@ -528,6 +543,19 @@
 	}
 }
 
+// succeed puts a later start in a target's place.
+func (g *Gate) succeed(now time.Duration, id wire.ID, h *target) {
+	delete(g.targets, id)
+	g.leaving[id] = now
+	g.targets[h.ID()] = h
+	g.index()
+	live := map[wire.ID]string{}
+	for id, t := range g.targets {
+		live[id] = t.Addr
+	}
+	g.do(Targets{live})
+}
+
 // take puts a later table in force; an earlier one never replaces a later.
 func (g *Gate) take(now time.Duration, t *wire.Table) bool {
 	if g.table != nil && !g.table.Key.Less(t.Key) {
@@ -660,15 +688,7 @@
 			h.State = model.Ready
 		}
 		g.do(core.Change{What: "target", From: fmt.Sprint(id.Inc), To: fmt.Sprint(h.Inc), Why: "a later start of " + id.Service + "/" + id.Name + " answers, and no leader is there"})
-		delete(g.targets, id)
-		g.leaving[id] = now
-		g.targets[p.ID] = h
-		g.index()
-		live := map[wire.ID]string{}
-		for id, t := range g.targets {
-			live[id] = t.Addr
-		}
-		g.do(Targets{live})
+		g.succeed(now, id, h)
 		return
 	}
 }
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -485,3 +485,20 @@
 		})
 	}
 }
+
+// The same with a target that restarted meanwhile: partners have its later start in
+// its place, and so has a proxy that comes back on the same table.
+func TestThawedOrphanLearnsRestarts(t *testing.T) {
+	b := newBench("g1", 3, plain, to("a"))
+	b.orphan()
+	b.now += 5 * time.Second
+	b.step(core.Tick{})
+	word := *b.g.Table()
+	word.Targets = []wire.Target{to("a", func(t *wire.Target) { t.Inc = 2 })}
+	for _, p := range []string{"g2", "g3"} {
+		b.step(core.Recv{M: &wire.Msg{Kind: uint16(wire.KPush), From: p, Stamp: int64(b.now), Disk: 9, Push: &wire.Push{Grant: true, Key: word.Key, Table: &word}}})
+	}
+	if g, ok := b.admit(1).(Give); !ok || g.Target.Inc != 2 {
+		t.Fatalf("%+v", g)
+	}
+}
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -32,8 +32,8 @@
 
 // Every fault of the settings is named, flags go before the file, samples are sound.
 func TestSettings(t *testing.T) {
-	_, got := load(t, "core", `{"name":"a b","addr":"localhost:1","http":"0.0.0.0:1","seeds":["x"],"size":4,"listen":"127.0.0.1:3","log":"loud","odd":1}`, Settings{})
-	if want := []string{"addr", "data", "domain", "http", "listen", "log", "name", "odd", "seeds[0]", "size"}; !slices.Equal(got, want) {
+	_, got := load(t, "core", `{"name":"a b","addr":"localhost:1","http":"0.0.0.0:1","seeds":["x"],"size":4,"listen":"127.0.0.1:3","log":"loud","odd":1,"bind":"here","from":"0.0.0.0"}`, Settings{})
+	if want := []string{"addr", "bind", "data", "domain", "from", "http", "listen", "log", "name", "odd", "seeds[0]", "size"}; !slices.Equal(got, want) {
 		t.Fatalf("%v", got)
 	}
 	for _, k := range []string{"core", "gate"} {
