A change's time under faults at kelani's size; the measure names a service of the plan

The measure patched a service that only the small plan has, so at other sizes each change was refused as invalid. It names one of the plan's own now.

--- a/sim/scenes.go
+++ b/sim/scenes.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -230,14 +231,8 @@
 	s := w.Stats
 	r.Offered, r.Refused, r.Failed, r.NoAnswer = s.Exchanges-b.Exchanges, s.NotRun-b.NotRun, s.Unknown-b.Unknown, s.NoAnswer-b.NoAnswer
 	r.Gap = s.Gap
-	for _, svc := range slices.Sorted(func(yield func(string) bool) {
-		for k := range w.lastOk {
-			if !yield(k) {
-				return
-			}
-		}
-	}) {
-		r.Gap = max(r.Gap, w.now-w.lastOk[svc])
+	for _, at := range w.lastOk {
+		r.Gap = max(r.Gap, w.now-at)
 	}
 	r.Fail = w.Fail
 	return r
@@ -246,7 +241,7 @@
 // insist asks for a change as mfctl does: under one id, of one member after another,
 // for 8 s.
 func (w *World) insist(from time.Duration, i int, r *Row) {
-	cores := w.all("core")
+	cores, svcs := w.all("core"), slices.Sorted(maps.Keys(w.Plan.Services))
 	p := w.procs[cores[i%len(cores)]]
 	again := func(o string) {
 		if r.Outcome = o; w.now-from < 8*time.Second {
@@ -258,7 +253,7 @@
 		return
 	}
 	done := false
-	w.call(p, "PATCH", "/v1/config", fmt.Sprintf("base=%d", w.Revision()), []byte(`{"services":{"pay":{"timeout_ms":1777}}}`), "insisted", func(a core.Reply) {
+	w.call(p, "PATCH", "/v1/config", fmt.Sprintf("base=%d", w.Revision()), fmt.Appendf(nil, `{"services":{"%s":{"timeout_ms":1777}}}`, svcs[len(svcs)-1]), "insisted", func(a core.Reply) {
 		if done {
 			return
 		}
