One piece each for what was written twice; a proxy's memory is read once

Two parameters that nobody read are gone. - gate: what follows a change of targets (choices, pipes) stood in two places. - sim: a target's count of exchanges was kept beside their list; altered tables, stops with a start behind them, and the lab's dark domains had twins.

--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -584,36 +584,9 @@
 			l.pause(2000, 3000)
 		}
 	}},
-	{"domain loses power", func(l *lab) {
-		d := l.dep.Domains[l.rnd.IntN(len(l.dep.Domains))]
-		l.say("domain %s loses power", d)
-		var off []*proc
-		for _, p := range slices.Concat(l.cores, l.gates, l.stubs) {
-			if p.domain == d && !p.stopped {
-				p.kill()
-				off = append(off, p)
-			}
-		}
-		l.pause(2000, 5000)
-		for _, p := range off {
-			l.again(p)
-		}
-	}},
+	{"domain loses power", func(l *lab) { l.darken(false) }},
 	{"domain loses power and its disks", func(l *lab) {
-		d := l.dep.Domains[l.rnd.IntN(len(l.dep.Domains))]
-		l.say("domain %s loses power, and its core disks", d)
-		var off []*proc
-		for _, p := range slices.Concat(l.cores, l.gates, l.stubs) {
-			if p.domain == d && !p.stopped {
-				p.kill()
-				off = append(off, p)
-				os.RemoveAll(l.path("data", p.name))
-			}
-		}
-		l.pause(2000, 5000)
-		for _, p := range off {
-			l.again(p)
-		}
+		l.darken(true)
 		l.whole()
 	}},
 	{"machine isolated", func(l *lab) {
@@ -751,6 +724,26 @@
 	}},
 }
 
+// darken takes a domain's power for a while, and its core members' disks if wanted.
+func (l *lab) darken(disks bool) {
+	d := l.dep.Domains[l.rnd.IntN(len(l.dep.Domains))]
+	l.say("domain %s loses power, its disks too: %v", d, disks)
+	var off []*proc
+	for _, p := range slices.Concat(l.cores, l.gates, l.stubs) {
+		if p.domain == d && !p.stopped {
+			p.kill()
+			off = append(off, p)
+			if disks {
+				os.RemoveAll(l.path("data", p.name))
+			}
+		}
+	}
+	l.pause(2000, 5000)
+	for _, p := range off {
+		l.again(p)
+	}
+}
+
 // cut parts some machines from all others for a while in ms.
 func (l *lab) cut(in []*proc, out, back bool, lo, hi int) {
 	var others []*proc
--- a/core/core.go
+++ b/core/core.go
@@ -170,7 +170,7 @@
 	offer    uint64
 	seen     string // who could found, as last looked at, and since when
 	seenAt   time.Duration
-	memories map[string]Legacy // what proxies said that they remember
+	memories map[string]memory // what proxies said that they remember
 	vow      vow
 	lockSeq  uint64 // batch that has the lock; it is told to nobody before that is synced
 	safeSeq  uint64
@@ -224,6 +224,17 @@
 	State json.RawMessage `json:"state"`
 }
 
+// Remembered is what a table remembers of its epoch.
+func Remembered(t *wire.Table) (Legacy, bool) {
+	var s State
+	if json.Unmarshal(t.State, &s) != nil {
+		return Legacy{}, false
+	}
+	s.Doc = t.Doc
+	b, _ := json.Marshal(s)
+	return Legacy{t.Key.Epoch, t.Key.Term, t.Seq, b}, true
+}
+
 func (l Legacy) less(o Legacy) bool {
 	return cmp.Or(cmp.Compare(l.Epoch, o.Epoch), cmp.Compare(l.Seq, o.Seq), cmp.Compare(l.Term, o.Term)) < 0
 }
@@ -231,8 +242,7 @@
 // New starts a member from what its disk holds; a disk without a number yet is
 // given the shell's.
 func New(now time.Duration, set Settings, img quorum.Image) *Core {
-	c := &Core{set: set, img: img, known: Book{}, memories: map[string]Legacy{}, gates: map[string]*gate{},
-
+	c := &Core{set: set, img: img, known: Book{}, memories: map[string]memory{}, gates: map[string]*gate{},
 		pend: map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, state: newState(), relaySeq: set.Self.Inc << 20}
 	c.set.Self.Disk = img.Disk
 	if img.Epoch != 0 {
@@ -401,7 +411,7 @@
 			if json.Unmarshal(m.Hello.Legacy, &l) == nil {
 				c.remember(l)
 				if m.Hello.Self.Kind == "gate" {
-					c.memories[m.From] = l
+					c.recall(m.From, l)
 				}
 			}
 		}
@@ -511,7 +521,7 @@
 				}
 			}
 			for _, n := range slices.Sorted(maps.Keys(c.memories)) {
-				c.remember(c.memories[n])
+				c.remember(c.memories[n].Legacy)
 			}
 			c.setLead(now, Adopting, "elected in a new epoch")
 		} else {
@@ -595,11 +605,8 @@
 		k.At, k.Daemon = now, m.Pull.Self
 	}
 	if t := m.Pull.Table; t != nil && c.lead == Adopting && t.Key.Epoch < c.node.Epoch() {
-		var s State
-		if json.Unmarshal(t.State, &s) == nil {
-			s.Doc = t.Doc
-			b, _ := json.Marshal(s)
-			c.remember(Legacy{t.Key.Epoch, t.Key.Term, t.Seq, b})
+		if l, ok := Remembered(t); ok {
+			c.remember(l)
 		}
 	}
 	if c.lead == Idle {
--- a/core/found.go
+++ b/core/found.go
@@ -10,6 +10,7 @@
 package core
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/binary"
 	"encoding/json"
@@ -105,6 +106,19 @@
 	return c.node.Leader()
 }
 
+// hearer is one of those seen that hears a leader, "" if none does.
+func (c *Core) hearer(now time.Duration, all []wire.Daemon) string {
+	if c.led(now) != "" {
+		return c.set.Self.Name
+	}
+	for _, d := range all {
+		if k := c.known[d.Name]; d.Name != c.set.Self.Name && k.Leader != "" {
+			return d.Name
+		}
+	}
+	return ""
+}
+
 // retired says that this member has locked a later founding than the epoch it stands in.
 func (c *Core) retired() bool { return c.node != nil && c.img.Founding > c.node.Epoch() }
 
@@ -165,6 +179,26 @@
 
 // ---- founding ----
 
+// memory is what a proxy remembers, and the members that it names.
+type memory struct {
+	Legacy
+	members membership
+}
+
+// recall takes what a proxy says that it remembers. It says so with each hello while
+// it has no leader, so only what is new is read.
+func (c *Core) recall(from string, l Legacy) {
+	if m := c.memories[from]; m.Epoch == l.Epoch && m.Term == l.Term && m.Seq == l.Seq && bytes.Equal(m.State, l.State) {
+		return
+	}
+	var s State
+	m := memory{Legacy: l}
+	if json.Unmarshal(l.State, &s) == nil && len(s.Members) > 0 {
+		m.members = membership{l.Epoch, l.Seq, s.Members}
+	}
+	c.memories[from] = m
+}
+
 // lastMembers is the latest list known here: its own, other members', or proxies'.
 func (c *Core) lastMembers() (m membership) {
 	if c.node != nil && len(c.node.Members()) > 0 {
@@ -176,11 +210,8 @@
 		}
 	}
 	for _, n := range slices.Sorted(maps.Keys(c.memories)) {
-		if l := c.memories[n]; m.less(membership{epoch: l.Epoch, index: l.Seq}) {
-			var s State
-			if json.Unmarshal(l.State, &s) == nil && len(s.Members) > 0 {
-				m = membership{l.Epoch, l.Seq, s.Members}
-			}
+		if k := c.memories[n].members; m.less(k) {
+			m = k
 		}
 	}
 	return m
@@ -193,7 +224,7 @@
 	lost, held, absent int // of the last members: disk gone, here with their disk and no later lock, not seen
 }
 
-func (c *Core) outlook(now time.Duration, all []wire.Daemon, gone []string) outlook {
+func (c *Core) outlook(all []wire.Daemon, gone []string) outlook {
 	o := outlook{last: c.lastMembers()}
 	o.places = cmp.Or(len(o.last.list), c.set.Size)
 	for _, n := range gone {
@@ -238,7 +269,7 @@
 // certain says that it can't decide, whatever those that are not seen still hold.
 func (o outlook) certain() bool { return 2*(o.held+o.absent) <= len(o.last.list) }
 
-func (c *Core) vows(now time.Duration, all []wire.Daemon) (refound bool, gone []string) {
+func (c *Core) vows(all []wire.Daemon) (refound bool, gone []string) {
 	for _, d := range all {
 		v := c.vow
 		if k := c.known[d.Name]; d.Name != c.set.Self.Name && k != nil {
@@ -265,19 +296,19 @@
 		return
 	}
 	c.offer = 0
+	if c.hearer(now, all) != "" {
+		c.seen = ""
+		return
+	}
 	var b strings.Builder
 	for _, d := range all {
-		if l := c.led(now); l != "" || d.Name != c.set.Self.Name && c.known[d.Name].Leader != "" {
-			c.seen = ""
-			return
-		}
 		fmt.Fprintf(&b, "%s %d ", d.Name, d.Disk)
 	}
 	if b.String() != c.seen {
 		c.seen, c.seenAt = b.String(), now
 	}
-	refound, gone := c.vows(now, all)
-	o := c.outlook(now, all, gone)
+	refound, gone := c.vows(all)
+	o := c.outlook(all, gone)
 	all = o.founders(all)
 	if len(all) > o.places || 2*len(all) <= o.places || o.elects() || !slices.ContainsFunc(all, func(d wire.Daemon) bool { return d.Name == c.set.Self.Name }) {
 		return
@@ -405,17 +436,15 @@
 	}
 	gone := strings.FieldsFunc(list, func(r rune) bool { return r == ',' })
 	all := c.cores(now, true)
-	for _, d := range all {
-		if l := c.led(now); l != "" || d.Name != c.set.Self.Name && c.known[d.Name].Leader != "" {
-			return no("living", "%s hears a leader", d.Name)
-		}
+	if n := c.hearer(now, all); n != "" {
+		return no("living", "%s hears a leader", n)
 	}
 	for _, n := range gone {
 		if k := c.known[n]; n == c.set.Self.Name || k != nil && now-k.At < limit.DaemonGone {
 			return no("alive", "%s was heard less than %v ago", n, limit.DaemonGone)
 		}
 	}
-	o := c.outlook(now, all, gone)
+	o := c.outlook(all, gone)
 	all = o.founders(all)
 	switch {
 	case 2*len(all) <= o.places:
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -406,14 +406,12 @@
 	if g.table == nil || g.state == Granted {
 		return nil
 	}
-	var s core.State
-	if json.Unmarshal(g.table.State, &s) != nil {
+	l, ok := core.Remembered(g.table)
+	if !ok {
 		return nil
 	}
-	s.Doc = g.table.Doc
-	b, _ := json.Marshal(s)
-	l, _ := json.Marshal(core.Legacy{Epoch: g.table.Key.Epoch, Term: g.table.Key.Term, Seq: g.table.Seq, State: b})
-	return l
+	b, _ := json.Marshal(l)
+	return b
 }
 
 // doubts says that the leader has been silent for over two pulls: partners are
@@ -548,6 +546,12 @@
 	delete(g.targets, id)
 	g.leaving[id] = now
 	g.targets[h.ID()] = h
+	g.retarget()
+}
+
+// retarget follows a change of the targets: choices go by the new ones, and pipes to
+// others go.
+func (g *Gate) retarget() {
 	g.index()
 	live := map[wire.ID]string{}
 	for id, t := range g.targets {
@@ -578,7 +582,6 @@
 	g.Counts.Tables++
 	g.table = t
 	next := map[wire.ID]*target{}
-	live := map[wire.ID]string{}
 	for _, w := range t.Targets {
 		id := w.ID()
 		n := g.targets[id]
@@ -600,12 +603,10 @@
 			n.held = true
 		}
 		next[id] = n
-		live[id] = w.Addr
 	}
 	g.targets = next
-	g.index()
 	maps.DeleteFunc(g.leaving, func(id wire.ID, at time.Duration) bool { return next[id] == nil && now-at > limit.TombKeep })
-	g.do(Targets{live})
+	g.retarget()
 	g.serveQueues(now)
 	return true
 }
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -337,14 +337,7 @@
 	{"gate restarted", func(w *World) {
 		if p := w.pick("gate", true); p != nil {
 			w.log("stop %s", p.name)
-			gen := p.gen
-			w.stop(p)
-			w.at(7*time.Second, func() {
-				if p.gen == gen {
-					w.Kill(p)
-					w.Restart(p)
-				}
-			})
+			w.bounce(p, 7*time.Second)
 		}
 	}},
 	{"core killed", func(w *World) {
@@ -610,14 +603,7 @@
 				if w.mayHurtCore() == nil {
 					return
 				}
-				gen := p.gen
-				w.stop(p)
-				w.at(1500*time.Millisecond, func() {
-					if p.gen == gen {
-						w.Kill(p)
-						w.Restart(p)
-					}
-				})
+				w.bounce(p, 1500*time.Millisecond)
 			})
 		}
 	}},
@@ -704,6 +690,18 @@
 	w.deliver(p, stopEvent)
 }
 
+// bounce stops a process politely, then hard if it is still there, and starts it again.
+func (w *World) bounce(p *Proc, after time.Duration) {
+	gen := p.gen
+	w.stop(p)
+	w.at(after, func() {
+		if p.gen == gen {
+			w.Kill(p)
+			w.Restart(p)
+		}
+	})
+}
+
 // ByName finds a fault.
 func ByName(name string) (Fault, bool) {
 	i := slices.IndexFunc(Faults, func(f Fault) bool { return strings.EqualFold(f.Name, name) })
--- a/sim/scenes.go
+++ b/sim/scenes.go
@@ -165,26 +165,31 @@
 	switch {
 	case w.sabotage == "hellos" && m.Hello != nil && from.kind == "core" && to.kind == "core":
 		return nil
-	case w.sabotage == "emptied" && m.Push != nil && m.Push.Table != nil:
-		c, p, t := *m, *m.Push, *m.Push.Table
-		t.Emptied = nil
-		p.Table, c.Push = &t, &p
-		return &c
+	case w.sabotage == "emptied":
+		return altered(m, func(t *wire.Table) { t.Emptied = nil })
 	}
 	return m
 }
 
-// spoilLate does the same to a message that comes late.
-func (w *World) spoilLate(m *wire.Msg) *wire.Msg {
-	if w.sabotage != "old tables" || m.Push == nil || m.Push.Table == nil {
+// altered is a message with a copy of its table changed, if it has one.
+func altered(m *wire.Msg, change func(*wire.Table)) *wire.Msg {
+	if m.Push == nil || m.Push.Table == nil {
 		return m
 	}
 	c, p, t := *m, *m.Push, *m.Push.Table
-	t.Key.Ver += 1000
+	change(&t)
 	p.Table, c.Push = &t, &p
 	return &c
 }
 
+// spoilLate does the same to a message that comes late.
+func (w *World) spoilLate(m *wire.Msg) *wire.Msg {
+	if w.sabotage != "old tables" {
+		return m
+	}
+	return altered(m, func(t *wire.Table) { t.Key.Ver += 1000 })
+}
+
 // ---- availability ----
 
 // Row is what a kind of fault, or two at once, left of the service.
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -95,7 +95,6 @@
 	state                       string
 	leftAt                      time.Duration // when a daemon first took its word that it leaves
 	goneAt                      time.Duration
-	inWork                      int
 	works                       []*exchange // those in work
 	work, usual                 time.Duration
 }
@@ -587,7 +586,7 @@
 		if !t.alive {
 			return
 		}
-		if t.inWork > 0 || t.leftAt == 0 || w.now-t.leftAt < 2500*time.Millisecond {
+		if len(t.works) > 0 || t.leftAt == 0 || w.now-t.leftAt < 2500*time.Millisecond {
 			w.at(limit.BeatEvery, end)
 			return
 		}
@@ -815,10 +814,8 @@
 			return
 		}
 		w.runs(t, x)
-		t.inWork++
 		t.works = append(t.works, x)
 		w.at(t.work, func() {
-			t.inWork--
 			t.works = slices.DeleteFunc(t.works, func(o *exchange) bool { return o == x })
 			switch {
 			case !t.alive || t.lose:
