Shapes for routes, named changes, slots, cold targets and loads

What every user's gateway needs and the model lacked: routes by host and prefix with kind, times, attempts, priority and weighted split; limits; an operator's own revision; partial changes by names; in words and tables a target's slots, cold time and word number. A document may have 512 KiB (1,000 routes and more), so the ring's files grow to 8 MiB, as the sum in limit's test asks. Retry-After may be under a second. The model test's unknown field was named limits, which is known now; it is bounds.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -295,14 +295,22 @@
 	return path.Clean(p) == p || path.Clean(p)+"/" == p
 }
 
+// After is a Retry-After header's value: seconds, with fractions below one.
+func After(d time.Duration) string {
+	if d >= time.Second {
+		return strconv.Itoa(int((d + time.Second - 1) / time.Second))
+	}
+	return strconv.FormatFloat(max(0.001, d.Seconds()), 'f', 3, 64)
+}
+
 // Error answers with the one error shape.
-func Error(w http.ResponseWriter, status, retry int, t model.Trouble) {
+func Error(w http.ResponseWriter, status int, retry time.Duration, t model.Trouble) {
 	if t.Ran == "" {
 		t.Ran = "no"
 	}
 	h := w.Header()
 	if retry > 0 {
-		h.Set("Retry-After", strconv.Itoa(retry))
+		h.Set("Retry-After", After(retry))
 	}
 	h.Set(RanHeader, t.Ran)
 	h.Set("Content-Type", "application/json")
@@ -338,7 +346,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	status, svc := 0, ""
-	fail := func(s, retry int, t model.Trouble) {
+	fail := func(s int, retry time.Duration, t model.Trouble) {
 		status = s
 		if t.Ran == "unknown" {
 			c.Counts.Unknown.Add(1)
@@ -452,7 +460,7 @@
 			if st == 0 {
 				st = 503
 			}
-			fail(st, limit.RetryAfterMin+int(id%limit.RetryAfterSpan), model.Trouble{Code: last, Message: t.msg, Ran: ran})
+			fail(st, limit.RetryAfterMin+time.Duration(id*2654435761>>8)%limit.RetryAfterSpan, model.Trouble{Code: last, Message: t.msg, Ran: ran})
 			return
 		}
 		ans = c.owner.Ask(r.Context(), id, gate.Again{ID: id, Sent: t.sent})
--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -89,7 +89,7 @@
 			}
 		}
 		if n >= len(targets) {
-			return gate.Refuse{ID: id, Status: 503, Retry: 2, Code: "busy", Message: "none left"}
+			return gate.Refuse{ID: id, Status: 503, Retry: 2 * time.Second, Code: "busy", Message: "none left"}
 		}
 		return gate.Give{ID: id, Service: "s", Target: targets[n], Left: 5 * time.Second, Till: limit.ChoiceLife, Set: model.Service{BodyMax: 100 << 10, Tries: 3}}
 	}}, f.pool)
--- a/core/core.go
+++ b/core/core.go
@@ -33,7 +33,8 @@
 		ID     wire.ID
 		SentAt time.Duration
 		Ms     float64
-		Beat   *model.Beat // nil: no sound answer
+		Beat   *model.Beat   // nil: no sound answer; its state may be "": alive, and nothing said of it
+		Cold   time.Duration // how much longer it says it is cold
 	}
 	// Ask is an operator's or a back end's call. Token names a change for good.
 	Ask struct {
@@ -55,11 +56,12 @@
 	Probe struct {
 		ID   wire.ID
 		Addr string
+		Path string // of the service's health answer, "": the identity exchange
 	}
 	Reply struct {
 		ID     uint64
 		Status int
-		Retry  int
+		Retry  time.Duration // when to ask again, 0: not said
 		Body   []byte
 	}
 	// Note is a target event or a decision for those who read the stream.
@@ -195,6 +197,7 @@
 	judge     *judge.Judge
 	scorer    *judge.Scorer
 	judged    uint64 // revision whose policies are in force
+	cfg       *model.Config
 	forces    []*force
 	pend      map[string]*pending
 	relays    map[uint64]*pending
@@ -450,7 +453,7 @@
 					return
 				}
 				delete(c.relays, m.Ask.Id)
-				c.answer(p, Reply{p.ask, int(m.Ask.Status), int(m.Ask.Retry), m.Ask.Body})
+				c.answer(p, Reply{p.ask, int(m.Ask.Status), time.Duration(m.Ask.RetryMs) * time.Millisecond, m.Ask.Body})
 			}
 			return
 		}
@@ -578,6 +581,7 @@
 	if err != nil {
 		panic(fmt.Sprintf("agreed configuration %d: %v", c.state.Revision, err))
 	}
+	c.cfg = cfg
 	c.judge.Replace(cfg)
 	c.judged = c.state.Revision
 }
@@ -980,7 +984,7 @@
 	if t.sentAt == 0 && now-t.probeAt >= limit.ProbeEvery {
 		t.probeAt, t.sentAt = now, now
 		c.counts.Probes++
-		c.do(Probe{id, t.Addr})
+		c.do(Probe{id, t.Addr, c.cfg.Services[id.Service].HealthPath})
 	}
 }
 
--- a/core/operate.go
+++ b/core/operate.go
@@ -286,7 +286,7 @@
 		return
 	}
 	if p.relay != "" {
-		c.send(p.relay, &wire.Msg{Kind: uint16(wire.KAsk), Ask: &wire.Ask{Id: p.rid, Reply: true, Status: uint16(r.Status), Retry: uint32(r.Retry), Body: r.Body}})
+		c.send(p.relay, &wire.Msg{Kind: uint16(wire.KAsk), Ask: &wire.Ask{Id: p.rid, Reply: true, Status: uint16(r.Status), RetryMs: uint32(r.Retry.Milliseconds()), Body: r.Body}})
 		return
 	}
 	r.ID = p.ask
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -47,7 +47,8 @@
 		ID      uint64
 		Outcome Outcome
 		Ms      float64
-		Last    bool // no Again will follow
+		Last    bool  // no Again will follow
+		Load    *Load // what the target told of itself with the answer
 	}
 	// Cancel ends an exchange that is at no target or is to leave it: its user agent
 	// has gone, or, Failed, its caller got an error.
@@ -57,6 +58,9 @@
 	}
 )
 
+// Load is what a target tells of itself with an answer.
+type Load struct{ Running, Waiting, Slots int }
+
 type Outcome int
 
 const (
@@ -67,6 +71,7 @@
 	Foreign                // another identity answered there; nothing was written
 	Stale                  // the choice grew too old before anything was written
 	Dropped                // the user agent went away
+	NotRun                 // the target turned it away and says that it did not run
 )
 
 // Commands besides those shared with core.
@@ -76,6 +81,8 @@
 		ID      uint64
 		Service string
 		Set     model.Service
+		Name    string      // the route's, "" for a rule
+		Route   model.Route // what holds for the exchange; a rule's has its service's numbers
 		Target  wire.Target
 		Left    time.Duration // until the exchange's deadline
 		Till    time.Duration // nothing of it may be written to this target later than this
@@ -85,7 +92,7 @@
 	Refuse struct {
 		ID      uint64
 		Status  int
-		Retry   int
+		Retry   time.Duration // when to come back, 0: not said
 		Code    string
 		Message string
 		Allowed []string
@@ -712,7 +719,7 @@
 	}
 	if t.sentAt == 0 && (t.probeAt == 0 || now-t.probeAt >= limit.DoubtEvery) {
 		t.probeAt, t.sentAt = now, now
-		g.do(core.Probe{ID: t.ID(), Addr: t.Addr})
+		g.do(core.Probe{ID: t.ID(), Addr: t.Addr, Path: g.cfg.Services[t.Service].HealthPath})
 	}
 }
 
@@ -953,7 +960,7 @@
 		t.inflight++
 		s.inflight++
 		g.Counts.Admitted++
-		g.do(Give{x.id, x.svc, x.set, t.Target, x.deadline - now, now + limit.ChoiceLife})
+		g.do(Give{ID: x.id, Service: x.svc, Set: x.set, Target: t.Target, Left: x.deadline - now, Till: now + limit.ChoiceLife})
 	case !any:
 		g.Counts.NoTarget++
 		g.refuse(now, x, 503, "no_target", "no target of the service may be used")
@@ -971,7 +978,7 @@
 func (g *Gate) refuse(now time.Duration, x *exchange, status int, code, msg string) {
 	r := Refuse{ID: x.id, Status: status, Code: code, Message: msg}
 	if status == 503 {
-		r.Retry = limit.RetryAfterMin + int((x.id*2654435761>>8)%limit.RetryAfterSpan)
+		r.Retry = limit.RetryAfterMin + time.Duration((x.id*2654435761>>8)%uint64(limit.RetryAfterSpan))
 	}
 	g.do(r)
 	if status >= 500 && x.svc != "" {
--- a/host/door.go
+++ b/host/door.go
@@ -81,7 +81,7 @@
 	u.ask <- a
 	got := <-a.reply
 	if got.d == nil {
-		retry := 0
+		retry := time.Duration(0)
 		if got.status == 503 {
 			retry = limit.RetryAfterMin
 		}
--- a/host/host.go
+++ b/host/host.go
@@ -598,7 +598,7 @@
 			return
 		}
 		if a.Retry > 0 {
-			w.Header().Set("Retry-After", fmt.Sprint(a.Retry))
+			w.Header().Set("Retry-After", carry.After(a.Retry))
 		}
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(a.Status)
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -73,7 +73,7 @@
 	// texts fit HistoryBytes.
 	ChangesKept = 16
 	// DocMax bounds a configuration in bytes.
-	DocMax = 128 << 10
+	DocMax = 512 << 10
 	// WireMax bounds one message between daemons: a snapshot with all kept configurations.
 	WireMax = 8 << 20
 )
@@ -155,6 +155,8 @@
 	BodyMax = 1 << 20
 	// ReplayMax is the largest body, in bytes, kept so that a safe exchange can be sent again.
 	ReplayMax = 64 << 10
+	// TimeoutMaxMs bounds a route's times: ten minutes.
+	TimeoutMaxMs = 600000
 	// TimeoutMs is the default deadline of an exchange.
 	TimeoutMs = 5000
 	// CapDefault is the default number of exchanges in flight per target over all proxies.
@@ -163,9 +165,9 @@
 	WarmDefault = 4
 	// RampUp is over what time a target's cap grows from its warming one to the full one.
 	RampUp = 3 * time.Second
-	// RetryAfterMin and RetryAfterSpan make the Retry-After of a refusal, in seconds, spread by exchange.
-	RetryAfterMin  = 1
-	RetryAfterSpan = 3
+	// RetryAfterMin and RetryAfterSpan make the Retry-After of a refusal, spread by exchange.
+	RetryAfterMin  = time.Second
+	RetryAfterSpan = 3 * time.Second
 	// PipeIdle is how long an unused pipe to a back end is kept: under the 5 s after which common
 	// servers close theirs, so that an exchange seldom meets the close under way.
 	PipeIdle = 4 * time.Second
@@ -189,9 +191,9 @@
 	TickEvery = 20 * time.Millisecond
 	// EventQueue is how many events may wait for an owner.
 	EventQueue = 4096
-	// RingFiles and RingFileSize bound a member's disk: 3 files of 4 MiB.
+	// RingFiles and RingFileSize bound a member's disk: 3 files of 8 MiB.
 	RingFiles    = 3
-	RingFileSize = 4 << 20
+	RingFileSize = 8 << 20
 	// SettingsEvery is how often a settings file is looked at for changes.
 	SettingsEvery = 2 * time.Second
 	// StreamBuffer is how many decisions wait for a slow reader before it is told what it missed.
--- a/model/model.go
+++ b/model/model.go
@@ -37,6 +37,17 @@
 	BodyMax   int `koanf:"body_max" json:"body_max"`
 	Tries     int `koanf:"tries" json:"tries"`
 	SlowMs    int `koanf:"slow_ms" json:"slow_ms,omitempty"`
+	// HealthPath is where targets are asked for their health; "": the identity exchange instead.
+	HealthPath string `koanf:"health_path" json:"health_path,omitempty"`
+	// ConnCap is how many pipes a target takes from all callers together, 0: not said.
+	ConnCap int `koanf:"conn_cap" json:"conn_cap,omitempty"`
+	// ColdS is how many seconds a target is cold after its start, ColdPerS the exchanges a second
+	// that it bears meanwhile from all proxies together; 0: no such bound.
+	ColdS    float64 `koanf:"cold_s" json:"cold_s,omitempty"`
+	ColdPerS float64 `koanf:"cold_per_s" json:"cold_per_s,omitempty"`
+	// Proto and Tls are how targets are spoken to: h1 without TLS is what there is.
+	Proto string `koanf:"proto" json:"proto,omitempty"`
+	Tls   bool   `koanf:"tls" json:"tls,omitempty"`
 }
 
 type Rule struct {
@@ -77,10 +88,15 @@
 }
 
 type Config struct {
+	// Revision is the operator's own number for the document, 0: the next one.
+	Revision uint64             `json:"revision,omitempty"`
 	Services map[string]Service `json:"services"`
 	Rules    []Rule             `json:"rules"`
+	Routes   map[string]Route   `json:"routes,omitempty"`
+	Limits   *Limits            `json:"limits,omitempty"`
 	Policies map[string]Policy  `json:"policies,omitempty"`
 	Aims     map[string]Aim     `json:"aims,omitempty"`
+	byHost   hosts
 }
 
 type Fault struct {
@@ -200,7 +216,7 @@
 	}
 	raw := k.Raw()
 	c := &checker{}
-	cfg := &Config{Services: map[string]Service{}, Policies: map[string]Policy{}, Aims: map[string]Aim{}}
+	cfg := &Config{Services: map[string]Service{}, Routes: map[string]Route{}, Policies: map[string]Policy{}, Aims: map[string]Aim{}}
 	for _, key := range slices.Sorted(maps.Keys(raw)) {
 		switch v := raw[key]; key {
 		case "services":
@@ -214,6 +230,17 @@
 				c.service(join(key, n), n, s)
 				cfg.Services[n] = s
 			}
+		case "revision":
+			if f, ok := v.(float64); !ok || f < 1 || f != math.Trunc(f) || f > 1<<53 {
+				c.add(key, "must be a whole number over 0")
+			} else {
+				cfg.Revision = uint64(f)
+			}
+		case "routes":
+			c.routes(cfg, v)
+		case "limits":
+			cfg.Limits = &Limits{}
+			c.strict(key, v, cfg.Limits)
 		case "rules":
 			l, ok := v.([]any)
 			if !ok {
@@ -282,6 +309,8 @@
 			}
 		}
 	}
+	c.checkRoutes(cfg)
+	cfg.index()
 	return cfg, c.faults, nil
 }
 
@@ -368,6 +397,19 @@
 	if s.WarmCap > s.Cap {
 		c.add(path+".warm_cap", "%d is over cap %d", s.WarmCap, s.Cap)
 	}
+	if s.HealthPath != "" && (!strings.HasPrefix(s.HealthPath, "/") || strings.ContainsAny(s.HealthPath, "?#* ")) {
+		c.add(path+".health_path", "must be a plain path")
+	}
+	c.within(path+".conn_cap", s.ConnCap, 0, 1000000)
+	if !(s.ColdS >= 0 && s.ColdS <= 3600) {
+		c.add(path+".cold_s", "%v is not between 0 and 3600", s.ColdS)
+	}
+	if !(s.ColdPerS >= 0 && s.ColdPerS <= 1e6) {
+		c.add(path+".cold_per_s", "%v is not between 0 and 1000000", s.ColdPerS)
+	}
+	if s.Proto != "" && s.Proto != "h1" || s.Tls {
+		c.add(path+".proto", "targets are spoken to by h1 without TLS")
+	}
 	if (s.WaitMs > 0) != (s.WaitLen > 0) {
 		c.add(path+".wait_ms", "wait_ms and wait_len go together")
 	}
@@ -406,10 +448,7 @@
 // longest path, whose end must fall on a segment. Allowed lists the methods
 // of that path when only the method is wrong.
 func (c *Config) Match(host, path, method string) (svc string, allowed []string, ok bool) {
-	host = strings.ToLower(host)
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:i]
-	}
+	host = bare(host)
 	best := -1
 	for _, r := range c.Rules {
 		if r.Host != "" && r.Host != host || !under(r.Path, path) {
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -18,7 +18,7 @@
 		"services": {"a": {"cap": 3.5}, "B!": {}, "c": {"tries": "x", "warm_cap": 90, "odd": 1}, "d": null, "e": {"wait_ms": 5}},
 		"rules": [{"path": "x", "service": "zz"}, {"path": "/a/", "service": "a", "methods": ["FETCH"], "junk": true},
 			{"path": "/b", "service": "a", "methods": ["GET", "PUT"]}, {"path": "/b", "service": "c", "methods": ["PUT"]}, {"path": "/../b", "service": "a"}],
-		"limits": {}, "aims": {"x": {"service": "zz", "part": 2, "odd": 1}}, "policies": {"p": {"slice": 3}}}`), none)
+		"bounds": {}, "aims": {"x": {"service": "zz", "part": 2, "odd": 1}}, "policies": {"p": {"slice": 3}}}`), none)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -27,7 +27,7 @@
 		got = append(got, f.Path)
 	}
 	slices.Sort(got)
-	want := []string{"aims.x.odd", "aims.x.part", "aims.x.service", "limits", "policies.p.slice", "rules[0].path", "rules[0].service", "rules[1].junk", "rules[1].methods[0]", "rules[3]",
+	want := []string{"aims.x.odd", "aims.x.part", "aims.x.service", "bounds", "policies.p.slice", "rules[0].path", "rules[0].service", "rules[1].junk", "rules[1].methods[0]", "rules[3]",
 		"rules[4].path", "services.B!", "services.a.cap", "services.c.odd", "services.c.tries", "services.c.warm_cap", "services.d", "services.e.wait_ms"}
 	if !slices.Equal(got, want) {
 		t.Fatalf("got  %v\nwant %v", got, want)
--- a/wire/msg.capnp
+++ b/wire/msg.capnp
@@ -98,6 +98,9 @@
   pending @11 :Bool;
   beating @12 :Bool;
   turn @13 :UInt32;
+  slots @14 :UInt32;
+  coldLeft @15 :Int64;
+  number @16 :UInt64;
 }
 struct SeenC {
   service @0 :Text;
@@ -109,6 +112,7 @@
   demand @6 :Float64;
   hasDemand @7 :Bool;
   slow @8 :UInt32;
+  notRun @9 :UInt32;
 }
 struct KeyC {
   epoch @0 :UInt64;
@@ -137,6 +141,8 @@
   key @1 :KeyC;
   seen @2 :List(SeenC);
   table @3 :TableC;
+  revision @4 :UInt64;
+  seq @5 :UInt64;
 }
 struct PushC {
   grant @0 :Bool;
@@ -152,7 +158,7 @@
   query @4 :Text;
   body @5 :Data;
   status @6 :UInt16;
-  retry @7 :UInt32;
+  retryMs @7 :UInt32;
   token @8 :Text;
 }
 struct BatchC {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -134,7 +134,10 @@
 	BarWhy    string  `json:"bar_why,omitempty"`
 	Pending   bool    `json:"pending,omitempty"`
 	Beating   bool    `json:"beating"`
-	Turn      uint32  `json:"-"` // its place in the dealing of caps among proxies
+	Turn      uint32  `json:"-"`                      // its place in the dealing of caps among proxies
+	Slots     uint32  `json:"slots,omitempty"`        // exchanges that it works on at once, 0: not said
+	ColdLeft  int64   `json:"cold_left_ns,omitempty"` // how much longer it bears only its service's cold rate
+	Number    uint64  `json:"number,omitempty"`       // its word's number, which rises with each; 0: not numbered
 }
 
 type ID struct {
@@ -160,6 +163,7 @@
 	Demand    float64
 	HasDemand bool
 	Slow      uint32
+	NotRun    uint32 // turned away by the target itself, which says that it did not run them
 }
 
 // Key orders tables: a later epoch, then term, then number, wins.
@@ -203,6 +207,9 @@
 	Key   Key
 	Seen  []Seen
 	Table *Table
+	// Revision and Seq are those of the document and state held here: a table that has the same comes without.
+	Revision uint64
+	Seq      uint64
 }
 
 type Push struct {
@@ -213,15 +220,15 @@
 }
 
 type Ask struct {
-	Id     uint64
-	Reply  bool
-	Method string
-	Path   string
-	Query  string
-	Body   []byte
-	Status uint16
-	Retry  uint32
-	Token  string
+	Id      uint64
+	Reply   bool
+	Method  string
+	Path    string
+	Query   string
+	Body    []byte
+	Status  uint16
+	RetryMs uint32
+	Token   string
 }
 
 // Batch is what a member's disk takes in one piece, synced as a whole before
