--- a/carry/carry.go
+++ b/carry/carry.go
@@ -41,6 +41,25 @@
 	RanHeader = "Myrtlefold-Ran"
 )
 
+// Headers are the names of the headers that exchanges carry beside the callers' own.
+type Headers struct {
+	Deadline string // ms that the caller still gives; passed on with what is left
+	Ran      string // an error's word on whether the exchange ran: no or unknown
+	Attempt  string // the exchange's id, which targets echo
+	Expect   string // the identity that is expected of the target
+	NotRun   string // a target's word that it did not run the exchange
+	Load     string // a target's running, waiting, slots
+	Identity string // a target's identity in its health answers
+	Cold     string // ms that a target is still cold, in its health answers
+	Proof    string // without it a 2xx is no target's answer; "": nothing is asked
+}
+
+// DefaultHeaders are the product's own.
+func DefaultHeaders() Headers {
+	return Headers{Deadline: DeadlineHeader, Ran: RanHeader, Attempt: "Myrtlefold-Attempt", Expect: "Myrtlefold-Expect", NotRun: "Myrtlefold-Not-Run",
+		Load: "Myrtlefold-Load", Identity: "Myrtlefold-Identity", Cold: "Myrtlefold-Cold-Ms"}
+}
+
 // Owner passes events to the proxy's owner. Ask waits for the Give or Refuse
 // that answers an event for an exchange.
 type Owner struct {
--- a/cmd/mfgate/main.go
+++ b/cmd/mfgate/main.go
@@ -7,4 +7,4 @@
 	"myrtlefold/host"
 )
 
-func main() { os.Exit(host.RunGate(os.Args[1:])) }
+func main() { os.Exit(host.RunGate(os.Args[1:], host.Own())) }
--- a/host/core.go
+++ b/host/core.go
@@ -11,8 +11,8 @@
 )
 
 // RunCore is mfcore.
-func RunCore(args []string) int {
-	h := Start("core", args)
+func RunCore(args []string, say Dialect) int {
+	h := Start("core", args, say)
 	disk, img, err := h.OpenDisk()
 	if err != nil {
 		h.Fatal(err, "state on disk")
--- a/host/gate.go
+++ b/host/gate.go
@@ -18,8 +18,8 @@
 )
 
 // RunGate is mfgate.
-func RunGate(args []string) int {
-	h := Start("gate", args)
+func RunGate(args []string, say Dialect) int {
+	h := Start("gate", args, say)
 	own := gate.New(gate.Settings{Self: h.Daemon(), Seeds: h.Set.Seeds})
 	pool := carry.NewPool()
 	car := carry.New(carry.Owner{Now: h.Now, Tell: h.Loop.Tell, Ask: func(ctx context.Context, id uint64, ev any) any {
--- a/host/host.go
+++ b/host/host.go
@@ -18,6 +18,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"syscall"
@@ -55,7 +56,33 @@
 	Data   string   `koanf:"data" json:"data,omitempty"`
 	Size   int      `koanf:"size" json:"size,omitempty"`
 	Log    string   `koanf:"log" json:"log,omitempty"`
-}
+	// Found says that this is the fleet's first start ever: where no size is told, the seeds found the core then.
+	Found bool `koanf:"found" json:"found,omitempty"`
+	// Domains are all domains of the fleet, if they are known beforehand.
+	Domains []string `koanf:"domains" json:"domains,omitempty"`
+	// MemoryMb is what the process may take, in MiB; the runtime is told. 0: not bounded.
+	MemoryMb int `koanf:"memory_mb" json:"memory_mb,omitempty"`
+	// GraceMs is how long after the polite signal the process is ended by force, 0: not known.
+	GraceMs int `koanf:"grace_ms" json:"grace_ms,omitempty"`
+	// RetryRatio, RetryWindowMs and RetrySlack bound what goes to a second target or a later
+	// one, per service and over all proxies; 0: the program's own.
+	RetryRatio    float64 `koanf:"retry_ratio" json:"retry_ratio,omitempty"`
+	RetryWindowMs int     `koanf:"retry_window_ms" json:"retry_window_ms,omitempty"`
+	RetrySlack    int     `koanf:"retry_slack" json:"retry_slack,omitempty"`
+	// ReadyWhenEmptied has a proxy go on asking for callers while its domain is emptied.
+	ReadyWhenEmptied bool `koanf:"ready_when_emptied" json:"ready_when_emptied,omitempty"`
+}
+
+// Dialect is how a platform speaks where that is not the product's own way.
+type Dialect struct {
+	// Load reads the settings and, for comparing, what they were read from; nil: flags and file.
+	Load func() (Settings, []byte, []model.Fault, error)
+	// Headers are the names of the headers that exchanges carry.
+	Headers carry.Headers
+}
+
+// Own is the product's own way.
+func Own() Dialect { return Dialect{Headers: carry.DefaultHeaders()} }
 
 // Check lists the faults of settings for a kind of daemon.
 func (s *Settings) Check(kind string) []model.Fault {
@@ -90,13 +117,24 @@
 	if _, err := logrus.ParseLevel(s.Log); err != nil {
 		add("log", "%v", err)
 	}
+	for _, n := range []struct {
+		path string
+		v    float64
+	}{{"memory_mb", float64(s.MemoryMb)}, {"grace_ms", float64(s.GraceMs)}, {"retry_ratio", s.RetryRatio}, {"retry_window_ms", float64(s.RetryWindowMs)}, {"retry_slack", float64(s.RetrySlack)}} {
+		if !(n.v >= 0 && n.v <= 1<<31) {
+			add(n.path, "%v is below 0 or too large", n.v)
+		}
+	}
 	switch kind {
 	case "core":
 		if s.Data == "" {
 			add("data", "is missing: a core member needs a folder")
 		}
-		if s.Size != 1 && s.Size != 3 && s.Size != 5 {
-			add("size", "a core has 3 or 5 members (1 for trials), not %d", s.Size)
+		if s.Size != 0 && s.Size != 1 && s.Size != 3 && s.Size != 5 {
+			add("size", "a core has 3 or 5 members (1 for trials, 0 if the seeds found it), not %d", s.Size)
+		}
+		if s.Size == 0 && len(s.Seeds) == 0 {
+			add("seeds", "is empty, and no size is told")
 		}
 		if s.Size > 1 && len(s.Seeds) == 0 {
 			add("seeds", "is empty")
@@ -174,7 +212,8 @@
 	Reg   *prometheus.Registry
 	Inc   uint64
 	Loop  *Loop
-	Flags *Flags
+	load  func() (Settings, []byte, []model.Fault, error)
+	say   Dialect
 	raw   []byte
 	start time.Time
 	out   map[string]chan *wire.Msg
@@ -182,20 +221,24 @@
 }
 
 // Start reads command line and settings; on any fault it says each and exits 2.
-func Start(kind string, args []string) *Host {
+func Start(kind string, args []string, say Dialect) *Host {
 	app := kingpin.New("mf"+kind, map[string]string{
 		"core": "A control daemon: keeps the configuration, the roster and the judgement of targets.",
 		"gate": "A proxy daemon: carries callers' exchanges to back ends."}[kind])
 	app.Version(Version)
 	app.HelpFlag.Short('h')
 	f := &Flags{}
-	f.Bind(app, kind)
+	load := say.Load
+	if load == nil {
+		f.Bind(app, kind)
+		load = func() (Settings, []byte, []model.Fault, error) { return f.Load(kind) }
+	}
 	check := app.Flag("check", "check the settings and exit").Bool()
 	if _, err := app.Parse(args); err != nil {
 		fmt.Fprintf(os.Stderr, "mf%s: %v, see --help\n", kind, err)
 		os.Exit(2)
 	}
-	set, raw, faults, err := f.Load(kind)
+	set, raw, faults, err := load()
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "mf%s: %v\n", kind, err)
 		os.Exit(2)
@@ -215,13 +258,23 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	lv, _ := logrus.ParseLevel(set.Log)
 	log.SetLevel(lv)
-	h := &Host{Kind: kind, Set: set, Log: log, Reg: prometheus.NewRegistry(), Inc: rand.Uint64() | 1, Flags: f, raw: raw,
+	h := &Host{Kind: kind, Set: set, Log: log, Reg: prometheus.NewRegistry(), Inc: rand.Uint64() | 1, load: load, say: say, raw: raw,
 		start: time.Now(), out: map[string]chan *wire.Msg{}, Quit: make(chan int, 1)}
+	h.bound(set)
 	h.Reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	h.Loop = &Loop{in: make(chan item, limit.EventQueue), h: h, waits: map[uint64]chan any{}}
 	return h
 }
 
+// bound tells the runtime how much memory there is: the most goes to what lives, and
+// a part stays for what the runtime does not count.
+func (h *Host) bound(s Settings) {
+	if s.MemoryMb > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMb<<20) * limit.MemoryShare))
+		debug.SetGCPercent(limit.GcPercent)
+	}
+}
+
 // Now is monotonic time since the process started, never 0.
 func (h *Host) Now() time.Duration { return time.Since(h.start) + time.Millisecond }
 
@@ -640,41 +693,45 @@
 	}()
 }
 
-// Watch looks at the settings file again and again. Sound changes of log level
-// and seeds take effect; others wait for the next start; unsound ones are said
-// once and the old ones kept.
+// Watch looks at the settings again and again, and at once on SIGHUP. Sound changes of
+// log level, seeds and memory take effect; others wait for the next start; unsound ones
+// are said once and the old ones kept.
 func (h *Host) Watch(seeds func([]string)) {
-	if h.Flags.File == "" {
-		return
-	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	tick := time.NewTicker(limit.SettingsEvery)
 	go func() {
 		seen, cur := string(h.raw), h.Set
-		for range time.Tick(limit.SettingsEvery) {
-			b, err := os.ReadFile(h.Flags.File)
-			if err != nil && seen != "" {
-				h.Log.WithError(err).Warn("settings file can't be read; the old settings stay")
-				seen = ""
-				continue
+		for {
+			select {
+			case <-hup:
+			case <-tick.C:
 			}
-			if err != nil || string(b) == seen {
+			s, b, faults, err := h.load()
+			if string(b) == seen && err == nil {
 				continue
 			}
-			seen = string(b)
-			s, _, faults, err := h.Flags.Load(h.Kind)
 			if err != nil || len(faults) > 0 {
-				h.Log.WithError(err).WithField("faults", faults).Warn("changed settings are unsound; the old ones stay")
+				if string(b) != seen || err != nil && seen != err.Error() {
+					h.Log.WithError(err).WithField("faults", faults).Warn("changed settings are unsound; the old ones stay")
+				}
+				if seen = string(b); err != nil {
+					seen = err.Error()
+				}
 				continue
 			}
+			seen = string(b)
 			if lv, _ := logrus.ParseLevel(s.Log); s.Log != cur.Log {
 				h.Log.SetLevel(lv)
 			}
 			if !slices.Equal(s.Seeds, cur.Seeds) {
 				seeds(s.Seeds)
 			}
+			h.bound(s)
 			rest := s
-			rest.Log, rest.Seeds = cur.Log, cur.Seeds
+			rest.Log, rest.Seeds, rest.MemoryMb = cur.Log, cur.Seeds, cur.MemoryMb
 			waits := !reflect.DeepEqual(rest, cur)
-			cur.Log, cur.Seeds = s.Log, s.Seeds
+			cur.Log, cur.Seeds, cur.MemoryMb = s.Log, s.Seeds, s.MemoryMb
 			h.Log.WithFields(logrus.Fields{"log": s.Log, "seeds": s.Seeds, "rest_at_next_start": waits}).Info("settings changed")
 		}
 	}()
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -196,6 +196,10 @@
 	RingFileSize = 8 << 20
 	// SettingsEvery is how often a settings file is looked at for changes.
 	SettingsEvery = 2 * time.Second
+	// MemoryShare of a process's memory is what the runtime may fill, and GcPercent how much garbage
+	// may lie beside what lives (the runtime's own is 100): small machines, where memory is dear.
+	MemoryShare = 0.7
+	GcPercent   = 60
 	// StreamBuffer is how many decisions wait for a slow reader before it is told what it missed.
 	StreamBuffer = 512
 	// LineMax bounds a line of the judge's stream in bytes, DeskTargets the targets of one stream,
