--- a/core/core.go
+++ b/core/core.go
@@ -76,8 +76,9 @@
 
 type Settings struct {
 	Self  wire.Daemon
-	Size  int
-	Seeds []string
+	Size  int      // how many members found the first core; 0: those that the seeds name
+	Seeds []string // at the fleet's first start the same for all
+	Found bool     // this is the fleet's first start
 }
 
 // Lead is a member's standing as the one who decides.
@@ -176,7 +177,11 @@
 	vow      vow
 	lockSeq  uint64 // batch that has the lock; it is told to nobody before that is synced
 	safeSeq  uint64
-	freshAt  uint64 // number of the last founding batch; a node's batches count on from it
+	via      string                   // who leads, as last heard of
+	places   int                      // of the first core, if this process may found it
+	heard    map[string]heard         // other core daemons, as last heard
+	tried    map[string]time.Duration // who learns, or has tried to in vain, since when
+	freshAt  uint64                   // number of the last founding batch; a node's batches count on from it
 	stopping bool
 	stopAt   time.Duration
 
@@ -246,8 +251,16 @@
 // given the shell's.
 func New(now time.Duration, set Settings, img quorum.Image) *Core {
 	c := &Core{set: set, img: img, known: Book{}, memories: map[string]memory{}, gates: map[string]*gate{},
-		pend: map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, state: newState(), relaySeq: set.Self.Inc << 20}
+		pend: map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, heard: map[string]heard{}, tried: map[string]time.Duration{}, state: newState(), relaySeq: set.Self.Inc << 20}
 	c.set.Self.Disk = img.Disk
+	switch {
+	case set.Size > 0:
+		c.places = set.Size
+	case set.Found && slices.Contains(set.Seeds, set.Self.Addr):
+		c.places = len(slices.Compact(slices.Sorted(slices.Values(set.Seeds))))
+	case img.Lock != 0: // it was restarted while it founded
+		c.places = len(img.Founders)
+	}
 	if img.Epoch != 0 {
 		c.start(now)
 	}
@@ -296,6 +309,7 @@
 	case Stop:
 		if !c.stopping {
 			c.stopping, c.stopAt = true, now
+			c.hello(now)
 			if c.node != nil && c.node.Yield(now) {
 				c.do(Change{"leadership", c.set.Self.Name, "", "stopping"})
 			}
@@ -368,6 +382,7 @@
 			}
 		}
 		c.found(now)
+		c.via = c.leader(now)
 	}
 	if c.node != nil && !c.retired() {
 		c.node.Tick(now)
@@ -380,7 +395,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.relays)) {
 		p := c.relays[id]
-		switch l := c.led(now); {
+		switch l := c.relayTo(now); {
 		case now-p.at > limit.AskWait+limit.CoreGrant:
 			delete(c.relays, id)
 			c.unknown(p)
@@ -409,6 +424,9 @@
 			return
 		}
 		c.known.Meet(now, c.set.Self.Name, m.Hello)
+		if d := m.Hello.Self; d.Kind == "core" && d.Name != c.set.Self.Name {
+			c.heard[d.Name] = heard{now, d.Domain, d.State == stoppingState}
+		}
 		if len(m.Hello.Legacy) > 0 {
 			var l Legacy
 			if json.Unmarshal(m.Hello.Legacy, &l) == nil {
@@ -769,8 +787,8 @@
 // beat takes a back end's word, straight or passed on.
 func (c *Core) beat(now time.Duration, w wire.Target, passOn bool) {
 	if c.lead != Deciding && c.lead != Warming {
-		if c.node != nil && passOn {
-			c.send(c.node.Leader(), &wire.Msg{Kind: uint16(wire.KBeat), Stamp: 1, Beat: &w})
+		if passOn {
+			c.send(c.leader(now), &wire.Msg{Kind: uint16(wire.KBeat), Stamp: 1, Beat: &w})
 		}
 		return
 	}
@@ -1181,38 +1199,189 @@
 func (c *Core) wide(now time.Duration, o order) { c.wideUntil = c.propose(now, o) }
 
 // members admits again a member that came back with another disk, and those
-// that an operator asked for, once they have caught up.
+// that an operator asked for, once they have caught up; and it looks after the
+// others, by number or, if none is given, by who is there.
 func (c *Core) members(now time.Duration) {
 	if !c.node.Settled() {
 		return
 	}
 	ms := c.node.Members()
+	all := c.cores(now, true)
 	ghost := slices.IndexFunc(ms, func(m wire.Member) bool { return m.Disk == 0 })
-	for _, d := range c.cores(now, true) {
+	for _, d := range all {
 		if d.Name == c.set.Self.Name || d.Disk == 0 {
 			continue
 		}
 		i := slices.IndexFunc(ms, func(m wire.Member) bool { return m.Name == d.Name })
-		m := wire.Member{Name: d.Name, Disk: d.Disk}
 		switch {
 		case i >= 0 && ms[i].Disk != d.Disk && (d.Epoch == 0 || d.Epoch == c.node.Epoch()):
 			c.do(Change{"member", d.Name, "out", "it lost its disk"})
 			c.swaps[d.Name] = true
 			c.node.Change(now, slices.Delete(slices.Clone(ms), i, i+1))
 			return
-		case i < 0 && c.state.Out[d.Name] == 0 && ghost >= 0:
+		case i < 0 && c.set.Size > 0 && c.state.Out[d.Name] == 0 && ghost >= 0:
 			c.do(Change{"member", ms[ghost].Name, "out", "its place was kept for who was not there at the founding"})
 			c.swaps[d.Name] = true
 			c.node.Change(now, slices.Delete(slices.Clone(ms), ghost, ghost+1))
 			return
 		case i < 0 && (c.swaps[d.Name] || len(ms) < c.set.Size && c.state.Out[d.Name] == 0):
-			c.node.Learn(m)
-			if c.node.CaughtUp(m) {
-				c.do(Change{"member", d.Name, "in", "caught up"})
-				delete(c.swaps, d.Name)
-				c.node.Change(now, append(slices.Clone(ms), m))
+			if c.admit(now, ms, d) {
 				return
 			}
 		}
 	}
+	if c.set.Size == 0 {
+		c.tend(now, ms, all)
+	}
+}
+
+// admit has a daemon learn, and makes it a member once it has caught up.
+func (c *Core) admit(now time.Duration, ms []wire.Member, d wire.Daemon) bool {
+	m := wire.Member{Name: d.Name, Disk: d.Disk}
+	c.node.Learn(m)
+	if !c.node.CaughtUp(m) {
+		return false
+	}
+	c.do(Change{"member", d.Name, "in", "caught up"})
+	delete(c.swaps, d.Name)
+	delete(c.tried, d.Name)
+	c.node.Change(now, append(slices.Clone(ms), m))
+	return true
+}
+
+// silent is how long a member has not been heard, as far as this lead can tell.
+func (c *Core) silent(now time.Duration, name string) time.Duration {
+	if name == c.set.Self.Name {
+		return 0
+	}
+	return now - max(c.heard[name].at, c.leadAt)
+}
+
+// gone says that a member may be replaced: nobody's place at once, who fell silent
+// soon, and who said that it stops only after a machine's restart.
+func (c *Core) gone(now time.Duration, m wire.Member) bool {
+	after := limit.MemberGone
+	if c.heard[m.Name].stops {
+		after = limit.MemberForget
+	}
+	return m.Disk == 0 || c.silent(now, m.Name) > after
+}
+
+// sound says that a list of members has a majority that answers now.
+func (c *Core) sound(now time.Duration, ms []wire.Member) bool {
+	n := 0
+	for _, m := range ms {
+		if c.node.Answers(now, m) {
+			n++
+		}
+	}
+	return 2*n > len(ms)
+}
+
+func (c *Core) domainOf(name string) string {
+	if name == c.set.Self.Name {
+		return c.set.Self.Domain
+	}
+	if h, ok := c.heard[name]; ok {
+		return h.domain
+	}
+	return "? " + name
+}
+
+// worth compares sets of members by what they outlive: any one domain, then as many
+// machines as can be, with no more members than that takes; but two keep more than one.
+func (c *Core) worth(names []string) (w [3]int) {
+	per, most := map[string]int{}, 0
+	for _, n := range names {
+		d := c.domainOf(n)
+		per[d]++
+		most = max(most, per[d])
+	}
+	if 2*most < len(names) {
+		w[0] = 1
+	}
+	w[1], w[2] = (len(names)-1)/2, -len(names)
+	if len(names) == 2 {
+		w[2] = 0
+	}
+	return w
+}
+
+func namesOf(ms []wire.Member) (l []string) {
+	for _, m := range ms {
+		l = append(l, m.Name)
+	}
+	return l
+}
+
+// newcomer is who should become a member next, beside those who stay: the first of
+// those who make the best core, one from the domain with the fewest at each step.
+func (c *Core) newcomer(now time.Duration, stay []wire.Member, ms []wire.Member, all []wire.Daemon) (next wire.Daemon, ok bool) {
+	list := namesOf(stay)
+	free := slices.DeleteFunc(slices.Clone(all), func(d wire.Daemon) bool {
+		since, tried := c.tried[d.Name]
+		vain := tried && now-since > limit.LearnWait && now-since < limit.LearnAgain
+		return d.Disk == 0 || d.State == stoppingState || c.state.Out[d.Name] != 0 || vain || slices.Contains(namesOf(ms), d.Name)
+	})
+	best, first := c.worth(list), wire.Daemon{}
+	for len(list) < limit.VotersMax && len(free) > 0 {
+		per := map[string]int{}
+		for _, n := range list {
+			per[c.domainOf(n)]++
+		}
+		d := slices.MinFunc(free, func(a, b wire.Daemon) int {
+			return cmp.Or(cmp.Compare(per[a.Domain], per[b.Domain]), cmp.Compare(a.Name, b.Name))
+		})
+		free = slices.DeleteFunc(free, func(o wire.Daemon) bool { return o.Name == d.Name })
+		list = append(list, d.Name)
+		if first.Name == "" {
+			first = d
+		}
+		if w := c.worth(list); slices.Compare(best[:], w[:]) < 0 {
+			best, next, ok = w, first, true
+		}
+	}
+	return next, ok
+}
+
+// tend grows and mends a core whose size nobody has given, by one change at a time,
+// each between lists of which a majority answers. A newcomer is in before the one
+// that it replaces is out. One whose return would add nothing goes then; without a
+// replacement a silent one goes late, and only if a majority then takes fewer.
+func (c *Core) tend(now time.Duration, ms []wire.Member, all []wire.Daemon) {
+	var stay, gone []wire.Member
+	late := 0
+	for _, m := range ms {
+		if !c.gone(now, m) {
+			stay = append(stay, m)
+			continue
+		}
+		gone = append(gone, m)
+		if c.silent(now, m.Name) > limit.MemberForget {
+			late++
+		}
+	}
+	next, ok := c.newcomer(now, stay, ms, all)
+	c.node.Release(func(m wire.Member) bool { return ok && m.Name == next.Name || c.swaps[m.Name] })
+	if ok {
+		m := wire.Member{Name: next.Name, Disk: next.Disk}
+		if since, tried := c.tried[m.Name]; !tried || now-since >= limit.LearnAgain {
+			c.tried[m.Name] = now
+		}
+		if !c.node.CaughtUp(m) || c.sound(now, append(slices.Clone(ms), m)) {
+			c.admit(now, ms, next)
+		}
+		return
+	}
+	for _, m := range gone {
+		left := slices.DeleteFunc(slices.Clone(ms), func(o wire.Member) bool { return o == m })
+		with, without := c.worth(append(namesOf(stay), m.Name)), c.worth(namesOf(stay))
+		spent := slices.Compare(with[:], without[:]) <= 0
+		fewer := c.silent(now, m.Name) > limit.MemberForget && (len(ms)-late)/2 < len(ms)/2
+		if (spent || fewer) && c.sound(now, ms) && c.sound(now, left) {
+			c.do(Change{"member", m.Name, "out", fmt.Sprintf("silent for %v", c.silent(now, m.Name).Truncate(time.Second))})
+			c.node.Change(now, left)
+			return
+		}
+	}
 }
--- a/core/found.go
+++ b/core/found.go
@@ -56,6 +56,20 @@
 	at      time.Duration
 }
 
+// heard is what is kept of a core daemon after its silence.
+type heard struct {
+	at     time.Duration
+	domain string
+	stops  bool // it said that it stops, so it is to come back
+}
+
+// What a core daemon without a part in agreement says that it is.
+const (
+	emptyState    = "empty"    // it may found the first core
+	waitingState  = "waiting"  // it founds none and waits to be learnt
+	stoppingState = "stopping" // it goes, and is to come back
+)
+
 // Book is a daemon's list of the others, by name.
 type Book map[string]*Known
 
@@ -92,8 +106,14 @@
 		d.Epoch = c.node.Epoch()
 		d.Ready = c.node.Leader() != ""
 		d.State = c.node.Role().String()
+	} else if c.places > 0 {
+		d.State = emptyState
 	} else {
-		d.State = "empty"
+		d.State = waitingState
+		d.Ready = c.via != ""
+	}
+	if c.stopping {
+		d.State = stoppingState
 	}
 	return d
 }
@@ -106,6 +126,39 @@
 	return c.node.Leader()
 }
 
+// leader is where calls and words are passed on to: who leads, as heard from it or, by
+// a daemon that no leader speaks to, from those to whom one does.
+func (c *Core) leader(now time.Duration) string {
+	if c.node != nil && (c.node.Leader() != "" || !c.vacant()) {
+		return c.node.Leader()
+	}
+	return c.known.Leader(now)
+}
+
+// relayTo is whom a call may be passed on to again: a member's only while it is heard.
+func (c *Core) relayTo(now time.Duration) string {
+	if !c.vacant() {
+		return c.led(now)
+	}
+	return c.leader(now)
+}
+
+// Leader is the one that core daemons last named, in the latest epoch and term.
+func (b Book) Leader(now time.Duration) string {
+	var best *Known
+	for _, n := range slices.Sorted(maps.Keys(b)) {
+		k := b[n]
+		if k.Kind == "core" && k.Leader != "" && now-k.At < limit.DaemonGone &&
+			(best == nil || cmp.Or(cmp.Compare(k.Epoch, best.Epoch), cmp.Compare(k.Term, best.Term)) > 0) {
+			best = k
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.Leader
+}
+
 // hearer is one of those seen that hears a leader, "" if none does.
 func (c *Core) hearer(now time.Duration, all []wire.Daemon) string {
 	if c.led(now) != "" {
@@ -220,13 +273,14 @@
 // outlook is what can be said of the last core from those who are seen.
 type outlook struct {
 	last               membership
+	sized              bool
 	places             int // how many members a founding has
 	lost, held, absent int // of the last members: disk gone, here with their disk and no later lock, not seen
 }
 
 func (c *Core) outlook(all []wire.Daemon, gone []string) outlook {
-	o := outlook{last: c.lastMembers()}
-	o.places = cmp.Or(len(o.last.list), c.set.Size)
+	o := outlook{last: c.lastMembers(), sized: c.set.Size > 0}
+	o.places = cmp.Or(len(o.last.list), c.places)
 	for _, n := range gone {
 		if !slices.ContainsFunc(all, func(d wire.Daemon) bool { return d.Name == n }) &&
 			(len(o.last.list) == 0 || slices.ContainsFunc(o.last.list, func(m wire.Member) bool { return m.Name == n })) {
@@ -256,10 +310,13 @@
 }
 
 // founders are those of the seen who may found: the last core's members by name,
-// or whoever is there if nobody remembers one.
+// or, if nobody remembers one, whoever says that it may found the first.
 func (o outlook) founders(all []wire.Daemon) []wire.Daemon {
 	return slices.DeleteFunc(slices.Clone(all), func(d wire.Daemon) bool {
-		return len(o.last.list) > 0 && !slices.ContainsFunc(o.last.list, func(m wire.Member) bool { return m.Name == d.Name })
+		if len(o.last.list) == 0 {
+			return !o.sized && d.State != emptyState
+		}
+		return !slices.ContainsFunc(o.last.list, func(m wire.Member) bool { return m.Name == d.Name })
 	})
 }
 
@@ -300,6 +357,9 @@
 		c.seen = ""
 		return
 	}
+	refound, gone := c.vows(all)
+	o := c.outlook(all, gone)
+	all = o.founders(all)
 	var b strings.Builder
 	for _, d := range all {
 		fmt.Fprintf(&b, "%s %d ", d.Name, d.Disk)
@@ -307,9 +367,6 @@
 	if b.String() != c.seen {
 		c.seen, c.seenAt = b.String(), now
 	}
-	refound, gone := c.vows(all)
-	o := c.outlook(all, gone)
-	all = o.founders(all)
 	if len(all) > o.places || 2*len(all) <= o.places || o.elects() || !slices.ContainsFunc(all, func(d wire.Daemon) bool { return d.Name == c.set.Self.Name }) {
 		return
 	}
--- a/core/operate.go
+++ b/core/operate.go
@@ -328,8 +328,8 @@
 		return
 	}
 	l := ""
-	if c.node != nil && !c.stopping {
-		l = c.node.Leader()
+	if !c.stopping {
+		l = c.leader(now)
 	}
 	if l == "" || l == c.set.Self.Name || c.known[l] == nil {
 		c.answer(p, noLeader())
@@ -725,8 +725,10 @@
 // Leading says whether this member decides.
 func (c *Core) Leading() bool { return c.lead == Deciding }
 
-// Ready says whether this member takes part in agreement.
-func (c *Core) Ready() bool { return c.node != nil && c.node.Leader() != "" && !c.stopping }
+// Ready says whether this member takes part in agreement, or knows who leads and passes on to it.
+func (c *Core) Ready() bool {
+	return !c.stopping && (c.via != "" || c.node != nil && c.node.Leader() != "")
+}
 
 // Term is the present term, 0 before the core is founded.
 func (c *Core) Term() uint64 {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -11,7 +11,6 @@
 package gate
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -340,20 +339,7 @@
 }
 
 // leader is the one that the core members last heard name in the latest epoch and term.
-func (g *Gate) leader(now time.Duration) string {
-	var best *core.Known
-	for _, n := range slices.Sorted(maps.Keys(g.known)) {
-		k := g.known[n]
-		if k.Kind == "core" && k.Leader != "" && now-k.At < limit.DaemonGone &&
-			(best == nil || cmp.Or(cmp.Compare(k.Epoch, best.Epoch), cmp.Compare(k.Term, best.Term)) > 0) {
-			best = k
-		}
-	}
-	if best == nil {
-		return ""
-	}
-	return best.Leader
-}
+func (g *Gate) leader(now time.Duration) string { return g.known.Leader(now) }
 
 func (g *Gate) tick(now time.Duration) {
 	if now-g.helloAt >= limit.HelloEvery {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -34,6 +34,19 @@
 	// FoundWait is how long those who could found a core without one of its machines wait for it:
 	// longer than a daemon's restart, and with all that follows within 15 s.
 	FoundWait = 5 * time.Second
+	// VotersMax is how many members a core grows to if no size is given: any three machines may go,
+	// or a domain of three, and each entry is still synced by four only.
+	VotersMax = 7
+	// MemberGone is how long a member is silent before a spare daemon takes its place: longer than
+	// a process's restart. One that said that it stops has MemberForget.
+	MemberGone = 8 * time.Second
+	// MemberForget is how long a member is silent before it goes without a replacement: longer
+	// than a machine's restart.
+	MemberForget = 60 * time.Second
+	// LearnWait is how long a newcomer may take to catch up, and LearnAgain when one that did not
+	// is tried once more: others go first meanwhile.
+	LearnWait  = 3 * time.Second
+	LearnAgain = 15 * time.Second
 	// VowLife is how long an operator's order to found again holds.
 	VowLife = time.Minute
 	// HelloEvery is how often daemons tell each other who is there.
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -14,6 +14,7 @@
 import (
 	"encoding/json"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -312,6 +313,17 @@
 	}
 }
 
+// Release stops keeping those without a vote up to date that are not to be kept.
+func (n *Node) Release(keep func(wire.Member) bool) {
+	maps.DeleteFunc(n.partners, func(_ string, p *partner) bool { return !p.voter && !keep(p.m) })
+}
+
+// Answers says that a member, or one that learns, has answered lately.
+func (n *Node) Answers(now time.Duration, m wire.Member) bool {
+	p := n.partners[m.Name]
+	return m == n.self || p != nil && p.m == m && now-p.acked < limit.CoreGrant
+}
+
 // Led says whether a leader is heard, or is this node.
 func (n *Node) Led(now time.Duration) bool {
 	return n.role == Leader || n.leader != "" && now-n.heard < 3*limit.ElectMin
--- /dev/null
+++ b/sim/fleet_test.go
@@ -0,0 +1,262 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// Here the core's size is not given: seeds found it, and the leader grows and mends it.
+
+func open(cores, seeds int) Plan {
+	p := Small
+	p.Cores, p.Seeds, p.Rate = cores, seeds, 20
+	return p
+}
+
+// until runs the world until ok, at most d.
+func (w *World) until(d time.Duration, ok func() bool) bool {
+	end := w.now + d
+	for !ok() && w.now < end && w.Fail == "" {
+		w.Run(w.now + 50*time.Millisecond)
+	}
+	return ok()
+}
+
+func (w *World) memberNames() (l []string) {
+	if w.Leader() == nil {
+		return nil
+	}
+	for _, m := range w.Leader().core.Status(0).Members {
+		l = append(l, m.Name)
+	}
+	return l
+}
+
+// sane wants a core that any one machine and any one domain may leave.
+func (w *World) sane(t *testing.T, n int) {
+	t.Helper()
+	ms, per := w.memberNames(), map[string]int{}
+	for _, m := range ms {
+		per[w.procs[m].domain]++
+		if !w.procs[m].alive {
+			t.Errorf("seed %d: %s is a member and dead", w.Seed, m)
+		}
+	}
+	if len(ms) != n {
+		t.Fatalf("seed %d: members %v, wanted %d\n%s", w.Seed, ms, n, w.Trace(40))
+	}
+	for d, k := range per {
+		if n >= 3 && 2*k >= n {
+			t.Errorf("seed %d: %d of %d members are in %s: %v", w.Seed, k, n, d, ms)
+		}
+	}
+}
+
+// Whatever the number of seeds and daemons, one core is founded and grows to what
+// outlives a machine and a domain; a seed may be restarted in between, and is then not
+// told any more that this is the first start.
+func TestFoundBySeeds(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ cores, seeds, want int }{{1, 1, 1}, {3, 1, 3}, {5, 1, 5}, {2, 2, 2}, {3, 3, 3}, {4, 3, 3}, {5, 3, 5}, {6, 3, 5}, {7, 3, 7}, {11, 3, 7}} {
+		for seed := range uint64(12) {
+			t.Run(fmt.Sprintf("%d of %d", c.seeds, c.cores), func(t *testing.T) {
+				t.Parallel()
+				w := New(seed, open(c.cores, c.seeds))
+				if seed%3 > 0 {
+					w.at(w.ms(100, 2500), func() {
+						p := w.procs[w.names[w.rnd.IntN(c.seeds)]]
+						w.Kill(p)
+						if seed%3 == 2 && c.seeds == 3 {
+							w.WipeDisk(p)
+						}
+						w.at(w.ms(50, 1200), func() { w.Restart(p) })
+					})
+				}
+				w.until(25*time.Second, func() bool { return len(w.memberNames()) == c.want })
+				w.Run(w.now + 4*time.Second)
+				check(t, w)
+				w.sane(t, c.want)
+				if e := w.Leader().core.Status(0).Epoch; e != 1 && seed%3 == 0 {
+					t.Errorf("epoch %d", e)
+				}
+				w.PutConfig(w.Leader(), 0, 1)
+				w.Back(10 * time.Second)
+				check(t, w)
+				for _, n := range w.all("core") { // a spare passes calls on too
+					if !w.procs[n].core.Ready() {
+						t.Errorf("%s is not ready", n)
+					}
+				}
+			})
+		}
+	}
+}
+
+// A daemon that is no seed, or that is not told of a first start, founds nothing.
+func TestNobodyFoundsFromNothing(t *testing.T) {
+	t.Parallel()
+	w := New(1, open(5, 3))
+	for _, n := range w.names[:3] {
+		p := w.procs[n]
+		w.at(1001*time.Millisecond, func() { w.Kill(p); w.WipeDisk(p) })
+		w.at(1100*time.Millisecond, func() { w.Restart(p) })
+	}
+	w.Run(1001 * time.Millisecond)
+	w.Run(60 * time.Second)
+	check(t, w)
+	if w.Leader() != nil {
+		t.Fatalf("%s leads\n%s", w.Leader().name, w.Trace(20))
+	}
+}
+
+// Members go for good, again and again, leaders among them and while leaders die, and
+// an empty daemon at another address comes for each; seeds change with them.
+func TestMembersReplaced(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(16) {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			cores := []int{3, 5, 7, 9}[seed%4]
+			w := Start(seed, open(cores, 3))
+			w.until(10*time.Second, func() bool { return len(w.memberNames()) == min(cores, 7) })
+			for round := range 8 {
+				ms := w.memberNames()
+				if len(ms) == 0 {
+					t.Fatalf("no leader in round %d\n%s", round, w.Trace(40))
+				}
+				old := w.procs[ms[w.rnd.IntN(len(ms))]]
+				if round%3 == 2 {
+					old = w.Leader()
+				}
+				w.Kill(old)
+				w.names = slices.DeleteFunc(w.names, func(n string) bool { return n == old.name })
+				w.at(w.ms(0, 6000), func() {
+					name := fmt.Sprintf("n%d", round)
+					w.addProc("core", name, int(old.domain[1]-'1'))
+					w.seeds = []string{ms[0], ms[len(ms)-1], name}
+					w.start(w.procs[name])
+				})
+				if cores > 3 {
+					w.at(w.ms(7000, 12000), func() {
+						if l := w.Leader(); l != nil {
+							w.Kill(l)
+							w.at(w.ms(500, 3000), func() { w.Restart(l) })
+						}
+					})
+				}
+				w.Run(w.now + 16*time.Second)
+				w.until(25*time.Second, func() bool {
+					l := w.memberNames()
+					return len(l) == min(cores, 7) && !slices.Contains(l, old.name)
+				})
+				check(t, w)
+				w.sane(t, min(cores, 7))
+				w.PutConfig(w.Leader(), w.Revision(), round+5)
+				w.Run(w.now + 3*time.Second)
+			}
+			w.Back(15 * time.Second)
+			w.Finish()
+			check(t, w)
+			if r := w.Leader().core.Revision(); r < 8 {
+				t.Errorf("revision %d", r)
+			}
+			if e := w.Leader().core.Status(0).Epoch; e != 1 {
+				t.Errorf("epoch %d", e)
+			}
+		})
+	}
+}
+
+// Who stops politely keeps its place over a machine's restart; who just falls silent
+// is replaced by a spare.
+func TestPoliteStopKeepsPlace(t *testing.T) {
+	t.Parallel()
+	for _, polite := range []bool{true, false} {
+		w := Start(4, open(6, 3))
+		w.until(10*time.Second, func() bool { return len(w.memberNames()) == 5 })
+		ms := w.memberNames()
+		p := w.procs[ms[0]]
+		if p == w.Leader() {
+			p = w.procs[ms[1]]
+		}
+		if polite {
+			w.stop(p)
+			w.Run(w.now + time.Second)
+		} else {
+			w.Kill(p)
+		}
+		w.Run(w.now + 30*time.Second)
+		check(t, w)
+		if slices.Contains(w.memberNames(), p.name) != polite {
+			t.Errorf("polite %v: %v without %s\n%s", polite, w.memberNames(), p.name, w.Trace(20))
+		}
+		w.Restart(p)
+		w.Run(w.now + 5*time.Second)
+		w.sane(t, 5)
+	}
+}
+
+// A domain is lost: the others are a majority. For a while it keeps its places; if it
+// stays away nobody is taken out unless fewer then make a majority.
+func TestDomainLost(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		w := Start(seed, open([]int{3, 5, 7, 11}[seed%4], 3))
+		w.Run(w.now + 5*time.Second)
+		n := len(w.memberNames())
+		for _, name := range w.all("core") {
+			if p := w.procs[name]; p.domain == "d1" {
+				w.Kill(p)
+			}
+		}
+		w.until(4*time.Second, func() bool { return w.Leader() != nil })
+		if w.Leader() == nil {
+			t.Fatalf("seed %d: no leader\n%s", seed, w.Trace(30))
+		}
+		w.Run(w.now + 90*time.Second)
+		check(t, w)
+		t.Log(n, w.memberNames())
+		for _, name := range w.all("core") {
+			w.Restart(w.procs[name])
+		}
+		w.Run(w.now + 20*time.Second)
+		check(t, w)
+		w.sane(t, n)
+	}
+}
+
+// Two of five go, one after the other, and nobody comes for them: later a majority of
+// three is enough, and a third may go.
+func TestShrinkWithoutReplacement(t *testing.T) {
+	t.Parallel()
+	w := Start(3, open(5, 3))
+	w.until(10*time.Second, func() bool { return len(w.memberNames()) == 5 })
+	for range 3 {
+		for _, n := range w.memberNames() {
+			if p := w.procs[n]; p != w.Leader() && p.alive {
+				w.Kill(p)
+				break
+			}
+		}
+		w.Run(w.now + 75*time.Second)
+		check(t, w)
+		if w.Leader() == nil {
+			t.Fatalf("no leader\n%s", w.Trace(30))
+		}
+	}
+}
+
+// Random days over cores that seeds found.
+func TestOpenDays(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= 32; seed++ {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			p := Small
+			p.Cores, p.Seeds = []int{3, 5, 7, 9}[seed%4], 3
+			check(t, Day(seed, p, nil, 12, 25*time.Second))
+		})
+	}
+}
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -28,6 +28,7 @@
 type Plan struct {
 	Cores, Gates int
 	Domains      int
+	Seeds        int            // core daemons that found the first core, of which the others learn; 0: all, by number
 	Services     map[string]int // targets each
 	Rate         float64        // exchanges a second
 	Unsafe       float64        // part of them that must not run twice
@@ -37,6 +38,9 @@
 // Small is a fleet that shows all behaviour and still runs fast.
 var Small = Plan{Cores: 3, Gates: 5, Domains: 3, Services: map[string]int{"fares": 5, "pay": 4}, Rate: 60, Unsafe: 0.4, Hard: 0.5}
 
+// firstStart is for how long after the beginning a process is told that the fleet starts for the first time.
+const firstStart = 1050 * time.Millisecond
+
 type event struct {
 	at  time.Duration
 	seq uint64
@@ -140,6 +144,7 @@
 	procs    map[string]*Proc
 	byAddr   map[string]*Proc
 	names    []string
+	seeds    []string // whom a process that starts is told of
 	targets  []*Target
 	listen   map[string]*Target
 	cut      map[[2]string]bool
@@ -200,8 +205,16 @@
 	for i := range p.Gates {
 		w.addProc("gate", fmt.Sprintf("g%d", i+1), i%p.Domains)
 	}
+	w.seeds = w.names[:min(3, len(w.names))]
+	if p.Seeds > 0 {
+		w.seeds = w.names[:p.Seeds]
+	}
 	for _, n := range w.names {
-		w.start(w.procs[n])
+		if q := w.procs[n]; p.Seeds == 0 {
+			w.start(q)
+		} else {
+			w.at(w.ms(0, 1000), func() { w.start(q) })
+		}
 	}
 	k := 0
 	for _, s := range slices.Sorted(maps.Keys(p.Services)) {
@@ -283,7 +296,11 @@
 	p.rate = w.rate()
 	p.pool, p.live, p.rev = map[wire.ID][]*Target{}, nil, 0
 	var seeds []string
-	for _, n := range w.names[:min(3, len(w.names))] {
+	set := core.Settings{Size: w.Plan.Cores}
+	if w.Plan.Seeds > 0 {
+		set.Size, set.Found = 0, w.now < firstStart
+	}
+	for _, n := range w.seeds {
 		seeds = append(seeds, w.procs[n].addr)
 	}
 	self := wire.Daemon{Name: p.name, Kind: p.kind, Domain: p.domain, Addr: p.addr, Http: p.addr, Inc: w.rnd.Uint64() | 1}
@@ -291,7 +308,8 @@
 		p.disk.open = nil
 		img := p.disk.img
 		img.Log = slices.Clone(img.Log)
-		p.core = core.New(p.local(), core.Settings{Self: self, Size: w.Plan.Cores, Seeds: seeds}, img)
+		set.Self, set.Seeds = self, seeds
+		p.core = core.New(p.local(), set, img)
 	} else {
 		p.gate = gate.New(gate.Settings{Self: self, Seeds: seeds})
 	}
