--- /dev/null
+++ b/gate/budget.go
@@ -0,0 +1,83 @@
+// This file is the retry budget: what a service's targets may get beyond the first
+// target of each exchange. A proxy earns a little less than the ratio with each
+// exchange, and its part of the slack with time. What it may have saved up at a
+// window's start and what it earns within stay, summed over the fleet, under ratio
+// and slack, whichever proxies start anew: a new life begins with nothing.
+package gate
+
+import (
+	"time"
+
+	"myrtlefold/limit"
+)
+
+type budget struct {
+	credit float64
+	part   float64       // of the slack, set with each table
+	at     time.Duration // up to when that is in credit
+	begun  bool
+	counts [limit.CountSlices]struct{ slice, n int64 }
+}
+
+// holders is how many of the listed proxies share a slack: as many as get enough to
+// save one whole repeat up.
+func (r Retry) holders(listed int) int { return max(1, min(listed, int(r.Slack/2)-1)) }
+
+// slack is a proxy's part of the slack: those that a draw by service puts first have
+// it. One more is reckoned with, since proxies on the tables before and after one
+// joins share it too.
+func (r Retry) slack(svc uint64, self string, lists ...[]string) float64 {
+	least := r.Slack
+	for _, names := range lists {
+		if len(names) == 0 {
+			continue
+		}
+		n := r.holders(len(names))
+		if !drawn(svc, self, names, n) {
+			return 0
+		}
+		least = min(least, r.Slack/float64(n+1))
+	}
+	return least
+}
+
+// earn takes an exchange in.
+func (b *budget) earn(now time.Duration, r Retry) {
+	b.grow(now, r)
+	b.credit += r.Ratio * limit.RetryEarn
+	s := int64(now / (r.Window / limit.CountSlices))
+	c := &b.counts[s%limit.CountSlices]
+	if c.slice != s {
+		c.slice, c.n = s, 0
+	}
+	c.n++
+	b.clip(now, r)
+}
+
+// grow adds the slack's part for the time since; half of it may be saved up and half
+// comes back over a window, so that a window never sees more than the whole.
+func (b *budget) grow(now time.Duration, r Retry) {
+	if b.begun {
+		b.credit += b.part / 2 * float64(now-b.at) / float64(r.Window)
+	}
+	b.begun, b.at = true, now
+	b.clip(now, r)
+}
+
+func (b *budget) clip(now time.Duration, r Retry) {
+	s, recent := int64(now/(r.Window/limit.CountSlices)), int64(0)
+	for _, c := range b.counts {
+		if c.slice > s-limit.CountSlices {
+			recent += c.n
+		}
+	}
+	b.credit = min(b.credit, b.part/2+r.Ratio*limit.RetrySave*float64(recent))
+}
+
+// has says whether one may be spent.
+func (b *budget) has(now time.Duration, r Retry) bool {
+	b.grow(now, r)
+	return b.credit >= 1
+}
+
+func (b *budget) spend() { b.credit-- }
--- /dev/null
+++ b/gate/exchange.go
@@ -0,0 +1,438 @@
+// This file is an exchange's way through the proxy: which route it takes, whether it
+// gets a target, waits for one or is refused, what follows a try, and its end.
+package gate
+
+import (
+	"slices"
+	"time"
+
+	"myrtlefold/limit"
+	"myrtlefold/model"
+)
+
+// way is what is kept by route: whose turn in its split it is and what its
+// exchanges usually take.
+type way struct {
+	shares []model.Share
+	owed   []float64 // how far each of them is behind its weight
+	sum    float64
+	mean   float64
+	seen   int
+}
+
+// way is a route's, begun anew when its split has changed.
+func (g *Gate) way(name string, r *model.Route) *way {
+	w := g.ways[name]
+	if w == nil {
+		w = &way{}
+		g.ways[name] = w
+	}
+	if w.shares == nil {
+		w.shares = r.Shares()
+		w.owed, w.sum = make([]float64, len(w.shares)), 0
+		for _, s := range w.shares {
+			w.sum += s.Weight
+		}
+	}
+	return w
+}
+
+// next is the service whose turn in the split it is: each gains its weight, the one
+// that is owed most goes and pays for all.
+func (w *way) next() string {
+	best := 0
+	for i, s := range w.shares {
+		w.owed[i] += s.Weight
+		if w.owed[i] > w.owed[best] {
+			best = i
+		}
+	}
+	w.owed[best] -= w.sum
+	return w.shares[best].Service
+}
+
+// see takes an exchange's time in and returns the usual one.
+func (w *way) see(ms float64) float64 {
+	w.seen++
+	w.mean += max(limit.MeanWeight, 1/float64(w.seen)) * (ms - w.mean)
+	return w.mean
+}
+
+func (w *way) usual() time.Duration { return time.Duration(w.mean * float64(time.Millisecond)) }
+
+// forget has splits begin anew under another configuration and drops the routes that
+// it lacks.
+func (g *Gate) forget() {
+	for n, w := range g.ways {
+		if _, ok := g.cfg.Routes[n]; !ok && n != "" {
+			delete(g.ways, n)
+		}
+		w.shares = nil
+	}
+}
+
+func (g *Gate) service(n string) *service {
+	s := g.services[n]
+	if s == nil {
+		s = &service{}
+		if g.table != nil {
+			s.budget.part = g.set.Retry.slack(hash(n), g.set.Self.Name, g.listed, g.table.Was)
+		}
+		g.services[n] = s
+	}
+	return s
+}
+
+// idempotent says whether exchanges of a rule may run more than once.
+func idempotent(method string) bool {
+	return method == "GET" || method == "HEAD" || method == "OPTIONS"
+}
+
+func (g *Gate) admit(now time.Duration, e Admit) {
+	x := &exchange{id: e.ID, start: now, unknown: e.Timeout <= 0, deadline: now + e.Timeout}
+	if !g.Serving() {
+		g.Counts.NotServing++
+		g.refuse(now, x, 503, "not_serving", "this proxy has no fresh table")
+		return
+	}
+	name, route, ok := g.cfg.Route(e.Host, e.Path)
+	if ok {
+		x.name, x.route, x.way = name, route, g.way(name, &route)
+		x.svc = x.way.next()
+	} else {
+		svc, allowed, ok := g.cfg.Match(e.Host, e.Path, e.Method)
+		switch {
+		case !ok && len(allowed) > 0:
+			g.Counts.Refused++
+			g.do(Refuse{ID: e.ID, Status: 405, Code: "method", Message: "the rule for this path takes other methods", Allowed: allowed})
+			return
+		case !ok:
+			g.Counts.Refused++
+			g.Counts.NoRoute++
+			g.refuse(now, x, 404, "no_rule", "no rule for this host and path")
+			return
+		}
+		set := g.cfg.Services[svc]
+		x.svc, x.route = svc, model.Route{Kind: model.Once, TimeoutMs: set.TimeoutMs, Attempts: set.Tries, Service: svc}
+		if idempotent(e.Method) {
+			x.route.Kind = model.Repeatable
+		}
+	}
+	x.set = g.cfg.Services[x.svc]
+	d := x.route.Timeout()
+	if e.Timeout > 0 {
+		d = min(d, e.Timeout)
+	}
+	x.deadline = now + d
+	g.exchanges[x.id] = x
+	s := g.service(x.svc)
+	s.budget.earn(now, g.set.Retry)
+	s.ranks[min(x.route.Priority, limit.Ranks-1)] = now
+	g.place(now, x, true)
+}
+
+// place gives the exchange a target, lets it wait, or refuses it.
+func (g *Gate) place(now time.Duration, x *exchange, mayWait bool) {
+	s := g.service(x.svc)
+	if g.tooLate(now, x, s) {
+		g.Counts.TooLate++
+		g.refuse(now, x, 503, "late", "it could not be answered in time")
+		return
+	}
+	full := x.set.InFlight > 0 && s.inflight >= g.share(x.set.InFlight, x.svc)
+	var t *target
+	any := true
+	if !full && !(mayWait && g.behind(s, x)) {
+		t, any = g.choose(now, x)
+	}
+	if !any && x.way != nil {
+		for _, o := range x.way.shares {
+			if o.Service == x.svc {
+				continue
+			}
+			was, set := x.svc, x.set
+			x.svc, x.set = o.Service, g.cfg.Services[o.Service]
+			if c, _ := g.choose(now, x); c != nil && (!x.repeat || g.service(x.svc).budget.has(now, g.set.Retry)) {
+				t, any, s = c, true, g.service(x.svc)
+				g.Counts.OtherShare++
+				break
+			}
+			x.svc, x.set = was, set
+		}
+	}
+	switch {
+	case t != nil:
+		g.give(now, x, t, s)
+	case !any:
+		g.Counts.NoTarget++
+		g.refuse(now, x, 503, "no_target", "no target of the service may be used")
+	case mayWait && g.mayWait(now, x, s):
+	default:
+		s.pressAt = now
+		g.Counts.Busy++
+		g.refuse(now, x, 503, "busy", "every target of the service is busy")
+	}
+}
+
+func (g *Gate) give(now time.Duration, x *exchange, t *target, s *service) {
+	x.waiting, x.at = false, t
+	x.tries++
+	if x.repeat {
+		s.budget.spend()
+		g.Counts.Retries++
+	}
+	if t.cold(now, x) {
+		t.coldNext = now + t.coldGap
+	}
+	t.inflight++
+	t.usedAt = now
+	s.inflight++
+	g.Counts.Admitted++
+	g.do(Give{ID: x.id, Service: x.svc, Set: x.set, Name: x.name, Route: x.route, Target: t.Target, Left: x.deadline - now, Till: now + limit.ChoiceLife})
+}
+
+// tooLate says that a service under pressure better spends its time on others.
+func (g *Gate) tooLate(now time.Duration, x *exchange, s *service) bool {
+	return x.way != nil && s.pressed(now) && x.deadline-now < x.way.usual()
+}
+
+// behind says that others of its rank or before it wait already.
+func (g *Gate) behind(s *service, x *exchange) bool {
+	return len(s.queue) > 0 && g.exchanges[s.queue[0]].route.Priority <= x.route.Priority
+}
+
+// mayWait puts the exchange among those that wait, by priority and then by when they
+// came. On a route it waits for a part of its aim at most, and only as many do as have
+// a chance of a target by then; one of a lower priority makes room.
+func (g *Gate) mayWait(now time.Duration, x *exchange, s *service) bool {
+	most := time.Duration(x.set.WaitMs) * time.Millisecond
+	room := 0
+	if x.way == nil {
+		if most == 0 {
+			return false
+		}
+		room = g.share(x.set.WaitLen, x.svc)
+	} else {
+		most = x.route.Aim() / limit.WaitPart
+		if most == 0 {
+			most = x.route.Timeout() / limit.WaitPart / limit.WaitAim
+		}
+		most = min(most, x.deadline-now-x.way.usual())
+		if most <= 0 {
+			return false
+		}
+		room = limit.QueueMin
+		if s.mean > 0 {
+			room += int(max(s.window, 1) * float64(most.Milliseconds()) / s.mean)
+		}
+	}
+	if len(s.queue) >= room {
+		n := len(s.queue)
+		if n == 0 {
+			return false
+		}
+		o := g.exchanges[s.queue[n-1]]
+		if o.route.Priority <= x.route.Priority {
+			return false
+		}
+		g.Counts.Overtaken++
+		g.refuse(now, o, 503, "busy", "every target of the service is busy")
+	}
+	x.waiting = true
+	x.waitTill = min(now+most, x.deadline)
+	at, _ := slices.BinarySearchFunc(s.queue, x.route.Priority, func(id uint64, p int) int {
+		if g.exchanges[id].route.Priority <= p {
+			return -1
+		}
+		return 1
+	})
+	s.queue = slices.Insert(s.queue, at, x.id)
+	s.pressAt = now
+	g.Counts.Waited++
+	return true
+}
+
+// refuse gives the final answer. A caller whose time is known is told to come back
+// while it still has some, each at another moment.
+func (g *Gate) refuse(now time.Duration, x *exchange, status int, code, msg string) {
+	r := Refuse{ID: x.id, Status: status, Code: code, Message: msg}
+	if status == 503 {
+		spread := x.id * 2654435761 >> 8
+		r.Retry = limit.RetryAfterMin + time.Duration(spread%uint64(limit.RetryAfterSpan))
+		if !x.unknown {
+			base := x.route.Aim()
+			if base == 0 {
+				base = x.deadline - x.start
+			}
+			base = max(base/8, 1)
+			r.Retry = max(limit.RefuseMin, min(base+time.Duration(spread%uint64(base)), (x.deadline-now)/limit.RefuseLeft))
+		}
+	}
+	g.do(r)
+	if status >= 500 && x.svc != "" {
+		g.aim(now, x, false)
+	}
+	g.leave(x)
+}
+
+// aim counts an exchange's end for the aims of its service.
+func (g *Gate) aim(now time.Duration, x *exchange, good bool) {
+	for n, a := range g.cfg.Aims {
+		if a.Service != x.svc {
+			continue
+		}
+		if g.aims[n] == nil {
+			g.aims[n] = &tally{}
+		}
+		min := int(now / time.Minute)
+		m := &g.aims[n].minutes[min%limit.AimMinutes]
+		if m.minute != min {
+			m.minute, m.good, m.all = min, 0, 0
+		}
+		m.all++
+		if good && (a.UnderMs == 0 || now-x.start <= time.Duration(a.UnderMs)*time.Millisecond) {
+			m.good++
+		}
+	}
+}
+
+// leave drops an exchange that has its final answer.
+func (g *Gate) leave(x *exchange) {
+	delete(g.exchanges, x.id)
+	if x.waiting {
+		s := g.service(x.svc)
+		s.queue = slices.DeleteFunc(s.queue, func(id uint64) bool { return id == x.id })
+	}
+}
+
+// again gives another target to an exchange that may have one. The answer to one that
+// may run only once, and whose latest try may have run, is final.
+func (g *Gate) again(now time.Duration, e Again) {
+	x := g.exchanges[e.ID]
+	if x == nil || x.at != nil || x.waiting {
+		return
+	}
+	ran := x.last == Served || x.last == Broken || x.last == Lost
+	x.repeat = x.repeat || e.Sent || x.last == NotRun || x.last == Foreign && x.set.Asked()
+	switch {
+	case !x.route.Repeats() && ran && (e.Sent || x.way != nil):
+		g.Counts.OnceKept++
+		g.refuse(now, x, 502, "may_have_run", "it may have run and must not run again")
+	case !g.Serving():
+		g.refuse(now, x, 503, "not_serving", "this proxy has no fresh table")
+	case x.tries >= x.route.Attempts || now >= x.deadline:
+		g.refuse(now, x, 503, "tries", "no try is left")
+	case x.repeat && !g.service(x.svc).budget.has(now, g.set.Retry):
+		g.Counts.RetriesDenied++
+		g.refuse(now, x, 503, "retry_budget", "the service's retry budget is used up")
+	default:
+		g.place(now, x, false)
+	}
+}
+
+func (g *Gate) done(now time.Duration, e Done) {
+	x := g.exchanges[e.ID]
+	if x == nil {
+		return
+	}
+	if t := x.at; t != nil {
+		s := g.service(x.svc)
+		g.learn(now, t, x, s, e)
+		t.inflight--
+		s.inflight--
+		x.at, x.last = nil, e.Outcome
+		if e.Outcome != Stale {
+			x.tried = append(x.tried, t.ID())
+		}
+		if e.Outcome != Stale && e.Outcome != Closed && e.Outcome != Foreign && e.Outcome != Dropped {
+			t.closed = 0
+		}
+		switch e.Outcome {
+		case Served:
+			t.seen.Ok++
+			t.seen.SumMs += e.Ms
+			if x.set.SlowMs > 0 && e.Ms > float64(x.set.SlowMs) {
+				t.seen.Slow++
+			}
+		case Broken, Lost:
+			t.seen.Errors++
+			t.seen.SumMs += e.Ms
+		case NotRun:
+			t.seen.NotRun++
+		case Stale:
+			g.Counts.StaleChoices++
+		case Closed, Foreign:
+			t.seen.Errors++
+			t.shun = now + limit.Shun
+			g.Counts.Shunned++
+			if t.closed++; t.closed >= limit.ProbeMisses {
+				t.ownBar = max(t.ownBar, now+limit.ClosedBar)
+				g.Counts.OwnBars++
+			}
+		}
+	}
+	if e.Last {
+		if e.Outcome != Dropped {
+			g.aim(now, x, e.Outcome == Served)
+		}
+		g.leave(x)
+	}
+	g.serveQueue(now, g.service(x.svc))
+}
+
+func (g *Gate) cancel(now time.Duration, e Cancel) {
+	x := g.exchanges[e.ID]
+	if x == nil {
+		return
+	}
+	if e.Failed {
+		g.aim(now, x, false)
+	}
+	if x.at != nil {
+		g.done(now, Done{ID: e.ID, Outcome: Dropped, Last: true})
+		return
+	}
+	g.leave(x)
+}
+
+// queues refuses those that have waited long enough, and gives the others what
+// became free meanwhile.
+func (g *Gate) queues(now time.Duration) {
+	var waited []string
+	for n, s := range g.services {
+		if len(s.queue) > 0 {
+			waited = append(waited, n)
+		}
+	}
+	slices.Sort(waited)
+	for _, n := range waited {
+		s := g.services[n]
+		for _, id := range slices.Clone(s.queue) {
+			if x := g.exchanges[id]; now >= x.waitTill {
+				g.Counts.Busy++
+				s.pressAt = now
+				g.refuse(now, x, 503, "busy", "every target of the service is busy")
+			}
+		}
+		g.serveQueue(now, s)
+	}
+}
+
+// serveQueue gives what became free to those who wait, in their order.
+func (g *Gate) serveQueue(now time.Duration, s *service) {
+	for g.Serving() && len(s.queue) > 0 {
+		x := g.exchanges[s.queue[0]]
+		full := x.set.InFlight > 0 && s.inflight >= g.share(x.set.InFlight, x.svc)
+		t, any := g.choose(now, x)
+		if full || t == nil && any {
+			break
+		}
+		s.queue = s.queue[1:]
+		x.waiting = false
+		if t == nil || g.tooLate(now, x, s) {
+			g.place(now, x, false)
+			continue
+		}
+		g.give(now, x, t, s)
+	}
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -14,9 +14,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
-	"hash/fnv"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -115,6 +113,19 @@
 type Settings struct {
 	Self  wire.Daemon
 	Seeds []string
+	Retry Retry // of the whole fleet; zero: limit's
+	// Grace is how long a stop may take in all, 0: limit.StopWait.
+	Grace time.Duration
+	// ReadyWhenEmptied has an emptied domain's proxy go on asking for callers.
+	ReadyWhenEmptied bool
+}
+
+// Retry bounds what a service's targets get beyond the first target of each exchange:
+// over all proxies, in any window, a ratio of the exchanges and a little slack.
+type Retry struct {
+	Ratio  float64
+	Window time.Duration
+	Slack  float64
 }
 
 type target struct {
@@ -133,18 +144,37 @@
 	probeAt  time.Duration
 	sentAt   time.Duration
 	seen     wire.Seen
+
+	slots     int // exchanges at once, as told
+	part      int // those of them that are dealt to this proxy
+	near      bool
+	coldUntil time.Duration
+	coldGap   time.Duration // between this proxy's exchanges while it is cold, 0: none
+	coldNext  time.Duration
+	fullTill  time.Duration // it said that it is full
+	others    float64       // what it told of its load besides this proxy's
+	loadAt    time.Duration
+	pace      float64 // how its times compare with its routes', 1: as usual
+	paceAt    time.Duration
+	usedAt    time.Duration
 }
 
 type exchange struct {
 	id       uint64
 	svc      string
+	name     string
+	route    model.Route
+	way      *way
 	start    time.Duration
 	deadline time.Duration
+	unknown  bool // how long the caller waits was not said
 	waitTill time.Duration
 	waiting  bool
 	at       *target
 	tries    int
 	tried    []wire.ID
+	last     Outcome // of the latest try
+	repeat   bool    // something of it has reached a target: a further one draws on the budget
 	set      model.Service
 }
 
@@ -156,14 +186,20 @@
 type service struct {
 	inflight int
 	queue    []uint64
-	credit   float64 // retries that may be made, times limit.RetryCost
-	recent   float64 // exchanges of about the last 10 s
-	recentAt time.Duration
+	budget   budget
+	targets  []*target // sorted
+	slotted  bool      // its targets tell their slots
+	even     float64   // this proxy's even part of all slots
+	window   float64   // how many of its exchanges may be at targets now
+	pressAt  time.Duration
+	ranks    [limit.Ranks]time.Duration // when exchanges of each priority last came
+	mean     float64                    // ms that its exchanges take
 }
 
 // Counts are the owner's counters.
 type Counts struct {
 	Admitted, Refused, Busy, NoTarget, NotServing, Retries, RetriesDenied, Waited, Tables, StaleTables, StaleChoices, OwnBars, Shunned uint64
+	NoRoute, Dealt, Borrowed, ToCold, ColdWaits, Full, TooLate, Overtaken, LowRank, OnceKept, OtherShare                               uint64
 }
 
 type Gate struct {
@@ -183,8 +219,7 @@
 	cfg       *model.Config
 	revision  uint64
 	targets   map[wire.ID]*target
-	order     map[string][]*target // the same by service, sorted
-	alive     []string             // proxies that share caps, and all of the roster
+	alive     []string // proxies that share caps, and all of the roster
 	listed    []string
 	open      []*target // room for choices
 	barred    []*target
@@ -192,6 +227,9 @@
 	services  map[string]*service
 	exchanges map[uint64]*exchange
 	aims      map[string]*tally
+	ways      map[string]*way // what is kept by route
+	salt      uint64
+	coldEnd   time.Duration // when the next target ends being cold, 0: none is
 	turn      uint64
 	stopping  bool
 	stopAt    time.Duration
@@ -200,7 +238,13 @@
 }
 
 func New(set Settings) *Gate {
-	return &Gate{set: set, known: core.Book{}, touches: map[string]time.Duration{}, cfg: &model.Config{},
+	if set.Retry == (Retry{}) {
+		set.Retry = Retry{1 / float64(limit.RetryShare), limit.RetryWindow, limit.RetryFree}
+	}
+	if set.Grace == 0 {
+		set.Grace = limit.StopWait
+	}
+	return &Gate{set: set, ways: map[string]*way{}, salt: hash(set.Self.Name), known: core.Book{}, touches: map[string]time.Duration{}, cfg: &model.Config{},
 		targets: map[wire.ID]*target{}, leaving: map[wire.ID]time.Duration{}, services: map[string]*service{}, exchanges: map[uint64]*exchange{}, aims: map[string]*tally{}, grantTill: -1}
 }
 
@@ -261,7 +305,7 @@
 	}
 	g.do(core.Change{What: "gate", From: g.state.String(), To: s.String(), Why: why})
 	g.state = s
-	g.index()
+	g.index(now)
 	if s == Granted {
 		// The leader judges again, and has taken in what was seen here meanwhile.
 		for _, t := range g.targets {
@@ -290,7 +334,7 @@
 // Ready is what the platform is told: an emptied domain's proxy serves on but
 // asks for no more callers.
 func (g *Gate) Ready() bool {
-	return g.Serving() && !g.stopping && !slices.Contains(g.table.Emptied, g.set.Self.Domain)
+	return g.Serving() && !g.stopping && (g.set.ReadyWhenEmptied || !slices.Contains(g.table.Emptied, g.set.Self.Domain))
 }
 
 func (g *Gate) State() State       { return g.state }
@@ -397,13 +441,11 @@
 	if g.state != Cold && g.doubts(now) {
 		g.watch(now)
 	}
-	for _, id := range slices.Sorted(maps.Keys(g.exchanges)) {
-		if x := g.exchanges[id]; x.waiting && now >= x.waitTill {
-			g.Counts.Busy++
-			g.refuse(now, x, 503, "busy", "every target of the service is busy")
-		}
+	if g.coldEnd > 0 && now >= g.coldEnd {
+		g.index(now)
 	}
-	if g.stopping && (now-g.stopAt > limit.StopLinger && len(g.exchanges) == 0 || now-g.stopAt > limit.StopWait) {
+	g.queues(now)
+	if g.stopping && (now-g.stopAt > min(limit.StopLinger, g.set.Grace/4) && len(g.exchanges) == 0 || now-g.stopAt > g.set.Grace) {
 		g.do(core.Exit{})
 	}
 }
@@ -463,6 +505,7 @@
 			w.BarLeft, w.BarWhy = int64(l.ownBar-now), model.DefaultPolicy
 		}
 		w.Held = w.Held || l.held
+		w.ColdLeft = max(0, int64(l.coldUntil-now))
 		t.Targets = append(t.Targets, w)
 	}
 	return &t
@@ -541,6 +584,7 @@
 		}
 		if t != nil {
 			t.held = t.held || w.Held
+			t.chill(now, w.ColdLeft)
 			if w.BarLeft > 0 {
 				t.ownBar = max(t.ownBar, now+time.Duration(w.BarLeft))
 			}
@@ -553,13 +597,14 @@
 	delete(g.targets, id)
 	g.leaving[id] = now
 	g.targets[h.ID()] = h
-	g.retarget()
+	h.chill(now, max(h.ColdLeft, int64(g.coldOf(h.Service))))
+	g.retarget(now)
 }
 
 // retarget follows a change of the targets: choices go by the new ones, and pipes to
 // others go.
-func (g *Gate) retarget() {
-	g.index()
+func (g *Gate) retarget(now time.Duration) {
+	g.index(now)
 	live := map[wire.ID]string{}
 	for id, t := range g.targets {
 		live[id] = t.Addr
@@ -585,6 +630,7 @@
 			g.do(core.Change{What: "revision", From: fmt.Sprint(g.revision), To: fmt.Sprint(t.Revision), Why: fmt.Sprintf("table %v", t.Key)})
 		}
 		g.cfg, g.revision = cfg, t.Revision
+		g.forget()
 	}
 	g.Counts.Tables++
 	g.table = t
@@ -600,6 +646,7 @@
 			n.warmAt = now
 		}
 		n.Target = w
+		n.chill(now, w.ColdLeft)
 		n.barUntil = 0
 		if w.BarLeft > 0 {
 			n.barUntil = now + time.Duration(w.BarLeft)
@@ -613,8 +660,8 @@
 	}
 	g.targets = next
 	maps.DeleteFunc(g.leaving, func(id wire.ID, at time.Duration) bool { return next[id] == nil && now-at > limit.TombKeep })
-	g.retarget()
-	g.serveQueues(now)
+	g.retarget(now)
+	g.queues(now)
 	return true
 }
 
@@ -674,7 +721,7 @@
 		return
 	}
 	if at.heir == nil || at.heir.ID() != w.ID() || at.heir.Addr != w.Addr {
-		at.heir = &target{Target: wire.Target{Service: w.Service, Name: w.Name, Inc: w.Inc, Addr: w.Addr, Domain: w.Domain, State: model.Warming, Turn: at.Turn}}
+		at.heir = &target{Target: wire.Target{Service: w.Service, Name: w.Name, Inc: w.Inc, Addr: w.Addr, Domain: w.Domain, State: model.Warming, Turn: at.Turn, Slots: w.Slots, ColdLeft: w.ColdLeft}}
 	}
 	at.heir.voice.Hear(now)
 }
@@ -758,389 +805,6 @@
 	return w
 }
 
-// ---- exchanges ----
-
-func (g *Gate) service(n string) *service {
-	s := g.services[n]
-	if s == nil {
-		s = &service{credit: float64(limit.RetryCost * g.allowance(n))}
-		g.services[n] = s
-	}
-	return s
-}
-
-// share is this proxy's part of a number that holds for all proxies together: the
-// parts of the live proxies add up to it, and the remainder falls on other proxies
-// for other keys.
-func (g *Gate) share(total int, key string) int {
-	h := fnv.New32a()
-	h.Write([]byte(key))
-	return deal(total, int(h.Sum32()>>1), g.set.Self.Name, g.alive)
-}
-
-// index prepares what choices go by, when table, targets or state have changed.
-func (g *Gate) index() {
-	g.order, g.alive, g.listed = map[string][]*target{}, nil, nil
-	for _, id := range slices.SortedFunc(maps.Keys(g.targets), wire.ID.Compare) {
-		g.order[id.Service] = append(g.order[id.Service], g.targets[id])
-	}
-	if g.table == nil {
-		return
-	}
-	for _, r := range g.table.Gates {
-		g.listed = append(g.listed, r.Name)
-		// The proxies that the leader hears share caps, or all of them if there is no leader to say.
-		if r.Live || r.Name == g.set.Self.Name || g.state != Granted {
-			g.alive = append(g.alive, r.Name)
-		}
-	}
-}
-
-// deal is one name's part of a number dealt among names: all get the same, and the
-// remainder goes to those that follow a place.
-func deal(total, place int, name string, among []string) int {
-	n, at := len(among), slices.Index(among, name)
-	if at < 0 {
-		return 0
-	}
-	part := total / n
-	if (at-place%n+n)%n < total%n {
-		part++
-	}
-	return part
-}
-
-// room is how many exchanges this proxy may have at a target. Each target deals its
-// remainder on from where its service's one before it ended, so that every proxy
-// reaches some of them. A warming one must never get more than its cap, whatever
-// tables the proxies stand on: its cap is dealt among the whole roster, and while a
-// change of that is not in force everywhere, a proxy has the smaller of both parts.
-func (g *Gate) room(now time.Duration, t *target, set model.Service) int {
-	h := fnv.New32a()
-	h.Write([]byte(t.Service))
-	part := func(c int, among []string) int {
-		return deal(c, int(h.Sum32()>>8)+int(t.Turn)*(c%max(1, len(among))), g.set.Self.Name, among)
-	}
-	if t.State == model.Warming {
-		n := part(set.WarmCap, g.listed)
-		if len(g.table.Was) > 0 {
-			n = min(n, part(set.WarmCap, g.table.Was))
-		}
-		return n
-	}
-	c := set.Cap
-	if since := now - t.warmAt; t.warmAt > 0 && since < limit.RampUp && set.WarmCap < c {
-		c = set.WarmCap + int(float64(c-set.WarmCap)*float64(since)/float64(limit.RampUp))
-	}
-	return part(c, g.alive)
-}
-
-// choose picks the less burdened of two admitted targets, met in a turn that
-// goes round them all, or the least burdened of all if both are full. A target
-// whose bar was lifted starts at the back, so that its return moves nothing.
-func (g *Gate) choose(now time.Duration, x *exchange) (t *target, any bool) {
-	open, barred := g.open[:0], g.barred[:0]
-	defer func() { g.open, g.barred = open[:0], barred[:0] }()
-	for _, t := range g.order[x.svc] {
-		if t.held || t.Held || t.Pending || t.State == model.Leaving ||
-			slices.Contains(g.table.Emptied, t.Domain) || len(x.tried) > 0 && slices.Contains(x.tried, t.ID()) {
-			continue
-		}
-		if t.barUntil > now || t.ownBar > now {
-			if g.beats(now, t) && t.ownBar <= now {
-				barred = append(barred, t)
-			}
-			continue
-		}
-		open = append(open, t)
-	}
-	if len(open) == 0 {
-		open, barred = barred, open
-	}
-	if len(open) == 0 {
-		return nil, false
-	}
-	g.turn++
-	n := uint64(len(open))
-	a, b := open[g.turn%n], open[0]
-	if n > 1 {
-		b = open[(g.turn+1+g.turn/n%(n-1))%n] // never a itself
-	}
-	best := g.better(now, a, b, x)
-	if best == nil || best.shun > now {
-		best = nil
-		for _, t := range open {
-			best = g.better(now, best, t, x)
-		}
-	}
-	return best, true
-}
-
-// beats says whether a target is known to beat: by the table while the leader
-// keeps it fresh, else by what was heard here, straight or through a partner.
-func (g *Gate) beats(now time.Duration, t *target) bool {
-	if g.state == Granted {
-		return t.Beating
-	}
-	return t.voice.Speaks(now)
-}
-
-func (g *Gate) better(now time.Duration, a, b *target, x *exchange) *target {
-	sa, sb := g.burden(now, a, x), g.burden(now, b, x)
-	switch {
-	case sa < 0 && sb < 0:
-		return nil
-	case sa < 0 || sb >= 0 && sb < sa:
-		return b
-	}
-	return a
-}
-
-// burden is under 0 for a target without room.
-func (g *Gate) burden(now time.Duration, t *target, x *exchange) float64 {
-	if t == nil {
-		return -1
-	}
-	room := g.room(now, t, x.set)
-	if t.inflight >= room {
-		return -1
-	}
-	b := float64(t.inflight)/float64(room) + t.Demand
-	if t.backAt > 0 && now-t.backAt < limit.ReconcileEvery {
-		b++
-	}
-	if t.shun > now {
-		b += 100
-	}
-	return b
-}
-
-func (g *Gate) admit(now time.Duration, e Admit) {
-	x := &exchange{id: e.ID}
-	if !g.Serving() {
-		g.Counts.NotServing++
-		g.refuse(now, x, 503, "not_serving", "this proxy has no fresh table")
-		return
-	}
-	svc, allowed, ok := g.cfg.Match(e.Host, e.Path, e.Method)
-	switch {
-	case !ok && len(allowed) > 0:
-		g.Counts.Refused++
-		g.do(Refuse{ID: e.ID, Status: 405, Code: "method", Message: "the rule for this path takes other methods", Allowed: allowed})
-		return
-	case !ok:
-		g.Counts.Refused++
-		g.refuse(now, x, 404, "no_rule", "no rule for this host and path")
-		return
-	}
-	x.svc, x.set, x.start = svc, g.cfg.Services[svc], now
-	d := time.Duration(x.set.TimeoutMs) * time.Millisecond
-	if e.Timeout > 0 {
-		d = min(d, e.Timeout)
-	}
-	x.deadline = now + d
-	g.exchanges[x.id] = x
-	g.earn(now, svc)
-	g.place(now, x, true)
-}
-
-// place gives the exchange a target, lets it wait, or refuses it.
-func (g *Gate) place(now time.Duration, x *exchange, mayWait bool) {
-	s := g.service(x.svc)
-	full := x.set.InFlight > 0 && s.inflight >= g.share(x.set.InFlight, x.svc)
-	var t *target
-	any := true
-	if !full {
-		t, any = g.choose(now, x)
-	}
-	switch {
-	case t != nil:
-		x.waiting, x.at = false, t
-		x.tries++
-		t.inflight++
-		s.inflight++
-		g.Counts.Admitted++
-		g.do(Give{ID: x.id, Service: x.svc, Set: x.set, Target: t.Target, Left: x.deadline - now, Till: now + limit.ChoiceLife})
-	case !any:
-		g.Counts.NoTarget++
-		g.refuse(now, x, 503, "no_target", "no target of the service may be used")
-	case mayWait && x.set.WaitMs > 0 && len(s.queue) < g.share(x.set.WaitLen, x.svc):
-		x.waiting = true
-		x.waitTill = min(now+time.Duration(x.set.WaitMs)*time.Millisecond, x.deadline)
-		s.queue = append(s.queue, x.id)
-		g.Counts.Waited++
-	default:
-		g.Counts.Busy++
-		g.refuse(now, x, 503, "busy", "every target of the service is busy")
-	}
-}
-
-func (g *Gate) refuse(now time.Duration, x *exchange, status int, code, msg string) {
-	r := Refuse{ID: x.id, Status: status, Code: code, Message: msg}
-	if status == 503 {
-		r.Retry = limit.RetryAfterMin + time.Duration((x.id*2654435761>>8)%uint64(limit.RetryAfterSpan))
-	}
-	g.do(r)
-	if status >= 500 && x.svc != "" {
-		g.aim(now, x, false)
-	}
-	g.leave(x)
-}
-
-// aim counts an exchange's end for the aims of its service.
-func (g *Gate) aim(now time.Duration, x *exchange, good bool) {
-	for n, a := range g.cfg.Aims {
-		if a.Service != x.svc {
-			continue
-		}
-		if g.aims[n] == nil {
-			g.aims[n] = &tally{}
-		}
-		min := int(now / time.Minute)
-		m := &g.aims[n].minutes[min%limit.AimMinutes]
-		if m.minute != min {
-			m.minute, m.good, m.all = min, 0, 0
-		}
-		m.all++
-		if good && (a.UnderMs == 0 || now-x.start <= time.Duration(a.UnderMs)*time.Millisecond) {
-			m.good++
-		}
-	}
-}
-
-// leave drops an exchange that has its final answer.
-func (g *Gate) leave(x *exchange) {
-	delete(g.exchanges, x.id)
-	if x.waiting {
-		s := g.service(x.svc)
-		s.queue = slices.DeleteFunc(s.queue, func(id uint64) bool { return id == x.id })
-	}
-}
-
-// earn adds one exchange to the service's retry credit. A retry costs
-// limit.RetryCost of them; what can be saved up is the allowance and a small part
-// of the last 10 s, so that a few errors at once can be made up for.
-func (g *Gate) earn(now time.Duration, svc string) {
-	s := g.service(svc)
-	s.recent = s.recent*math.Exp(-float64(now-s.recentAt)/float64(limit.RetryWindow)) + 1
-	s.recentAt = now
-	s.credit = min(s.credit+1, limit.RetryCost*(float64(g.allowance(svc))+s.recent/limit.RetryBurst))
-}
-
-func (g *Gate) allowance(svc string) int { return max(1, g.share(limit.RetryFree, "retry/"+svc)) }
-
-func (g *Gate) spend(svc string) bool {
-	s := g.service(svc)
-	if s.credit < limit.RetryCost {
-		return false
-	}
-	s.credit -= limit.RetryCost
-	return true
-}
-
-func (g *Gate) again(now time.Duration, e Again) {
-	x := g.exchanges[e.ID]
-	if x == nil {
-		return
-	}
-	switch {
-	case !g.Serving():
-		g.refuse(now, x, 503, "not_serving", "this proxy has no fresh table")
-	case x.tries >= x.set.Tries || now >= x.deadline:
-		g.refuse(now, x, 503, "tries", "no try is left")
-	case e.Sent && !g.spend(x.svc):
-		g.Counts.RetriesDenied++
-		g.refuse(now, x, 503, "retry_budget", "the service's retry budget is used up")
-	default:
-		if e.Sent {
-			g.Counts.Retries++
-		}
-		g.place(now, x, false)
-	}
-}
-
-func (g *Gate) done(now time.Duration, e Done) {
-	x := g.exchanges[e.ID]
-	if x == nil {
-		return
-	}
-	if t := x.at; t != nil {
-		t.inflight--
-		g.service(x.svc).inflight--
-		x.at = nil
-		if e.Outcome != Stale {
-			x.tried = append(x.tried, t.ID())
-		}
-		if e.Outcome != Stale && e.Outcome != Closed && e.Outcome != Foreign && e.Outcome != Dropped {
-			t.closed = 0
-		}
-		switch e.Outcome {
-		case Served:
-			t.seen.Ok++
-			t.seen.SumMs += e.Ms
-			if x.set.SlowMs > 0 && e.Ms > float64(x.set.SlowMs) {
-				t.seen.Slow++
-			}
-		case Broken, Lost:
-			t.seen.Errors++
-			t.seen.SumMs += e.Ms
-		case Stale:
-			g.Counts.StaleChoices++
-		case Closed, Foreign:
-			t.seen.Errors++
-			t.shun = now + limit.Shun
-			g.Counts.Shunned++
-			if t.closed++; t.closed >= limit.ProbeMisses {
-				t.ownBar = max(t.ownBar, now+limit.ClosedBar)
-				g.Counts.OwnBars++
-			}
-		}
-	}
-	if e.Last {
-		if e.Outcome != Dropped {
-			g.aim(now, x, e.Outcome == Served)
-		}
-		g.leave(x)
-	}
-	g.serveQueues(now)
-}
-
-func (g *Gate) cancel(now time.Duration, e Cancel) {
-	x := g.exchanges[e.ID]
-	if x == nil {
-		return
-	}
-	if e.Failed {
-		g.aim(now, x, false)
-	}
-	if x.at != nil {
-		g.done(now, Done{ID: e.ID, Outcome: Dropped, Last: true})
-		return
-	}
-	g.leave(x)
-}
-
-// serveQueues gives what became free to those who wait, first come first.
-func (g *Gate) serveQueues(now time.Duration) {
-	if !g.Serving() {
-		return
-	}
-	for _, n := range slices.Sorted(maps.Keys(g.services)) {
-		s := g.services[n]
-		for len(s.queue) > 0 {
-			x := g.exchanges[s.queue[0]]
-			full := x.set.InFlight > 0 && s.inflight >= g.share(x.set.InFlight, x.svc)
-			t, any := g.choose(now, x)
-			if full || t == nil && any {
-				break
-			}
-			s.queue = s.queue[1:]
-			x.waiting = false
-			g.place(now, x, false)
-		}
-	}
-}
-
 // View is what the daemon shows of itself.
 type View struct {
 	Name     string       `json:"name"`
@@ -1190,6 +854,9 @@
 		for _, id := range slices.SortedFunc(maps.Keys(g.targets), wire.ID.Compare) {
 			t := g.targets[id]
 			tv := TargetView{Target: t.Target, InFlight: t.inflight, Room: g.room(now, t, g.cfg.Services[t.Service])}
+			if s := g.services[t.Service]; s != nil && s.slotted {
+				tv.Room = t.part
+			}
 			tv.Held = t.Held || t.held
 			tv.BarMs, tv.OwnBarMs = max(0, (t.barUntil-now).Milliseconds()), max(0, (t.ownBar-now).Milliseconds())
 			v.Targets = append(v.Targets, tv)
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -401,7 +401,7 @@
 			for _, n := range among {
 				g.table.Gates = append(g.table.Gates, wire.Gate{Name: n, Live: true})
 			}
-			g.index()
+			g.index(0)
 			return g.room(0, &target{Target: wire.Target{Service: "s", State: model.Warming, Turn: turn}}, set)
 		}
 		every := append(append([]string{}, before...), after[len(after)-1])
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -179,6 +179,51 @@
 	AimMinutes = 60
 	// HeaderMax bounds a caller's header in bytes.
 	HeaderMax = 32 << 10
+	// RetryEarn and RetrySave, parts of the retry ratio: what each exchange earns at once, and what of
+	// the window before may be saved up. Together with rounding they stay under the whole.
+	RetryEarn = 0.85
+	RetrySave = 0.1
+	// CountSlices is in how many slices a window's exchanges are counted.
+	CountSlices = 20
+	// FullPause is how long a target that said it is full is left out: less than a usual exchange,
+	// one of which ends meanwhile.
+	FullPause = 70 * time.Millisecond
+	// LoadLife is how long what a target told of its load counts, less and less.
+	LoadLife = time.Second
+	// PaceLife is how long a target's slow past counts, less and less; PaceWeight is an exchange's part in it.
+	PaceLife   = 10 * time.Second
+	PaceWeight = 0.2
+	// PaceUrge is how much of a target's slowness counts beside its load, PaceMost the most that does.
+	PaceUrge = 0.5
+	PaceMost = 1.0
+	// PipeUrge is what an open pipe is worth beside a target's load.
+	PipeUrge = 0.1
+	// MeanWeight is an exchange's part in its route's mean time, once a few have been seen.
+	MeanWeight = 0.05
+	// BorrowParts of its even part of the slots, and BorrowMore exchanges, is what a proxy may have at
+	// a service's targets in any case, so that queues before them stay short; as long as none
+	// says that it is full, up to BorrowMost parts.
+	BorrowParts = 1.5
+	BorrowMore  = 2
+	BorrowMost  = 3
+	// WindowCut is what is left of that window when a target says that it is full.
+	WindowCut = 0.8
+	// PressLife is how long after a sign of it a service counts as under pressure.
+	PressLife = time.Second
+	// Ranks is how many priorities are told apart; RankRoom the part of the window that each leaves
+	// to those before it while there is pressure.
+	Ranks    = 4
+	RankRoom = 0.1
+	// WaitPart of a route's aim is how long an exchange may wait for a target: a refusal after that
+	// is a late one. A route without an aim has WaitAim of its timeout in its place.
+	WaitPart = 4
+	WaitAim  = 4
+	// QueueMin is how many may wait for a service's targets in any case.
+	QueueMin = 2
+	// RefuseMin is the least that a refusal asks a caller to stay away; RefuseLeft the part of what the
+	// caller has left that it may ask at most.
+	RefuseMin  = 20 * time.Millisecond
+	RefuseLeft = 3
 	// StopWait is how long a stopping proxy finishes its exchanges, and StopLinger how long it
 	// serves on after going unready so that callers can move away.
 	StopWait   = 20 * time.Second
