--- a/host/host.go
+++ b/host/host.go
@@ -82,7 +82,7 @@
 }
 
 // Own is the product's own way.
-func Own() Dialect { return Dialect{Headers: carry.DefaultHeaders()} }
+func Own() Dialect { return Dialect{Headers: carry.Defaults()} }
 
 // Check lists the faults of settings for a kind of daemon.
 func (s *Settings) Check(kind string) []model.Fault {
@@ -218,6 +218,10 @@
 	start time.Time
 	out   map[string]chan *wire.Msg
 	Quit  chan int
+	// Headers are the names that targets are asked with; none: the product's own.
+	Headers  carry.Headers
+	probes   map[wire.ID]*probed
+	probesAt time.Duration
 }
 
 // Start reads command line and settings; on any fault it says each and exits 2.
@@ -375,7 +379,7 @@
 
 // Listen takes messages from other daemons.
 func (h *Host) Listen() error {
-	ln, err := net.Listen("tcp", cmp.Or(h.Set.Bind, h.Set.Addr))
+	ln, err := carry.Listen(cmp.Or(h.Set.Bind, h.Set.Addr), limit.Unacked)
 	if err != nil {
 		return errors.Wrap(err, "listen for daemons")
 	}
@@ -431,7 +435,7 @@
 			continue
 		}
 		if c == nil {
-			d := net.Dialer{Timeout: limit.ProbeCap, LocalAddr: h.From()}
+			d := carry.Dialer(h.From(), limit.ProbeCap)
 			if c, err = d.Dial("tcp", addr); err != nil {
 				c = nil
 				time.Sleep(limit.CoreBeat)
@@ -458,25 +462,6 @@
 	}
 }
 
-// Probe asks a target who it is, on a pipe of its own.
-func (h *Host) Probe(p core.Probe) {
-	sent := h.Now()
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), limit.ProbeCap)
-		defer cancel()
-		var b *model.Beat
-		cc, err := carry.Dial(ctx, p.Addr, h.From())
-		if err == nil {
-			b, err = carry.Identify(ctx, cc, p.Addr)
-			cc.Close()
-		}
-		if err != nil {
-			b = nil
-		}
-		h.Loop.Tell(core.Probed{ID: p.ID, SentAt: sent, Ms: float64(h.Now()-sent) / 1e6, Beat: b})
-	}()
-}
-
 // ---- disk ----
 
 // Disk owns the ring: batches in, numbers of synced ones out.
@@ -614,7 +599,7 @@
 
 // Serve runs an HTTP server on addr.
 func (h *Host) Serve(addr string, hd http.Handler) (*http.Server, error) {
-	ln, err := net.Listen("tcp", addr)
+	ln, err := carry.Listen(addr, limit.CallerUnacked)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for HTTP")
 	}
