--- a/limit/limit.go
+++ b/limit/limit.go
@@ -114,6 +114,16 @@
 	// late word comes once, a repeated one with its first, who lives beats every BeatEvery.
 	ProofWords = 3
 	ProofSpan  = 900 * time.Millisecond
+	// WordWait is how long a word that says leaving or gone may wait until a majority of the proxies
+	// has confirmed it: who says it goes to the next daemon after 1 s.
+	WordWait = 850 * time.Millisecond
+	// WordAgain is after what time such a word is passed to the leader once more, if no answer came.
+	WordAgain = 200 * time.Millisecond
+	// NameMax bounds a domain's name in bytes.
+	NameMax = 128
+	// SlotsMax and ColdMax bound what a target may say of itself: far over any real one.
+	SlotsMax = 1000000
+	ColdMax  = time.Hour
 	// NamesKept is how many names of targets that are gone a leader remembers the places of.
 	NamesKept = 4096
 	// TombKeep is how long after its last word a signed-off or superseded incarnation is refused.
--- a/model/model.go
+++ b/model/model.go
@@ -1,13 +1,11 @@
-// Package model is the operator's configuration: services, rules and policies,
-// read from JSON by koanf and checked as a whole. A check lists every fault by
+// Package model is the operator's configuration: services, routes, rules and
+// policies, read from JSON and checked as a whole. A check lists every fault by
 // its path, unknown fields included, so that nothing unread ever takes effect.
 package model
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"iter"
 	"maps"
 	"math"
@@ -15,6 +13,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	jsonpatch "github.com/evanphx/json-patch/v5"
@@ -164,7 +163,7 @@
 // Decode reads a JSON object into a struct with koanf tags, over what stands in
 // it already, and lists every fault by its path.
 func Decode(doc []byte, out any) ([]Fault, error) {
-	if err := object(doc); err != nil {
+	if _, err := object(doc); err != nil {
 		return nil, err
 	}
 	k := koanf.New("\x00")
@@ -207,14 +206,10 @@
 // Parse reads and checks a document. Faults are outcomes: err is only for what
 // cannot be read at all. checkPolicy is the judge's own check.
 func Parse(doc []byte, checkPolicy func(Policy) []Fault) (*Config, []Fault, error) {
-	if err := object(doc); err != nil {
+	raw, err := object(doc)
+	if err != nil {
 		return nil, nil, err
 	}
-	k := koanf.New("\x00")
-	if err := k.Load(rawbytes.Provider(doc), kjson.Parser()); err != nil {
-		return nil, nil, errors.Mark(err, ErrNotJSON)
-	}
-	raw := k.Raw()
 	c := &checker{}
 	cfg := &Config{Services: map[string]Service{}, Routes: map[string]Route{}, Policies: map[string]Policy{}, Aims: map[string]Aim{}}
 	for _, key := range slices.Sorted(maps.Keys(raw)) {
@@ -240,7 +235,7 @@
 			c.routes(cfg, v)
 		case "limits":
 			cfg.Limits = &Limits{}
-			c.strict(key, v, cfg.Limits)
+			c.limits(key, v, cfg.Limits)
 		case "rules":
 			l, ok := v.([]any)
 			if !ok {
@@ -314,61 +309,6 @@
 	return cfg, c.faults, nil
 }
 
-// object refuses what is not exactly one JSON object, and a key given twice,
-// of which the parser would silently keep the last.
-func object(doc []byte) error {
-	d := json.NewDecoder(bytes.NewReader(doc))
-	if t, err := d.Token(); err != nil || t != json.Delim('{') {
-		return errors.Wrap(ErrNotJSON, "must start with {")
-	}
-	if err := keys(d, ""); err != nil {
-		return errors.Mark(err, ErrNotJSON)
-	}
-	if _, err := d.Token(); err != io.EOF {
-		return errors.Wrap(ErrNotJSON, "text after the object")
-	}
-	return nil
-}
-
-func keys(d *json.Decoder, path string) error {
-	seen := map[string]bool{}
-	for d.More() {
-		t, err := d.Token()
-		if err != nil {
-			return err
-		}
-		k, _ := t.(string)
-		if seen[k] {
-			return errors.Newf("%s is given twice", join(path, k))
-		}
-		seen[k] = true
-		if err := value(d, join(path, k)); err != nil {
-			return err
-		}
-	}
-	_, err := d.Token()
-	return err
-}
-
-func value(d *json.Decoder, path string) error {
-	t, err := d.Token()
-	if err != nil {
-		return err
-	}
-	switch t {
-	case json.Delim('{'):
-		return keys(d, path)
-	case json.Delim('['):
-		for i := 0; d.More(); i++ {
-			if err := value(d, fmt.Sprintf("%s[%d]", path, i)); err != nil {
-				return err
-			}
-		}
-		_, err = d.Token()
-	}
-	return err
-}
-
 func (c *checker) name(path, n string) {
 	if n == "" || len(n) > 64 || strings.ContainsFunc(n, func(r rune) bool {
 		return !(r >= 'a' && r <= 'z' || r >= '0' && r <= '9' || r == '-' || r == '_')
@@ -437,7 +377,7 @@
 
 // Merge applies an RFC 7396 merge patch.
 func Merge(doc, patch []byte) ([]byte, error) {
-	if err := object(patch); err != nil {
+	if _, err := object(patch); err != nil {
 		return nil, err
 	}
 	out, err := jsonpatch.MergePatch(doc, patch)
@@ -499,6 +439,11 @@
 	Domain      string   `json:"domain,omitempty"`
 	State       string   `json:"state"`
 	Demand      *float64 `json:"demand,omitempty"`
+	// Slots are the exchanges that it works on at once, 0: not said. ColdLeftMs is how much longer
+	// it bears only its service's cold rate. Number rises with each word, 0: not numbered.
+	Slots      int64  `json:"slots,omitempty"`
+	ColdLeftMs int64  `json:"cold_left_ms,omitempty"`
+	Number     uint64 `json:"number,omitempty"`
 }
 
 // ID is who speaks.
@@ -520,7 +465,17 @@
 	if !slices.Contains([]string{Warming, Ready, Leaving, Gone}, b.State) {
 		c.add("state", "warming, ready, leaving or gone, not %q", b.State)
 	}
-	t := wire.Target{Service: b.Service, Name: b.Name, Inc: b.Incarnation, Addr: b.Address, Domain: b.Domain, State: b.State}
+	if len(b.Domain) > limit.NameMax {
+		c.add("domain", "at most %d bytes", limit.NameMax)
+	}
+	if b.Slots < 0 || b.Slots > limit.SlotsMax {
+		c.add("slots", "%d is not between 0 and %d", b.Slots, limit.SlotsMax)
+	}
+	if most := limit.ColdMax.Milliseconds(); b.ColdLeftMs < 0 || b.ColdLeftMs > most {
+		c.add("cold_left_ms", "%d is not between 0 and %d", b.ColdLeftMs, most)
+	}
+	t := wire.Target{Service: b.Service, Name: b.Name, Inc: b.Incarnation, Addr: b.Address, Domain: b.Domain, State: b.State,
+		Slots: uint32(b.Slots), ColdLeft: b.ColdLeftMs * int64(time.Millisecond), Number: b.Number}
 	if b.Demand != nil {
 		if *b.Demand < 0 || math.IsNaN(*b.Demand) || math.IsInf(*b.Demand, 0) {
 			c.add("demand", "must be 0 or more")
@@ -530,15 +485,38 @@
 	return t, c.faults
 }
 
-// ParseBeat reads a beat's body.
+// ParseBeat reads a beat's body; fields that it does not know may say more.
 func ParseBeat(body []byte) (wire.Target, []Fault) {
-	var b Beat
-	if err := json.Unmarshal(body, &b); err != nil {
-		return wire.Target{}, []Fault{{"", err.Error()}}
+	b, faults := readBeat(body, Beat{})
+	if len(faults) > 0 {
+		return wire.Target{}, faults
 	}
 	return b.Target()
 }
 
+// ParseNamedBeat reads a word whose name stands in the path of its call. Names in this
+// form are used once, so a word needs no incarnation.
+func ParseNamedBeat(name string, body []byte) (wire.Target, []Fault) {
+	b, faults := readBeat(body, Beat{Incarnation: 1})
+	if len(faults) > 0 {
+		return wire.Target{}, faults
+	}
+	b.Name = name
+	return b.Target()
+}
+
+func readBeat(body []byte, b Beat) (Beat, []Fault) {
+	if err := json.Unmarshal(body, &b); err != nil {
+		at := ""
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) {
+			at = te.Field
+		}
+		return b, []Fault{{at, err.Error()}}
+	}
+	return b, nil
+}
+
 // Trouble is the one shape of every error that a daemon answers with. Ran says
 // whether the exchange reached a back end: no, or unknown.
 type Trouble struct {
--- a/model/route.go
+++ b/model/route.go
@@ -120,27 +120,84 @@
 	return host
 }
 
-// strict re-reads a parsed value into a struct with JSON tags; unknown fields are faults.
-func (c *checker) strict(path string, in, out any) {
-	b, err := json.Marshal(in)
-	if err != nil {
-		c.add(path, "%v", err)
+// kindOf names a parsed value's kind.
+func kindOf(v any) string {
+	switch v.(type) {
+	case nil:
+		return "null"
+	case bool:
+		return "bool"
+	case float64:
+		return "number"
+	case string:
+		return "string"
+	case []any:
+		return "array"
+	}
+	return "object"
+}
+
+func (c *checker) text(path, field string, v any, to *string) {
+	s, ok := v.(string)
+	if !ok {
+		c.add(join(path, field), "is a %s, wants string", kindOf(v))
+	}
+	*to = s
+}
+
+func (c *checker) number(path, field string, v any, to *float64) {
+	f, ok := v.(float64)
+	if !ok {
+		c.add(join(path, field), "is a %s, wants number", kindOf(v))
+	}
+	*to = f
+}
+
+func (c *checker) whole(path, field string, v any, to *int) {
+	f, ok := v.(float64)
+	switch {
+	case !ok:
+		c.add(join(path, field), "is a %s, wants int", kindOf(v))
+	case f != math.Trunc(f) || math.Abs(f) > 1<<53:
+		c.add(join(path, field), "%v is not a whole number", f)
+	default:
+		*to = int(f)
+	}
+}
+
+// members gives an object's fields to take, in no order; those that it refuses are
+// unknown. Faults come by place.
+func (c *checker) members(path string, v any, take func(field string, v any) bool) {
+	m, ok := v.(map[string]any)
+	if !ok {
+		c.add(path, "is a %s, wants object", kindOf(v))
 		return
 	}
-	d := json.NewDecoder(strings.NewReader(string(b)))
-	d.DisallowUnknownFields()
-	if err := d.Decode(out); err != nil {
-		var te *json.UnmarshalTypeError
-		if errors.As(err, &te) {
-			c.add(join(path, te.Field), "is a %s, wants %s", te.Value, te.Type)
-			return
-		}
-		if f, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
-			c.add(join(path, strings.Trim(f, `"`)), "unknown field")
-			return
+	was := len(c.faults)
+	for k, f := range m {
+		if !take(k, f) {
+			c.add(join(path, k), "unknown field")
 		}
-		c.add(path, "%v", err)
 	}
+	slices.SortStableFunc(c.faults[was:], func(a, b Fault) int { return strings.Compare(a.Path, b.Path) })
+}
+
+func (c *checker) limits(at string, v any, l *Limits) {
+	c.members(at, v, func(k string, v any) bool {
+		switch k {
+		case "header_bytes":
+			c.whole(at, k, v, &l.HeaderBytes)
+		case "body_bytes":
+			c.whole(at, k, v, &l.BodyBytes)
+		case "header_ms":
+			c.whole(at, k, v, &l.HeaderMs)
+		case "idle_ms":
+			c.whole(at, k, v, &l.IdleMs)
+		default:
+			return false
+		}
+		return true
+	})
 }
 
 func (c *checker) routes(cfg *Config, v any) {
@@ -152,7 +209,7 @@
 		at := join("routes", n)
 		var r Route
 		was := len(c.faults)
-		c.strict(at, m[n], &r)
+		c.readRoute(at, m[n], &r)
 		c.name(at, n)
 		if len(c.faults) == was {
 			cfg.Routes[n] = r
@@ -160,6 +217,53 @@
 	}
 }
 
+func (c *checker) readRoute(at string, v any, r *Route) {
+	c.members(at, v, func(k string, v any) bool {
+		switch k {
+		case "host":
+			c.text(at, k, v, &r.Host)
+		case "prefix":
+			c.text(at, k, v, &r.Prefix)
+		case "kind":
+			c.text(at, k, v, &r.Kind)
+		case "timeout_ms":
+			c.whole(at, k, v, &r.TimeoutMs)
+		case "aim_ms":
+			c.whole(at, k, v, &r.AimMs)
+		case "priority":
+			c.whole(at, k, v, &r.Priority)
+		case "attempts":
+			c.whole(at, k, v, &r.Attempts)
+		case "service":
+			c.text(at, k, v, &r.Service)
+		case "split":
+			l, ok := v.([]any)
+			if !ok {
+				c.add(join(at, k), "is a %s, wants array", kindOf(v))
+			}
+			for i, e := range l {
+				var s Share
+				part := fmt.Sprintf("%s.split[%d]", at, i)
+				c.members(part, e, func(k string, v any) bool {
+					switch k {
+					case "service":
+						c.text(part, k, v, &s.Service)
+					case "weight":
+						c.number(part, k, v, &s.Weight)
+					default:
+						return false
+					}
+					return true
+				})
+				r.Split = append(r.Split, s)
+			}
+		default:
+			return false
+		}
+		return true
+	})
+}
+
 // route checks one route; services are known by then.
 func (c *checker) route(at string, r *Route, cfg *Config) {
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
@@ -269,6 +373,7 @@
 		}
 		parts[k] = b
 	}
+	delete(parts, "revision") // the earlier document's own
 	if n.Revision != 0 {
 		parts["revision"] = json.RawMessage(fmt.Sprint(n.Revision))
 	}
@@ -278,14 +383,73 @@
 
 // ParseNamed reads a partial change by names; anything that is not one is a fault.
 func ParseNamed(patch []byte) (*Named, []Fault, error) {
-	if err := object(patch); err != nil {
+	if _, err := object(patch); err != nil {
 		return nil, nil, err
 	}
-	d := json.NewDecoder(strings.NewReader(string(patch)))
-	d.DisallowUnknownFields()
-	n := &Named{}
-	if err := d.Decode(n); err != nil {
-		return nil, []Fault{{"", err.Error()}}, nil
+	c, n := &checker{}, &Named{}
+	var parts map[string]json.RawMessage
+	if err := json.Unmarshal(patch, &parts); err != nil {
+		return nil, nil, errors.Mark(err, ErrNotJSON)
+	}
+	read := func(at string, raw []byte, out any, wants string) {
+		if err := json.Unmarshal(raw, out); err != nil || string(raw) == "null" {
+			c.add(at, "must be %s", wants)
+		}
+	}
+	for _, k := range slices.Sorted(maps.Keys(parts)) {
+		switch k {
+		case "revision":
+			if read(k, parts[k], &n.Revision, "a whole number over 0"); len(c.faults) == 0 && n.Revision == 0 {
+				c.add(k, "must be a whole number over 0")
+			}
+		case "set":
+			var kinds map[string]json.RawMessage
+			read(k, parts[k], &kinds, "an object of kinds")
+			n.Set = map[string]map[string]json.RawMessage{}
+			for _, kind := range slices.Sorted(maps.Keys(kinds)) {
+				var items map[string]json.RawMessage
+				read(join(k, kind), kinds[kind], &items, "an object of named items")
+				n.Set[kind] = items
+			}
+		case "drop":
+			var kinds map[string]json.RawMessage
+			read(k, parts[k], &kinds, "an object of kinds")
+			n.Drop = map[string][]string{}
+			for _, kind := range slices.Sorted(maps.Keys(kinds)) {
+				var names []string
+				read(join(k, kind), kinds[kind], &names, "a list of names")
+				n.Drop[kind] = names
+			}
+		default:
+			c.add(k, "unknown field")
+		}
+	}
+	return n, c.faults, nil
+}
+
+// Unnumbered is a document without its own revision, for one that is made from another.
+func Unnumbered(doc []byte) ([]byte, error) {
+	return renumber(doc, func(parts map[string]json.RawMessage) { delete(parts, "revision") })
+}
+
+// Numbered is a document with a revision inside: its own, or else rev.
+func Numbered(doc []byte, rev uint64) ([]byte, error) {
+	return renumber(doc, func(parts map[string]json.RawMessage) {
+		if parts["revision"] == nil {
+			parts["revision"] = json.RawMessage(fmt.Sprint(rev))
+		}
+	})
+}
+
+func renumber(doc []byte, change func(map[string]json.RawMessage)) ([]byte, error) {
+	parts := map[string]json.RawMessage{}
+	if err := json.Unmarshal(doc, &parts); err != nil {
+		return nil, errors.Mark(err, ErrNotJSON)
+	}
+	n, was := len(parts), parts["revision"]
+	change(parts)
+	if len(parts) == n && string(was) == string(parts["revision"]) {
+		return doc, nil
 	}
-	return n, nil, nil
+	return json.Marshal(parts)
 }
