--- a/cmd/mfstub/main.go
+++ b/cmd/mfstub/main.go
@@ -157,7 +157,7 @@
 		return false
 	}
 	resp.Body.Close()
-	return resp.StatusCode == 202
+	return resp.StatusCode < 300
 }
 
 func (s *stub) beats() {
--- a/core/core.go
+++ b/core/core.go
@@ -9,6 +9,7 @@
 package core
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -78,6 +79,8 @@
 	Self  wire.Daemon
 	Size  int
 	Seeds []string
+	// Domains are known though nothing may stand in them yet.
+	Domains []string
 }
 
 // Lead is a member's standing as the one who decides.
@@ -136,6 +139,8 @@
 	voice    Voice
 	told     bool // known by hearsay: one word, or a proxy's table; not served until it has proved itself
 	freed    bool // its address had another target's entry
+	coldTill time.Duration
+	warmFrom uint64 // lowest number of a word that may end its coldness
 }
 
 // force is something that waits until a table is in force everywhere.
@@ -149,6 +154,7 @@
 	wide   bool    // a change of the roster
 	member string  // a core member whose joining or leaving is waited for
 	joins  bool
+	most   bool // confirmed by a majority of the proxies is enough
 }
 
 type pending struct {
@@ -160,6 +166,14 @@
 	to     string // the leader that it was passed to
 	passes int    // how many leaders have had it
 	call   *wire.Ask
+	passAt time.Duration
+	word   bool // a target's: made known in time or not promised, and never in doubt
+}
+
+// checked is the configuration last found sound, so that it need not be read again.
+type checked struct {
+	doc []byte
+	cfg *model.Config
 }
 
 type Core struct {
@@ -194,6 +208,9 @@
 	claims    map[wire.ID]*target       // words of targets in whose place another stands
 	tombs     map[wire.ID]time.Duration // signed off or superseded: refused while it goes on speaking
 	left      map[wire.ID]time.Duration // held when it fell silent: held again if it comes back
+	outVer    map[wire.ID]uint64        // first table without the target, or with it held, for words that say so
+	restored  map[string]time.Duration  // when emptied domains were last restored
+	checked   checked
 	judge     *judge.Judge
 	scorer    *judge.Scorer
 	judged    uint64 // revision whose policies are in force
@@ -246,7 +263,7 @@
 // given the shell's.
 func New(now time.Duration, set Settings, img quorum.Image) *Core {
 	c := &Core{set: set, img: img, known: Book{}, memories: map[string]memory{}, gates: map[string]*gate{},
-		pend: map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, state: newState(), relaySeq: set.Self.Inc << 20}
+		pend: map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, restored: map[string]time.Duration{}, state: newState(), relaySeq: set.Self.Inc << 20}
 	c.set.Self.Disk = img.Disk
 	if img.Epoch != 0 {
 		c.start(now)
@@ -381,15 +398,15 @@
 	for _, id := range slices.Sorted(maps.Keys(c.relays)) {
 		p := c.relays[id]
 		switch l := c.led(now); {
-		case now-p.at > limit.AskWait+limit.CoreGrant:
+		case now-p.at > limit.AskWait+limit.CoreGrant, p.word && now-p.at > limit.WordWait:
 			delete(c.relays, id)
 			c.unknown(p)
 		case c.lead == Deciding:
 			delete(c.relays, id)
 			p.passes++
 			c.operate(now, p, p.call)
-		case l != "" && l != p.to:
-			c.pass(id, p, l) // under its id a change is made once, whoever hears it how often
+		case l != "" && l != c.set.Self.Name && (l != p.to || p.word && now-p.passAt > limit.WordAgain):
+			c.pass(now, id, p, l) // under its id a change is made once, whoever hears it how often
 		}
 	}
 	if c.stopping && (now-c.stopAt > limit.ElectMin || c.node == nil || c.node.Role() != quorum.Leader && now-c.stopAt > limit.CoreGrant) {
@@ -448,6 +465,9 @@
 		}
 		if m.Ask.Reply {
 			if p := c.relays[m.Ask.Id]; p != nil && p.to == m.From {
+				if p.word && m.Ask.Status == 503 {
+					return // it is passed on again while it may wait
+				}
 				if p.passes > 1 && m.Ask.Status == 503 {
 					p.to = "" // an earlier leader may have agreed it: the next that decides will know
 					return
@@ -488,6 +508,7 @@
 		c.scorer = judge.NewScorer(c.judge)
 		c.was, c.turns, c.turnOf = nil, map[string]uint32{}, map[[2]string]uint32{}
 		c.tombs, c.left = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
+		c.outVer = map[wire.ID]uint64{}
 		c.table, c.best, c.sig, c.wideUntil = nil, wire.Key{}, 0, 0
 		c.policies()
 		// Whatever an earlier leader granted may still run.
@@ -577,9 +598,12 @@
 	if c.judged == c.state.Revision && c.judged != 0 {
 		return
 	}
-	cfg, _, err := judge.CheckConfig(c.state.Doc)
-	if err != nil {
-		panic(fmt.Sprintf("agreed configuration %d: %v", c.state.Revision, err))
+	cfg := c.checked.cfg
+	if cfg == nil || !bytes.Equal(c.checked.doc, c.state.Doc) {
+		var err error
+		if cfg, _, err = judge.CheckConfig(c.state.Doc); err != nil {
+			panic(fmt.Sprintf("agreed configuration %d: %v", c.state.Revision, err))
+		}
 	}
 	c.cfg = cfg
 	c.judge.Replace(cfg)
@@ -709,7 +733,7 @@
 				continue
 			}
 			t := &target{Target: w, told: true, beatAt: now - limit.BeatLapse/2, aliveAt: now, probeAt: now - limit.ProbeEvery, seenAt: now}
-			t.BarLeft, t.BarWhy, t.Held = 0, "", false
+			t.BarLeft, t.BarWhy, t.Held, t.ColdLeft = 0, "", false, 0
 			c.targets[w.ID()] = t
 			c.turns[w.Service] = max(c.turns[w.Service], w.Turn)
 			c.turnOf[[2]string{w.Service, w.Name}] = w.Turn
@@ -723,6 +747,8 @@
 		if w.Held {
 			c.hold(now, t, "a proxy's table holds it")
 		}
+		t.coldTill = max(t.coldTill, now+time.Duration(w.ColdLeft))
+		c.chill(t)
 		if w.BarLeft > 0 && c.lead == Warming {
 			c.judge.Adopt(now, w.ID(), w.BarWhy, time.Duration(w.BarLeft))
 		}
@@ -766,7 +792,8 @@
 	c.do(Note{Decision: &d})
 }
 
-// beat takes a back end's word, straight or passed on.
+// beat takes a back end's word, straight or passed on. A word whose number is not over
+// the highest heard is old and changes nothing.
 func (c *Core) beat(now time.Duration, w wire.Target, passOn bool) {
 	if c.lead != Deciding && c.lead != Warming {
 		if c.node != nil && passOn {
@@ -787,20 +814,22 @@
 		c.rebuild(now, false)
 		return
 	}
-	if t != nil && t.Addr != w.Addr {
+	if o := cmp.Or(t, c.claims[id]); o != nil && w.Number != 0 && w.Number <= o.Number {
+		return
+	}
+	if t != nil && t.Addr != w.Addr && w.State != model.Leaving {
 		c.counts.Refused++
 		return
 	}
 	if t == nil {
+		if w.State == model.Leaving {
+			c.left[id] = now // also if it only claims its place so far
+		}
 		if t = c.register(now, w); t == nil {
 			return
 		}
 	}
-	c.word(now, t)
-	t.aliveAt = now
-	if w.HasDemand {
-		t.Demand, t.HasDemand = w.Demand, true
-	}
+	c.note(now, t, w)
 	c.advanceState(now, t, w.State)
 	e := judge.Event{At: now, Slice: "beat", Service: t.Service, Name: t.Name, Inc: t.Inc, Ok: true, State: t.State}
 	c.judgeEvent(e)
@@ -810,6 +839,38 @@
 	c.rebuild(now, false)
 }
 
+// note takes over what a word says beside its state.
+func (c *Core) note(now time.Duration, t *target, w wire.Target) {
+	c.spoke(now, t)
+	t.aliveAt = now
+	if w.HasDemand {
+		t.Demand, t.HasDemand = w.Demand, true
+	}
+	if w.Slots != 0 {
+		t.Slots = w.Slots
+	}
+	t.Number = max(t.Number, w.Number)
+	if w.ColdLeft > 0 {
+		t.coldTill = max(t.coldTill, now+time.Duration(w.ColdLeft))
+	} else if w.Number != 0 && w.Number >= t.warmFrom {
+		t.coldTill = 0
+	}
+}
+
+// cold is how much longer a target is cold.
+func (t *target) cold(now time.Duration) int64 { return max(0, int64(t.coldTill-now)) }
+
+// chill has a target of a restored domain be cold: it may have become so while nothing
+// was sent there. A word that was under way by then says nothing of it, so the next
+// number does not end it yet.
+func (c *Core) chill(t *target) {
+	at, was := c.restored[t.Domain]
+	svc := c.cfg.Services[t.Service]
+	if till := at + svc.Cold(); was && till > t.coldTill {
+		t.coldTill, t.warmFrom = till, t.Number+2
+	}
+}
+
 // advanceState moves a target only forward: what has said that it is leaving
 // stays held until it signs off.
 func (c *Core) advanceState(now time.Duration, t *target, s string) {
@@ -821,9 +882,9 @@
 	}
 }
 
-// word counts a beat. One alone proves nothing, since it may be a late one of a
+// spoke counts a beat. One alone proves nothing, since it may be a late one of a
 // start that is over; who goes on beating is there, even if no probe gets through.
-func (c *Core) word(now time.Duration, t *target) {
+func (c *Core) spoke(now time.Duration, t *target) {
 	t.beatAt = now
 	t.voice.Hear(now)
 	t.told = t.told && !t.voice.Speaks(now)
@@ -854,7 +915,7 @@
 	}
 	if len(c.rivals(w)) > 0 {
 		t.Addr = w.Addr
-		c.word(now, t)
+		c.note(now, t, w)
 		c.claims[w.ID()] = t
 		if !c.succeed(now, t, false) {
 			return nil
@@ -967,6 +1028,9 @@
 			c.turnOf = map[[2]string]uint32{} // names that never come back; a new place costs little
 		}
 		maps.DeleteFunc(c.left, old)
+		maps.DeleteFunc(c.outVer, func(id wire.ID, _ uint64) bool {
+			return c.targets[id] == nil && c.claims[id] == nil && c.tombs[id] == 0
+		})
 	}
 	c.decided(c.scorer.Tick(now))
 	if c.lead != Deciding {
@@ -1021,6 +1085,7 @@
 		if b.Demand != nil {
 			t.Demand, t.HasDemand = *b.Demand, true
 		}
+		t.coldTill = max(t.coldTill, now+p.Cold) // that it says nothing of it ends nothing
 	}
 	c.judgeEvent(e)
 	c.rebuild(now, false)
@@ -1048,8 +1113,9 @@
 		until, why := c.judge.Barred(now, id)
 		w.BarLeft, w.BarWhy = max(0, int64(until-now)), why
 		w.Beating = c.targets[id].beats(now)
+		w.ColdLeft = c.targets[id].cold(now)
 		t.Targets = append(t.Targets, w)
-		fmt.Fprintf(h, "%s %s %d %s %s %s %v %v %s %v\n", w.Service, w.Name, w.Inc, w.Addr, w.Domain, w.State, w.Held, w.Pending, w.BarWhy, w.Beating)
+		fmt.Fprintf(h, "%s %s %d %s %s %s %v %v %s %v %d %v\n", w.Service, w.Name, w.Inc, w.Addr, w.Domain, w.State, w.Held, w.Pending, w.BarWhy, w.Beating, w.Slots, w.ColdLeft > 0)
 		demand = demand*31 + uint64(w.Demand*8)
 	}
 	fmt.Fprintf(h, "%d %d %v %v", t.Seq, t.Revision, t.Gates, t.Was)
@@ -1102,6 +1168,9 @@
 		f.majAt = 0
 		return false
 	}
+	if f.most {
+		return true
+	}
 	if f.majAt == 0 {
 		f.majAt = now
 	}
@@ -1121,7 +1190,7 @@
 			done = append(done, f)
 			return true
 		}
-		if f.p != nil && now-f.since > limit.AskWait {
+		if f.p != nil && (now-f.since > limit.AskWait || f.p.word && now-f.p.at > limit.WordWait) {
 			c.unknown(f.p)
 			f.p = nil
 			return !f.wide
--- a/core/operate.go
+++ b/core/operate.go
@@ -7,6 +7,8 @@
 import (
 	"bytes"
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -42,6 +44,7 @@
 	Revision uint64          `json:"revision"`
 	Seq      uint64          `json:"seq"`
 	Doc      json.RawMessage `json:"doc,omitempty"`
+	Sum      string          `json:"sum,omitempty"` // of a configuration's change as it was asked for
 }
 
 // State is what the members agree on.
@@ -67,6 +70,8 @@
 	Name  string          `json:"name,omitempty"`
 	Gates []Gate          `json:"gates,omitempty"`
 	State json.RawMessage `json:"state,omitempty"`
+	Rev   uint64          `json:"rev,omitempty"` // the operator's own number for a configuration
+	Sum   string          `json:"sum,omitempty"`
 }
 
 func newState() State { return State{Doc: json.RawMessage(`{}`), Out: map[string]uint64{}} }
@@ -86,8 +91,17 @@
 
 func (s *State) record(r Record) {
 	s.Records = append(s.Records, r)
-	if n := len(s.Records) - limit.ChangesKept; n > 0 {
-		s.Records = slices.Clone(s.Records[n:])
+	// Configurations and all else are kept apart: orders that are repeated push no text out.
+	same, first := 0, -1
+	for i, o := range s.Records {
+		if (o.Sum == "") == (r.Sum == "") {
+			if same++; first < 0 {
+				first = i
+			}
+		}
+	}
+	if same > limit.ChangesKept {
+		s.Records = slices.Delete(slices.Clone(s.Records), first, first+1)
 	}
 	left := limit.HistoryBytes
 	for i := len(s.Records) - 1; i >= 0; i-- {
@@ -107,6 +121,16 @@
 	return nil
 }
 
+// taken is the accepted change that the very same call led to.
+func (s *State) taken(sum string) *Record {
+	for i := range s.Records {
+		if r := &s.Records[i]; sum != "" && r.Sum == sum && r.Outcome == "accepted" {
+			return r
+		}
+	}
+	return nil
+}
+
 // Apply is the one place where agreed entries change the state.
 func (s *State) Apply(index uint64, o order) {
 	s.Seq = index
@@ -116,14 +140,17 @@
 	r := Record{Id: o.Token, What: cmp.Or(o.What, o.Op+" "+o.Name), Outcome: "accepted", Base: o.Base, Seq: index}
 	switch o.Op {
 	case "config":
-		if o.Base != s.Revision {
+		if o.Base != s.Revision || o.Rev != 0 && o.Rev <= s.Revision {
 			r.Outcome, r.Revision = "stale", s.Revision
+			if t := s.taken(o.Sum); t != nil { // asked twice before it was agreed
+				r.Outcome, r.Revision = t.Outcome, t.Revision
+			}
 			s.record(r)
 			return
 		}
-		s.Revision++
+		s.Revision = cmp.Or(o.Rev, s.Revision+1)
 		s.Doc = o.Doc
-		r.Doc = o.Doc
+		r.Doc, r.Sum = o.Doc, o.Sum
 	case "empty":
 		if !slices.Contains(s.Emptied, o.Name) {
 			s.Emptied = append(slices.Clone(s.Emptied), o.Name)
@@ -212,7 +239,7 @@
 	if err := json.Unmarshal(e.Data, &o); err != nil {
 		panic(errors.Wrapf(err, "entry %d", e.Index))
 	}
-	was, names := c.state.Revision, c.rosterNames()
+	was, names, emptied := c.state.Revision, c.rosterNames(), slices.Contains(c.state.Emptied, o.Name)
 	c.state.Apply(e.Index, o)
 	if c.state.Revision != was {
 		c.do(Change{"revision", fmt.Sprint(was), fmt.Sprint(c.state.Revision), o.What})
@@ -222,6 +249,10 @@
 		c.swaps[o.Name] = true
 	case "out":
 		delete(c.swaps, o.Name)
+	case "restore":
+		if emptied {
+			c.restored[o.Name] = now
+		}
 	}
 	if c.lead == Idle || c.lead == Adopting {
 		return
@@ -230,9 +261,19 @@
 		c.was = names
 	}
 	c.policies()
+	if o.Op == "restore" && emptied {
+		for _, t := range c.targets {
+			c.chill(t)
+		}
+	}
 	p := c.pend[o.Token]
 	delete(c.pend, o.Token)
-	if r := c.state.find(o.Token); r != nil && r.Outcome == "stale" {
+	rev := c.state.Revision
+	r := c.state.find(o.Token)
+	if r != nil {
+		rev = r.Revision
+	}
+	if r != nil && r.Outcome == "stale" {
 		c.counts.Refused++
 		if p != nil {
 			c.answer(p, c.stale(p.token))
@@ -246,7 +287,7 @@
 	}
 	if p != nil {
 		c.counts.Changes++
-		f.p, f.reply = p, done(p.token, c.state.Revision)
+		f.p, f.reply = p, done(p.token, rev)
 	}
 	if f.wide || p != nil {
 		c.forces = append(c.forces, f)
@@ -281,7 +322,7 @@
 }
 
 func (c *Core) answer(p *pending, r Reply) {
-	if r.Status == 503 && p.passes > 1 {
+	if r.Status == 503 && p.passes > 1 && !p.word {
 		c.unknown(p) // not 'nothing was changed': an earlier leader had it too
 		return
 	}
@@ -294,6 +335,10 @@
 }
 
 func (c *Core) unknown(p *pending) {
+	if p.word {
+		c.answer(p, unheard())
+		return
+	}
 	c.answer(p, trouble(504, model.Trouble{Code: "unknown", Ran: "unknown", Id: p.token,
 		Message: "it cannot be told whether the change was agreed or is in force everywhere; ask for it by its id"}))
 }
@@ -302,15 +347,26 @@
 	return trouble(503, model.Trouble{Code: "no_leader", Message: "no leader that a majority has heard; nothing was changed"})
 }
 
+// unheard promises nothing to a target that says it leaves or is gone: it is to tell
+// another daemon.
+func unheard() Reply {
+	return trouble(503, model.Trouble{Code: "unheard", Message: "no leader has made this known to most proxies in time; say it again, to any daemon"})
+}
+
 // ---- calls ----
 
 // ask takes a call at this daemon: some it answers itself, the others it
 // carries out as leader or passes to the leader.
 func (c *Core) ask(now time.Duration, e Ask) {
 	p := &pending{token: e.Token, ask: e.ID, at: now}
+	word := wire.Target{}
 	if strings.HasPrefix(e.Path, "/v1/targets") && e.Method != "GET" {
-		c.answer(p, TargetCall(e, func(t wire.Target) { c.beat(now, t, true) }))
-		return
+		w, r := readWord(e)
+		if r.Status != 0 {
+			c.answer(p, r)
+			return
+		}
+		word, p.word = w, true
 	}
 	if e.Path == "/v1/core/refound" && e.Method == "POST" {
 		c.answer(p, c.refound(now, query(e.Query, "gone")))
@@ -331,42 +387,136 @@
 	if c.node != nil && !c.stopping {
 		l = c.node.Leader()
 	}
-	if l == "" || l == c.set.Self.Name || c.known[l] == nil {
+	if p.word && !leaves(word) && l != "" {
+		c.beat(now, word, true)
+		c.answer(p, heard(word))
+		return
+	}
+	waits := p.word && c.lead == Warming
+	if !waits && (l == "" || l == c.set.Self.Name || c.known[l] == nil) {
 		c.answer(p, noLeader())
 		return
 	}
 	c.relaySeq++
 	c.relays[c.relaySeq] = p
 	p.call = &wire.Ask{Id: c.relaySeq, Token: p.token, Method: e.Method, Path: e.Path, Query: e.Query, Body: e.Body}
-	c.pass(c.relaySeq, p, l)
+	if waits {
+		p.to = c.set.Self.Name // made known as soon as this member decides
+		c.beat(now, word, false)
+		return
+	}
+	c.pass(now, c.relaySeq, p, l)
 }
 
 // pass hands a call to the leader.
-func (c *Core) pass(id uint64, p *pending, leader string) {
-	p.to = leader
+func (c *Core) pass(now time.Duration, id uint64, p *pending, leader string) {
+	p.to, p.passAt = leader, now
 	p.passes++
 	c.send(leader, &wire.Msg{Kind: uint16(wire.KAsk), Ask: p.call})
 }
 
-// TargetCall is a back end's own call, which any daemon takes.
-func TargetCall(e Ask, beat func(wire.Target)) Reply {
-	var t wire.Target
+// leaves says that a word has to be safe before it is acknowledged.
+func leaves(w wire.Target) bool { return w.State == model.Leaving || w.State == model.Gone }
+
+// readWord reads a back end's own call; a reply with a status refuses it. A sign-off by
+// name alone has no service.
+func readWord(e Ask) (t wire.Target, r Reply) {
 	var fs []model.Fault
-	if rest, ok := strings.CutPrefix(e.Path, "/v1/targets/"); ok && e.Method == "DELETE" {
-		svc, name, _ := strings.Cut(rest, "/")
-		inc, _ := strconv.ParseUint(query(e.Query, "incarnation"), 10, 64)
-		b := model.Beat{Service: svc, Name: name, Incarnation: inc, Address: "127.0.0.1:1", State: model.Gone}
-		t, fs = b.Target()
-	} else if e.Method == "POST" && e.Path == "/v1/targets" {
+	rest, named := strings.CutPrefix(e.Path, "/v1/targets/")
+	svc, name, both := strings.Cut(rest, "/")
+	switch {
+	case named && e.Method == "DELETE":
+		b := model.Beat{Service: svc, Name: name, Address: "127.0.0.1:1", State: model.Gone}
+		if b.Incarnation, _ = strconv.ParseUint(query(e.Query, "incarnation"), 10, 64); !both {
+			b.Service, b.Name, b.Incarnation = "any", rest, 1
+		}
+		if t, fs = b.Target(); !both {
+			t.Service, t.Inc = "", 0
+		}
+	case named && !both && e.Method == "PUT":
+		t, fs = model.ParseNamedBeat(rest, e.Body)
+	case e.Method == "POST" && e.Path == "/v1/targets":
 		t, fs = model.ParseBeat(e.Body)
-	} else {
-		return trouble(405, model.Trouble{Code: "method", Message: "POST /v1/targets, or DELETE /v1/targets/{service}/{name}?incarnation=N"})
+	default:
+		return t, trouble(405, model.Trouble{Code: "method", Message: "POST /v1/targets, PUT /v1/targets/{name}, DELETE /v1/targets/{name} or DELETE /v1/targets/{service}/{name}?incarnation=N"})
 	}
 	if len(fs) > 0 {
-		return trouble(422, model.Trouble{Code: "invalid", Message: "not a target's word", Faults: fs})
+		return t, trouble(422, model.Trouble{Code: "invalid", Message: "not a target's word", Faults: fs})
+	}
+	return t, Reply{}
+}
+
+// heard acknowledges a word: 200 if it is safe that it says leaving or gone, else 202.
+func heard(w wire.Target) Reply {
+	r := Reply{Status: 202, Body: body(map[string]any{"beat_ms": limit.BeatEvery.Milliseconds()})}
+	if leaves(w) {
+		r.Status = 200
+	}
+	return r
+}
+
+// TargetCall is a back end's own call to a proxy, which acts on it at once and passes
+// it on. A sign-off without a service is for those who know all targets.
+func TargetCall(e Ask, beat func(wire.Target)) Reply {
+	t, r := readWord(e)
+	if r.Status != 0 {
+		return r
+	}
+	if t.Service == "" {
+		return trouble(405, model.Trouble{Code: "method", Message: "a sign-off by name alone is for a core member"})
 	}
 	beat(t)
-	return Reply{Status: 202, Body: body(map[string]any{"beat_ms": limit.BeatEvery.Milliseconds()})}
+	return Reply{Status: 202, Body: heard(t).Body}
+}
+
+// word takes a back end's word as leader. One that says leaving or gone is acknowledged
+// when most proxies have a table that says so; the others' grants lapse by themselves.
+func (c *Core) word(now time.Duration, p *pending, w wire.Target) {
+	ids := []wire.ID{w.ID()}
+	if w.Service == "" {
+		ids = c.named(w.Name)
+	}
+	for _, id := range ids {
+		t := w
+		t.Service, t.Inc = id.Service, id.Inc
+		c.beat(now, t, false)
+	}
+	if !leaves(w) {
+		c.answer(p, heard(w))
+		return
+	}
+	ver := uint64(0)
+	for _, id := range ids {
+		out := c.outVer[id]
+		if out == 0 {
+			out = c.ver
+		}
+		if t := c.targets[id]; t == nil || t.Held { // an old word has changed nothing
+			c.outVer[id] = out
+		}
+		ver = max(ver, out)
+	}
+	c.forces = append(c.forces, &force{ver: ver, since: now, p: p, reply: heard(w), most: true})
+}
+
+// named are the identities under a name, those that signed off lately included.
+func (c *Core) named(name string) []wire.ID {
+	m := map[wire.ID]bool{}
+	add := func(id wire.ID) {
+		if id.Name == name {
+			m[id] = true
+		}
+	}
+	for id := range c.targets {
+		add(id)
+	}
+	for id := range c.claims {
+		add(id)
+	}
+	for id := range c.tombs {
+		add(id)
+	}
+	return slices.SortedFunc(maps.Keys(m), wire.ID.Compare)
 }
 
 func query(q, k string) string {
@@ -384,6 +534,16 @@
 		c.answer(p, noLeader())
 		return
 	}
+	if strings.HasPrefix(a.Path, "/v1/targets") && a.Method != "GET" {
+		p.word = true
+		w, r := readWord(Ask{Method: a.Method, Path: a.Path, Query: a.Query, Body: a.Body})
+		if r.Status != 0 {
+			c.answer(p, r)
+			return
+		}
+		c.word(now, p, w)
+		return
+	}
 	if r := c.state.find(p.token); r != nil && a.Method != "GET" {
 		if r.Outcome == "stale" {
 			c.answer(p, c.stale(p.token))
@@ -403,10 +563,18 @@
 	}
 	call := a.Method + " " + seg[1]
 	switch {
+	case call == "GET config" && seg[2] == "" && has(a.Query, "plain"):
+		doc, err := model.Numbered(c.state.Doc, c.state.Revision)
+		if err != nil {
+			panic(errors.Wrap(err, "an agreed document"))
+		}
+		c.answer(p, Reply{Status: 200, Body: append(slices.Clone(doc), '\n')})
 	case call == "GET config" && seg[2] == "":
 		c.answer(p, Reply{Status: 200, Body: body(map[string]any{"revision": c.state.Revision, "config": c.state.Doc})})
 	case call == "PUT config" && seg[2] == "":
-		c.config(now, p, a, a.Body, "whole")
+		if sum, ok := c.screen(now, p, a, a.Body, "whole"); ok {
+			c.config(now, p, a.Body, "whole", sum)
+		}
 	case call == "PATCH config" && seg[2] == "":
 		c.patch(now, p, a, a.Body, "partial")
 	case call == "GET config" && seg[2] == "history":
@@ -420,7 +588,10 @@
 			c.answer(p, trouble(404, model.Trouble{Code: "not_found", Message: fmt.Sprintf("revision %d is not kept; the last %d changes are", to, limit.ChangesKept)}))
 			return
 		}
-		c.config(now, p, a, doc, fmt.Sprintf("rollback to %d", to))
+		what := fmt.Sprintf("rollback to %d", to)
+		if sum, ok := c.screen(now, p, a, []byte("{}"), what); ok {
+			c.config(now, p, unnumbered(doc), what, sum)
+		}
 	case call == "GET changes":
 		if r := c.state.find(seg[2]); r != nil {
 			t := *r
@@ -482,58 +653,109 @@
 	return true
 }
 
-func (c *Core) base(p *pending, a *wire.Ask) bool {
-	b, ok := number(a.Query, "base")
-	if !ok {
+func has(q, k string) bool {
+	v, _ := url.ParseQuery(q)
+	return v.Has(k)
+}
+
+func unnumbered(doc []byte) []byte {
+	d, err := model.Unnumbered(doc)
+	if err != nil {
+		panic(errors.Wrap(err, "an agreed document"))
+	}
+	return d
+}
+
+// screen looks at a change of the configuration before anything is made of it: its size,
+// its base, and whether the very same call has been taken already. sum stands for the
+// call: its kind, its base and what its body says.
+func (c *Core) screen(now time.Duration, p *pending, a *wire.Ask, text []byte, what string) (sum string, ok bool) {
+	if len(text) > limit.DocMax {
+		c.answer(p, tooLarge())
+		return "", false
+	}
+	b, named := number(a.Query, "base")
+	if !named {
 		c.answer(p, trouble(428, model.Trouble{Code: "base_missing", Message: "name the revision this was built on: base=N or If-Match", Revision: c.state.Revision}))
-		return false
+		return "", false
 	}
-	if b != c.state.Revision {
+	said, err := model.Canonical(text)
+	if err != nil {
 		c.counts.Refused++
-		c.answer(p, c.stale(p.token))
-		return false
+		c.answer(p, trouble(400, model.Trouble{Code: "not_json", Message: err.Error()}))
+		return "", false
 	}
-	return true
+	h := sha256.New()
+	fmt.Fprintf(h, "%s\n%d\n%s", what, b, said)
+	sum = hex.EncodeToString(h.Sum(nil)[:16])
+	if b == c.state.Revision {
+		return sum, true
+	}
+	if r := c.state.taken(sum); r != nil {
+		c.forces = append(c.forces, &force{ver: c.ver, since: now, p: p, reply: done(p.token, r.Revision)})
+		return "", false
+	}
+	c.counts.Refused++
+	c.answer(p, c.stale(p.token))
+	return "", false
 }
 
 func (c *Core) patch(now time.Duration, p *pending, a *wire.Ask, patch []byte, what string) {
-	if len(patch) > limit.DocMax || !c.base(p, a) {
-		if len(patch) > limit.DocMax {
-			c.answer(p, tooLarge())
-		}
+	sum, ok := c.screen(now, p, a, patch, what)
+	if !ok {
 		return
 	}
-	doc, err := model.Merge(c.state.Doc, patch)
-	if err != nil {
-		c.answer(p, trouble(400, model.Trouble{Code: "not_json", Message: err.Error()}))
+	var doc []byte
+	var err error
+	if what == "partial" && model.IsNamed(patch) {
+		n, faults, err := model.ParseNamed(patch)
+		if err == nil && len(faults) == 0 {
+			doc, faults, err = n.Apply(c.state.Doc)
+		}
+		if err != nil || len(faults) > 0 {
+			c.faulty(p, faults, err)
+			return
+		}
+	} else if doc, err = model.Merge(unnumbered(c.state.Doc), patch); err != nil {
+		c.faulty(p, nil, err)
 		return
 	}
-	c.config(now, p, a, doc, what)
+	c.config(now, p, doc, what, sum)
 }
 
 func tooLarge() Reply {
 	return trouble(413, model.Trouble{Code: "too_large", Message: fmt.Sprintf("at most %d bytes", limit.DocMax)})
 }
 
-func (c *Core) config(now time.Duration, p *pending, a *wire.Ask, doc []byte, what string) {
+func (c *Core) faulty(p *pending, faults []model.Fault, err error) {
+	c.counts.Refused++
+	if err != nil {
+		c.answer(p, trouble(400, model.Trouble{Code: "not_json", Message: err.Error()}))
+		return
+	}
+	c.answer(p, trouble(422, model.Trouble{Code: "invalid", Message: fmt.Sprintf("%d faults; nothing was changed", len(faults)), Faults: faults, Revision: c.state.Revision}))
+}
+
+// config proposes a whole configuration on the present revision.
+func (c *Core) config(now time.Duration, p *pending, doc []byte, what, sum string) {
 	if len(doc) > limit.DocMax {
 		c.answer(p, tooLarge())
 		return
 	}
-	_, faults, err := judge.CheckConfig(doc)
-	switch {
-	case err != nil:
-		c.counts.Refused++
-		c.answer(p, trouble(400, model.Trouble{Code: "not_json", Message: err.Error()}))
-	case len(faults) > 0:
-		c.counts.Refused++
-		c.answer(p, trouble(422, model.Trouble{Code: "invalid", Message: fmt.Sprintf("%d faults; nothing was changed", len(faults)), Faults: faults, Revision: c.state.Revision}))
-	case c.base(p, a):
-		var b bytes.Buffer
-		if json.Compact(&b, doc) != nil {
-			panic("a checked document is JSON")
-		}
-		c.change(now, p, order{Op: "config", Base: c.state.Revision, Doc: b.Bytes(), What: what})
+	cfg, faults, err := judge.CheckConfig(doc)
+	if err == nil && cfg.Revision != 0 && cfg.Revision <= c.state.Revision {
+		faults = append(faults, model.Fault{Path: "revision", Text: fmt.Sprintf("not above the present %d", c.state.Revision)})
+	}
+	if err != nil || len(faults) > 0 {
+		c.faulty(p, faults, err)
+		return
+	}
+	var b bytes.Buffer
+	if json.Compact(&b, doc) != nil {
+		panic("a checked document is JSON")
+	}
+	if c.change(now, p, order{Op: "config", Base: c.state.Revision, Doc: b.Bytes(), What: what, Rev: cfg.Revision, Sum: sum}) {
+		c.checked = checked{b.Bytes(), cfg}
 	}
 }
 
@@ -572,6 +794,9 @@
 	for _, g := range c.state.Roster {
 		m[g.Domain] = true
 	}
+	for _, d := range c.set.Domains {
+		m[d] = true
+	}
 	delete(m, "")
 	return slices.Sorted(maps.Keys(m))
 }
@@ -619,7 +844,7 @@
 	for _, id := range slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare) {
 		t := c.targets[id]
 		v := TargetView{Target: t.Target, BeatMs: float64(now-t.beatAt) / 1e6, Why: "serving"}
-		v.Beating = t.beats(now)
+		v.Beating, v.ColdLeft = t.beats(now), t.cold(now)
 		until, why := c.judge.Barred(now, id)
 		if until > now {
 			v.Bar, v.BarMs = why, (until - now).Milliseconds()
@@ -637,6 +862,8 @@
 			v.Why = "its domain is emptied"
 		case t.State == model.Warming:
 			v.Why = "warming: up to its share"
+		case v.ColdLeft > 0:
+			v.Why = "cold: up to its service's cold rate"
 		}
 		l = append(l, v)
 	}
