--- a/host/host.go
+++ b/host/host.go
@@ -262,7 +262,7 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	lv, _ := logrus.ParseLevel(set.Log)
 	log.SetLevel(lv)
-	h := &Host{Kind: kind, Set: set, Log: log, Reg: prometheus.NewRegistry(), Inc: rand.Uint64() | 1, load: load, say: say, raw: raw,
+	h := &Host{Kind: kind, Set: set, Log: log, Reg: prometheus.NewRegistry(), Inc: rand.Uint64() | 1, load: load, say: say, Headers: say.Headers, raw: raw,
 		start: time.Now(), out: map[string]chan *wire.Msg{}, Quit: make(chan int, 1)}
 	h.bound(set)
 	h.Reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
