--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -180,7 +180,7 @@
 }
 
 // fill gives every field a value of its own that isn't zero, so that one that isn't carried shows.
-func fill(t *testing.T, v reflect.Value, n *int) {
+func fill(t fataler, v reflect.Value, n *int) {
 	*n++
 	switch v.Kind() {
 	case reflect.Pointer:
@@ -339,8 +339,8 @@
 func FuzzDecode(f *testing.F) {
 	n := 0
 	m, b := &Msg{}, &Batch{}
-	fill(&testing.T{}, reflect.ValueOf(m).Elem(), &n)
-	fill(&testing.T{}, reflect.ValueOf(b).Elem(), &n)
+	fill(f, reflect.ValueOf(m).Elem(), &n)
+	fill(f, reflect.ValueOf(b).Elem(), &n)
 	for _, m := range []*Msg{{}, m, tableOf(3), pullOf(3)} {
 		b, err := Encode(m)
 		must(f, err)
