--- a/gate/choice.go
+++ b/gate/choice.go
@@ -407,6 +407,7 @@
 const (
 	dealtNear tier = iota // a slot of this proxy's own in its domain
 	dealtFar
+	offered  // it says that there is room
 	coldRate // a cold target's next turn for this proxy
 	borrowed
 	shunned
@@ -428,7 +429,7 @@
 			}
 			any = true
 			k := g.tier(now, c, x, s)
-			if k == none || k > at || !room {
+			if k == none || k > at || !room && !c.offers(now) {
 				continue
 			}
 			if l := c.load(now); k < at || l < load {
@@ -457,7 +458,8 @@
 }
 
 // ranked says whether an exchange of its priority may go to a target now: while the
-// service is under pressure and higher ones come, each leaves a part to those before it.
+// service is under pressure and higher ones come, each leaves a part to those before
+// it, unless a target offers more.
 func (g *Gate) ranked(now time.Duration, x *exchange, s *service) bool {
 	r := min(x.route.Priority, limit.Ranks-1)
 	if r == 0 || !s.pressed(now) {
@@ -498,17 +500,20 @@
 	case t.inflight < t.part:
 		return dealtFar
 	}
-	told := t.loadAt > 0 && now-t.loadAt < limit.LoadLife
-	used := t.used(now)
 	switch {
-	case told && used+1/float64(t.slots) <= 1:
-		return borrowed // it says that there is room
-	case float64(s.inflight)+1 <= s.window && used < 1:
+	case t.offers(now):
+		return offered
+	case float64(s.inflight)+1 <= s.window && t.used(now) < 1:
 		return borrowed
 	}
 	return none
 }
 
+// offers says that a target told lately of a free slot.
+func (t *target) offers(now time.Duration) bool {
+	return t.loadAt > 0 && now-t.loadAt < limit.LoadLife && t.used(now)+1/float64(t.slots) <= 1
+}
+
 // used is what part of a target's slots is taken, as far as is known here.
 func (t *target) used(now time.Duration) float64 {
 	n := float64(t.inflight)
--- /dev/null
+++ b/gate/route_test.go
@@ -0,0 +1,564 @@
+package gate
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"myrtlefold/core"
+	"myrtlefold/limit"
+	"myrtlefold/model"
+	"myrtlefold/wire"
+)
+
+func slots(n uint32) func(*wire.Target) { return func(t *wire.Target) { t.Slots = n } }
+
+func cold(d time.Duration) func(*wire.Target) {
+	return func(t *wire.Target) { t.ColdLeft = int64(d) }
+}
+
+func (b *bench) pass(d time.Duration) []any {
+	b.now += d
+	b.g.grantTill = b.now + time.Second
+	return b.step(core.Tick{})
+}
+
+func (b *bench) call(id uint64, path string, left time.Duration) any {
+	return answer(id, b.step(Admit{ID: id, Host: "h:80", Path: path, Method: "GET", Timeout: left}))
+}
+
+const routed = `{"services":{"s":{"health_path":"/h","cold_s":3,"cold_per_s":10},"t":{"health_path":"/h"}},"routes":{
+	"r":{"host":"h","prefix":"/a/","kind":"repeatable","timeout_ms":2000,"aim_ms":400,"priority":1,"service":"s","attempts":2},
+	"low":{"host":"h","prefix":"/low/","kind":"repeatable","timeout_ms":2000,"aim_ms":400,"priority":3,"service":"s","attempts":2},
+	"o":{"host":"h","prefix":"/once/","kind":"once","timeout_ms":2000,"aim_ms":400,"service":"s","attempts":3},
+	"x":{"host":"h","prefix":"/x/","kind":"repeatable","timeout_ms":2000,"split":[{"service":"s","weight":90},{"service":"t","weight":10}],"attempts":2}}}`
+
+// The host's longest prefix decides; what the caller gives and the route's timeout
+// both bound an exchange; there is no route for anything else.
+func TestRoutes(t *testing.T) {
+	b := newBench("g1", 3, routed, to("a", slots(8)))
+	g, ok := b.call(1, "/a/b", time.Second).(Give)
+	if !ok || g.Name != "r" || g.Route.Attempts != 2 || g.Left != time.Second || g.Service != "s" {
+		t.Fatalf("%+v", g)
+	}
+	if g, ok := b.call(2, "/a/b", time.Minute).(Give); !ok || g.Left != 2*time.Second {
+		t.Fatalf("%+v", g)
+	}
+	if r, ok := b.call(3, "/b", time.Second).(Refuse); !ok || r.Status != 404 {
+		t.Fatalf("%+v", r)
+	}
+	b.now += limit.GateGrant + time.Millisecond
+	if r, ok := b.call(4, "/b", time.Second).(Refuse); !ok || r.Status != 503 || r.Retry > time.Second/3 || r.Retry < limit.RefuseMin {
+		t.Fatalf("%+v: without a fresh table nobody knows", r)
+	}
+	r := newBench("g1", 1, plain, to("a"))
+	if g := r.admit(1).(Give); g.Route.Kind != model.Repeatable || g.Route.TimeoutMs != g.Set.TimeoutMs || g.Name != "" {
+		t.Fatalf("%+v", g)
+	}
+	if g := answer(2, r.step(Admit{ID: 2, Path: "/s", Method: "POST"})).(Give); g.Route.Kind != model.Once {
+		t.Fatalf("%+v", g)
+	}
+}
+
+// A split is kept to exactly, and a part whose service has no target goes to another.
+func TestSplit(t *testing.T) {
+	at := to("z", slots(8))
+	at.Service = "t"
+	b := newBench("g1", 1, routed, to("a", slots(8)), at)
+	n := map[string]int{}
+	for id := uint64(1); id <= 200; id++ {
+		n[b.call(id, "/x/", 0).(Give).Service]++
+		b.step(Done{ID: id, Outcome: Served, Ms: 1, Last: true})
+	}
+	if n["s"] != 180 || n["t"] != 20 {
+		t.Fatalf("%v", n)
+	}
+	b.table(1, routed, to("a", slots(8)))
+	for id := uint64(201); id <= 230; id++ {
+		if g, ok := b.call(id, "/x/", 0).(Give); !ok || g.Service != "s" {
+			t.Fatalf("%+v", g)
+		}
+		b.step(Done{ID: id, Outcome: Served, Ms: 1, Last: true})
+	}
+}
+
+// Every slot is dealt to one proxy, sums differ by one at most, own domains come first
+// where that is even, and a target that goes takes few other parts along.
+func TestSlotsAreDealt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gates, zones := rapid.IntRange(1, 40).Draw(t, "proxies"), rapid.IntRange(1, 4).Draw(t, "domains")
+		var names, doms []string
+		for i := range gates {
+			names, doms = append(names, fmt.Sprintf("g%d", i)), append(doms, fmt.Sprint(i%zones))
+		}
+		var lots []lot
+		total := 0
+		for i := range rapid.IntRange(1, 60).Draw(t, "targets") {
+			n := rapid.IntRange(1, 8).Draw(t, "slots")
+			lots = append(lots, lot{key: key(wire.ID{Service: "s", Name: fmt.Sprint(i)}), domain: fmt.Sprint(i % zones), slots: n})
+			total += n
+		}
+		parts := dealSlots(lots, names, doms)
+		sums := make([]int, gates)
+		for i, l := range lots {
+			n := 0
+			for j := range names {
+				n, sums[j] = n+parts[i][j], sums[j]+parts[i][j]
+			}
+			if n != l.slots {
+				t.Fatalf("%d of %d slots dealt", n, l.slots)
+			}
+		}
+		for j, n := range sums {
+			if n != total/gates && n != total/gates+1 {
+				t.Fatalf("proxy %d has %d of %d among %d", j, n, total, gates)
+			}
+		}
+	})
+	var names, doms []string
+	for i := range 12 {
+		names, doms = append(names, fmt.Sprintf("g%d", i)), append(doms, fmt.Sprint(i%3))
+	}
+	var lots []lot
+	for i := range 30 {
+		lots = append(lots, lot{key: key(wire.ID{Service: "s", Name: fmt.Sprint(i)}), domain: fmt.Sprint(i % 3), slots: 3})
+	}
+	before, after := dealSlots(lots, names, doms), dealSlots(lots[:29], names, doms)
+	away, moved := 0, 0
+	for i := range 29 {
+		for j := range names {
+			if doms[j] != lots[i].domain {
+				away += before[i][j]
+			}
+			moved += max(0, before[i][j]-after[i][j])
+		}
+	}
+	if away > 6 || moved > 20 {
+		t.Fatalf("%d of 90 slots away from their domain, %d moved with one of 30 targets", away, moved)
+	}
+}
+
+// Proxies that talk to nobody queue at no target while each keeps to its even part.
+func TestDealtSlotsNeverMeet(t *testing.T) {
+	var ts []wire.Target
+	for i := range 6 {
+		ts = append(ts, to(fmt.Sprint(i), slots(3)))
+	}
+	at := map[string]int{}
+	for i := range 12 {
+		b := newBench(fmt.Sprintf("g%d", i+1), 12, routed, ts...)
+		if g, ok := b.call(1, "/a/", 0).(Give); ok {
+			at[g.Target.Name]++
+		}
+	}
+	for n, c := range at {
+		if c > 3 {
+			t.Errorf("%d at %s", c, n)
+		}
+	}
+	if len(at) < 4 {
+		t.Errorf("%v", at)
+	}
+}
+
+// Beyond its own slots a proxy borrows where a target says that there is room, within
+// its window else; the rest waits by priority, a part of the aim, and is refused then.
+func TestBorrowAndWait(t *testing.T) {
+	ts := []wire.Target{to("a", slots(4)), to("b", slots(4)), to("c", slots(4)), to("d", slots(4))}
+	b := newBench("g1", 8, routed, ts...)
+	id, given := uint64(0), 0
+	for {
+		id++
+		if _, ok := b.call(id, "/a/", time.Second).(Give); !ok {
+			break
+		}
+		given++
+	}
+	if given != int(limit.BorrowParts*2+limit.BorrowMore) {
+		t.Fatalf("%d in flight with an even part of 2", given)
+	}
+	first := id
+	if x := b.call(100, "/low/", time.Second); x != nil {
+		t.Fatalf("%+v", x)
+	}
+	if x := b.call(101, "/once/", time.Second); x != nil {
+		t.Fatalf("%+v", x)
+	}
+	if r, ok := b.call(102, "/low/", time.Second).(Refuse); !ok || r.Retry < 50*time.Millisecond || r.Retry > 100*time.Millisecond {
+		t.Fatalf("%+v", r)
+	}
+	out := b.step(Done{ID: 1, Outcome: Served, Last: true})
+	if _, ok := answer(101, out).(Give); !ok || answer(first, out) != nil {
+		t.Fatalf("the highest first: %+v", out)
+	}
+	out = b.pass(101 * time.Millisecond)
+	if r, ok := answer(first, out).(Refuse); !ok || r.Status != 503 || b.g.service("s").queue != nil && len(b.g.service("s").queue) > 0 {
+		t.Fatalf("%+v", out)
+	}
+	// One that tells of room takes more than the window.
+	b.step(Done{ID: 2, Outcome: Served, Load: &Load{Running: 1, Slots: 4}, Last: true})
+	n := 0
+	for id := uint64(200); id < 220; id++ {
+		if _, ok := b.call(id, "/a/", time.Second).(Give); ok {
+			n++
+		}
+	}
+	if n < 2 {
+		t.Fatalf("%d at a target with room", n)
+	}
+}
+
+// A target that says it is full is left out for a moment and the window shrinks.
+func TestFull(t *testing.T) {
+	b := newBench("g1", 1, routed, to("a", slots(4)), to("b", slots(4)))
+	g := b.call(1, "/once/", time.Second).(Give)
+	full := g.Target.Name
+	b.step(Done{ID: 1, Outcome: NotRun})
+	for id := uint64(2); id < 5; id++ {
+		if g, ok := b.call(id, "/a/", time.Second).(Give); !ok || g.Target.Name == full {
+			t.Fatalf("%+v", g)
+		}
+	}
+	b.pass(limit.FullPause + time.Millisecond)
+	for id := uint64(5); ; id++ {
+		g, ok := b.call(id, "/a/", time.Second).(Give)
+		if !ok {
+			t.Fatal("never again")
+		}
+		if g.Target.Name == full {
+			break
+		}
+	}
+	if b.g.targets[wire.ID{Service: "s", Name: full, Inc: 1}].seen.NotRun != 1 {
+		t.Fatal("not counted")
+	}
+}
+
+// A slow target gets less, and is tried again once that is forgotten.
+func TestSlowTargets(t *testing.T) {
+	b := newBench("g1", 1, routed, to("a", slots(4)), to("b", slots(4)))
+	id := uint64(0)
+	share := func(n int, slow float64) (c int) {
+		for range n / 4 {
+			took := map[uint64]float64{}
+			for range 4 {
+				id++
+				took[id] = 100
+				if b.call(id, "/a/", time.Second).(Give).Target.Name == "a" {
+					c, took[id] = c+1, slow
+				}
+			}
+			for i := id - 3; i <= id; i++ {
+				b.step(Done{ID: i, Outcome: Served, Ms: took[i], Last: true})
+			}
+		}
+		return c
+	}
+	share(40, 400)
+	if n := share(40, 400); n > 12 {
+		t.Fatalf("%d of 40 at the slow one", n)
+	}
+	b.pass(limit.PaceLife + time.Millisecond)
+	if n := share(1000, 100); n < 300 {
+		t.Fatalf("%d of 1000 at one that is slow no more", n)
+	}
+}
+
+// Cold targets get their rate over all proxies, whatever rosters the proxies stand on and
+// whichever of them start anew: in any second no more than half over it.
+func TestColdRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 14).Draw(t, "proxies")
+		perS := rapid.Float64Range(0.5, 40).Draw(t, "rate")
+		doc := fmt.Sprintf(`{"services":{"s":{"health_path":"/h","cold_s":3,"cold_per_s":%v}},"routes":{"r":{"host":"h","prefix":"/a/","kind":"repeatable","timeout_ms":2000,"service":"s","attempts":1}}}`, perS)
+		joins := rapid.Bool().Draw(t, "one joins")
+		var sent []time.Duration
+		gates := make([]*bench, n+1)
+		start := func(i int, now time.Duration) {
+			gates[i] = &bench{g: New(Settings{Self: wire.Daemon{Name: fmt.Sprintf("g%d", i+1), Kind: "gate", Inc: 9}}), now: now}
+		}
+		table := func(b *bench, ver uint64, now time.Duration) {
+			b.now = now
+			x := &wire.Table{Key: wire.Key{Epoch: 1, Term: 1, Ver: ver}, Revision: 1, Doc: []byte(doc), Targets: []wire.Target{to("a", slots(50), cold(10*time.Second))}}
+			names := n
+			if ver > 1 {
+				names = n + 1
+			}
+			for i := range names {
+				x.Gates = append(x.Gates, wire.Gate{Name: fmt.Sprintf("g%d", i+1), Live: true})
+				if ver == 2 && i < n {
+					x.Was = append(x.Was, fmt.Sprintf("g%d", i+1))
+				}
+			}
+			b.g.Step(b.now, core.Recv{M: &wire.Msg{Kind: uint16(wire.KPush), From: "c1", Epoch: 1, Term: 1, Stamp: int64(b.now), Disk: 9, Push: &wire.Push{Grant: true, Key: x.Key, Table: x}}})
+		}
+		ver := make([]uint64, n+1)
+		highest := uint64(1)
+		for i := range n {
+			start(i, time.Second)
+			ver[i] = 1
+			table(gates[i], 1, time.Second)
+		}
+		id, restarts := uint64(0), 0
+		events := rapid.SliceOfN(rapid.IntRange(0, 2*n-1), 0, 15).Draw(t, "events")
+		every := 3 * time.Second / time.Duration(len(events)+1)
+		next := time.Second + every
+		for now := time.Second; now < 4*time.Second; now += 20 * time.Millisecond {
+			if len(events) > 0 && now >= next {
+				i := events[0] % n
+				what := events[0] / n
+				events, next = events[1:], next+every
+				switch what {
+				case 0:
+					restarts++
+					start(i, now)
+					table(gates[i], ver[i], now)
+				case 1:
+					// A change is in force everywhere before the next is made.
+					low := ver[0]
+					for j := range n {
+						low = min(low, ver[j])
+					}
+					if low == highest && highest < 3 {
+						highest++
+					}
+					if joins && ver[i] < highest {
+						ver[i]++
+						table(gates[i], ver[i], now)
+						if ver[i] == 3 && gates[n] == nil {
+							start(n, now)
+							table(gates[n], 3, now)
+						}
+					}
+				}
+			}
+			for _, b := range gates {
+				if b == nil {
+					continue
+				}
+				b.now = now
+				b.g.grantTill = now + time.Second
+				id++
+				for _, c := range append(b.step(core.Tick{}), b.step(Admit{ID: id, Host: "h", Path: "/a/", Timeout: time.Second})...) {
+					if x, ok := c.(Give); ok {
+						sent = append(sent, now)
+						b.step(Done{ID: x.ID, Outcome: Served, Ms: 5, Last: true})
+					}
+				}
+			}
+		}
+		from := 0
+		for i, at := range sent {
+			for at-sent[from] >= time.Second {
+				from++
+			}
+			if c := float64(i - from + 1); c > perS*1.5+2 {
+				t.Fatalf("%v in the second up to %v, rate %v", c, at, perS)
+			}
+		}
+		if restarts == 0 && !joins && perS >= 1 && len(sent) < int(perS*1.5) {
+			t.Fatalf("only %d at rate %v", len(sent), perS)
+		}
+	})
+}
+
+// After its time a target bears what others do.
+func TestColdEnds(t *testing.T) {
+	b := newBench("g1", 1, routed, to("a", slots(4), cold(time.Second)))
+	if _, ok := b.call(1, "/a/", time.Second).(Give); ok {
+		t.Fatal("a new life of this proxy sends at once")
+	}
+	b.pass(time.Second)
+	b.pass(limit.TickEvery)
+	for id := uint64(10); id < 13; id++ {
+		if g, ok := b.call(id, "/a/", time.Second).(Give); !ok {
+			t.Fatalf("%+v", g)
+		}
+	}
+}
+
+// Arrivals beyond the first stay under ratio and slack over all proxies in any window,
+// whatever comes to which proxy, whoever starts anew and however tries end.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := Retry{rapid.Float64Range(0.05, 0.3).Draw(t, "ratio"), 10 * time.Second, rapid.Float64Range(1, 80).Draw(t, "slack")}
+		n := rapid.IntRange(1, 8).Draw(t, "proxies")
+		gates := make([]*bench, n)
+		start := func(i int, now time.Duration) {
+			b := &bench{g: New(Settings{Self: wire.Daemon{Name: fmt.Sprintf("g%d", i+1), Kind: "gate", Inc: 9}, Retry: r}), now: now}
+			b.table(n, routed, to("a", slots(50)), to("b", slots(50)), to("c", slots(50)))
+			gates[i] = b
+		}
+		for i := range gates {
+			start(i, time.Second)
+		}
+		var came, again []time.Duration
+		id := uint64(0)
+		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		for now := time.Second; now < 30*time.Second; now += 100 * time.Millisecond {
+			i := rnd.IntN(n)
+			if rnd.IntN(60) == 0 {
+				start(i, now)
+			}
+			b := gates[i]
+			b.now = now
+			b.g.grantTill = now + time.Second
+			for range rnd.IntN(15) {
+				id++
+				came = append(came, now)
+				g, ok := b.call(id, "/a/", time.Second).(Give)
+				if !ok {
+					continue
+				}
+				o := []Outcome{Lost, NotRun, Broken, Served}[id%4]
+				b.step(Done{ID: g.ID, Outcome: o, Ms: 5, Last: o == Served})
+				if o == Served {
+					continue
+				}
+				if _, ok := answer(id, b.step(Again{ID: id, Sent: true})).(Give); ok {
+					again = append(again, now)
+					b.step(Done{ID: id, Outcome: Served, Ms: 5, Last: true})
+				}
+			}
+		}
+		in := func(l []time.Duration, from, to time.Duration) (n int) {
+			for _, at := range l {
+				if at >= from && at < to {
+					n++
+				}
+			}
+			return n
+		}
+		for from := time.Duration(0); from < 30*time.Second; from += 500 * time.Millisecond {
+			most := max(in(came, from, from+r.Window), in(came, from-r.Window/2, from+r.Window/2), in(came, from-r.Window, from))
+			if c := in(again, from, from+r.Window); float64(c) > r.Ratio*float64(most)+r.Slack {
+				t.Fatalf("%d of %d from %v, ratio %v slack %v", c, most, from, r.Ratio, r.Slack)
+			}
+		}
+	})
+}
+
+// One that may run once gets no second target after a try that may have run, and one
+// that was turned away does.
+func TestOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench("g1", 1, routed, to("a", slots(9)), to("b", slots(9)), to("c", slots(9)))
+		for id := uint64(1000); id < 1200; id++ {
+			b.call(id, "/a/", 0)
+			b.step(Done{ID: id, Outcome: Served, Last: true})
+		}
+		b.pass(limit.RetryWindow / 2)
+		may, n := false, 0
+		x := b.call(1, "/once/", 0)
+		for {
+			if _, ok := x.(Give); !ok {
+				break
+			}
+			if may {
+				t.Fatal("given again")
+			}
+			if n++; n > 3 {
+				t.Fatal("more than its attempts")
+			}
+			o := rapid.SampledFrom([]Outcome{Broken, Lost, Closed, Foreign, Stale, NotRun}).Draw(t, "outcome")
+			may = o == Broken || o == Lost
+			b.step(Done{ID: 1, Outcome: o})
+			x = answer(1, b.step(Again{ID: 1, Sent: may || rapid.Bool().Draw(t, "sent")}))
+		}
+		if r, ok := x.(Refuse); may && (!ok || r.Status == 503 || r.Status == 429) {
+			t.Fatalf("%+v promises what nobody knows", x)
+		}
+	})
+}
+
+// Nobody waits behind one of a lower rank or one that came later, nobody is given
+// twice, and everybody gets one end.
+func TestWaitingOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench("g1", 1, routed, to("a", slots(2)))
+		rank := map[uint64]int{}
+		at, waits := map[uint64]bool{}, []uint64{}
+		see := func(cmds []any) {
+			for _, c := range cmds {
+				switch c := c.(type) {
+				case Give:
+					for _, w := range waits {
+						if rank[w] < rank[c.ID] || rank[w] == rank[c.ID] && w < c.ID {
+							t.Fatalf("%d of rank %d before %d of rank %d", c.ID, rank[c.ID], w, rank[w])
+						}
+						if w == c.ID {
+							break
+						}
+					}
+					if at[c.ID] {
+						t.Fatal("given twice")
+					}
+					at[c.ID] = true
+					waits = drop(waits, c.ID)
+				case Refuse:
+					waits = drop(waits, c.ID)
+				}
+			}
+		}
+		for id := uint64(1); id < 80; id++ {
+			see(b.pass(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond))
+			path := rapid.SampledFrom([]string{"/a/", "/low/", "/once/"}).Draw(t, "path")
+			rank[id] = map[string]int{"/a/": 1, "/low/": 3, "/once/": 0}[path]
+			out := b.step(Admit{ID: id, Host: "h", Path: path, Timeout: time.Second})
+			if answer(id, out) == nil {
+				waits = append(waits, id)
+			}
+			see(out)
+			for d := range at {
+				if rapid.Bool().Draw(t, "done") {
+					delete(at, d)
+					see(b.step(Done{ID: d, Outcome: Served, Ms: 20, Last: true}))
+				}
+				break
+			}
+			for _, w := range append([]uint64{}, waits...) {
+				if x := b.g.exchanges[w]; x == nil || !x.waiting {
+					waits = drop(waits, w)
+				}
+			}
+		}
+	})
+}
+
+func drop(l []uint64, id uint64) (out []uint64) {
+	for _, x := range l {
+		if x != id {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// A stop is told at once, lasts while exchanges are under way and no longer than the grace.
+func TestStop(t *testing.T) {
+	b := newBench("g1", 1, routed, to("a", slots(2)))
+	b.g.set.Grace = 6 * time.Second
+	b.call(1, "/a/", 0)
+	b.step(core.Stop{})
+	if b.g.Ready() || !b.g.Serving() {
+		t.Fatal("must serve on, unready")
+	}
+	exits := func(cmds []any) bool {
+		for _, c := range cmds {
+			if _, ok := c.(core.Exit); ok {
+				return true
+			}
+		}
+		return false
+	}
+	if exits(b.pass(limit.StopLinger + time.Millisecond)) {
+		t.Fatal("left one under way")
+	}
+	if !exits(b.pass(6 * time.Second)) {
+		t.Fatal("over its grace")
+	}
+	b.step(Done{ID: 1, Outcome: Served, Last: true})
+}
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -668,7 +668,7 @@
 	w.open[x.id] = x
 	w.Stats.Exchanges++
 	m := "GET"
-	if unsafe {
+	if unsafe && w.sabotage != "resend" { // that takes the owner's own guard out too
 		m = "POST"
 	}
 	w.deliver(p, gate.Admit{ID: x.id, Host: "x", Path: "/" + svc + "/a", Method: m})
