--- a/gate/choice.go
+++ b/gate/choice.go
@@ -495,6 +495,8 @@
 		return none
 	case t.shun > now:
 		return shunned
+	case t.inflight < t.part && t.used(now) >= 1:
+		return borrowed // others have borrowed it meanwhile
 	case t.inflight < t.part && t.near:
 		return dealtNear
 	case t.inflight < t.part:
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -217,7 +217,7 @@
 		if most == 0 {
 			most = x.route.Timeout() / limit.WaitPart / limit.WaitAim
 		}
-		most = min(most, x.deadline-now-x.way.usual())
+		most = min(x.start+most-now, x.deadline-now-x.way.usual())
 		if most <= 0 {
 			return false
 		}
@@ -326,7 +326,7 @@
 		g.Counts.RetriesDenied++
 		g.refuse(now, x, 503, "retry_budget", "the service's retry budget is used up")
 	default:
-		g.place(now, x, false)
+		g.place(now, x, x.way != nil)
 	}
 }
 
@@ -433,6 +433,11 @@
 			g.place(now, x, false)
 			continue
 		}
+		if x.repeat && !s.budget.has(now, g.set.Retry) {
+			g.Counts.RetriesDenied++
+			g.refuse(now, x, 503, "retry_budget", "the service's retry budget is used up")
+			continue
+		}
 		g.give(now, x, t, s)
 	}
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -113,7 +113,7 @@
 type Settings struct {
 	Self  wire.Daemon
 	Seeds []string
-	Retry Retry // of the whole fleet; zero: limit's
+	Retry Retry // of the whole fleet; without a window: limit's
 	// Grace is how long a stop may take in all, 0: limit.StopWait.
 	Grace time.Duration
 	// ReadyWhenEmptied has an emptied domain's proxy go on asking for callers.
@@ -238,7 +238,7 @@
 }
 
 func New(set Settings) *Gate {
-	if set.Retry == (Retry{}) {
+	if set.Retry.Window < limit.CountSlices {
 		set.Retry = Retry{1 / float64(limit.RetryShare), limit.RetryWindow, limit.RetryFree}
 	}
 	if set.Grace == 0 {
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -486,6 +486,27 @@
 	}
 }
 
+// The same on a route, with targets that tell their slots.
+func BenchmarkSlots(b *testing.B) {
+	for _, n := range []int{36, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var ts []wire.Target
+			for i := range n {
+				ts = append(ts, to(fmt.Sprintf("t%03d", i), slots(6)))
+			}
+			x := newBench("g1", 12, routed, ts...)
+			id := uint64(0)
+			for b.Loop() {
+				id++
+				if _, ok := x.call(id, "/a/", time.Second).(Give); !ok {
+					b.Fatal("refused")
+				}
+				x.step(Done{ID: id, Outcome: Served, Ms: 5, Last: true})
+			}
+		})
+	}
+}
+
 // The same with a target that restarted meanwhile: partners have its later start in
 // its place, and so has a proxy that comes back on the same table.
 func TestThawedOrphanLearnsRestarts(t *testing.T) {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -204,7 +204,7 @@
 	// a service's targets in any case, so that queues before them stay short; as long as none
 	// says that it is full, up to BorrowMost parts.
 	BorrowParts = 1.5
-	BorrowMore  = 2
+	BorrowMore  = 1
 	BorrowMost  = 3
 	// WindowCut is what is left of that window when a target says that it is full.
 	WindowCut = 0.8
