--- a/gate/choice.go
+++ b/gate/choice.go
@@ -62,7 +62,7 @@
 func (g *Gate) index(now time.Duration) {
 	g.alive, g.listed, g.coldEnd = nil, nil, 0
 	for _, s := range g.services {
-		s.targets = nil
+		s.targets, s.own = nil, nil
 	}
 	if g.table == nil {
 		return
@@ -98,7 +98,7 @@
 // prepare readies a service's targets: who is cold and what this proxy may send there,
 // and which slots are its own.
 func (g *Gate) prepare(now time.Duration, s *service, doms []string) {
-	s.slotted = false
+	s.slotted, s.own = false, nil
 	total := 0
 	set := g.cfg.Services[s.targets[0].Service]
 	lots := make([]lot, 0, len(s.targets))
@@ -137,6 +137,11 @@
 			lots[i].t.part = parts[at]
 		}
 	}
+	for _, t := range s.targets {
+		if t.part > 0 {
+			s.own = append(s.own, t)
+		}
+	}
 	s.even = float64(total) / float64(max(1, len(g.alive)))
 	s.window = min(max(s.window, s.least()), s.most())
 }
@@ -419,33 +424,42 @@
 func (g *Gate) pick(now time.Duration, x *exchange, s *service) (t *target, any bool) {
 	room := g.ranked(now, x, s)
 	g.turn++
-	n := len(s.targets)
+	// Its own slots come first: mostly there is no need to look further.
+	if t, at, any := g.among(now, x, s, s.own, in, room); t != nil && at <= dealtFar {
+		g.tell(at)
+		return t, any
+	}
 	for _, as := range []standing{in, last} {
-		best, at, load := (*target)(nil), none, 0.0
-		for i := range s.targets {
-			c := s.targets[(int((g.salt+g.turn)%uint64(n))+i)%n]
-			if g.standing(now, c, x) != as || c.cold(now, x) && c.coldGap == 0 || c.slots == 0 {
-				continue
-			}
-			any = true
-			k := g.tier(now, c, x, s)
-			if k == none || k > at || !room && !c.offers(now) {
-				continue
-			}
-			if l := c.load(now); k < at || l < load {
-				best, at, load = c, k, l
-			}
-		}
-		if any {
-			if best != nil {
+		if t, at, any := g.among(now, x, s, s.targets, as, room); any {
+			if t != nil {
 				g.tell(at)
 			}
-			return best, true
+			return t, true
 		}
 	}
 	return nil, false
 }
 
+func (g *Gate) among(now time.Duration, x *exchange, s *service, ts []*target, as standing, room bool) (best *target, at tier, any bool) {
+	at = none
+	load, n := 0.0, len(ts)
+	for i := range ts {
+		c := ts[(int((g.salt+g.turn)%uint64(n))+i)%n]
+		if g.standing(now, c, x) != as || c.cold(now, x) && c.coldGap == 0 || c.slots == 0 {
+			continue
+		}
+		any = true
+		k := g.tier(now, c, x, s)
+		if k == none || k > at || !room && !c.offers(now) {
+			continue
+		}
+		if l := c.load(now); k < at || l < load {
+			best, at, load = c, k, l
+		}
+	}
+	return best, at, any
+}
+
 func (g *Gate) tell(k tier) {
 	switch k {
 	case dealtNear, dealtFar:
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -188,6 +188,7 @@
 	queue    []uint64
 	budget   budget
 	targets  []*target // sorted
+	own      []*target // those of them with slots that are dealt to this proxy
 	slotted  bool      // its targets tell their slots
 	even     float64   // this proxy's even part of all slots
 	window   float64   // how many of its exchanges may be at targets now
