--- a/core/core.go
+++ b/core/core.go
@@ -9,6 +9,7 @@
 package core
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -76,8 +77,11 @@
 
 type Settings struct {
 	Self  wire.Daemon
-	Size  int
-	Seeds []string
+	Size  int      // how many members found the first core; 0: those that the seeds name
+	Seeds []string // at the fleet's first start the same for all
+	Found bool     // this is the fleet's first start
+	// Domains are known though nothing may stand in them yet.
+	Domains []string
 }
 
 // Lead is a member's standing as the one who decides.
@@ -136,6 +140,8 @@
 	voice    Voice
 	told     bool // known by hearsay: one word, or a proxy's table; not served until it has proved itself
 	freed    bool // its address had another target's entry
+	coldTill time.Duration
+	warmFrom uint64 // lowest number of a word that may end its coldness
 }
 
 // force is something that waits until a table is in force everywhere.
@@ -149,6 +155,7 @@
 	wide   bool    // a change of the roster
 	member string  // a core member whose joining or leaving is waited for
 	joins  bool
+	most   bool // confirmed by a majority of the proxies is enough
 }
 
 type pending struct {
@@ -160,6 +167,14 @@
 	to     string // the leader that it was passed to
 	passes int    // how many leaders have had it
 	call   *wire.Ask
+	passAt time.Duration
+	word   bool // a target's: made known in time or not promised, and never in doubt
+}
+
+// checked is the configuration last found sound, so that it need not be read again.
+type checked struct {
+	doc []byte
+	cfg *model.Config
 }
 
 type Core struct {
@@ -176,7 +191,11 @@
 	vow      vow
 	lockSeq  uint64 // batch that has the lock; it is told to nobody before that is synced
 	safeSeq  uint64
-	freshAt  uint64 // number of the last founding batch; a node's batches count on from it
+	via      string                   // who leads, as last heard of
+	places   int                      // of the first core, if this process may found it
+	heard    map[string]heard         // other core daemons, as last heard
+	tried    map[string]time.Duration // who learns, or has tried to in vain, since when
+	freshAt  uint64                   // number of the last founding batch; a node's batches count on from it
 	stopping bool
 	stopAt   time.Duration
 
@@ -194,6 +213,9 @@
 	claims    map[wire.ID]*target       // words of targets in whose place another stands
 	tombs     map[wire.ID]time.Duration // signed off or superseded: refused while it goes on speaking
 	left      map[wire.ID]time.Duration // held when it fell silent: held again if it comes back
+	outVer    map[wire.ID]uint64        // first table without the target, or with it held, for words that say so
+	restored  map[string]time.Duration  // when emptied domains were last restored
+	checked   checked
 	judge     *judge.Judge
 	scorer    *judge.Scorer
 	judged    uint64 // revision whose policies are in force
@@ -246,8 +268,16 @@
 // given the shell's.
 func New(now time.Duration, set Settings, img quorum.Image) *Core {
 	c := &Core{set: set, img: img, known: Book{}, memories: map[string]memory{}, gates: map[string]*gate{},
-		pend: map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, state: newState(), relaySeq: set.Self.Inc << 20}
+		pend: map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, heard: map[string]heard{}, tried: map[string]time.Duration{}, restored: map[string]time.Duration{}, state: newState(), relaySeq: set.Self.Inc << 20}
 	c.set.Self.Disk = img.Disk
+	switch {
+	case set.Size > 0:
+		c.places = set.Size
+	case set.Found && slices.Contains(set.Seeds, set.Self.Addr):
+		c.places = len(slices.Compact(slices.Sorted(slices.Values(set.Seeds))))
+	case img.Lock != 0: // it was restarted while it founded
+		c.places = len(img.Founders)
+	}
 	if img.Epoch != 0 {
 		c.start(now)
 	}
@@ -296,6 +326,7 @@
 	case Stop:
 		if !c.stopping {
 			c.stopping, c.stopAt = true, now
+			c.hello(now)
 			if c.node != nil && c.node.Yield(now) {
 				c.do(Change{"leadership", c.set.Self.Name, "", "stopping"})
 			}
@@ -368,6 +399,7 @@
 			}
 		}
 		c.found(now)
+		c.via = c.leader(now)
 	}
 	if c.node != nil && !c.retired() {
 		c.node.Tick(now)
@@ -380,16 +412,16 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.relays)) {
 		p := c.relays[id]
-		switch l := c.led(now); {
-		case now-p.at > limit.AskWait+limit.CoreGrant:
+		switch l := c.relayTo(now); {
+		case now-p.at > limit.AskWait+limit.CoreGrant, p.word && now-p.at > limit.WordWait:
 			delete(c.relays, id)
 			c.unknown(p)
 		case c.lead == Deciding:
 			delete(c.relays, id)
 			p.passes++
 			c.operate(now, p, p.call)
-		case l != "" && l != p.to:
-			c.pass(id, p, l) // under its id a change is made once, whoever hears it how often
+		case l != "" && l != c.set.Self.Name && (l != p.to || p.word && now-p.passAt > limit.WordAgain):
+			c.pass(now, id, p, l) // under its id a change is made once, whoever hears it how often
 		}
 	}
 	if c.stopping && (now-c.stopAt > limit.ElectMin || c.node == nil || c.node.Role() != quorum.Leader && now-c.stopAt > limit.CoreGrant) {
@@ -409,6 +441,9 @@
 			return
 		}
 		c.known.Meet(now, c.set.Self.Name, m.Hello)
+		if d := m.Hello.Self; d.Kind == "core" && d.Name != c.set.Self.Name {
+			c.heard[d.Name] = heard{now, d.Domain, d.State == stoppingState}
+		}
 		if len(m.Hello.Legacy) > 0 {
 			var l Legacy
 			if json.Unmarshal(m.Hello.Legacy, &l) == nil {
@@ -448,6 +483,9 @@
 		}
 		if m.Ask.Reply {
 			if p := c.relays[m.Ask.Id]; p != nil && p.to == m.From {
+				if p.word && m.Ask.Status == 503 {
+					return // it is passed on again while it may wait
+				}
 				if p.passes > 1 && m.Ask.Status == 503 {
 					p.to = "" // an earlier leader may have agreed it: the next that decides will know
 					return
@@ -488,6 +526,7 @@
 		c.scorer = judge.NewScorer(c.judge)
 		c.was, c.turns, c.turnOf = nil, map[string]uint32{}, map[[2]string]uint32{}
 		c.tombs, c.left = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
+		c.outVer = map[wire.ID]uint64{}
 		c.table, c.best, c.sig, c.wideUntil = nil, wire.Key{}, 0, 0
 		c.policies()
 		// Whatever an earlier leader granted may still run.
@@ -577,9 +616,12 @@
 	if c.judged == c.state.Revision && c.judged != 0 {
 		return
 	}
-	cfg, _, err := judge.CheckConfig(c.state.Doc)
-	if err != nil {
-		panic(fmt.Sprintf("agreed configuration %d: %v", c.state.Revision, err))
+	cfg := c.checked.cfg
+	if cfg == nil || !bytes.Equal(c.checked.doc, c.state.Doc) {
+		var err error
+		if cfg, _, err = judge.CheckConfig(c.state.Doc); err != nil {
+			panic(fmt.Sprintf("agreed configuration %d: %v", c.state.Revision, err))
+		}
 	}
 	c.cfg = cfg
 	c.judge.Replace(cfg)
@@ -709,7 +751,7 @@
 				continue
 			}
 			t := &target{Target: w, told: true, beatAt: now - limit.BeatLapse/2, aliveAt: now, probeAt: now - limit.ProbeEvery, seenAt: now}
-			t.BarLeft, t.BarWhy, t.Held = 0, "", false
+			t.BarLeft, t.BarWhy, t.Held, t.ColdLeft = 0, "", false, 0
 			c.targets[w.ID()] = t
 			c.turns[w.Service] = max(c.turns[w.Service], w.Turn)
 			c.turnOf[[2]string{w.Service, w.Name}] = w.Turn
@@ -723,6 +765,8 @@
 		if w.Held {
 			c.hold(now, t, "a proxy's table holds it")
 		}
+		t.coldTill = max(t.coldTill, now+time.Duration(w.ColdLeft))
+		c.chill(t)
 		if w.BarLeft > 0 && c.lead == Warming {
 			c.judge.Adopt(now, w.ID(), w.BarWhy, time.Duration(w.BarLeft))
 		}
@@ -766,11 +810,12 @@
 	c.do(Note{Decision: &d})
 }
 
-// beat takes a back end's word, straight or passed on.
+// beat takes a back end's word, straight or passed on. A word whose number is not over
+// the highest heard is old and changes nothing.
 func (c *Core) beat(now time.Duration, w wire.Target, passOn bool) {
 	if c.lead != Deciding && c.lead != Warming {
-		if c.node != nil && passOn {
-			c.send(c.node.Leader(), &wire.Msg{Kind: uint16(wire.KBeat), Stamp: 1, Beat: &w})
+		if passOn {
+			c.send(c.leader(now), &wire.Msg{Kind: uint16(wire.KBeat), Stamp: 1, Beat: &w})
 		}
 		return
 	}
@@ -787,20 +832,22 @@
 		c.rebuild(now, false)
 		return
 	}
-	if t != nil && t.Addr != w.Addr {
+	if o := cmp.Or(t, c.claims[id]); o != nil && w.Number != 0 && w.Number <= o.Number {
+		return
+	}
+	if t != nil && t.Addr != w.Addr && w.State != model.Leaving {
 		c.counts.Refused++
 		return
 	}
 	if t == nil {
+		if w.State == model.Leaving {
+			c.left[id] = now // also if it only claims its place so far
+		}
 		if t = c.register(now, w); t == nil {
 			return
 		}
 	}
-	c.word(now, t)
-	t.aliveAt = now
-	if w.HasDemand {
-		t.Demand, t.HasDemand = w.Demand, true
-	}
+	c.note(now, t, w)
 	c.advanceState(now, t, w.State)
 	e := judge.Event{At: now, Slice: "beat", Service: t.Service, Name: t.Name, Inc: t.Inc, Ok: true, State: t.State}
 	c.judgeEvent(e)
@@ -810,6 +857,38 @@
 	c.rebuild(now, false)
 }
 
+// note takes over what a word says beside its state.
+func (c *Core) note(now time.Duration, t *target, w wire.Target) {
+	c.spoke(now, t)
+	t.aliveAt = now
+	if w.HasDemand {
+		t.Demand, t.HasDemand = w.Demand, true
+	}
+	if w.Slots != 0 {
+		t.Slots = w.Slots
+	}
+	t.Number = max(t.Number, w.Number)
+	if w.ColdLeft > 0 {
+		t.coldTill = max(t.coldTill, now+time.Duration(w.ColdLeft))
+	} else if w.Number != 0 && w.Number >= t.warmFrom {
+		t.coldTill = 0
+	}
+}
+
+// cold is how much longer a target is cold.
+func (t *target) cold(now time.Duration) int64 { return max(0, int64(t.coldTill-now)) }
+
+// chill has a target of a restored domain be cold: it may have become so while nothing
+// was sent there. A word that was under way by then says nothing of it, so the next
+// number does not end it yet.
+func (c *Core) chill(t *target) {
+	at, was := c.restored[t.Domain]
+	svc := c.cfg.Services[t.Service]
+	if till := at + svc.Cold(); was && till > t.coldTill {
+		t.coldTill, t.warmFrom = till, t.Number+2
+	}
+}
+
 // advanceState moves a target only forward: what has said that it is leaving
 // stays held until it signs off.
 func (c *Core) advanceState(now time.Duration, t *target, s string) {
@@ -821,9 +900,9 @@
 	}
 }
 
-// word counts a beat. One alone proves nothing, since it may be a late one of a
+// spoke counts a beat. One alone proves nothing, since it may be a late one of a
 // start that is over; who goes on beating is there, even if no probe gets through.
-func (c *Core) word(now time.Duration, t *target) {
+func (c *Core) spoke(now time.Duration, t *target) {
 	t.beatAt = now
 	t.voice.Hear(now)
 	t.told = t.told && !t.voice.Speaks(now)
@@ -854,7 +933,7 @@
 	}
 	if len(c.rivals(w)) > 0 {
 		t.Addr = w.Addr
-		c.word(now, t)
+		c.note(now, t, w)
 		c.claims[w.ID()] = t
 		if !c.succeed(now, t, false) {
 			return nil
@@ -967,6 +1046,9 @@
 			c.turnOf = map[[2]string]uint32{} // names that never come back; a new place costs little
 		}
 		maps.DeleteFunc(c.left, old)
+		maps.DeleteFunc(c.outVer, func(id wire.ID, _ uint64) bool {
+			return c.targets[id] == nil && c.claims[id] == nil && c.tombs[id] == 0
+		})
 	}
 	c.decided(c.scorer.Tick(now))
 	if c.lead != Deciding {
@@ -1021,6 +1103,7 @@
 		if b.Demand != nil {
 			t.Demand, t.HasDemand = *b.Demand, true
 		}
+		t.coldTill = max(t.coldTill, now+p.Cold) // that it says nothing of it ends nothing
 	}
 	c.judgeEvent(e)
 	c.rebuild(now, false)
@@ -1048,8 +1131,9 @@
 		until, why := c.judge.Barred(now, id)
 		w.BarLeft, w.BarWhy = max(0, int64(until-now)), why
 		w.Beating = c.targets[id].beats(now)
+		w.ColdLeft = c.targets[id].cold(now)
 		t.Targets = append(t.Targets, w)
-		fmt.Fprintf(h, "%s %s %d %s %s %s %v %v %s %v\n", w.Service, w.Name, w.Inc, w.Addr, w.Domain, w.State, w.Held, w.Pending, w.BarWhy, w.Beating)
+		fmt.Fprintf(h, "%s %s %d %s %s %s %v %v %s %v %d %v\n", w.Service, w.Name, w.Inc, w.Addr, w.Domain, w.State, w.Held, w.Pending, w.BarWhy, w.Beating, w.Slots, w.ColdLeft > 0)
 		demand = demand*31 + uint64(w.Demand*8)
 	}
 	fmt.Fprintf(h, "%d %d %v %v", t.Seq, t.Revision, t.Gates, t.Was)
@@ -1102,6 +1186,9 @@
 		f.majAt = 0
 		return false
 	}
+	if f.most {
+		return true
+	}
 	if f.majAt == 0 {
 		f.majAt = now
 	}
@@ -1121,7 +1208,7 @@
 			done = append(done, f)
 			return true
 		}
-		if f.p != nil && now-f.since > limit.AskWait {
+		if f.p != nil && (now-f.since > limit.AskWait || f.p.word && now-f.p.at > limit.WordWait) {
 			c.unknown(f.p)
 			f.p = nil
 			return !f.wide
@@ -1181,38 +1268,189 @@
 func (c *Core) wide(now time.Duration, o order) { c.wideUntil = c.propose(now, o) }
 
 // members admits again a member that came back with another disk, and those
-// that an operator asked for, once they have caught up.
+// that an operator asked for, once they have caught up; and it looks after the
+// others, by number or, if none is given, by who is there.
 func (c *Core) members(now time.Duration) {
 	if !c.node.Settled() {
 		return
 	}
 	ms := c.node.Members()
+	all := c.cores(now, true)
 	ghost := slices.IndexFunc(ms, func(m wire.Member) bool { return m.Disk == 0 })
-	for _, d := range c.cores(now, true) {
+	for _, d := range all {
 		if d.Name == c.set.Self.Name || d.Disk == 0 {
 			continue
 		}
 		i := slices.IndexFunc(ms, func(m wire.Member) bool { return m.Name == d.Name })
-		m := wire.Member{Name: d.Name, Disk: d.Disk}
 		switch {
 		case i >= 0 && ms[i].Disk != d.Disk && (d.Epoch == 0 || d.Epoch == c.node.Epoch()):
 			c.do(Change{"member", d.Name, "out", "it lost its disk"})
 			c.swaps[d.Name] = true
 			c.node.Change(now, slices.Delete(slices.Clone(ms), i, i+1))
 			return
-		case i < 0 && c.state.Out[d.Name] == 0 && ghost >= 0:
+		case i < 0 && c.set.Size > 0 && c.state.Out[d.Name] == 0 && ghost >= 0:
 			c.do(Change{"member", ms[ghost].Name, "out", "its place was kept for who was not there at the founding"})
 			c.swaps[d.Name] = true
 			c.node.Change(now, slices.Delete(slices.Clone(ms), ghost, ghost+1))
 			return
 		case i < 0 && (c.swaps[d.Name] || len(ms) < c.set.Size && c.state.Out[d.Name] == 0):
-			c.node.Learn(m)
-			if c.node.CaughtUp(m) {
-				c.do(Change{"member", d.Name, "in", "caught up"})
-				delete(c.swaps, d.Name)
-				c.node.Change(now, append(slices.Clone(ms), m))
+			if c.admit(now, ms, d) {
 				return
 			}
 		}
 	}
+	if c.set.Size == 0 {
+		c.tend(now, ms, all)
+	}
+}
+
+// admit has a daemon learn, and makes it a member once it has caught up.
+func (c *Core) admit(now time.Duration, ms []wire.Member, d wire.Daemon) bool {
+	m := wire.Member{Name: d.Name, Disk: d.Disk}
+	c.node.Learn(m)
+	if !c.node.CaughtUp(m) {
+		return false
+	}
+	c.do(Change{"member", d.Name, "in", "caught up"})
+	delete(c.swaps, d.Name)
+	delete(c.tried, d.Name)
+	c.node.Change(now, append(slices.Clone(ms), m))
+	return true
+}
+
+// silent is how long a member has not been heard, as far as this lead can tell.
+func (c *Core) silent(now time.Duration, name string) time.Duration {
+	if name == c.set.Self.Name {
+		return 0
+	}
+	return now - max(c.heard[name].at, c.leadAt)
+}
+
+// gone says that a member may be replaced: nobody's place at once, who fell silent
+// soon, and who said that it stops only after a machine's restart.
+func (c *Core) gone(now time.Duration, m wire.Member) bool {
+	after := limit.MemberGone
+	if c.heard[m.Name].stops {
+		after = limit.MemberForget
+	}
+	return m.Disk == 0 || c.silent(now, m.Name) > after
+}
+
+// sound says that a list of members has a majority that answers now.
+func (c *Core) sound(now time.Duration, ms []wire.Member) bool {
+	n := 0
+	for _, m := range ms {
+		if c.node.Answers(now, m) {
+			n++
+		}
+	}
+	return 2*n > len(ms)
+}
+
+func (c *Core) domainOf(name string) string {
+	if name == c.set.Self.Name {
+		return c.set.Self.Domain
+	}
+	if h, ok := c.heard[name]; ok {
+		return h.domain
+	}
+	return "? " + name
+}
+
+// worth compares sets of members by what they outlive: any one domain, then as many
+// machines as can be, with no more members than that takes; but two keep more than one.
+func (c *Core) worth(names []string) (w [3]int) {
+	per, most := map[string]int{}, 0
+	for _, n := range names {
+		d := c.domainOf(n)
+		per[d]++
+		most = max(most, per[d])
+	}
+	if 2*most < len(names) {
+		w[0] = 1
+	}
+	w[1], w[2] = (len(names)-1)/2, -len(names)
+	if len(names) == 2 {
+		w[2] = 0
+	}
+	return w
+}
+
+func namesOf(ms []wire.Member) (l []string) {
+	for _, m := range ms {
+		l = append(l, m.Name)
+	}
+	return l
+}
+
+// newcomer is who should become a member next, beside those who stay: the first of
+// those who make the best core, one from the domain with the fewest at each step.
+func (c *Core) newcomer(now time.Duration, stay []wire.Member, ms []wire.Member, all []wire.Daemon) (next wire.Daemon, ok bool) {
+	list := namesOf(stay)
+	free := slices.DeleteFunc(slices.Clone(all), func(d wire.Daemon) bool {
+		since, tried := c.tried[d.Name]
+		vain := tried && now-since > limit.LearnWait && now-since < limit.LearnAgain
+		return d.Disk == 0 || d.State == stoppingState || c.state.Out[d.Name] != 0 || vain || slices.Contains(namesOf(ms), d.Name)
+	})
+	best, first := c.worth(list), wire.Daemon{}
+	for len(list) < limit.VotersMax && len(free) > 0 {
+		per := map[string]int{}
+		for _, n := range list {
+			per[c.domainOf(n)]++
+		}
+		d := slices.MinFunc(free, func(a, b wire.Daemon) int {
+			return cmp.Or(cmp.Compare(per[a.Domain], per[b.Domain]), cmp.Compare(a.Name, b.Name))
+		})
+		free = slices.DeleteFunc(free, func(o wire.Daemon) bool { return o.Name == d.Name })
+		list = append(list, d.Name)
+		if first.Name == "" {
+			first = d
+		}
+		if w := c.worth(list); slices.Compare(best[:], w[:]) < 0 {
+			best, next, ok = w, first, true
+		}
+	}
+	return next, ok
+}
+
+// tend grows and mends a core whose size nobody has given, by one change at a time,
+// each between lists of which a majority answers. A newcomer is in before the one
+// that it replaces is out. One whose return would add nothing goes then; without a
+// replacement a silent one goes late, and only if a majority then takes fewer.
+func (c *Core) tend(now time.Duration, ms []wire.Member, all []wire.Daemon) {
+	var stay, gone []wire.Member
+	late := 0
+	for _, m := range ms {
+		if !c.gone(now, m) {
+			stay = append(stay, m)
+			continue
+		}
+		gone = append(gone, m)
+		if c.silent(now, m.Name) > limit.MemberForget {
+			late++
+		}
+	}
+	next, ok := c.newcomer(now, stay, ms, all)
+	c.node.Release(func(m wire.Member) bool { return ok && m.Name == next.Name || c.swaps[m.Name] })
+	if ok {
+		m := wire.Member{Name: next.Name, Disk: next.Disk}
+		if since, tried := c.tried[m.Name]; !tried || now-since >= limit.LearnAgain {
+			c.tried[m.Name] = now
+		}
+		if !c.node.CaughtUp(m) || c.sound(now, append(slices.Clone(ms), m)) {
+			c.admit(now, ms, next)
+		}
+		return
+	}
+	for _, m := range gone {
+		left := slices.DeleteFunc(slices.Clone(ms), func(o wire.Member) bool { return o == m })
+		with, without := c.worth(append(namesOf(stay), m.Name)), c.worth(namesOf(stay))
+		spent := slices.Compare(with[:], without[:]) <= 0
+		fewer := c.silent(now, m.Name) > limit.MemberForget && (len(ms)-late)/2 < len(ms)/2
+		if (spent || fewer) && c.sound(now, ms) && c.sound(now, left) {
+			c.do(Change{"member", m.Name, "out", fmt.Sprintf("silent for %v", c.silent(now, m.Name).Truncate(time.Second))})
+			c.node.Change(now, left)
+			return
+		}
+	}
 }
--- a/host/core.go
+++ b/host/core.go
@@ -11,13 +11,13 @@
 )
 
 // RunCore is mfcore.
-func RunCore(args []string) int {
-	h := Start("core", args)
+func RunCore(args []string, say Dialect) int {
+	h := Start("core", args, say)
 	disk, img, err := h.OpenDisk()
 	if err != nil {
 		h.Fatal(err, "state on disk")
 	}
-	own := core.New(h.Now(), core.Settings{Self: h.Daemon(), Size: h.Set.Size, Seeds: h.Set.Seeds}, img)
+	own := core.New(h.Now(), core.Settings{Self: h.Daemon(), Size: h.Set.Size, Seeds: h.Set.Seeds, Found: h.Set.Found, Domains: h.Set.Domains}, img)
 	hub := NewHub()
 	var term atomic.Uint64
 	exec := func(cmd any) {
--- a/host/gate.go
+++ b/host/gate.go
@@ -18,14 +18,15 @@
 )
 
 // RunGate is mfgate.
-func RunGate(args []string) int {
-	h := Start("gate", args)
-	own := gate.New(gate.Settings{Self: h.Daemon(), Seeds: h.Set.Seeds})
+func RunGate(args []string, say Dialect) int {
+	h := Start("gate", args, say)
+	own := gate.New(gate.Settings{Self: h.Daemon(), Seeds: h.Set.Seeds, Grace: time.Duration(h.Set.GraceMs) * time.Millisecond, ReadyWhenEmptied: h.Set.ReadyWhenEmptied,
+		Retry: gate.Retry{Ratio: h.Set.RetryRatio, Window: time.Duration(h.Set.RetryWindowMs) * time.Millisecond, Slack: float64(h.Set.RetrySlack)}})
 	pool := carry.NewPool()
 	car := carry.New(carry.Owner{Now: h.Now, Tell: h.Loop.Tell, Ask: func(ctx context.Context, id uint64, ev any) any {
 		return h.Loop.Ask(ctx, id, ev, gate.Cancel{ID: id})
 	}}, pool)
-	car.From = h.From()
+	car.From, car.Headers, car.Forwarded = h.From(), h.say.Headers, h.say.Headers == carry.Defaults()
 	exec := func(cmd any) {
 		switch c := cmd.(type) {
 		case gate.Give:
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -34,6 +34,19 @@
 	// FoundWait is how long those who could found a core without one of its machines wait for it:
 	// longer than a daemon's restart, and with all that follows within 15 s.
 	FoundWait = 5 * time.Second
+	// VotersMax is how many members a core grows to if no size is given: any three machines may go,
+	// or a domain of three, and each entry is still synced by four only.
+	VotersMax = 7
+	// MemberGone is how long a member is silent before a spare daemon takes its place: longer than
+	// a process's restart. One that said that it stops has MemberForget.
+	MemberGone = 8 * time.Second
+	// MemberForget is how long a member is silent before it goes without a replacement: longer
+	// than a machine's restart.
+	MemberForget = 60 * time.Second
+	// LearnWait is how long a newcomer may take to catch up, and LearnAgain when one that did not
+	// is tried once more: others go first meanwhile.
+	LearnWait  = 3 * time.Second
+	LearnAgain = 15 * time.Second
 	// VowLife is how long an operator's order to found again holds.
 	VowLife = time.Minute
 	// HelloEvery is how often daemons tell each other who is there.
@@ -114,6 +127,16 @@
 	// late word comes once, a repeated one with its first, who lives beats every BeatEvery.
 	ProofWords = 3
 	ProofSpan  = 900 * time.Millisecond
+	// WordWait is how long a word that says leaving or gone may wait until a majority of the proxies
+	// has confirmed it: who says it goes to the next daemon after 1 s.
+	WordWait = 850 * time.Millisecond
+	// WordAgain is after what time such a word is passed to the leader once more, if no answer came.
+	WordAgain = 200 * time.Millisecond
+	// NameMax bounds a domain's name in bytes.
+	NameMax = 128
+	// SlotsMax and ColdMax bound what a target may say of itself: far over any real one.
+	SlotsMax = 1000000
+	ColdMax  = time.Hour
 	// NamesKept is how many names of targets that are gone a leader remembers the places of.
 	NamesKept = 4096
 	// TombKeep is how long after its last word a signed-off or superseded incarnation is refused.
@@ -173,8 +196,38 @@
 	PipeIdle = 4 * time.Second
 	// CallerIdle is how long a caller's unused pipe is kept.
 	CallerIdle = 60 * time.Second
-	// PipesIdleMax is how many unused pipes are kept per target.
-	PipesIdleMax = 32
+	// PipesIdleMax is how many unused pipes are kept per target: targets bound the pipes from all
+	// proxies together, and some hold a slot for each.
+	PipesIdleMax = 8
+	// OnceIdle is how long a pipe may have been unused for an exchange that must not run twice: a
+	// target that closes it meanwhile leaves the exchange unknown, and few close within a second.
+	OnceIdle = time.Second
+	// AliveMargin is how much sooner than a target says it keeps a pipe the pipe is given up: a
+	// hop each way, and clocks and queues in between.
+	AliveMargin = 500 * time.Millisecond
+	// Unacked is how long what was sent on a pipe to a target or daemon may stay unacknowledged
+	// before it is broken: the rule's 2 s.
+	Unacked = 2 * time.Second
+	// CallerUnacked is the same for callers, over the pauses of one who reads slowly.
+	CallerUnacked = 10 * time.Second
+	// AliveIdle, AliveEvery and AliveCount: a silent connection's other side is asked after 2 s, then
+	// each second, and is gone after three without an answer.
+	AliveIdle  = 2 * time.Second
+	AliveEvery = time.Second
+	AliveCount = 3
+	// InterimMax is how many interim answers may come before the answer.
+	InterimMax = 5
+	// AnswerHeld is the largest answer in bytes that is read whole before its caller gets any of
+	// it, so that one that is cut can be made up for: what most interfaces answer with.
+	AnswerHeld = 64 << 10
+	// NetHop is kept back from the time that is passed on: a target's last word has to travel.
+	NetHop = 5 * time.Millisecond
+	// CallerBody is what a caller may send, in bytes, to services whose targets are asked for their health.
+	CallerBody = 64 << 20
+	// ProbeBody bounds what is read of an answer to a probe, in bytes.
+	ProbeBody = 4 << 10
+	// ProbePipe is how long a pipe for probes is kept without one: a target that is gone leaves none.
+	ProbePipe = 10 * time.Second
 	// AimMinutes is the longest window of a service-level aim, in minutes: proxies keep it in memory.
 	AimMinutes = 60
 	// HeaderMax bounds a caller's header in bytes.
@@ -241,6 +294,10 @@
 	RingFileSize = 8 << 20
 	// SettingsEvery is how often a settings file is looked at for changes.
 	SettingsEvery = 2 * time.Second
+	// MemoryShare of a process's memory is what the runtime may fill, and GcPercent how much garbage
+	// may lie beside what lives (the runtime's own is 100): small machines, where memory is dear.
+	MemoryShare = 0.7
+	GcPercent   = 60
 	// StreamBuffer is how many decisions wait for a slow reader before it is told what it missed.
 	StreamBuffer = 512
 	// LineMax bounds a line of the judge's stream in bytes, DeskTargets the targets of one stream,
