--- a/gate/gate.go
+++ b/gate/gate.go
@@ -112,7 +112,7 @@
 type Settings struct {
 	Self  wire.Daemon
 	Seeds []string
-	Retry Retry // of the whole fleet; zero: limit's
+	Retry Retry // of the whole fleet; without a window: limit's
 	// Grace is how long a stop may take in all, 0: limit.StopWait.
 	Grace time.Duration
 	// ReadyWhenEmptied has an emptied domain's proxy go on asking for callers.
@@ -187,6 +187,7 @@
 	queue    []uint64
 	budget   budget
 	targets  []*target // sorted
+	own      []*target // those of them with slots that are dealt to this proxy
 	slotted  bool      // its targets tell their slots
 	even     float64   // this proxy's even part of all slots
 	window   float64   // how many of its exchanges may be at targets now
@@ -237,7 +238,7 @@
 }
 
 func New(set Settings) *Gate {
-	if set.Retry == (Retry{}) {
+	if set.Retry.Window < limit.CountSlices {
 		set.Retry = Retry{1 / float64(limit.RetryShare), limit.RetryWindow, limit.RetryFree}
 	}
 	if set.Grace == 0 {
