Tests of outcomes, pipes, uploads and answers of any bytes; a fuzz target and a measure

A target's load and outcome were told from an empty value when its answer was passed on at once; found by the outcome test.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -571,13 +571,13 @@
 func (c *Carrier) try(w http.ResponseWriter, r *http.Request, g *gate.Give, u *upload, repeats bool) (t tried) {
 	start := time.Now()
 	told := false
-	tell := func(last bool) {
+	tell := func(t *tried, last bool) {
 		if !told {
 			told = true
 			c.owner.Tell(gate.Done{ID: g.ID, Outcome: t.outcome, Ms: float64(time.Since(start)) / 1e6, Last: last, Load: t.load})
 		}
 	}
-	defer func() { tell(t.status != 0 || t.outcome == gate.Dropped) }()
+	defer func() { tell(&t, t.status != 0 || t.outcome == gate.Dropped) }()
 	till := start.Add(g.Left)
 	idle := limit.PipeIdle
 	if !repeats {
@@ -600,7 +600,7 @@
 			c.pool.give(g.Target.ID(), p)
 			return tried{outcome: gate.Stale, code: "stale", msg: "the choice of a target grew too old before anything was sent"}
 		}
-		stop := context.AfterFunc(r.Context(), func() { p.c.SetDeadline(longAgo) })
+		stop := context.AfterFunc(r.Context(), func() { p.c.SetDeadline(past()) })
 		n, err := p.c.Write(p.out)
 		if cap(p.out) > limit.HeaderMax {
 			p.out = nil
@@ -637,7 +637,7 @@
 }
 
 // hear reads the answer to what was written on p and says what it means.
-func (c *Carrier) hear(w http.ResponseWriter, r *http.Request, g *gate.Give, p *Pipe, u *upload, repeats bool, till time.Time, sent chan error, tell func(bool), stop func() bool) (t tried) {
+func (c *Carrier) hear(w http.ResponseWriter, r *http.Request, g *gate.Give, p *Pipe, u *upload, repeats bool, till time.Time, sent chan error, tell func(*tried, bool), stop func() bool) (t tried) {
 	// done ends the pipe's part: it is kept if all of the exchange is over on it.
 	ended := false
 	done := func(keep bool) {
@@ -652,7 +652,7 @@
 			default: // answered before the body was all there: the caller need not send the rest
 				keep = false
 				p.Close()
-				http.NewResponseController(w).SetReadDeadline(longAgo)
+				http.NewResponseController(w).SetReadDeadline(past())
 				w.Header().Set("Connection", "close")
 				<-sent
 				u.begun = true // what the caller sends further is lost
@@ -728,7 +728,7 @@
 			return t
 		}
 		t.status = resp.StatusCode
-		tell(true)
+		tell(&t, true) // the target is free, however slowly the caller reads
 		c.pass(w, r, a)
 		return t
 	}
--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -29,7 +30,7 @@
 	seen chan *http.Request
 }
 
-func serve(t *testing.T, name string, h http.HandlerFunc) *backend {
+func serve(t testing.TB, name string, h http.HandlerFunc) *backend {
 	b := &backend{seen: make(chan *http.Request, 16)}
 	b.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == model.IdentityPath {
@@ -64,24 +65,28 @@
 type front struct {
 	url    string
 	pool   *Pool
-	asked  []any
+	asks   []any
 	told   chan any
 	addr   string
 	client *http.Client
 	now    atomic.Int64
+	car    *Carrier
+	set    model.Service
+	route  model.Route
+	left   time.Duration
 }
 
-func carrier(t *testing.T, targets ...wire.Target) *front {
-	f := &front{pool: NewPool(), told: make(chan any, 64)}
+func carrier(t testing.TB, targets ...wire.Target) *front {
+	f := &front{pool: NewPool(), told: make(chan any, 64), set: model.Service{BodyMax: 100 << 10, Tries: 3}, left: 5 * time.Second}
 	live := map[wire.ID]string{}
 	for _, x := range targets {
 		live[x.ID()] = x.Addr
 	}
 	f.pool.Live(live)
 	c := New(Owner{Now: func() time.Duration { return time.Duration(f.now.Load()) }, Tell: func(ev any) { f.told <- ev }, Ask: func(_ context.Context, id uint64, ev any) any {
-		f.asked = append(f.asked, ev)
+		f.asks = append(f.asks, ev)
 		n := 0
-		for _, a := range f.asked {
+		for _, a := range f.asks {
 			if _, ok := a.(gate.Admit); ok {
 				n = 0
 			} else {
@@ -91,8 +96,9 @@
 		if n >= len(targets) {
 			return gate.Refuse{ID: id, Status: 503, Retry: 2 * time.Second, Code: "busy", Message: "none left"}
 		}
-		return gate.Give{ID: id, Service: "s", Target: targets[n], Left: 5 * time.Second, Till: limit.ChoiceLife, Set: model.Service{BodyMax: 100 << 10, Tries: 3}}
+		return gate.Give{ID: id, Service: "s", Target: targets[n], Left: f.left, Till: limit.ChoiceLife, Set: f.set, Route: f.route}
 	}}, f.pool)
+	f.car = c
 	srv := httptest.NewServer(c)
 	t.Cleanup(func() { srv.Close(); f.pool.Close() })
 	f.url, f.addr = srv.URL, srv.Listener.Addr().String()
@@ -205,7 +211,7 @@
 		if d := (<-f.told).(gate.Done); status != 503 || h.Get(RanHeader) != "no" || d.Outcome != gate.Stale {
 			t.Fatalf("%d, ran %q, outcome %v", status, h.Get(RanHeader), d.Outcome)
 		}
-		if e := f.asked[len(f.asked)-1].(gate.Again); e.Sent {
+		if e := f.asks[len(f.asks)-1].(gate.Again); e.Sent {
 			t.Fatal("counted as sent")
 		}
 	}
@@ -319,3 +325,613 @@
 		next <- true
 	}
 }
+
+// raw is a target whose answers are bytes: what say returns for the nth request on
+// the nth connection, after which the connection closes if it returns false.
+type raw struct {
+	wire.Target
+	conns, runs atomic.Int64
+	seen        chan *http.Request
+	body        chan string
+}
+
+func bytesOf(t testing.TB, name string, say func(conn, n int, r *http.Request) (string, bool)) *raw {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	b := &raw{seen: make(chan *http.Request, 64), body: make(chan string, 64)}
+	b.Target = wire.Target{Service: "s", Name: name, Inc: 7, Addr: ln.Addr().String()}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conn := int(b.conns.Add(1))
+			go func() {
+				defer c.Close()
+				rd := bufio.NewReader(c)
+				for n := 1; ; n++ {
+					r, err := http.ReadRequest(rd)
+					if err != nil {
+						return
+					}
+					body, err := io.ReadAll(r.Body)
+					if err != nil {
+						return
+					}
+					b.runs.Add(1)
+					b.seen <- r
+					b.body <- string(body)
+					s, on := say(conn, n, r)
+					if _, err := io.WriteString(c, s); err != nil || !on {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return b
+}
+
+// says is an answer that echoes the exchange's id and bears the proof.
+func says(status int, body string, hd ...string) func(int, int, *http.Request) (string, bool) {
+	return func(_, _ int, r *http.Request) (string, bool) {
+		s := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\nA: %s\r\nP: yes\r\n", status, len(body), r.Header.Get("A"))
+		for i := 0; i+1 < len(hd); i += 2 {
+			s += hd[i] + ": " + hd[i+1] + "\r\n"
+		}
+		return s + "\r\n" + body, true
+	}
+}
+
+func bytesOnly(s string) func(int, int, *http.Request) (string, bool) {
+	return func(int, int, *http.Request) (string, bool) { return s, false }
+}
+
+// asked makes the service one whose targets are asked for their health, with names of its own.
+func (f *front) asked(kind string) *front {
+	f.set.HealthPath = "/h"
+	f.route.Kind = kind
+	f.car.Headers = Headers{Deadline: "D", Ran: "R", Attempt: "A", Expect: "E", NotRun: "N", Load: "L", Identity: "I", Cold: "C", Proof: "P"}
+	return f
+}
+
+// What each answer means for an exchange that may run once and for one that may be
+// repeated: only a target's own word makes it one that did not run.
+func TestOutcomes(t *testing.T) {
+	head := func(s string) func(int, int, *http.Request) (string, bool) {
+		return func(_, _ int, r *http.Request) (string, bool) {
+			return strings.ReplaceAll(s, "ID", r.Header.Get("A")), false
+		}
+	}
+	type end struct {
+		status  int
+		ran     string
+		body    string // "": any
+		second  int64  // runs at the second target
+		outcome gate.Outcome
+	}
+	other := end{200, "", "fine", 1, 0}
+	is := func(e end, o gate.Outcome) end { e.outcome = o; return e }
+	for _, c := range []struct {
+		name         string
+		say          func(int, int, *http.Request) (string, bool)
+		once, repeat end
+	}{
+		{"fine", says(200, "mine"), end{200, "", "mine", 0, gate.Served}, end{200, "", "mine", 0, gate.Served}},
+		{"turned away", says(503, "", "N", "1"), is(other, gate.NotRun), is(other, gate.NotRun)},
+		{"turned away as too many", says(429, "x", "N", "1", "Retry-After", "0.2"), is(other, gate.NotRun), is(other, gate.NotRun)},
+		{"another's address", says(421, ""), is(other, gate.Foreign), is(other, gate.Foreign)},
+		{"503 that says nothing", says(503, "x"), end{502, "unknown", "", 0, gate.Broken}, is(other, gate.Broken)},
+		{"429 that says nothing", says(429, "x"), end{502, "unknown", "", 0, gate.Broken}, end{429, "", "x", 0, gate.Served}},
+		{"500", says(500, "own"), end{500, "", "own", 0, gate.Broken}, is(other, gate.Broken)},
+		{"404", says(404, "own"), end{404, "", "own", 0, gate.Served}, end{404, "", "own", 0, gate.Served}},
+		{"silence", bytesOnly(""), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
+		{"garbage", bytesOnly("\x00\xff no\r\n\r\n"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
+		{"cut", head("HTTP/1.1 200 OK\r\nContent-Length: 9\r\nA: ID\r\nP: yes\r\n\r\nhalf"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
+		{"chunks cut", head("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: ID\r\nP: yes\r\n\r\n4\r\nhalf\r\n"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
+		{"head cut", head("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: ID\r\n"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
+		{"another exchange's", head("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: other\r\nP: yes\r\n\r\nnope"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
+		{"another exchange was turned away", head("HTTP/1.1 503 X\r\nContent-Length: 0\r\nA: other\r\nN: 1\r\n\r\n"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
+		{"no proof", head("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: ID\r\n\r\nnope"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
+		{"success that did not run", says(200, "x", "N", "1"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
+		{"another protocol", head("HTTP/1.1 101 X\r\nA: ID\r\nP: yes\r\n\r\n"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
+		{"interim first", head("HTTP/1.1 103 X\r\nZ: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: ID\r\nP: yes\r\n\r\nfine"), end{200, "", "fine", 0, gate.Served}, end{200, "", "fine", 0, gate.Served}},
+	} {
+		for kind, want := range map[string]end{model.Once: c.once, model.Repeatable: c.repeat} {
+			t.Run(kind+"/"+c.name, func(t *testing.T) {
+				a, b := bytesOf(t, "a", c.say), bytesOf(t, "b", says(200, "fine"))
+				f := carrier(t, a.Target, b.Target).asked(kind)
+				method := map[string]string{model.Once: "GET", model.Repeatable: "POST"}[kind] // the route says, not the method
+				status, h, body := f.do(t, method, "/x", "body", "A", "1f")
+				d := (<-f.told).(gate.Done)
+				if status != want.status || h.Get("R") != want.ran || want.body != "" && body != want.body || b.runs.Load() != want.second || d.Outcome != want.outcome || a.runs.Load() != 1 {
+					t.Fatalf("%d ran %q %q, outcome %v, runs %d and %d", status, h.Get("R"), body, d.Outcome, a.runs.Load(), b.runs.Load())
+				}
+				if want.second == 1 {
+					if e := f.last(); !e.Sent {
+						t.Fatal("not counted as sent")
+					}
+					if got := <-b.body; got != "body" {
+						t.Fatalf("sent again as %q", got)
+					}
+				}
+			})
+		}
+	}
+}
+
+func (f *front) last() gate.Again { return f.asks[len(f.asks)-1].(gate.Again) }
+
+// A target's own failure is passed on unchanged if no other target does better.
+func TestFailurePassedOn(t *testing.T) {
+	a, b := bytesOf(t, "a", says(500, "first", "Z", "1")), bytesOf(t, "b", bytesOnly(""))
+	for _, targets := range [][]wire.Target{{a.Target}, {a.Target, b.Target}} {
+		f := carrier(t, targets...).asked(model.Repeatable)
+		if status, h, body := f.do(t, "GET", "/x", "", "A", "1"); status != 500 || body != "first" || h.Get("Z") != "1" || h.Get("A") != "1" {
+			t.Fatal(status, h, body)
+		}
+	}
+}
+
+// If nobody ran it, the refusal keeps its promise; if somebody may have, it makes none.
+func TestPromise(t *testing.T) {
+	away, silent := bytesOf(t, "a", says(503, "", "N", "1")), bytesOf(t, "b", bytesOnly(""))
+	for _, c := range []struct {
+		kind    string
+		targets []wire.Target
+		status  int
+		ran     string
+	}{
+		{model.Once, []wire.Target{away.Target}, 503, "no"},
+		{model.Once, []wire.Target{away.Target, silent.Target}, 502, "unknown"},
+		{model.Repeatable, []wire.Target{silent.Target, away.Target}, 502, "unknown"},
+	} {
+		f := carrier(t, c.targets...).asked(c.kind)
+		if status, h, _ := f.do(t, "POST", "/x", "", "A", "1"); status != c.status || h.Get("R") != c.ran {
+			t.Fatal(c, status, h)
+		}
+	}
+}
+
+// What goes out to a target that is asked for its health: who is expected, what is
+// left of the time, the request as it came, and nothing else.
+func TestAskedExchange(t *testing.T) {
+	a := bytesOf(t, "a", says(200, "ok", "L", "3, 1,4"))
+	f := carrier(t, a.Target).asked(model.Once)
+	c, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "POST /a%41/b?x=%2f&&y HTTP/1.1\r\nHost: h.example\r\nA: 77\r\nD: 900\r\nE: another\r\nTransfer-Encoding: chunked\r\nConnection: Mine\r\nMine: 1\r\nKept: v\r\n\r\n2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != 200 || resp.Header.Get("A") != "77" || resp.Header.Get("Date") != "" || resp.Header.Get("Content-Type") != "" || resp.ContentLength != 2 {
+		t.Fatal(err, resp)
+	}
+	r := <-a.seen
+	if r.RequestURI != "/a%41/b?x=%2f&&y" || r.Host != "h.example" || r.Method != "POST" || <-a.body != "abcde" || r.ContentLength != 5 {
+		t.Fatal(r.RequestURI, r.Host, r.ContentLength)
+	}
+	var left int
+	fmt.Sscan(r.Header.Get("D"), &left)
+	if left < 1 || left > int((f.left-limit.NetHop).Milliseconds()) {
+		t.Fatal("left", left)
+	}
+	r.Header.Del("D")
+	if got, want := fmt.Sprint(r.Header), fmt.Sprint(http.Header{"A": {"77"}, "E": {"a"}, "Kept": {"v"}, "Content-Length": {"5"}}); got != want {
+		t.Fatal(got)
+	}
+	if d := (<-f.told).(gate.Done); d.Load == nil || *d.Load != (gate.Load{Running: 3, Waiting: 1, Slots: 4}) {
+		t.Fatal(d.Load)
+	}
+	if ad := f.asks[0].(gate.Admit); ad.Timeout <= 0 || ad.Timeout > 900*time.Millisecond {
+		t.Fatal(ad.Timeout)
+	}
+	if a.conns.Load() != 1 || a.runs.Load() != 1 {
+		t.Fatal("asked for its identity")
+	}
+}
+
+func until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !f(); runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatal("never: " + what)
+		}
+	}
+}
+
+// One pipe serves exchange after exchange, unless its target, its age or what came on
+// it speaks against it.
+func TestReuse(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		hd    []string
+		tail  string
+		conns int64
+	}{
+		{"kept", nil, "", 1},
+		{"closes", []string{"Connection", "close"}, "", 3},
+		{"kept long", []string{"Keep-Alive", "timeout=60, max=9"}, "", 1},
+		{"not kept", []string{"Keep-Alive", "timeout=0"}, "", 3},
+		{"surplus", nil, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: 1\r\nP: 1\r\n\r\nnope", 3},
+	} {
+		a := bytesOf(t, "a", func(conn, n int, r *http.Request) (string, bool) {
+			s, _ := says(200, "ok", c.hd...)(conn, n, r)
+			return s + c.tail, true
+		})
+		f := carrier(t, a.Target).asked(model.Once)
+		for range 3 {
+			if status, _, body := f.do(t, "POST", "/x", "", "A", "1"); status != 200 || body != "ok" {
+				t.Fatal(c.name, status, body)
+			}
+		}
+		if a.conns.Load() != c.conns {
+			t.Errorf("%s: %d pipes", c.name, a.conns.Load())
+		}
+	}
+}
+
+// What comes on an idle pipe ends it, and so does its close.
+func TestIdlePipe(t *testing.T) {
+	for _, surplus := range []string{"HTTP/1.1 200 OK\r\n\r\n", "x", ""} {
+		ln, _ := net.Listen("tcp", "127.0.0.1:0")
+		defer ln.Close()
+		p, err := Open(t.Context(), ln.Addr().String(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, _ := ln.Accept()
+		p.c.SetDeadline(time.Now().Add(time.Hour))
+		if !p.quiet() {
+			t.Fatal("not quiet from the start")
+		}
+		if surplus == "" {
+			c.Close()
+		}
+		io.WriteString(c, surplus)
+		until(t, "the pipe is seen as used up", func() bool { return !p.quiet() })
+	}
+}
+
+// An exchange that must not run twice takes only a pipe that was just used; one that
+// may be repeated takes any that its target still keeps.
+func TestAges(t *testing.T) {
+	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer ln.Close()
+	s := &shelf{}
+	open := func(ago time.Duration) *Pipe {
+		p, err := Open(t.Context(), ln.Addr().String(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.put(p)
+		p.used = time.Now().Add(-ago)
+		return p
+	}
+	till := time.Now().Add(time.Hour)
+	old, mid := open(limit.PipeIdle), open(2*limit.OnceIdle)
+	if s.take(limit.OnceIdle, till) != nil {
+		t.Fatal("too old for once")
+	}
+	young := open(0)
+	if s.take(limit.OnceIdle, till) != young || s.take(limit.PipeIdle, till) != mid || s.take(limit.PipeIdle, till) != nil {
+		t.Fatal("not the last used first")
+	}
+	s.sweep(time.Now())
+	if old.quiet() {
+		t.Fatal("never closed")
+	}
+	p := open(0)
+	for v, want := range map[string][2]bool{"": {false, false}, "timeout=1": {false, true}, "max=3, Timeout=2": {false, false}, "timeout=x": {false, false}} {
+		p.keep(&http.Response{Header: http.Header{"Keep-Alive": {v}}})
+		now := time.Now()
+		if got := [2]bool{p.stale(now.Add(limit.AliveMargin / 2)), p.stale(now.Add(limit.AliveMargin + time.Millisecond))}; got != want {
+			t.Errorf("%q: %v", v, got)
+		}
+	}
+	for range limit.PipesIdleMax + 3 {
+		open(0)
+	}
+	n := 0
+	for s.take(limit.PipeIdle, till) != nil {
+		n++
+	}
+	if n != limit.PipesIdleMax {
+		t.Fatal(n, "kept")
+	}
+}
+
+// A deadline ends the wait with an answer that promises nothing.
+func TestLate(t *testing.T) {
+	hold := make(chan bool)
+	defer close(hold)
+	for _, kind := range []string{model.Once, model.Repeatable} {
+		a := bytesOf(t, "a", func(int, int, *http.Request) (string, bool) { <-hold; return "", false })
+		f := carrier(t, a.Target, a.Target).asked(kind)
+		f.left = 60 * time.Millisecond
+		if status, h, _ := f.do(t, "GET", "/x", "", "A", "1"); status != 504 || h.Get("R") != "unknown" || a.runs.Load() != 1 {
+			t.Fatal(kind, status, h, a.runs.Load())
+		}
+	}
+}
+
+// A caller that leaves gets nothing that looks like an answer, and its target learns of it.
+func TestCallerLeaves(t *testing.T) {
+	left := make(chan bool)
+	a := serve(t, "a", func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done(); close(left) })
+	f := carrier(t, a.Target).asked(model.Repeatable)
+	c, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-a.seen
+	c.(*net.TCPConn).CloseWrite()
+	<-left
+	if b, _ := io.ReadAll(c); len(b) > 0 {
+		t.Fatalf("%q", b)
+	}
+	if d := (<-f.told).(gate.Done); d.Outcome != gate.Dropped || !d.Last {
+		t.Fatal(d)
+	}
+}
+
+// Bodies over what is kept go on as they come; one that its caller breaks off never
+// looks whole to its target, and an answer that comes before the body's end ends it.
+func TestUploads(t *testing.T) {
+	big := strings.Repeat("0123456789abcdef", limit.ReplayMax/8)
+	a := bytesOf(t, "a", says(200, "ok"))
+	f := carrier(t, a.Target).asked(model.Once)
+	for _, r := range []io.Reader{strings.NewReader(big), io.MultiReader(strings.NewReader(big))} {
+		req, _ := http.NewRequest("PUT", f.url+"/x", r)
+		req.Header.Set("A", "1")
+		resp, err := f.client.Do(req)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatal(err, resp)
+		}
+		resp.Body.Close()
+		if <-a.body != big {
+			t.Fatal("another body")
+		}
+		<-f.told
+	}
+	for _, head := range []string{"Content-Length: 999999", "Transfer-Encoding: chunked"} {
+		c, err := net.Dial("tcp", f.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "PUT /x HTTP/1.1\r\nHost: h\r\nA: 1\r\n%s\r\n\r\n", head)
+		if head[0] == 'T' {
+			fmt.Fprintf(c, "%x\r\n%s\r\n", len(big), big)
+		} else {
+			fmt.Fprint(c, big)
+		}
+		c.(*net.TCPConn).CloseWrite()
+		b, _ := io.ReadAll(c)
+		c.Close()
+		if len(b) > 0 && !bytes.HasPrefix(b, []byte("HTTP/1.1 400")) {
+			t.Fatalf("%q", b)
+		}
+		if d := (<-f.told).(gate.Done); d.Outcome != gate.Dropped {
+			t.Fatal(d)
+		}
+	}
+	if a.runs.Load() != 2 {
+		t.Fatal("a broken body ran")
+	}
+	early := serve(t, "b", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("P", "1")
+		w.Header().Set("A", r.Header.Get("A"))
+		w.WriteHeader(413)
+	})
+	g := carrier(t, early.Target).asked(model.Once)
+	c, err := net.Dial("tcp", g.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "PUT /x HTTP/1.1\r\nHost: h\r\nA: 1\r\nContent-Length: 999999\r\n\r\n%s", big)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != 413 || !resp.Close {
+		t.Fatal(err, resp)
+	}
+}
+
+// Requests sent before the first is answered are answered in their order.
+func TestPipelined(t *testing.T) {
+	a := bytesOf(t, "a", func(c, n int, r *http.Request) (string, bool) { return says(200, r.URL.Path)(c, n, r) })
+	f := carrier(t, a.Target).asked(model.Repeatable)
+	c, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for i := range 5 {
+		fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: h\r\nA: %d\r\n\r\n", i, i)
+	}
+	rd := bufio.NewReader(c)
+	for i := range 5 {
+		resp, err := http.ReadResponse(rd, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if b, _ := io.ReadAll(resp.Body); string(b) != fmt.Sprintf("/%d", i) || resp.Header.Get("A") != fmt.Sprint(i) {
+			t.Fatalf("%d: %q", i, b)
+		}
+	}
+}
+
+// Large answers stream, and one that is cut cuts its caller's pipe.
+func TestLargeAnswers(t *testing.T) {
+	big := strings.Repeat("z", limit.AnswerHeld+1)
+	for _, cut := range []bool{false, true} {
+		for _, chunks := range []bool{false, true} {
+			a := bytesOf(t, "a", func(_, _ int, r *http.Request) (string, bool) {
+				s := "HTTP/1.1 200 OK\r\nA: 1\r\nP: 1\r\n"
+				if chunks {
+					s += fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(big), big)
+				} else {
+					s += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(big), big)
+				}
+				if cut {
+					return s[:len(s)-5], false
+				}
+				return s, true
+			})
+			f := carrier(t, a.Target, a.Target).asked(model.Download)
+			req, _ := http.NewRequest("GET", f.url+"/x", nil)
+			req.Header.Set("A", "1")
+			resp, err := f.client.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if cut != (err != nil) || !cut && string(b) != big || a.runs.Load() != 1 {
+				t.Fatal(cut, chunks, err, len(b), a.runs.Load())
+			}
+		}
+	}
+}
+
+// Whatever bytes come back from a target, its caller gets a success only with the
+// body that those bytes frame.
+func FuzzAnswer(f *testing.F) {
+	for _, s := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: 1\r\n\r\nfine",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: 1\r\n\r\nfi",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\nA: 1\r\n\r\nfines",
+		"HTTP/1.1 200 OK\r\nA: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nA: 1\r\nTransfer-Encoding: chunked\r\nContent-Length: 9\r\n\r\n4\r\nfine\r\n0\r\nT: 1\r\n\r\nmore",
+		"HTTP/1.1 200 OK\r\nA: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n",
+		"HTTP/1.0 200 OK\r\nA: 1\r\n\r\nuntil close",
+		"HTTP/1.1 204 No\r\nA: 1\r\n\r\nsurplus",
+		"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: 1\r\n\r\n",
+		"HTTP/1.1 000 X\r\nA: 1\r\n\r\n", "HTTP/2.0 200 OK\r\nA: 1\r\n\r\n", "HTTP/1.1 999 X\r\nA: 1\r\nContent-Length: 1\r\n\r\nx",
+		"HTTP/1.1 200 OK\r\nA: 1\r\nContent-Length: 1\r\nBad\x00Name: 1\r\nConnection: A\r\n\r\nx",
+		"HTTP/1.1 200 OK\r\nA: 1\r\nContent-Length: 1\r\nBadConnection: A\r\n\r\n\n",
+		"\x16\x03\x01", "", "HTTP/1.1 200", "HTTP/1.1 503 X\r\nA: 1\r\nN: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		f.Add([]byte(s))
+	}
+	var say atomic.Pointer[string]
+	a := bytesOf(f, "a", func(int, int, *http.Request) (string, bool) { return *say.Load(), false })
+	fr := carrier(f, a.Target).asked(model.Once)
+	fr.car.Headers.Proof = ""
+	fr.client.Transport = &http.Transport{DisableCompression: true}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s := string(b)
+		say.Store(&s)
+		fr.asks = fr.asks[:0]
+		req, _ := http.NewRequest("GET", fr.url+"/x", nil)
+		req.Header.Set("A", "1")
+		resp, err := fr.client.Do(req)
+		for len(fr.told) > 0 {
+			<-fr.told
+		}
+		for len(a.seen) > 0 { // none if the machine has no port left, which is an error of ours
+			<-a.seen
+			<-a.body
+		}
+		if err != nil {
+			return
+		}
+		got, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil || resp.StatusCode >= 300 {
+			return
+		}
+		rd := bufio.NewReader(strings.NewReader(s))
+		for {
+			want, err := http.ReadResponse(rd, nil)
+			if err != nil {
+				t.Fatalf("a success from %q: %v", s, err)
+			}
+			if want.StatusCode < 200 {
+				continue
+			}
+			body, err := io.ReadAll(want.Body)
+			if err != nil || want.StatusCode != resp.StatusCode || want.Header.Get("A") != "1" || !bytes.Equal(body, got) {
+				t.Fatalf("%q became %d %q: %v", s, resp.StatusCode, got, err)
+			}
+			return
+		}
+	})
+}
+
+// One small exchange from end to end over loopback, caller and target included.
+func BenchmarkExchange(b *testing.B) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 600\r\nMyrtlefold-Attempt: 1f\r\nDate: Mon, 01 Jan 2024 00:00:00 GMT\r\nContent-Type: text/plain\r\n\r\n"
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer ln.Close()
+	tg := wire.Target{Service: "s", Name: "a", Inc: 7, Addr: ln.Addr().String()}
+	id, _ := json.Marshal(model.Beat{Service: "s", Name: "a", Incarnation: 7})
+	out := []byte(answer + strings.Repeat("x", 600))
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				rd := make([]byte, 8<<10)
+				for {
+					n, err := c.Read(rd)
+					if err != nil {
+						return
+					}
+					say := out
+					if bytes.HasPrefix(rd[:n], []byte("GET "+model.IdentityPath)) {
+						say = fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+					}
+					c.Write(say)
+				}
+			}()
+		}
+	}()
+	pool := NewPool()
+	defer pool.Close()
+	pool.Live(map[wire.ID]string{tg.ID(): tg.Addr})
+	car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, _ any) any {
+		return gate.Give{ID: id, Service: "s", Target: tg, Left: 5 * time.Second, Till: time.Hour, Set: model.Service{BodyMax: 1 << 20}}
+	}}, pool)
+	srv := httptest.NewServer(car)
+	defer srv.Close()
+	c, err := net.Dial("tcp", srv.Listener.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	rd := bufio.NewReader(c)
+	req := []byte("GET /lep/2f HTTP/1.1\r\nHost: h.example\r\nMyrtlefold-Attempt: 1f\r\nMyrtlefold-Deadline-Ms: 2000\r\nUser-Agent: b\r\nAccept: */*\r\n\r\n")
+	one := func() {
+		c.Write(req)
+		for n := 0; ; {
+			l, err := rd.ReadSlice('\n')
+			if err != nil {
+				b.Fatal(err)
+			}
+			if bytes.HasPrefix(l, []byte("Content-Length: ")) {
+				n = 600
+			}
+			if len(l) == 2 {
+				rd.Discard(n)
+				return
+			}
+		}
+	}
+	one()
+	b.ReportAllocs()
+	for b.Loop() {
+		one()
+	}
+}
--- a/carry/pipe.go
+++ b/carry/pipe.go
@@ -30,9 +30,11 @@
 var (
 	errNoAnswer = errors.New("what came is no HTTP answer")
 	errForeign  = errors.New("another identity answers at the target's address")
-	longAgo     = time.Unix(1, 0)
 )
 
+// past is a deadline that ends what waits.
+func past() time.Time { return time.Now().Add(-time.Second) }
+
 func unacked(d time.Duration) func(_, _ string, rc syscall.RawConn) error {
 	return func(_, _ string, rc syscall.RawConn) error {
 		var err error
