--- a/carry/carry.go
+++ b/carry/carry.go
@@ -497,11 +497,24 @@
 			return nil, err
 		}
 	}
-	c.Counts.Opened.Add(1)
 	p.c.SetDeadline(till)
+	if !p.quiet() { // a target that is full may reset a pipe at once: then nothing was written
+		p.Close()
+		return nil, net.ErrClosed
+	}
+	c.Counts.Opened.Add(1)
 	return p, nil
 }
 
+// give keeps a pipe for later; a target that bounds its pipes is left some for other proxies.
+func (c *Carrier) give(g *gate.Give, p *Pipe) {
+	n := limit.PipesIdleMax
+	if g.Set.ConnCap > 0 {
+		n = min(n, max(1, g.Set.ConnCap/limit.ConnParts))
+	}
+	c.pool.give(g.Target.ID(), p, n)
+}
+
 // compose writes the exchange's head, and its body as far as it is kept.
 func (c *Carrier) compose(out []byte, r *http.Request, g *gate.Give, u *upload, left time.Duration) []byte {
 	uri := r.RequestURI
@@ -593,11 +606,14 @@
 				c.Counts.Foreign.Add(1)
 				return tried{outcome: gate.Foreign, code: "foreign", msg: "the target's address answers for another"}
 			}
-			return tried{outcome: gate.Closed, code: "closed", msg: "no pipe to the target", late: !time.Now().Before(till)}
+			if !time.Now().Before(till) {
+				return tried{outcome: gate.Stale, code: "late", msg: "the deadline came before a pipe to the target", late: true}
+			}
+			return tried{outcome: gate.Closed, code: "closed", msg: "no pipe to the target"}
 		}
 		p.out = c.compose(p.out, r, g, u, time.Until(till))
 		if c.owner.Now() > g.Till {
-			c.pool.give(g.Target.ID(), p)
+			c.give(g, p)
 			return tried{outcome: gate.Stale, code: "stale", msg: "the choice of a target grew too old before anything was sent"}
 		}
 		stop := context.AfterFunc(r.Context(), func() { p.c.SetDeadline(past()) })
@@ -625,10 +641,11 @@
 			sent = make(chan error, 1)
 			go func() {
 				err := u.send(p.c)
-				if u.bad || u.over {
+				short := u.bad || u.over
+				sent <- err
+				if short {
 					p.Close() // the target waits for what will not come
 				}
-				sent <- err
 			}()
 		}
 		t = c.hear(w, r, g, p, u, repeats, till, sent, tell, stop)
@@ -655,14 +672,14 @@
 				http.NewResponseController(w).SetReadDeadline(past())
 				w.Header().Set("Connection", "close")
 				<-sent
-				u.begun = true // what the caller sends further is lost
+				u.begun, u.bad = true, false // it was this side that broke it off; what the caller sends further is lost
 			}
 		}
 		if !stop() || !keep || p.r.Buffered() > 0 {
 			p.Close()
 			return
 		}
-		c.pool.give(g.Target.ID(), p)
+		c.give(g, p)
 	}
 	defer func() { done(false) }()
 	lost := func(code, msg string) tried {
@@ -723,7 +740,7 @@
 			// To a caller it would say that nothing ran, which its target has not said.
 			return tried{sent: true, ran: true, outcome: gate.Broken, code: "unclear", msg: "the target failed", load: t.load}
 		}
-		if t.outcome == gate.Broken && repeats && g.Route.Kind != "" && time.Until(till) > limit.NetHop {
+		if t.outcome == gate.Broken && repeats && g.Route.Kind != "" && resp.StatusCode != http.StatusGatewayTimeout && time.Until(till) > limit.TryLeast {
 			t.sent, t.ran, t.spare, t.code, t.msg = true, true, a, "failed", "the target failed"
 			return t
 		}
--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -235,7 +235,7 @@
 	if p == nil {
 		t.Fatal("no pipe was kept")
 	}
-	f.pool.give(a.Target.ID(), p)
+	f.pool.give(a.Target.ID(), p, 1)
 	f.pool.Live(map[wire.ID]string{})
 	if take(f.pool) != nil || p.quiet() {
 		t.Fatal("the pipe is still open")
@@ -428,6 +428,7 @@
 		{"503 that says nothing", says(503, "x"), end{502, "unknown", "", 0, gate.Broken}, is(other, gate.Broken)},
 		{"429 that says nothing", says(429, "x"), end{502, "unknown", "", 0, gate.Broken}, end{429, "", "x", 0, gate.Served}},
 		{"500", says(500, "own"), end{500, "", "own", 0, gate.Broken}, is(other, gate.Broken)},
+		{"504", says(504, "own"), end{504, "", "own", 0, gate.Broken}, end{504, "", "own", 0, gate.Broken}},
 		{"404", says(404, "own"), end{404, "", "own", 0, gate.Served}, end{404, "", "own", 0, gate.Served}},
 		{"silence", bytesOnly(""), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
 		{"garbage", bytesOnly("\x00\xff no\r\n\r\n"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
@@ -609,7 +610,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s.put(p)
+		s.put(p, limit.PipesIdleMax)
 		p.used = time.Now().Add(-ago)
 		return p
 	}
@@ -743,6 +744,56 @@
 	}
 }
 
+// A target that goes while its caller is still sending is no fault of the caller's.
+func TestUploadLost(t *testing.T) {
+	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c.Read(make([]byte, 1))
+			c.Close()
+		}
+	}()
+	f := carrier(t, wire.Target{Service: "s", Name: "a", Inc: 7, Addr: ln.Addr().String()}).asked(model.Once)
+	c, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "PUT /x HTTP/1.1\r\nHost: h\r\nA: 1\r\nContent-Length: 999999\r\n\r\n%s", strings.Repeat("x", limit.ReplayMax/2))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != 502 || resp.Header.Get("R") != "unknown" {
+		t.Fatal(err, resp)
+	}
+	if d := (<-f.told).(gate.Done); d.Outcome != gate.Lost {
+		t.Fatal(d)
+	}
+}
+
+// A target that bounds its pipes is left most of them.
+func TestPipesLeft(t *testing.T) {
+	a := bytesOf(t, "a", says(200, "ok"))
+	f := carrier(t, a.Target)
+	for range 5 {
+		p, err := Open(t.Context(), a.Addr, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.car.give(&gate.Give{Target: a.Target, Set: model.Service{ConnCap: 2 * limit.ConnParts}}, p)
+	}
+	n := 0
+	for f.pool.take(a.Target.ID(), time.Hour, time.Now().Add(time.Hour)) != nil {
+		n++
+	}
+	if n != 2 {
+		t.Fatal(n, "kept")
+	}
+}
+
 // Requests sent before the first is answered are answered in their order.
 func TestPipelined(t *testing.T) {
 	a := bytesOf(t, "a", func(c, n int, r *http.Request) (string, bool) { return says(200, r.URL.Path)(c, n, r) })
--- a/carry/pipe.go
+++ b/carry/pipe.go
@@ -246,9 +246,10 @@
 	gone  atomic.Bool
 }
 
-func (s *shelf) put(p *Pipe) {
+// put keeps a pipe in one of the first n places, or closes it.
+func (s *shelf) put(p *Pipe, n int) {
 	p.used = time.Now()
-	for i := range s.slots {
+	for i := range s.slots[:n] {
 		if s.slots[i].CompareAndSwap(nil, p) {
 			if s.gone.Load() {
 				s.close()
@@ -365,9 +366,9 @@
 	return nil
 }
 
-func (p *Pool) give(id wire.ID, x *Pipe) {
+func (p *Pool) give(id wire.ID, x *Pipe, n int) {
 	if s := (*p.shelves.Load())[id]; s != nil {
-		s.put(x)
+		s.put(x, n)
 	} else {
 		x.Close()
 	}
--- a/host/gate.go
+++ b/host/gate.go
@@ -26,6 +26,9 @@
 		return h.Loop.Ask(ctx, id, ev, gate.Cancel{ID: id})
 	}}, pool)
 	car.From = h.From()
+	if h.Headers != (carry.Headers{}) {
+		car.Headers = h.Headers
+	}
 	exec := func(cmd any) {
 		switch c := cmd.(type) {
 		case gate.Give:
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -176,6 +176,11 @@
 	// PipesIdleMax is how many unused pipes are kept per target: targets bound the pipes from all
 	// proxies together, and some hold a slot for each.
 	PipesIdleMax = 8
+	// ConnParts: a proxy keeps at most this part of the pipes that a target takes from all, so that
+	// idle ones of many proxies leave room for new ones.
+	ConnParts = 16
+	// TryLeast is the time that another try after a target's own failure needs: a few hops and a short answer.
+	TryLeast = 25 * time.Millisecond
 	// OnceIdle is how long a pipe may have been unused for an exchange that must not run twice: a
 	// target that closes it meanwhile leaves the exchange unknown, and few close within a second.
 	OnceIdle = time.Second
