--- a/carry/pipe.go
+++ b/carry/pipe.go
@@ -30,9 +30,11 @@
 var (
 	errNoAnswer = errors.New("what came is no HTTP answer")
 	errForeign  = errors.New("another identity answers at the target's address")
-	longAgo     = time.Unix(1, 0)
 )
 
+// past is a deadline that ends what waits.
+func past() time.Time { return time.Now().Add(-time.Second) }
+
 func unacked(d time.Duration) func(_, _ string, rc syscall.RawConn) error {
 	return func(_, _ string, rc syscall.RawConn) error {
 		var err error
@@ -244,9 +246,10 @@
 	gone  atomic.Bool
 }
 
-func (s *shelf) put(p *Pipe) {
+// put keeps a pipe in one of the first n places, or closes it.
+func (s *shelf) put(p *Pipe, n int) {
 	p.used = time.Now()
-	for i := range s.slots {
+	for i := range s.slots[:n] {
 		if s.slots[i].CompareAndSwap(nil, p) {
 			if s.gone.Load() {
 				s.close()
@@ -363,9 +366,9 @@
 	return nil
 }
 
-func (p *Pool) give(id wire.ID, x *Pipe) {
+func (p *Pool) give(id wire.ID, x *Pipe, n int) {
 	if s := (*p.shelves.Load())[id]; s != nil {
-		s.put(x)
+		s.put(x, n)
 	} else {
 		x.Close()
 	}
