--- a/core/core.go
+++ b/core/core.go
@@ -164,26 +164,27 @@
 }
 
 type Core struct {
-	set      Settings
-	img      quorum.Image
-	node     *quorum.Node
-	state    State
-	known    Book
-	helloAt  time.Duration
-	offer    uint64
-	seen     string // who could found, as last looked at, and since when
-	seenAt   time.Duration
-	memories map[string]memory // what proxies said that they remember
-	vow      vow
-	lockSeq  uint64 // batch that has the lock; it is told to nobody before that is synced
-	safeSeq  uint64
-	via      string                   // who leads, as last heard of
-	places   int                      // of the first core, if this process may found it
-	heard    map[string]heard         // other core daemons, as last heard
-	tried    map[string]time.Duration // who learns, or has tried to in vain, since when
-	freshAt  uint64                   // number of the last founding batch; a node's batches count on from it
-	stopping bool
-	stopAt   time.Duration
+	set       Settings
+	img       quorum.Image
+	node      *quorum.Node
+	state     State
+	known     Book
+	helloAt   time.Duration
+	offer     uint64
+	seen      string // who could found, as last looked at, and since when
+	seenAt    time.Duration
+	memories  map[string]memory // what proxies said that they remember
+	vow       vow
+	lockSeq   uint64 // batch that has the lock; it is told to nobody before that is synced
+	safeSeq   uint64
+	via       string                   // who leads, as last heard of
+	places    int                      // of the first core, if this process may found it
+	heard     map[string]heard         // other core daemons, as last heard
+	changedAt time.Duration            // when the members last changed
+	tried     map[string]time.Duration // who learns, or has tried to in vain, since when
+	freshAt   uint64                   // number of the last founding batch; a node's batches count on from it
+	stopping  bool
+	stopAt    time.Duration
 
 	lead      Lead
 	leadAt    time.Duration
@@ -376,6 +377,7 @@
 	if now-c.helloAt >= limit.HelloEvery {
 		c.helloAt = now
 		c.hello(now)
+		c.claim()
 		for n, k := range c.known {
 			if now-k.At > limit.DaemonGone {
 				delete(c.known, n)
@@ -1245,6 +1247,7 @@
 	c.do(Change{"member", d.Name, "in", "caught up"})
 	delete(c.swaps, d.Name)
 	delete(c.tried, d.Name)
+	c.changedAt = now
 	c.node.Change(now, append(slices.Clone(ms), m))
 	return true
 }
@@ -1323,6 +1326,13 @@
 		vain := tried && now-since > limit.LearnWait && now-since < limit.LearnAgain
 		return d.Disk == 0 || d.State == stoppingState || c.state.Out[d.Name] != 0 || vain || slices.Contains(namesOf(ms), d.Name)
 	})
+	if w := c.worth(list); w[0] == 0 && len(list) > 2 { // one may come for another
+		for _, d := range free {
+			if i := c.spared(append(slices.Clone(list), d.Name)); i >= 0 && i < len(list) {
+				return d, true
+			}
+		}
+	}
 	best, first := c.worth(list), wire.Daemon{}
 	for len(list) < limit.VotersMax && len(free) > 0 {
 		per := map[string]int{}
@@ -1344,6 +1354,18 @@
 	return next, ok
 }
 
+// spared is the place of one without whom a list would outlive any domain, -1 if it
+// does with all, or without none of them.
+func (c *Core) spared(list []string) int {
+	if w := c.worth(list); w[0] == 1 {
+		return -1
+	}
+	return slices.IndexFunc(list, func(n string) bool {
+		w := c.worth(slices.DeleteFunc(slices.Clone(list), func(o string) bool { return o == n }))
+		return n != c.set.Self.Name && w[0] == 1
+	})
+}
+
 // tend grows and mends a core whose size nobody has given, by one change at a time,
 // each between lists of which a majority answers. A newcomer is in before the one
 // that it replaces is out. One whose return would add nothing goes then; without a
@@ -1362,7 +1384,14 @@
 		}
 	}
 	next, ok := c.newcomer(now, stay, ms, all)
-	c.node.Release(func(m wire.Member) bool { return ok && m.Name == next.Name || c.swaps[m.Name] })
+	astray := map[string]bool{} // they stand in an earlier list of members, and are to learn that they are out
+	for _, d := range all {
+		if d.Epoch > 0 && !d.Ready && d.Name != c.set.Self.Name && !slices.Contains(namesOf(ms), d.Name) {
+			astray[d.Name] = true
+			c.node.Learn(wire.Member{Name: d.Name, Disk: d.Disk})
+		}
+	}
+	c.node.Release(func(m wire.Member) bool { return ok && m.Name == next.Name || c.swaps[m.Name] || astray[m.Name] })
 	if ok {
 		m := wire.Member{Name: next.Name, Disk: next.Disk}
 		if since, tried := c.tried[m.Name]; !tried || now-since >= limit.LearnAgain {
@@ -1373,6 +1402,14 @@
 		}
 		return
 	}
+	if i := c.spared(namesOf(ms)); len(gone) == 0 && i >= 0 && now-c.changedAt > limit.MemberGone {
+		if left := slices.Delete(slices.Clone(ms), i, i+1); c.sound(now, ms) && c.sound(now, left) {
+			c.do(Change{"member", ms[i].Name, "out", "its domain has too many"})
+			c.node.Change(now, left)
+			c.changedAt = now
+			return
+		}
+	}
 	for _, m := range gone {
 		left := slices.DeleteFunc(slices.Clone(ms), func(o wire.Member) bool { return o == m })
 		with, without := c.worth(append(namesOf(stay), m.Name)), c.worth(namesOf(stay))
--- a/core/found.go
+++ b/core/found.go
@@ -129,7 +129,10 @@
 // leader is where calls and words are passed on to: who leads, as heard from it or, by
 // a daemon that no leader speaks to, from those to whom one does.
 func (c *Core) leader(now time.Duration) string {
-	if c.node != nil && (c.node.Leader() != "" || !c.vacant()) {
+	if l := c.led(now); l != "" {
+		return l
+	}
+	if !c.vacant() {
 		return c.node.Leader()
 	}
 	return c.known.Leader(now)
@@ -428,6 +431,20 @@
 	return sum(epoch + 1), epoch + 1, ms
 }
 
+// claim keeps on disk that this process was told to found, so that a restart while it
+// does changes nothing: as a lock of no epoch.
+func (c *Core) claim() {
+	if c.set.Size > 0 || c.places == 0 || c.node != nil || c.img.Lock != 0 {
+		return
+	}
+	b := &wire.Batch{Lock: 1}
+	for i := range c.places {
+		b.Founders = append(b.Founders, wire.Member{Name: fmt.Sprintf("absent-%d", i+1)})
+	}
+	c.img.Fold(b)
+	c.whole()
+}
+
 // carryOut acts on a lock: when all founders have it, or when one has acted, since
 // then all had.
 func (c *Core) carryOut(now time.Duration, all []wire.Daemon) bool {
--- a/sim/fleet_test.go
+++ b/sim/fleet_test.go
@@ -64,7 +64,7 @@
 			t.Run(fmt.Sprintf("%d of %d", c.seeds, c.cores), func(t *testing.T) {
 				t.Parallel()
 				w := New(seed, open(c.cores, c.seeds))
-				if seed%3 > 0 {
+				if seed%3 > 0 { // its disk keeps what it was told
 					w.at(w.ms(100, 2500), func() {
 						p := w.procs[w.names[w.rnd.IntN(c.seeds)]]
 						w.Kill(p)
