--- a/core/core.go
+++ b/core/core.go
@@ -213,7 +213,6 @@
 	out       []any
 	counts    Counts
 	cleanAt   time.Duration
-	was       []string          // roster's names before a change that is not in force everywhere yet
 	turns     map[string]uint32 // last place dealt in each service, and each name's own
 	turnOf    map[[2]string]uint32
 	wideUntil uint64 // entry of the roster's last change
@@ -506,7 +505,7 @@
 	case Warming:
 		c.targets, c.claims, c.judge, c.judged = map[wire.ID]*target{}, map[wire.ID]*target{}, judge.New(), 0
 		c.scorer = judge.NewScorer(c.judge)
-		c.was, c.turns, c.turnOf = nil, map[string]uint32{}, map[[2]string]uint32{}
+		c.turns, c.turnOf = map[string]uint32{}, map[[2]string]uint32{}
 		c.tombs, c.left = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
 		c.table, c.best, c.sig, c.wideUntil = nil, wire.Key{}, 0, 0
 		c.policies()
@@ -514,9 +513,9 @@
 		for _, g := range c.gates {
 			g.grantAt, g.told, g.key = now, false, wire.Key{}
 		}
-		for _, r := range c.state.Roster {
-			if c.gates[r.Name] == nil {
-				c.gates[r.Name] = &gate{grantAt: now}
+		for _, n := range append(c.state.names(), c.state.Was...) {
+			if c.gates[n] == nil {
+				c.gates[n] = &gate{grantAt: now}
 			}
 		}
 		c.counts.Elections++
@@ -575,7 +574,7 @@
 			2*told > need && now-c.leadAt > limit.WarmLeader/3 {
 			c.setLead(now, Deciding, fmt.Sprintf("heard %d of %d proxies", told, need))
 			c.rebuild(now, true)
-			if c.was != nil {
+			if len(c.state.Was) > 0 {
 				c.forces = append(c.forces, &force{ver: c.ver, since: now, wide: true})
 			}
 			for _, id := range slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare) {
@@ -608,13 +607,6 @@
 
 // ---- proxies ----
 
-func (c *Core) rosterNames() (l []string) {
-	for _, g := range c.state.Roster {
-		l = append(l, g.Name)
-	}
-	return l
-}
-
 func (c *Core) inRoster(name string) bool {
 	return slices.ContainsFunc(c.state.Roster, func(g Gate) bool { return g.Name == name })
 }
@@ -707,14 +699,6 @@
 func (c *Core) merge(now time.Duration, b *wire.Table) {
 	if c.lead == Warming && c.best.Less(b.Key) {
 		c.best = b.Key
-		if c.was = b.Was; c.was == nil {
-			for _, g := range b.Gates {
-				c.was = append(c.was, g.Name)
-			}
-		}
-		if slices.Equal(c.was, c.rosterNames()) {
-			c.was = nil
-		}
 		for id, t := range c.targets {
 			if t.told {
 				delete(c.targets, id) // known only from an earlier table
@@ -1054,7 +1038,7 @@
 	if c.lead != Deciding {
 		return
 	}
-	t := &wire.Table{Was: c.was, Seq: c.state.Seq, Revision: c.state.Revision, Doc: c.state.Doc, State: c.state.slim(c.node.Members()), Emptied: c.state.Emptied}
+	t := &wire.Table{Was: c.state.Was, Seq: c.state.Seq, Revision: c.state.Revision, Doc: c.state.Doc, State: c.state.slim(c.node.Members()), Emptied: c.state.Emptied}
 	for _, r := range c.state.Roster {
 		g := c.gates[r.Name]
 		t.Gates = append(t.Gates, wire.Gate{Name: r.Name, Addr: r.Addr, Domain: r.Domain,
@@ -1101,24 +1085,27 @@
 	return d
 }
 
-// inForce says whether a table binds every proxy: a majority of the
-// roster has confirmed it, and each other one's grant, from the leader or from
+// inForce says whether a table binds every proxy: a majority of the roster, and of
+// the one before while that still counts, has confirmed it, and each other one's grant, from the leader or from
 // partners that had not confirmed yet, must have lapsed.
 func (c *Core) inForce(now time.Duration, f *force) bool {
 	if f.member != "" && (!c.node.Settled() || f.joins != slices.ContainsFunc(c.node.Members(), func(m wire.Member) bool { return m.Name == f.member })) {
 		return false
 	}
-	n, conf := len(c.state.Roster), 0
 	var rest []*gate
-	for _, r := range c.state.Roster {
-		g := c.gates[r.Name]
-		if g != nil && g.key.Epoch == c.node.Epoch() && g.key.Term == c.node.Term() && g.key.Ver >= f.ver {
-			conf++
-		} else if g != nil {
-			rest = append(rest, g)
+	confirmed := func(names []string) bool {
+		conf := 0
+		for _, n := range names {
+			g := c.gates[n]
+			if g != nil && g.key.Epoch == c.node.Epoch() && g.key.Term == c.node.Term() && g.key.Ver >= f.ver {
+				conf++
+			} else if g != nil {
+				rest = append(rest, g)
+			}
 		}
+		return 2*conf > len(names) || len(names) == 0
 	}
-	if 2*conf <= n && n > 0 {
+	if now, was := confirmed(c.state.names()), confirmed(c.state.Was); !now || !was {
 		f.majAt = 0
 		return false
 	}
@@ -1152,9 +1139,8 @@
 		if f.p != nil {
 			c.answer(f.p, f.reply)
 		}
-		if f.wide {
-			c.was = nil
-			c.rebuild(now, false)
+		if f.wide && !slices.ContainsFunc(c.forces, func(f *force) bool { return f.wide }) {
+			c.wide(now, order{Op: "enrolled", Base: c.state.RosterAt})
 		}
 		if t := c.targets[f.clear]; t != nil && t.Pending {
 			t.Pending = false
@@ -1163,39 +1149,34 @@
 	}
 }
 
-// roster admits and drops proxies, one at a time and each in force before the
-// next, so that majorities of neighbouring rosters always meet.
+// roster admits and drops proxies, all that wait in one step. The roster before counts
+// with it until it is in force everywhere, so that majorities always meet.
 func (c *Core) roster(now time.Duration) {
 	if slices.ContainsFunc(c.forces, func(f *force) bool { return f.wide }) || c.wideUntil > c.state.Seq || !c.node.Settled() {
 		return
 	}
-	var add []Gate
+	o := order{Op: "roster"}
 	for _, n := range slices.Sorted(maps.Keys(c.gates)) {
 		k := c.known[n]
 		if k == nil || now-c.gates[n].pullAt > limit.GateLive || c.gates[n].pullAt == 0 {
 			continue
 		}
 		i := slices.IndexFunc(c.state.Roster, func(r Gate) bool { return r.Name == n })
-		r := Gate{n, k.Addr, k.Domain}
-		if i < 0 || c.state.Roster[i] != r {
-			add = append(add, r)
+		if r := (Gate{n, k.Addr, k.Domain}); i < 0 || c.state.Roster[i] != r {
+			o.Gates = append(o.Gates, r)
 		}
 	}
-	if len(add) > 0 {
-		if len(c.state.Roster) > 0 {
-			add = add[:1]
-		} else if now-c.leadAt < limit.FirstRoster {
-			return
-		}
-		c.wide(now, order{Op: "admit", Gates: add})
+	if len(o.Gates) > 0 && len(c.state.Roster) == 0 && now-c.leadAt < limit.FirstRoster {
 		return
 	}
 	for _, r := range c.state.Roster {
 		if g := c.gates[r.Name]; now-c.leadAt > limit.GateForget && (g == nil || now-g.pullAt > limit.GateForget) {
-			c.wide(now, order{Op: "forget", Name: r.Name})
-			return
+			o.Gone = append(o.Gone, r.Name)
 		}
 	}
+	if len(o.Gates)+len(o.Gone) > 0 {
+		c.wide(now, o)
+	}
 }
 
 func (c *Core) wide(now time.Duration, o order) { c.wideUntil = c.propose(now, o) }
--- a/core/operate.go
+++ b/core/operate.go
@@ -52,6 +52,8 @@
 	Doc      json.RawMessage   `json:"doc"`
 	Records  []Record          `json:"records,omitempty"`
 	Roster   []Gate            `json:"roster,omitempty"`
+	Was      []string          `json:"was,omitempty"`       // the roster before, while this one is not in force everywhere
+	RosterAt uint64            `json:"roster_at,omitempty"` // entry of the roster's last change
 	Emptied  []string          `json:"emptied,omitempty"`
 	Out      map[string]uint64 `json:"out,omitempty"`     // members taken out by an operator
 	Members  []wire.Member     `json:"members,omitempty"` // in proxies' copies only: who a core could be rebuilt with
@@ -66,6 +68,7 @@
 	What  string          `json:"what,omitempty"`
 	Name  string          `json:"name,omitempty"`
 	Gates []Gate          `json:"gates,omitempty"`
+	Gone  []string        `json:"gone,omitempty"`
 	State json.RawMessage `json:"state,omitempty"`
 }
 
@@ -131,20 +134,16 @@
 		}
 	case "restore":
 		s.Emptied = slices.DeleteFunc(slices.Clone(s.Emptied), func(d string) bool { return d == o.Name })
-	case "admit":
-		l := slices.Clone(s.Roster)
-		for _, g := range o.Gates {
-			if i := slices.IndexFunc(l, func(x Gate) bool { return x.Name == g.Name }); i >= 0 {
-				l[i] = g
-			} else {
-				l = append(l, g)
-			}
+	case "roster":
+		s.enroll(index, o.Gates, o.Gone)
+		return
+	case "enrolled":
+		if o.Base == s.RosterAt {
+			s.Was = nil
 		}
-		slices.SortFunc(l, func(a, b Gate) int { return cmp.Compare(a.Name, b.Name) })
-		s.Roster = l
 		return
 	case "forget":
-		s.Roster = slices.DeleteFunc(slices.Clone(s.Roster), func(g Gate) bool { return g.Name == o.Name })
+		s.enroll(index, nil, []string{o.Name})
 	case "out":
 		s.Out[o.Name] = index
 	case "in":
@@ -175,6 +174,27 @@
 	}
 }
 
+// enroll changes the roster. The one before counts with it until the new one is in
+// force everywhere; while that is so, further changes keep the first.
+func (s *State) enroll(index uint64, add []Gate, gone []string) {
+	l := slices.DeleteFunc(slices.Clone(s.Roster), func(g Gate) bool {
+		return slices.Contains(gone, g.Name) || slices.ContainsFunc(add, func(a Gate) bool { return a.Name == g.Name })
+	})
+	l = append(l, add...)
+	slices.SortFunc(l, func(a, b Gate) int { return cmp.Compare(a.Name, b.Name) })
+	if len(s.Was) == 0 {
+		s.Was = s.names()
+	}
+	s.Roster, s.RosterAt = l, index
+}
+
+func (s *State) names() (l []string) {
+	for _, g := range s.Roster {
+		l = append(l, g.Name)
+	}
+	return l
+}
+
 // survived is the state that a disk leads to when nobody can say any more what
 // of its log was agreed: all of it, since any of it may have been acknowledged.
 func survived(im *quorum.Image) (s State, term uint64) {
@@ -212,7 +232,7 @@
 	if err := json.Unmarshal(e.Data, &o); err != nil {
 		panic(errors.Wrapf(err, "entry %d", e.Index))
 	}
-	was, names := c.state.Revision, c.rosterNames()
+	was := c.state.Revision
 	c.state.Apply(e.Index, o)
 	if c.state.Revision != was {
 		c.do(Change{"revision", fmt.Sprint(was), fmt.Sprint(c.state.Revision), o.What})
@@ -226,9 +246,6 @@
 	if c.lead == Idle || c.lead == Adopting {
 		return
 	}
-	if c.was == nil && len(names) > 0 && !slices.Equal(names, c.rosterNames()) {
-		c.was = names
-	}
 	c.policies()
 	p := c.pend[o.Token]
 	delete(c.pend, o.Token)
@@ -240,7 +257,7 @@
 		return
 	}
 	c.rebuild(now, true)
-	f := &force{ver: c.ver, since: now, wide: o.Op == "admit" || o.Op == "forget"}
+	f := &force{ver: c.ver, since: now, wide: o.Op == "roster" || o.Op == "forget"}
 	if o.Op == "in" || o.Op == "out" {
 		f.member, f.joins = o.Name, o.Op == "in"
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -269,18 +269,24 @@
 	}
 }
 
+// inTouch says that a majority of the roster, and of the one before while that still
+// counts, answers.
 func (g *Gate) inTouch(now time.Duration) bool {
-	n := 0
-	for _, r := range g.table.Gates {
-		if r.Name == g.set.Self.Name {
-			if g.settled {
-				n++
+	most := func(n int, name func(int) string) bool {
+		k := 0
+		for i := range n {
+			if name(i) == g.set.Self.Name {
+				if g.settled {
+					k++
+				}
+			} else if at, ok := g.touches[name(i)]; ok && now < at+limit.TouchGrant {
+				k++
 			}
-		} else if at, ok := g.touches[r.Name]; ok && now < at+limit.TouchGrant {
-			n++
 		}
+		return 2*k > n
 	}
-	return 2*n > len(g.table.Gates)
+	return most(len(g.table.Gates), func(i int) string { return g.table.Gates[i].Name }) &&
+		(len(g.table.Was) == 0 || most(len(g.table.Was), func(i int) string { return g.table.Was[i] }))
 }
 
 // Serving says whether exchanges may be admitted now.
--- a/sim/fleet_test.go
+++ b/sim/fleet_test.go
@@ -260,3 +260,96 @@
 		})
 	}
 }
+
+// A large fleet's proxies come up in a few seconds, not one after the other.
+func TestManyProxiesComeUp(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		p := open(7, 3)
+		p.Gates, p.Rate = 40, 60
+		w := New(seed, p)
+		if !w.until(10*time.Second, func() bool { return w.Leader() != nil }) {
+			t.Fatalf("no leader\n%s", w.Trace(20))
+		}
+		at := w.now
+		w.PutConfig(w.Leader(), 0, 1)
+		if !w.Settle(4 * time.Second) {
+			t.Fatalf("not serving after %v: %s", w.now-at, w.why())
+		}
+		check(t, w)
+	}
+}
+
+// A majority of the old proxies is cut off from the core, but not from their callers,
+// while many new ones come: the new majority alone must not put a change in force that
+// the old one, standing together as orphans, can't know of.
+func TestJointRoster(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(12) {
+		p := Small
+		p.Rate, p.Gates = 300, 5
+		w := Start(seed, p)
+		w.Run(w.now + time.Second)
+		var ks [][2]string
+		for _, g := range []string{"g1", "g2", "g3"} {
+			for _, o := range w.names {
+				if o != "g1" && o != "g2" && o != "g3" {
+					ks = append(ks, both(g, o)...)
+				}
+			}
+		}
+		w.cutFor(ks, 12*time.Second)
+		for i := range 8 {
+			name := fmt.Sprintf("g%d", 60+i)
+			w.addProc("gate", name, i%3)
+			w.start(w.procs[name])
+			for _, g := range []string{"g1", "g2", "g3"} {
+				w.cutFor(both(g, name), 12*time.Second)
+			}
+		}
+		w.Run(w.now + w.ms(500, 2500))
+		if seed%2 == 1 {
+			w.Kill(w.Leader())
+			w.at(2*time.Second, func() {
+				for _, n := range w.all("core") {
+					w.Restart(w.procs[n])
+				}
+			})
+			w.until(5*time.Second, func() bool { return w.Leader() != nil })
+		}
+		w.Change(w.Leader(), "POST", "/v1/domains/d1/empty", "", nil, &change{what: "empty d1", empty: "d1"})
+		w.PutConfig(w.Leader(), 1, 2)
+		w.Run(w.now + 9*time.Second)
+		check(t, w)
+		if w.acked == 2 {
+			t.Fatalf("seed %d: acknowledged without the old majority", seed)
+		}
+		w.Run(w.now + 3*time.Second)
+		w.Heal()
+		w.Back(15 * time.Second)
+		check(t, w)
+	}
+}
+
+// Herds of proxies die and spares come in numbers, during cuts.
+func TestHerdsAndSpares(t *testing.T) {
+	t.Parallel()
+	f := func(name string) Fault { x, _ := ByName(name); return x }
+	kinds := []Fault{f("gate herd killed"), f("gate isolated"), f("domain cut off"), f("leader killed"), f("config"), f("core cut off from proxies"),
+		{"spares come", func(w *World) {
+			if len(w.all("gate")) > w.Plan.Gates+8 {
+				return
+			}
+			for range 4 {
+				name := fmt.Sprintf("g%d", 100+len(w.names))
+				w.addProc("gate", name, w.rnd.IntN(w.Plan.Domains))
+				w.start(w.procs[name])
+			}
+		}}}
+	for seed := uint64(1); seed <= 24; seed++ {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			check(t, Day(seed, Small, kinds, 14, 25*time.Second))
+		})
+	}
+}
