--- a/core/core.go
+++ b/core/core.go
@@ -178,26 +178,27 @@
 }
 
 type Core struct {
-	set      Settings
-	img      quorum.Image
-	node     *quorum.Node
-	state    State
-	known    Book
-	helloAt  time.Duration
-	offer    uint64
-	seen     string // who could found, as last looked at, and since when
-	seenAt   time.Duration
-	memories map[string]memory // what proxies said that they remember
-	vow      vow
-	lockSeq  uint64 // batch that has the lock; it is told to nobody before that is synced
-	safeSeq  uint64
-	via      string                   // who leads, as last heard of
-	places   int                      // of the first core, if this process may found it
-	heard    map[string]heard         // other core daemons, as last heard
-	tried    map[string]time.Duration // who learns, or has tried to in vain, since when
-	freshAt  uint64                   // number of the last founding batch; a node's batches count on from it
-	stopping bool
-	stopAt   time.Duration
+	set       Settings
+	img       quorum.Image
+	node      *quorum.Node
+	state     State
+	known     Book
+	helloAt   time.Duration
+	offer     uint64
+	seen      string // who could found, as last looked at, and since when
+	seenAt    time.Duration
+	memories  map[string]memory // what proxies said that they remember
+	vow       vow
+	lockSeq   uint64 // batch that has the lock; it is told to nobody before that is synced
+	safeSeq   uint64
+	via       string                   // who leads, as last heard of
+	places    int                      // of the first core, if this process may found it
+	heard     map[string]heard         // other core daemons, as last heard
+	changedAt time.Duration            // when the members last changed
+	tried     map[string]time.Duration // who learns, or has tried to in vain, since when
+	freshAt   uint64                   // number of the last founding batch; a node's batches count on from it
+	stopping  bool
+	stopAt    time.Duration
 
 	lead      Lead
 	leadAt    time.Duration
@@ -229,7 +230,6 @@
 	out       []any
 	counts    Counts
 	cleanAt   time.Duration
-	was       []string          // roster's names before a change that is not in force everywhere yet
 	turns     map[string]uint32 // last place dealt in each service, and each name's own
 	turnOf    map[[2]string]uint32
 	wideUntil uint64 // entry of the roster's last change
@@ -393,6 +393,7 @@
 	if now-c.helloAt >= limit.HelloEvery {
 		c.helloAt = now
 		c.hello(now)
+		c.claim()
 		for n, k := range c.known {
 			if now-k.At > limit.DaemonGone {
 				delete(c.known, n)
@@ -524,7 +525,7 @@
 	case Warming:
 		c.targets, c.claims, c.judge, c.judged = map[wire.ID]*target{}, map[wire.ID]*target{}, judge.New(), 0
 		c.scorer = judge.NewScorer(c.judge)
-		c.was, c.turns, c.turnOf = nil, map[string]uint32{}, map[[2]string]uint32{}
+		c.turns, c.turnOf = map[string]uint32{}, map[[2]string]uint32{}
 		c.tombs, c.left = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
 		c.outVer = map[wire.ID]uint64{}
 		c.table, c.best, c.sig, c.wideUntil = nil, wire.Key{}, 0, 0
@@ -533,9 +534,9 @@
 		for _, g := range c.gates {
 			g.grantAt, g.told, g.key = now, false, wire.Key{}
 		}
-		for _, r := range c.state.Roster {
-			if c.gates[r.Name] == nil {
-				c.gates[r.Name] = &gate{grantAt: now}
+		for _, n := range append(c.state.names(), c.state.Was...) {
+			if c.gates[n] == nil {
+				c.gates[n] = &gate{grantAt: now}
 			}
 		}
 		c.counts.Elections++
@@ -594,7 +595,7 @@
 			2*told > need && now-c.leadAt > limit.WarmLeader/3 {
 			c.setLead(now, Deciding, fmt.Sprintf("heard %d of %d proxies", told, need))
 			c.rebuild(now, true)
-			if c.was != nil {
+			if len(c.state.Was) > 0 {
 				c.forces = append(c.forces, &force{ver: c.ver, since: now, wide: true})
 			}
 			for _, id := range slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare) {
@@ -630,13 +631,6 @@
 
 // ---- proxies ----
 
-func (c *Core) rosterNames() (l []string) {
-	for _, g := range c.state.Roster {
-		l = append(l, g.Name)
-	}
-	return l
-}
-
 func (c *Core) inRoster(name string) bool {
 	return slices.ContainsFunc(c.state.Roster, func(g Gate) bool { return g.Name == name })
 }
@@ -729,14 +723,6 @@
 func (c *Core) merge(now time.Duration, b *wire.Table) {
 	if c.lead == Warming && c.best.Less(b.Key) {
 		c.best = b.Key
-		if c.was = b.Was; c.was == nil {
-			for _, g := range b.Gates {
-				c.was = append(c.was, g.Name)
-			}
-		}
-		if slices.Equal(c.was, c.rosterNames()) {
-			c.was = nil
-		}
 		for id, t := range c.targets {
 			if t.told {
 				delete(c.targets, id) // known only from an earlier table
@@ -1117,7 +1103,7 @@
 	if c.lead != Deciding {
 		return
 	}
-	t := &wire.Table{Was: c.was, Seq: c.state.Seq, Revision: c.state.Revision, Doc: c.state.Doc, State: c.state.slim(c.node.Members()), Emptied: c.state.Emptied}
+	t := &wire.Table{Was: c.state.Was, Seq: c.state.Seq, Revision: c.state.Revision, Doc: c.state.Doc, State: c.state.slim(c.node.Members()), Emptied: c.state.Emptied}
 	for _, r := range c.state.Roster {
 		g := c.gates[r.Name]
 		t.Gates = append(t.Gates, wire.Gate{Name: r.Name, Addr: r.Addr, Domain: r.Domain,
@@ -1165,24 +1151,27 @@
 	return d
 }
 
-// inForce says whether a table binds every proxy: a majority of the
-// roster has confirmed it, and each other one's grant, from the leader or from
+// inForce says whether a table binds every proxy: a majority of the roster, and of
+// the one before while that still counts, has confirmed it, and each other one's grant, from the leader or from
 // partners that had not confirmed yet, must have lapsed.
 func (c *Core) inForce(now time.Duration, f *force) bool {
 	if f.member != "" && (!c.node.Settled() || f.joins != slices.ContainsFunc(c.node.Members(), func(m wire.Member) bool { return m.Name == f.member })) {
 		return false
 	}
-	n, conf := len(c.state.Roster), 0
 	var rest []*gate
-	for _, r := range c.state.Roster {
-		g := c.gates[r.Name]
-		if g != nil && g.key.Epoch == c.node.Epoch() && g.key.Term == c.node.Term() && g.key.Ver >= f.ver {
-			conf++
-		} else if g != nil {
-			rest = append(rest, g)
+	confirmed := func(names []string) bool {
+		conf := 0
+		for _, n := range names {
+			g := c.gates[n]
+			if g != nil && g.key.Epoch == c.node.Epoch() && g.key.Term == c.node.Term() && g.key.Ver >= f.ver {
+				conf++
+			} else if g != nil {
+				rest = append(rest, g)
+			}
 		}
+		return 2*conf > len(names) || len(names) == 0
 	}
-	if 2*conf <= n && n > 0 {
+	if now, was := confirmed(c.state.names()), confirmed(c.state.Was); !now || !was {
 		f.majAt = 0
 		return false
 	}
@@ -1219,9 +1208,8 @@
 		if f.p != nil {
 			c.answer(f.p, f.reply)
 		}
-		if f.wide {
-			c.was = nil
-			c.rebuild(now, false)
+		if f.wide && !slices.ContainsFunc(c.forces, func(f *force) bool { return f.wide }) {
+			c.wide(now, order{Op: "enrolled", Base: c.state.RosterAt})
 		}
 		if t := c.targets[f.clear]; t != nil && t.Pending {
 			t.Pending = false
@@ -1230,39 +1218,34 @@
 	}
 }
 
-// roster admits and drops proxies, one at a time and each in force before the
-// next, so that majorities of neighbouring rosters always meet.
+// roster admits and drops proxies, all that wait in one step. The roster before counts
+// with it until it is in force everywhere, so that majorities always meet.
 func (c *Core) roster(now time.Duration) {
 	if slices.ContainsFunc(c.forces, func(f *force) bool { return f.wide }) || c.wideUntil > c.state.Seq || !c.node.Settled() {
 		return
 	}
-	var add []Gate
+	o := order{Op: "roster"}
 	for _, n := range slices.Sorted(maps.Keys(c.gates)) {
 		k := c.known[n]
 		if k == nil || now-c.gates[n].pullAt > limit.GateLive || c.gates[n].pullAt == 0 {
 			continue
 		}
 		i := slices.IndexFunc(c.state.Roster, func(r Gate) bool { return r.Name == n })
-		r := Gate{n, k.Addr, k.Domain}
-		if i < 0 || c.state.Roster[i] != r {
-			add = append(add, r)
+		if r := (Gate{n, k.Addr, k.Domain}); i < 0 || c.state.Roster[i] != r {
+			o.Gates = append(o.Gates, r)
 		}
 	}
-	if len(add) > 0 {
-		if len(c.state.Roster) > 0 {
-			add = add[:1]
-		} else if now-c.leadAt < limit.FirstRoster {
-			return
-		}
-		c.wide(now, order{Op: "admit", Gates: add})
+	if len(o.Gates) > 0 && len(c.state.Roster) == 0 && now-c.leadAt < limit.FirstRoster {
 		return
 	}
 	for _, r := range c.state.Roster {
 		if g := c.gates[r.Name]; now-c.leadAt > limit.GateForget && (g == nil || now-g.pullAt > limit.GateForget) {
-			c.wide(now, order{Op: "forget", Name: r.Name})
-			return
+			o.Gone = append(o.Gone, r.Name)
 		}
 	}
+	if len(o.Gates)+len(o.Gone) > 0 {
+		c.wide(now, o)
+	}
 }
 
 func (c *Core) wide(now time.Duration, o order) { c.wideUntil = c.propose(now, o) }
@@ -1314,6 +1297,7 @@
 	c.do(Change{"member", d.Name, "in", "caught up"})
 	delete(c.swaps, d.Name)
 	delete(c.tried, d.Name)
+	c.changedAt = now
 	c.node.Change(now, append(slices.Clone(ms), m))
 	return true
 }
@@ -1392,6 +1376,13 @@
 		vain := tried && now-since > limit.LearnWait && now-since < limit.LearnAgain
 		return d.Disk == 0 || d.State == stoppingState || c.state.Out[d.Name] != 0 || vain || slices.Contains(namesOf(ms), d.Name)
 	})
+	if w := c.worth(list); w[0] == 0 && len(list) > 2 { // one may come for another
+		for _, d := range free {
+			if i := c.spared(append(slices.Clone(list), d.Name)); i >= 0 && i < len(list) {
+				return d, true
+			}
+		}
+	}
 	best, first := c.worth(list), wire.Daemon{}
 	for len(list) < limit.VotersMax && len(free) > 0 {
 		per := map[string]int{}
@@ -1413,6 +1404,18 @@
 	return next, ok
 }
 
+// spared is the place of one without whom a list would outlive any domain, -1 if it
+// does with all, or without none of them.
+func (c *Core) spared(list []string) int {
+	if w := c.worth(list); w[0] == 1 {
+		return -1
+	}
+	return slices.IndexFunc(list, func(n string) bool {
+		w := c.worth(slices.DeleteFunc(slices.Clone(list), func(o string) bool { return o == n }))
+		return n != c.set.Self.Name && w[0] == 1
+	})
+}
+
 // tend grows and mends a core whose size nobody has given, by one change at a time,
 // each between lists of which a majority answers. A newcomer is in before the one
 // that it replaces is out. One whose return would add nothing goes then; without a
@@ -1431,7 +1434,14 @@
 		}
 	}
 	next, ok := c.newcomer(now, stay, ms, all)
-	c.node.Release(func(m wire.Member) bool { return ok && m.Name == next.Name || c.swaps[m.Name] })
+	astray := map[string]bool{} // they stand in an earlier list of members, and are to learn that they are out
+	for _, d := range all {
+		if d.Epoch > 0 && !d.Ready && d.Name != c.set.Self.Name && !slices.Contains(namesOf(ms), d.Name) {
+			astray[d.Name] = true
+			c.node.Learn(wire.Member{Name: d.Name, Disk: d.Disk})
+		}
+	}
+	c.node.Release(func(m wire.Member) bool { return ok && m.Name == next.Name || c.swaps[m.Name] || astray[m.Name] })
 	if ok {
 		m := wire.Member{Name: next.Name, Disk: next.Disk}
 		if since, tried := c.tried[m.Name]; !tried || now-since >= limit.LearnAgain {
@@ -1442,6 +1452,14 @@
 		}
 		return
 	}
+	if i := c.spared(namesOf(ms)); len(gone) == 0 && i >= 0 && now-c.changedAt > limit.MemberGone {
+		if left := slices.Delete(slices.Clone(ms), i, i+1); c.sound(now, ms) && c.sound(now, left) {
+			c.do(Change{"member", ms[i].Name, "out", "its domain has too many"})
+			c.node.Change(now, left)
+			c.changedAt = now
+			return
+		}
+	}
 	for _, m := range gone {
 		left := slices.DeleteFunc(slices.Clone(ms), func(o wire.Member) bool { return o == m })
 		with, without := c.worth(append(namesOf(stay), m.Name)), c.worth(namesOf(stay))
