--- a/host/gate.go
+++ b/host/gate.go
@@ -71,6 +71,7 @@
 	})
 	call := h.Call(func() uint64 { return ids.Add(1) })
 	mux.HandleFunc("POST /v1/targets", call)
+	mux.HandleFunc("PUT /v1/targets/", call)
 	mux.HandleFunc("DELETE /v1/targets/", call)
 	admin, err := h.Serve(h.Set.Http, mux)
 	if err != nil {
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -32,6 +32,7 @@
 	Rate         float64        // exchanges a second
 	Unsafe       float64        // part of them that must not run twice
 	Hard         float64        // part of refusals that are sent again at once
+	Known        []string       // domains that the core's settings name
 }
 
 // Small is a fleet that shows all behaviour and still runs fast.
@@ -97,6 +98,9 @@
 	goneAt                      time.Duration
 	works                       []*exchange // those in work
 	work, usual                 time.Duration
+	still                       bool // says nothing, but serves and answers probes
+	named                       bool // its words go by PUT and are numbered
+	number                      uint64
 }
 
 type exchange struct {
@@ -291,7 +295,7 @@
 		p.disk.open = nil
 		img := p.disk.img
 		img.Log = slices.Clone(img.Log)
-		p.core = core.New(p.local(), core.Settings{Self: self, Size: w.Plan.Cores, Seeds: seeds}, img)
+		p.core = core.New(p.local(), core.Settings{Self: self, Size: w.Plan.Cores, Seeds: seeds, Domains: w.Plan.Known}, img)
 	} else {
 		p.gate = gate.New(gate.Settings{Self: self, Seeds: seeds})
 	}
@@ -504,6 +508,7 @@
 	t := &Target{service: svc, name: name, domain: domain, addr: addr, inc: w.nextInc + uint64(w.rnd.IntN(1000))*100000, alive: true,
 		state: model.Ready, usual: w.ms(5, 30)}
 	t.work = t.usual
+	t.named = w.nextInc%3 != 0
 	if warm > 0 {
 		t.state = model.Warming
 		w.at(warm, func() {
@@ -519,7 +524,8 @@
 		if !t.alive {
 			return
 		}
-		if !t.hang {
+		if !t.hang && !t.still {
+			t.number++
 			w.beat(t, 0)
 		}
 		w.at(limit.BeatEvery, beat)
@@ -546,8 +552,8 @@
 		w.at(w.ms(0, 3), again)
 		return
 	}
-	b, _ := json.Marshal(model.Beat{Service: t.service, Name: t.name, Incarnation: t.inc, Address: t.addr, Domain: t.domain, State: w.heard(state)})
-	w.call(p, "POST", "/v1/targets", "", b, "", func(r core.Reply) {
+	method, path, b := t.word(w.heard(state))
+	w.call(p, method, path, "", b, "", func(r core.Reply) {
 		if r.Status >= 300 {
 			again()
 			return
@@ -562,6 +568,20 @@
 	w.at(limit.BeatEvery/2, again)
 }
 
+// word is a call that says how a target is.
+func (t *Target) word(state string) (method, path string, body []byte) {
+	b := model.Beat{Service: t.service, Name: t.name, Incarnation: t.inc, Address: t.addr, Domain: t.domain, State: state}
+	if method, path = "POST", "/v1/targets"; t.named {
+		method, path = "PUT", "/v1/targets/"+t.name
+		b.Number, b.Slots = t.number, Slots
+	}
+	body, _ = json.Marshal(b)
+	return method, path, body
+}
+
+// Slots is how many exchanges targets say that they work on at once.
+const Slots = 16
+
 // say has a daemon hear a target's word, as a late or repeated one would be.
 func (w *World) say(p *Proc, t *Target, state string) {
 	b, _ := json.Marshal(model.Beat{Service: t.service, Name: t.name, Incarnation: t.inc, Address: t.addr, Domain: t.domain, State: state})
@@ -584,6 +604,7 @@
 // Leave has a back end announce that it leaves, wait, sign off and end; then runs after.
 func (w *World) Leave(t *Target, after func()) {
 	t.state = model.Leaving
+	t.number++
 	w.beat(t, 0)
 	var end func()
 	end = func() {
--- /dev/null
+++ b/sim/words_test.go
@@ -0,0 +1,398 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"myrtlefold/core"
+	"myrtlefold/limit"
+	"myrtlefold/model"
+	"myrtlefold/wire"
+)
+
+// entry is a target in a table, nil if it is not there.
+func entry(t *wire.Table, name string) *wire.Target {
+	for i := range t.Targets {
+		if t.Targets[i].Name == name {
+			return &t.Targets[i]
+		}
+	}
+	return nil
+}
+
+// out counts the proxies whose table does not let anything be sent to a target.
+func (w *World) out(name string) (n int) {
+	for _, g := range w.all("gate") {
+		if p := w.procs[g]; p.alive && p.gate.Table() != nil {
+			if e := entry(p.gate.Table(), name); e == nil || e.Held {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func numbered(t *Target, state string, number uint64, more string) string {
+	return fmt.Sprintf(`{"service":%q,"incarnation":%d,"address":%q,"domain":%q,"state":%q,"number":%d,"mood":["any"]%s}`, t.service, t.inc, t.addr, t.domain, state, number, more)
+}
+
+// Words by name: what is wrong is named by its place, slots reach the tables, and an old
+// word changes nothing.
+func TestWordsByName(t *testing.T) {
+	t.Parallel()
+	w := Start(21, Small)
+	a := w.targets[0]
+	f := followers(w)[0]
+	put := func(p *Proc, body string) (int, string) {
+		r, m := w.inquire(t, p, "PUT", "/v1/targets/"+a.name, "", body, "")
+		at := ""
+		if e, ok := m["error"].(map[string]any); ok && e["faults"] != nil {
+			at, _ = e["faults"].([]any)[0].(map[string]any)["path"].(string)
+		}
+		return r.Status, at
+	}
+	for _, c := range []struct{ more, at string }{
+		{`,"slots":-1`, "slots"}, {`,"slots":1000001`, "slots"}, {`,"slots":"x"`, "slots"}, {`,"cold_left_ms":-5`, "cold_left_ms"},
+		{`,"cold_left_ms":3600001`, "cold_left_ms"}, {`,"address":"nowhere"`, "address"}, {`,"state":"odd"`, "state"}, {`,"service":"A b"`, "service"},
+	} {
+		if s, at := put(f, numbered(a, model.Ready, 1, c.more)); s != 422 || at != c.at {
+			t.Errorf("%s: %d at %q", c.more, s, at)
+		}
+	}
+	if !a.named {
+		t.Fatal("not a target with numbered words")
+	}
+	if e := entry(w.Leader().core.Table(), a.name); e == nil || e.Slots != Slots || e.Number == 0 {
+		t.Fatalf("%+v", e)
+	}
+	for _, n := range []uint64{a.number, 1} {
+		if s, _ := put(f, numbered(a, model.Leaving, n, "")); s != 200 {
+			t.Errorf("an old word: %d", s)
+		}
+	}
+	if e := entry(w.Leader().core.Table(), a.name); e.Held {
+		t.Error("an old word has it held")
+	}
+	if s, _ := put(f, numbered(a, model.Ready, a.number+100, `,"slots":7`)); s != 202 {
+		t.Errorf("a word at a follower: %d", s)
+	}
+	w.Run(w.now + 300*time.Millisecond)
+	if e := entry(w.Leader().core.Table(), a.name); e.Slots != 7 {
+		t.Errorf("%+v", e)
+	}
+	check(t, w)
+}
+
+// A word that says leaving or gone is acknowledged once a majority of the proxies knows,
+// and not before; the same word again waits with it, and later ones are at once.
+func TestLeavingIsAcknowledgedWhenKnown(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(8) {
+		w := Start(seed, Small)
+		a := w.targets[int(seed)%len(w.targets)]
+		a.still = true
+		w.Run(w.now + 600*time.Millisecond)
+		at := w.Leader()
+		if seed%2 == 0 {
+			at = followers(w)[0]
+		}
+		var acks []int
+		ask := func(method, path, body string) {
+			w.call(at, method, path, "", []byte(body), "", func(r core.Reply) {
+				if r.Status == 200 && 2*w.out(a.name) <= w.Plan.Gates {
+					t.Errorf("seed %d: %s acknowledged with %d of %d proxies", seed, method, w.out(a.name), w.Plan.Gates)
+				}
+				acks = append(acks, r.Status)
+			})
+		}
+		leaving := numbered(a, model.Leaving, 1000, "")
+		if seed < 4 {
+			ask("PUT", "/v1/targets/"+a.name, leaving)
+			ask("PUT", "/v1/targets/"+a.name, leaving)
+		} else {
+			ask("DELETE", "/v1/targets/"+a.name, "")
+			ask("DELETE", "/v1/targets/"+a.name, "")
+		}
+		w.Run(w.now + 900*time.Millisecond)
+		if fmt.Sprint(acks) != "[200 200]" {
+			t.Fatalf("seed %d: %v", seed, acks)
+		}
+		if r, _ := w.inquire(t, at, "DELETE", "/v1/targets/"+a.name, "", "", ""); r.Status != 200 {
+			t.Errorf("signed off: %d", r.Status)
+		}
+		if r, _ := w.inquire(t, at, "DELETE", "/v1/targets/never-heard", "", "", ""); r.Status != 200 {
+			t.Errorf("never heard: %d", r.Status)
+		}
+		if e := entry(w.Leader().core.Table(), a.name); e != nil {
+			t.Errorf("still there: %+v", e)
+		}
+		check(t, w)
+	}
+}
+
+// What can't be made known is not promised, in time for the caller to go elsewhere.
+func TestLeavingIsNotPromised(t *testing.T) {
+	t.Parallel()
+	w := Start(22, Small)
+	a := w.targets[0]
+	a.still = true
+	for _, n := range []string{"g1", "g2", "g3"} {
+		w.Kill(w.procs[n])
+	}
+	for _, at := range []*Proc{w.Leader(), followers(w)[0]} {
+		from := w.now
+		r, m := w.inquire(t, at, "PUT", "/v1/targets/"+a.name, "", numbered(a, model.Leaving, 1000, ""), "")
+		if r.Status != 503 || r.Retry == 0 || m["error"].(map[string]any)["ran"] != "no" || w.now-from > 920*time.Millisecond {
+			t.Errorf("%d after %v: %s", r.Status, w.now-from, r.Body)
+		}
+	}
+	l := w.Leader()
+	for _, p := range followers(w) {
+		w.Kill(p)
+	}
+	w.Run(w.now + 2*time.Second)
+	for _, state := range []string{model.Ready, model.Leaving} {
+		if r, _ := w.inquire(t, l, "PUT", "/v1/targets/"+a.name, "", numbered(a, state, 1001, ""), ""); r.Status != 503 || r.Retry == 0 {
+			t.Errorf("%s without a leader: %d", state, r.Status)
+		}
+	}
+	if r, _ := w.inquire(t, l, "GET", "/v1/config", "", "", ""); r.Status != 503 {
+		t.Errorf("read without a leader: %d", r.Status)
+	}
+	check(t, w)
+}
+
+// What was acknowledged outlives the leader, though the target never speaks again but
+// answers its probes as one that serves.
+func TestLeavingOutlivesLeaders(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(12) {
+		w := Start(seed, Small)
+		a := w.targets[int(seed)%len(w.targets)]
+		a.still = true
+		w.Run(w.now + 600*time.Millisecond)
+		status := 0
+		word, path, method := numbered(a, model.Leaving, 1000, ""), "/v1/targets/"+a.name, "PUT"
+		if seed%2 == 1 {
+			method, word = "DELETE", ""
+		}
+		w.call(followers(w)[0], method, path, "", []byte(word), "", func(r core.Reply) {
+			status = r.Status
+			w.Kill(w.Leader())
+		})
+		w.Run(w.now + 900*time.Millisecond)
+		if status != 200 {
+			t.Fatalf("seed %d: %d", seed, status)
+		}
+		for range 500 {
+			w.Run(w.now + 10*time.Millisecond)
+			if l := w.Leader(); l != nil && l.core.Table() != nil {
+				if e := entry(l.core.Table(), a.name); e != nil && !e.Held {
+					t.Fatalf("seed %d: back: %+v\n%s", seed, e, w.Trace(20))
+				}
+			}
+		}
+		check(t, w)
+	}
+}
+
+// Coldness: the later of what is told holds, a later word that tells 0 ends it, and a
+// restored domain's targets are cold whatever they said, also under the next leader.
+func TestCold(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		w := Start(seed, Small)
+		if r, _ := w.inquire(t, w.Leader(), "PATCH", "/v1/config", "base=1", `{"services":{"fares":{"cold_s":20,"cold_per_s":5},"pay":{"cold_s":20,"cold_per_s":5}}}`, ""); r.Status != 200 {
+			t.Fatalf("%s", r.Body)
+		}
+		a := w.targets[0]
+		a.still = true
+		w.Run(w.now + 600*time.Millisecond)
+		left := func() time.Duration { return time.Duration(entry(w.Leader().core.Table(), a.name).ColdLeft) }
+		say := func(number uint64, cold int) {
+			w.inquire(t, w.Leader(), "PUT", "/v1/targets/"+a.name, "", numbered(a, model.Ready, number, fmt.Sprintf(`,"cold_left_ms":%d`, cold)), "")
+		}
+		say(1000, 9000)
+		if l := left(); l < 8*time.Second || l > 9*time.Second {
+			t.Fatalf("cold for %v", l)
+		}
+		if say(1001, 500); left() < 8*time.Second {
+			t.Errorf("a shorter time ended it: %v", left())
+		}
+		if say(1001, 0); left() == 0 {
+			t.Error("an old word ended it")
+		}
+		if say(0, 0); left() == 0 {
+			t.Error("a word without a number ended it")
+		}
+		if say(1002, 0); left() != 0 {
+			t.Errorf("a later word did not end it: %v", left())
+		}
+		for _, what := range []string{"empty", "restore"} {
+			if r, _ := w.inquire(t, w.Leader(), "POST", "/v1/domains/"+a.domain+"/"+what, "", "", ""); r.Status != 200 {
+				t.Fatalf("%s: %s", what, r.Body)
+			}
+		}
+		if left() < 17*time.Second {
+			t.Fatalf("restored, and cold for %v", left())
+		}
+		if seed%2 == 0 {
+			w.Kill(w.Leader())
+			for w.Leader() == nil || w.Leader().core.Table() == nil || entry(w.Leader().core.Table(), a.name) == nil {
+				w.Run(w.now + 10*time.Millisecond)
+			}
+			if left() < 10*time.Second {
+				t.Errorf("seed %d: the next leader has it cold for %v", seed, left())
+			}
+		} else {
+			if say(1003, 0); left() == 0 {
+				t.Error("a word that was under way ended it")
+			}
+			if say(1004, 0); left() != 0 {
+				t.Errorf("its own later word did not end it: %v", left())
+			}
+		}
+		check(t, w)
+	}
+}
+
+// An operator's own revisions: steps of any size upwards, kept with the document, and
+// the very same call again is answered as the first, also under the next leader.
+func TestOwnRevisions(t *testing.T) {
+	t.Parallel()
+	p := Small
+	p.Known = []string{"d9"}
+	w := Start(23, p)
+	doc := func(rev, n int) string {
+		b, _ := model.Numbered(w.Doc(n), uint64(rev))
+		return string(b)
+	}
+	spaced := func(s string) string {
+		var v any
+		json.Unmarshal([]byte(s), &v)
+		b, _ := json.MarshalIndent(v, " ", "  ")
+		return string(b)
+	}
+	named := `{"revision":30,"set":{"services":{"fares":{"cap":33,"warm_cap":6,"timeout_ms":1000}}},"drop":{"services":["nobody"]}}`
+	steps := []struct {
+		method, path, query, body string
+		status                    int
+		rev                       float64
+		at                        string
+	}{
+		{"PUT", "/v1/config", "base=1", doc(1, 2), 422, 1, "revision"},
+		{"PUT", "/v1/config", "base=1", doc(7, 2), 200, 7, ""},
+		{"PUT", "/v1/config", "base=1", doc(7, 2), 200, 7, ""},
+		{"PUT", "/v1/config", "base=1", spaced(doc(7, 2)), 200, 7, ""},
+		{"PUT", "/v1/config", "base=1", doc(8, 2), 412, 7, ""},
+		{"PUT", "/v1/config", "base=1", doc(7, 3), 412, 7, ""},
+		{"PUT", "/v1/config", "base=0", doc(7, 2), 412, 7, ""},
+		{"PUT", "/v1/config", "base=7", doc(7, 2), 422, 7, "revision"},
+		{"PATCH", "/v1/config", "base=7", `{"set":{"services":[]}}`, 422, 7, "set.services"},
+		{"PATCH", "/v1/config", "base=7", `{"set":{},"odd":1}`, 422, 7, "odd"},
+		{"PATCH", "/v1/config", "base=7", `{"drop":{"services":["fares"]}}`, 422, 7, "rules[0].service"},
+		{"PATCH", "/v1/config", "base=7", named, 200, 30, ""},
+		{"PATCH", "/v1/config", "base=7", named, 200, 30, ""},
+		{"PATCH", "/v1/config", "base=7", `{"services":{"fares":{"cap":34}}}`, 412, 30, ""},
+		{"PATCH", "/v1/config", "base=30", `{"services":{"fares":{"cap":34}}}`, 200, 31, ""},
+		{"PATCH", "/v1/config", "base=30", `{"services":{"fares":{"cap":34}}}`, 200, 31, ""},
+		{"POST", "/v1/config/rollback", "base=31&to=7", "", 200, 32, ""},
+		{"POST", "/v1/config/rollback", "base=31&to=7", "", 200, 32, ""},
+		{"POST", "/v1/domains/d9/empty", "", "", 200, 32, ""},
+		{"POST", "/v1/domains/d9/empty", "", "", 200, 32, ""},
+		{"POST", "/v1/domains/d9/restore", "", "", 200, 32, ""},
+		{"POST", "/v1/domains/d8/empty", "", "", 404, 32, ""},
+		{"PUT", "/v1/config", "base=32", doc(40, 4), 200, 40, ""},
+	}
+	run := func(from int) {
+		for i, c := range steps[from:] {
+			r, m := w.inquire(t, followers(w)[0], c.method, c.path, c.query, c.body, "")
+			rev, at := m["revision"], ""
+			if e, ok := m["error"].(map[string]any); ok {
+				rev = e["revision"]
+				if l, ok := e["faults"].([]any); ok {
+					at = l[0].(map[string]any)["path"].(string)
+				}
+			}
+			if r.Status != c.status || at != c.at || r.Status != 404 && rev != c.rev {
+				t.Errorf("step %d, %s %s?%s: %d %s", from+i, c.method, c.path, c.query, r.Status, r.Body)
+			}
+		}
+	}
+	run(0)
+	w.Kill(w.Leader())
+	w.Back(10 * time.Second)
+	run(len(steps) - 1)
+	if r, _ := w.inquire(t, followers(w)[0], "GET", "/v1/config", "plain=", "", ""); string(r.Body) != doc(40, 4)+"\n" {
+		t.Errorf("%s", r.Body)
+	}
+	if r, m := w.inquire(t, followers(w)[0], "PATCH", "/v1/config", "base=40", `{"services":{"fares":{"cap":35}}}`, ""); r.Status != 200 || m["revision"] != 41.0 {
+		t.Errorf("%s", r.Body)
+	}
+	if _, m := w.inquire(t, followers(w)[0], "GET", "/v1/config", "plain=", "", ""); m["revision"] != 41.0 {
+		t.Errorf("a document without a revision inside: %v", m["revision"])
+	}
+	check(t, w)
+}
+
+// The same change twice at once is one change; another on the same base loses.
+func TestChangeAskedTwiceAtOnce(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		w := Start(seed, Small)
+		same, other := w.Doc(2), w.Doc(3)
+		var got []string
+		for i, doc := range [][]byte{same, same, other} {
+			w.call(w.cores()[i%w.Plan.Cores], "PUT", "/v1/config", "base=1", doc, "", func(r core.Reply) {
+				var m struct {
+					Revision uint64 `json:"revision"`
+				}
+				json.Unmarshal(r.Body, &m)
+				got = append(got, fmt.Sprintf("%d %d %d", i/2, r.Status, m.Revision))
+			})
+		}
+		w.Run(w.now + 3*time.Second)
+		first, second := 0, 0
+		for _, g := range got {
+			switch g {
+			case "0 200 2":
+				first++
+			case "1 200 2":
+				second++
+			case "0 412 0", "1 412 0":
+			default:
+				t.Errorf("seed %d: %v", seed, got)
+			}
+		}
+		if len(got) != 3 || first+2*second != 2 || first == 1 {
+			t.Errorf("seed %d: %v", seed, got)
+		}
+		check(t, w)
+	}
+}
+
+// cores are the members.
+func (w *World) cores() (l []*Proc) {
+	for _, n := range w.all("core") {
+		l = append(l, w.procs[n])
+	}
+	return l
+}
+
+// Orders that are repeated push no configuration out of what is kept.
+func TestRepeatedOrdersKeepHistory(t *testing.T) {
+	t.Parallel()
+	w := Start(24, Small)
+	w.inquire(t, w.Leader(), "PUT", "/v1/config", "base=1", string(w.Doc(2)), "")
+	for range limit.ChangesKept + 4 {
+		w.inquire(t, w.Leader(), "POST", "/v1/domains/d1/restore", "", "", "")
+	}
+	if r, m := w.inquire(t, w.Leader(), "PUT", "/v1/config", "base=1", string(w.Doc(2)), ""); r.Status != 200 || m["revision"] != 2.0 {
+		t.Errorf("%s", r.Body)
+	}
+	if n := len(w.Leader().core.Records()); n > 2*limit.ChangesKept {
+		t.Errorf("%d records", n)
+	}
+}
