--- a/carry/carry.go
+++ b/carry/carry.go
@@ -181,10 +181,20 @@
 	rest    io.Reader // nil: all of it is kept
 	size    int64     // below 0: not known
 	trailer http.Header
-	left    int64 // what the service's bound leaves of the rest
+	room    int64 // what the service's bound leaves of the rest
 	begun   bool  // some of the rest has been read
 	over    bool  // it is over the bound
 	bad     bool  // the caller broke it off
+	ended   bool  // this side ended its reading, which also ends the caller's context
+	away    bool  // the caller had left before that
+}
+
+// left says whether the caller has left.
+func (u *upload) left(r *http.Request) bool {
+	if u.ended {
+		return u.away
+	}
+	return r.Context().Err() != nil
 }
 
 // receive reads a body up to limit.ReplayMax: a slow caller then holds no target.
@@ -246,7 +256,7 @@
 	for {
 		n, err := u.rest.Read(b)
 		u.begun = u.begun || n > 0
-		if u.left -= int64(n); u.left < 0 {
+		if u.room -= int64(n); u.room < 0 {
 			u.over = true
 			return errors.New("the body is over the service's limit")
 		}
@@ -320,10 +330,10 @@
 	if err != nil {
 		var ne net.Error
 		switch {
-		case r.Context().Err() != nil:
-			gone()
 		case errors.As(err, &ne) && ne.Timeout():
 			fail(408, limit.RetryAfterMin, model.Trouble{Code: "late", Message: "the body did not come in the time that the caller gave"})
+		case r.Context().Err() != nil:
+			gone()
 		default:
 			fail(400, 0, model.Trouble{Code: "bad_request", Message: "the body ended early"})
 		}
@@ -370,7 +380,7 @@
 		if g.Set.Asked() {
 			most = max(most, limit.CallerBody)
 		}
-		if body.left = most - int64(len(body.kept)); r.ContentLength > most || body.left < 0 {
+		if body.room = most - int64(len(body.kept)); r.ContentLength > most || body.room < 0 {
 			c.owner.Tell(gate.Done{ID: id, Outcome: gate.Dropped, Last: true})
 			fail(413, 0, model.Trouble{Code: "body", Message: "the body is over the service's limit"})
 			return
@@ -389,7 +399,7 @@
 				panic(http.ErrAbortHandler)
 			}
 			return
-		case r.Context().Err() != nil:
+		case body.left(r):
 			if t.outcome != gate.Dropped {
 				c.owner.Tell(gate.Cancel{ID: id})
 			}
@@ -669,6 +679,7 @@
 			default: // answered before the body was all there: the caller need not send the rest
 				keep = false
 				p.Close()
+				u.ended, u.away = true, r.Context().Err() != nil
 				http.NewResponseController(w).SetReadDeadline(past())
 				w.Header().Set("Connection", "close")
 				<-sent
@@ -686,7 +697,7 @@
 		done(false)
 		t := tried{sent: true, ran: true, outcome: gate.Lost, code: code, msg: msg, load: t.load}
 		switch {
-		case r.Context().Err() != nil || u.bad || u.over:
+		case u.left(r) || u.bad || u.over:
 			t.outcome = gate.Dropped
 		case !time.Now().Before(till):
 			t.late, t.code, t.msg = true, "late", "no answer within the deadline"
@@ -753,7 +764,7 @@
 	if err := c.pass(w, r, a); err != nil {
 		t.cut = true
 		t.outcome = gate.Lost
-		if r.Context().Err() != nil {
+		if u.left(r) {
 			t.outcome = gate.Dropped
 		}
 		return t
--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -611,7 +611,7 @@
 			t.Fatal(err)
 		}
 		s.put(p, limit.PipesIdleMax)
-		p.used = time.Now().Add(-ago)
+		p.used.Add(-int64(ago))
 		return p
 	}
 	till := time.Now().Add(time.Hour)
@@ -774,6 +774,27 @@
 	}
 }
 
+// A body that does not come in its caller's time is refused with a promise.
+func TestSlowBody(t *testing.T) {
+	a := bytesOf(t, "a", says(200, "ok"))
+	f := carrier(t, a.Target).asked(model.Once)
+	for _, head := range []string{"Content-Length: 9", "Transfer-Encoding: chunked"} {
+		c, err := net.Dial("tcp", f.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "PUT /x HTTP/1.1\r\nHost: h\r\nA: 1\r\nD: 50\r\n%s\r\n\r\n1", head)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != 408 || resp.Header.Get("R") != "no" || !resp.Close {
+			t.Fatal(err, resp)
+		}
+	}
+	if a.runs.Load() != 0 || len(f.asks) != 0 {
+		t.Fatal("passed on")
+	}
+}
+
 // A target that bounds its pipes is left most of them.
 func TestPipesLeft(t *testing.T) {
 	a := bytesOf(t, "a", says(200, "ok"))
@@ -818,6 +839,109 @@
 	}
 }
 
+// Many at once, over few pipes that come and go: each caller gets its own answer.
+func TestManyAtOnce(t *testing.T) {
+	a := bytesOf(t, "a", func(c, n int, r *http.Request) (string, bool) {
+		s, _ := says(200, r.URL.Path)(c, n, r)
+		return s, n%7 != 0 // it closes a pipe now and then
+	})
+	go func() {
+		for range a.seen {
+			<-a.body
+		}
+	}()
+	pool := NewPool()
+	defer pool.Close()
+	pool.Live(map[wire.ID]string{a.ID(): a.Addr})
+	car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, ev any) any {
+		return gate.Give{ID: id, Service: "s", Target: a.Target, Left: time.Minute, Till: time.Hour, Set: model.Service{BodyMax: 1 << 20, HealthPath: "/h"}, Route: model.Route{Kind: model.Repeatable}}
+	}}, pool)
+	car.Headers.Attempt = "A"
+	srv := httptest.NewServer(car)
+	defer srv.Close()
+	stop, swept := make(chan bool), make(chan bool)
+	go func() {
+		defer close(swept)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				for _, s := range *pool.shelves.Load() {
+					s.sweep(time.Now())
+				}
+				pool.Live(map[wire.ID]string{a.ID(): a.Addr})
+				runtime.Gosched()
+			}
+		}
+	}()
+	ends := make(chan error, 8)
+	for k := range 8 {
+		go func() {
+			for i := range 100 {
+				req, _ := http.NewRequest("GET", fmt.Sprintf("%s/%d/%d", srv.URL, k, i), nil)
+				req.Header.Set("A", fmt.Sprintf("%d-%d", k, i))
+				resp, err := http.DefaultClient.Do(req)
+				if err != nil {
+					ends <- err
+					return
+				}
+				b, _ := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode != 200 || string(b) != req.URL.Path || resp.Header.Get("A") != req.Header.Get("A") {
+					ends <- fmt.Errorf("%s got %d %q", req.URL.Path, resp.StatusCode, b)
+					return
+				}
+			}
+			ends <- nil
+		}()
+	}
+	for range 8 {
+		if err := <-ends; err != nil {
+			t.Error(err)
+		}
+	}
+	close(stop)
+	<-swept
+}
+
+// Answers without a body keep their length, and trailers of held ones come through.
+func TestBodiless(t *testing.T) {
+	for _, c := range []struct {
+		method, say string
+		status      int
+		length      string
+		trailer     string
+		body        string
+	}{
+		{"HEAD", "HTTP/1.1 200 OK\r\nA: 1\r\nP: 1\r\nContent-Length: 77\r\n\r\n", 200, "77", "", ""},
+		{"GET", "HTTP/1.1 304 N\r\nA: 1\r\nP: 1\r\nEtag: x\r\n\r\n", 304, "", "", ""},
+		{"GET", "HTTP/1.1 204 N\r\nA: 1\r\nP: 1\r\n\r\n", 204, "", "", ""},
+		{"GET", "HTTP/1.1 200 OK\r\nA: 1\r\nP: 1\r\nContent-Length: 0\r\n\r\n", 200, "0", "", ""},
+		{"GET", "HTTP/1.1 200 OK\r\nA: 1\r\nP: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 200, "3", "", "abc"},
+		{"GET", "HTTP/1.1 200 OK\r\nA: 1\r\nP: 1\r\nTrailer: T\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nT: v\r\n\r\n", 200, "", "v", "abc"},
+	} {
+		a := bytesOf(t, "a", func(int, int, *http.Request) (string, bool) { return c.say, true })
+		f := carrier(t, a.Target).asked(model.Repeatable)
+		for range 2 {
+			req, _ := http.NewRequest(c.method, f.url+"/x", nil)
+			req.Header.Set("A", "1")
+			resp, err := f.client.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if err != nil || resp.StatusCode != c.status || resp.Header.Get("Content-Length") != c.length || resp.Trailer.Get("T") != c.trailer || string(b) != c.body {
+				t.Fatalf("%q: %v %d %v %v %q", c.say, err, resp.StatusCode, resp.Header, resp.Trailer, b)
+			}
+		}
+		if a.conns.Load() != 1 {
+			t.Errorf("%q: %d pipes", c.say, a.conns.Load())
+		}
+	}
+}
+
 // Large answers stream, and one that is cut cuts its caller's pipe.
 func TestLargeAnswers(t *testing.T) {
 	big := strings.Repeat("z", limit.AnswerHeld+1)
--- a/carry/pipe.go
+++ b/carry/pipe.go
@@ -32,6 +32,9 @@
 	errForeign  = errors.New("another identity answers at the target's address")
 )
 
+// born is what pipes count their age from.
+var born = time.Now()
+
 // past is a deadline that ends what waits.
 func past() time.Time { return time.Now().Add(-time.Second) }
 
@@ -67,10 +70,10 @@
 	raw   syscall.RawConn
 	r     *bufio.Reader
 	out   []byte
-	room  int64     // bytes that may still come
-	fresh bool      // nothing has been written to it
-	till  time.Time // not to be used after this
-	used  time.Time
+	room  int64        // bytes that may still come
+	fresh bool         // nothing has been written to it
+	till  time.Time    // not to be used after this
+	used  atomic.Int64 // when it was last put back; read by those who look for one
 }
 
 // Open opens a pipe by ctx's end.
@@ -248,7 +251,7 @@
 
 // put keeps a pipe in one of the first n places, or closes it.
 func (s *shelf) put(p *Pipe, n int) {
-	p.used = time.Now()
+	p.used.Store(int64(time.Since(born)))
 	for i := range s.slots[:n] {
 		if s.slots[i].CompareAndSwap(nil, p) {
 			if s.gone.Load() {
@@ -266,7 +269,7 @@
 		var best *Pipe
 		at := 0
 		for i := range s.slots {
-			if p := s.slots[i].Load(); p != nil && (best == nil || p.used.After(best.used)) {
+			if p := s.slots[i].Load(); p != nil && (best == nil || p.used.Load() > best.used.Load()) {
 				best, at = p, i
 			}
 		}
@@ -274,7 +277,7 @@
 			return nil
 		}
 		now := time.Now()
-		if now.Sub(best.used) >= idle {
+		if best.idle(now) >= idle {
 			return nil
 		}
 		if !s.slots[at].CompareAndSwap(best, nil) {
@@ -289,8 +292,13 @@
 	}
 }
 
+func (p *Pipe) idle(now time.Time) time.Duration {
+	return now.Sub(born) - time.Duration(p.used.Load())
+}
+
+// stale says whether a pipe that is the asker's own is too old to be used.
 func (p *Pipe) stale(now time.Time) bool {
-	return now.Sub(p.used) >= limit.PipeIdle || !p.till.IsZero() && now.After(p.till)
+	return p.idle(now) >= limit.PipeIdle || !p.till.IsZero() && now.After(p.till)
 }
 
 func (s *shelf) close() {
@@ -303,10 +311,14 @@
 
 func (s *shelf) sweep(now time.Time) {
 	for i := range s.slots {
-		if p := s.slots[i].Load(); p != nil && p.stale(now) && s.slots[i].CompareAndSwap(p, nil) {
+		p := s.slots[i].Swap(nil)
+		if p != nil && (p.stale(now) || !s.slots[i].CompareAndSwap(nil, p)) {
 			p.Close()
 		}
 	}
+	if s.gone.Load() {
+		s.close()
+	}
 }
 
 // Pool is the shelves of the table's targets.
