--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -39,3 +39,10 @@
 		t.Errorf("a whole state may take %d bytes", n)
 	}
 }
+
+// Who says that it leaves goes to the next daemon after a second: the answer is there before.
+func TestWordIsAnsweredInTime(t *testing.T) {
+	if WordWait+2*TickEvery >= 900*time.Millisecond || WordAgain >= WordWait/2 || WordWait <= 2*PullEvery {
+		t.Errorf("%v, once more after %v", WordWait, WordAgain)
+	}
+}
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -1,8 +1,10 @@
 package model
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -75,3 +77,83 @@
 		}
 	}
 }
+
+func TestTree(t *testing.T) {
+	for doc, want := range map[string]string{
+		`{"a":1,"a":2}`:                   "a is given twice",
+		`{"a":{"b":[0,{"c":1,"c":1}]}}`:   "a.b[1].c is given twice",
+		`{"a":[[],[{"x":1,"\u0078":1}]]}`: "a[1][0].x is given twice",
+		`{"a":[1e999]}`:                   "a[0] is too large a number",
+		`[]`:                              "must start with {",
+		``:                                "must start with {",
+		`{"a":1} {}`:                      "after top-level value",
+		`{"a":01}`:                        "invalid character",
+		`{"a":`:                           "unexpected end",
+		`{"a":"\x01"}`:                    "invalid character",
+	} {
+		if _, _, err := Parse([]byte(doc), nil); err == nil || !errors.Is(err, ErrNotJSON) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", doc, err)
+		}
+	}
+	for _, doc := range []string{`{}`, ` { "a" : [ ] , "b":[1, -2.5e3 ,"x\"\\\u00e9é\ud83d", true,false,null,{}],"":{"x":{}}}` + "\n"} {
+		got, err := object([]byte(doc))
+		var want map[string]any
+		if e := json.Unmarshal([]byte(doc), &want); e != nil || err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: %v, want %v (%v, %v)", doc, got, want, err, e)
+		}
+	}
+	same := func(a, b string) bool {
+		x, err := Canonical([]byte(a))
+		y, err2 := Canonical([]byte(b))
+		if err != nil || err2 != nil {
+			t.Fatal(err, err2)
+		}
+		return string(x) == string(y)
+	}
+	if !same(`{"a":[1,"\u0041"],"b":{}}`, ` {"b" : { }, "a":[1, "A"]}`) {
+		t.Error("the same, and not seen as such")
+	}
+	for _, o := range []string{`{"a":[1]}`, `{"a":["1"]}`, `{"a":[1.5]}`, `{"a":9007199254740993}`, `{"a":9007199254740992}`, `{"a":null}`, `{"a":[[1]]}`, `{"a":{"1":1}}`} {
+		if same(`{"a":[1,2]}`, o) {
+			t.Error(o)
+		}
+	}
+	if same(`{"a":9007199254740993}`, `{"a":9007199254740992}`) {
+		t.Error("numbers are taken as they are written")
+	}
+}
+
+func TestNamedPlaces(t *testing.T) {
+	for patch, at := range map[string]string{
+		`{"set":[]}`: "set", `{"set":{"routes":[]}}`: "set.routes", `{"set":{"routes":null}}`: "set.routes", `{"drop":{"routes":{}}}`: "drop.routes",
+		`{"drop":{"routes":[1]}}`: "drop.routes", `{"set":{},"more":1}`: "more", `{"set":{},"revision":-1}`: "revision", `{"set":{},"revision":0}`: "revision",
+	} {
+		if _, fs, err := ParseNamed([]byte(patch)); err != nil || len(fs) != 1 || fs[0].Path != at {
+			t.Errorf("%s: %v %v", patch, fs, err)
+		}
+	}
+	if _, _, err := ParseNamed([]byte(`{"set":{"routes":{"a":{},"a":{}}}}`)); !errors.Is(err, ErrNotJSON) {
+		t.Error(err)
+	}
+	n, _, _ := ParseNamed([]byte(`{"set":{"routes":{"b":{"x":1}}},"drop":{"routes":["a","none"]}}`))
+	if out, fs, err := n.Apply([]byte(`{"revision":4,"routes":{"a":1,"c":2}}`)); err != nil || len(fs) > 0 || string(out) != `{"routes":{"b":{"x":1},"c":2}}` {
+		t.Errorf("%s %v %v", out, fs, err)
+	}
+}
+
+func TestRouteFaults(t *testing.T) {
+	doc := `{"services":{"s":{"cap":1,"warm_cap":1}},"limits":{"idle_ms":"x","odd":1},"routes":{
+		"a":{"host":"h","prefix":"/a/","kind":"once","timeout_ms":1.5,"attempts":"2","service":"s","odd":1},
+		"b":{"host":"h","prefix":"/b/","kind":"once","timeout_ms":0,"attempts":0,"split":[{"service":"s","weight":-1},{"service":"q","weight":"1"}]},
+		"c":[], "d":{"host":"h","prefix":"/d/","kind":"once","timeout_ms":600001,"attempts":1,"split":[{"service":"x","weight":0}]}}}`
+	_, fs, err := Parse([]byte(doc), nil)
+	var got []string
+	for _, f := range fs {
+		got = append(got, f.Path)
+	}
+	want := "limits.idle_ms limits.odd routes.a.attempts routes.a.odd routes.a.timeout_ms routes.b.split[1].weight routes.c" +
+		" routes.d.timeout_ms routes.d.split[0].service routes.d.split"
+	if err != nil || strings.Join(got, " ") != want {
+		t.Errorf("%v\n%s\n%s", err, strings.Join(got, " "), want)
+	}
+}
--- a/model/route.go
+++ b/model/route.go
@@ -205,6 +205,7 @@
 	if !ok {
 		c.add("routes", "must be an object")
 	}
+	cfg.Routes = make(map[string]Route, len(m))
 	for _, n := range slices.Sorted(maps.Keys(m)) {
 		at := join("routes", n)
 		var r Route
@@ -264,6 +265,13 @@
 	})
 }
 
+// bound is within for a field, whose place is put together only if it is wrong.
+func (c *checker) bound(at, field string, v, lo, hi int) {
+	if v < lo || v > hi {
+		c.within(join(at, field), v, lo, hi)
+	}
+}
+
 // route checks one route; services are known by then.
 func (c *checker) route(at string, r *Route, cfg *Config) {
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
@@ -278,10 +286,10 @@
 	if !slices.Contains([]string{Repeatable, Once, Download}, r.Kind) {
 		c.add(at+".kind", "%s, %s or %s, not %q", Repeatable, Once, Download, r.Kind)
 	}
-	c.within(at+".timeout_ms", r.TimeoutMs, 1, limit.TimeoutMaxMs)
-	c.within(at+".aim_ms", r.AimMs, 0, limit.TimeoutMaxMs)
-	c.within(at+".attempts", r.Attempts, 1, 100)
-	c.within(at+".priority", r.Priority, 0, 1000)
+	c.bound(at, "timeout_ms", r.TimeoutMs, 1, limit.TimeoutMaxMs)
+	c.bound(at, "aim_ms", r.AimMs, 0, limit.TimeoutMaxMs)
+	c.bound(at, "attempts", r.Attempts, 1, 100)
+	c.bound(at, "priority", r.Priority, 0, 1000)
 	if (r.Service == "") == (len(r.Split) == 0) {
 		c.add(at, "wants either service or split")
 	}
@@ -307,7 +315,7 @@
 
 func (c *checker) checkRoutes(cfg *Config) {
 	type place struct{ host, prefix string }
-	at := map[place]string{}
+	at := make(map[place]string, len(cfg.Routes))
 	for _, n := range slices.Sorted(maps.Keys(cfg.Routes)) {
 		r := cfg.Routes[n]
 		c.route(join("routes", n), &r, cfg)
--- a/model/speed_test.go
+++ b/model/speed_test.go
@@ -33,3 +33,13 @@
 		}
 	}
 }
+
+func BenchmarkCanonical(b *testing.B) {
+	doc := big(1400)
+	b.SetBytes(int64(len(doc)))
+	for b.Loop() {
+		if _, err := Canonical(doc); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/model/tree.go
+++ b/model/tree.go
@@ -138,19 +138,21 @@
 	return l, nil
 }
 
-// text reads a string; what has escapes or broken UTF-8 is left to the library.
+// text reads a string; what has escapes or is not ASCII is left to the library.
 func (t *tree) text() string {
 	from, plain := t.i, true
-	for t.i++; t.s[t.i] != '"'; t.i++ {
-		if t.s[t.i] == '\\' {
+	i := from + 1
+	for ; t.s[i] != '"'; i++ {
+		if c := t.s[i]; c == '\\' {
+			plain = false
+			i++
+		} else if c >= utf8.RuneSelf {
 			plain = false
-			t.i++
 		}
 	}
-	t.i++
-	s := t.s[from+1 : t.i-1]
-	if plain && utf8.ValidString(s) {
-		return s
+	t.i = i + 1
+	if plain {
+		return t.s[from+1 : i]
 	}
 	var u string
 	if err := json.Unmarshal([]byte(t.s[from:t.i]), &u); err != nil {
--- a/sim/words_test.go
+++ b/sim/words_test.go
@@ -132,6 +132,21 @@
 	}
 }
 
+// A majority is enough: proxies that are lost hold no word up, as their grants lapse.
+func TestLeavingWaitsForNoneThatIsLost(t *testing.T) {
+	t.Parallel()
+	w := Start(25, Small)
+	a := w.targets[0]
+	a.still = true
+	w.isolate([]string{"g1", "g2"}, 3*time.Second, true, true)
+	from := w.now
+	r, _ := w.inquire(t, followers(w)[0], "PUT", "/v1/targets/"+a.name, "", numbered(a, model.Leaving, 1000, ""), "")
+	if r.Status != 200 || w.now-from > limit.PullEvery*2 {
+		t.Errorf("%d after %v", r.Status, w.now-from)
+	}
+	check(t, w)
+}
+
 // What can't be made known is not promised, in time for the caller to go elsewhere.
 func TestLeavingIsNotPromised(t *testing.T) {
 	t.Parallel()
