--- a/core/core.go
+++ b/core/core.go
@@ -13,8 +13,8 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
-	"hash/fnv"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -97,14 +97,15 @@
 func (l Lead) String() string { return [...]string{"idle", "adopting", "warming", "deciding"}[l] }
 
 type gate struct {
-	inc     uint64
-	past    []uint64 // incarnations that this one replaced
-	key     wire.Key
-	stamp   int64
-	pullAt  time.Duration
-	grantAt time.Duration
-	movedAt time.Duration // when it last stood on the table of the time, or came on
-	told    bool          // its table of before this lead is merged
+	inc           uint64
+	past          []uint64 // incarnations that this one replaced
+	key           wire.Key
+	stamp         int64
+	pullAt        time.Duration
+	grantAt       time.Duration
+	movedAt       time.Duration // when it last stood on the table of the time, or came on
+	revision, seq uint64        // of the document and state that it holds
+	told          bool          // its table of before this lead is merged
 }
 
 // Voice is how a target's words come: its beats without a gap.
@@ -128,20 +129,22 @@
 
 type target struct {
 	wire.Target
-	beatAt   time.Duration
-	probeAt  time.Duration
-	sentAt   time.Duration // 0: no probe out
-	okAt     time.Duration // last report of a success through a proxy
-	aliveAt  time.Duration // last beat or answered probe
-	seen     wire.Seen
-	seenAt   time.Duration
-	silentAt time.Duration
-	misses   int // probes in a row without its own answer
-	voice    Voice
-	told     bool // known by hearsay: one word, or a proxy's table; not served until it has proved itself
-	freed    bool // its address had another target's entry
-	coldTill time.Duration
-	warmFrom uint64 // lowest number of a word that may end its coldness
+	beatAt      time.Duration
+	probeAt     time.Duration
+	sentAt      time.Duration // 0: no probe out
+	okAt        time.Duration // last report of a success through a proxy
+	aliveAt     time.Duration // last beat or answered probe
+	seen        wire.Seen
+	seenAt      time.Duration
+	silentAt    time.Duration
+	misses      int // probes in a row without its own answer
+	voice       Voice
+	told        bool  // known by hearsay: one word, or a proxy's table; not served until it has proved itself
+	shown       facts // what the table says of it
+	shownDemand float64
+	freed       bool // its address had another target's entry
+	coldTill    time.Duration
+	warmFrom    uint64 // lowest number of a word that may end its coldness
 }
 
 // force is something that waits until a table is in force everywhere.
@@ -195,6 +198,7 @@
 	places    int                      // of the first core, if this process may found it
 	heard     map[string]heard         // other core daemons, as last heard
 	changedAt time.Duration            // when the members last changed
+	listed    map[string]listed        // what daemons were last told of those known
 	tried     map[string]time.Duration // who learns, or has tried to in vain, since when
 	freshAt   uint64                   // number of the last founding batch; a node's batches count on from it
 	stopping  bool
@@ -205,8 +209,11 @@
 	leadTerm  uint64
 	ver       uint64
 	table     *wire.Table
-	best      wire.Key // latest proxies' table merged while warming
-	sig       uint64
+	best      wire.Key    // latest proxies' table merged while warming
+	slight    *wire.Table // the same without document and state, for those who have them
+	ids       []wire.ID   // the targets' identities, as last sorted
+	decisions uint64      // how many there were, and how many when a table was last thought about
+	decidedAt uint64
 	rebuilt   time.Duration
 	demandAt  time.Duration
 	gates     map[string]*gate
@@ -268,7 +275,7 @@
 // given the shell's.
 func New(now time.Duration, set Settings, img quorum.Image) *Core {
 	c := &Core{set: set, img: img, known: Book{}, memories: map[string]memory{}, gates: map[string]*gate{},
-		pend: map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, heard: map[string]heard{}, tried: map[string]time.Duration{}, restored: map[string]time.Duration{}, state: newState(), relaySeq: set.Self.Inc << 20}
+		pend: map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, heard: map[string]heard{}, listed: map[string]listed{}, tried: map[string]time.Duration{}, restored: map[string]time.Duration{}, state: newState(), relaySeq: set.Self.Inc << 20}
 	c.set.Self.Disk = img.Disk
 	switch {
 	case set.Size > 0:
@@ -455,7 +462,7 @@
 			}
 		}
 		if !m.Hello.Reply {
-			c.send(m.From, c.helloMsg(now, true))
+			c.send(m.From, c.helloMsg(now, m.From, true))
 		}
 	case wire.KVote, wire.KAppend:
 		if m.Epoch < c.img.Founding {
@@ -528,11 +535,11 @@
 		c.turns, c.turnOf = map[string]uint32{}, map[[2]string]uint32{}
 		c.tombs, c.left = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
 		c.outVer = map[wire.ID]uint64{}
-		c.table, c.best, c.sig, c.wideUntil = nil, wire.Key{}, 0, 0
+		c.table, c.slight, c.ids, c.best, c.wideUntil = nil, nil, nil, wire.Key{}, 0
 		c.policies()
 		// Whatever an earlier leader granted may still run.
 		for _, g := range c.gates {
-			g.grantAt, g.told, g.key = now, false, wire.Key{}
+			g.grantAt, g.told, g.key, g.revision, g.seq = now, false, wire.Key{}, 0, 0
 		}
 		for _, n := range append(c.state.names(), c.state.Was...) {
 			if c.gates[n] == nil {
@@ -662,7 +669,7 @@
 			return // a late word of a process that is gone
 		}
 		g.past = append(g.past, g.inc)
-		g.inc, g.key, g.stamp = inc, wire.Key{}, 0
+		g.inc, g.key, g.stamp, g.revision, g.seq = inc, wire.Key{}, 0, 0, 0
 	}
 	g.pullAt = now
 	g.stamp = max(g.stamp, m.Stamp)
@@ -675,6 +682,7 @@
 		c.merge(now, t)
 		c.rebuild(now, false)
 	}
+	g.revision, g.seq = m.Pull.Revision, m.Pull.Seq
 	if m.Pull.Key == (wire.Key{}) {
 		g.told = true // nothing to tell
 	}
@@ -712,6 +720,14 @@
 		p.Key = c.table.Key
 		if g.key != c.table.Key {
 			p.Table = c.table
+			if g.key.Epoch == c.table.Key.Epoch && g.seq == c.table.Seq && g.revision == c.table.Revision && g.seq != 0 {
+				if c.slight == nil {
+					t := *c.table
+					t.Doc, t.State = nil, nil
+					c.slight = &t
+				}
+				p.Table = c.slight
+			}
 		}
 	}
 	// The stamp is the proxy's own and means nothing to a later process of its name.
@@ -840,7 +856,7 @@
 	if t.HasDemand {
 		c.judgeEvent(judge.Event{At: now, Slice: "demand", Service: t.Service, Name: t.Name, Inc: t.Inc, Demand: t.Demand})
 	}
-	c.rebuild(now, false)
+	c.moved(now, t)
 }
 
 // note takes over what a word says beside its state.
@@ -982,6 +998,7 @@
 func (c *Core) decided(ds []judge.Decision) {
 	for i := range ds {
 		if !ds[i].Shadow {
+			c.decisions++
 			switch ds[i].Kind {
 			case "bar":
 				c.counts.Bars++
@@ -997,7 +1014,7 @@
 
 // watch is the watchdog and what else recurs while deciding.
 func (c *Core) watch(now time.Duration) {
-	for _, id := range slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare) {
+	for _, id := range c.sorted() {
 		t := c.targets[id]
 		c.probe(now, id, t)
 		if now-t.seenAt >= limit.SeenEvery {
@@ -1092,7 +1109,7 @@
 		t.coldTill = max(t.coldTill, now+p.Cold) // that it says nothing of it ends nothing
 	}
 	c.judgeEvent(e)
-	c.rebuild(now, false)
+	c.moved(now, t)
 }
 
 // ---- tables ----
@@ -1103,32 +1120,19 @@
 	if c.lead != Deciding {
 		return
 	}
+	if !refresh && !c.news(now) {
+		c.counts.Same++
+		return
+	}
 	t := &wire.Table{Was: c.state.Was, Seq: c.state.Seq, Revision: c.state.Revision, Doc: c.state.Doc, State: c.state.slim(c.node.Members()), Emptied: c.state.Emptied}
 	for _, r := range c.state.Roster {
-		g := c.gates[r.Name]
-		t.Gates = append(t.Gates, wire.Gate{Name: r.Name, Addr: r.Addr, Domain: r.Domain,
-			Live: g != nil && g.pullAt != 0 && now-g.pullAt < limit.GateLive})
+		t.Gates = append(t.Gates, wire.Gate{Name: r.Name, Addr: r.Addr, Domain: r.Domain, Live: c.live(now, r.Name)})
 	}
-	h := fnv.New64a()
-	var demand uint64
-	for _, id := range slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare) {
-		w := c.targets[id].Target
-		w.Pending = w.Pending || c.targets[id].told
-		until, why := c.judge.Barred(now, id)
-		w.BarLeft, w.BarWhy = max(0, int64(until-now)), why
-		w.Beating = c.targets[id].beats(now)
-		w.ColdLeft = c.targets[id].cold(now)
+	for _, id := range c.sorted() {
+		w := c.tabled(now, c.targets[id])
+		c.targets[id].shown, c.targets[id].shownDemand = factsOf(&w), w.Demand
 		t.Targets = append(t.Targets, w)
-		fmt.Fprintf(h, "%s %s %d %s %s %s %v %v %s %v %d %v\n", w.Service, w.Name, w.Inc, w.Addr, w.Domain, w.State, w.Held, w.Pending, w.BarWhy, w.Beating, w.Slots, w.ColdLeft > 0)
-		demand = demand*31 + uint64(w.Demand*8)
 	}
-	fmt.Fprintf(h, "%d %d %v %v", t.Seq, t.Revision, t.Gates, t.Was)
-	sig := h.Sum64()
-	if c.table != nil && sig == c.sig && !refresh && (now-c.demandAt < limit.DemandEvery || demand == c.demandOf()) {
-		c.counts.Same++
-		return
-	}
-	c.sig = sig
 	c.ver++
 	c.counts.Rewrites++
 	c.demandAt = now
@@ -1136,7 +1140,7 @@
 		c.rebuilt = now
 	}
 	t.Key = wire.Key{Epoch: c.node.Epoch(), Term: c.node.Term(), Ver: c.ver}
-	c.table = t
+	c.table, c.slight = t, nil
 	for _, n := range slices.Sorted(maps.Keys(c.gates)) {
 		if g := c.gates[n]; c.inRoster(n) && now-g.pullAt < limit.GateLive {
 			c.push(n, g, now-g.movedAt < limit.GateDeaf)
@@ -1144,11 +1148,79 @@
 	}
 }
 
-func (c *Core) demandOf() (d uint64) {
-	for _, w := range c.table.Targets {
-		d = d*31 + uint64(w.Demand*8)
+// facts are what decides in a table about one target; the rest is carried along.
+type facts struct {
+	addr, domain, state, bar            string
+	held, pending, beating, cold, known bool
+	slots                               uint32
+}
+
+func factsOf(w *wire.Target) facts {
+	return facts{w.Addr, w.Domain, w.State, w.BarWhy, w.Held, w.Pending, w.Beating, w.ColdLeft > 0, true, w.Slots}
+}
+
+// tabled is a target as a table made now says it.
+func (c *Core) tabled(now time.Duration, t *target) wire.Target {
+	w := t.Target
+	w.Pending = w.Pending || t.told
+	until, why := c.judge.Barred(now, t.ID())
+	w.BarLeft, w.BarWhy = max(0, int64(until-now)), why
+	w.Beating = t.beats(now)
+	w.ColdLeft = t.cold(now)
+	return w
+}
+
+func (c *Core) live(now time.Duration, name string) bool {
+	g := c.gates[name]
+	return g != nil && g.pullAt != 0 && now-g.pullAt < limit.GateLive
+}
+
+// news says that a table made now would say something else than the present one.
+// All that is agreed shows in the log's index.
+func (c *Core) news(now time.Duration) bool {
+	if c.table == nil || c.table.Seq != c.state.Seq || c.table.Revision != c.state.Revision ||
+		len(c.table.Targets) != len(c.targets) || len(c.table.Gates) != len(c.state.Roster) {
+		return true
+	}
+	for i := range c.table.Gates {
+		if g := &c.table.Gates[i]; g.Live != c.live(now, g.Name) {
+			return true
+		}
+	}
+	due := now-c.demandAt >= limit.DemandEvery
+	for _, t := range c.targets {
+		w := c.tabled(now, t)
+		if factsOf(&w) != t.shown || due && math.Abs(w.Demand-t.shownDemand) >= limit.DemandStep {
+			return true
+		}
+	}
+	return false
+}
+
+// moved is rebuild after an event of one target: if nothing was decided, only its own
+// facts can have changed, and what time changes is seen at the next tick.
+func (c *Core) moved(now time.Duration, t *target) {
+	if c.lead != Deciding {
+		return
+	}
+	if w := c.tabled(now, t); c.table != nil && c.decisions == c.decidedAt && factsOf(&w) == t.shown {
+		c.counts.Same++
+		return
+	}
+	c.decidedAt = c.decisions
+	c.rebuild(now, false)
+}
+
+// sorted are the targets' identities in order.
+func (c *Core) sorted() []wire.ID {
+	ok := len(c.ids) == len(c.targets)
+	for i := 0; ok && i < len(c.ids); i++ {
+		ok = c.targets[c.ids[i]] != nil
+	}
+	if !ok {
+		c.ids = slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare)
 	}
-	return d
+	return c.ids
 }
 
 // inForce says whether a table binds every proxy: a majority of the roster, and of
@@ -1208,7 +1280,7 @@
 		if f.p != nil {
 			c.answer(f.p, f.reply)
 		}
-		if f.wide && !slices.ContainsFunc(c.forces, func(f *force) bool { return f.wide }) {
+		if f.wide && len(c.state.Was) > 0 && !slices.ContainsFunc(c.forces, func(f *force) bool { return f.wide }) {
 			c.wide(now, order{Op: "enrolled", Base: c.state.RosterAt})
 		}
 		if t := c.targets[f.clear]; t != nil && t.Pending {
@@ -1230,8 +1302,8 @@
 		if k == nil || now-c.gates[n].pullAt > limit.GateLive || c.gates[n].pullAt == 0 {
 			continue
 		}
-		i := slices.IndexFunc(c.state.Roster, func(r Gate) bool { return r.Name == n })
-		if r := (Gate{n, k.Addr, k.Domain}); i < 0 || c.state.Roster[i] != r {
+		i, ok := slices.BinarySearchFunc(c.state.Roster, n, func(r Gate, n string) int { return cmp.Compare(r.Name, n) })
+		if r := (Gate{n, k.Addr, k.Domain}); !ok || c.state.Roster[i] != r {
 			o.Gates = append(o.Gates, r)
 		}
 	}
--- a/core/found.go
+++ b/core/found.go
@@ -186,11 +186,43 @@
 	return c.img.Founding
 }
 
-func (c *Core) helloMsg(now time.Duration, reply bool) *wire.Msg {
-	h := &wire.Hello{Self: c.self(), Reply: reply, Known: c.known.List(), Leader: c.led(now), Founding: c.lockedFor()}
+// listed is when and in which state a daemon was last told the list of those known.
+type listed struct {
+	at  time.Duration
+	sum uint64
+}
+
+// list is what a daemon is to be told of those known: proxies need the core daemons
+// only, and nobody what it has been told lately.
+func (c *Core) list(now time.Duration, to string) (l []wire.Daemon) {
+	k := c.known[to]
+	all := k == nil || k.Kind == "core"
+	h := fnv.New64a()
+	if k != nil {
+		fmt.Fprint(h, k.Inc) // another process of its name has been told nothing
+	}
+	for _, n := range slices.Sorted(maps.Keys(c.known)) {
+		if k := c.known[n]; all || k.Kind == "core" {
+			l = append(l, k.Daemon)
+			h.Write([]byte(n + " " + k.Addr + " "))
+		}
+	}
+	if was, ok := c.listed[to]; ok && was.sum == h.Sum64() && now-was.at < limit.ListEvery {
+		return nil
+	}
+	c.listed[to] = listed{now, h.Sum64()}
+	return l
+}
+
+// helloMsg is a hello to a daemon, "" if only its address is known.
+func (c *Core) helloMsg(now time.Duration, to string, reply bool) *wire.Msg {
+	h := &wire.Hello{Self: c.self(), Reply: reply, Known: c.list(now, to), Leader: c.led(now), Founding: c.lockedFor()}
 	if c.node != nil {
 		h.Term = c.node.Term()
 	}
+	if k := c.known[to]; k != nil && k.Kind != "core" {
+		return &wire.Msg{Kind: uint16(wire.KHello), From: c.set.Self.Name, Epoch: h.Self.Epoch, Hello: h}
+	}
 	m := c.lastMembers()
 	h.Members, h.MembersEpoch, h.MembersIndex = m.list, m.epoch, m.index
 	h.Refound, h.Gone = c.vow.refound, c.vow.gone
@@ -201,18 +233,19 @@
 }
 
 func (c *Core) hello(now time.Duration) {
-	m := c.helloMsg(now, false)
+	maps.DeleteFunc(c.listed, func(n string, _ listed) bool { return n != "" && c.known[n] == nil })
 	done := map[string]bool{c.set.Self.Addr: true}
 	for _, n := range slices.Sorted(maps.Keys(c.known)) {
 		if k := c.known[n]; k.Kind == "core" && !done[k.Addr] {
 			done[k.Addr] = true
-			c.do(Send{k.Addr, m})
+			c.do(Send{k.Addr, c.helloMsg(now, n, false)})
 		}
 	}
 	for _, a := range c.set.Seeds {
 		if !done[a] {
 			done[a] = true
-			c.do(Send{a, m})
+			delete(c.listed, "")
+			c.do(Send{a, c.helloMsg(now, "", false)})
 		}
 	}
 }
--- /dev/null
+++ b/core/rest_test.go
@@ -0,0 +1,113 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"myrtlefold/limit"
+	"myrtlefold/model"
+	"myrtlefold/quorum"
+	"myrtlefold/wire"
+)
+
+// rest is a lone member that leads a fleet at rest.
+type rest struct {
+	c      *Core
+	now    time.Duration
+	gates  []wire.Daemon
+	keys   []*wire.Table
+	target []wire.Target
+	sent   int
+}
+
+func (r *rest) step(ev any) {
+	for _, cmd := range r.c.Step(r.now, ev) {
+		switch c := cmd.(type) {
+		case Sync:
+			r.step(Synced{Seq: c.B.Seq})
+		case Probe:
+			b := model.Beat{Service: c.ID.Service, Name: c.ID.Name, Incarnation: c.ID.Inc, Address: c.Addr, State: model.Ready}
+			r.step(Probed{ID: c.ID, SentAt: r.now, Ms: 1, Beat: &b})
+		case Send:
+			r.sent++
+			if p := c.M.Push; p != nil && p.Table != nil {
+				for i := range r.gates {
+					if r.gates[i].Name == c.M.To {
+						r.keys[i] = p.Table
+					}
+				}
+			}
+		}
+	}
+}
+
+func (r *rest) second() {
+	for tick := range int(time.Second / limit.TickEvery) {
+		r.now += limit.TickEvery
+		r.step(Tick{})
+		at := time.Duration(tick) * limit.TickEvery
+		for i, g := range r.gates {
+			if (at+time.Duration(i)*7*time.Millisecond)%limit.PullEvery < limit.TickEvery {
+				p := &wire.Pull{Self: g}
+				if r.keys[i] != nil {
+					p.Key, p.Revision, p.Seq = r.keys[i].Key, r.keys[i].Revision, r.keys[i].Seq
+				}
+				r.step(Recv{&wire.Msg{Kind: uint16(wire.KPull), From: g.Name, Stamp: int64(r.now), Pull: p}})
+			}
+			if (at+time.Duration(i)*11*time.Millisecond)%limit.HelloEvery < limit.TickEvery {
+				r.step(Recv{&wire.Msg{Kind: uint16(wire.KHello), From: g.Name, Hello: &wire.Hello{Self: g}}})
+			}
+		}
+		for i := range r.target {
+			if (at+time.Duration(i)*13*time.Millisecond)%limit.BeatEvery < limit.TickEvery {
+				w := r.target[i]
+				r.step(Recv{&wire.Msg{Kind: uint16(wire.KBeat), Stamp: 1, Beat: &w}})
+			}
+		}
+	}
+}
+
+func atRest(gates, targets int) *rest {
+	self := wire.Daemon{Name: "c1", Kind: "core", Addr: "c1", Inc: 1}
+	r := &rest{now: time.Second, c: New(time.Second, Settings{Self: self, Size: 1}, quorum.Image{Disk: 7}), keys: make([]*wire.Table, gates)}
+	for i := range gates {
+		n := fmt.Sprintf("g%d", i+1)
+		r.gates = append(r.gates, wire.Daemon{Name: n, Kind: "gate", Addr: n, Inc: uint64(i + 1), Domain: fmt.Sprintf("d%d", i%3)})
+	}
+	for i := range targets {
+		r.target = append(r.target, wire.Target{Service: fmt.Sprintf("s%d", i%12), Name: fmt.Sprintf("t%d", i), Inc: 9, Addr: fmt.Sprintf("10.0.0.1:%d", i+1), State: model.Ready})
+	}
+	for range 12 {
+		r.second()
+	}
+	return r
+}
+
+// At rest nothing is sent but answers, and every proxy stands on one table.
+func TestAtRest(t *testing.T) {
+	r := atRest(12, 36)
+	if !r.c.Leading() || len(r.c.Table().Targets) != 36 || len(r.c.Table().Gates) != 12 {
+		t.Fatalf("leads %v, %+v", r.c.Leading(), r.c.Table())
+	}
+	was := r.c.Table().Key
+	for range 5 {
+		r.second()
+	}
+	if k := r.c.Table().Key; k.Ver > was.Ver+1 {
+		t.Fatalf("table %v -> %v", was, k)
+	}
+}
+
+// One virtual second of a leader at rest.
+func BenchmarkAtRest(b *testing.B) {
+	for _, n := range [][2]int{{12, 36}, {69, 294}} {
+		b.Run(fmt.Sprintf("%d-gates-%d-targets", n[0], n[1]), func(b *testing.B) {
+			r := atRest(n[0], n[1])
+			b.ReportAllocs()
+			for b.Loop() {
+				r.second()
+			}
+		})
+	}
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -470,7 +470,7 @@
 	}
 	p := &wire.Pull{Self: g.self()}
 	if g.table != nil {
-		p.Key = g.table.Key
+		p.Key, p.Revision, p.Seq = g.table.Key, g.table.Revision, g.table.Seq
 		if g.want {
 			p.Table = g.export(now)
 		}
@@ -509,7 +509,7 @@
 	p := m.Push
 	mine := m.Disk == g.set.Self.Inc && m.Stamp > 0 && time.Duration(m.Stamp) <= now
 	if k := g.known[m.From]; k != nil && k.Kind == "gate" {
-		if p.Table != nil && !g.take(now, p.Table) && g.table.Key == p.Table.Key && !g.Serving() {
+		if p.Table != nil && !g.take(now, p.Table) && g.table != nil && g.table.Key == p.Table.Key && !g.Serving() {
 			g.heed(now, p.Table)
 		}
 		if p.Grant && mine && g.table != nil && !g.table.Key.Less(p.Key) {
@@ -613,6 +613,14 @@
 		}
 		return false
 	}
+	if len(t.Doc) == 0 { // it goes with the document and state that this proxy said it has
+		if g.table == nil || g.table.Key.Epoch != t.Key.Epoch || g.table.Revision != t.Revision || g.table.Seq != t.Seq {
+			return false // said by an earlier process of this name, or long ago: the next pull asks for all
+		}
+		w := *t
+		w.Doc, w.State = g.table.Doc, g.table.State
+		t = &w
+	}
 	if g.table == nil || g.table.Key.Epoch != t.Key.Epoch || t.Revision != g.revision || len(g.cfg.Services) == 0 {
 		cfg, faults, err := judge.CheckConfig(t.Doc)
 		if err != nil || len(faults) > 0 {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -51,6 +51,9 @@
 	VowLife = time.Minute
 	// HelloEvery is how often daemons tell each other who is there.
 	HelloEvery = 300 * time.Millisecond
+	// ListEvery is how often a daemon is told the same list of those known again: twice before
+	// one that is known from lists only is dropped, after half of DaemonGone.
+	ListEvery = 3 * time.Second
 	// DaemonGone is how long a silent daemon stays in the list that is handed on.
 	DaemonGone = 15 * time.Second
 )
@@ -78,6 +81,8 @@
 	FirstRoster = 500 * time.Millisecond
 	// DemandEvery is how often tables are sent anew only because demand changed.
 	DemandEvery = time.Second
+	// DemandStep is how far a target's demand must move for that.
+	DemandStep = 0.125
 	// WarmLeader is how long a new leader waits for tables from a majority of proxies.
 	WarmLeader = 1500 * time.Millisecond
 	// AskWait bounds an operator's change: past it the answer is 'unknown'.
--- a/sim/fleet_test.go
+++ b/sim/fleet_test.go
@@ -5,6 +5,10 @@
 	"slices"
 	"testing"
 	"time"
+
+	"myrtlefold/core"
+	"myrtlefold/gate"
+	"myrtlefold/wire"
 )
 
 // Here the core's size is not given: seeds found it, and the leader grows and mends it.
@@ -353,3 +357,39 @@
 		})
 	}
 }
+
+// A table without document and state is taken only by a proxy that holds those very
+// ones; another asks again and is sent all.
+func TestTableWithoutDocument(t *testing.T) {
+	t.Parallel()
+	whole := &wire.Table{Key: wire.Key{Epoch: 1, Term: 1, Ver: 1}, Seq: 5, Revision: 2, Doc: []byte(`{}`), State: []byte(`{"seq":5}`), Gates: []wire.Gate{{Name: "g1", Addr: "g1"}}}
+	core1 := &wire.Msg{Kind: uint16(wire.KHello), From: "c1", Hello: &wire.Hello{Self: wire.Daemon{Name: "c1", Kind: "core", Addr: "c1"}, Leader: "c1"}}
+	for _, c := range []struct {
+		first *wire.Table
+		seq   uint64
+		takes bool
+	}{{nil, 5, false}, {whole, 5, true}, {whole, 6, false}} {
+		g := gate.New(gate.Settings{Self: wire.Daemon{Name: "g1", Kind: "gate", Inc: 9}})
+		g.Step(1, core.Recv{M: core1})
+		push := func(now time.Duration, t *wire.Table) []any {
+			return g.Step(now, core.Recv{M: &wire.Msg{Kind: uint16(wire.KPush), From: "c1", Epoch: 1, Term: 1, Stamp: 1, Disk: 9, Push: &wire.Push{Grant: true, Key: t.Key, Table: t}}})
+		}
+		if c.first != nil {
+			push(2, c.first)
+		}
+		slight := *whole
+		slight.Key.Ver, slight.Seq, slight.Doc, slight.State = 2, c.seq, nil, nil
+		push(3, &slight)
+		tab := g.Table()
+		if took := tab != nil && tab.Key.Ver == 2; took != c.takes || took && (string(tab.Doc) != "{}" || len(tab.State) == 0) {
+			t.Errorf("%+v: %+v", c, tab)
+		}
+		for _, cmd := range g.Step(time.Second, core.Tick{}) {
+			if s, ok := cmd.(core.Send); ok && s.M.Pull != nil {
+				if p := s.M.Pull; (p.Revision != 0) != (c.first != nil) || c.first != nil && p.Seq != 5 {
+					t.Errorf("it says that it holds %d, %d", p.Revision, p.Seq)
+				}
+			}
+		}
+	}
+}
