--- a/sim/rules.go
+++ b/sim/rules.go
@@ -3,6 +3,7 @@
 package sim
 
 import (
+	"slices"
 	"time"
 
 	"myrtlefold/core"
@@ -119,6 +120,19 @@
 	}
 }
 
+// checkCold: in any second a cold target gets no more than half over its rate and five.
+func (w *World) checkCold(t *Target) {
+	if t.coldTill <= w.now {
+		t.came = nil
+		return
+	}
+	w.Stats.Cold++
+	t.came = append(slices.DeleteFunc(t.came, func(at time.Duration) bool { return w.now-at >= time.Second }), w.now)
+	if most := w.Plan.ColdPerS*1.5 + 5; float64(len(t.came)) > most {
+		w.broken("cold rate", "%s/%s got %d exchanges in a second, bears %v", t.service, t.name, len(t.came), w.Plan.ColdPerS)
+	}
+}
+
 // CheckBudget: retries stay within a fifth of the traffic of any 10 s, plus the allowance.
 func (w *World) CheckBudget() {
 	free := max(limit.RetryFree, w.Plan.Gates)
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -33,6 +33,8 @@
 	Rate         float64        // exchanges a second
 	Unsafe       float64        // part of them that must not run twice
 	Hard         float64        // part of refusals that are sent again at once
+	Slots        int            // exchanges at once that targets tell, and routes in rules' place; 0: neither
+	ColdPerS     float64        // exchanges a second that a cold target bears, 0: no such bound
 }
 
 // Small is a fleet that shows all behaviour and still runs fast.
@@ -101,6 +103,8 @@
 	goneAt                      time.Duration
 	works                       []*exchange // those in work
 	work, usual                 time.Duration
+	coldTill                    time.Duration
+	came                        []time.Duration // arrivals while it is cold, of the last second
 }
 
 type exchange struct {
@@ -188,6 +192,7 @@
 	Forces                                      []time.Duration
 	Steps                                       int
 	MaxWarm                                     int
+	Cold, TurnedAway                            int // arrivals at cold targets, and at full ones
 	Orphaned                                    int
 	Back                                        time.Duration // from healing to full capacity
 	Lost, LostUnsafe, Foreign, NoAnswer         int           // answers lost, pipes to another identity, callers whose proxy died
@@ -522,7 +527,10 @@
 	t := &Target{service: svc, name: name, domain: domain, addr: addr, inc: w.nextInc + uint64(w.rnd.IntN(1000))*100000, alive: true,
 		state: model.Ready, usual: w.ms(5, 30)}
 	t.work = t.usual
-	if warm > 0 {
+	if w.Plan.ColdPerS > 0 && w.now > coldSpan {
+		t.coldTill = w.now + coldSpan
+	}
+	if warm > 0 && w.Plan.ColdPerS == 0 {
 		t.state = model.Warming
 		w.at(warm, func() {
 			if t.state == model.Warming {
@@ -564,7 +572,11 @@
 		w.at(w.ms(0, 3), again)
 		return
 	}
-	b, _ := json.Marshal(model.Beat{Service: t.service, Name: t.name, Incarnation: t.inc, Address: t.addr, Domain: t.domain, State: w.heard(state)})
+	word := model.Beat{Service: t.service, Name: t.name, Incarnation: t.inc, Address: t.addr, Domain: t.domain, State: w.heard(state), Slots: int64(w.Plan.Slots)}
+	if t.coldTill > w.now && w.sabotage != "cold" {
+		word.ColdLeftMs = (t.coldTill - w.now).Milliseconds() + 1
+	}
+	b, _ := json.Marshal(word)
 	w.call(p, "POST", "/v1/targets", "", b, "", func(r core.Reply) {
 		if r.Status >= 300 {
 			again()
@@ -693,7 +705,11 @@
 	if unsafe && w.sabotage != "resend" { // that takes the owner's own guard out too
 		m = "POST"
 	}
-	w.deliver(p, gate.Admit{ID: x.id, Host: "x", Path: "/" + svc + "/a", Method: m})
+	path := "/a"
+	if m == "POST" {
+		path = "/once/a"
+	}
+	w.deliver(p, gate.Admit{ID: x.id, Host: "x", Path: "/" + svc + path, Method: m})
 }
 
 func (w *World) end(x *exchange, final string) {
@@ -772,6 +788,11 @@
 			if w.open[x.id] != x {
 				return
 			}
+			if o == gate.NotRun {
+				x.retry = true
+				w.deliver(p, gate.Again{ID: x.id, Sent: w.sabotage != "budget"})
+				return
+			}
 			x.sent = x.sent || sent
 			if late || sent && x.unsafe && w.sabotage != "resend" {
 				w.deliver(p, gate.Cancel{ID: x.id})
@@ -835,6 +856,12 @@
 			fail(c.Left, gate.Lost, true, true)
 			return
 		}
+		w.checkCold(t)
+		if w.Plan.Slots > 0 && len(t.works) >= w.Plan.Slots+queued {
+			w.Stats.TurnedAway++
+			fail(0, gate.NotRun, true, false)
+			return
+		}
 		w.runs(t, x)
 		t.works = append(t.works, x)
 		w.at(t.work, func() {
@@ -887,6 +914,13 @@
 // Doc is a configuration that tells its revisions apart by n.
 func (w *World) Doc(n int) []byte { return w.DocOf(n, 40, slices.Sorted(maps.Keys(w.Plan.Services))) }
 
+// coldSpan is how long a target is cold after a start during traffic, queued how many
+// exchanges wait at one that is full.
+const (
+	coldSpan = 3 * time.Second
+	queued   = 2
+)
+
 // warmCap is what a warming target bears in all of them.
 const warmCap = 6
 
@@ -899,13 +933,24 @@
 
 // DocOf is one for some services, with a cap per target.
 func (w *World) DocOf(n, cap int, services []string) []byte {
-	svcs := map[string]any{}
+	svcs, routes := map[string]any{}, map[string]model.Route{}
 	var rules []any
 	for _, s := range services {
-		svcs[s] = map[string]any{"cap": cap, "warm_cap": w.warm(cap), "timeout_ms": 1000 + n}
+		svc := map[string]any{"cap": cap, "warm_cap": w.warm(cap), "timeout_ms": 1000 + n}
+		if w.Plan.ColdPerS > 0 {
+			svc["cold_per_s"], svc["cold_s"] = w.Plan.ColdPerS, coldSpan.Seconds()
+		}
+		svcs[s] = svc
+		for kind, prefix := range map[string]string{model.Repeatable: "/" + s + "/", model.Once: "/" + s + "/once/"} {
+			routes[s+"-"+kind] = model.Route{Prefix: prefix, Kind: kind, TimeoutMs: 1000 + n, AimMs: 400, Attempts: 3, Service: s}
+		}
 		rules = append(rules, map[string]any{"path": "/" + s + "/", "service": s})
 	}
-	b, _ := json.Marshal(map[string]any{"services": svcs, "rules": rules})
+	doc := map[string]any{"services": svcs, "rules": rules}
+	if w.Plan.Slots > 0 {
+		doc["rules"], doc["routes"] = []any{}, routes
+	}
+	b, _ := json.Marshal(doc)
 	return b
 }
 
