--- a/gate/budget.go
+++ b/gate/budget.go
@@ -21,11 +21,11 @@
 
 // holders is how many of the listed proxies share a slack: as many as get enough to
 // save one whole repeat up.
-func (r Retry) holders(listed int) int { return max(1, min(listed, int(r.Slack/2)-1)) }
+func (r Retry) holders(listed int) int { return max(1, min(listed, int(r.Slack/2))) }
 
 // slack is a proxy's part of the slack: those that a draw by service puts first have
-// it. One more is reckoned with, since proxies on the tables before and after one
-// joins share it too.
+// it. While a change of the roster is under way only those that both rosters draw do,
+// and the smaller part, so that no two tables which stand together give more.
 func (r Retry) slack(svc uint64, self string, lists ...[]string) float64 {
 	least := r.Slack
 	for _, names := range lists {
@@ -36,7 +36,7 @@
 		if !drawn(svc, self, names, n) {
 			return 0
 		}
-		least = min(least, r.Slack/float64(n+1))
+		least = min(least, r.Slack/float64(n))
 	}
 	return least
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -113,12 +113,21 @@
 	Self  wire.Daemon
 	Seeds []string
 	Retry Retry // of the whole fleet; without a window: limit's
-	// Grace is how long a stop may take in all, 0: limit.StopWait.
+	// Grace is how long after being asked to stop the process is ended by force, 0: not
+	// known, and limit.StopWait is what a stop takes at most.
 	Grace time.Duration
 	// ReadyWhenEmptied has an emptied domain's proxy go on asking for callers.
 	ReadyWhenEmptied bool
 }
 
+// stop is how long a stopping proxy serves on in any case, and at most.
+func (s Settings) stop() (linger, most time.Duration) {
+	if s.Grace <= 0 {
+		return limit.StopLinger, limit.StopWait
+	}
+	return min(limit.StopLingerMost, s.Grace/2), max(s.Grace-limit.StopMargin, s.Grace/2)
+}
+
 // Retry bounds what a service's targets get beyond the first target of each exchange:
 // over all proxies, in any window, a ratio of the exchanges and a little slack.
 type Retry struct {
@@ -241,9 +250,6 @@
 	if set.Retry.Window < limit.CountSlices {
 		set.Retry = Retry{1 / float64(limit.RetryShare), limit.RetryWindow, limit.RetryFree}
 	}
-	if set.Grace == 0 {
-		set.Grace = limit.StopWait
-	}
 	return &Gate{set: set, ways: map[string]*way{}, salt: hash(set.Self.Name), known: core.Book{}, touches: map[string]time.Duration{}, cfg: &model.Config{},
 		targets: map[wire.ID]*target{}, leaving: map[wire.ID]time.Duration{}, services: map[string]*service{}, exchanges: map[uint64]*exchange{}, aims: map[string]*tally{}, grantTill: -1}
 }
@@ -438,7 +444,7 @@
 		g.index(now)
 	}
 	g.queues(now)
-	if g.stopping && (now-g.stopAt > min(limit.StopLinger, g.set.Grace/4) && len(g.exchanges) == 0 || now-g.stopAt > g.set.Grace) {
+	if linger, most := g.set.stop(); g.stopping && (now-g.stopAt > linger && len(g.exchanges) == 0 || now-g.stopAt > most) {
 		g.do(core.Exit{})
 	}
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -282,6 +282,10 @@
 	// caller has left that it may ask at most.
 	RefuseMin  = 20 * time.Millisecond
 	RefuseLeft = 3
+	// StopLingerMost is how long it serves on where the time until it is ended by force is known and
+	// long enough: two misses of a look each second, and a little. StopMargin is what it leaves of that time.
+	StopLingerMost = 3 * time.Second
+	StopMargin     = 300 * time.Millisecond
 	// StopWait is how long a stopping proxy finishes its exchanges, and StopLinger how long it
 	// serves on after going unready so that callers can move away.
 	StopWait   = 20 * time.Second
