--- a/gate/route_test.go
+++ b/gate/route_test.go
@@ -365,6 +365,53 @@
 	})
 }
 
+// Whichever tables stand together while the roster changes jointly, the old one and both
+// or both and the new one, the parts of a cold rate and of the slack stay within them.
+func TestRatesAreDealt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var before, after, all []string
+		for i := range rapid.IntRange(1, 16).Draw(t, "proxies") {
+			n := fmt.Sprintf("g%d", i)
+			all = append(all, n)
+			switch rapid.IntRange(0, 3).Draw(t, n) {
+			case 0:
+				before = append(before, n)
+			case 1:
+				after = append(after, n)
+			default:
+				before, after = append(before, n), append(after, n)
+			}
+		}
+		perS := rapid.Float64Range(0.3, 40).Draw(t, "rate")
+		r := Retry{0.2, 10 * time.Second, rapid.Float64Range(1, 90).Draw(t, "slack")}
+		late := rapid.Bool().Draw(t, "late")
+		rate, slack, least := 0.0, 0.0, 0
+		for _, n := range all {
+			g := New(Settings{Self: wire.Daemon{Name: n}, Retry: r})
+			now, was := after, before
+			switch both := rapid.Bool().Draw(t, "both"); {
+			case !both && late:
+				was = nil
+			case !both:
+				now, was = before, nil
+			}
+			g.table = &wire.Table{Was: was}
+			for _, o := range now {
+				g.table.Gates = append(g.table.Gates, wire.Gate{Name: o, Live: true})
+			}
+			g.index(0)
+			if gap := g.coldGapOf(&target{Target: wire.Target{Service: "s", Name: "a", Inc: 1}}, perS); gap > 0 {
+				rate += float64(time.Second) / float64(gap)
+				least++
+			}
+			slack += r.slack(hash("s"), n, g.listed, g.table.Was)
+		}
+		if rate > perS*1.000001 || float64(least) > max(1, perS/2) || slack > r.Slack*1.000001 {
+			t.Fatalf("rates add up to %v of %v at %d proxies, slacks to %v of %v", rate, perS, least, slack, r.Slack)
+		}
+	})
+}
+
 // After its time a target bears what others do.
 func TestColdEnds(t *testing.T) {
 	b := newBench("g1", 1, routed, to("a", slots(4), cold(time.Second)))
@@ -397,6 +444,7 @@
 		}
 		var came, again []time.Duration
 		id := uint64(0)
+		calm := time.Duration(rapid.IntRange(0, 12).Draw(t, "calm")) * time.Second
 		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		for now := time.Second; now < 30*time.Second; now += 100 * time.Millisecond {
 			i := rnd.IntN(n)
@@ -414,6 +462,9 @@
 					continue
 				}
 				o := []Outcome{Lost, NotRun, Broken, Served}[id%4]
+				if calm > 0 && now/calm%2 == 0 {
+					o = Served // what is saved up meanwhile is spent at once
+				}
 				b.step(Done{ID: g.ID, Outcome: o, Ms: 5, Last: o == Served})
 				if o == Served {
 					continue
