--- a/gate/budget.go
+++ b/gate/budget.go
@@ -27,16 +27,18 @@
 // it. While a change of the roster is under way only those that both rosters draw do,
 // and the smaller part, so that no two tables which stand together give more.
 func (r Retry) slack(svc uint64, self string, lists ...[]string) float64 {
-	least := r.Slack
-	for _, names := range lists {
-		if len(names) == 0 {
+	least := 0.0
+	for i, names := range lists {
+		if len(names) == 0 && i > 0 {
 			continue
 		}
 		n := r.holders(len(names))
 		if !drawn(svc, self, names, n) {
 			return 0
 		}
-		least = min(least, r.Slack/float64(n))
+		if part := r.Slack / float64(n); i == 0 || part < least {
+			least = part
+		}
 	}
 	return least
 }
