--- a/gate/choice.go
+++ b/gate/choice.go
@@ -105,7 +105,7 @@
 	for _, t := range s.targets {
 		s.slotted = s.slotted || t.Slots > 0
 		t.part, t.slots, t.near = 0, int(t.Slots), t.Domain == g.set.Self.Domain
-		if t.slots == 0 {
+		if t.strict = t.slots == 0 || set.Cap < t.slots; t.strict {
 			t.slots = set.Cap
 		}
 		gap := g.coldGapOf(t, set.ColdPerS)
@@ -505,7 +505,7 @@
 			return none
 		}
 		return coldRate
-	case t.State == model.Warming && t.inflight >= t.part:
+	case (t.strict || t.State == model.Warming) && t.inflight >= t.part:
 		return none
 	case t.shun > now:
 		return shunned
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -153,8 +153,9 @@
 	sentAt   time.Duration
 	seen     wire.Seen
 
-	slots     int // exchanges at once, as told
-	part      int // those of them that are dealt to this proxy
+	slots     int  // exchanges at once, as told
+	part      int  // those of them that are dealt to this proxy
+	strict    bool // they are the operator's cap: nothing is borrowed
 	near      bool
 	coldUntil time.Duration
 	coldGap   time.Duration // between this proxy's exchanges while it is cold, 0: none
--- a/gate/route_test.go
+++ b/gate/route_test.go
@@ -211,6 +211,23 @@
 	}
 }
 
+// A cap under the slots that are told stays the operator's for the whole fleet.
+func TestCapBindsSlots(t *testing.T) {
+	doc := `{"services":{"s":{"cap":4}},"routes":{"r":{"host":"h","prefix":"/a/","kind":"repeatable","timeout_ms":2000,"service":"s","attempts":1}}}`
+	at := map[string]int{}
+	for i := range 5 {
+		b := newBench(fmt.Sprintf("g%d", i+1), 5, doc, to("a", slots(9)), to("b", slots(9)), to("c"))
+		for id := uint64(1); id < 40; id++ {
+			if g, ok := b.call(id, "/a/", 0).(Give); ok {
+				at[g.Target.Name]++
+			}
+		}
+	}
+	if at["a"] != 4 || at["b"] != 4 || at["c"] != 4 {
+		t.Fatalf("%v with a cap of 4", at)
+	}
+}
+
 // A target that says it is full is left out for a moment and the window shrinks.
 func TestFull(t *testing.T) {
 	b := newBench("g1", 1, routed, to("a", slots(4)), to("b", slots(4)))
