--- a/gate/choice.go
+++ b/gate/choice.go
@@ -101,7 +101,7 @@
 	s.slotted, s.own = false, nil
 	total := 0
 	set := g.cfg.Services[s.targets[0].Service]
-	lots := make([]lot, 0, len(s.targets))
+	lots, barred := make([]lot, 0, len(s.targets)), []lot(nil)
 	for _, t := range s.targets {
 		s.slotted = s.slotted || t.Slots > 0
 		t.part, t.slots, t.near = 0, int(t.Slots), t.Domain == g.set.Self.Domain
@@ -119,7 +119,11 @@
 			}
 			continue
 		}
-		if t.Held || t.Pending || t.State == model.Leaving || t.BarLeft > 0 || slices.Contains(g.table.Emptied, t.Domain) {
+		if t.Held || t.Pending || t.State == model.Leaving || slices.Contains(g.table.Emptied, t.Domain) {
+			continue
+		}
+		if t.BarLeft > 0 {
+			barred = append(barred, lot{key(t.ID()), t.Domain, t.slots, t})
 			continue
 		}
 		total += t.slots
@@ -132,6 +136,12 @@
 	if !s.slotted {
 		return
 	}
+	if total == 0 {
+		lots = barred // the last resort is dealt as well
+		for _, l := range lots {
+			total += l.slots
+		}
+	}
 	for i, parts := range dealSlots(lots, g.alive, doms) {
 		if at := slices.Index(g.alive, g.set.Self.Name); at >= 0 {
 			lots[i].t.part = parts[at]
--- a/gate/route_test.go
+++ b/gate/route_test.go
@@ -228,6 +228,16 @@
 	}
 }
 
+// Where all are barred, those that beat are dealt as others are.
+func TestBarredAreDealt(t *testing.T) {
+	b := newBench("g1", 1, routed, to("a", slots(9), barred), to("b", slots(9), barred))
+	for id := uint64(1); id <= 18; id++ {
+		if _, ok := b.call(id, "/a/", 0).(Give); !ok {
+			t.Fatalf("%d of 18", id-1)
+		}
+	}
+}
+
 // A target that says it is full is left out for a moment and the window shrinks.
 func TestFull(t *testing.T) {
 	b := newBench("g1", 1, routed, to("a", slots(4)), to("b", slots(4)))
