Connects to targets are given up after 100 ms; unsent choices are no attempts

Cause: an exchange whose first target was dark spent 0.5 s on opening a pipe, more than most aims, and each such choice used up one of the route's attempts although nothing was sent.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -484,18 +484,14 @@
 			return p, nil
 		}
 	}
-	ctx, cancel := context.WithDeadline(ctx, till)
+	open, cancel := context.WithDeadline(ctx, earlier(till, time.Now().Add(limit.ConnectCap)))
 	defer cancel()
-	p, err := Open(ctx, g.Target.Addr, c.From)
+	p, err := Open(open, g.Target.Addr, c.From)
 	if err != nil {
 		return nil, err
 	}
 	if !g.Set.Asked() {
-		soon := time.Now().Add(limit.DialCap)
-		if till.Before(soon) {
-			soon = till
-		}
-		b, again, err := p.Identify(soon, g.Target.Addr)
+		b, again, err := p.Identify(earlier(till, time.Now().Add(limit.DialCap)), g.Target.Addr)
 		if err == nil && b.ID() != g.Target.ID() {
 			err = errors.Wrapf(errForeign, "%s/%s/%d", b.Service, b.Name, b.Incarnation)
 		}
@@ -516,6 +512,13 @@
 	return p, nil
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // give keeps a pipe for later; a target that bounds its pipes is left some for other proxies.
 func (c *Carrier) give(g *gate.Give, p *Pipe) {
 	n := limit.PipesIdleMax
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -312,6 +312,9 @@
 	if x == nil || x.at != nil || x.waiting {
 		return
 	}
+	if !e.Sent && (x.last == Closed || x.last == Stale) {
+		x.tries, x.opens = x.tries-1, x.opens+1 // attempts are targets that it was sent to
+	}
 	ran := x.last == Served || x.last == Broken || x.last == Lost
 	x.repeat = x.repeat || e.Sent || x.last == NotRun || x.last == Foreign && x.set.Asked()
 	switch {
@@ -320,7 +323,7 @@
 		g.refuse(now, x, 502, "may_have_run", "it may have run and must not run again")
 	case !g.Serving():
 		g.refuse(now, x, 503, "not_serving", "this proxy has no fresh table")
-	case x.tries >= x.route.Attempts || now >= x.deadline:
+	case x.tries >= x.route.Attempts || x.opens >= limit.OpensMax || now >= x.deadline:
 		g.refuse(now, x, 503, "tries", "no try is left")
 	case x.repeat && !g.service(x.svc).budget.has(now, g.set.Retry):
 		g.Counts.RetriesDenied++
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -180,7 +180,8 @@
 	waitTill time.Duration
 	waiting  bool
 	at       *target
-	tries    int
+	tries    int // choices that may have been sent to their targets
+	opens    int // choices that ended before anything was sent
 	tried    []wire.ID
 	last     Outcome // of the latest try
 	repeat   bool    // something of it has reached a target: a further one draws on the budget
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -174,6 +174,12 @@
 	ChoiceLife = DialCap + 100*time.Millisecond
 	// DialCap is how long opening a pipe and checking its identity may take.
 	DialCap = 500 * time.Millisecond
+	// ConnectCap is how long a connection to a target may take to open: over any round trip between
+	// domains, under what a lost first packet costs anyway. Nothing was sent, so another is chosen.
+	ConnectCap = 100 * time.Millisecond
+	// OpensMax is how many choices of one exchange may end before anything is sent. They do not count
+	// as its attempts, which are targets that it was sent to.
+	OpensMax = 4
 	// Shun is how long a target that refused a pipe is used last by that proxy.
 	Shun = time.Second
 	// ClosedBar is how long a proxy leaves a target out after two pipes in a row could not be
