Pipelined exchanges are begun before the ones ahead of them are answered

Cause: of 172 late exchanges of a route whose callers pipeline, 83 took over the aim at the proxy; the others had stood behind the one ahead on their connection, because the library's server reads the next request only after the answer. Callers' connections now begin a complete, plain and bodiless request aside and the server hands its answer on when it comes to it.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -82,7 +82,7 @@
 
 // Counts are the carrier's counters.
 type Counts struct {
-	Exchanges, Served, Unknown, NotRun, Cut, Gone, Opened, Reused, Foreign, TurnedAway, Strange atomic.Uint64
+	Exchanges, Served, Unknown, NotRun, Cut, Gone, Opened, Reused, Foreign, TurnedAway, Strange, Ahead atomic.Uint64
 }
 
 // Carrier is the handler of the callers' address.
@@ -287,7 +287,7 @@
 	return append(append(append(append(out, k...), ": "...), v...), "\r\n"...)
 }
 
-func (c *Carrier) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (c *Carrier) serve(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
 	c.Counts.Exchanges.Add(1)
 	if c.Leaving.Load() {
--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -83,7 +83,10 @@
 		live[x.ID()] = x.Addr
 	}
 	f.pool.Live(live)
+	turn := make(chan bool, 1)
 	c := New(Owner{Now: func() time.Duration { return time.Duration(f.now.Load()) }, Tell: func(ev any) { f.told <- ev }, Ask: func(_ context.Context, id uint64, ev any) any {
+		turn <- true
+		defer func() { <-turn }()
 		f.asks = append(f.asks, ev)
 		n := 0
 		for _, a := range f.asks {
@@ -99,7 +102,9 @@
 		return gate.Give{ID: id, Service: "s", Target: targets[n], Left: f.left, Till: limit.ChoiceLife, Set: f.set, Route: f.route}
 	}}, f.pool)
 	f.car = c
-	srv := httptest.NewServer(c)
+	srv := httptest.NewUnstartedServer(c)
+	srv.Listener, srv.Config.ConnContext = c.Listener(srv.Listener), c.Context
+	srv.Start()
 	t.Cleanup(func() { srv.Close(); f.pool.Close() })
 	f.url, f.addr = srv.URL, srv.Listener.Addr().String()
 	f.client = &http.Client{Transport: &http.Transport{}}
--- a/host/gate.go
+++ b/host/gate.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		h.Fatal(err, "start")
 	}
-	srv, err := h.Serve(h.Set.Listen, car)
+	srv, err := h.ServeCallers(h.Set.Listen, car)
 	if err != nil {
 		h.Fatal(err, "start")
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -599,11 +599,23 @@
 
 // Serve runs an HTTP server on addr.
 func (h *Host) Serve(addr string, hd http.Handler) (*http.Server, error) {
+	return h.serve(addr, hd, nil)
+}
+
+// ServeCallers runs the carrier's server on addr.
+func (h *Host) ServeCallers(addr string, c *carry.Carrier) (*http.Server, error) {
+	return h.serve(addr, c, c)
+}
+
+func (h *Host) serve(addr string, hd http.Handler, c *carry.Carrier) (*http.Server, error) {
 	ln, err := carry.Listen(addr, limit.CallerUnacked)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for HTTP")
 	}
 	s := &http.Server{Handler: hd, ReadHeaderTimeout: limit.BeatLapse * 3, IdleTimeout: limit.CallerIdle, MaxHeaderBytes: 4 * limit.HeaderMax}
+	if c != nil {
+		ln, s.ConnContext = c.Listener(ln), c.Context
+	}
 	go func() {
 		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			h.Fatal(err, "HTTP server")
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -205,6 +205,10 @@
 	// PipeIdle is how long an unused pipe to a back end is kept: under the 5 s after which common
 	// servers close theirs, so that an exchange seldom meets the close under way.
 	PipeIdle = 4 * time.Second
+	// AheadMax is how many requests of one caller's connection are begun before those ahead of them
+	// are answered; AheadRead is how much of it is looked at, in bytes: some usual headers.
+	AheadMax  = 8
+	AheadRead = 2 << 10
 	// CallerIdle is how long a caller's unused pipe is kept.
 	CallerIdle = 60 * time.Second
 	// PipesIdleMax is how many unused pipes are kept per target: targets bound the pipes from all
