--- a/host/gate.go
+++ b/host/gate.go
@@ -87,7 +87,11 @@
 	h.Watch(func(s []string) { h.Loop.Look(func(time.Duration) { own.Seeds(s) }) })
 	h.Log.WithField("settings", h.Set).Info("started")
 	code := <-h.Quit
-	ctx, cancel := context.WithTimeout(context.Background(), limit.StopWait)
+	wait := limit.StopWait
+	if h.Set.GraceMs > 0 {
+		wait = limit.StopLast // the owner has used the rest of the grace
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	if srv.Shutdown(ctx) != nil {
 		code = 1
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -291,6 +291,9 @@
 	// long enough: two misses of a look each second, and a little. StopMargin is what it leaves of that time.
 	StopLingerMost = 3 * time.Second
 	StopMargin     = 300 * time.Millisecond
+	// StopLast is how long a proxy whose grace is known waits for its callers' pipes to close, after
+	// its last exchange: within what the owner leaves of the grace.
+	StopLast = 200 * time.Millisecond
 	// StopWait is how long a stopping proxy finishes its exchanges, and StopLinger how long it
 	// serves on after going unready so that callers can move away.
 	StopWait   = 20 * time.Second
