--- a/sim/sim.go
+++ b/sim/sim.go
@@ -835,7 +835,7 @@
 		fail(w.ms(1, 3), gate.Closed, false, false)
 		return
 	case !pooled && (t.hang || !w.reach(p.name, t.name) || !w.reach(t.name, p.name)):
-		fail(min(limit.DialCap, c.Left), gate.Closed, false, false)
+		fail(min(limit.ConnectCap, c.Left), gate.Closed, false, false)
 		return
 	case !pooled && (t.service != id.Service || t.name != id.Name || t.inc != id.Inc) && w.sabotage != "identity":
 		w.Stats.Foreign++
