Slots are dealt one by one, so that each proxy has some at many targets

Cause: a proxy had its slots at three or four targets, and one whose targets were slow used them while fast ones elsewhere stood idle.

--- a/gate/choice.go
+++ b/gate/choice.go
@@ -168,9 +168,10 @@
 }
 
 // dealSlots deals every slot of all lots to one of the names, evenly in sum: a
-// target's go, as long as their quota lasts, to the names of its own domain in the
-// order that a draw by target and name gives, what is left to any. So few parts move
-// when a target or a name comes or goes, and a name has many slots at few targets.
+// target's go, as long as their quota lasts, one by one to the names of its own domain
+// in the order that a draw by target and name gives, what is left to any. So few parts
+// move when a target or a name comes or goes, and each name has slots at many targets,
+// among which there are fast ones.
 func dealSlots(lots []lot, names, doms []string) [][]int {
 	parts := make([][]int, len(lots))
 	if len(names) == 0 {
@@ -200,18 +201,17 @@
 			for left[i] > 0 {
 				best, most := -1, uint64(0)
 				for j := range names {
-					if quota[j] == 0 || own && doms[j] != lots[i].domain {
+					if quota[j] == 0 || own && doms[j] != lots[i].domain || best >= 0 && parts[i][j] > parts[i][best] {
 						continue
 					}
-					if v := mix(lots[i].key, salts[j]); best < 0 || v > most {
+					if v := mix(lots[i].key, salts[j]); best < 0 || parts[i][j] < parts[i][best] || v > most {
 						best, most = j, v
 					}
 				}
 				if best < 0 {
 					break
 				}
-				n := min(left[i], quota[best])
-				parts[i][best], left[i], quota[best] = parts[i][best]+n, left[i]-n, quota[best]-n
+				parts[i][best], left[i], quota[best] = parts[i][best]+1, left[i]-1, quota[best]-1
 			}
 		}
 	}
--- a/gate/route_test.go
+++ b/gate/route_test.go
@@ -127,6 +127,15 @@
 		lots = append(lots, lot{key: key(wire.ID{Service: "s", Name: fmt.Sprint(i)}), domain: fmt.Sprint(i % 3), slots: 3})
 	}
 	before, after := dealSlots(lots, names, doms), dealSlots(lots[:29], names, doms)
+	for j := range names {
+		n := 0
+		for i := range lots {
+			n += min(before[i][j], 1)
+		}
+		if n < 6 {
+			t.Fatalf("proxy %d has its 7 or 8 slots at %d targets: all of them may be slow ones", j, n)
+		}
+	}
 	away, moved := 0, 0
 	for i := range 29 {
 		for j := range names {
