--- a/limit/limit.go
+++ b/limit/limit.go
@@ -16,6 +16,11 @@
 	ElectMin = 700 * time.Millisecond
 	// ElectSpread is added by name and term so that members seldom stand at once.
 	ElectSpread = 400 * time.Millisecond
+	// LeaderQuiet is how long no leader has spoken to a member that says that it hears none: three of
+	// its beats. A living leader that is late says itself that it leads.
+	LeaderQuiet = 3 * CoreBeat
+	// ElectAsk is how often a member that hears no leader asks whether all the others hear none either.
+	ElectAsk = 60 * time.Millisecond
 	// FsyncStall is how long a sync may hang before a leader stops deciding: under ElectMin.
 	FsyncStall = 400 * time.Millisecond
 	// LogMax is how many entries are held before a snapshot is taken.
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -9,9 +9,15 @@
 // refuse all others for limit.ElectMin, which is longer, so two never decide at
 // once. A member is its name and its disk: one that lost its disk is another
 // member, learns first, and votes once it has been added again.
+//
+// Nobody has to wait where every single member answers and hears no leader, as after
+// a start of them all: a candidate that stands so leads only once each member, also
+// of the list before a change that may be under way, has taken its term on disk. Who
+// has can lead in no earlier one any more, so nobody else is left who may decide.
 package quorum
 
 import (
+	"cmp"
 	"encoding/json"
 	"hash/fnv"
 	"maps"
@@ -138,6 +144,13 @@
 	heard    time.Duration
 	deadline time.Duration
 	votes    map[string]bool
+	all      bool            // it stands without waiting, by everybody's leave
+	alone    map[string]bool // who gave that
+	outdone  bool            // another member should stand in its place
+	met      time.Duration   // when a leader last spoke here since this start
+	askedAt  time.Duration
+	votedAt  time.Duration
+	everyone []wire.Member // the members, and those before the last change if that may be under way
 	partners map[string]*partner
 	beatAt   time.Duration
 	since    time.Duration
@@ -153,7 +166,7 @@
 // leader, since the node may have promised one that it would wait.
 func New(now time.Duration, self string, im Image) *Node {
 	n := &Node{self: wire.Member{Name: self, Disk: im.Disk}, epoch: im.Epoch, term: im.Term, vote: im.Vote,
-		snap: im.Snap, log: slices.Clone(im.Log), heard: now, partners: map[string]*partner{}}
+		snap: im.Snap, log: slices.Clone(im.Log), heard: now, met: -1 << 62, askedAt: -1 << 62, partners: map[string]*partner{}}
 	n.commit, n.applied = im.Snap.Index, im.Snap.Index
 	n.stable = n.last()
 	n.readMembers()
@@ -191,16 +204,24 @@
 }
 
 func (n *Node) readMembers() {
-	n.members = n.snap.Members
+	n.members, n.everyone = n.snap.Members, nil
 	for _, e := range n.log {
 		if e.Kind == EMembers {
 			var ms []wire.Member
 			if err := json.Unmarshal(e.Data, &ms); err != nil {
 				panic(errors.Wrapf(err, "members entry %d", e.Index))
 			}
+			n.everyone = n.members
 			n.members = ms
 		}
 	}
+	n.everyone = slices.Clone(n.everyone)
+	for _, m := range n.members {
+		if !slices.Contains(n.everyone, m) {
+			n.everyone = append(n.everyone, m)
+		}
+	}
+	n.everyone = slices.DeleteFunc(n.everyone, func(m wire.Member) bool { return m.Disk == 0 }) // a place that nobody has
 	if n.role == Leader {
 		n.syncPartners()
 	}
@@ -228,7 +249,7 @@
 func (n *Node) become(now time.Duration, r Role) {
 	n.role = r
 	n.since = now
-	n.votes = map[string]bool{}
+	n.votes, n.alone, n.all, n.outdone = map[string]bool{}, map[string]bool{}, false, false
 	n.partners = map[string]*partner{}
 	h := fnv.New64a()
 	h.Write([]byte(n.self.Name))
@@ -529,14 +550,33 @@
 			n.spread(now, true)
 		}
 	default:
-		if now >= n.deadline && now-n.heard >= limit.ElectMin && n.voter(n.self.Name, n.self.Disk) && !n.Stalled(now) {
+		if n.Stalled(now) || !n.voter(n.self.Name, n.self.Disk) {
+			return
+		}
+		if n.role == Candidate && n.all && 2*len(n.votes) > len(n.members) && now-n.votedAt >= limit.ElectMin {
+			n.become(now, Leader) // whatever its voters had promised before is over now
+			n.spread(now, true)
+			return
+		}
+		if now >= n.deadline && now-n.heard >= limit.ElectMin {
 			n.leader = ""
-			n.stand(now, true, false)
+			n.stand(now, true, false, false)
+		} else if n.hearsNone(now) && now-n.askedAt >= limit.ElectAsk && (n.role == Follower || n.all && n.role == Asking) {
+			at := n.deadline
+			n.stand(now, true, false, true)
+			n.deadline = at
 		}
 	}
 }
 
-func (n *Node) stand(now time.Duration, pre, transfer bool) {
+// hearsNone says that this node leads nobody and that no leader has spoken to it lately.
+func (n *Node) hearsNone(now time.Duration) bool {
+	return n.role != Leader && now-n.met >= limit.LeaderQuiet
+}
+
+// stand asks for votes; all says that every member is asked whether it may be at once.
+func (n *Node) stand(now time.Duration, pre, transfer, all bool) {
+	n.askedAt = now
 	if pre {
 		n.become(now, Asking)
 	} else {
@@ -549,32 +589,46 @@
 	if pre {
 		t++
 	}
+	n.all = all
 	lt, _ := n.termAt(n.last())
-	for _, m := range n.members {
-		if m == n.self {
+	ask := n.members
+	if all {
+		ask = n.everyone
+	}
+	for _, m := range ask {
+		if m == n.self || m.Disk == 0 {
 			continue
 		}
-		v := &wire.Msg{Kind: uint16(wire.KVote), To: m.Name, Vote: &wire.Vote{Pre: pre, LastIndex: n.last(), LastTerm: lt, Transfer: transfer}}
+		v := &wire.Msg{Kind: uint16(wire.KVote), To: m.Name, Vote: &wire.Vote{Pre: pre, LastIndex: n.last(), LastTerm: lt, Transfer: transfer, All: all}}
 		n.send(v, !pre)
 		v.Term = t
 	}
-	n.count(now, n.self.Name)
+	n.alone[n.self.Name] = true
+	n.count(now, n.self.Name, true)
 }
 
-func (n *Node) count(now time.Duration, name string) {
-	n.votes[name] = true
-	if 2*len(n.votes) <= len(n.members) {
+// count takes a vote, or only leave to stand at once, and acts on what there is.
+func (n *Node) count(now time.Duration, name string, vote bool) {
+	if vote && !n.votes[name] {
+		n.votes[name], n.votedAt = true, now
+	}
+	if 2*len(n.votes) <= len(n.members) || n.all && (n.outdone || !n.leave()) {
 		return
 	}
 	switch n.role {
 	case Asking:
-		n.stand(now, false, false)
+		n.stand(now, false, false, n.all)
 	case Candidate:
 		n.become(now, Leader)
 		n.spread(now, true)
 	}
 }
 
+// leave says that every member has given leave to stand at once.
+func (n *Node) leave() bool {
+	return !slices.ContainsFunc(n.everyone, func(m wire.Member) bool { return !n.alone[m.Name] })
+}
+
 // Yield gives leadership up and asks the best partner to stand at once.
 func (n *Node) Yield(now time.Duration) bool {
 	var best *partner
@@ -589,6 +643,7 @@
 	n.become(now, Follower)
 	n.leader = ""
 	n.deadline = now + 4*limit.ElectMin
+	n.met = n.deadline
 	n.send(&wire.Msg{Kind: uint16(wire.KVote), To: best.m.Name, Vote: &wire.Vote{Transfer: true, Reply: true}}, false)
 	return true
 }
@@ -611,7 +666,7 @@
 	switch {
 	case m.Vote != nil && m.Vote.Transfer && m.Vote.Reply:
 		if m.Term == n.term && n.role == Follower && n.voter(n.self.Name, n.self.Disk) {
-			n.stand(now, false, true)
+			n.stand(now, false, true, false)
 		}
 	case m.Vote != nil && m.Vote.Reply:
 		n.voteReply(now, m)
@@ -633,9 +688,10 @@
 	}
 	lt, _ := n.termAt(n.last())
 	upToDate := v.LastTerm > lt || v.LastTerm == lt && v.LastIndex >= n.last()
-	quiet := v.Transfer || now-n.heard >= limit.ElectMin && n.role != Leader
-	r := &wire.Msg{Kind: uint16(wire.KVote), To: m.From, Vote: &wire.Vote{Pre: v.Pre, Reply: true}}
+	quiet := v.Transfer || now-n.heard >= limit.ElectMin && n.role != Leader || v.All && n.hearsNone(now)
+	r := &wire.Msg{Kind: uint16(wire.KVote), To: m.From, Vote: &wire.Vote{Pre: v.Pre, Reply: true, All: v.All, LastIndex: n.last(), LastTerm: lt}}
 	if v.Pre {
+		r.Vote.Alone = v.All && n.hearsNone(now) && len(n.open) == 0
 		r.Vote.Granted = quiet && upToDate && m.Term > n.term
 		n.send(r, false)
 		if r.Vote.Granted {
@@ -658,26 +714,34 @@
 		r.Vote.Granted = true
 		n.deadline = now + limit.ElectMin + limit.ElectSpread
 	}
+	r.Vote.Alone = n.role == Follower // in a later term than any in which it led
 	n.send(r, true)
 }
 
 func (n *Node) voteReply(now time.Duration, m *wire.Msg) {
-	if !n.voter(m.From, m.Disk) {
+	from, v := wire.Member{Name: m.From, Disk: m.Disk}, m.Vote
+	if !slices.Contains(n.everyone, from) || v.All != n.all && (n.role == Asking || n.role == Candidate) {
 		return
 	}
+	vote := v.Granted && n.voter(m.From, m.Disk)
 	switch {
-	case n.role == Asking && m.Vote.Pre && m.Vote.Granted && m.Term == n.term+1:
-		n.count(now, m.From)
-	case !m.Vote.Granted && m.Term > n.term:
+	case n.role == Asking && v.Pre && (v.Granted && m.Term == n.term+1 || v.Alone && m.Term <= n.term):
+		lt, _ := n.termAt(n.last())
+		n.outdone = n.outdone || v.All && cmp.Or(cmp.Compare(v.LastTerm, lt), cmp.Compare(v.LastIndex, n.last()), cmp.Compare(n.self.Name, m.From)) > 0
+		n.alone[m.From] = n.alone[m.From] || v.Alone
+		n.count(now, m.From, vote)
+	case !v.Granted && m.Term > n.term:
 		n.follow(now, m.Term)
-	case n.role == Candidate && !m.Vote.Pre && m.Vote.Granted && m.Term == n.term:
-		n.count(now, m.From)
+	case n.role == Candidate && !v.Pre && m.Term == n.term:
+		n.alone[m.From] = n.alone[m.From] || v.Alone
+		n.count(now, m.From, vote)
 	}
 }
 
 func (n *Node) appendAsk(now time.Duration, m *wire.Msg) {
 	a := m.Append
 	r := &wire.Msg{Kind: uint16(wire.KAppend), To: m.From, Stamp: m.Stamp, Append: &wire.Append{Reply: true, Match: n.last()}}
+	n.met = now
 	if m.Term < n.term {
 		n.send(r, false)
 		return
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
@@ -141,3 +143,154 @@
 	}
 	t.Fatalf("no leader: a is %v in term %d, b %v in term %d", nodes["a"].Role(), nodes["a"].Term(), nodes["b"].Role(), nodes["b"].Term())
 }
+
+// trio plays three members: messages take a hop unless their way is cut, and syncs are done at once.
+type trio struct {
+	now   time.Duration
+	nodes map[string]*Node
+	imgs  map[string]*Image
+	cut   map[string]bool // "ab": nothing goes from a to b
+	way   []flying
+}
+
+type flying struct {
+	at time.Duration
+	to *Node // a restart loses what was under way to it
+	m  *wire.Msg
+}
+
+func newTrio() *trio {
+	w := &trio{nodes: map[string]*Node{}, imgs: map[string]*Image{}, cut: map[string]bool{}}
+	for _, n := range []string{"a", "b", "c"} {
+		_, im := node(n)
+		w.imgs[n] = &im
+		w.boot(n)
+	}
+	return w
+}
+
+func (w *trio) boot(name string) {
+	im := *w.imgs[name]
+	w.nodes[name] = New(w.now, name, im)
+}
+
+func (w *trio) run(t *testing.T, d time.Duration, done func() bool) bool {
+	for end := w.now + d; w.now < end; w.now += time.Millisecond {
+		for i := 0; i < len(w.way); i++ {
+			if f := w.way[i]; f.at <= w.now && w.nodes[f.m.To] == f.to {
+				f.to.Recv(w.now, f.m)
+			}
+		}
+		w.way = slices.DeleteFunc(w.way, func(f flying) bool { return f.at <= w.now })
+		leads := 0
+		for _, name := range []string{"a", "b", "c"} {
+			n := w.nodes[name]
+			n.Tick(w.now)
+			for o := n.Take(); len(o.Batches)+len(o.Send) > 0; o = n.Take() {
+				for _, m := range o.Send {
+					if to := w.nodes[m.To]; !w.cut[name+m.To] {
+						w.way = append(w.way, flying{w.now + 2*time.Millisecond, to, m})
+					}
+				}
+				for _, b := range o.Batches {
+					w.imgs[name].Fold(b)
+					n.Synced(w.now, b.Seq)
+				}
+			}
+			if n.Leads(w.now) {
+				leads++
+			}
+		}
+		if leads > 1 {
+			t.Fatalf("%d members decide at %v", leads, w.now)
+		}
+		if done() {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *trio) leader() string {
+	for _, n := range []string{"a", "b", "c"} {
+		if w.nodes[n].Leads(w.now) {
+			return n
+		}
+	}
+	return ""
+}
+
+// After a start of all members nobody can still decide, so none waits.
+func TestAllStarted(t *testing.T) {
+	w := newTrio()
+	if !w.run(t, limit.ElectMin/2, func() bool { return w.leader() != "" }) {
+		t.Fatal("no leader soon after the first start")
+	}
+	w.run(t, time.Second, func() bool { return false })
+	for _, n := range []string{"a", "b", "c"} {
+		w.boot(n)
+	}
+	if !w.run(t, limit.ElectMin/2, func() bool { return w.leader() != "" }) {
+		t.Fatal("no leader soon after all were started again")
+	}
+}
+
+// A majority that has started again is not everybody: the leader that it answered before
+// may still decide, and they wait until that is over, also if the way to it is cut, and
+// whoever starts again in between.
+func TestLeaveOfAll(t *testing.T) {
+	for step := range 60 {
+		w := newTrio()
+		w.run(t, 2*time.Second, func() bool { return false })
+		l := w.leader()
+		var rest []string
+		for _, n := range []string{"a", "b", "c"} {
+			if n != l {
+				rest = append(rest, n)
+			}
+		}
+		quiet := step%2 == 0 // else the leader hears nothing, but is heard
+		for _, n := range rest {
+			w.cut[n+l], w.cut[l+n] = true, quiet
+		}
+		w.run(t, time.Duration(step)*7*time.Millisecond, func() bool { return false })
+		for _, n := range rest {
+			w.boot(n)
+		}
+		w.run(t, time.Duration(step%7)*20*time.Millisecond, func() bool { return false })
+		w.boot(rest[step%2])
+		if !w.run(t, 8*time.Second, func() bool { n := w.leader(); return n != "" && n != l }) && quiet {
+			t.Fatal("the others never went on")
+		}
+	}
+}
+
+// Who was taken out last may be the leader that did it, and is asked too.
+func TestEveryone(t *testing.T) {
+	ms := []wire.Member{{Name: "a", Disk: 1}, {Name: "b", Disk: 2}, {Name: "c", Disk: 3}}
+	left, _ := json.Marshal(ms[:2])
+	now := limit.ElectMin / 4
+	n := New(0, "a", Image{Epoch: 1, Disk: 1, Term: 3, Snap: wire.Snap{Index: 1, Members: ms}, Log: []wire.Entry{{Index: 2, Term: 3, Kind: EMembers, Data: left}}})
+	leave := func(from string, disk uint64, pre bool, term uint64) {
+		n.Recv(now, &wire.Msg{Kind: uint16(wire.KVote), From: from, Disk: disk, Epoch: 1, Term: term,
+			Vote: &wire.Vote{Pre: pre, Reply: true, All: true, Granted: true, Alone: true, LastIndex: 1}})
+		for o := n.Take(); len(o.Batches)+len(o.Send) > 0; o = n.Take() {
+			for _, b := range o.Batches {
+				n.Synced(now, b.Seq)
+			}
+		}
+	}
+	n.Tick(now)
+	if leave("b", 2, true, 4); n.Role() != Asking {
+		t.Fatalf("it is a %v without the leave of who was taken out last", n.Role())
+	}
+	if leave("c", 3, true, 4); n.Role() != Candidate {
+		t.Fatalf("it is a %v with everybody's leave", n.Role())
+	}
+	if leave("b", 2, false, 4); n.Role() != Candidate {
+		t.Fatalf("it is a %v though one has not taken its term", n.Role())
+	}
+	if leave("c", 3, false, 4); n.Role() != Leader {
+		t.Fatalf("it is a %v though everybody has taken its term", n.Role())
+	}
+}
--- a/wire/convert.go
+++ b/wire/convert.go
@@ -241,6 +241,8 @@
 			c.SetLastIndex(m.Vote.LastIndex)
 			c.SetLastTerm(m.Vote.LastTerm)
 			c.SetTransfer(m.Vote.Transfer)
+			c.SetAll(m.Vote.All)
+			c.SetAlone(m.Vote.Alone)
 		}
 	}
 	if m.Append != nil {
@@ -654,7 +656,7 @@
 	}
 	return &Vote{
 		Pre: c.Pre(), Reply: c.Reply(), Granted: c.Granted(), LastIndex: c.LastIndex(), LastTerm: c.LastTerm(),
-		Transfer: c.Transfer(),
+		Transfer: c.Transfer(), All: c.All(), Alone: c.Alone(),
 	}
 }
 
--- a/wire/msg.capnp
+++ b/wire/msg.capnp
@@ -56,6 +56,8 @@
   lastIndex @3 :UInt64;
   lastTerm @4 :UInt64;
   transfer @5 :Bool;
+  all @6 :Bool;
+  alone @7 :Bool;
 }
 struct EntryC {
   index @0 :UInt64;
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -83,6 +83,8 @@
 	LastIndex uint64
 	LastTerm  uint64
 	Transfer  bool
+	All       bool // who asks leads only with everybody's leave, and needs no patience then
+	Alone     bool // an answer: no leader is heard here
 }
 
 type Entry struct {
