--- a/core/core.go
+++ b/core/core.go
@@ -547,6 +547,20 @@
 			}
 		}
 		c.counts.Elections++
+		c.announce(now)
+	}
+}
+
+// announce tells every daemon at once who leads now; the roster's proxies need not have
+// been heard for that.
+func (c *Core) announce(now time.Duration) {
+	for _, r := range c.state.Roster {
+		if c.known[r.Name] == nil {
+			c.known[r.Name] = &Known{Daemon: wire.Daemon{Name: r.Name, Kind: "gate", Addr: r.Addr, Domain: r.Domain}, At: now - limit.DaemonGone/2}
+		}
+	}
+	for _, n := range slices.Sorted(maps.Keys(c.known)) {
+		c.do(Send{c.known[n].Addr, c.helloMsg(now, n, true)})
 	}
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -378,7 +378,11 @@
 		if m.Hello == nil {
 			return
 		}
+		led := g.leader(now)
 		g.known.Meet(now, g.set.Self.Name, m.Hello)
+		if l := g.leader(now); l != led && l == m.From && now > g.pullAt {
+			g.pull(now) // the leader waits for what proxies hold, and they for its grant
+		}
 		if !m.Hello.Reply {
 			h := &wire.Hello{Self: g.self(), Reply: true, Known: g.known.List()}
 			g.send(m.From, &wire.Msg{Kind: uint16(wire.KHello), Hello: h})
