--- a/host/ctl.go
+++ b/host/ctl.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -73,8 +74,22 @@
 	patch := cfg.Command("patch", "apply a merge patch (RFC 7396)")
 	patchFile := patch.Arg("file", "JSON file, - for standard input").Required().String()
 	patchBase := patch.Flag("base", "revision that it was built on").Required().Uint64()
-	check := cfg.Command("check", "check a configuration here, without asking anyone")
+	set := cfg.Command("set", "add or replace one named item: a service, route, policy or aim")
+	setKind := set.Arg("kind", strings.Join(namedKinds, ", ")).Required().Enum(namedKinds...)
+	setName := set.Arg("name", "the item's name").Required().String()
+	setFile := set.Arg("file", "JSON file, - for standard input").Required().String()
+	setBase := set.Flag("base", "revision that it was built on").Required().Uint64()
+	drop := cfg.Command("drop", "remove named items")
+	dropKind := drop.Arg("kind", strings.Join(namedKinds, ", ")).Required().Enum(namedKinds...)
+	dropNames := drop.Arg("name", "names to remove; one that is not there is no fault").Required().Strings()
+	dropBase := drop.Flag("base", "revision that it was built on").Required().Uint64()
+	var own uint64
+	for _, cmd := range []*kingpin.CmdClause{put, set, drop} {
+		cmd.Flag("revision", "your own number for the result, above the present one (default: the document's, else the next)").Uint64Var(&own)
+	}
+	check := cfg.Command("check", "check a configuration here, without asking anyone: every fault by its place")
 	checkFile := check.Arg("file", "JSON file, - for standard input").Required().String()
+	checkChanges := check.Flag("change", "check what this partial change makes of it, too (repeat; each on the one before)").Strings()
 	cfg.Command("history", "the changes that are kept")
 	diff := cfg.Command("diff", "what changed from one revision to another, as a merge patch")
 	diffFrom := diff.Arg("from", "revision").Required().Uint64()
@@ -82,6 +97,13 @@
 	back := cfg.Command("rollback", "put an earlier revision's text in force as a new revision")
 	backTo := back.Arg("to", "revision").Required().Uint64()
 	backBase := back.Flag("base", "present revision").Required().Uint64()
+	rts := app.Command("routes", "routes: which exchanges go where, and what holds for them")
+	rtsFile := rts.Flag("config", "read this file instead of asking a member").String()
+	rts.Command("list", "all routes (the default)").Default()
+	match := rts.Command("match", "the route or rule that would take an exchange, and its services")
+	matchHost := match.Arg("host", "host that the caller names").Required().String()
+	matchPath := match.Arg("path", "path of the exchange").Required().String()
+	matchMethod := match.Flag("method", "method, for rules").Default("GET").String()
 	chg := app.Command("change", "what became of a change")
 	chgID := chg.Arg("id", "the change's id").Required().String()
 	dom := app.Command("domain", "domains (zones)")
@@ -127,7 +149,7 @@
 	if v := os.Getenv("MFCTL_AT"); len(c.at) == 0 && v != "" {
 		c.at = strings.Split(v, ",")
 	}
-	offline := cmd == "config check" || cmd == "policy compare" || cmd == "policy judge"
+	offline := cmd == "config check" || cmd == "policy compare" || cmd == "policy judge" || strings.HasPrefix(cmd, "routes ") && *rtsFile != ""
 	if len(c.at) == 0 && !offline {
 		fmt.Fprintln(os.Stderr, "mfctl: no member is named: --at IP:port or MFCTL_AT")
 		return exitUsage
@@ -145,11 +167,19 @@
 	case "config get":
 		return c.show("/v1/config", nil)
 	case "config put":
-		return c.file(*putFile, "PUT", "/v1/config", base(*putBase))
+		return c.put(*putFile, own, base(*putBase))
+	case "config set":
+		return c.set(*setKind, *setName, *setFile, own, base(*setBase))
+	case "config drop":
+		return c.named(map[string]any{"drop": map[string]any{*dropKind: *dropNames}}, own, base(*dropBase))
+	case "routes list":
+		return c.routes(*rtsFile, routesText)
+	case "routes match":
+		return c.routes(*rtsFile, func(cfg *model.Config) bool { return matchText(cfg, *matchHost, *matchPath, *matchMethod) })
 	case "config patch":
 		return c.file(*patchFile, "PATCH", "/v1/config", base(*patchBase))
 	case "config check":
-		return c.check(*checkFile)
+		return c.check(*checkFile, *checkChanges)
 	case "config history":
 		return c.show("/v1/config/history", nil)
 	case "config diff":
@@ -306,12 +336,124 @@
 	return c.change(method, path, q, b)
 }
 
-func (c *ctl) check(name string) int {
+// namedKinds are the parts of a configuration that hold items by name.
+var namedKinds = []string{"services", "routes", "policies", "aims"}
+
+// put sends a whole configuration, with the operator's own number if one is given.
+func (c *ctl) put(name string, own uint64, q url.Values) int {
 	b, err := read(name)
-	var faults []model.Fault
-	if err == nil {
-		_, faults, err = judge.CheckConfig(b)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
+		return exitUsage
+	}
+	if own > 0 {
+		if b, err = model.Unnumbered(b); err == nil {
+			b, err = model.Numbered(b, own)
+		}
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "mfctl: %s: %v\n", name, err)
+			return exitInvalid
+		}
+	}
+	return c.change("PUT", "/v1/config", q, b)
+}
+
+// set and named send a partial change by names.
+func (c *ctl) set(kind, name, file string, own uint64, q url.Values) int {
+	b, err := read(file)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
+		return exitUsage
+	}
+	if !json.Valid(b) {
+		fmt.Fprintf(os.Stderr, "mfctl: %s: not JSON\n", cmp.Or(file, "standard input"))
+		return exitInvalid
+	}
+	return c.named(map[string]any{"set": map[string]any{kind: map[string]any{name: json.RawMessage(b)}}}, own, q)
+}
+
+func (c *ctl) named(change map[string]any, own uint64, q url.Values) int {
+	if own > 0 {
+		change["revision"] = own
+	}
+	b, err := json.Marshal(change)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
+		return exitUsage
+	}
+	return c.change("PATCH", "/v1/config", q, b)
+}
+
+// check reads a configuration and then what each change makes of it.
+func (c *ctl) check(name string, changes []string) int {
+	var doc []byte
+	for i, f := range append([]string{name}, changes...) {
+		b, err := read(f)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
+			return exitUsage
+		}
+		var faults []model.Fault
+		if i == 0 {
+			doc = b
+		} else {
+			doc, faults, err = changed(doc, b)
+		}
+		if err == nil && len(faults) == 0 {
+			_, faults, err = judge.CheckConfig(doc)
+		}
+		if c.json && err == nil {
+			json.NewEncoder(os.Stdout).Encode(map[string]any{"file": f, "sound": len(faults) == 0, "faults": faults})
+		}
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "mfctl: %s: %v\n", f, err)
+			return exitInvalid
+		}
+		for _, x := range faults {
+			if !c.json {
+				fmt.Fprintf(os.Stderr, "  %s: %s\n", x.Path, x.Text)
+			}
+		}
+		if len(faults) > 0 {
+			return exitInvalid
+		}
+	}
+	if !c.json {
+		fmt.Println("the configuration is sound")
+	}
+	return exitOK
+}
+
+// changed is what a partial change of either form makes of a document.
+func changed(doc, change []byte) ([]byte, []model.Fault, error) {
+	if !model.IsNamed(change) {
+		out, err := model.Merge(doc, change)
+		return out, nil, err
+	}
+	n, faults, err := model.ParseNamed(change)
+	if err != nil || len(faults) > 0 {
+		return nil, faults, err
+	}
+	return n.Apply(doc)
+}
+
+// routes shows a configuration's routes; show says whether there was what it looked for.
+func (c *ctl) routes(file string, show func(*model.Config) bool) int {
+	var b []byte
+	var err error
+	if file != "" {
+		b, err = read(file)
+	} else {
+		var status int
+		if status, b, err = c.call("GET", "/v1/config", url.Values{"plain": {""}}, nil); err != nil || status != 200 {
+			return c.end(status, b, err, nil)
+		}
 	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
+		return exitUsage
+	}
+	cfg, faults, err := judge.CheckConfig(b)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
 		return exitInvalid
@@ -319,45 +461,125 @@
 	for _, f := range faults {
 		fmt.Fprintf(os.Stderr, "  %s: %s\n", f.Path, f.Text)
 	}
-	if len(faults) > 0 {
+	switch {
+	case len(faults) > 0:
 		return exitInvalid
+	case c.json:
+		json.NewEncoder(os.Stdout).Encode(cfg.Routes)
+	case !show(cfg):
+		return exitFailed
 	}
-	fmt.Println("the configuration is sound")
 	return exitOK
 }
 
+// split says where a route's exchanges go, and in which parts.
+func split(r model.Route) string {
+	sum := 0.0
+	for _, s := range r.Shares() {
+		sum += s.Weight
+	}
+	var l []string
+	for _, s := range r.Shares() {
+		if len(r.Shares()) == 1 {
+			return s.Service
+		}
+		l = append(l, fmt.Sprintf("%s %.1f %%", s.Service, 100*s.Weight/sum))
+	}
+	return strings.Join(l, ", ")
+}
+
+func routesText(cfg *model.Config) bool {
+	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "ROUTE\tHOST\tPREFIX\tKIND\tTIMEOUT MS\tAIM MS\tPRIORITY\tATTEMPTS\tGOES TO")
+	names := slices.SortedFunc(maps.Keys(cfg.Routes), func(a, b string) int {
+		x, y := cfg.Routes[a], cfg.Routes[b]
+		return cmp.Or(cmp.Compare(x.Host, y.Host), cmp.Compare(x.Prefix, y.Prefix))
+	})
+	for _, n := range names {
+		r := cfg.Routes[n]
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\n", n, cmp.Or(r.Host, "*"), r.Prefix, r.Kind, r.TimeoutMs, r.AimMs, r.Priority, r.Attempts, split(r))
+	}
+	for i, r := range cfg.Rules {
+		fmt.Fprintf(tw, "rules[%d]\t%s\t%s\t%s\t%d\t\t\t%d\t%s\n", i, cmp.Or(r.Host, "*"), r.Path, cmp.Or(strings.Join(r.Methods, ","), "-"),
+			cfg.Services[r.Service].TimeoutMs, cfg.Services[r.Service].Tries, r.Service)
+	}
+	tw.Flush()
+	return true
+}
+
+func matchText(cfg *model.Config, host, path, method string) bool {
+	if n, r, ok := cfg.Route(host, path); ok {
+		fmt.Printf("route %s: %s%s, %s, %d ms, %d attempts, priority %d, goes to %s\n", n, cmp.Or(r.Host, "*"), r.Prefix, r.Kind, r.TimeoutMs, r.Attempts, r.Priority, split(r))
+		return true
+	}
+	svc, allowed, ok := cfg.Match(host, path, method)
+	switch {
+	case ok:
+		fmt.Printf("a rule: goes to %s\n", svc)
+	case len(allowed) > 0:
+		fmt.Printf("a rule takes that path, but not by %s: only by %s\n", method, strings.Join(allowed, ", "))
+	default:
+		fmt.Println("nothing takes it: callers get 404")
+	}
+	return ok
+}
+
+// status asks the members that are named and then those that the roster tells of.
 func (c *ctl) status() int {
 	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	var all []json.RawMessage
-	ok := false
+	all := []json.RawMessage{}
 	if !c.json {
 		fmt.Fprintln(tw, "MEMBER\tROLE\tLEAD\tLEADER\tEPOCH\tTERM\tREVISION\tTABLE\tTARGETS\tPROXIES\tEMPTIED")
 	}
-	for _, a := range c.at {
-		resp, err := ctlClient.Get("http://" + a + "/v1/status")
+	ask := func(a string) bool {
+		b, err := c.view(a, "/v1/status")
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
-			continue
+			return false
 		}
-		b, _ := io.ReadAll(resp.Body)
-		resp.Body.Close()
-		ok = true
 		all = append(all, b)
 		var s core.StatusView
 		if !c.json && json.Unmarshal(b, &s) == nil {
 			fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.Name, s.Role, s.Lead, s.Leader, s.Epoch, s.Term, s.Revision, s.Table.Ver, s.Targets, s.Proxies, strings.Join(s.Emptied, ","))
 		}
+		return true
+	}
+	answers := ""
+	for _, a := range c.at {
+		if ask(a) && answers == "" {
+			answers = a
+		}
+	}
+	if answers != "" {
+		var r struct{ Daemons []core.DaemonView }
+		if b, err := c.view(answers, "/v1/roster"); err == nil && json.Unmarshal(b, &r) == nil {
+			for _, d := range r.Daemons {
+				if d.Kind == "core" && !slices.Contains(c.at, d.Http) {
+					ask(d.Http)
+				}
+			}
+		}
 	}
 	if c.json {
 		json.NewEncoder(os.Stdout).Encode(all)
 	}
 	tw.Flush()
-	if !ok {
+	if answers == "" {
 		return exitNoLeader
 	}
 	return exitOK
 }
 
+// view is one daemon's own word.
+func (c *ctl) view(at, path string) ([]byte, error) {
+	resp, err := ctlClient.Get("http://" + at + path)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	return io.ReadAll(resp.Body)
+}
+
 // aims adds up what the proxies count.
 func (c *ctl) aims() int {
 	status, out, err := c.call("GET", "/v1/roster", nil, nil)
@@ -431,13 +653,20 @@
 	var v struct{ Targets []core.TargetView }
 	json.Unmarshal(b, &v)
 	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tw, "SERVICE\tNAME\tADDRESS\tDOMAIN\tSTATE\tDEMAND\tBEAT MS\tBAR LEFT\tWHY")
+	fmt.Fprintln(tw, "SERVICE\tNAME\tADDRESS\tDOMAIN\tSTATE\tDEMAND\tSLOTS\tCOLD LEFT\tBEAT MS\tBAR LEFT\tWHY")
 	for _, t := range v.Targets {
 		bar := "-"
 		if t.Bar != "" {
 			bar = fmt.Sprintf("%.1fs", float64(t.BarMs)/1000)
 		}
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%.2f\t%.0f\t%s\t%s\n", t.Service, t.Name, t.Addr, t.Domain, t.State, t.Demand, t.BeatMs, bar, t.Why)
+		slots, cold := "-", "-"
+		if t.Slots > 0 {
+			slots = fmt.Sprint(t.Slots)
+		}
+		if t.ColdLeft > 0 {
+			cold = fmt.Sprintf("%.1fs", time.Duration(t.ColdLeft).Seconds())
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%.2f\t%s\t%s\t%.0f\t%s\t%s\n", t.Service, t.Name, t.Addr, t.Domain, t.State, t.Demand, slots, cold, t.BeatMs, bar, t.Why)
 	}
 	tw.Flush()
 }
