--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -24,6 +24,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"myrtlefold/host"
+	"myrtlefold/model"
 )
 
 // Deployment is a fleet's shape.
@@ -79,6 +80,7 @@
 	net    fabric
 	broken map[string]int
 	notes  []string
+	routes bool // by routes: targets have health paths, slots, cold times and names of one start
 }
 
 func main() {
@@ -90,6 +92,7 @@
 	app.Flag("dir", "folder for settings, state, logs and ledgers (made anew)").Default("lab").StringVar(&l.dir)
 	app.Flag("bin", "folder of the programs").Default("bin").StringVar(&l.bin)
 	conf := app.Flag("config", "configuration (default: the deployment's sample)").String()
+	app.Flag("routes", "configure by routes; back ends tell health, slots and how long they are cold, and take a new name at each start").BoolVar(&l.routes)
 	app.Command("up", "start the fleet and leave it running until interrupted")
 	run := app.Command("run", "start the fleet, load and break it, print a verdict per rule")
 	seed := run.Flag("seed", "seed of the script").Default("1").Uint64()
@@ -112,15 +115,20 @@
 	l.dep = deployments[l.name]
 	file := *conf
 	if file == "" {
-		file = filepath.Join("sample", map[string]string{"small": "kelani"}[l.name]+".json")
-		if l.name != "small" {
-			file = filepath.Join("sample", l.name+".json")
+		file = strings.Replace(l.name, "small", "kelani", 1)
+		if l.routes {
+			file += "-routes"
 		}
+		file = filepath.Join("sample", file+".json")
 	}
 	if l.config, err = os.ReadFile(file); err != nil {
 		fmt.Fprintln(os.Stderr, "mflab:", err)
 		os.Exit(2)
 	}
+	if l.config, err = model.Unnumbered(l.config); err != nil { // it is put again and again
+		fmt.Fprintf(os.Stderr, "mflab: %s: %v\n", file, err)
+		os.Exit(2)
+	}
 	sig := make(chan os.Signal, 1)
 	signal.Notify(sig, os.Interrupt, syscall.SIGTERM)
 	code := 0
@@ -228,11 +236,20 @@
 	return l.serving(10 * time.Second)
 }
 
+// healthPath is the samples' by routes, and coldFor is how long a back end stays cold there.
+const (
+	healthPath = "/health"
+	coldFor    = 6 * time.Second
+)
+
 func (l *lab) stub(s Service, name, addr, domain, warm string) *proc {
 	bind := boundAt(addr)
 	p := &proc{name: name, kind: "mfstub", domain: domain, addr: addr, bind: bind, http: bind, service: s.Name}
 	p.args = []string{"--service", s.Name, "--name", name, "--addr", addr, "--bind", bind, "--from", hostOf(bind), "--domain", domain, "--work", s.Work, "--bears", strconv.Itoa(s.Bears),
 		"--warm", warm, "--ledger", l.path("ledger", name+".ledger")}
+	if l.routes {
+		p.args = append(p.args, "--health", healthPath, "--named", "--cold", coldFor.String())
+	}
 	for i, g := range l.gates {
 		if i%4 == len(name)%4 {
 			p.args = append(p.args, "--daemon", reachedAt(g.http))
@@ -813,6 +830,47 @@
 	}
 }
 
+// checkCold looks in the ledgers for seconds in which a cold target ran more than its
+// service's rate and the half over it that whole turns can make.
+func (l *lab) checkCold() {
+	var cfg struct {
+		Services map[string]struct {
+			PerS float64 `json:"cold_per_s"`
+		}
+	}
+	if err := json.Unmarshal(l.config, &cfg); err != nil {
+		l.note("cold rate", "the configuration is not read: %v", err)
+		return
+	}
+	files, _ := filepath.Glob(l.path("ledger", "*.ledger"))
+	ran, most := 0, 0
+	for _, f := range files {
+		b, _ := os.ReadFile(f)
+		at := map[string][]int64{}
+		for line := range bytes.Lines(b) {
+			var e struct {
+				At      int64 `json:"at_ns"`
+				Service string
+				Name    string
+				Cold    bool
+			}
+			if json.Unmarshal(line, &e) != nil || !e.Cold {
+				continue
+			}
+			ran++
+			w := append(at[e.Name], e.At)
+			slices.Sort(w)
+			w = slices.DeleteFunc(w, func(t int64) bool { return t <= e.At-1e9 })
+			at[e.Name] = w
+			most = max(most, len(w))
+			if rate := cfg.Services[e.Service].PerS; rate > 0 && float64(len(w)) > 1.5*rate {
+				l.note("cold rate", "%s ran %d exchanges in a second while cold, of %g", e.Name, len(w), rate)
+			}
+		}
+	}
+	l.say("%d exchanges ran at cold targets, at most %d in a second at one", ran, most)
+}
+
 // ---- runs ----
 
 func (l *lab) loadArgs(rate float64, d time.Duration) []string {
@@ -906,14 +964,20 @@
 			l.note(rule, "%d", n)
 		}
 	}
+	if l.routes {
+		l.checkCold()
+	}
 	fmt.Printf("\nseed %d, %s, faults: %s\n", seed, l.name, strings.Join(l.faults, ", "))
 	fmt.Printf("offered %d, served %d, refused %d, unknown %d, no answer %d, latency ms %v, latest to a leaving target %d ms\n",
 		num("offered"), num("served"), num("refused"), num("unknown"), num("no_answer"), rep["latency_ms"], num("latest_to_leaving_ms"))
 	for _, e := range rep["examples"].([]any) {
 		fmt.Println("  e.g.", e)
 	}
-	for _, r := range []string{"runs twice", "refused but ran", "wrong answer", "wrong service", "leaving target", "come back when", "emptied domain",
+	for _, r := range []string{"runs twice", "refused but ran", "wrong answer", "wrong service", "leaving target", "cold rate", "come back when", "emptied domain",
 		"in force everywhere", "one base", "invalid configuration", "planned restart", "settings changed", "capacity back", "back in 15 s"} {
+		if r == "cold rate" && !l.routes {
+			continue
+		}
 		v := "held"
 		if l.broken[r] > 0 {
 			v = fmt.Sprintf("BROKEN %d times", l.broken[r])
--- a/cmd/mfload/main.go
+++ b/cmd/mfload/main.go
@@ -46,7 +46,7 @@
 // Mixes are the brief's callers.
 var Mixes = map[string][]Kind{
 	"kelani": {
-		{"history", "records", "GET", "/records/history", 0.35, 0, 4000, 0},
+		{"history", "records", "GET", "/records/history/day", 0.35, 0, 4000, 0},
 		{"acknowledge", "records", "POST", "/records/alarms/ack", 0.15, 200, 0, 0.3},
 		{"probes", "monitoring", "GET", "/monitoring/probes", 0.40, 0, 300, 0.2},
 		{"certificate", "records", "POST", "/records/certificates", 0.10, 1500, 2000, 0},
@@ -275,6 +275,7 @@
 	req.GetBody = nil // the standard client must not send anything again by itself
 	req.Header.Set("Exchange-Id", id)
 	req.Header.Set("Exchange-Service", k.Service)
+	req.Header.Set(carry.Defaults().Attempt, id) // its answer must repeat it
 	req.Header.Set("Stub-Size", strconv.Itoa(k.Answer))
 	if l.work >= 0 {
 		req.Header.Set("Stub-Work-Ms", strconv.Itoa(l.work))
--- a/cmd/mfstub/main.go
+++ b/cmd/mfstub/main.go
@@ -2,8 +2,8 @@
 // its identity, keeps a ledger of every exchange that it ran, and on request
 // misbehaves in the ways that the fleet must bear: it hangs, runs an exchange
 // and loses the answer, sends garbage or half an answer, is slow, fails, warms
-// up, or leaves. It stands for a back end's code, so only its identity page and
-// its beats are part of the system's contract.
+// up, or leaves. It stands for a back end's code, so only its identity page or health
+// path, its words and the headers of exchanges are part of the system's contract.
 package main
 
 import (
@@ -27,6 +27,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"myrtlefold/carry"
 	"myrtlefold/host"
 	"myrtlefold/limit"
 	"myrtlefold/model"
@@ -45,6 +46,7 @@
 	State   string `json:"state"`
 	LeaveMs int64  `json:"leaving_for_ms,omitempty"`
 	InWork  int64  `json:"in_work"`
+	Cold    bool   `json:"cold,omitempty"`
 }
 
 type stub struct {
@@ -58,6 +60,11 @@
 	leftAt                      atomic.Int64
 	inWork                      atomic.Int64
 	slots                       chan struct{}
+	health                      string    // where it is asked for its health; "": it is asked for its identity
+	named                       bool      // its name is this start's alone, and its words go by it
+	coldTill                    time.Time // it bears only its service's cold rate until then
+	number                      atomic.Uint64
+	waiting                     atomic.Int64
 	ledger                      chan Entry
 	done                        chan struct{}
 }
@@ -77,6 +84,9 @@
 	app.Flag("work", "how long an exchange takes").Default("10ms").DurationVar(&s.work)
 	app.Flag("bears", "how many exchanges it works on at once; others wait").Default("64").Int64Var(&s.bears)
 	warm := app.Flag("warm", "how long it says that it is warming up").Default("0s").Duration()
+	app.Flag("health", "path where it tells its health; then it takes the identity that is expected with each exchange, and turns away what it has no room for").StringVar(&s.health)
+	app.Flag("named", "take a name of its own for this start, and send words of targets by name").BoolVar(&s.named)
+	cold := app.Flag("cold", "how long after its start it bears only its service's cold rate").Default("0s").Duration()
 	led := app.Flag("ledger", "file to append the ledger to").String()
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintf(os.Stderr, "mfstub: %v, see --help\n", err)
@@ -87,6 +97,11 @@
 		client.Transport = &http.Transport{DialContext: d.DialContext}
 	}
 	s.inc = uint64(time.Now().UnixNano())
+	if s.named {
+		s.name = fmt.Sprintf("%s-%x", s.name, s.inc)
+		s.inc = 1
+	}
+	s.coldTill = time.Now().Add(*cold)
 	s.state.Store(model.Ready)
 	if *warm > 0 {
 		s.state.Store(model.Warming)
@@ -117,6 +132,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+model.IdentityPath, s.identity)
+	if s.health != "" {
+		mux.HandleFunc("GET "+s.health, s.healthy)
+	}
 	mux.HandleFunc("POST /.stub/mode", func(w http.ResponseWriter, r *http.Request) {
 		m := r.URL.Query().Get("set")
 		s.mode.Store(m)
@@ -137,7 +155,46 @@
 
 func (s *stub) beat() model.Beat {
 	d := float64(s.inWork.Load()) / float64(s.bears)
-	return model.Beat{Service: s.service, Name: s.name, Incarnation: s.inc, Address: s.addr, Domain: s.domain, State: s.state.Load().(string), Demand: &d}
+	b := model.Beat{Service: s.service, Name: s.name, Incarnation: s.inc, Address: s.addr, Domain: s.domain, State: s.state.Load().(string), Demand: &d}
+	if s.health != "" {
+		b.Slots, b.ColdLeftMs = s.bears, s.coldLeft()
+	}
+	if s.named {
+		b.Number = s.number.Add(1)
+	}
+	return b
+}
+
+func (s *stub) coldLeft() int64 { return max(0, time.Until(s.coldTill).Milliseconds()) }
+
+var names = carry.Defaults()
+
+// load has an answer tell how much there is to do here.
+func (s *stub) load(h http.Header) {
+	if s.health != "" {
+		h.Set(names.Load, fmt.Sprintf("%d,%d,%d", len(s.slots), s.waiting.Load(), s.bears))
+	}
+}
+
+func (s *stub) healthy(w http.ResponseWriter, r *http.Request) {
+	if s.mode.Load() == "hang" {
+		<-r.Context().Done()
+		return
+	}
+	h := w.Header()
+	h.Set(names.Identity, s.name)
+	if left := s.coldLeft(); left > 0 {
+		h.Set(names.Cold, strconv.FormatInt(left, 10))
+	}
+	s.load(h)
+	host.WriteJSON(w, 200, map[string]any{"state": s.state.Load()})
+}
+
+// turned says that an exchange is not run here, and why.
+func (s *stub) turned(w http.ResponseWriter, status int, why string) {
+	w.Header().Set(names.NotRun, "1")
+	s.load(w.Header())
+	host.WriteJSON(w, status, map[string]any{"error": why})
 }
 
 func (s *stub) identity(w http.ResponseWriter, r *http.Request) {
@@ -152,7 +209,15 @@
 
 func (s *stub) tell(addr string) bool {
 	b, _ := json.Marshal(s.beat())
-	resp, err := client.Post("http://"+addr+"/v1/targets", "application/json", bytes.NewReader(b))
+	method, path := "POST", "/v1/targets"
+	if s.named {
+		method, path = "PUT", "/v1/targets/"+s.name
+	}
+	req, err := http.NewRequest(method, "http://"+addr+path, bytes.NewReader(b))
+	if err != nil {
+		return false
+	}
+	resp, err := client.Do(req)
 	if err != nil {
 		return false
 	}
@@ -187,7 +252,11 @@
 		time.Sleep(limit.TickEvery)
 	}
 	for _, d := range s.daemons {
-		req, _ := http.NewRequest("DELETE", fmt.Sprintf("http://%s/v1/targets/%s/%s?incarnation=%d", d, s.service, s.name, s.inc), nil)
+		path := fmt.Sprintf("%s/%s?incarnation=%d", s.service, s.name, s.inc)
+		if s.named {
+			path = s.name
+		}
+		req, _ := http.NewRequest("DELETE", fmt.Sprintf("http://%s/v1/targets/%s", d, path), nil)
 		if resp, err := client.Do(req); err == nil {
 			resp.Body.Close()
 		}
@@ -202,6 +271,16 @@
 	if err != nil {
 		return
 	}
+	if s.health != "" {
+		if e := r.Header.Get(names.Expect); e != "" && e != s.name {
+			s.turned(w, http.StatusMisdirectedRequest, "this is "+s.name)
+			return
+		}
+		if s.waiting.Load() >= s.bears {
+			s.turned(w, http.StatusServiceUnavailable, "no room")
+			return
+		}
+	}
 	n := s.inWork.Add(1)
 	defer s.inWork.Add(-1)
 	mode, arg, _ := strings.Cut(s.mode.Load().(string), ":")
@@ -217,14 +296,17 @@
 	if ms, err := strconv.Atoi(r.Header.Get("Stub-Work-Ms")); err == nil {
 		work = time.Duration(ms) * time.Millisecond
 	}
+	s.waiting.Add(1)
 	select {
 	case s.slots <- struct{}{}:
+		s.waiting.Add(-1)
 		defer func() { <-s.slots }()
 	case <-r.Context().Done():
+		s.waiting.Add(-1)
 		return
 	}
 	e := Entry{At: time.Now().UnixNano(), ID: r.Header.Get("Exchange-Id"), Service: s.service, Name: s.name, Inc: s.inc, Domain: s.domain,
-		Method: r.Method, State: s.state.Load().(string), InWork: n}
+		Method: r.Method, State: s.state.Load().(string), InWork: n, Cold: s.coldLeft() > 0}
 	if m := r.Header.Get("Exchange-Service"); m != "" && m != s.service {
 		e.Wrong = m
 	}
@@ -241,6 +323,10 @@
 	size, _ := strconv.Atoi(r.Header.Get("Stub-Size"))
 	b, _ := json.Marshal(map[string]any{"id": e.ID, "service": s.service, "name": s.name, "incarnation": s.inc,
 		"sum": hex.EncodeToString(sum[:]), "pad": strings.Repeat("x", min(size, 8<<20))})
+	if id := r.Header.Get(names.Attempt); id != "" {
+		w.Header().Set(names.Attempt, id)
+	}
+	s.load(w.Header())
 	switch mode {
 	case "lose", "half", "garbage":
 		c, buf, err := http.NewResponseController(w).Hijack()
