--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -236,9 +236,9 @@
 	return l.serving(10 * time.Second)
 }
 
-// healthPath is the samples' by routes, and coldFor is how long a back end stays cold there.
+// healthURL is the samples' by routes, and coldFor is how long a back end stays cold there.
 const (
-	healthPath = "/health"
+	healthURL = "/health"
 	coldFor    = 6 * time.Second
 )
 
@@ -248,7 +248,7 @@
 	p.args = []string{"--service", s.Name, "--name", name, "--addr", addr, "--bind", bind, "--from", hostOf(bind), "--domain", domain, "--work", s.Work, "--bears", strconv.Itoa(s.Bears),
 		"--warm", warm, "--ledger", l.path("ledger", name+".ledger")}
 	if l.routes {
-		p.args = append(p.args, "--health", healthPath, "--named", "--cold", coldFor.String())
+		p.args = append(p.args, "--health", healthURL, "--named", "--cold", coldFor.String())
 	}
 	for i, g := range l.gates {
 		if i%4 == len(name)%4 {
