A target's speed counts for more in the choice, and is known with less noise

Cause: one busy slot of three outweighed half the speed, so a slow idle target went before a fast one with a free slot, and a fifth of each single time in the mean made speeds of 0.5 and 1 indistinct where times vary as much themselves.

--- a/gate/choice.go
+++ b/gate/choice.go
@@ -593,7 +593,11 @@
 		}
 		s.mean += limit.MeanWeight * (e.Ms - s.mean)
 		t.pace = 1 + t.slowness(now)
-		t.pace += limit.PaceWeight * (e.Ms/usual - t.pace)
+		if t.pace == 1 {
+			t.paces = 0
+		}
+		t.paces++
+		t.pace += max(limit.PaceWeight, 1/float64(t.paces+1)) * (e.Ms/usual - t.pace)
 		t.paceAt = now
 	}
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -164,6 +164,7 @@
 	others    float64       // what it told of its load besides this proxy's
 	loadAt    time.Duration
 	pace      float64 // how its times compare with its routes', 1: as usual
+	paces     int     // how many exchanges told of it
 	paceAt    time.Duration
 	usedAt    time.Duration
 }
--- a/gate/route_test.go
+++ b/gate/route_test.go
@@ -692,3 +692,31 @@
 		t.Fatalf("%+v: it was sent to two", ans)
 	}
 }
+
+// A fast target's last free slot goes before a slow one's first, and chance in single
+// times does not undo it.
+func TestFastBeforeIdle(t *testing.T) {
+	b := newBench("g1", 1, routed, to("a", slots(4)), to("b", slots(4)), to("c", slots(4)))
+	r := rand.New(rand.NewPCG(1, 2))
+	usual := map[string]float64{"a": 66, "b": 100, "c": 200}
+	id := uint64(0)
+	n := map[string]int{}
+	for round := range 200 {
+		var took []float64
+		for range 6 {
+			id++
+			at := b.call(id, "/a/", time.Second).(Give).Target.Name
+			if round >= 40 {
+				n[at]++
+			}
+			took = append(took, usual[at]*(0.3+1.4*r.Float64()))
+		}
+		for i, ms := range took {
+			b.step(Done{ID: id - 5 + uint64(i), Outcome: Served, Ms: ms, Last: true})
+		}
+		b.pass(100 * time.Millisecond)
+	}
+	if n["c"] > 60 || n["a"] < 500 {
+		t.Fatalf("%v of 960 at targets that take %v", n, usual)
+	}
+}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -263,12 +263,14 @@
 	FullPause = 70 * time.Millisecond
 	// LoadLife is how long what a target told of its load counts, less and less.
 	LoadLife = time.Second
-	// PaceLife is how long a target's slow past counts, less and less; PaceWeight is an exchange's part in it.
-	PaceLife   = 10 * time.Second
-	PaceWeight = 0.2
-	// PaceUrge is how much of a target's slowness counts beside its load, PaceMost the most that does.
-	PaceUrge = 0.5
-	PaceMost = 1.0
+	// PaceLife is how long a target's past speed counts, less and less, so that a slow one is tried
+	// again; PaceWeight is an exchange's part in it, the first ones' more: times vary as much as speeds.
+	PaceLife   = 20 * time.Second
+	PaceWeight = 0.1
+	// PaceUrge is how much of a target's slowness counts beside its load, PaceMost the most that does:
+	// as long as a slot is free, a full target is no slower than an empty one.
+	PaceUrge = 1.0
+	PaceMost = 1.5
 	// PipeUrge is what an open pipe is worth beside a target's load.
 	PipeUrge = 0.1
 	// MeanWeight is an exchange's part in its route's mean time, once a few have been seen.
