Near targets that tell of room go before a proxy's own slots elsewhere

Cause: what goes to another domain is paid by the byte, and a proxy used its own far slots before free ones nearby. Ruled out: exchanges as the main part of the bytes between zones.

--- a/gate/choice.go
+++ b/gate/choice.go
@@ -420,9 +420,10 @@
 type tier int
 
 const (
-	dealtNear tier = iota // a slot of this proxy's own in its domain
+	dealtNear   tier = iota // a slot of this proxy's own in its domain
+	offeredNear             // one of its domain says that there is room
 	dealtFar
-	offered  // it says that there is room
+	offered  // another says so
 	coldRate // a cold target's next turn for this proxy
 	borrowed
 	shunned
@@ -434,8 +435,8 @@
 func (g *Gate) pick(now time.Duration, x *exchange, s *service) (t *target, any bool) {
 	room := g.ranked(now, x, s)
 	g.turn++
-	// Its own slots come first: mostly there is no need to look further.
-	if t, at, any := g.among(now, x, s, s.own, in, room); t != nil && at <= dealtFar {
+	// Its own slots nearby come first: mostly there is no need to look further.
+	if t, at, any := g.among(now, x, s, s.own, in, room); t != nil && at == dealtNear {
 		g.tell(at)
 		return t, any
 	}
@@ -527,6 +528,8 @@
 		return dealtFar
 	}
 	switch {
+	case t.offers(now) && t.near:
+		return offeredNear
 	case t.offers(now):
 		return offered
 	case float64(s.inflight)+1 <= s.window && t.used(now) < 1:
--- a/gate/route_test.go
+++ b/gate/route_test.go
@@ -720,3 +720,23 @@
 		t.Fatalf("%v of 960 at targets that take %v", n, usual)
 	}
 }
+
+// A target of the proxy's own domain that tells of room goes before its own slots
+// elsewhere, which go before one elsewhere that tells of room.
+func TestNearRoomBeforeFarSlots(t *testing.T) {
+	near, far := func(t *wire.Target) { t.Domain = "z1" }, func(t *wire.Target) { t.Domain = "z2" }
+	b := newBench("g1", 1, routed, to("a", slots(4), near), to("b", slots(4), far), to("c", slots(4), far))
+	b.g.set.Self.Domain = "z1"
+	b.table(1, routed, to("a", slots(4), near), to("b", slots(4), far), to("c", slots(4), far))
+	at := map[string]*target{}
+	for _, x := range b.g.targets {
+		at[x.Name] = x
+		x.part, x.loadAt = 0, b.now // as told: nothing runs
+	}
+	at["b"].part = 1
+	for i, want := range []string{"a", "a", "a", "a", "b", "c"} {
+		if g, ok := b.call(uint64(i+1), "/a/", time.Second).(Give); !ok || g.Target.Name != want {
+			t.Fatalf("%d: %+v, not %s", i, g.Target, want)
+		}
+	}
+}
