--- a/core/core.go
+++ b/core/core.go
@@ -158,7 +158,8 @@
 	wide   bool    // a change of the roster
 	member string  // a core member whose joining or leaving is waited for
 	joins  bool
-	most   bool // confirmed by a majority of the proxies is enough
+	most   bool      // confirmed by a majority of the proxies is enough
+	agreed []wire.ID // targets whose leaving or sign-off has to be agreed
 }
 
 type pending struct {
@@ -239,8 +240,12 @@
 	cleanAt   time.Duration
 	turns     map[string]uint32 // last place dealt in each service, and each name's own
 	turnOf    map[[2]string]uint32
-	wideUntil uint64 // entry of the roster's last change
-	proposed  bool   // the epoch's first state, while adopting
+	wideUntil uint64            // entry of the roster's last change
+	proposed  bool              // the epoch's first state, while adopting
+	kept      map[wire.ID]Place // what the log says of targets, with what is under way
+	marked    map[wire.ID]bool
+	keptAt    time.Duration
+	urgent    bool // a word waits for the next write
 }
 
 // Counts are the owner's counters.
@@ -537,6 +542,7 @@
 		c.outVer = map[wire.ID]uint64{}
 		c.table, c.slight, c.ids, c.best, c.wideUntil = nil, nil, nil, wire.Key{}, 0
 		c.policies()
+		c.recollect(now)
 		// Whatever an earlier leader granted may still run.
 		for _, g := range c.gates {
 			g.grantAt, g.told, g.key, g.revision, g.seq = now, false, wire.Key{}, 0, 0
@@ -755,7 +761,10 @@
 		c.best = b.Key
 		for id, t := range c.targets {
 			if t.told {
-				delete(c.targets, id) // known only from an earlier table
+				delete(c.targets, id) // known only from an earlier table, or from the log
+				if t.Held {
+					c.left[id] = now
+				}
 			}
 		}
 		for _, w := range b.Targets {
@@ -769,6 +778,9 @@
 			t := &target{Target: w, told: true, beatAt: now - limit.BeatLapse/2, aliveAt: now, probeAt: now - limit.ProbeEvery, seenAt: now}
 			t.BarLeft, t.BarWhy, t.Held, t.ColdLeft = 0, "", false, 0
 			c.targets[w.ID()] = t
+			if c.left[w.ID()] != 0 {
+				c.hold(now, t, "it was leaving, as agreed")
+			}
 			c.turns[w.Service] = max(c.turns[w.Service], w.Turn)
 			c.turnOf[[2]string{w.Service, w.Name}] = w.Turn
 		}
@@ -1074,6 +1086,7 @@
 	c.rebuild(now, now-c.rebuilt >= limit.ReconcileEvery)
 	c.members(now)
 	c.roster(now)
+	c.keep(now, limit.KeepEvery)
 }
 
 func (c *Core) probe(now time.Duration, id wire.ID, t *target) {
@@ -1103,6 +1116,7 @@
 		c.enter(now, t, p.Beat.State)
 	}
 	t.sentAt = 0
+	proved := t.told
 	e := judge.Event{At: now, Slice: "probe", Service: t.Service, Name: t.Name, Inc: t.Inc, Ms: p.Ms}
 	b := p.Beat
 	e.Ok = b != nil && b.ID() == p.ID
@@ -1123,6 +1137,9 @@
 		t.coldTill = max(t.coldTill, now+p.Cold) // that it says nothing of it ends nothing
 	}
 	c.judgeEvent(e)
+	if proved && !t.told {
+		return // many prove themselves at once after a loss: the next tick tells of all
+	}
 	c.moved(now, t)
 }
 
@@ -1257,6 +1274,9 @@
 		}
 		return 2*conf > len(names) || len(names) == 0
 	}
+	if slices.ContainsFunc(f.agreed, func(id wire.ID) bool { return !c.agreed(id) }) {
+		return false
+	}
 	if now, was := confirmed(c.state.names()), confirmed(c.state.Was); !now || !was {
 		f.majAt = 0
 		return false
--- a/core/operate.go
+++ b/core/operate.go
@@ -60,6 +60,8 @@
 	Emptied  []string          `json:"emptied,omitempty"`
 	Out      map[string]uint64 `json:"out,omitempty"`     // members taken out by an operator
 	Members  []wire.Member     `json:"members,omitempty"` // in proxies' copies only: who a core could be rebuilt with
+	Places   []Place           `json:"places,omitempty"`  // the targets there were, by identity; proxies have them in their tables
+	Marks    []Mark            `json:"marks,omitempty"`
 }
 
 // order is a log entry's text.
@@ -75,6 +77,7 @@
 	State json.RawMessage `json:"state,omitempty"`
 	Rev   uint64          `json:"rev,omitempty"` // the operator's own number for a configuration
 	Sum   string          `json:"sum,omitempty"`
+	Reg   *registry       `json:"reg,omitempty"`
 }
 
 func newState() State { return State{Doc: json.RawMessage(`{}`), Out: map[string]uint64{}} }
@@ -83,7 +86,7 @@
 // without the document, which travels beside it, and with the members of the time.
 func (s *State) slim(ms []wire.Member) []byte {
 	t := *s
-	t.Doc, t.Members = nil, ms
+	t.Doc, t.Members, t.Places, t.Marks = nil, ms, nil, nil
 	t.Records = slices.Clone(s.Records)
 	for i := range t.Records {
 		t.Records[i].Doc = nil
@@ -136,6 +139,10 @@
 
 // Apply is the one place where agreed entries change the state.
 func (s *State) Apply(index uint64, o order) {
+	if o.Op == "targets" { // no table goes by these, so its sequence stays
+		s.register(o.Reg)
+		return
+	}
 	s.Seq = index
 	if s.find(o.Token) != nil {
 		return
@@ -261,6 +268,9 @@
 	}
 	was, emptied := c.state.Revision, slices.Contains(c.state.Emptied, o.Name)
 	c.state.Apply(e.Index, o)
+	if o.Op == "targets" {
+		return
+	}
 	if c.state.Revision != was {
 		c.do(Change{"revision", fmt.Sprint(was), fmt.Sprint(c.state.Revision), o.What})
 	}
@@ -502,6 +512,8 @@
 		c.answer(p, wordHeard(w))
 		return
 	}
+	c.urgent = true
+	c.keep(now, limit.KeepEvery)
 	ver := uint64(0)
 	for _, id := range ids {
 		out := c.outVer[id]
@@ -513,7 +525,7 @@
 		}
 		ver = max(ver, out)
 	}
-	c.forces = append(c.forces, &force{ver: ver, since: now, p: p, reply: wordHeard(w), most: true})
+	c.forces = append(c.forces, &force{ver: ver, since: now, p: p, reply: wordHeard(w), most: true, agreed: ids})
 }
 
 // named are the identities under a name, those that signed off lately included.
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -114,6 +114,15 @@
 	// DoubtEvery is a doubting proxy's own probe interval: the leader, if it is lost, may have been
 	// one miss short of a bar. At the worst 0.45 + 0.45 + 0.4 s went by there and 0.33 + 0.4 + 0.4 go by here.
 	DoubtEvery = 200 * time.Millisecond
+	// ProbeBurst is how many probes of targets that are known from the log go out in one tick.
+	ProbeBurst = 64
+	// KeepEvery is how often the agreed registry of targets is written, if something in it changed;
+	// a word that says leaving or gone is written at the next tick after another write.
+	KeepEvery = 250 * time.Millisecond
+	// KeepBatch is how many targets one write holds, PlacesMax how many targets, and marks of those
+	// that are gone, the registry: at 300 bytes each 2.4 MB, and with all else under half a ring file.
+	KeepBatch = 256
+	PlacesMax = 4096
 	// ProbeMisses in a row make a bar; the source's two.
 	ProbeMisses = 2
 	// BarTTL is the source's 30 s, after which a bar lapses by itself.
