A part of a warming target's cap grows only after what older parts sent is over

Cause: parts of one roster add up to the cap, and those of a changing and either fixed roster do too, but exchanges given under the parts of the roster before may still run when the new parts hold: g18 had one left of its old part while g19 used its new one, 7 at a target that bears 6. The changing step lasts only until it is in force, 0.2 s there. Now a part that grows, also from nothing in a proxy's first table, holds only after the longest exchange of the service and a choice's life. A target that comes to a proxy with a grant has run nothing for older parts, and waits for nothing. Tests of parts begin with a granted proxy to which the targets come; bounds are as before.

--- a/gate/choice.go
+++ b/gate/choice.go
@@ -108,6 +108,7 @@
 		if t.strict = t.slots == 0 || set.Cap < t.slots; t.strict {
 			t.slots = set.Cap
 		}
+		g.rise(now, t, set)
 		gap := g.coldGapOf(t, set.ColdPerS)
 		if gap > 0 && t.coldGap == 0 {
 			t.coldNext = now + gap // another life of this proxy may just have sent one
@@ -249,6 +250,9 @@
 		if len(g.table.Was) > 0 {
 			n = min(n, part(set.WarmCap, g.table.Was))
 		}
+		if t.riseAt > now {
+			n = min(n, t.warmPart)
+		}
 		return n
 	}
 	c := set.Cap
@@ -258,6 +262,42 @@
 	return part(c, g.alive)
 }
 
+// rise keeps this proxy's part of a warming target's cap from growing before all that
+// others sent there under the parts of an earlier roster must be over: the parts of one
+// table add up to the cap, those of two tables that follow one another need not.
+func (g *Gate) rise(now time.Duration, t *target, set model.Service) {
+	if t.State != model.Warming {
+		t.warmPart, t.warmNext, t.riseAt = 0, 0, 0
+		return
+	}
+	at := t.riseAt
+	t.riseAt = 0
+	n := g.room(now, t, set)
+	switch {
+	case t.anew, n <= t.warmPart, n == t.warmNext && now >= at:
+		t.anew, t.warmPart, t.warmNext = false, n, n
+		return
+	case n == t.warmNext:
+		t.riseAt = at
+	default:
+		t.warmNext, t.riseAt = n, now+g.longest(t.Service)+limit.ChoiceLife
+	}
+	if g.coldEnd == 0 || t.riseAt < g.coldEnd {
+		g.coldEnd = t.riseAt
+	}
+}
+
+// longest is how long an exchange of a service may take.
+func (g *Gate) longest(svc string) time.Duration {
+	d := time.Duration(g.cfg.Services[svc].TimeoutMs) * time.Millisecond
+	for _, r := range g.cfg.Routes {
+		if r.Service == svc || slices.ContainsFunc(r.Split, func(s model.Share) bool { return s.Service == svc }) {
+			d = max(d, r.Timeout())
+		}
+	}
+	return d
+}
+
 // ---- cold targets ----
 
 // coldOf is how long a target of a service is cold from its start.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -146,6 +146,10 @@
 	shun     time.Duration
 	backAt   time.Duration // when a bar was lifted
 	warmAt   time.Duration // when it ended its warming
+	anew     bool          // it came to the table of a proxy with a grant: nothing older runs there
+	warmPart int           // this proxy's part of its warming cap, and, until riseAt, the most that it may use
+	warmNext int           // the greater part that holds from then on
+	riseAt   time.Duration
 	inflight int
 	closed   int // pipes in a row that could not be opened
 	misses   int
@@ -239,7 +243,7 @@
 	aims      map[string]*tally
 	ways      map[string]*way // what is kept by route
 	salt      uint64
-	coldEnd   time.Duration // when the next target ends being cold, 0: none is
+	coldEnd   time.Duration // when the next target ends being cold, or a part of a warming one grows, 0: never
 	turn      uint64
 	stopping  bool
 	stopAt    time.Duration
@@ -596,6 +600,7 @@
 func (g *Gate) succeed(now time.Duration, id wire.ID, h *target) {
 	delete(g.targets, id)
 	g.leaving[id] = now
+	h.anew = true
 	g.targets[h.ID()] = h
 	h.chill(now, max(h.ColdLeft, int64(g.coldOf(h.Service))))
 	g.retarget(now)
@@ -647,7 +652,7 @@
 		id := w.ID()
 		n := g.targets[id]
 		if n == nil {
-			n = &target{}
+			n = &target{anew: g.state == Granted}
 		}
 		was := n.barUntil > now
 		if n.State == model.Warming && w.State == model.Ready {
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -112,7 +112,8 @@
 	for gates := 1; gates <= 12; gates++ {
 		cold, ready := 0, 0
 		for i := range gates {
-			b := newBench(fmt.Sprintf("g%d", i+1), gates, plain, to("a", warming), to("b"))
+			b := newBench(fmt.Sprintf("g%d", i+1), gates, plain)
+			b.table(gates, plain, to("a", warming), to("b"))
 			n := 0
 			for id := uint64(1); ; id++ {
 				g, ok := b.admit(id).(Give)
@@ -444,9 +445,63 @@
 	})
 }
 
+// The roster grows while a warming target works on exchanges that last as long as they
+// may: those of the old parts and those of the new ones together stay within its cap,
+// also where a new proxy saw nothing of the change, and in the end the new parts hold.
+func TestWarmCapWhileTheRosterGrows(t *testing.T) {
+	const doc = `{"services":{"s":{"cap":64,"warm_cap":%d,"timeout_ms":2000}},"rules":[{"path":"/s","service":"s"}]}`
+	for from := 1; from <= 9; from++ {
+		for more := 1; more <= 4; more++ {
+			for warmCap := 1; warmCap <= 12; warmCap++ {
+				d, id := fmt.Sprintf(doc, warmCap), uint64(0)
+				fill := func(bs []*bench) (n int) {
+					for _, b := range bs {
+						for id++; ; id++ {
+							if _, ok := b.admit(id).(Give); !ok {
+								break
+							}
+							n++
+						}
+					}
+					return n
+				}
+				var old, all []*bench
+				for i := range from + more {
+					if b := newBench(fmt.Sprintf("g%d", i+1), from, d); i < from {
+						b.table(from, d, to("a", warming))
+						old = append(old, b)
+						all = append(all, b)
+					} else {
+						all = append(all, &bench{g: New(Settings{Self: wire.Daemon{Name: fmt.Sprintf("g%d", i+1), Kind: "gate", Inc: 9}}), now: time.Second})
+					}
+				}
+				left := fill(old)
+				for _, b := range all {
+					b.now += 200 * time.Millisecond
+					b.ver = 8
+					b.table(from+more, d, to("a", warming))
+				}
+				if n := left + fill(all); n > warmCap {
+					t.Fatalf("%d proxies and %d more: %d exchanges at a target that bears %d", from, more, n, warmCap)
+				}
+				now := 0
+				for _, b := range all {
+					b.now += 2*time.Second + limit.ChoiceLife
+					b.step(core.Tick{})
+					now += b.g.View(b.now).Targets[0].Room
+				}
+				if now != warmCap {
+					t.Fatalf("%d proxies and %d more: parts are %d of %d in the end", from, more, now, warmCap)
+				}
+			}
+		}
+	}
+}
+
 // After warming what a target takes rises, it does not jump.
 func TestRampAfterWarming(t *testing.T) {
-	b := newBench("g1", 1, plain, to("a", warming))
+	b := newBench("g1", 1, plain)
+	b.table(1, plain, to("a", warming))
 	last := 0
 	for i := range 40 {
 		if i == 1 {
