--- a/cmd/mfstub/main.go
+++ b/cmd/mfstub/main.go
@@ -190,8 +190,16 @@
 	host.WriteJSON(w, 200, map[string]any{"state": s.state.Load()})
 }
 
+// repeats has an answer tell whose it is.
+func repeats(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(names.Attempt); id != "" {
+		w.Header().Set(names.Attempt, id)
+	}
+}
+
 // turned says that an exchange is not run here, and why.
-func (s *stub) turned(w http.ResponseWriter, status int, why string) {
+func (s *stub) turned(w http.ResponseWriter, r *http.Request, status int, why string) {
+	repeats(w, r)
 	w.Header().Set(names.NotRun, "1")
 	s.load(w.Header())
 	host.WriteJSON(w, status, map[string]any{"error": why})
@@ -273,11 +281,11 @@
 	}
 	if s.health != "" {
 		if e := r.Header.Get(names.Expect); e != "" && e != s.name {
-			s.turned(w, http.StatusMisdirectedRequest, "this is "+s.name)
+			s.turned(w, r, http.StatusMisdirectedRequest, "this is "+s.name)
 			return
 		}
 		if s.waiting.Load() >= s.bears {
-			s.turned(w, http.StatusServiceUnavailable, "no room")
+			s.turned(w, r, http.StatusServiceUnavailable, "no room")
 			return
 		}
 	}
@@ -323,9 +331,7 @@
 	size, _ := strconv.Atoi(r.Header.Get("Stub-Size"))
 	b, _ := json.Marshal(map[string]any{"id": e.ID, "service": s.service, "name": s.name, "incarnation": s.inc,
 		"sum": hex.EncodeToString(sum[:]), "pad": strings.Repeat("x", min(size, 8<<20))})
-	if id := r.Header.Get(names.Attempt); id != "" {
-		w.Header().Set(names.Attempt, id)
-	}
+	repeats(w, r)
 	s.load(w.Header())
 	switch mode {
 	case "lose", "half", "garbage":
--- a/host/ctl.go
+++ b/host/ctl.go
@@ -173,9 +173,9 @@
 	case "config drop":
 		return c.named(map[string]any{"drop": map[string]any{*dropKind: *dropNames}}, own, base(*dropBase))
 	case "routes list":
-		return c.routes(*rtsFile, routesText)
+		return c.routes(*rtsFile, c.listRoutes)
 	case "routes match":
-		return c.routes(*rtsFile, func(cfg *model.Config) bool { return matchText(cfg, *matchHost, *matchPath, *matchMethod) })
+		return c.routes(*rtsFile, func(cfg *model.Config) bool { return c.match(cfg, *matchHost, *matchPath, *matchMethod) })
 	case "config patch":
 		return c.file(*patchFile, "PATCH", "/v1/config", base(*patchBase))
 	case "config check":
@@ -464,8 +464,6 @@
 	switch {
 	case len(faults) > 0:
 		return exitInvalid
-	case c.json:
-		json.NewEncoder(os.Stdout).Encode(cfg.Routes)
 	case !show(cfg):
 		return exitFailed
 	}
@@ -488,7 +486,11 @@
 	return strings.Join(l, ", ")
 }
 
-func routesText(cfg *model.Config) bool {
+func (c *ctl) listRoutes(cfg *model.Config) bool {
+	if c.json {
+		json.NewEncoder(os.Stdout).Encode(map[string]any{"routes": cfg.Routes, "rules": cfg.Rules})
+		return true
+	}
 	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tw, "ROUTE\tHOST\tPREFIX\tKIND\tTIMEOUT MS\tAIM MS\tPRIORITY\tATTEMPTS\tGOES TO")
 	names := slices.SortedFunc(maps.Keys(cfg.Routes), func(a, b string) int {
@@ -507,21 +509,24 @@
 	return true
 }
 
-func matchText(cfg *model.Config, host, path, method string) bool {
-	if n, r, ok := cfg.Route(host, path); ok {
-		fmt.Printf("route %s: %s%s, %s, %d ms, %d attempts, priority %d, goes to %s\n", n, cmp.Or(r.Host, "*"), r.Prefix, r.Kind, r.TimeoutMs, r.Attempts, r.Priority, split(r))
-		return true
-	}
-	svc, allowed, ok := cfg.Match(host, path, method)
+func (c *ctl) match(cfg *model.Config, host, path, method string) bool {
+	n, r, isRoute := cfg.Route(host, path)
+	svc, allowed, isRule := cfg.Match(host, path, method)
 	switch {
-	case ok:
+	case c.json && isRoute:
+		json.NewEncoder(os.Stdout).Encode(map[string]any{"route": n, "is": r})
+	case c.json:
+		json.NewEncoder(os.Stdout).Encode(map[string]any{"service": svc, "allowed": allowed})
+	case isRoute:
+		fmt.Printf("route %s: %s%s, %s, %d ms, %d attempts, priority %d, goes to %s\n", n, cmp.Or(r.Host, "*"), r.Prefix, r.Kind, r.TimeoutMs, r.Attempts, r.Priority, split(r))
+	case isRule:
 		fmt.Printf("a rule: goes to %s\n", svc)
 	case len(allowed) > 0:
 		fmt.Printf("a rule takes that path, but not by %s: only by %s\n", method, strings.Join(allowed, ", "))
 	default:
 		fmt.Println("nothing takes it: callers get 404")
 	}
-	return ok
+	return isRoute || isRule
 }
 
 // status asks the members that are named and then those that the roster tells of.
