--- a/limit/limit.go
+++ b/limit/limit.go
@@ -16,6 +16,11 @@
 	ElectMin = 700 * time.Millisecond
 	// ElectSpread is added by name and term so that members seldom stand at once.
 	ElectSpread = 400 * time.Millisecond
+	// LeaderQuiet is how long no leader has spoken to a member that says that it hears none: three of
+	// its beats. A living leader that is late says itself that it leads.
+	LeaderQuiet = 3 * CoreBeat
+	// ElectAsk is how often a member that hears no leader asks whether all the others hear none either.
+	ElectAsk = 60 * time.Millisecond
 	// FsyncStall is how long a sync may hang before a leader stops deciding: under ElectMin.
 	FsyncStall = 400 * time.Millisecond
 	// LogMax is how many entries are held before a snapshot is taken.
@@ -174,6 +179,12 @@
 	ChoiceLife = DialCap + 100*time.Millisecond
 	// DialCap is how long opening a pipe and checking its identity may take.
 	DialCap = 500 * time.Millisecond
+	// ConnectCap is how long a connection to a target may take to open: over any round trip between
+	// domains, under what a lost first packet costs anyway. Nothing was sent, so another is chosen.
+	ConnectCap = 100 * time.Millisecond
+	// OpensMax is how many choices of one exchange may end before anything is sent. They do not count
+	// as its attempts, which are targets that it was sent to.
+	OpensMax = 4
 	// Shun is how long a target that refused a pipe is used last by that proxy.
 	Shun = time.Second
 	// ClosedBar is how long a proxy leaves a target out after two pipes in a row could not be
@@ -199,6 +210,10 @@
 	// PipeIdle is how long an unused pipe to a back end is kept: under the 5 s after which common
 	// servers close theirs, so that an exchange seldom meets the close under way.
 	PipeIdle = 4 * time.Second
+	// AheadMax is how many requests of one caller's connection are begun before those ahead of them
+	// are answered; AheadRead is how much of it is looked at, in bytes: some usual headers.
+	AheadMax  = 8
+	AheadRead = 2 << 10
 	// CallerIdle is how long a caller's unused pipe is kept.
 	CallerIdle = 60 * time.Second
 	// PipesIdleMax is how many unused pipes are kept per target: targets bound the pipes from all
