The configuration's limits bound callers: header and body sizes, header and idle time

They were checked and accepted, and nothing kept to them. The table's targets now bring them to the shell, sizes are looked at per exchange, and a caller's connection turns the two deadlines that the library's server sets into the configured ones, so that a change is in force at once, without a write to the server's fields while it runs. A connection is kept a second longer than idle_ms, so that nobody writes on one that is closing.

--- a/carry/ahead.go
+++ b/carry/ahead.go
@@ -65,6 +65,7 @@
 	// The exchanges' side's.
 	served int
 	next   *early
+	busy   bool // an exchange is under way
 
 	// ahead is how many are begun and not answered; below 0: none is begun any more.
 	ahead atomic.Int64
@@ -240,6 +241,8 @@
 		c.serve(w, r)
 		return
 	}
+	p.busy = true
+	defer func() { p.busy = false }()
 	e := p.take(r)
 	if e == nil {
 		c.serve(ender{w, p}, r)
--- a/carry/carry.go
+++ b/carry/carry.go
@@ -95,6 +95,8 @@
 	Observe func(svc string, status int, sec float64)
 	// Leaving has each answer end its caller's pipe, so that callers move to other proxies.
 	Leaving atomic.Bool
+	// Limits are the configuration's bounds on callers, nil: the program's own.
+	Limits atomic.Pointer[model.Limits]
 	// From is where pipes leave from, nil for the system's choice.
 	From net.Addr
 	// Headers are the names of the headers that it speaks.
@@ -309,7 +311,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer func() { c.Observe(svc, status, time.Since(start).Seconds()) }()
-	if headerSize(r.Header) > limit.HeaderMax {
+	if headerSize(r.Header) > c.headerMost() {
 		fail(431, 0, model.Trouble{Code: "header", Message: "the header is too large"})
 		return
 	}
@@ -376,10 +378,7 @@
 		}
 		g := ans.(gate.Give)
 		svc = g.Service
-		most := int64(g.Set.BodyMax)
-		if g.Set.Asked() {
-			most = max(most, limit.CallerBody)
-		}
+		most := c.bodyMost(&g.Set)
 		if body.room = most - int64(len(body.kept)); r.ContentLength > most || body.room < 0 {
 			c.owner.Tell(gate.Done{ID: id, Outcome: gate.Dropped, Last: true})
 			fail(413, 0, model.Trouble{Code: "body", Message: "the body is over the service's limit"})
--- /dev/null
+++ b/carry/limits.go
@@ -0,0 +1,57 @@
+// This file holds callers to the bounds of the configuration, which may change at any
+// moment: sizes are looked at exchange by exchange, and a connection turns the two
+// deadlines that the library's server sets on it into the configured ones. What the
+// configuration leaves open has the program's own bounds.
+package carry
+
+import (
+	"time"
+
+	"myrtlefold/limit"
+	"myrtlefold/model"
+)
+
+func (c *Carrier) limits() model.Limits {
+	if l := c.Limits.Load(); l != nil {
+		return *l
+	}
+	return model.Limits{}
+}
+
+// headerMost is how large a caller's header may be.
+func (c *Carrier) headerMost() int {
+	if n := c.limits().HeaderBytes; n > 0 {
+		return n
+	}
+	return limit.HeaderMax
+}
+
+// bodyMost is how large a caller's body for a service may be. One whose targets are asked
+// for their health has the configuration's bound alone, others the smaller of both.
+func (c *Carrier) bodyMost(s *model.Service) int64 {
+	own, all := int64(s.BodyMax), int64(c.limits().BodyBytes)
+	switch {
+	case s.Asked() && all > 0:
+		return all
+	case s.Asked():
+		return max(own, limit.CallerBody)
+	case all > 0:
+		return min(own, all)
+	}
+	return own
+}
+
+// SetReadDeadline is the server's and, while an exchange is under way, the carrier's. The
+// server sets one further away than a header's while it waits for the next request.
+func (p *caller) SetReadDeadline(t time.Time) error {
+	if left := time.Until(t); !p.busy && !t.IsZero() && left > 0 {
+		l := p.c.limits()
+		switch {
+		case left <= limit.CallerHeader && l.HeaderMs > 0:
+			t = t.Add(time.Duration(l.HeaderMs)*time.Millisecond - limit.CallerHeader)
+		case left > limit.CallerHeader && l.IdleMs > 0:
+			t = t.Add(time.Duration(l.IdleMs)*time.Millisecond + limit.IdleSlack - limit.CallerIdle)
+		}
+	}
+	return p.Conn.SetReadDeadline(t)
+}
--- /dev/null
+++ b/carry/limits_test.go
@@ -0,0 +1,134 @@
+package carry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"myrtlefold/gate"
+	"myrtlefold/limit"
+	"myrtlefold/model"
+)
+
+// Callers' sizes are bounded by the configuration, as it stands at each exchange.
+func TestSizes(t *testing.T) {
+	b := serve(t, "b", fine)
+	f := carrier(t, b.Target)
+	big := strings.Repeat("x", 3000)
+	ask := func(l *model.Limits, set model.Service, header, body string, want int) {
+		t.Helper()
+		f.car.Limits.Store(l)
+		f.set = set
+		if status, _, text := f.do(t, "PUT", "/", body, "A", header); status != want {
+			t.Fatalf("%+v: %d %s, not %d", l, status, text, want)
+		}
+	}
+	own := model.Service{BodyMax: 100 << 10, Tries: 3}
+	ask(nil, own, big, big, 200)
+	ask(&model.Limits{HeaderBytes: 2000}, own, big, "", 431)
+	ask(&model.Limits{HeaderBytes: 2000}, own, "", big, 200)
+	ask(&model.Limits{HeaderBytes: 2 * limit.HeaderMax}, own, strings.Repeat("x", limit.HeaderMax+1), "", 200)
+	ask(nil, own, strings.Repeat("x", limit.HeaderMax+1), "", 431)
+	ask(&model.Limits{BodyBytes: 2999}, own, "", big, 413)
+	ask(&model.Limits{BodyBytes: 3000}, own, "", big, 200)
+	own.BodyMax = 2000 // the service's own bound stays
+	ask(&model.Limits{BodyBytes: 3000}, own, "", big, 413)
+	if n := b.runs.Load(); n != 4 {
+		t.Fatal(n, "ran")
+	}
+	for _, c := range []struct {
+		s    model.Service
+		l    *model.Limits
+		want int64
+	}{
+		{model.Service{BodyMax: 5, HealthPath: "/h"}, nil, limit.CallerBody},
+		{model.Service{BodyMax: 5, HealthPath: "/h"}, &model.Limits{BodyBytes: 9}, 9},
+		{model.Service{BodyMax: 5}, &model.Limits{BodyBytes: 9}, 5},
+		{model.Service{BodyMax: 5}, &model.Limits{HeaderBytes: 9}, 5},
+	} {
+		f.car.Limits.Store(c.l)
+		if n := f.car.bodyMost(&c.s); n != c.want {
+			t.Errorf("%+v %+v: %d", c.s, c.l, n)
+		}
+	}
+}
+
+// deadlines tells each deadline that is set on its connections, as time from then.
+type deadlines struct {
+	net.Listener
+	set chan time.Duration
+}
+
+type timed struct {
+	net.Conn
+	set chan time.Duration
+}
+
+func (d deadlines) Accept() (net.Conn, error) {
+	c, err := d.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return timed{c, d.set}, nil
+}
+
+func (c timed) SetReadDeadline(t time.Time) error {
+	if left := time.Until(t); !t.IsZero() && left > 0 {
+		c.set <- left
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// The library's server waits for headers and for the next exchange as long as the
+// configuration says, and a caller's own time for its body stays what it is.
+func TestWaits(t *testing.T) {
+	const min = 60 * 1000
+	for _, c := range []struct {
+		l    *model.Limits
+		want [4]time.Duration // each deadline's upper end: header, body, unused, next header
+	}{
+		{nil, [4]time.Duration{limit.CallerHeader, 30 * time.Minute, limit.CallerIdle, limit.CallerHeader}},
+		{&model.Limits{HeaderMs: 10 * min, IdleMs: 20 * min}, [4]time.Duration{10 * time.Minute, 30 * time.Minute, 20*time.Minute + limit.IdleSlack, 10 * time.Minute}},
+		{&model.Limits{HeaderMs: 10 * min}, [4]time.Duration{10 * time.Minute, 30 * time.Minute, limit.CallerIdle, 10 * time.Minute}},
+		{&model.Limits{IdleMs: 20 * min}, [4]time.Duration{limit.CallerHeader, 30 * time.Minute, 20*time.Minute + limit.IdleSlack, limit.CallerHeader}},
+	} {
+		car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, ev any) any {
+			return gate.Refuse{ID: id, Status: 503, Code: "busy"}
+		}}, NewPool())
+		car.Limits.Store(c.l)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		set := make(chan time.Duration, 16)
+		srv := &http.Server{Handler: car, ConnContext: car.Context, ReadHeaderTimeout: limit.CallerHeader, IdleTimeout: limit.CallerIdle}
+		go srv.Serve(car.Listener(deadlines{ln, set}))
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		rd := bufio.NewReader(conn)
+		fmt.Fprintf(conn, "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n%s: 1800000\r\n\r\nx", DeadlineHeader)
+		resp, err := http.ReadResponse(rd, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		for i, want := range c.want {
+			if i == 3 {
+				fmt.Fprint(conn, "GET / HTTP/1.1\r\n")
+			}
+			if got := <-set; got > want || got < want/2 {
+				t.Errorf("%+v: deadline %d is in %v, not %v", c.l, i, got, want)
+			}
+		}
+		conn.Close()
+		srv.Close()
+	}
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -94,8 +94,12 @@
 		Message string
 		Allowed []string
 	}
-	// Targets is the table's targets; no pipe to any other may be used again.
-	Targets struct{ Live map[wire.ID]string }
+	// Targets is the table's targets; no pipe to any other may be used again. Limits are
+	// what its configuration bounds callers by, nil: nothing.
+	Targets struct {
+		Live   map[wire.ID]string
+		Limits *model.Limits
+	}
 )
 
 type State int
@@ -614,7 +618,7 @@
 	for id, t := range g.targets {
 		live[id] = t.Addr
 	}
-	g.do(Targets{live})
+	g.do(Targets{live, g.cfg.Limits})
 }
 
 // take puts a later table in force; an earlier one never replaces a later.
--- a/host/gate.go
+++ b/host/gate.go
@@ -35,6 +35,7 @@
 			h.Loop.Answer(c.ID, c)
 		case gate.Targets:
 			pool.Live(c.Live)
+			car.Limits.Store(c.Limits)
 		case core.Change:
 			if c.What == "stop" {
 				car.Leaving.Store(true)
--- a/host/host.go
+++ b/host/host.go
@@ -612,7 +612,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for HTTP")
 	}
-	s := &http.Server{Handler: hd, ReadHeaderTimeout: limit.BeatLapse * 3, IdleTimeout: limit.CallerIdle, MaxHeaderBytes: 4 * limit.HeaderMax}
+	s := &http.Server{Handler: hd, ReadHeaderTimeout: limit.CallerHeader, IdleTimeout: limit.CallerIdle, MaxHeaderBytes: 4 * limit.HeaderMax}
 	if c != nil {
 		ln, s.ConnContext = c.Listener(ln), c.Context
 	}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -216,6 +216,11 @@
 	AheadRead = 2 << 10
 	// CallerIdle is how long a caller's unused pipe is kept.
 	CallerIdle = 60 * time.Second
+	// CallerHeader is how long a caller's header may take to come: three lost words' time.
+	CallerHeader = 3 * BeatLapse
+	// IdleSlack is how much longer than it is told an unused pipe of a caller's is kept: who
+	// believes in the bound never writes on one that is being closed.
+	IdleSlack = time.Second
 	// PipesIdleMax is how many unused pipes are kept per target: targets bound the pipes from all
 	// proxies together, and some hold a slot for each.
 	PipesIdleMax = 8
