--- a/core/core.go
+++ b/core/core.go
@@ -106,6 +106,9 @@
 	movedAt       time.Duration // when it last stood on the table of the time, or came on
 	revision, seq uint64        // of the document and state that it holds
 	told          bool          // its table of before this lead is merged
+	sent          wire.Key      // the latest table that it was sent and has not confirmed yet
+	sentAt        time.Duration
+	flying        int // bytes of tables sent and not confirmed, about
 }
 
 // Voice is how a target's words come: its beats without a gap.
@@ -142,11 +145,25 @@
 	told        bool  // known by hearsay: one word, or a proxy's table; not served until it has proved itself
 	shown       facts // what the table says of it
 	shownDemand float64
-	freed       bool // its address had another target's entry
+	shownBar    time.Duration // until when, as the table says
+	shownCold   time.Duration
+	row         uint64 // the number of the table that last said something new of it
+	freed       bool   // its address had another target's entry
 	coldTill    time.Duration
 	warmFrom    uint64 // lowest number of a word that may end its coldness
 }
 
+// change tells which change to a table is meant, and whether it needs the state or the document too.
+type change struct {
+	base       uint64
+	state, doc bool
+}
+
+type goneRow struct {
+	ver uint64
+	id  wire.ID
+}
+
 // force is something that waits until a table is in force everywhere.
 type force struct {
 	ver    uint64
@@ -209,10 +226,15 @@
 	leadTerm  uint64
 	ver       uint64
 	table     *wire.Table
-	best      wire.Key    // latest proxies' table merged while warming
-	slight    *wire.Table // the same without document and state, for those who have them
-	ids       []wire.ID   // the targets' identities, as last sorted
-	decisions uint64      // how many there were, and how many when a table was last thought about
+	best      wire.Key                        // latest proxies' table merged while warming
+	slight    *wire.Table                     // the same without document and state, for those who have them
+	changes   map[change]*wire.Table          // the same as changes to earlier ones of this lead
+	madeAt    [limit.TablesKept]time.Duration // when each of the last tables was made
+	gones     []goneRow                       // targets that are in no table any more, and since which one
+	gatesVer  uint64                          // the table that first said the proxies as now
+	firstVer  uint64                          // the earliest table of this lead that changes can still be told from
+	ids       []wire.ID                       // the targets' identities, as last sorted
+	decisions uint64                          // how many there were, and how many when a table was last thought about
 	decidedAt uint64
 	rebuilt   time.Duration
 	demandAt  time.Duration
@@ -536,10 +558,12 @@
 		c.tombs, c.left = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
 		c.outVer = map[wire.ID]uint64{}
 		c.table, c.slight, c.ids, c.best, c.wideUntil = nil, nil, nil, wire.Key{}, 0
+		c.changes, c.gones, c.gatesVer, c.firstVer = nil, nil, c.ver+1, c.ver+1
 		c.policies()
 		// Whatever an earlier leader granted may still run.
 		for _, g := range c.gates {
 			g.grantAt, g.told, g.key, g.revision, g.seq = now, false, wire.Key{}, 0, 0
+			g.sent, g.flying = wire.Key{}, 0
 		}
 		for _, n := range append(c.state.names(), c.state.Was...) {
 			if c.gates[n] == nil {
@@ -646,9 +670,16 @@
 	if m.Pull == nil {
 		return
 	}
-	if k := c.known[m.From]; k == nil || k.Inc != m.Pull.Self.Inc {
+	k, inc := c.known[m.From], m.Pull.Self.Inc
+	switch {
+	case m.Pull.Self.Name == "": // it goes on as it said before
+		if k == nil || k.Inc != m.Disk {
+			return // and tells all of itself when it hears nothing
+		}
+		k.At, inc = now, m.Disk
+	case k == nil || k.Inc != inc:
 		c.known.Meet(now, c.set.Self.Name, &wire.Hello{Self: m.Pull.Self})
-	} else {
+	default:
 		k.At, k.Daemon = now, m.Pull.Self
 	}
 	if t := m.Pull.Table; t != nil && c.lead == Adopting && t.Key.Epoch < c.node.Epoch() {
@@ -664,12 +695,13 @@
 		g = &gate{}
 		c.gates[m.From] = g
 	}
-	if inc := m.Pull.Self.Inc; inc != g.inc {
+	if inc != g.inc {
 		if slices.Contains(g.past, inc) {
 			return // a late word of a process that is gone
 		}
 		g.past = append(g.past, g.inc)
 		g.inc, g.key, g.stamp, g.revision, g.seq = inc, wire.Key{}, 0, 0, 0
+		g.sent, g.flying = wire.Key{}, 0
 	}
 	g.pullAt = now
 	g.stamp = max(g.stamp, m.Stamp)
@@ -677,6 +709,9 @@
 		g.movedAt = now
 	}
 	g.key = m.Pull.Key
+	if !g.key.Less(g.sent) || now-g.sentAt > flight(g.flying) {
+		g.sent, g.flying = wire.Key{}, 0
+	}
 	if t := m.Pull.Table; t != nil && c.lead >= Warming && !g.told {
 		g.told = true
 		c.merge(now, t)
@@ -706,34 +741,110 @@
 	}
 	// One that asks but does not take what it is sent hears nothing: it must not hold up
 	// what is to be in force, so it is granted nothing more.
-	grant := c.inRoster(m.From) && now-g.movedAt < limit.GateDeaf
-	if grant {
-		g.grantAt = now
+	c.push(m.From, g, c.inRoster(m.From) && now-g.movedAt < limit.GateDeaf && !c.lags(now, g.key))
+}
+
+// lags says that a proxy stands on a table of this lead that has not been the latest for too long.
+func (c *Core) lags(now time.Duration, k wire.Key) bool {
+	if !c.ours(k) || k.Ver >= c.ver {
+		return false
 	}
-	c.push(m.From, g, grant)
+	return c.ver-k.Ver >= limit.TablesKept || now-c.madeAt[(k.Ver+1)%limit.TablesKept] >= limit.GateDeaf
+}
+
+// ours says that a key is one of this lead's tables.
+func (c *Core) ours(k wire.Key) bool {
+	return c.table != nil && k.Epoch == c.table.Key.Epoch && k.Term == c.table.Key.Term && k.Ver != 0
+}
+
+// flight is how long tables of so many bytes may be under way.
+func flight(bytes int) time.Duration {
+	return limit.PullEvery + time.Duration(bytes)*time.Second/limit.SlowLink
+}
+
+// weight is about how many bytes a table takes on its way.
+func weight(t *wire.Table) int {
+	return len(t.Doc) + len(t.State) + limit.RowBytes*(len(t.Targets)+len(t.Gates)+len(t.Gone)+1)
 }
 
-// push sends a proxy what it lacks. A grant runs from the proxy's own stamp.
+// push sends a proxy what it lacks, unless enough is under way to it: it asks again when it
+// has that. A grant runs from the proxy's own stamp, and is for the table that it names or
+// that comes with it.
 func (c *Core) push(name string, g *gate, grant bool) {
 	p := &wire.Push{Grant: grant, Want: !g.told}
 	if c.lead == Deciding && c.table != nil {
 		p.Key = c.table.Key
 		if g.key != c.table.Key {
-			p.Table = c.table
-			if g.key.Epoch == c.table.Key.Epoch && g.seq == c.table.Seq && g.revision == c.table.Revision && g.seq != 0 {
-				if c.slight == nil {
-					t := *c.table
-					t.Doc, t.State = nil, nil
-					c.slight = &t
+			p.Table = c.lacking(g)
+			if n := weight(p.Table); g.flying == 0 || g.flying+n <= limit.FlightBytes {
+				g.sent, g.sentAt = p.Key, g.pullAt
+				g.flying += n
+			} else {
+				p.Table = nil
+				if c.ours(g.key) {
+					p.Key = g.key
 				}
-				p.Table = c.slight
 			}
 		}
+		if grant {
+			g.grantAt = max(g.grantAt, g.pullAt)
+		}
 	}
 	// The stamp is the proxy's own and means nothing to a later process of its name.
 	c.send(name, &wire.Msg{Kind: uint16(wire.KPush), Epoch: c.node.Epoch(), Term: c.node.Term(), Stamp: g.stamp, Disk: g.inc, Push: p})
 }
 
+// lacking is the table for a proxy: only what changed since the one that it holds, if that
+// is of this lead; else all, but for a document and state that it has.
+func (c *Core) lacking(g *gate) *wire.Table {
+	doc, state := g.revision != c.table.Revision, g.seq != c.table.Seq
+	if c.ours(g.key) && g.key.Ver >= c.firstVer && g.seq != 0 {
+		k := change{g.key.Ver, state, doc}
+		if c.changes[k] == nil {
+			if c.changes == nil {
+				c.changes = map[change]*wire.Table{}
+			}
+			c.changes[k] = c.since(k)
+		}
+		return c.changes[k]
+	}
+	if g.key.Epoch == c.table.Key.Epoch && !doc && !state && g.seq != 0 {
+		if c.slight == nil {
+			t := *c.table
+			t.Doc, t.State = nil, nil
+			c.slight = &t
+		}
+		return c.slight
+	}
+	return c.table
+}
+
+// since is the table as a change to an earlier one.
+func (c *Core) since(k change) *wire.Table {
+	t := *c.table
+	t.Base, t.Targets, t.Gone = wire.Key{Epoch: t.Key.Epoch, Term: t.Key.Term, Ver: k.base}, nil, nil
+	if !k.doc {
+		t.Doc = nil
+	}
+	if !k.state {
+		t.State = nil
+	}
+	if c.gatesVer <= k.base {
+		t.Gates = nil
+	}
+	for i := range c.table.Targets {
+		if w := &c.table.Targets[i]; c.targets[w.ID()] == nil || c.targets[w.ID()].row > k.base {
+			t.Targets = append(t.Targets, *w)
+		}
+	}
+	for _, o := range c.gones {
+		if o.ver > k.base {
+			t.Gone = append(t.Gone, o.id)
+		}
+	}
+	return &t
+}
+
 // merge takes what a proxy's table says of targets from before this lead: which
 // targets there are from the latest table heard, holds and bars from all.
 func (c *Core) merge(now time.Duration, b *wire.Table) {
@@ -917,11 +1028,12 @@
 
 // rivals are the known targets under w's name or at its address.
 func (c *Core) rivals(w wire.Target) (l []*target) {
-	for _, id := range slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare) {
-		if o := c.targets[id]; id != w.ID() && (id.Service == w.Service && id.Name == w.Name || o.Addr == w.Addr) {
+	for id, o := range c.targets {
+		if id != w.ID() && (id.Service == w.Service && id.Name == w.Name || o.Addr == w.Addr) {
 			l = append(l, o)
 		}
 	}
+	slices.SortFunc(l, func(a, b *target) int { return a.ID().Compare(b.ID()) })
 	return l
 }
 
@@ -1066,10 +1178,15 @@
 	if t.sentAt != 0 && now-t.sentAt > 2*limit.ProbeCap {
 		t.sentAt = 0 // the shell never answered
 	}
+	svc, named := c.cfg.Services[id.Service]
+	if !named { // nothing is sent there; once it is, probes are spread
+		t.probeAt = now - limit.ProbeEvery + time.Duration(t.Turn)*limit.TickEvery%limit.ProbeEvery
+		return
+	}
 	if t.sentAt == 0 && now-t.probeAt >= limit.ProbeEvery {
 		t.probeAt, t.sentAt = now, now
 		c.counts.Probes++
-		c.do(Probe{id, t.Addr, c.cfg.Services[id.Service].HealthPath})
+		c.do(Probe{id, t.Addr, svc.HealthPath})
 	}
 }
 
@@ -1120,30 +1237,64 @@
 	if c.lead != Deciding {
 		return
 	}
-	if !refresh && !c.news(now) {
-		c.counts.Same++
-		return
+	if !refresh {
+		switch c.news(now) {
+		case same:
+			c.counts.Same++
+			return
+		case patient:
+			if now-c.madeAt[c.ver%limit.TablesKept] < limit.TableEvery {
+				return // the next tick sees it again
+			}
+		}
 	}
 	t := &wire.Table{Was: c.state.Was, Seq: c.state.Seq, Revision: c.state.Revision, Doc: c.state.Doc, State: c.state.slim(c.node.Members()), Emptied: c.state.Emptied}
+	c.ver++
+	c.madeAt[c.ver%limit.TablesKept] = now
 	for _, r := range c.state.Roster {
 		t.Gates = append(t.Gates, wire.Gate{Name: r.Name, Addr: r.Addr, Domain: r.Domain, Live: c.live(now, r.Name)})
 	}
+	if c.table == nil || !slices.Equal(t.Gates, c.table.Gates) {
+		c.gatesVer = c.ver
+	}
+	t.Targets = make([]wire.Target, 0, len(c.targets))
 	for _, id := range c.sorted() {
-		w := c.tabled(now, c.targets[id])
-		c.targets[id].shown, c.targets[id].shownDemand = factsOf(&w), w.Demand
+		w, o := c.tabled(now, c.targets[id]), c.targets[id]
+		moved := func(was, left int64) bool { return left > 0 && max(was-left, left-was) > int64(limit.LeftStep) }
+		if f := factsOf(&w); f != o.shown || math.Abs(w.Demand-o.shownDemand) >= limit.DemandStep ||
+			moved(int64(o.shownBar-now), w.BarLeft) || moved(int64(o.shownCold-now), w.ColdLeft) {
+			o.shown, o.shownDemand, o.row = f, w.Demand, c.ver
+			o.shownBar, o.shownCold = now+time.Duration(w.BarLeft), now+time.Duration(w.ColdLeft)
+		}
 		t.Targets = append(t.Targets, w)
 	}
-	c.ver++
+	if c.table != nil {
+		for i := range c.table.Targets {
+			if id := c.table.Targets[i].ID(); c.targets[id] == nil {
+				c.gones = append(c.gones, goneRow{c.ver, id})
+			}
+		}
+	}
+	for len(c.gones) > limit.GonesKept {
+		c.firstVer = max(c.firstVer, c.gones[0].ver)
+		c.gones = c.gones[1:]
+	}
 	c.counts.Rewrites++
 	c.demandAt = now
 	if refresh {
 		c.rebuilt = now
 	}
 	t.Key = wire.Key{Epoch: c.node.Epoch(), Term: c.node.Term(), Ver: c.ver}
-	c.table, c.slight = t, nil
+	c.table, c.slight, c.changes = t, nil, nil
 	for _, n := range slices.Sorted(maps.Keys(c.gates)) {
 		if g := c.gates[n]; c.inRoster(n) && now-g.pullAt < limit.GateLive {
-			c.push(n, g, now-g.movedAt < limit.GateDeaf)
+			if now-g.sentAt > flight(g.flying) {
+				g.sent, g.flying = wire.Key{}, 0
+			}
+			if g.flying == 0 || g.flying < limit.FlightBytes {
+				c.push(n, g, now-g.movedAt < limit.GateDeaf && !c.lags(now, g.key))
+				g.sentAt = max(g.sentAt, now)
+			}
 		}
 	}
 }
@@ -1175,26 +1326,51 @@
 	return g != nil && g.pullAt != 0 && now-g.pullAt < limit.GateLive
 }
 
-// news says that a table made now would say something else than the present one.
-// All that is agreed shows in the log's index.
-func (c *Core) news(now time.Duration) bool {
-	if c.table == nil || c.table.Seq != c.state.Seq || c.table.Revision != c.state.Revision ||
-		len(c.table.Targets) != len(c.targets) || len(c.table.Gates) != len(c.state.Roster) {
-		return true
+// tidings are how pressing it is to say something else than the present table.
+type tidings int
+
+const (
+	same    tidings = iota
+	patient         // it may wait a moment, so that much is said at once
+	pressing
+)
+
+// news is what a table made now would say that the present one does not. All that is agreed
+// shows in the log's index. What takes something away from exchanges is pressing.
+func (c *Core) news(now time.Duration) tidings {
+	if c.table == nil || c.table.Seq != c.state.Seq || c.table.Revision != c.state.Revision || len(c.table.Gates) != len(c.state.Roster) {
+		return pressing
 	}
+	r, fresh := same, 0
 	for i := range c.table.Gates {
 		if g := &c.table.Gates[i]; g.Live != c.live(now, g.Name) {
-			return true
+			r = patient
 		}
 	}
 	due := now-c.demandAt >= limit.DemandEvery
 	for _, t := range c.targets {
 		w := c.tabled(now, t)
-		if factsOf(&w) != t.shown || due && math.Abs(w.Demand-t.shownDemand) >= limit.DemandStep {
-			return true
+		if f := factsOf(&w); f != t.shown {
+			if t.shown.worse(f) {
+				return pressing
+			}
+			if r = patient; !t.shown.known {
+				fresh++
+			}
+		} else if due && math.Abs(w.Demand-t.shownDemand) >= limit.DemandStep {
+			r = patient
 		}
 	}
-	return false
+	if len(c.table.Targets)+fresh != len(c.targets) {
+		return pressing // one is gone
+	}
+	return r
+}
+
+// worse says that exchanges that were right by the facts before may be wrong by later ones.
+func (f facts) worse(o facts) bool {
+	return f.known && (f.addr != o.addr || f.domain != o.domain || o.held && !f.held || o.pending && !f.pending || o.cold && !f.cold ||
+		o.bar != "" && f.bar != o.bar || f.beating && !o.beating || f.state != o.state && o.state != model.Ready)
 }
 
 // moved is rebuild after an event of one target: if nothing was decided, only its own
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -11,6 +11,7 @@
 package gate
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -226,6 +227,12 @@
 	settled   bool
 	want      bool
 	touches   map[string]time.Duration
+	asked     map[string]time.Duration // when partners were last asked
+	wantAt    time.Duration            // when a partner was last asked for its table
+	wordAt    time.Duration            // when a leader last said anything
+	said      wire.Daemon              // what it was last told of this one, and which leader that was
+	saidTo    string
+	memoryAt  map[string]time.Duration // when core daemons were last told what is remembered here, by name and process
 	cfg       *model.Config
 	revision  uint64
 	targets   map[wire.ID]*target
@@ -251,7 +258,7 @@
 	if set.Retry.Window < limit.CountSlices {
 		set.Retry = Retry{1 / float64(limit.RetryShare), limit.RetryWindow, limit.RetryFree}
 	}
-	return &Gate{set: set, ways: map[string]*way{}, salt: hash(set.Self.Name), known: core.Book{}, touches: map[string]time.Duration{}, cfg: &model.Config{},
+	return &Gate{set: set, ways: map[string]*way{}, salt: hash(set.Self.Name), known: core.Book{}, touches: map[string]time.Duration{}, asked: map[string]time.Duration{}, memoryAt: map[string]time.Duration{}, cfg: &model.Config{},
 		targets: map[wire.ID]*target{}, leaving: map[wire.ID]time.Duration{}, services: map[string]*service{}, exchanges: map[uint64]*exchange{}, aims: map[string]*tally{}, grantTill: -1}
 }
 
@@ -400,45 +407,17 @@
 func (g *Gate) leader(now time.Duration) string { return g.known.Leader(now) }
 
 func (g *Gate) tick(now time.Duration) {
-	if now-g.helloAt >= limit.HelloEvery {
-		g.helloAt = now
-		h := &wire.Msg{Kind: uint16(wire.KHello), From: g.set.Self.Name, Hello: &wire.Hello{Self: g.self(), Legacy: g.memory()}}
-		sent := map[string]bool{}
-		for _, n := range slices.Sorted(maps.Keys(g.known)) {
-			k := g.known[n]
-			if now-k.At > limit.DaemonGone {
-				delete(g.known, n)
-			} else if k.Kind == "core" {
-				sent[k.Addr] = true
-				g.do(core.Send{Addr: k.Addr, M: h})
-			}
-		}
-		for _, a := range g.set.Seeds {
-			if !sent[a] && a != g.set.Self.Addr {
-				g.do(core.Send{Addr: a, M: h})
-			}
-		}
+	if now-g.helloAt >= limit.HelloCalm || now-g.helloAt >= limit.HelloEvery && g.doubts(now) {
+		g.hello(now)
 	}
 	if now-g.pullAt >= limit.PullEvery {
 		g.pull(now)
 	}
-	if g.table != nil && g.doubts(now) && now-g.touchAt >= limit.PullEvery {
+	if g.table != nil && g.alone(now) && now-g.touchAt >= limit.PullEvery {
 		g.touchAt = now
-		m := wire.Pull{Self: g.self(), Key: g.table.Key}
-		if !g.Serving() {
-			m.Key = wire.Key{} // back from a freeze or a cut: what partners hold against targets is wanted too
-		}
-		for _, r := range g.table.Gates {
-			if r.Name == g.set.Self.Name {
-				continue
-			}
-			if g.known[r.Name] == nil {
-				g.known[r.Name] = &core.Known{Daemon: wire.Daemon{Name: r.Name, Kind: "gate", Addr: r.Addr, Domain: r.Domain}, At: now}
-			}
-			g.send(r.Name, &wire.Msg{Kind: uint16(wire.KPull), Stamp: int64(now), Disk: g.set.Self.Inc, Pull: &m})
-		}
+		g.touch(now)
 	}
-	if g.state != Cold && g.doubts(now) {
+	if g.state != Cold && g.alone(now) {
 		g.watch(now)
 	}
 	if g.coldEnd > 0 && now >= g.coldEnd {
@@ -450,6 +429,80 @@
 	}
 }
 
+// hello tells the core daemons of this proxy. What it remembers is long: it is told to those
+// that were heard lately, once to each process and then now and again.
+func (g *Gate) hello(now time.Duration) {
+	g.helloAt = now
+	self, memory := g.self(), []byte(nil)
+	sent := map[string]bool{}
+	for _, n := range slices.Sorted(maps.Keys(g.known)) {
+		k := g.known[n]
+		if now-k.At > limit.DaemonGone {
+			delete(g.known, n)
+		} else if k.Kind == "core" {
+			sent[k.Addr] = true
+			h := &wire.Hello{Self: self}
+			who := fmt.Sprint(n, " ", k.Inc)
+			if at, ok := g.memoryAt[who]; g.state != Granted && now-k.At < 4*limit.HelloEvery && (!ok || now-at >= limit.MemoryEvery) {
+				if memory == nil {
+					memory = g.memory()
+				}
+				if h.Legacy = memory; len(memory) > 0 {
+					g.memoryAt[who] = now
+				}
+			}
+			g.do(core.Send{Addr: k.Addr, M: &wire.Msg{Kind: uint16(wire.KHello), From: g.set.Self.Name, Hello: h}})
+		}
+	}
+	if g.state == Granted {
+		clear(g.memoryAt)
+	}
+	for _, a := range g.set.Seeds {
+		if !sent[a] && a != g.set.Self.Addr {
+			g.do(core.Send{Addr: a, M: &wire.Msg{Kind: uint16(wire.KHello), From: g.set.Self.Name, Hello: &wire.Hello{Self: self}}})
+		}
+	}
+}
+
+// touch asks partners whether they still stand on no later table: a part of the roster at
+// each turn, those first who were asked longest ago, so that all are within a touch grant
+// and no proxy's work grows with more than the roster.
+func (g *Gate) touch(now time.Duration) {
+	for n := range g.asked {
+		if !slices.ContainsFunc(g.table.Gates, func(r wire.Gate) bool { return r.Name == n }) {
+			delete(g.asked, n)
+		}
+	}
+	var who []*wire.Gate
+	for i := range g.table.Gates {
+		if r := &g.table.Gates[i]; r.Name != g.set.Self.Name {
+			who = append(who, r)
+		}
+	}
+	if len(who) > 0 { // each begins elsewhere, so that not all ask the same ones at once
+		k := int(g.salt % uint64(len(who)))
+		who = append(who[k:], who[:k]...)
+	}
+	slices.SortStableFunc(who, func(a, b *wire.Gate) int { return cmp.Compare(g.asked[a.Name], g.asked[b.Name]) })
+	n := max(limit.TouchMost, (len(who)+limit.TouchTurns-1)/limit.TouchTurns)
+	self := g.self()
+	for i, r := range who[:min(n, len(who))] {
+		if k := g.known[r.Name]; k == nil {
+			g.known[r.Name] = &core.Known{Daemon: wire.Daemon{Name: r.Name, Kind: "gate", Addr: r.Addr, Domain: r.Domain}, At: now}
+		}
+		g.asked[r.Name] = now
+		// Back from a freeze or a cut, what partners hold against targets is wanted too.
+		m := wire.Pull{Self: self, Key: g.table.Key, Want: !g.Serving() && (len(who) <= limit.TouchMost || i < limit.TouchWant)}
+		g.send(r.Name, &wire.Msg{Kind: uint16(wire.KPull), Stamp: int64(now), Disk: g.set.Self.Inc, Pull: &m})
+	}
+}
+
+// alone says that the leader is out of reach, for one that has ever been part of the fleet;
+// another waits for the leader while that speaks to it.
+func (g *Gate) alone(now time.Duration) bool {
+	return g.doubts(now) && (g.settled || g.wordAt == 0 || now-g.wordAt > limit.GateLive)
+}
+
 // memory is what this proxy tells a core that has lost its own.
 func (g *Gate) memory() []byte {
 	if g.table == nil || g.state == Granted {
@@ -475,7 +528,11 @@
 	if l == "" {
 		return
 	}
-	p := &wire.Pull{Self: g.self()}
+	// The leader that grants knows this proxy; another is told all of it.
+	p := &wire.Pull{}
+	if d := g.self(); d != g.said || l != g.saidTo || g.state != Granted || g.doubts(now) {
+		p.Self, g.said, g.saidTo = d, d, l
+	}
 	if g.table != nil {
 		p.Key, p.Revision, p.Seq = g.table.Key, g.table.Revision, g.table.Seq
 		if g.want {
@@ -522,12 +579,16 @@
 		if p.Grant && mine && g.table != nil && !g.table.Key.Less(p.Key) {
 			g.touches[m.From] = max(g.touches[m.From], time.Duration(m.Stamp))
 		}
+		if p.Grant && g.table != nil && g.table.Key.Less(p.Key) && now-g.wantAt >= 2*limit.PullEvery {
+			g.wantAt = now // one at a time sends all of its table
+			g.send(m.From, &wire.Msg{Kind: uint16(wire.KPull), Stamp: int64(now), Disk: g.set.Self.Inc, Pull: &wire.Pull{Self: g.self()}})
+		}
 		return
 	}
 	if m.Epoch < g.epoch || m.Epoch == g.epoch && m.Term < g.term {
 		return
 	}
-	g.epoch, g.term = m.Epoch, m.Term
+	g.epoch, g.term, g.wordAt = m.Epoch, m.Term, now
 	if p.Want && g.table != nil && !g.want {
 		g.want = true
 		g.pull(now)
@@ -539,7 +600,8 @@
 			g.pull(now) // confirms at once
 		}
 	}
-	if p.Grant && mine && g.table != nil && g.table.Key == p.Key {
+	// The grant is for the table that it names, and so for any later one of that leader too.
+	if p.Grant && mine && g.table != nil && g.table.Key.Epoch == p.Key.Epoch && g.table.Key.Term == p.Key.Term && g.table.Key.Ver >= p.Key.Ver {
 		g.settled = true
 		g.grantTill = max(g.grantTill, time.Duration(m.Stamp)+limit.GateGrant)
 	}
@@ -556,26 +618,45 @@
 	p := &wire.Push{Grant: g.settled && g.table != nil}
 	if g.table != nil {
 		p.Key = g.table.Key
-		if p.Grant && m.Pull.Key.Less(p.Key) {
+		switch {
+		case !p.Grant:
+		case m.Pull.Key == wire.Key{}:
 			p.Table = g.export(now)
+		case m.Pull.Want && m.Pull.Key == p.Key:
+			p.Table = g.holds(now)
 		}
 	}
 	g.send(m.From, &wire.Msg{Kind: uint16(wire.KPush), Stamp: m.Stamp, Disk: m.Disk, Push: p})
 }
 
+// holds is what stands here against targets beside the table, as a change to it.
+func (g *Gate) holds(now time.Duration) *wire.Table {
+	all, t := g.export(now), &wire.Table{Key: g.table.Key, Base: g.table.Key, Seq: g.table.Seq, Revision: g.table.Revision}
+	listed := map[wire.ID]bool{}
+	for i := range g.table.Targets {
+		id := g.table.Targets[i].ID()
+		listed[id] = true
+		if g.targets[id] == nil {
+			t.Gone = append(t.Gone, id)
+		}
+	}
+	for _, w := range all.Targets {
+		if w.Held || w.BarLeft > 0 || w.ColdLeft > 0 || !listed[w.ID()] {
+			t.Targets = append(t.Targets, w)
+		}
+	}
+	return t
+}
+
 // heed takes over what a partner holds against the targets of the same table, and
 // the later starts that it has put in the place of some; a probe of this proxy's own
 // soon says more.
 func (g *Gate) heed(now time.Duration, b *wire.Table) {
-	listed := map[wire.ID]bool{}
-	for _, w := range b.Targets {
-		listed[w.ID()] = true
-	}
 	for _, w := range b.Targets {
 		t := g.targets[w.ID()]
 		if t == nil {
 			for id := range g.targets {
-				if id.Service == w.Service && id.Name == w.Name && !listed[id] && g.leaving[w.ID()] == 0 {
+				if id.Service == w.Service && id.Name == w.Name && slices.Contains(b.Gone, id) && g.leaving[w.ID()] == 0 {
 					t = &target{Target: w}
 					g.succeed(now, id, t)
 					break
@@ -612,6 +693,49 @@
 	g.do(Targets{live})
 }
 
+// whole is a table with all that it leaves out because this proxy has it, nil if it has not.
+func (g *Gate) whole(t *wire.Table) *wire.Table {
+	old, w := g.table, *t
+	if len(t.Doc) == 0 {
+		if old == nil || old.Key.Epoch != t.Key.Epoch || old.Revision != t.Revision {
+			return nil
+		}
+		w.Doc = old.Doc
+	}
+	if len(t.State) == 0 {
+		if old == nil || old.Key.Epoch != t.Key.Epoch || old.Seq != t.Seq {
+			return nil
+		}
+		w.State = old.State
+	}
+	if t.Base == (wire.Key{}) {
+		return &w
+	}
+	if old == nil || old.Key.Epoch != t.Base.Epoch || old.Key.Term != t.Base.Term || old.Key.Ver < t.Base.Ver || t.Base.Term != t.Key.Term {
+		return nil
+	}
+	w.Base, w.Gone = wire.Key{}, nil
+	if len(t.Gates) == 0 {
+		w.Gates = old.Gates
+	}
+	out := map[wire.ID]bool{}
+	for _, id := range t.Gone {
+		out[id] = true
+	}
+	for i := range t.Targets {
+		out[t.Targets[i].ID()] = true
+	}
+	w.Targets = make([]wire.Target, 0, len(old.Targets)+len(t.Targets))
+	for i := range old.Targets {
+		if !out[old.Targets[i].ID()] {
+			w.Targets = append(w.Targets, old.Targets[i])
+		}
+	}
+	w.Targets = append(w.Targets, t.Targets...)
+	slices.SortFunc(w.Targets, func(a, b wire.Target) int { return a.ID().Compare(b.ID()) })
+	return &w
+}
+
 // take puts a later table in force; an earlier one never replaces a later.
 func (g *Gate) take(now time.Duration, t *wire.Table) bool {
 	if g.table != nil && !g.table.Key.Less(t.Key) {
@@ -620,13 +744,15 @@
 		}
 		return false
 	}
-	if len(t.Doc) == 0 { // it goes with the document and state that this proxy said it has
-		if g.table == nil || g.table.Key.Epoch != t.Key.Epoch || g.table.Revision != t.Revision || g.table.Seq != t.Seq {
-			return false // said by an earlier process of this name, or long ago: the next pull asks for all
+	var changed map[wire.ID]bool
+	if t.Base != (wire.Key{}) {
+		changed = map[wire.ID]bool{}
+		for i := range t.Targets {
+			changed[t.Targets[i].ID()] = true
 		}
-		w := *t
-		w.Doc, w.State = g.table.Doc, g.table.State
-		t = &w
+	}
+	if t = g.whole(t); t == nil {
+		return false // said to an earlier process of this name, or long ago: the next pull asks for all
 	}
 	if g.table == nil || g.table.Key.Epoch != t.Key.Epoch || t.Revision != g.revision || len(g.cfg.Services) == 0 {
 		cfg, faults, err := judge.CheckConfig(t.Doc)
@@ -646,6 +772,10 @@
 	for _, w := range t.Targets {
 		id := w.ID()
 		n := g.targets[id]
+		if n != nil && changed != nil && !changed[id] {
+			next[id] = n // nothing new is said of it
+			continue
+		}
 		if n == nil {
 			n = &target{}
 		}
@@ -759,15 +889,26 @@
 // watch is the watchdog of a proxy without a leader. A cut one keeps it up, so that
 // it does not come back with an old opinion.
 func (g *Gate) watch(now time.Duration) {
+	few := len(g.targets) <= limit.WatchMost
 	for _, id := range slices.SortedFunc(maps.Keys(g.targets), wire.ID.Compare) {
 		t := g.targets[id]
-		g.probe(now, t)
+		if few || g.watches(id) {
+			g.probe(now, t)
+		}
 		if t.heir != nil {
 			g.probe(now, t.heir)
 		}
 	}
 }
 
+// watches deals many targets among the roster, so that neither a proxy nor a target has
+// more to do with probes the more there are of the other. Who watches one by a probe is
+// drawn; the others see for themselves what pipes to it tell.
+func (g *Gate) watches(id wire.ID) bool {
+	parts := uint64(max(1, len(g.targets)*limit.Watchers/limit.WatchMost))
+	return hash(id.Service+" "+id.Name+" "+g.set.Self.Name)%parts < limit.Watchers
+}
+
 func (g *Gate) probe(now time.Duration, t *target) {
 	if t.sentAt != 0 && now-t.sentAt > 2*limit.ProbeCap {
 		t.sentAt = 0
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -51,6 +51,10 @@
 	VowLife = time.Minute
 	// HelloEvery is how often daemons tell each other who is there.
 	HelloEvery = 300 * time.Millisecond
+	// HelloCalm is the same for a proxy while the leader grants it, which makes its pulls tell who is there.
+	HelloCalm = 1500 * time.Millisecond
+	// MemoryEvery is how often a proxy without a leader tells a core process again what it remembers.
+	MemoryEvery = 2 * time.Second
 	// ListEvery is how often a daemon is told the same list of those known again: twice before
 	// one that is known from lists only is dropped, after half of DaemonGone.
 	ListEvery = 3 * time.Second
@@ -66,6 +70,12 @@
 	GateGrant = 900 * time.Millisecond
 	// TouchGrant is the same between orphaned proxies.
 	TouchGrant = 600 * time.Millisecond
+	// TouchMost is how many partners an orphan asks at a turn, or a TouchTurns-th of a roster for which
+	// that is more: all are asked again before a touch lapses, 3 x 150 ms and a hop under 600 ms.
+	TouchMost  = 16
+	TouchTurns = 3
+	// TouchWant is how many of them, in a larger roster, are asked at once what they hold against targets.
+	TouchWant = 4
 	// GrantMargin is what the leader adds before it takes a grant as lapsed, for clock speed.
 	// Worst wait for a change to be in force: GateGrant + GrantMargin = 1.1 s, under the 2 s rule.
 	GrantMargin = 200 * time.Millisecond
@@ -79,6 +89,20 @@
 	GateLive = 2 * time.Second
 	// FirstRoster is how long a leader with an empty roster gathers proxies before it admits them as one.
 	FirstRoster = 500 * time.Millisecond
+	// TableEvery is how often tables are made of news that may wait: many targets that come or turn
+	// ready at once make one table.
+	TableEvery = 80 * time.Millisecond
+	// TablesKept is of how many past tables a leader knows when it made them: more than GateDeaf has.
+	TablesKept = 64
+	// GonesKept is how many targets that went a leader remembers so as to tell changes by.
+	GonesKept = 1024
+	// LeftStep is how far the end of a bar or of coldness must move to be told again.
+	LeftStep = 250 * time.Millisecond
+	// FlightBytes is how much may be under way to a proxy unconfirmed, in bytes: a slow link's tenth of a
+	// second. SlowLink is what such a link carries beside traffic, in bytes a second, RowBytes a table's row.
+	FlightBytes = 12 << 10
+	SlowLink    = 128 << 10
+	RowBytes    = 120
 	// DemandEvery is how often tables are sent anew only because demand changed.
 	DemandEvery = time.Second
 	// DemandStep is how far a target's demand must move for that.
@@ -109,6 +133,10 @@
 	// DoubtEvery is a doubting proxy's own probe interval: the leader, if it is lost, may have been
 	// one miss short of a bar. At the worst 0.45 + 0.45 + 0.4 s went by there and 0.33 + 0.4 + 0.4 go by here.
 	DoubtEvery = 200 * time.Millisecond
+	// WatchMost is how many targets a doubting proxy probes, about: 40 each 200 ms. Of more each is
+	// watched by a part of the proxies, of WatchMost targets by all.
+	WatchMost = 40
+	Watchers  = 8
 	// ProbeMisses in a row make a bar; the source's two.
 	ProbeMisses = 2
 	// BarTTL is the source's 30 s, after which a bar lapses by itself.
--- a/wire/convert.go
+++ b/wire/convert.go
@@ -38,6 +38,7 @@
 	keySize    = fixed(NewKeyC)
 	gateSize   = fixed(NewGateC)
 	tableSize  = fixed(NewTableC)
+	idSize     = fixed(NewIdC)
 	pullSize   = fixed(NewPullC)
 	pushSize   = fixed(NewPushC)
 	askSize    = fixed(NewAskC)
@@ -142,7 +143,10 @@
 		return 0
 	}
 	n := tableSize + keySize + dataSize(t.Doc) + dataSize(t.State) + listSize(len(t.Gates), gateSize) +
-		textsSize(t.Emptied) + listSize(len(t.Targets), 0) + textsSize(t.Was)
+		textsSize(t.Emptied) + listSize(len(t.Targets), 0) + textsSize(t.Was) + keySize + listSize(len(t.Gone), idSize)
+	for i := range t.Gone {
+		n += textSize(t.Gone[i].Service) + textSize(t.Gone[i].Name)
+	}
 	for i := range t.Gates {
 		n += textSize(t.Gates[i].Name) + textSize(t.Gates[i].Addr) + textSize(t.Gates[i].Domain)
 	}
@@ -469,6 +473,19 @@
 			e.texts(l, t.Was)
 		}
 	}
+	if c, err := c.NewBase(); e.ok(err) {
+		e.key(c, t.Base)
+	}
+	if len(t.Gone) > 0 {
+		if l, err := c.NewGone(int32(len(t.Gone))); e.ok(err) {
+			for i := range t.Gone {
+				c, id := l.At(i), &t.Gone[i]
+				e.ok(c.SetService(id.Service))
+				e.ok(c.SetName(id.Name))
+				c.SetInc(id.Inc)
+			}
+		}
+	}
 }
 
 func (e *encoder) pull(c PullC, p *Pull) {
@@ -502,6 +519,7 @@
 	}
 	c.SetRevision(p.Revision)
 	c.SetSeq(p.Seq)
+	c.SetWant(p.Want)
 }
 
 func (e *encoder) push(c PushC, p *Push) {
@@ -674,7 +692,7 @@
 	}
 	return &Pull{
 		Self: d.daemon(c.Self()), Key: d.key(c.Key()), Seen: d.seen(c.Seen()), Table: d.table(c.Table()),
-		Revision: c.Revision(), Seq: c.Seq(),
+		Revision: c.Revision(), Seq: c.Seq(), Want: c.Want(),
 	}
 }
 
@@ -724,6 +742,7 @@
 	return &Table{
 		Key: d.key(c.Key()), Seq: c.Seq(), Revision: c.Revision(), Doc: d.data(c.Doc()), State: d.data(c.State()),
 		Gates: d.gates(c.Gates()), Emptied: d.texts(c.Emptied()), Targets: d.targets(c.Targets()), Was: d.texts(c.Was()),
+		Base: d.key(c.Base()), Gone: d.ids(c.Gone()),
 	}
 }
 
@@ -805,6 +824,19 @@
 	return all
 }
 
+func (d *decoder) ids(l IdC_List, err error) []ID {
+	n := d.count(l.Len(), err)
+	if n == 0 {
+		return nil
+	}
+	all := make([]ID, n)
+	for i := range all {
+		c := l.At(i)
+		all[i] = ID{d.again(c.ServiceBytes()), d.text(c.NameBytes()), c.Inc()}
+	}
+	return all
+}
+
 func (d *decoder) gates(l GateC_List, err error) []Gate {
 	n := d.count(l.Len(), err)
 	if n == 0 {
--- a/wire/msg.capnp
+++ b/wire/msg.capnp
@@ -135,6 +135,13 @@
   emptied @6 :List(Text);
   targets @7 :List(TargetC);
   was @8 :List(Text);
+  base @9 :KeyC;
+  gone @10 :List(IdC);
+}
+struct IdC {
+  service @0 :Text;
+  name @1 :Text;
+  inc @2 :UInt64;
 }
 struct PullC {
   self @0 :DaemonC;
@@ -143,6 +150,7 @@
   table @3 :TableC;
   revision @4 :UInt64;
   seq @5 :UInt64;
+  want @6 :Bool;
 }
 struct PushC {
   grant @0 :Bool;
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -197,16 +197,22 @@
 	Emptied  []string
 	Targets  []Target
 	Was      []string // proxies of the roster before, while this one is not in force everywhere
+	// Base makes it a change to any table of its term from that one on: Targets are those that are
+	// new or said otherwise since then, Gone those that went, and no Gates means the same ones.
+	Base Key
+	Gone []ID
 }
 
 type Pull struct {
-	Self  Daemon
+	Self  Daemon // without a name: as it was last said; Msg.Disk tells the process
 	Key   Key
 	Seen  []Seen
 	Table *Table
 	// Revision and Seq are those of the document and state held here: a table that has the same comes without.
 	Revision uint64
 	Seq      uint64
+	// Want asks a partner for what it holds against targets, or for its table if that is later.
+	Want bool
 }
 
 type Push struct {
