--- a/core/core.go
+++ b/core/core.go
@@ -1261,7 +1261,7 @@
 	for _, id := range c.sorted() {
 		w, o := c.tabled(now, c.targets[id]), c.targets[id]
 		moved := func(was, left int64) bool { return left > 0 && max(was-left, left-was) > int64(limit.LeftStep) }
-		if f := factsOf(&w); f != o.shown || math.Abs(w.Demand-o.shownDemand) >= limit.DemandStep ||
+		if f := factsOf(&w); f != o.shown || math.Abs(w.Demand-o.shownDemand) >= limit.DemandStep/4 ||
 			moved(int64(o.shownBar-now), w.BarLeft) || moved(int64(o.shownCold-now), w.ColdLeft) {
 			o.shown, o.shownDemand, o.row = f, w.Demand, c.ver
 			o.shownBar, o.shownCold = now+time.Duration(w.BarLeft), now+time.Duration(w.ColdLeft)
@@ -1369,7 +1369,7 @@
 
 // worse says that exchanges that were right by the facts before may be wrong by later ones.
 func (f facts) worse(o facts) bool {
-	return f.known && (f.addr != o.addr || f.domain != o.domain || o.held && !f.held || o.pending && !f.pending || o.cold && !f.cold ||
+	return f.known && (f.addr != o.addr || f.domain != o.domain || o.held && !f.held || o.pending && !f.pending || o.cold != f.cold ||
 		o.bar != "" && f.bar != o.bar || f.beating && !o.beating || f.state != o.state && o.state != model.Ready)
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -652,11 +652,20 @@
 // the later starts that it has put in the place of some; a probe of this proxy's own
 // soon says more.
 func (g *Gate) heed(now time.Duration, b *wire.Table) {
+	out := map[wire.ID]bool{}
+	if b.Base == (wire.Key{}) {
+		for id := range g.targets {
+			out[id] = !slices.ContainsFunc(b.Targets, func(w wire.Target) bool { return w.ID() == id })
+		}
+	}
+	for _, id := range b.Gone {
+		out[id] = true
+	}
 	for _, w := range b.Targets {
 		t := g.targets[w.ID()]
 		if t == nil {
 			for id := range g.targets {
-				if id.Service == w.Service && id.Name == w.Name && slices.Contains(b.Gone, id) && g.leaving[w.ID()] == 0 {
+				if id.Service == w.Service && id.Name == w.Name && out[id] && g.leaving[w.ID()] == 0 {
 					t = &target{Target: w}
 					g.succeed(now, id, t)
 					break
@@ -697,16 +706,12 @@
 func (g *Gate) whole(t *wire.Table) *wire.Table {
 	old, w := g.table, *t
 	if len(t.Doc) == 0 {
-		if old == nil || old.Key.Epoch != t.Key.Epoch || old.Revision != t.Revision {
+		if old == nil || old.Key.Epoch != t.Key.Epoch || old.Revision != t.Revision || len(t.State) == 0 && old.Seq != t.Seq {
 			return nil
 		}
-		w.Doc = old.Doc
-	}
-	if len(t.State) == 0 {
-		if old == nil || old.Key.Epoch != t.Key.Epoch || old.Seq != t.Seq {
-			return nil
+		if w.Doc = old.Doc; len(t.State) == 0 {
+			w.State = old.State
 		}
-		w.State = old.State
 	}
 	if t.Base == (wire.Key{}) {
 		return &w
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -356,7 +356,7 @@
 	asked := false
 	for _, c := range b.step(core.Tick{}) {
 		if s, ok := c.(core.Send); ok && s.M.Pull != nil && s.M.To == "g2" {
-			asked = s.M.Pull.Key == wire.Key{}
+			asked = s.M.Pull.Want && s.M.Pull.Key == b.g.Table().Key
 		}
 	}
 	if !asked || b.g.Serving() {
--- a/host/host.go
+++ b/host/host.go
@@ -5,7 +5,6 @@
 package host
 
 import (
-	"bufio"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -216,7 +215,7 @@
 	say   Dialect
 	raw   []byte
 	start time.Time
-	out   map[string]chan *wire.Msg
+	out   map[string]chan queued
 	Quit  chan int
 	// Headers are the names that targets are asked with; none: the product's own.
 	Headers  carry.Headers
@@ -263,7 +262,7 @@
 	lv, _ := logrus.ParseLevel(set.Log)
 	log.SetLevel(lv)
 	h := &Host{Kind: kind, Set: set, Log: log, Reg: prometheus.NewRegistry(), Inc: rand.Uint64() | 1, load: load, say: say, Headers: say.Headers, raw: raw,
-		start: time.Now(), out: map[string]chan *wire.Msg{}, Quit: make(chan int, 1)}
+		start: time.Now(), out: map[string]chan queued{}, Quit: make(chan int, 1)}
 	h.bound(set)
 	h.Reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	h.Loop = &Loop{in: make(chan item, limit.EventQueue), h: h, waits: map[uint64]chan any{}}
@@ -391,9 +390,9 @@
 			}
 			go func() {
 				defer c.Close()
-				r := bufio.NewReaderSize(c, 64<<10)
+				r, from := wire.NewReader(c), ""
 				for {
-					b, err := wire.Read(r)
+					b, err := r.Next()
 					if err != nil {
 						return
 					}
@@ -402,6 +401,10 @@
 						h.Log.WithError(err).WithField("from", c.RemoteAddr().String()).Warn("message not understood")
 						return
 					}
+					if m.From == "" {
+						m.From = from // who speaks is said once
+					}
+					from = m.From
 					h.Loop.Tell(core.Recv{M: m})
 				}
 			}()
@@ -410,30 +413,35 @@
 	return nil
 }
 
+// queued is a message on its way and since when.
+type queued struct {
+	m  *wire.Msg
+	at time.Duration
+}
+
 // Send queues a message for an address; called on the owner's goroutine. What
 // can't be sent soon is dropped: every message is said again or made up for.
 func (h *Host) Send(addr string, m *wire.Msg) {
 	ch := h.out[addr]
 	if ch == nil {
-		ch = make(chan *wire.Msg, 256)
+		ch = make(chan queued, limit.SendQueue)
 		h.out[addr] = ch
 		go h.sender(addr, ch)
 	}
 	select {
-	case ch <- m:
+	case ch <- queued{m, h.Now()}:
 	default:
 	}
 }
 
-func (h *Host) sender(addr string, ch chan *wire.Msg) {
+func (h *Host) sender(addr string, ch chan queued) {
 	var c net.Conn
-	var w *bufio.Writer
-	for m := range ch {
-		b, err := wire.Encode(m)
-		if err != nil {
-			h.Log.WithError(err).Error("message not encoded")
+	var w *wire.Writer
+	for q := range ch {
+		if h.Now()-q.at > limit.SendLate { // it would only keep later ones waiting
 			continue
 		}
+		var err error
 		if c == nil {
 			d := carry.Dialer(h.From(), limit.ProbeCap)
 			if c, err = d.Dial("tcp", addr); err != nil {
@@ -444,18 +452,18 @@
 				}
 				continue
 			}
-			w = bufio.NewWriterSize(c, 64<<10)
+			w = wire.NewWriter(c)
 			go func(c net.Conn) { // the other side never speaks: its close is all that is read
 				io.Copy(io.Discard, c)
 				c.Close()
 			}(c)
 		}
 		c.SetWriteDeadline(time.Now().Add(limit.GateGrant))
-		err = wire.Write(w, b)
-		if err == nil && len(ch) == 0 {
+		if err = w.Put(q.m); err == nil && len(ch) == 0 {
 			err = w.Flush()
 		}
 		if err != nil {
+			h.Log.WithError(err).WithField("to", addr).Debug("message not sent")
 			c.Close()
 			c = nil
 		}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -329,6 +329,13 @@
 const (
 	// TickEvery is the owners' heartbeat.
 	TickEvery = 20 * time.Millisecond
+	// SendQueue is how many messages may wait for one connection, and SendLate how long: a grant that
+	// comes later is of no use, and old words would keep new ones waiting.
+	SendQueue = 64
+	SendLate  = 500 * time.Millisecond
+	// WireBuffer is what a connection between daemons has for reading and for writing, in bytes: some
+	// small messages, since a member has such connections to all proxies.
+	WireBuffer = 4 << 10
 	// EventQueue is how many events may wait for an owner.
 	EventQueue = 4096
 	// RingFiles and RingFileSize bound a member's disk: 3 files of 8 MiB.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -4,16 +4,7 @@
 // handle only the Go structs; encoding happens at the edge of a process.
 package wire
 
-import (
-	"bufio"
-	"cmp"
-	"encoding/binary"
-	"io"
-
-	"github.com/cockroachdb/errors"
-
-	"myrtlefold/limit"
-)
+import "cmp"
 
 type Kind uint16
 
@@ -253,29 +244,3 @@
 	Founders []Member
 	Founding uint64
 }
-
-// Write puts one framed message on w.
-func Write(w io.Writer, b []byte) error {
-	var h [4]byte
-	binary.LittleEndian.PutUint32(h[:], uint32(len(b)))
-	if _, err := w.Write(h[:]); err != nil {
-		return err
-	}
-	_, err := w.Write(b)
-	return err
-}
-
-// Read takes one framed message; a frame over the limit is an error.
-func Read(r *bufio.Reader) ([]byte, error) {
-	var h [4]byte
-	if _, err := io.ReadFull(r, h[:]); err != nil {
-		return nil, err
-	}
-	n := binary.LittleEndian.Uint32(h[:])
-	if n > limit.WireMax {
-		return nil, errors.Newf("frame of %d bytes is over %d", n, limit.WireMax)
-	}
-	b := make([]byte, n)
-	_, err := io.ReadFull(r, b)
-	return b, err
-}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -21,27 +20,88 @@
 			State: []byte{1}, Gates: []Gate{{"g", "x", "d", true}}, Emptied: []string{"d1", "d2"},
 			Targets: []Target{{Service: "s", Name: "n", Inc: 9, Demand: 0.5, Held: true, BarLeft: 5}}}},
 		Append: &Append{Entries: []Entry{{1, 2, 3, []byte("x")}}, Snap: &Snap{Members: []Member{{"a", 1}}, Data: []byte("q")}}}
-	b, err := Encode(m)
-	if err != nil {
-		t.Fatal(err)
-	}
 	var buf bytes.Buffer
-	if err := Write(&buf, b); err != nil {
-		t.Fatal(err)
-	}
-	b, err = Read(bufio.NewReader(&buf))
-	if err != nil {
-		t.Fatal(err)
-	}
-	got, err := Decode(b)
-	if err != nil {
-		t.Fatal(err)
+	w, r := NewWriter(&buf), NewReader(&buf)
+	for i, from := range []string{"a", "", "c"} { // whom it is for goes unsaid, who says it is said when that is new
+		must(t, w.Put(m))
+		must(t, w.Flush())
+		b, err := r.Next()
+		must(t, err)
+		got, err := Decode(b)
+		must(t, err)
+		want := *m
+		want.From, want.To = from, ""
+		if !reflect.DeepEqual(&want, got) {
+			t.Fatalf("sent %+v\ngot  %+v", m.Push.Table, got.Push.Table)
+		}
+		if i == 1 {
+			m.From = "c"
+		}
 	}
-	if !reflect.DeepEqual(m, got) {
-		t.Fatalf("sent %+v\ngot  %+v", m.Push.Table, got.Push.Table)
+}
+
+// Whatever whole words are packed come back, and nothing that was packed comes to more than it says.
+func TestPacked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b []byte
+		for range rapid.IntRange(0, 6).Draw(t, "runs") {
+			n := word * rapid.SampledFrom([]int{1, 2, 3, 255, 256, 257}).Draw(t, "words")
+			some := rapid.SliceOfN(rapid.SampledFrom([]byte{0, 0, 1, 200}), word, word).Draw(t, "word")
+			for i := range n {
+				b = append(b, some[i%word])
+			}
+		}
+		p := Pack(nil, b)
+		if got, err := Unpack(nil, p, len(b)); err != nil || !bytes.Equal(got, b) {
+			t.Fatalf("%v: %x -> %x", err, b, got)
+		}
+		if len(b) > 0 {
+			if _, err := Unpack(nil, p, len(b)-word); err == nil {
+				t.Fatal("more than was foretold was taken")
+			}
+			if _, err := Unpack(nil, p[:len(p)-1], len(b)); err == nil {
+				t.Fatal("a cut one was taken")
+			}
+		}
+	})
+}
+
+// What each proxy and its leader say at rest stays small.
+func TestAtRestLittleIsSaid(t *testing.T) {
+	k := Key{3, 41, 51234}
+	for name, m := range map[string]*Msg{
+		"pull": {Kind: uint16(KPull), From: "proxy-in-a-domain-17", Epoch: 3, Disk: 0x1234567890abcdef, Stamp: 123456789012, Pull: &Pull{Key: k, Revision: 12, Seq: 301}},
+		"push": {Kind: uint16(KPush), From: "core-in-a-domain-2", Epoch: 3, Term: 41, Disk: 0x1234567890abcdef, Stamp: 123456789012, Push: &Push{Grant: true, Key: k}},
+	} {
+		var buf bytes.Buffer
+		w := NewWriter(&buf)
+		for range 2 {
+			buf.Reset()
+			must(t, w.Put(m))
+			must(t, w.Flush())
+		}
+		if n := buf.Len(); n > 90 {
+			t.Errorf("a %s takes %d bytes", name, n)
+		}
 	}
 }
 
+func FuzzUnpack(f *testing.F) {
+	f.Add([]byte{0, 255, 0, 255}, uint8(9))
+	f.Add([]byte{255, 1, 2, 3, 4, 5, 6, 7, 8, 1, 1, 2, 3, 4, 5, 6, 7, 8}, uint8(2))
+	f.Fuzz(func(t *testing.T, b []byte, words uint8) {
+		got, err := Unpack(nil, b, int(words)*word)
+		if len(got) > int(words)*word {
+			t.Fatalf("%d bytes", len(got))
+		}
+		if err == nil {
+			if again, err := Unpack(nil, Pack(nil, got), len(got)); err != nil || !bytes.Equal(again, got) {
+				t.Fatalf("%v: %x -> %x", err, got, again)
+			}
+		}
+	})
+}
+
 // ---- the same by reflection, as the judge of the hand-written conversion ----
 
 func init() { RegisterSchema(schemas.DefaultRegistry) }
