mflab hollow: what control costs, with gates and targets that share processes

Hollow gates are gate owners with addresses of their own that speak the real messages to real core members; messages are counted by kind in each daemon's metrics (mf_wire_*).

--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -104,11 +104,17 @@
 	phase := over.Flag("phase", "how long each part lasts").Default("12s").Duration()
 	pols := app.Command("policies", "one target fails, then one is slow: load without and with the shipped policy, put in force under load, and compare on the recording")
 	polPhase := pols.Flag("phase", "how long each load lasts").Default("12s").Duration()
+	hol := &hollowFlags{}
+	part := app.Command("hollow-part", "one process of a hollow fleet; hollow starts it").Hidden()
+	hol.bind(app.Command("hollow", "measure what control costs with many gates and targets that share processes"), part)
 	cmd, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "mflab: %v, see --help\n", err)
 		os.Exit(2)
 	}
+	if cmd == part.FullCommand() {
+		os.Exit(runPart(hol))
+	}
 	l.dep = deployments[l.name]
 	file := *conf
 	if file == "" {
@@ -126,6 +132,10 @@
 	code := 0
 	done := make(chan int, 1)
 	go func() {
+		if cmd == "hollow" {
+			done <- l.hollow(hol)
+			return
+		}
 		if err := l.up(); err != nil {
 			fmt.Fprintln(os.Stderr, "mflab:", err)
 			done <- 1
--- a/host/host.go
+++ b/host/host.go
@@ -218,6 +218,8 @@
 	start time.Time
 	out   map[string]chan *wire.Msg
 	Quit  chan int
+	// Traffic counts the messages between this daemon and others.
+	Traffic *Traffic
 	// Headers are the names that targets are asked with; none: the product's own.
 	Headers  carry.Headers
 	probes   map[wire.ID]*probed
@@ -262,10 +264,18 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	lv, _ := logrus.ParseLevel(set.Log)
 	log.SetLevel(lv)
-	h := &Host{Kind: kind, Set: set, Log: log, Reg: prometheus.NewRegistry(), Inc: rand.Uint64() | 1, load: load, say: say, Headers: say.Headers, raw: raw,
-		start: time.Now(), out: map[string]chan *wire.Msg{}, Quit: make(chan int, 1)}
+	h := New(kind, set, log)
+	h.load, h.say, h.Headers, h.raw = load, say, say.Headers, raw
 	h.bound(set)
 	h.Reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return h
+}
+
+// New is a daemon's context by itself: what the process has in common is Start's.
+func New(kind string, set Settings, log *logrus.Logger) *Host {
+	h := &Host{Kind: kind, Set: set, Log: log, Reg: prometheus.NewRegistry(), Inc: rand.Uint64() | 1, Traffic: &Traffic{},
+		start: time.Now(), out: map[string]chan *wire.Msg{}, Quit: make(chan int, 1)}
+	h.Reg.MustRegister(h.Traffic)
 	h.Loop = &Loop{in: make(chan item, limit.EventQueue), h: h, waits: map[uint64]chan any{}}
 	return h
 }
@@ -402,6 +412,7 @@
 						h.Log.WithError(err).WithField("from", c.RemoteAddr().String()).Warn("message not understood")
 						return
 					}
+					h.Traffic.add(false, m.Kind, len(b))
 					h.Loop.Tell(core.Recv{M: m})
 				}
 			}()
@@ -451,6 +462,7 @@
 			}(c)
 		}
 		c.SetWriteDeadline(time.Now().Add(limit.GateGrant))
+		h.Traffic.add(true, m.Kind, len(b))
 		err = wire.Write(w, b)
 		if err == nil && len(ch) == 0 {
 			err = w.Flush()
--- /dev/null
+++ b/host/traffic.go
@@ -0,0 +1,72 @@
+// This file is the count of messages between daemons, by direction and kind, as
+// /metrics shows it.
+package host
+
+import (
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"myrtlefold/wire"
+)
+
+// kinds are the messages' names, by wire.Kind.
+var kinds = [...]string{"unknown", "hello", "vote", "append", "pull", "push", "beat", "ask"}
+
+// Flow is what went one way in messages of one kind; bytes with their frames.
+type Flow struct {
+	Sent        bool
+	Kind        string
+	Msgs, Bytes uint64
+}
+
+// Traffic counts a daemon's messages.
+type Traffic struct {
+	counts [2][len(kinds)]struct{ msgs, bytes atomic.Uint64 }
+}
+
+func (t *Traffic) add(sent bool, kind uint16, bytes int) {
+	if int(kind) >= len(kinds) {
+		kind = 0
+	}
+	c := &t.counts[way(sent)][kind]
+	c.msgs.Add(1)
+	c.bytes.Add(uint64(bytes) + wire.FrameHead)
+}
+
+func way(sent bool) int {
+	if sent {
+		return 1
+	}
+	return 0
+}
+
+// Flows are the counts so far.
+func (t *Traffic) Flows() (l []Flow) {
+	for _, sent := range []bool{false, true} {
+		for k := range kinds {
+			c := &t.counts[way(sent)][k]
+			if n := c.msgs.Load(); n > 0 {
+				l = append(l, Flow{sent, kinds[k], n, c.bytes.Load()})
+			}
+		}
+	}
+	return l
+}
+
+func (t *Traffic) Describe(chan<- *prometheus.Desc) {}
+
+func (t *Traffic) Collect(ch chan<- prometheus.Metric) {
+	desc := func(what, help string) *prometheus.Desc {
+		return prometheus.NewDesc("mf_wire_"+what+"_total", help, []string{"direction", "kind"}, nil)
+	}
+	msgs, bytes := desc("messages", "Messages between daemons."), desc("bytes", "Bytes of messages between daemons.")
+	for _, f := range t.Flows() {
+		dir := "received"
+		if f.Sent {
+			dir = "sent"
+		}
+		ch <- prometheus.MustNewConstMetric(msgs, prometheus.CounterValue, float64(f.Msgs), dir, f.Kind)
+		ch <- prometheus.MustNewConstMetric(bytes, prometheus.CounterValue, float64(f.Bytes), dir, f.Kind)
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -248,9 +248,12 @@
 	Founding uint64
 }
 
+// FrameHead is the length before each message, in bytes.
+const FrameHead = 4
+
 // Write puts one framed message on w.
 func Write(w io.Writer, b []byte) error {
-	var h [4]byte
+	var h [FrameHead]byte
 	binary.LittleEndian.PutUint32(h[:], uint32(len(b)))
 	if _, err := w.Write(h[:]); err != nil {
 		return err
@@ -261,7 +264,7 @@
 
 // Read takes one framed message; a frame over the limit is an error.
 func Read(r *bufio.Reader) ([]byte, error) {
-	var h [4]byte
+	var h [FrameHead]byte
 	if _, err := io.ReadFull(r, h[:]); err != nil {
 		return nil, err
 	}
