--- a/cmd/mflab/hollow.go
+++ b/cmd/mflab/hollow.go
@@ -9,11 +9,11 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -151,15 +151,31 @@
 	r.Flows = append(r.Flows, o.Flows...)
 }
 
+// standing is what a gate shows of itself; asking its owner would wait behind its work.
+type standing struct {
+	state    gate.State
+	revision uint64
+	table    *wire.Table
+}
+
 type hollowGate struct {
 	h   *host.Host
 	own *gate.Gate
+	now atomic.Pointer[standing]
+}
+
+func (g *hollowGate) step(now time.Duration, ev any) []any {
+	out := g.own.Step(now, ev)
+	if s := (standing{g.own.State(), g.own.Revision(), g.own.Table()}); s != *g.now.Load() {
+		g.now.Store(&s)
+	}
+	return out
 }
 
 // look adds one gate's standing to a report.
-func (r *hollowReport) look(s gate.State, rev uint64, t *wire.Table, want uint64, service, name string) {
+func (r *hollowReport) look(s *standing, want uint64, service, name string) {
 	r.Gates++
-	switch s {
+	switch s.state {
 	case gate.Granted:
 		r.Granted++
 	case gate.Orphan:
@@ -167,11 +183,11 @@
 	case gate.Cut:
 		r.Cut++
 	}
-	if rev >= want && want > 0 {
+	if s.revision >= want && want > 0 {
 		r.At++
 	}
 	usable, out := 0, true
-	if t != nil {
+	if t := s.table; t != nil {
 		for i := range t.Targets {
 			if w := &t.Targets[i]; !w.Held && w.BarLeft == 0 && !w.Pending {
 				usable++
@@ -205,16 +221,17 @@
 func hollowGates(f *hollowFlags) (*http.ServeMux, error) {
 	log := logrus.New()
 	log.SetLevel(logrus.WarnLevel)
-	var gs []hollowGate
+	var gs []*hollowGate
 	for i := f.first; i < f.first+f.count; i++ {
 		s := gateSettings(f.net, i, strings.Split(f.seeds, ","))
 		h := host.New("gate", s, log)
-		own := gate.New(gate.Settings{Self: h.Daemon(), Seeds: s.Seeds})
+		g := &hollowGate{h: h, own: gate.New(gate.Settings{Self: h.Daemon(), Seeds: s.Seeds})}
+		g.now.Store(&standing{})
 		if err := h.Listen(); err != nil {
 			return nil, err
 		}
-		gs = append(gs, hollowGate{h, own})
-		go h.Loop.Run(own.Step, func(cmd any) {
+		gs = append(gs, g)
+		go h.Loop.Run(g.step, func(cmd any) {
 			if _, pipes := cmd.(gate.Targets); !pipes {
 				h.Do(cmd)
 			}
@@ -226,11 +243,7 @@
 		want, _ := strconv.ParseUint(q.Get("revision"), 10, 64)
 		var rep hollowReport
 		for _, g := range gs {
-			var s gate.State
-			var rev uint64
-			var t *wire.Table
-			g.h.Loop.Look(func(time.Duration) { s, rev, t = g.own.State(), g.own.Revision(), g.own.Table() })
-			rep.look(s, rev, t, want, q.Get("service"), q.Get("name"))
+			rep.look(g.now.Load(), want, q.Get("service"), q.Get("name"))
 			rep.Flows = append(rep.Flows, g.h.Traffic.Flows()...)
 		}
 		host.WriteJSON(w, 200, rep)
@@ -455,6 +468,9 @@
 
 // short prints a number with three digits that count.
 func short(x float64) string {
+	if math.IsInf(x, 1) {
+		return "late"
+	}
 	if x >= 100 {
 		return strconv.FormatFloat(x, 'f', 0, 64)
 	}
@@ -551,11 +567,16 @@
 	return r
 }
 
+// patient is for processes that may be up to their necks in work.
+var patient = &http.Client{Timeout: hollowChange}
+
 func (l *hollowLab) report(ps []*proc, q url.Values) (sum hollowReport) {
 	for _, p := range ps {
 		var r hollowReport
-		_, b := get("http://" + p.http + "/report?" + q.Encode())
-		json.Unmarshal(b, &r)
+		if resp, err := patient.Get("http://" + p.http + "/report?" + q.Encode()); err == nil {
+			json.NewDecoder(resp.Body).Decode(&r)
+			resp.Body.Close()
+		}
 		sum.add(r)
 	}
 	return sum
@@ -935,15 +956,24 @@
 				b.WriteString(" | -")
 				continue
 			}
+			v = slices.Clone(v)
+			for i := range v {
+				if v[i] < 0 { // not in time
+					v[i] = math.Inf(1)
+				}
+			}
 			mid, lo, hi := median(v)
 			fmt.Fprintf(&b, " | %s (%s to %s)", short(mid), short(lo), short(hi))
-			x, y = append(x, along(s)), append(y, mid)
+			if !math.IsInf(mid, 1) {
+				x, y = append(x, along(s)), append(y, mid)
+			}
 		}
-		at0, slope, rest := 0.0, 0.0, 0.0
-		if len(x) > 0 {
-			at0, slope, rest = line(x, y)
+		if at0, slope, rest := line(x, y); len(x) > 1 {
+			fmt.Fprintf(&b, " | %s, %s, %.2f", short(at0), short(slope), rest)
+		} else {
+			b.WriteString(" | -")
 		}
-		fmt.Fprintf(&b, " | %s, %s, %s |\n", short(at0), short(slope), strconv.FormatFloat(cmp.Or(rest, 0), 'f', 2, 64))
+		b.WriteString(" |\n")
 	}
 	return b.String()
 }
--- /dev/null
+++ b/host/traffic_test.go
@@ -0,0 +1,38 @@
+package host
+
+import (
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"myrtlefold/wire"
+)
+
+// Messages are counted by way and kind, with their frames; a kind that is not known
+// counts as such.
+func TestTraffic(t *testing.T) {
+	var tr Traffic
+	tr.add(true, uint16(wire.KPush), 100)
+	tr.add(true, uint16(wire.KPush), 50)
+	tr.add(false, uint16(wire.KHello), 10)
+	tr.add(false, 60000, 1)
+	want := []Flow{{false, "unknown", 1, 5}, {false, "hello", 1, 14}, {true, "push", 2, 158}}
+	got := tr.Flows()
+	if len(got) != len(want) {
+		t.Fatal(got)
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Fatal(got)
+		}
+	}
+	if int(wire.KAsk) != len(kinds)-1 {
+		t.Fatal("a kind of message has no name")
+	}
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(&tr)
+	fams, err := reg.Gather()
+	if err != nil || len(fams) != 2 || len(fams[0].Metric) != 3 {
+		t.Fatal(fams, err)
+	}
+}
