--- a/cmd/mflab/hollow.go
+++ b/cmd/mflab/hollow.go
@@ -17,6 +17,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"net/url"
 	"os"
 	"path/filepath"
@@ -57,6 +58,7 @@
 	settle, span, beat              time.Duration
 	orphans, ramp                   int
 	out                             string
+	bytes                           bool
 	// of a part
 	part, seeds, control string
 	first, count         int
@@ -65,7 +67,7 @@
 func (f *hollowFlags) bind(cmd, part *kingpin.CmdClause) {
 	cmd.Flag("gates", "how many gates; several sizes by commas").Default("12").StringVar(&f.gates)
 	cmd.Flag("targets", "how many targets").Default("36").StringVar(&f.targets)
-	cmd.Flag("routes", "how many routes").Default("10").StringVar(&f.routes)
+	cmd.Flag("route-count", "how many routes").Default("10").StringVar(&f.routes)
 	cmd.Flag("changes", "configuration changes a second during the span").Default("0").StringVar(&f.changes)
 	cmd.Flag("cores", "core members").Default("3").IntVar(&f.cores)
 	cmd.Flag("real", "how many of the gates are real processes").Default("1").IntVar(&f.real)
@@ -81,6 +83,7 @@
 	}
 	cmd.Flag("orphans", "with up to so many gates also freeze the core and measure the gates meanwhile").Default("48").IntVar(&f.orphans)
 	cmd.Flag("output", "text or json").Short('o').Default("text").EnumVar(&f.out, "text", "json")
+	cmd.Flag("bytes", "only say how large configurations and tables of growing size are").BoolVar(&f.bytes)
 	for _, c := range []*kingpin.CmdClause{cmd, part} {
 		c.Flag("net", "second byte of the loopback addresses that are used, and the one after").Default("40").IntVar(&f.net)
 	}
@@ -219,6 +222,7 @@
 		mux, err = hollowTargets(f)
 	}
 	if err == nil {
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 		err = http.ListenAndServe(f.control, mux)
 	}
 	fmt.Fprintln(os.Stderr, "mflab:", err)
@@ -926,6 +930,10 @@
 		fmt.Fprintln(os.Stderr, "mflab:", err)
 		return 2
 	}
+	if f.bytes {
+		fmt.Print(hollowBytes())
+		return 0
+	}
 	if f.threads > 0 {
 		os.Setenv("GOMAXPROCS", strconv.Itoa(f.threads))
 		defer os.Unsetenv("GOMAXPROCS")
@@ -1007,3 +1015,35 @@
 	}
 	return b.String()
 }
+
+// hollowBytes is what configurations and tables take that have nothing but routes, services,
+// targets or gates in them.
+func hollowBytes() string {
+	var b strings.Builder
+	for _, n := range []int{10, 100, 1000, 2500, 23000} {
+		fmt.Fprintf(&b, "configuration with %d routes: %d bytes\n", n, len(hollowConfig(36, n)))
+	}
+	fmt.Fprintf(&b, "configuration with %d services: %d bytes\n", hollowServices(42000), len(hollowConfig(42000, 1)))
+	size := func(t *wire.Table) int {
+		m, _ := wire.Encode(&wire.Msg{Kind: uint16(wire.KPush), Push: &wire.Push{Table: t}})
+		return len(m) + wire.FrameHead
+	}
+	for _, n := range []int{36, 150, 600, 1200, 100000} {
+		var t wire.Table
+		for i := range n {
+			s, name := hollowTarget(i, n)
+			t.Targets = append(t.Targets, wire.Target{Service: s, Name: name, Inc: 1 << 60, Addr: hollowIP(40, targetBlock, i%4000) + ":7301", Domain: hollowDomain(i), State: model.Ready,
+				Demand: 0.25, HasDemand: true, Beating: true, Turn: uint32(i)})
+		}
+		fmt.Fprintf(&b, "table with %d targets: %d bytes\n", n, size(&t))
+	}
+	for _, n := range []int{12, 48, 192, 7100} {
+		var t wire.Table
+		for i := range n {
+			s := gateSettings(40, i%1000, nil)
+			t.Gates = append(t.Gates, wire.Gate{Name: s.Name, Addr: s.Addr, Domain: s.Domain, Live: true})
+		}
+		fmt.Fprintf(&b, "table with %d gates: %d bytes\n", n, size(&t))
+	}
+	return b.String()
+}
