--- a/cmd/mflab/hollow.go
+++ b/cmd/mflab/hollow.go
@@ -1026,7 +1026,7 @@
 	fmt.Fprintf(&b, "configuration with %d services: %d bytes\n", hollowServices(42000), len(hollowConfig(42000, 1)))
 	size := func(t *wire.Table) int {
 		m, _ := wire.Encode(&wire.Msg{Kind: uint16(wire.KPush), Push: &wire.Push{Table: t}})
-		return len(m) + wire.FrameHead
+		return len(wire.Pack(nil, m))
 	}
 	for _, n := range []int{36, 150, 600, 1200, 100000} {
 		var t wire.Table
--- a/host/host.go
+++ b/host/host.go
@@ -263,13 +263,8 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	lv, _ := logrus.ParseLevel(set.Log)
 	log.SetLevel(lv)
-<<<<<<< HEAD
-	h := &Host{Kind: kind, Set: set, Log: log, Reg: prometheus.NewRegistry(), Inc: rand.Uint64() | 1, load: load, say: say, Headers: say.Headers, raw: raw,
-		start: time.Now(), out: map[string]chan queued{}, Quit: make(chan int, 1)}
-=======
 	h := New(kind, set, log)
 	h.load, h.say, h.Headers, h.raw = load, say, say.Headers, raw
->>>>>>> refs/heads/rig
 	h.bound(set)
 	h.Reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return h
@@ -278,7 +273,7 @@
 // New is a daemon's context by itself: what the process has in common is Start's.
 func New(kind string, set Settings, log *logrus.Logger) *Host {
 	h := &Host{Kind: kind, Set: set, Log: log, Reg: prometheus.NewRegistry(), Inc: rand.Uint64() | 1, Traffic: &Traffic{},
-		start: time.Now(), out: map[string]chan *wire.Msg{}, Quit: make(chan int, 1)}
+		start: time.Now(), out: map[string]chan queued{}, Quit: make(chan int, 1)}
 	h.Reg.MustRegister(h.Traffic)
 	h.Loop = &Loop{in: make(chan item, limit.EventQueue), h: h, waits: map[uint64]chan any{}}
 	return h
@@ -416,14 +411,11 @@
 						h.Log.WithError(err).WithField("from", c.RemoteAddr().String()).Warn("message not understood")
 						return
 					}
-<<<<<<< HEAD
 					if m.From == "" {
 						m.From = from // who speaks is said once
 					}
 					from = m.From
-=======
-					h.Traffic.add(false, m.Kind, len(b))
->>>>>>> refs/heads/rig
+					h.Traffic.add(false, m.Kind, r.Size)
 					h.Loop.Tell(core.Recv{M: m})
 				}
 			}()
@@ -478,13 +470,11 @@
 			}(c)
 		}
 		c.SetWriteDeadline(time.Now().Add(limit.GateGrant))
-<<<<<<< HEAD
-		if err = w.Put(q.m); err == nil && len(ch) == 0 {
-=======
-		h.Traffic.add(true, m.Kind, len(b))
-		err = wire.Write(w, b)
+		size := 0
+		if size, err = w.Put(q.m); err == nil {
+			h.Traffic.add(true, q.m.Kind, size)
+		}
 		if err == nil && len(ch) == 0 {
->>>>>>> refs/heads/rig
 			err = w.Flush()
 		}
 		if err != nil {
--- a/host/traffic.go
+++ b/host/traffic.go
@@ -6,14 +6,12 @@
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
-
-	"myrtlefold/wire"
 )
 
 // kinds are the messages' names, by wire.Kind.
 var kinds = [...]string{"unknown", "hello", "vote", "append", "pull", "push", "beat", "ask"}
 
-// Flow is what went one way in messages of one kind; bytes with their frames.
+// Flow is what went one way in messages of one kind; bytes as packed.
 type Flow struct {
 	Sent        bool
 	Kind        string
@@ -31,7 +29,7 @@
 	}
 	c := &t.counts[way(sent)][kind]
 	c.msgs.Add(1)
-	c.bytes.Add(uint64(bytes) + wire.FrameHead)
+	c.bytes.Add(uint64(bytes))
 }
 
 func way(sent bool) int {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -11,6 +11,7 @@
 	"io"
 	"math/bits"
 
+	"capnproto.org/go/capnp/v3/packed"
 	"github.com/cockroachdb/errors"
 
 	"myrtlefold/limit"
@@ -25,7 +26,8 @@
 
 func NewWriter(w io.Writer) *Writer { return &Writer{w: bufio.NewWriterSize(w, limit.WireBuffer)} }
 
-func (w *Writer) Put(m *Msg) error {
+// Put writes a message and says how many bytes it took.
+func (w *Writer) Put(m *Msg) (size int, err error) {
 	c := *m
 	if c.To = ""; c.From == w.from {
 		c.From = ""
@@ -34,7 +36,7 @@
 	}
 	b, err := Encode(&c)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	w.buf = Pack(w.buf[:0], b)
 	var h [2 * binary.MaxVarintLen32]byte
@@ -43,10 +45,11 @@
 	if _, err = w.w.Write(h[:n]); err == nil {
 		_, err = w.w.Write(w.buf)
 	}
+	size = n + len(w.buf)
 	if cap(w.buf) > limit.WireBuffer {
 		w.buf = nil
 	}
-	return err
+	return size, err
 }
 
 func (w *Writer) Flush() error { return w.w.Flush() }
@@ -55,6 +58,8 @@
 type Reader struct {
 	r           *bufio.Reader
 	packed, raw []byte
+	// Size is what the message last read took on the connection, about: without its two lengths.
+	Size int
 }
 
 func NewReader(r io.Reader) *Reader {
@@ -81,6 +86,7 @@
 	if r.packed, err = grown(r.packed, r.r, int(n)); err != nil {
 		return nil, err
 	}
+	r.Size = len(r.packed)
 	r.raw, err = Unpack(r.raw[:0], r.packed, int(words)*word)
 	return r.raw, err
 }
@@ -102,47 +108,10 @@
 }
 
 // Pack appends whole words, packed.
-func Pack(to, b []byte) []byte {
-	for len(b) >= word {
-		at, tag := len(to), byte(0)
-		to = append(to, 0)
-		for i, x := range b[:word] {
-			if x != 0 {
-				tag |= 1 << i
-				to = append(to, x)
-			}
-		}
-		to[at] = tag
-		b = b[word:]
-		switch tag {
-		case 0: // how many more words of zeros
-			n := 0
-			for n < 255 && len(b) >= word && binary.LittleEndian.Uint64(b) == 0 {
-				n, b = n+1, b[word:]
-			}
-			to = append(to, byte(n))
-		case 0xff: // how many more words as they are: those with hardly a zero
-			n := 0
-			for n < 255 && len(b) >= (n+1)*word && zeros(b[n*word:]) < 2 {
-				n++
-			}
-			to = append(append(to, byte(n)), b[:n*word]...)
-			b = b[n*word:]
-		}
-	}
-	return to
-}
-
-func zeros(b []byte) (n int) {
-	for _, x := range b[:word] {
-		if x == 0 {
-			n++
-		}
-	}
-	return n
-}
+func Pack(to, b []byte) []byte { return packed.Pack(to, b) }
 
-// Unpack appends what was packed, which must come to exactly so many bytes.
+// Unpack appends what was packed, which must come to exactly so many bytes: the library's own
+// would let a few bytes grow without a bound.
 func Unpack(to, b []byte, size int) ([]byte, error) {
 	end := len(to) + size
 	for len(b) > 0 {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -246,35 +246,3 @@
 	Founders []Member
 	Founding uint64
 }
-<<<<<<< HEAD
-=======
-
-// FrameHead is the length before each message, in bytes.
-const FrameHead = 4
-
-// Write puts one framed message on w.
-func Write(w io.Writer, b []byte) error {
-	var h [FrameHead]byte
-	binary.LittleEndian.PutUint32(h[:], uint32(len(b)))
-	if _, err := w.Write(h[:]); err != nil {
-		return err
-	}
-	_, err := w.Write(b)
-	return err
-}
-
-// Read takes one framed message; a frame over the limit is an error.
-func Read(r *bufio.Reader) ([]byte, error) {
-	var h [FrameHead]byte
-	if _, err := io.ReadFull(r, h[:]); err != nil {
-		return nil, err
-	}
-	n := binary.LittleEndian.Uint32(h[:])
-	if n > limit.WireMax {
-		return nil, errors.Newf("frame of %d bytes is over %d", n, limit.WireMax)
-	}
-	b := make([]byte, n)
-	_, err := io.ReadFull(r, b)
-	return b, err
-}
->>>>>>> refs/heads/rig
