--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -79,7 +79,7 @@
 		for range 2 {
 			buf.Reset()
 			_, err := w.Put(m)
-	must(t, err)
+			must(t, err)
 			must(t, w.Flush())
 		}
 		if n := buf.Len(); n > 90 {
