--- a/host/host.go
+++ b/host/host.go
@@ -438,7 +438,7 @@
 			d := carry.Dialer(h.From(), limit.ProbeCap)
 			if c, err = d.Dial("tcp", addr); err != nil {
 				c = nil
-				time.Sleep(limit.CoreBeat)
+				time.Sleep(limit.Redial)
 				for len(ch) > 0 {
 					<-ch // stale by now
 				}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -320,6 +320,11 @@
 	// RingFiles and RingFileSize bound a member's disk: 3 files of 8 MiB.
 	RingFiles    = 3
 	RingFileSize = 8 << 20
+	// RingPiece is how much of a file, in bytes, is in memory while it is looked through at a start.
+	RingPiece = 256 << 10
+	// Redial is how long after a pipe to a daemon could not be opened the next is tried: daemons that
+	// start together find each other within it, and there is no more to send than what is said again.
+	Redial = 20 * time.Millisecond
 	// SettingsEvery is how often a settings file is looked at for changes.
 	SettingsEvery = 2 * time.Second
 	// MemoryShare of a process's memory is what the runtime may fill, and GcPercent how much garbage
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -10,14 +10,16 @@
 package ring
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
-	"iter"
 	"os"
 	"path/filepath"
 
 	"github.com/cockroachdb/errors"
+
+	"myrtlefold/limit"
 )
 
 const (
@@ -26,6 +28,9 @@
 	head  = 4 + 8 + 4 + 4 + 4 // magic, generation, number, length, checksum
 )
 
+// common is what a record's and an echo's magic begin with on disk.
+var common = []byte{magic & 0xff, magic >> 8 & 0xff}
+
 var table = crc32.MakeTable(crc32.Castagnoli)
 
 // ErrDamaged marks a ring whose middle cannot be trusted.
@@ -46,35 +51,39 @@
 }
 
 // Open preallocates or reads the ring in dir and returns the records of its
-// newest file; the first of them, if any, is a whole record.
+// newest file; the first of them, if any, is a whole record. No more of a file is in
+// memory at a time than a piece of it and one record.
 func Open(dir string, files int, size int64) (*Ring, [][]byte, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, nil, errors.Wrap(err, "ring folder")
 	}
 	r := &Ring{dir: dir, size: size, cur: -1}
-	var all [][]byte
+	piece := make([]byte, min(size, limit.RingPiece))
 	for i := range files {
 		f, err := os.OpenFile(filepath.Join(dir, fmt.Sprintf("ring-%d", i)), os.O_RDWR|os.O_CREATE, 0o600)
 		if err != nil {
 			return nil, nil, errors.Wrap(err, "ring file")
 		}
 		r.files = append(r.files, f)
-		if err := allocate(f, size); err != nil {
+		fresh, err := allocate(f, size, piece)
+		if err != nil {
 			return nil, nil, err
 		}
-		b := make([]byte, size)
-		if _, err := f.ReadAt(b, 0); err != nil {
-			return nil, nil, errors.Wrap(err, "read ring file")
+		if fresh {
+			continue
 		}
-		all = append(all, b)
-		if g := newest(b); g > r.gen {
+		g, err := newest(f, size, piece)
+		if err != nil {
+			return nil, nil, err
+		}
+		if g > r.gen {
 			r.gen, r.cur = g, i
 		}
 	}
 	var recs [][]byte
 	if r.cur >= 0 {
 		var err error
-		if recs, r.off, err = scan(all[r.cur], r.gen); err != nil {
+		if recs, r.off, err = scan(r.files[r.cur], size, r.gen, piece); err != nil {
 			return nil, nil, errors.Wrapf(err, "%s", r.files[r.cur].Name())
 		}
 		r.num = uint32(len(recs))
@@ -90,95 +99,159 @@
 	return r, recs, nil
 }
 
-func allocate(f *os.File, size int64) error {
+// allocate fills a file with zeros up to its size; fresh says that it was empty.
+func allocate(f *os.File, size int64, piece []byte) (fresh bool, err error) {
 	st, err := f.Stat()
 	if err != nil {
-		return errors.Wrap(err, "stat ring file")
+		return false, errors.Wrap(err, "stat ring file")
 	}
 	if st.Size() >= size {
-		return nil
+		return false, nil
 	}
-	if _, err := f.WriteAt(make([]byte, size-st.Size()), st.Size()); err != nil {
-		return errors.Wrap(err, "preallocate ring file")
+	clear(piece)
+	for at := st.Size(); at < size; at += int64(len(piece)) {
+		if _, err := f.WriteAt(piece[:min(int64(len(piece)), size-at)], at); err != nil {
+			return false, errors.Wrap(err, "preallocate ring file")
+		}
 	}
-	return errors.Wrap(f.Sync(), "sync ring file")
+	return st.Size() == 0, errors.Wrap(f.Sync(), "sync ring file")
 }
 
-func parse(b []byte, off int64, kind uint32) (gen uint64, num uint32, data []byte, ok bool) {
-	if off+head > int64(len(b)) || binary.LittleEndian.Uint32(b[off:]) != kind {
-		return
+// frame is a record or echo; its data is read only where it is wanted.
+type frame struct {
+	kind uint32
+	gen  uint64
+	num  uint32
+	n    int64
+	head [head]byte
+}
+
+// look reads a frame's head, if one of a kind that fits into the file stands there.
+func look(f *os.File, size, off int64) (fr frame, ok bool, err error) {
+	if off+head > size {
+		return fr, false, nil
 	}
-	gen = binary.LittleEndian.Uint64(b[off+4:])
-	num = binary.LittleEndian.Uint32(b[off+12:])
-	n := int64(binary.LittleEndian.Uint32(b[off+16:]))
-	if off+head+n > int64(len(b)) {
-		return
+	if _, err := f.ReadAt(fr.head[:], off); err != nil {
+		return fr, false, errors.Wrap(err, "read ring file")
 	}
-	data = b[off+head : off+head+n]
-	sum := crc32.Update(crc32.Checksum(b[off:off+20], table), table, data)
-	return gen, num, data, sum == binary.LittleEndian.Uint32(b[off+20:])
+	ok = fr.parse(size, off)
+	return fr, ok, nil
 }
 
-type frame struct {
-	gen  uint64
-	num  uint32
-	data []byte
+func (fr *frame) parse(size, off int64) bool {
+	fr.kind = binary.LittleEndian.Uint32(fr.head[0:])
+	fr.gen = binary.LittleEndian.Uint64(fr.head[4:])
+	fr.num = binary.LittleEndian.Uint32(fr.head[12:])
+	fr.n = int64(binary.LittleEndian.Uint32(fr.head[16:]))
+	return (fr.kind == magic || fr.kind == again) && off+head+fr.n <= size
+}
+
+// data reads what a frame at off holds; sound says that its checksum is right.
+func (fr *frame) data(f *os.File, off int64) (b []byte, sound bool, err error) {
+	b = make([]byte, fr.n)
+	if _, err := f.ReadAt(b, off+head); err != nil {
+		return nil, false, errors.Wrap(err, "read ring file")
+	}
+	sum := crc32.Update(crc32.Checksum(fr.head[:20], table), table, b)
+	return b, sum == binary.LittleEndian.Uint32(fr.head[20:]), nil
 }
 
-// sound yields every sound record or echo in a file, whatever lies between.
-func sound(b []byte, from int64, kind uint32) iter.Seq[frame] {
-	return func(yield func(frame) bool) {
-		for o := from; o+head <= int64(len(b)); o++ {
-			if b[o] != magic&0xff {
-				continue
+// seek goes through every place from an offset on that may be a frame's, whatever lies between.
+func seek(f *os.File, size, from int64, piece []byte, visit func(off int64, fr frame) error) error {
+	for at := from; at+head <= size; {
+		b := piece[:min(int64(len(piece)), size-at)]
+		if _, err := f.ReadAt(b, at); err != nil {
+			return errors.Wrap(err, "read ring file")
+		}
+		var ok bool
+		var err error
+		for i := 0; ; {
+			j := bytes.Index(b[i:], common)
+			if j < 0 {
+				break
 			}
-			if g, num, data, ok := parse(b, o, kind); ok && !yield(frame{g, num, data}) {
-				return
+			var fr frame
+			if off := at + int64(i+j); i+j+head <= len(b) {
+				copy(fr.head[:], b[i+j:])
+				ok = fr.parse(size, off)
+			} else if fr, ok, err = look(f, size, off); err != nil {
+				return err
 			}
+			if ok {
+				if err := visit(at+int64(i+j), fr); err != nil {
+					return err
+				}
+			}
+			i += j + 1
 		}
+		at += int64(len(b) - len(common) + 1)
 	}
+	return nil
 }
 
 // newest is the latest generation of which a file holds anything sound. A file
 // whose whole record was torn while it was taken over holds nothing of the new
 // generation, so the file before it, still complete, stays the newest.
-func newest(b []byte) (max uint64) {
-	for _, kind := range []uint32{magic, again} {
-		for f := range sound(b, 0, kind) {
-			if f.gen > max {
-				max = f.gen
-			}
+func newest(f *os.File, size int64, piece []byte) (gen uint64, err error) {
+	err = seek(f, size, 0, piece, func(off int64, fr frame) error {
+		if fr.gen <= gen {
+			return nil
 		}
-	}
-	return max
+		_, sound, err := fr.data(f, off)
+		if sound {
+			gen = fr.gen
+		}
+		return err
+	})
+	return gen, err
 }
 
 // scan reads the records of a generation from a file's start, the last of them from
 // their echoes if they are damaged; off is then the file's end, so that the next
 // write starts another file. A sound record behind an unsound place means damage.
-func scan(b []byte, gen uint64) (recs [][]byte, off int64, err error) {
+func scan(f *os.File, size int64, gen uint64, piece []byte) (recs [][]byte, off int64, err error) {
 	for {
-		g, num, data, ok := parse(b, off, magic)
-		if !ok || g != gen || num != uint32(len(recs)) {
+		fr, ok, err := look(f, size, off)
+		if err != nil {
+			return nil, 0, err
+		}
+		if !ok || fr.kind != magic || fr.gen != gen || fr.num != uint32(len(recs)) {
 			break
 		}
-		recs = append(recs, append([]byte(nil), data...))
-		off += head + int64(len(data))
-	}
-	behind := off
-	for f := range sound(b, behind, again) {
-		if f.gen != gen || f.num < uint32(len(recs)) {
-			continue
+		b, sound, err := fr.data(f, off)
+		if err != nil {
+			return nil, 0, err
 		}
-		off = int64(len(b)) // also after an echo of what was never whole: it must not come back
-		if f.num == uint32(len(recs)) {
-			recs = append(recs, append([]byte(nil), f.data...))
+		if !sound {
+			break
 		}
+		recs = append(recs, b)
+		off += head + fr.n
 	}
-	for f := range sound(b, behind, magic) {
-		if f.gen == gen && f.num >= uint32(len(recs)) {
-			return nil, 0, errors.Wrapf(ErrDamaged, "unsound at byte %d, but record %d of generation %d behind it is sound", behind, f.num, gen)
+	behind, last := off, int64(-1)
+	err = seek(f, size, behind, piece, func(at int64, fr frame) error {
+		if fr.gen != gen || fr.num < uint32(len(recs)) && fr.kind == again {
+			return nil
 		}
+		b, sound, err := fr.data(f, at)
+		switch {
+		case err != nil || !sound:
+			return err
+		case fr.kind == magic:
+			last = max(last, int64(fr.num))
+		default:
+			off = size // also after an echo of what was never whole: it must not come back
+			if fr.num == uint32(len(recs)) {
+				recs = append(recs, b)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	if last >= int64(len(recs)) {
+		return nil, 0, errors.Wrapf(ErrDamaged, "unsound at byte %d, but record %d of generation %d behind it is sound", behind, last, gen)
 	}
 	return recs, off, nil
 }
