--- a/core/core.go
+++ b/core/core.go
@@ -187,6 +187,7 @@
 	node      *quorum.Node
 	state     State
 	known     Book
+	bootAt    time.Duration
 	helloAt   time.Duration
 	offer     uint64
 	seen      string // who could found, as last looked at, and since when
@@ -279,7 +280,7 @@
 // New starts a member from what its disk holds; a disk without a number yet is
 // given the shell's.
 func New(now time.Duration, set Settings, img quorum.Image) *Core {
-	c := &Core{set: set, img: img, known: Book{}, memories: map[string]memory{}, gates: map[string]*gate{},
+	c := &Core{set: set, img: img, bootAt: now, known: Book{}, memories: map[string]memory{}, gates: map[string]*gate{},
 		pend: map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, heard: map[string]heard{}, listed: map[string]listed{}, tried: map[string]time.Duration{}, restored: map[string]time.Duration{}, state: newState(), relaySeq: set.Self.Inc << 20}
 	c.set.Self.Disk = img.Disk
 	switch {
@@ -402,7 +403,11 @@
 }
 
 func (c *Core) tick(now time.Duration) {
-	if now-c.helloAt >= limit.HelloEvery {
+	every := limit.HelloEvery
+	if now-c.bootAt < limit.HelloHaste && c.led(now) == "" {
+		every = limit.ElectAsk // members that start together know no one's address yet
+	}
+	if now-c.helloAt >= every {
 		c.helloAt = now
 		c.hello(now)
 		c.claim()
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -56,6 +56,9 @@
 	VowLife = time.Minute
 	// HelloEvery is how often daemons tell each other who is there.
 	HelloEvery = 300 * time.Millisecond
+	// HelloHaste is for how long after its start a core daemon that hears no leader says hello as often
+	// as it asks for leave to stand.
+	HelloHaste = time.Second
 	// ListEvery is how often a daemon is told the same list of those known again: twice before
 	// one that is known from lists only is dropped, after half of DaemonGone.
 	ListEvery = 3 * time.Second
