--- a/limit/limit.go
+++ b/limit/limit.go
@@ -56,6 +56,10 @@
 	VowLife = time.Minute
 	// HelloEvery is how often daemons tell each other who is there.
 	HelloEvery = 300 * time.Millisecond
+	// HelloCalm is the same for a proxy while the leader grants it, which makes its pulls tell who is there.
+	HelloCalm = 1500 * time.Millisecond
+	// MemoryEvery is how often a proxy without a leader tells a core process again what it remembers.
+	MemoryEvery = 2 * time.Second
 	// HelloHaste is for how long after its start a core daemon that hears no leader says hello as often
 	// as it asks for leave to stand.
 	HelloHaste = time.Second
@@ -74,6 +78,12 @@
 	GateGrant = 900 * time.Millisecond
 	// TouchGrant is the same between orphaned proxies.
 	TouchGrant = 600 * time.Millisecond
+	// TouchMost is how many partners an orphan asks at a turn, or a TouchTurns-th of a roster for which
+	// that is more: all are asked again before a touch lapses, 3 x 150 ms and a hop under 600 ms.
+	TouchMost  = 16
+	TouchTurns = 3
+	// TouchWant is how many of them, in a larger roster, are asked at once what they hold against targets.
+	TouchWant = 4
 	// GrantMargin is what the leader adds before it takes a grant as lapsed, for clock speed.
 	// Worst wait for a change to be in force: GateGrant + GrantMargin = 1.1 s, under the 2 s rule.
 	GrantMargin = 200 * time.Millisecond
@@ -87,6 +97,20 @@
 	GateLive = 2 * time.Second
 	// FirstRoster is how long a leader with an empty roster gathers proxies before it admits them as one.
 	FirstRoster = 500 * time.Millisecond
+	// TableEvery is how often tables are made of news that may wait: many targets that come or turn
+	// ready at once make one table.
+	TableEvery = 80 * time.Millisecond
+	// TablesKept is of how many past tables a leader knows when it made them: more than GateDeaf has.
+	TablesKept = 64
+	// GonesKept is how many targets that went a leader remembers so as to tell changes by.
+	GonesKept = 1024
+	// LeftStep is how far the end of a bar or of coldness must move to be told again.
+	LeftStep = 250 * time.Millisecond
+	// FlightBytes is how much may be under way to a proxy unconfirmed, in bytes: a slow link's tenth of a
+	// second. SlowLink is what such a link carries beside traffic, in bytes a second, RowBytes a table's row.
+	FlightBytes = 12 << 10
+	SlowLink    = 128 << 10
+	RowBytes    = 120
 	// DemandEvery is how often tables are sent anew only because demand changed.
 	DemandEvery = time.Second
 	// DemandStep is how far a target's demand must move for that.
@@ -126,6 +150,10 @@
 	// that are gone, the registry: at 300 bytes each 2.4 MB, and with all else under half a ring file.
 	KeepBatch = 256
 	PlacesMax = 4096
+	// WatchMost is how many targets a doubting proxy probes, about: 40 each 200 ms. Of more each is
+	// watched by a part of the proxies, of WatchMost targets by all.
+	WatchMost = 40
+	Watchers  = 8
 	// ProbeMisses in a row make a bar; the source's two.
 	ProbeMisses = 2
 	// BarTTL is the source's 30 s, after which a bar lapses by itself.
@@ -191,6 +219,12 @@
 	ChoiceLife = DialCap + 100*time.Millisecond
 	// DialCap is how long opening a pipe and checking its identity may take.
 	DialCap = 500 * time.Millisecond
+	// ConnectCap is how long a connection to a target may take to open: over any round trip between
+	// domains, under what a lost first packet costs anyway. Nothing was sent, so another is chosen.
+	ConnectCap = 100 * time.Millisecond
+	// OpensMax is how many choices of one exchange may end before anything is sent. They do not count
+	// as its attempts, which are targets that it was sent to.
+	OpensMax = 4
 	// Shun is how long a target that refused a pipe is used last by that proxy.
 	Shun = time.Second
 	// ClosedBar is how long a proxy leaves a target out after two pipes in a row could not be
@@ -216,8 +250,17 @@
 	// PipeIdle is how long an unused pipe to a back end is kept: under the 5 s after which common
 	// servers close theirs, so that an exchange seldom meets the close under way.
 	PipeIdle = 4 * time.Second
+	// AheadMax is how many requests of one caller's connection are begun before those ahead of them
+	// are answered; AheadRead is how much of it is looked at, in bytes: some usual headers.
+	AheadMax  = 8
+	AheadRead = 2 << 10
 	// CallerIdle is how long a caller's unused pipe is kept.
 	CallerIdle = 60 * time.Second
+	// CallerHeader is how long a caller's header may take to come: three lost words' time.
+	CallerHeader = 3 * BeatLapse
+	// IdleSlack is how much longer than it is told an unused pipe of a caller's is kept: who
+	// believes in the bound never writes on one that is being closed.
+	IdleSlack = time.Second
 	// PipesIdleMax is how many unused pipes are kept per target: targets bound the pipes from all
 	// proxies together, and some hold a slot for each.
 	PipesIdleMax = 8
@@ -270,12 +313,14 @@
 	FullPause = 70 * time.Millisecond
 	// LoadLife is how long what a target told of its load counts, less and less.
 	LoadLife = time.Second
-	// PaceLife is how long a target's slow past counts, less and less; PaceWeight is an exchange's part in it.
-	PaceLife   = 10 * time.Second
-	PaceWeight = 0.2
-	// PaceUrge is how much of a target's slowness counts beside its load, PaceMost the most that does.
-	PaceUrge = 0.5
-	PaceMost = 1.0
+	// PaceLife is how long a target's past speed counts, less and less, so that a slow one is tried
+	// again; PaceWeight is an exchange's part in it, the first ones' more: times vary as much as speeds.
+	PaceLife   = 20 * time.Second
+	PaceWeight = 0.1
+	// PaceUrge is how much of a target's slowness counts beside its load, PaceMost the most that does:
+	// as long as a slot is free, a full target is no slower than an empty one.
+	PaceUrge = 1.0
+	PaceMost = 1.5
 	// PipeUrge is what an open pipe is worth beside a target's load.
 	PipeUrge = 0.1
 	// MeanWeight is an exchange's part in its route's mean time, once a few have been seen.
@@ -308,6 +353,9 @@
 	// long enough: two misses of a look each second, and a little. StopMargin is what it leaves of that time.
 	StopLingerMost = 3 * time.Second
 	StopMargin     = 300 * time.Millisecond
+	// StopLast is how long a proxy whose grace is known waits for its callers' pipes to close, after
+	// its last exchange: within what the owner leaves of the grace.
+	StopLast = 200 * time.Millisecond
 	// StopWait is how long a stopping proxy finishes its exchanges, and StopLinger how long it
 	// serves on after going unready so that callers can move away.
 	StopWait   = 20 * time.Second
@@ -318,6 +366,13 @@
 const (
 	// TickEvery is the owners' heartbeat.
 	TickEvery = 20 * time.Millisecond
+	// SendQueue is how many messages may wait for one connection, and SendLate how long: a grant that
+	// comes later is of no use, and old words would keep new ones waiting.
+	SendQueue = 64
+	SendLate  = 500 * time.Millisecond
+	// WireBuffer is what a connection between daemons has for reading and for writing, in bytes: some
+	// small messages, since a member has such connections to all proxies.
+	WireBuffer = 4 << 10
 	// EventQueue is how many events may wait for an owner.
 	EventQueue = 4096
 	// RingFiles and RingFileSize bound a member's disk: 3 files of 8 MiB.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -4,16 +4,7 @@
 // handle only the Go structs; encoding happens at the edge of a process.
 package wire
 
-import (
-	"bufio"
-	"cmp"
-	"encoding/binary"
-	"io"
-
-	"github.com/cockroachdb/errors"
-
-	"myrtlefold/limit"
-)
+import "cmp"
 
 type Kind uint16
 
@@ -199,16 +190,22 @@
 	Emptied  []string
 	Targets  []Target
 	Was      []string // proxies of the roster before, while this one is not in force everywhere
+	// Base makes it a change to any table of its term from that one on: Targets are those that are
+	// new or said otherwise since then, Gone those that went, and no Gates means the same ones.
+	Base Key
+	Gone []ID
 }
 
 type Pull struct {
-	Self  Daemon
+	Self  Daemon // without a name: as it was last said; Msg.Disk tells the process
 	Key   Key
 	Seen  []Seen
 	Table *Table
 	// Revision and Seq are those of the document and state held here: a table that has the same comes without.
 	Revision uint64
 	Seq      uint64
+	// Want asks a partner for what it holds against targets, or for its table if that is later.
+	Want bool
 }
 
 type Push struct {
@@ -249,29 +246,3 @@
 	Founders []Member
 	Founding uint64
 }
-
-// Write puts one framed message on w.
-func Write(w io.Writer, b []byte) error {
-	var h [4]byte
-	binary.LittleEndian.PutUint32(h[:], uint32(len(b)))
-	if _, err := w.Write(h[:]); err != nil {
-		return err
-	}
-	_, err := w.Write(b)
-	return err
-}
-
-// Read takes one framed message; a frame over the limit is an error.
-func Read(r *bufio.Reader) ([]byte, error) {
-	var h [4]byte
-	if _, err := io.ReadFull(r, h[:]); err != nil {
-		return nil, err
-	}
-	n := binary.LittleEndian.Uint32(h[:])
-	if n > limit.WireMax {
-		return nil, errors.Newf("frame of %d bytes is over %d", n, limit.WireMax)
-	}
-	b := make([]byte, n)
-	_, err := io.ReadFull(r, b)
-	return b, err
-}
