--- a/cmd/mfsim/main.go
+++ b/cmd/mfsim/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -19,6 +20,7 @@
 )
 
 func main() {
+	debug.SetGCPercent(sim.GCPercent)
 	app := kingpin.New("mfsim", "Runs a simulated fleet by seed through the faults that it must bear.")
 	app.Version(host.Version)
 	app.HelpFlag.Short('h')
--- a/core/found.go
+++ b/core/found.go
@@ -16,6 +16,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"maps"
 	"slices"
 	"strings"
@@ -201,15 +202,23 @@
 	if k != nil {
 		fmt.Fprint(h, k.Inc) // another process of its name has been told nothing
 	}
-	for _, n := range slices.Sorted(maps.Keys(c.known)) {
+	names := slices.Sorted(maps.Keys(c.known))
+	for _, n := range names {
 		if k := c.known[n]; all || k.Kind == "core" {
-			l = append(l, k.Daemon)
-			h.Write([]byte(n + " " + k.Addr + " "))
+			io.WriteString(h, n)
+			io.WriteString(h, " ")
+			io.WriteString(h, k.Addr)
+			io.WriteString(h, " ")
 		}
 	}
 	if was, ok := c.listed[to]; ok && was.sum == h.Sum64() && now-was.at < limit.ListEvery {
 		return nil
 	}
+	for _, n := range names {
+		if k := c.known[n]; all || k.Kind == "core" {
+			l = append(l, k.Daemon)
+		}
+	}
 	c.listed[to] = listed{now, h.Sum64()}
 	return l
 }
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -218,11 +218,20 @@
 		}
 		svcs := slices.Sorted(maps.Keys(w.Plan.Services))
 		other := svcs[(slices.Index(svcs, t.service)+1)%len(svcs)]
-		if g := w.pick("gate", true); g != nil {
-			w.isolate([]string{g.name}, w.ms(2000, 6000), true, true)
+		if g := w.pick("gate", true); g != nil { // it still reaches the targets, and so who listens there next
+			var ks [][2]string
+			for _, n := range w.names {
+				ks = append(ks, both(g.name, n)...)
+			}
+			w.log("cut %s off from all daemons", g.name)
+			w.cutFor(ks, w.ms(2000, 6000))
 		}
 		w.Crash(t)
-		w.at(w.ms(20, 1500), func() {
+		after := w.ms(20, 1500)
+		if w.rnd.IntN(2) == 0 { // before any proxy has met the closed port and leaves it out
+			after = w.ms(1, 30)
+		}
+		w.at(after, func() {
 			if w.listen[t.addr] == nil {
 				w.log("%s goes from %s/%s to %s", t.addr, t.service, t.name, other)
 				w.AddTarget(other, fmt.Sprintf("%s-x%d", other, len(w.targets)), t.domain, t.addr, 0)
--- a/sim/scenes.go
+++ b/sim/scenes.go
@@ -41,6 +41,7 @@
 		Caused: func(s *Stats) int { return min(s.NotRun, s.Lost) }, Sabotage: "say no"},
 	{Name: "wrong-service", Rule: "wrong service", Threat: "addresses go to another service while proxies are cut off",
 		Kinds: []string{"address handed over", "address handed over", "service removed, its addresses handed over"}, Times: 3,
+		Plan:   func(p *Plan) { p.Rate = 250 },
 		Caused: func(s *Stats) int { return s.Foreign }, Sabotage: "identity"},
 	{Name: "leaving", Rule: "leaving", Threat: "targets leave while leaders die and proxies are cut off",
 		Kinds: []string{"target leaves", "leader killed", "gate isolated", "gate frozen with work in hand"}, Times: 2,
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -41,6 +41,10 @@
 // Small is a fleet that shows all behaviour and still runs fast.
 var Small = Plan{Cores: 3, Gates: 5, Domains: 3, Services: map[string]int{"fares": 5, "pay": 4}, Rate: 60, Unsafe: 0.4, Hard: 0.5}
 
+// GCPercent is how far the heap of a program that runs worlds may grow between two
+// collections: each world holds a few MiB and makes much that is over at once.
+const GCPercent = 400
+
 // foundingTime is for how long after the beginning a process is told that the fleet starts for the first time.
 const foundingTime = 1050 * time.Millisecond
 
