A target that is cold for longer than the last table said makes a new table

Cause: since tables are made only when a fact moved, being cold was one bit. A target that was cold from its start or its domain's restore and said later that it is cold for longer got no new table until the refresh (10 s), and proxies ended its cold rate at the earlier end. Found by new kinds in sim: targets that turn cold at any moment, and with their domain's restore; checked from 2 s after a word was acknowledged, or from a start on. Also new: plans whose targets speak more rarely and to core daemons only, and targets that reset pipes when full.

--- a/core/core.go
+++ b/core/core.go
@@ -139,8 +139,9 @@
 	silentAt    time.Duration
 	misses      int // probes in a row without its own answer
 	voice       Voice
-	told        bool  // known by hearsay: one word, or a proxy's table; not served until it has proved itself
-	shown       facts // what the table says of it
+	told        bool          // known by hearsay: one word, or a proxy's table; not served until it has proved itself
+	shown       facts         // what the table says of it
+	shownCold   time.Duration // the end of its coldness that the last table was made from
 	shownDemand float64
 	freed       bool // its address had another target's entry
 	coldTill    time.Duration
@@ -1131,6 +1132,7 @@
 	for _, id := range c.sorted() {
 		w := c.tabled(now, c.targets[id])
 		c.targets[id].shown, c.targets[id].shownDemand = factsOf(&w), w.Demand
+		c.targets[id].shownCold = c.targets[id].coldTill
 		t.Targets = append(t.Targets, w)
 	}
 	c.ver++
@@ -1159,6 +1161,12 @@
 	return facts{w.Addr, w.Domain, w.State, w.BarWhy, w.Held, w.Pending, w.Beating, w.ColdLeft > 0, true, w.Slots}
 }
 
+// colder says that a target is cold for longer than the last table said; each word's
+// own way here moves the end a little, which is none.
+func (t *target) colder(now time.Duration) bool {
+	return t.coldTill > now && t.coldTill > t.shownCold+limit.ColdStep
+}
+
 // tabled is a target as a table made now says it.
 func (c *Core) tabled(now time.Duration, t *target) wire.Target {
 	w := t.Target
@@ -1190,7 +1198,7 @@
 	due := now-c.demandAt >= limit.DemandEvery
 	for _, t := range c.targets {
 		w := c.tabled(now, t)
-		if factsOf(&w) != t.shown || due && math.Abs(w.Demand-t.shownDemand) >= limit.DemandStep {
+		if factsOf(&w) != t.shown || t.colder(now) || due && math.Abs(w.Demand-t.shownDemand) >= limit.DemandStep {
 			return true
 		}
 	}
@@ -1203,7 +1211,7 @@
 	if c.lead != Deciding {
 		return
 	}
-	if w := c.tabled(now, t); c.table != nil && c.decisions == c.decidedAt && factsOf(&w) == t.shown {
+	if w := c.tabled(now, t); c.table != nil && c.decisions == c.decidedAt && factsOf(&w) == t.shown && !t.colder(now) {
 		c.counts.Same++
 		return
 	}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -119,6 +119,9 @@
 	ReconcileEvery = 10 * time.Second
 	// BeatEvery is what back ends are told to keep to.
 	BeatEvery = 500 * time.Millisecond
+	// ColdStep is how much longer a target must be cold than the last table said for a new one:
+	// words that tell one end arrive some ms apart.
+	ColdStep = 50 * time.Millisecond
 	// BeatLapse is how long a target may be silent before it no longer counts as beating:
 	// three beats and a little, and with one push still under the 2 s rule, since a service
 	// whose targets are all barred is served by those that beat.
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -210,6 +210,14 @@
 			w.Leave(t, func() { w.replace(t, w.ms(100, 3000), w.ms(0, 3000)) })
 		}
 	}},
+	{"target turns cold", func(w *World) {
+		if t := w.pickTarget(); t != nil && w.Plan.ColdPerS > 0 {
+			w.log("%s/%s is cold", t.service, t.name)
+			t.coldTill = w.now + 2*coldSpan
+			t.number++
+			w.beat(t, 0)
+		}
+	}},
 	{"service rolled", (*World).roll},
 	{"address handed over", func(w *World) {
 		t := w.pickTarget()
@@ -682,6 +690,13 @@
 	}
 	c := &change{what: "restore " + dom, empty: dom}
 	w.Change(p, "POST", "/v1/domains/"+dom+"/restore", "", nil, c)
+	for _, t := range w.targets { // nothing came there meanwhile
+		if t.alive && t.domain == dom && w.Plan.ColdPerS > 0 && t.coldTill <= w.now {
+			t.coldTill = w.now + 2*coldSpan
+			t.number++
+			w.beat(t, 0)
+		}
+	}
 	w.at(7*time.Second, func() {
 		if c.state != "accepted" {
 			w.restore(dom)
--- a/sim/rules.go
+++ b/sim/rules.go
@@ -122,7 +122,7 @@
 
 // checkCold: in any second a cold target gets no more than half over its rate and five.
 func (w *World) checkCold(t *Target) {
-	if t.coldTill <= w.now {
+	if t.coldTill <= w.now || t.coldTold != t.coldTill || w.now < t.coldFrom {
 		t.came = nil
 		return
 	}
--- a/sim/scenes.go
+++ b/sim/scenes.go
@@ -68,7 +68,7 @@
 		Kinds: []string{"config", "service comes back cold", "gate added, another gone for good", "gate killed"}, Times: 2, Plan: func(p *Plan) { p.Rate = 300 },
 		Caused: func(s *Stats) int { return s.MaxWarm }, Sabotage: "warm cap"},
 	{Name: "cold", Rule: "cold rate", Threat: "a whole service comes back cold on routes under load, proxies come and go and orphan",
-		Kinds: []string{"config", "service comes back cold", "gate added, another gone for good", "gate killed", "gate isolated"}, Times: 2,
+		Kinds: []string{"config", "service comes back cold", "target turns cold", "domain emptied and restored", "gate added, another gone for good", "gate killed", "gate isolated"}, Times: 2,
 		Plan:   func(p *Plan) { p.Rate, p.Slots, p.ColdPerS = 300, 6, 8 },
 		Caused: func(s *Stats) int { return s.Cold }, Sabotage: "cold"},
 	{Name: "slots", Rule: "ran twice", Threat: "targets of few slots turn exchanges away and lose answers under load",
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -36,6 +36,8 @@
 	Slots        int            // exchanges at once that targets tell, and routes in rules' place; 0: neither
 	ColdPerS     float64        // exchanges a second that a cold target bears, 0: no such bound
 	Known        []string       // domains that the core's settings name
+	Beats        time.Duration  // how far apart targets' words are, 0: limit.BeatEvery; each is said again after half a second
+	CoreOnly     bool           // targets speak to core daemons only
 }
 
 // Small is a fleet that shows all behaviour and still runs fast.
@@ -109,6 +111,9 @@
 	works                       []*exchange // those in work
 	work, usual                 time.Duration
 	coldTill                    time.Duration
+	coldTold                    time.Duration // the end that a daemon has acknowledged, and when all must keep to it
+	coldFrom                    time.Duration
+	resets                      bool            // when full it resets pipes and says nothing
 	came                        []time.Duration // arrivals while it is cold, of the last second
 	still                       bool            // says nothing, but serves and answers probes
 	named                       bool            // its words go by PUT and are numbered
@@ -538,7 +543,9 @@
 	t.named = w.nextInc%3 != 0
 	if w.Plan.ColdPerS > 0 && w.now > coldSpan {
 		t.coldTill = w.now + coldSpan
+		t.coldTold = t.coldTill // a start is cold for its service's span, whoever has heard
 	}
+	t.resets = w.nextInc%5 == 0
 	if warm > 0 && w.Plan.ColdPerS == 0 {
 		t.state = model.Warming
 		w.at(warm, func() {
@@ -558,19 +565,30 @@
 			t.number++
 			w.beat(t, 0)
 		}
-		w.at(limit.BeatEvery, beat)
+		w.at(w.beats(), beat)
 	}
 	w.at(w.ms(0, 300), beat)
 	return t
 }
 
+func (w *World) beats() time.Duration {
+	if w.Plan.Beats > 0 {
+		return w.Plan.Beats
+	}
+	return limit.BeatEvery
+}
+
 // beat goes to the first of three daemons, tried in turn, that takes it.
 func (w *World) beat(t *Target, tries int) {
 	if tries > 3 {
 		return
 	}
-	p := w.procs[w.names[w.rnd.IntN(len(w.names))]]
-	state := t.state
+	names := w.names
+	if w.Plan.CoreOnly {
+		names = w.all("core")
+	}
+	p := w.procs[names[w.rnd.IntN(len(names))]]
+	state, cold := t.state, t.coldTill
 	done := false
 	again := func() {
 		if !done && t.alive {
@@ -589,13 +607,16 @@
 			return
 		}
 		done = true
+		if cold > w.now && t.coldTold != cold {
+			t.coldTold, t.coldFrom = cold, w.now+coldHeard
+		}
 		if state == model.Leaving && t.leftAt == 0 {
 			t.leftAt = w.now
 			w.Stats.Leaves++
 			w.log("%s/%s leaving, taken by %s", t.service, t.name, p.name)
 		}
 	})
-	w.at(limit.BeatEvery/2, again)
+	w.at(w.beats()/3, again) // not acknowledged: the next daemon hears it
 }
 
 // word is a call that says how a target is.
@@ -886,7 +907,11 @@
 		w.checkCold(t)
 		if w.Plan.Slots > 0 && len(t.works) >= w.Plan.Slots+queued {
 			w.Stats.TurnedAway++
-			fail(0, gate.NotRun, true, false)
+			if t.resets {
+				fail(0, gate.Lost, true, false)
+			} else {
+				fail(0, gate.NotRun, true, false)
+			}
 			return
 		}
 		w.runs(t, x)
@@ -946,6 +971,9 @@
 const (
 	coldSpan = 3 * time.Second
 	queued   = 2
+	// coldHeard is how long after a target's word was acknowledged its cold rate must hold
+	// everywhere: the bound for whatever is said of a target.
+	coldHeard = 2 * time.Second
 )
 
 // warmCap is what a warming target bears in all of them.
