--- a/gate/choice.go
+++ b/gate/choice.go
@@ -169,9 +169,10 @@
 }
 
 // dealSlots deals every slot of all lots to one of the names, evenly in sum: a
-// target's go, as long as their quota lasts, to the names of its own domain in the
-// order that a draw by target and name gives, what is left to any. So few parts move
-// when a target or a name comes or goes, and a name has many slots at few targets.
+// target's go, as long as their quota lasts, one by one to the names of its own domain
+// in the order that a draw by target and name gives, what is left to any. So few parts
+// move when a target or a name comes or goes, and each name has slots at many targets,
+// among which there are fast ones.
 func dealSlots(lots []lot, names, doms []string) [][]int {
 	parts := make([][]int, len(lots))
 	if len(names) == 0 {
@@ -201,18 +202,17 @@
 			for left[i] > 0 {
 				best, most := -1, uint64(0)
 				for j := range names {
-					if quota[j] == 0 || own && doms[j] != lots[i].domain {
+					if quota[j] == 0 || own && doms[j] != lots[i].domain || best >= 0 && parts[i][j] > parts[i][best] {
 						continue
 					}
-					if v := mix(lots[i].key, salts[j]); best < 0 || v > most {
+					if v := mix(lots[i].key, salts[j]); best < 0 || parts[i][j] < parts[i][best] || v > most {
 						best, most = j, v
 					}
 				}
 				if best < 0 {
 					break
 				}
-				n := min(left[i], quota[best])
-				parts[i][best], left[i], quota[best] = parts[i][best]+n, left[i]-n, quota[best]-n
+				parts[i][best], left[i], quota[best] = parts[i][best]+1, left[i]-1, quota[best]-1
 			}
 		}
 	}
@@ -460,9 +460,10 @@
 type tier int
 
 const (
-	dealtNear tier = iota // a slot of this proxy's own in its domain
+	dealtNear   tier = iota // a slot of this proxy's own in its domain
+	offeredNear             // one of its domain says that there is room
 	dealtFar
-	offered  // it says that there is room
+	offered  // another says so
 	coldRate // a cold target's next turn for this proxy
 	borrowed
 	shunned
@@ -474,8 +475,8 @@
 func (g *Gate) pick(now time.Duration, x *exchange, s *service) (t *target, any bool) {
 	room := g.ranked(now, x, s)
 	g.turn++
-	// Its own slots come first: mostly there is no need to look further.
-	if t, at, any := g.among(now, x, s, s.own, in, room); t != nil && at <= dealtFar {
+	// Its own slots nearby come first: mostly there is no need to look further.
+	if t, at, any := g.among(now, x, s, s.own, in, room); t != nil && at == dealtNear {
 		g.tell(at)
 		return t, any
 	}
@@ -567,6 +568,8 @@
 		return dealtFar
 	}
 	switch {
+	case t.offers(now) && t.near:
+		return offeredNear
 	case t.offers(now):
 		return offered
 	case float64(s.inflight)+1 <= s.window && t.used(now) < 1:
@@ -633,7 +636,11 @@
 		}
 		s.mean += limit.MeanWeight * (e.Ms - s.mean)
 		t.pace = 1 + t.slowness(now)
-		t.pace += limit.PaceWeight * (e.Ms/usual - t.pace)
+		if t.pace == 1 {
+			t.paces = 0
+		}
+		t.paces++
+		t.pace += max(limit.PaceWeight, 1/float64(t.paces+1)) * (e.Ms/usual - t.pace)
 		t.paceAt = now
 	}
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -16,6 +16,11 @@
 	ElectMin = 700 * time.Millisecond
 	// ElectSpread is added by name and term so that members seldom stand at once.
 	ElectSpread = 400 * time.Millisecond
+	// LeaderQuiet is how long no leader has spoken to a member that says that it hears none: three of
+	// its beats. A living leader that is late says itself that it leads.
+	LeaderQuiet = 3 * CoreBeat
+	// ElectAsk is how often a member that hears no leader asks whether all the others hear none either.
+	ElectAsk = 60 * time.Millisecond
 	// FsyncStall is how long a sync may hang before a leader stops deciding: under ElectMin.
 	FsyncStall = 400 * time.Millisecond
 	// LogMax is how many entries are held before a snapshot is taken.
@@ -51,6 +56,10 @@
 	VowLife = time.Minute
 	// HelloEvery is how often daemons tell each other who is there.
 	HelloEvery = 300 * time.Millisecond
+	// HelloCalm is the same for a proxy while the leader grants it, which makes its pulls tell who is there.
+	HelloCalm = 1500 * time.Millisecond
+	// MemoryEvery is how often a proxy without a leader tells a core process again what it remembers.
+	MemoryEvery = 2 * time.Second
 	// ListEvery is how often a daemon is told the same list of those known again: twice before
 	// one that is known from lists only is dropped, after half of DaemonGone.
 	ListEvery = 3 * time.Second
@@ -66,6 +75,12 @@
 	GateGrant = 900 * time.Millisecond
 	// TouchGrant is the same between orphaned proxies.
 	TouchGrant = 600 * time.Millisecond
+	// TouchMost is how many partners an orphan asks at a turn, or a TouchTurns-th of a roster for which
+	// that is more: all are asked again before a touch lapses, 3 x 150 ms and a hop under 600 ms.
+	TouchMost  = 16
+	TouchTurns = 3
+	// TouchWant is how many of them, in a larger roster, are asked at once what they hold against targets.
+	TouchWant = 4
 	// GrantMargin is what the leader adds before it takes a grant as lapsed, for clock speed.
 	// Worst wait for a change to be in force: GateGrant + GrantMargin = 1.1 s, under the 2 s rule.
 	GrantMargin = 200 * time.Millisecond
@@ -79,6 +94,20 @@
 	GateLive = 2 * time.Second
 	// FirstRoster is how long a leader with an empty roster gathers proxies before it admits them as one.
 	FirstRoster = 500 * time.Millisecond
+	// TableEvery is how often tables are made of news that may wait: many targets that come or turn
+	// ready at once make one table.
+	TableEvery = 80 * time.Millisecond
+	// TablesKept is of how many past tables a leader knows when it made them: more than GateDeaf has.
+	TablesKept = 64
+	// GonesKept is how many targets that went a leader remembers so as to tell changes by.
+	GonesKept = 1024
+	// LeftStep is how far the end of a bar or of coldness must move to be told again.
+	LeftStep = 250 * time.Millisecond
+	// FlightBytes is how much may be under way to a proxy unconfirmed, in bytes: a slow link's tenth of a
+	// second. SlowLink is what such a link carries beside traffic, in bytes a second, RowBytes a table's row.
+	FlightBytes = 12 << 10
+	SlowLink    = 128 << 10
+	RowBytes    = 120
 	// DemandEvery is how often tables are sent anew only because demand changed.
 	DemandEvery = time.Second
 	// DemandStep is how far a target's demand must move for that.
@@ -109,6 +138,19 @@
 	// DoubtEvery is a doubting proxy's own probe interval: the leader, if it is lost, may have been
 	// one miss short of a bar. At the worst 0.45 + 0.45 + 0.4 s went by there and 0.33 + 0.4 + 0.4 go by here.
 	DoubtEvery = 200 * time.Millisecond
+	// ProbeBurst is how many probes of targets that are known from the log go out in one tick.
+	ProbeBurst = 64
+	// KeepEvery is how often the agreed registry of targets is written, if something in it changed;
+	// a word that says leaving or gone is written at the next tick after another write.
+	KeepEvery = 250 * time.Millisecond
+	// KeepBatch is how many targets one write holds, PlacesMax how many targets, and marks of those
+	// that are gone, the registry: at 300 bytes each 2.4 MB, and with all else under half a ring file.
+	KeepBatch = 256
+	PlacesMax = 4096
+	// WatchMost is how many targets a doubting proxy probes, about: 40 each 200 ms. Of more each is
+	// watched by a part of the proxies, of WatchMost targets by all.
+	WatchMost = 40
+	Watchers  = 8
 	// ProbeMisses in a row make a bar; the source's two.
 	ProbeMisses = 2
 	// BarTTL is the source's 30 s, after which a bar lapses by itself.
@@ -119,9 +161,6 @@
 	ReconcileEvery = 10 * time.Second
 	// BeatEvery is what back ends are told to keep to.
 	BeatEvery = 500 * time.Millisecond
-	// ColdStep is how much longer a target must be cold than the last table said for a new one:
-	// words that tell one end arrive some ms apart.
-	ColdStep = 50 * time.Millisecond
 	// BeatLapse is how long a target may be silent before it no longer counts as beating:
 	// three beats and a little, and with one push still under the 2 s rule, since a service
 	// whose targets are all barred is served by those that beat.
@@ -177,6 +216,12 @@
 	ChoiceLife = DialCap + 100*time.Millisecond
 	// DialCap is how long opening a pipe and checking its identity may take.
 	DialCap = 500 * time.Millisecond
+	// ConnectCap is how long a connection to a target may take to open: over any round trip between
+	// domains, under what a lost first packet costs anyway. Nothing was sent, so another is chosen.
+	ConnectCap = 100 * time.Millisecond
+	// OpensMax is how many choices of one exchange may end before anything is sent. They do not count
+	// as its attempts, which are targets that it was sent to.
+	OpensMax = 4
 	// Shun is how long a target that refused a pipe is used last by that proxy.
 	Shun = time.Second
 	// ClosedBar is how long a proxy leaves a target out after two pipes in a row could not be
@@ -202,8 +247,17 @@
 	// PipeIdle is how long an unused pipe to a back end is kept: under the 5 s after which common
 	// servers close theirs, so that an exchange seldom meets the close under way.
 	PipeIdle = 4 * time.Second
+	// AheadMax is how many requests of one caller's connection are begun before those ahead of them
+	// are answered; AheadRead is how much of it is looked at, in bytes: some usual headers.
+	AheadMax  = 8
+	AheadRead = 2 << 10
 	// CallerIdle is how long a caller's unused pipe is kept.
 	CallerIdle = 60 * time.Second
+	// CallerHeader is how long a caller's header may take to come: three lost words' time.
+	CallerHeader = 3 * BeatLapse
+	// IdleSlack is how much longer than it is told an unused pipe of a caller's is kept: who
+	// believes in the bound never writes on one that is being closed.
+	IdleSlack = time.Second
 	// PipesIdleMax is how many unused pipes are kept per target: targets bound the pipes from all
 	// proxies together, and some hold a slot for each.
 	PipesIdleMax = 8
@@ -256,12 +310,14 @@
 	FullPause = 70 * time.Millisecond
 	// LoadLife is how long what a target told of its load counts, less and less.
 	LoadLife = time.Second
-	// PaceLife is how long a target's slow past counts, less and less; PaceWeight is an exchange's part in it.
-	PaceLife   = 10 * time.Second
-	PaceWeight = 0.2
-	// PaceUrge is how much of a target's slowness counts beside its load, PaceMost the most that does.
-	PaceUrge = 0.5
-	PaceMost = 1.0
+	// PaceLife is how long a target's past speed counts, less and less, so that a slow one is tried
+	// again; PaceWeight is an exchange's part in it, the first ones' more: times vary as much as speeds.
+	PaceLife   = 20 * time.Second
+	PaceWeight = 0.1
+	// PaceUrge is how much of a target's slowness counts beside its load, PaceMost the most that does:
+	// as long as a slot is free, a full target is no slower than an empty one.
+	PaceUrge = 1.0
+	PaceMost = 1.5
 	// PipeUrge is what an open pipe is worth beside a target's load.
 	PipeUrge = 0.1
 	// MeanWeight is an exchange's part in its route's mean time, once a few have been seen.
@@ -307,6 +363,13 @@
 const (
 	// TickEvery is the owners' heartbeat.
 	TickEvery = 20 * time.Millisecond
+	// SendQueue is how many messages may wait for one connection, and SendLate how long: a grant that
+	// comes later is of no use, and old words would keep new ones waiting.
+	SendQueue = 64
+	SendLate  = 500 * time.Millisecond
+	// WireBuffer is what a connection between daemons has for reading and for writing, in bytes: some
+	// small messages, since a member has such connections to all proxies.
+	WireBuffer = 4 << 10
 	// EventQueue is how many events may wait for an owner.
 	EventQueue = 4096
 	// RingFiles and RingFileSize bound a member's disk: 3 files of 8 MiB.
