--- a/core/core.go
+++ b/core/core.go
@@ -1346,6 +1346,12 @@
 	return facts{w.Addr, w.Domain, w.State, w.BarWhy, w.Held, w.Pending, w.Beating, w.ColdLeft > 0, true, w.Slots}
 }
 
+// colder says that a target is cold for longer than the last table said; each word's
+// own way here moves the end a little, which is none.
+func (t *target) colder(now time.Duration) bool {
+	return t.coldTill > now && t.coldTill > t.shownCold+limit.LeftStep
+}
+
 // tabled is a target as a table made now says it.
 func (c *Core) tabled(now time.Duration, t *target) wire.Target {
 	w := t.Target
@@ -1393,6 +1399,8 @@
 			if r = patient; !t.shown.known {
 				fresh++
 			}
+		} else if t.colder(now) {
+			return pressing
 		} else if due && math.Abs(w.Demand-t.shownDemand) >= limit.DemandStep {
 			r = patient
 		}
@@ -1415,7 +1423,7 @@
 	if c.lead != Deciding {
 		return
 	}
-	if w := c.tabled(now, t); c.table != nil && c.decisions == c.decidedAt && factsOf(&w) == t.shown {
+	if w := c.tabled(now, t); c.table != nil && c.decisions == c.decidedAt && factsOf(&w) == t.shown && !t.colder(now) {
 		c.counts.Same++
 		return
 	}
