--- a/gate/gate.go
+++ b/gate/gate.go
@@ -94,8 +94,12 @@
 		Message string
 		Allowed []string
 	}
-	// Targets is the table's targets; no pipe to any other may be used again.
-	Targets struct{ Live map[wire.ID]string }
+	// Targets is the table's targets; no pipe to any other may be used again. Limits are
+	// what its configuration bounds callers by, nil: nothing.
+	Targets struct {
+		Live   map[wire.ID]string
+		Limits *model.Limits
+	}
 )
 
 type State int
@@ -146,6 +150,10 @@
 	shun     time.Duration
 	backAt   time.Duration // when a bar was lifted
 	warmAt   time.Duration // when it ended its warming
+	anew     bool          // it came to the table of a proxy with a grant: nothing older runs there
+	warmPart int           // this proxy's part of its warming cap, and, until riseAt, the most that it may use
+	warmNext int           // the greater part that holds from then on
+	riseAt   time.Duration
 	inflight int
 	closed   int // pipes in a row that could not be opened
 	misses   int
@@ -241,7 +249,7 @@
 	aims      map[string]*tally
 	ways      map[string]*way // what is kept by route
 	salt      uint64
-	coldEnd   time.Duration // when the next target ends being cold, 0: none is
+	coldEnd   time.Duration // when the next target ends being cold, or a part of a warming one grows, 0: never
 	turn      uint64
 	stopping  bool
 	stopAt    time.Duration
@@ -380,7 +388,11 @@
 		if m.Hello == nil {
 			return
 		}
+		led := g.leader(now)
 		g.known.Meet(now, g.set.Self.Name, m.Hello)
+		if l := g.leader(now); l != led && l == m.From && now > g.pullAt {
+			g.pull(now) // the leader waits for what proxies hold, and they for its grant
+		}
 		if !m.Hello.Reply {
 			h := &wire.Hello{Self: g.self(), Reply: true, Known: g.known.List()}
 			g.send(m.From, &wire.Msg{Kind: uint16(wire.KHello), Hello: h})
@@ -598,6 +610,7 @@
 func (g *Gate) succeed(now time.Duration, id wire.ID, h *target) {
 	delete(g.targets, id)
 	g.leaving[id] = now
+	h.anew = true
 	g.targets[h.ID()] = h
 	h.chill(now, max(h.ColdLeft, int64(g.coldOf(h.Service))))
 	g.retarget(now)
@@ -611,7 +624,7 @@
 	for id, t := range g.targets {
 		live[id] = t.Addr
 	}
-	g.do(Targets{live})
+	g.do(Targets{live, g.cfg.Limits})
 }
 
 // take puts a later table in force; an earlier one never replaces a later.
@@ -649,7 +662,7 @@
 		id := w.ID()
 		n := g.targets[id]
 		if n == nil {
-			n = &target{}
+			n = &target{anew: g.state == Granted}
 		}
 		was := n.barUntil > now
 		if n.State == model.Warming && w.State == model.Ready {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -16,6 +16,11 @@
 	ElectMin = 700 * time.Millisecond
 	// ElectSpread is added by name and term so that members seldom stand at once.
 	ElectSpread = 400 * time.Millisecond
+	// LeaderQuiet is how long no leader has spoken to a member that says that it hears none: three of
+	// its beats. A living leader that is late says itself that it leads.
+	LeaderQuiet = 3 * CoreBeat
+	// ElectAsk is how often a member that hears no leader asks whether all the others hear none either.
+	ElectAsk = 60 * time.Millisecond
 	// FsyncStall is how long a sync may hang before a leader stops deciding: under ElectMin.
 	FsyncStall = 400 * time.Millisecond
 	// LogMax is how many entries are held before a snapshot is taken.
@@ -109,6 +114,15 @@
 	// DoubtEvery is a doubting proxy's own probe interval: the leader, if it is lost, may have been
 	// one miss short of a bar. At the worst 0.45 + 0.45 + 0.4 s went by there and 0.33 + 0.4 + 0.4 go by here.
 	DoubtEvery = 200 * time.Millisecond
+	// ProbeBurst is how many probes of targets that are known from the log go out in one tick.
+	ProbeBurst = 64
+	// KeepEvery is how often the agreed registry of targets is written, if something in it changed;
+	// a word that says leaving or gone is written at the next tick after another write.
+	KeepEvery = 250 * time.Millisecond
+	// KeepBatch is how many targets one write holds, PlacesMax how many targets, and marks of those
+	// that are gone, the registry: at 300 bytes each 2.4 MB, and with all else under half a ring file.
+	KeepBatch = 256
+	PlacesMax = 4096
 	// ProbeMisses in a row make a bar; the source's two.
 	ProbeMisses = 2
 	// BarTTL is the source's 30 s, after which a bar lapses by itself.
@@ -211,6 +225,11 @@
 	AheadRead = 2 << 10
 	// CallerIdle is how long a caller's unused pipe is kept.
 	CallerIdle = 60 * time.Second
+	// CallerHeader is how long a caller's header may take to come: three lost words' time.
+	CallerHeader = 3 * BeatLapse
+	// IdleSlack is how much longer than it is told an unused pipe of a caller's is kept: who
+	// believes in the bound never writes on one that is being closed.
+	IdleSlack = time.Second
 	// PipesIdleMax is how many unused pipes are kept per target: targets bound the pipes from all
 	// proxies together, and some hold a slot for each.
 	PipesIdleMax = 8
