Whether a target beats makes new tables only while it is barred

Targets there beat every 1.5 s, a beat lapses after 1.6 s, so each late one made a table, and the next beat another, although proxies ask only of barred targets whether they beat.

--- a/core/core.go
+++ b/core/core.go
@@ -1187,7 +1187,7 @@
 }
 
 func factsOf(w *wire.Target) facts {
-	return facts{w.Addr, w.Domain, w.State, w.BarWhy, w.Held, w.Pending, w.Beating, w.ColdLeft > 0, true, w.Slots}
+	return facts{w.Addr, w.Domain, w.State, w.BarWhy, w.Held, w.Pending, w.Beating && w.BarLeft > 0, w.ColdLeft > 0, true, w.Slots}
 }
 
 // tabled is a target as a table made now says it.
--- a/core/rest_test.go
+++ b/core/rest_test.go
@@ -99,6 +99,32 @@
 	}
 }
 
+// Targets whose beats are too rare, and which answer probes, make no new tables; of barred
+// ones it is told whether they beat.
+func TestRareBeatsMoveNothing(t *testing.T) {
+	r := atRest(12, 36)
+	was := r.c.Table().Key
+	words := r.target
+	for i := range 15 {
+		r.target = nil
+		if i%3 == 2 {
+			r.target = words
+		}
+		r.second()
+	}
+	if k := r.c.Table().Key; k.Ver > was.Ver+2 {
+		t.Fatalf("table %v -> %v", was, k)
+	}
+	x := r.c.targets[words[0].ID()]
+	w := r.c.tabled(r.now, x)
+	w.BarLeft, w.BarWhy = 1, "default"
+	silent := w
+	w.Beating, silent.Beating = true, false
+	if factsOf(&w) == factsOf(&silent) {
+		t.Fatal("it is not told whether a barred target beats")
+	}
+}
+
 // One virtual second of a leader at rest.
 func BenchmarkAtRest(b *testing.B) {
 	for _, n := range [][2]int{{12, 36}, {69, 294}} {
