Exchanges that may be repeated leave targets that missed their probes

Cause: an exchange that had reached a target which then went dark waited for an answer until its deadline, although the target was barred 1.4 s later and another would have answered. What may run once and is at a dark target still ends with 502 or the deadline.

--- a/carry/ahead_test.go
+++ b/carry/ahead_test.go
@@ -17,6 +17,7 @@
 	"myrtlefold/gate"
 	"myrtlefold/limit"
 	"myrtlefold/model"
+	"myrtlefold/wire"
 )
 
 // A pipelined exchange reaches its target while the one ahead of it runs; the answers
@@ -169,3 +170,40 @@
 		t.Fatal("nothing was begun ahead")
 	}
 }
+
+// An exchange that may be repeated leaves a target that nothing reaches, one that may not
+// or has no attempts left waits on.
+func TestDarkTarget(t *testing.T) {
+	for _, c := range []struct {
+		kind   string
+		more   bool
+		second int64
+	}{{model.Repeatable, true, 1}, {model.Once, true, 0}, {model.Repeatable, false, 0}} {
+		over := make(chan bool)
+		a := serve(t, "a", func(w http.ResponseWriter, r *http.Request) {
+			<-over
+			w.Header().Set("P", "a")
+			fmt.Fprint(w, "late")
+		})
+		b := serve(t, "b", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("P", "b")
+			fmt.Fprint(w, "fine")
+		})
+		f := carrier(t, a.Target, b.Target).asked(c.kind)
+		f.more = c.more
+		go func() {
+			<-a.seen
+			f.pool.Dark(map[wire.ID]bool{a.ID(): true})
+			if c.second == 0 {
+				close(over)
+			}
+		}()
+		status, _, body := f.do(t, "GET", "/", "")
+		if want := map[int64]string{0: "late", 1: "fine"}[c.second]; status != 200 || body != want || b.runs.Load() != c.second {
+			t.Errorf("%+v: %d %s, %d at the second", c, status, body, b.runs.Load())
+		}
+		if c.second > 0 {
+			close(over)
+		}
+	}
+}
--- a/carry/carry.go
+++ b/carry/carry.go
@@ -82,7 +82,7 @@
 
 // Counts are the carrier's counters.
 type Counts struct {
-	Exchanges, Served, Unknown, NotRun, Cut, Gone, Opened, Reused, Foreign, TurnedAway, Strange, Ahead atomic.Uint64
+	Exchanges, Served, Unknown, NotRun, Cut, Gone, Opened, Reused, Foreign, TurnedAway, Strange, Ahead, GivenUp atomic.Uint64
 }
 
 // Carrier is the handler of the callers' address.
@@ -706,6 +706,10 @@
 		}
 		return t
 	}
+	if repeats && g.More && u.rest == nil && !p.await(r.Context(), till, func() bool { return c.pool.dark(g.Target.ID()) }) {
+		c.Counts.GivenUp.Add(1)
+		return lost("dark", "nothing reaches the target, which has not answered")
+	}
 	resp, err := p.head(r.Method)
 	if err != nil {
 		return lost("lost", "the target's answer was lost")
--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -74,6 +74,7 @@
 	set    model.Service
 	route  model.Route
 	left   time.Duration
+	more   bool
 }
 
 func carrier(t testing.TB, targets ...wire.Target) *front {
@@ -99,7 +100,7 @@
 		if n >= len(targets) {
 			return gate.Refuse{ID: id, Status: 503, Retry: 2 * time.Second, Code: "busy", Message: "none left"}
 		}
-		return gate.Give{ID: id, Service: "s", Target: targets[n], Left: f.left, Till: limit.ChoiceLife, Set: f.set, Route: f.route}
+		return gate.Give{ID: id, Service: "s", Target: targets[n], Left: f.left, Till: limit.ChoiceLife, Set: f.set, Route: f.route, More: f.more}
 	}}, f.pool)
 	f.car = c
 	srv := httptest.NewUnstartedServer(c)
--- a/carry/pipe.go
+++ b/carry/pipe.go
@@ -130,6 +130,32 @@
 	return err == nil && quiet
 }
 
+// await waits until something comes, until the deadline or as long as the target is
+// not given up; it returns false in that last case.
+func (p *Pipe) await(ctx context.Context, till time.Time, dark func() bool) bool {
+	p.room = 4 * limit.HeaderMax
+	for wait := limit.DarkAfter; ; wait = limit.DarkEvery {
+		at := time.Now().Add(wait)
+		if !at.Before(till) {
+			break
+		}
+		p.c.SetReadDeadline(at)
+		_, err := p.r.Peek(1)
+		var ne net.Error
+		if err == nil || !errors.As(err, &ne) || !ne.Timeout() || ctx.Err() != nil {
+			break
+		}
+		if dark() {
+			return false
+		}
+	}
+	p.c.SetReadDeadline(till)
+	if ctx.Err() != nil {
+		p.c.SetDeadline(past())
+	}
+	return true
+}
+
 // head reads an answer's status and header.
 func (p *Pipe) head(method string) (*http.Response, error) {
 	req := &http.Request{Method: method}
@@ -247,6 +273,7 @@
 type shelf struct {
 	slots [limit.PipesIdleMax]atomic.Pointer[Pipe]
 	gone  atomic.Bool
+	dark  atomic.Bool // nothing reaches the target
 }
 
 // put keeps a pipe in one of the first n places, or closes it.
@@ -365,6 +392,18 @@
 	}
 }
 
+// Dark tells the pool which targets nothing reaches.
+func (p *Pool) Dark(ids map[wire.ID]bool) {
+	for id, s := range *p.shelves.Load() {
+		s.dark.Store(ids[id])
+	}
+}
+
+func (p *Pool) dark(id wire.ID) bool {
+	s := (*p.shelves.Load())[id]
+	return s != nil && s.dark.Load()
+}
+
 // Close closes all idle pipes, and those that come back later.
 func (p *Pool) Close() {
 	close(p.stop)
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -8,6 +8,7 @@
 
 	"myrtlefold/limit"
 	"myrtlefold/model"
+	"myrtlefold/wire"
 )
 
 // way is what is kept by route: whose turn in its split it is and what its
@@ -188,7 +189,7 @@
 	t.usedAt = now
 	s.inflight++
 	g.Counts.Admitted++
-	g.do(Give{ID: x.id, Service: x.svc, Set: x.set, Name: x.name, Route: x.route, Target: t.Target, Left: x.deadline - now, Till: now + limit.ChoiceLife})
+	g.do(Give{ID: x.id, Service: x.svc, Set: x.set, Name: x.name, Route: x.route, Target: t.Target, Left: x.deadline - now, Till: now + limit.ChoiceLife, More: x.tries < x.route.Attempts})
 }
 
 // tooLate says that a service under pressure better spends its time on others.
@@ -444,3 +445,28 @@
 		g.give(now, x, t, s)
 	}
 }
+
+// darken tells which targets nothing reaches, when that has changed.
+func (g *Gate) darken(now time.Duration) {
+	n, same := 0, true
+	is := func(t *target) bool {
+		return t.barUntil > now && t.unheard || t.ownBar > now && t.misses >= limit.ProbeMisses
+	}
+	for id, t := range g.targets {
+		if is(t) {
+			n++
+			same = same && g.dark[id]
+		}
+	}
+	if same && n == len(g.dark) {
+		return
+	}
+	dark := make(map[wire.ID]bool, n)
+	for id, t := range g.targets {
+		if is(t) {
+			dark[id] = true
+		}
+	}
+	g.dark = dark
+	g.do(Dark{dark})
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -83,6 +83,7 @@
 		Target  wire.Target
 		Left    time.Duration // until the exchange's deadline
 		Till    time.Duration // nothing of it may be written to this target later than this
+		More    bool          // it has attempts left after this one
 	}
 	// Refuse is an exchange's final answer, given before anything was sent on its behalf
 	// (or, after Again, after a try that its caller has classified).
@@ -94,6 +95,9 @@
 		Message string
 		Allowed []string
 	}
+	// Dark is the targets that are barred because nothing reaches them: an exchange that may
+	// be repeated and has no answer from one yet need not wait for it.
+	Dark struct{ IDs map[wire.ID]bool }
 	// Targets is the table's targets; no pipe to any other may be used again. Limits are
 	// what its configuration bounds callers by, nil: nothing.
 	Targets struct {
@@ -144,6 +148,7 @@
 	wire.Target
 	barUntil time.Duration // the table's bar
 	ownBar   time.Duration // an orphan's bar, from its own probes
+	unheard  bool          // the table's bar is for missed probes
 	held     bool          // heard here that it leaves
 	voice    core.Voice    // what was heard here of its beats
 	heir     *target       // a later start of it that claims its place while no leader can say
@@ -254,6 +259,7 @@
 	stopping  bool
 	stopAt    time.Duration
 	out       []any
+	dark      map[wire.ID]bool
 	Counts    Counts
 }
 
@@ -459,6 +465,7 @@
 		g.index(now)
 	}
 	g.queues(now)
+	g.darken(now)
 	if linger, most := g.set.stop(); g.stopping && (now-g.stopAt > linger && len(g.exchanges) == 0 || now-g.stopAt > most) {
 		g.do(core.Exit{})
 	}
@@ -670,7 +677,7 @@
 		}
 		n.Target = w
 		n.chill(now, w.ColdLeft)
-		n.barUntil = 0
+		n.barUntil, n.unheard = 0, w.BarWhy == model.DefaultPolicy
 		if w.BarLeft > 0 {
 			n.barUntil = now + time.Duration(w.BarLeft)
 		} else if was {
--- a/gate/route_test.go
+++ b/gate/route_test.go
@@ -740,3 +740,34 @@
 		}
 	}
 }
+
+// It is told which targets missed their probes, once, and when they are back.
+func TestDarkIsTold(t *testing.T) {
+	told := func(out []any) (n int, ids map[wire.ID]bool) {
+		for _, c := range out {
+			if d, ok := c.(Dark); ok {
+				n, ids = n+1, d.IDs
+			}
+		}
+		return n, ids
+	}
+	policy := func(t *wire.Target) { barred(t); t.BarWhy = "slow" }
+	b := newBench("g1", 1, routed, to("a", slots(2)), to("b", slots(2), barred), to("c", slots(2), policy))
+	if n, ids := told(b.pass(time.Millisecond)); n != 1 || len(ids) != 1 || !ids[wire.ID{Service: "s", Name: "b", Inc: 1}] {
+		t.Fatalf("%d times %v", n, ids)
+	}
+	if n, ids := told(b.pass(time.Millisecond)); n != 0 {
+		t.Fatalf("again: %v", ids)
+	}
+	b.table(1, routed, to("a", slots(2)), to("b", slots(2)))
+	if n, ids := told(b.pass(time.Millisecond)); n != 1 || len(ids) != 0 {
+		t.Fatalf("%d times %v", n, ids)
+	}
+	if g := b.call(1, "/a/", 0).(Give); !g.More {
+		t.Fatal("it has a second attempt")
+	}
+	b.step(Done{ID: 1, Outcome: Lost})
+	if g, ok := answer(1, b.step(Again{ID: 1})).(Give); ok && g.More {
+		t.Fatal("it has no third attempt")
+	}
+}
--- a/host/gate.go
+++ b/host/gate.go
@@ -33,6 +33,8 @@
 			h.Loop.Answer(c.ID, c)
 		case gate.Refuse:
 			h.Loop.Answer(c.ID, c)
+		case gate.Dark:
+			pool.Dark(c.IDs)
 		case gate.Targets:
 			pool.Live(c.Live)
 			car.Limits.Store(c.Limits)
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -191,6 +191,10 @@
 	// ConnectCap is how long a connection to a target may take to open: over any round trip between
 	// domains, under what a lost first packet costs anyway. Nothing was sent, so another is chosen.
 	ConnectCap = 100 * time.Millisecond
+	// DarkAfter is after what time without an answer it is looked, each DarkEvery, whether the target
+	// is known to be out of reach: two missed probes take longer.
+	DarkAfter = 300 * time.Millisecond
+	DarkEvery = 60 * time.Millisecond
 	// OpensMax is how many choices of one exchange may end before anything is sent. They do not count
 	// as its attempts, which are targets that it was sent to.
 	OpensMax = 4
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -491,6 +491,7 @@
 	case gate.Targets:
 		p.live = c.Live
 		maps.DeleteFunc(p.pool, func(id wire.ID, _ []*Target) bool { _, ok := c.Live[id]; return !ok })
+	case gate.Dark: // exchanges here wait for their deadlines
 	case gate.Give:
 		w.give(p, c)
 	case gate.Refuse:
