The simulator knows scarce processors and thin links, and plays a large fleet on them

A plan may give core members and proxies a share of a processor, which each event and byte that they handle uses up, and proxies' links so many bytes a second. 69 proxies with a sixth of a processor and 250 KB/s each, and 294 targets, come to their feet, take a change within 2 s, and are all granted again 6 s after a leader's death and 4 s after all proxies were killed.

What each proxy holds is compared with its leader's table while targets crash and configurations change: changes add up to the whole.

--- /dev/null
+++ b/sim/grown_test.go
@@ -0,0 +1,114 @@
+package sim
+
+import (
+	"testing"
+	"time"
+
+	"myrtlefold/gate"
+)
+
+// grown is a fleet of many proxies on little: a sixth of a processor and a thin link each.
+func grown() Plan {
+	p := Small
+	p.Gates, p.Services, p.Rate = 69, map[string]int{"fares": 243, "pay": 51}, 20
+	p.Scarce = &Scarce{CoreShare: 0.48, GateShare: 0.16, GateLink: 250e3}
+	return p
+}
+
+func granted(w *World) (n int) {
+	for _, g := range w.all("gate") {
+		if p := w.procs[g]; p.alive && p.gate.State() == gate.Granted {
+			n++
+		}
+	}
+	return n
+}
+
+// Where processors and links are scarce a large fleet still comes to its feet, takes changes,
+// and comes back after its leader has gone and after all of its proxies have.
+func TestLargeFleetOnLittle(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2) {
+		w := Start(seed, grown())
+		w.Run(w.now + 4*time.Second)
+		if n := granted(w); n < 69 {
+			t.Fatalf("seed %d: %d of 69 proxies are granted at %v\n%s", seed, n, w.now, w.Trace(40))
+		}
+		for range 2 {
+			from := w.acked
+			w.PutConfig(w.Leader(), w.Revision(), 3)
+			if w.Run(w.now + 2*time.Second); w.acked == from {
+				t.Errorf("seed %d: a change was not in force after 2 s", seed)
+			}
+			w.Kill(w.Leader())
+			if w.Run(w.now + 6*time.Second); granted(w) < 69 {
+				t.Errorf("seed %d: %d of 69 proxies are granted 6 s after the leader died\n%s", seed, granted(w), w.Trace(40))
+			}
+			for _, c := range w.all("core") {
+				w.Restart(w.procs[c])
+			}
+			w.Run(w.now + 3*time.Second)
+		}
+		for _, g := range w.all("gate") {
+			w.Kill(w.procs[g])
+		}
+		w.Run(w.now + time.Second)
+		for _, g := range w.all("gate") {
+			w.Restart(w.procs[g])
+		}
+		if w.Run(w.now + 4*time.Second); granted(w) < 69 {
+			t.Errorf("seed %d: %d of 69 proxies are granted 4 s after all were restarted", seed, granted(w))
+		}
+		check(t, w)
+	}
+}
+
+// What each proxy holds is what its leader's table says, however many changes made it.
+func TestChangesMakeTheWholeTable(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		w := Start(seed, Small)
+		same := 0
+		for i := range 120 {
+			if i%10 == 0 {
+				w.Crash(w.targets[w.rnd.IntN(len(w.targets))])
+			}
+			if i%17 == 0 {
+				w.PutConfig(w.Leader(), w.Revision(), 3)
+			}
+			w.Run(w.now + 100*time.Millisecond)
+			l := w.Leader()
+			if l == nil || l.core.Table() == nil {
+				continue
+			}
+			want := l.core.Table()
+			for _, g := range w.all("gate") {
+				p := w.procs[g]
+				if !p.alive || p.gate.Table() == nil || p.gate.Table().Key != want.Key {
+					continue
+				}
+				same++
+				got := p.gate.Table()
+				if len(got.Targets) != len(want.Targets) || len(got.Gates) != len(want.Gates) || string(got.Doc) != string(want.Doc) || string(got.State) != string(want.State) {
+					t.Fatalf("seed %d: %s holds %+v, its leader made %+v", seed, g, got, want)
+				}
+				for i := range want.Targets {
+					a, b := got.Targets[i], want.Targets[i]
+					if a.ID() != b.ID() || a.Addr != b.Addr || a.State != b.State || a.Held != b.Held || a.Pending != b.Pending || a.Beating != b.Beating ||
+						a.Turn != b.Turn || a.Slots != b.Slots || a.BarWhy != b.BarWhy || (a.ColdLeft > 0) != (b.ColdLeft > 0) {
+						t.Fatalf("seed %d: %s has %+v, its leader %+v", seed, g, a, b)
+					}
+				}
+				for i := range want.Gates {
+					if got.Gates[i] != want.Gates[i] {
+						t.Fatalf("seed %d: %s has %+v, its leader %+v", seed, g, got.Gates[i], want.Gates[i])
+					}
+				}
+			}
+		}
+		if same < 300 {
+			t.Errorf("seed %d: compared %d times", seed, same)
+		}
+		check(t, w)
+	}
+}
--- a/sim/scenes.go
+++ b/sim/scenes.go
@@ -190,12 +190,16 @@
 	return &c
 }
 
-// spoilLate does the same to a message that comes late.
-func (w *World) spoilLate(m *wire.Msg) *wire.Msg {
-	if w.sabotage != "old tables" {
+// spoilLate does the same to a leader's message that comes late: it brings all of the table
+// of its time as if that were the latest.
+func (w *World) spoilLate(from *Proc, m *wire.Msg) *wire.Msg {
+	if w.sabotage != "old tables" || m.Push == nil || from.core == nil || from.core.Table() == nil {
 		return m
 	}
-	return altered(m, func(t *wire.Table) { t.Key.Ver += 1000 })
+	c, p, t := *m, *m.Push, *from.core.Table()
+	t.Key.Ver += 1000
+	p.Table, c.Push = &t, &p
+	return &c
 }
 
 // ---- availability ----
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -16,6 +16,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"myrtlefold/core"
 	"myrtlefold/gate"
 	"myrtlefold/limit"
@@ -36,6 +38,59 @@
 	Slots        int            // exchanges at once that targets tell, and routes in rules' place; 0: neither
 	ColdPerS     float64        // exchanges a second that a cold target bears, 0: no such bound
 	Known        []string       // domains that the core's settings name
+	Scarce       *Scarce        // nil: processors and links take no time
+}
+
+// Scarce has processes take time for what they handle, and links for what goes over them.
+type Scarce struct {
+	CoreShare, GateShare float64 // of a processor
+	GateLink             float64 // bytes a second, each way
+}
+
+// What a process that has a processor of its own takes for one message or event, and for a
+// byte: system calls, reading and writing, and the owner's step.
+const (
+	costEvent = 60 * time.Microsecond
+	costByte  = 10 * time.Nanosecond
+)
+
+// share is the part of a processor that a process has.
+func (s *Scarce) share(p *Proc) float64 {
+	if p.kind == "core" {
+		return s.CoreShare
+	}
+	return s.GateShare
+}
+
+// weigh is how many bytes a message takes on a connection.
+func weigh(m *wire.Msg) int {
+	var n counter
+	w := wire.NewWriter(&n)
+	if err := errors.Join(w.Put(m), w.Flush()); err != nil {
+		panic(err)
+	}
+	return int(n)
+}
+
+type counter int
+
+func (n *counter) Write(b []byte) (int, error) {
+	*n += counter(len(b))
+	return len(b), nil
+}
+
+// work has a process spend time on something, after all that it has to do before; what it
+// gives is when that is done.
+func (w *World) work(p *Proc, bytes int) time.Duration {
+	d := float64(costEvent+time.Duration(bytes)*costByte) / w.Plan.Scarce.share(p)
+	p.busy = max(p.busy, w.now) + time.Duration(d)
+	return p.busy
+}
+
+// pass is when so many bytes that are ready at a moment have gone over a proxy's link.
+func (w *World) pass(at time.Duration, link *time.Duration, bytes int) time.Duration {
+	*link = max(*link, at) + time.Duration(float64(bytes)*float64(time.Second)/w.Plan.Scarce.GateLink)
+	return *link
 }
 
 // Small is a fleet that shows all behaviour and still runs fast.
@@ -87,6 +142,9 @@
 	pool   map[wire.ID][]*Target
 	live   map[wire.ID]string
 	rev    uint64
+	busy   time.Duration // until when its processor is taken, its link out, and its link in
+	out    time.Duration
+	in     time.Duration
 	since  time.Duration // when it last was stopped or started
 }
 
@@ -328,8 +386,16 @@
 		if p.gen != gen || !p.alive {
 			return
 		}
-		if !p.frozen {
+		switch {
+		case p.frozen:
+		case w.Plan.Scarce == nil:
 			w.deliver(p, core.Tick{})
+		case p.busy-w.now < limit.TickEvery: // else the one before still waits
+			w.at(w.work(p, 0)-w.now, func() {
+				if p.gen == gen {
+					w.deliver(p, core.Tick{})
+				}
+			})
 		}
 		w.at(limit.TickEvery, beat)
 	}
@@ -421,6 +487,37 @@
 	}
 }
 
+// scarce carries a message where that takes time; what a full link would hold up for too
+// long is dropped, as a shell does.
+func (w *World) scarce(p, to *Proc, m *wire.Msg, d time.Duration) {
+	n := weigh(m)
+	at := w.work(p, n)
+	if p.kind == "gate" {
+		if p.out-w.now > limit.SendLate {
+			return
+		}
+		at = w.pass(at, &p.out, n)
+	}
+	at += d
+	if to.kind == "gate" {
+		if to.in-w.now > limit.SendLate {
+			return
+		}
+		at = w.pass(at, &to.in, n)
+	}
+	gen := to.gen
+	w.at(at-w.now, func() {
+		if to.gen != gen || !to.alive {
+			return
+		}
+		w.at(w.work(to, n)-w.now, func() {
+			if to.gen == gen && w.reach(p.name, to.name) {
+				w.deliver(to, core.Recv{M: m})
+			}
+		})
+	})
+}
+
 func (w *World) reach(a, b string) bool { return !w.cut[[2]string{a, b}] }
 
 func (w *World) exec(p *Proc, cmd any) {
@@ -438,10 +535,14 @@
 		if m == nil {
 			return
 		}
+		if w.Plan.Scarce != nil {
+			w.scarce(p, to, m, d)
+			return
+		}
 		if w.rnd.Float64() < w.late {
 			at = w.now + w.ms(200, 4000) // left over in an earlier pipe
 			w.Stats.Slips++
-			m = w.spoilLate(m)
+			m = w.spoilLate(p, m)
 		} else {
 			w.link[k] = at
 		}
@@ -459,6 +560,10 @@
 		}
 		w.at(w.ms(0, 4), func() { w.flush(p, gen, d) })
 	case core.Probe:
+		if w.Plan.Scarce != nil { // the question, and the answer
+			w.work(p, 0)
+			w.work(p, 0)
+		}
 		w.probe(p, c)
 	case core.Reply:
 		if a := w.asks[c.ID]; a != nil {
