--- a/gate/gate.go
+++ b/gate/gate.go
@@ -95,8 +95,12 @@
 		Message string
 		Allowed []string
 	}
-	// Targets is the table's targets; no pipe to any other may be used again.
-	Targets struct{ Live map[wire.ID]string }
+	// Targets is the table's targets; no pipe to any other may be used again. Limits are
+	// what its configuration bounds callers by, nil: nothing.
+	Targets struct {
+		Live   map[wire.ID]string
+		Limits *model.Limits
+	}
 )
 
 type State int
@@ -147,6 +151,10 @@
 	shun     time.Duration
 	backAt   time.Duration // when a bar was lifted
 	warmAt   time.Duration // when it ended its warming
+	anew     bool          // it came to the table of a proxy with a grant: nothing older runs there
+	warmPart int           // this proxy's part of its warming cap, and, until riseAt, the most that it may use
+	warmNext int           // the greater part that holds from then on
+	riseAt   time.Duration
 	inflight int
 	closed   int // pipes in a row that could not be opened
 	misses   int
@@ -165,6 +173,7 @@
 	others    float64       // what it told of its load besides this proxy's
 	loadAt    time.Duration
 	pace      float64 // how its times compare with its routes', 1: as usual
+	paces     int     // how many exchanges told of it
 	paceAt    time.Duration
 	usedAt    time.Duration
 }
@@ -181,7 +190,8 @@
 	waitTill time.Duration
 	waiting  bool
 	at       *target
-	tries    int
+	tries    int // choices that may have been sent to their targets
+	opens    int // choices that ended before anything was sent
 	tried    []wire.ID
 	last     Outcome // of the latest try
 	repeat   bool    // something of it has reached a target: a further one draws on the budget
@@ -246,7 +256,7 @@
 	aims      map[string]*tally
 	ways      map[string]*way // what is kept by route
 	salt      uint64
-	coldEnd   time.Duration // when the next target ends being cold, 0: none is
+	coldEnd   time.Duration // when the next target ends being cold, or a part of a warming one grows, 0: never
 	turn      uint64
 	stopping  bool
 	stopAt    time.Duration
@@ -385,7 +395,11 @@
 		if m.Hello == nil {
 			return
 		}
+		led := g.leader(now)
 		g.known.Meet(now, g.set.Self.Name, m.Hello)
+		if l := g.leader(now); l != led && l == m.From && now > g.pullAt {
+			g.pull(now) // the leader waits for what proxies hold, and they for its grant
+		}
 		if !m.Hello.Reply {
 			h := &wire.Hello{Self: g.self(), Reply: true, Known: g.known.List()}
 			g.send(m.From, &wire.Msg{Kind: uint16(wire.KHello), Hello: h})
@@ -686,6 +700,7 @@
 func (g *Gate) succeed(now time.Duration, id wire.ID, h *target) {
 	delete(g.targets, id)
 	g.leaving[id] = now
+	h.anew = true
 	g.targets[h.ID()] = h
 	h.chill(now, max(h.ColdLeft, int64(g.coldOf(h.Service))))
 	g.retarget(now)
@@ -699,7 +714,7 @@
 	for id, t := range g.targets {
 		live[id] = t.Addr
 	}
-	g.do(Targets{live})
+	g.do(Targets{live, g.cfg.Limits})
 }
 
 // whole is a table with all that it leaves out because this proxy has it, nil if it has not.
@@ -816,7 +831,7 @@
 			continue
 		}
 		if n == nil {
-			n = &target{}
+			n = &target{anew: g.state == Granted}
 		}
 		was := n.barUntil > now
 		if n.State == model.Warming && w.State == model.Ready {
--- a/host/gate.go
+++ b/host/gate.go
@@ -35,6 +35,7 @@
 			h.Loop.Answer(c.ID, c)
 		case gate.Targets:
 			pool.Live(c.Live)
+			car.Limits.Store(c.Limits)
 		case core.Change:
 			if c.What == "stop" {
 				car.Leaving.Store(true)
@@ -78,7 +79,7 @@
 	if err != nil {
 		h.Fatal(err, "start")
 	}
-	srv, err := h.Serve(h.Set.Listen, car)
+	srv, err := h.ServeCallers(h.Set.Listen, car)
 	if err != nil {
 		h.Fatal(err, "start")
 	}
@@ -87,7 +88,11 @@
 	h.Watch(func(s []string) { h.Loop.Look(func(time.Duration) { own.Seeds(s) }) })
 	h.Log.WithField("settings", h.Set).Info("started")
 	code := <-h.Quit
-	ctx, cancel := context.WithTimeout(context.Background(), limit.StopWait)
+	wait := limit.StopWait
+	if h.Set.GraceMs > 0 {
+		wait = limit.StopLast // the owner has used the rest of the grace
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	if srv.Shutdown(ctx) != nil {
 		code = 1
--- a/host/host.go
+++ b/host/host.go
@@ -217,6 +217,8 @@
 	start time.Time
 	out   map[string]chan queued
 	Quit  chan int
+	// Traffic counts the messages between this daemon and others.
+	Traffic *Traffic
 	// Headers are the names that targets are asked with; none: the product's own.
 	Headers  carry.Headers
 	probes   map[wire.ID]*probed
@@ -261,10 +263,18 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	lv, _ := logrus.ParseLevel(set.Log)
 	log.SetLevel(lv)
-	h := &Host{Kind: kind, Set: set, Log: log, Reg: prometheus.NewRegistry(), Inc: rand.Uint64() | 1, load: load, say: say, Headers: say.Headers, raw: raw,
-		start: time.Now(), out: map[string]chan queued{}, Quit: make(chan int, 1)}
+	h := New(kind, set, log)
+	h.load, h.say, h.Headers, h.raw = load, say, say.Headers, raw
 	h.bound(set)
 	h.Reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return h
+}
+
+// New is a daemon's context by itself: what the process has in common is Start's.
+func New(kind string, set Settings, log *logrus.Logger) *Host {
+	h := &Host{Kind: kind, Set: set, Log: log, Reg: prometheus.NewRegistry(), Inc: rand.Uint64() | 1, Traffic: &Traffic{},
+		start: time.Now(), out: map[string]chan queued{}, Quit: make(chan int, 1)}
+	h.Reg.MustRegister(h.Traffic)
 	h.Loop = &Loop{in: make(chan item, limit.EventQueue), h: h, waits: map[uint64]chan any{}}
 	return h
 }
@@ -405,6 +415,7 @@
 						m.From = from // who speaks is said once
 					}
 					from = m.From
+					h.Traffic.add(false, m.Kind, r.Size)
 					h.Loop.Tell(core.Recv{M: m})
 				}
 			}()
@@ -459,7 +470,11 @@
 			}(c)
 		}
 		c.SetWriteDeadline(time.Now().Add(limit.GateGrant))
-		if err = w.Put(q.m); err == nil && len(ch) == 0 {
+		size := 0
+		if size, err = w.Put(q.m); err == nil {
+			h.Traffic.add(true, q.m.Kind, size)
+		}
+		if err == nil && len(ch) == 0 {
 			err = w.Flush()
 		}
 		if err != nil {
@@ -607,11 +622,23 @@
 
 // Serve runs an HTTP server on addr.
 func (h *Host) Serve(addr string, hd http.Handler) (*http.Server, error) {
+	return h.serve(addr, hd, nil)
+}
+
+// ServeCallers runs the carrier's server on addr.
+func (h *Host) ServeCallers(addr string, c *carry.Carrier) (*http.Server, error) {
+	return h.serve(addr, c, c)
+}
+
+func (h *Host) serve(addr string, hd http.Handler, c *carry.Carrier) (*http.Server, error) {
 	ln, err := carry.Listen(addr, limit.CallerUnacked)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for HTTP")
 	}
-	s := &http.Server{Handler: hd, ReadHeaderTimeout: limit.BeatLapse * 3, IdleTimeout: limit.CallerIdle, MaxHeaderBytes: 4 * limit.HeaderMax}
+	s := &http.Server{Handler: hd, ReadHeaderTimeout: limit.CallerHeader, IdleTimeout: limit.CallerIdle, MaxHeaderBytes: 4 * limit.HeaderMax}
+	if c != nil {
+		ln, s.ConnContext = c.Listener(ln), c.Context
+	}
 	go func() {
 		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			h.Fatal(err, "HTTP server")
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -16,6 +16,11 @@
 	ElectMin = 700 * time.Millisecond
 	// ElectSpread is added by name and term so that members seldom stand at once.
 	ElectSpread = 400 * time.Millisecond
+	// LeaderQuiet is how long no leader has spoken to a member that says that it hears none: three of
+	// its beats. A living leader that is late says itself that it leads.
+	LeaderQuiet = 3 * CoreBeat
+	// ElectAsk is how often a member that hears no leader asks whether all the others hear none either.
+	ElectAsk = 60 * time.Millisecond
 	// FsyncStall is how long a sync may hang before a leader stops deciding: under ElectMin.
 	FsyncStall = 400 * time.Millisecond
 	// LogMax is how many entries are held before a snapshot is taken.
@@ -136,6 +141,15 @@
 	// DoubtEvery is a doubting proxy's own probe interval: the leader, if it is lost, may have been
 	// one miss short of a bar. At the worst 0.45 + 0.45 + 0.4 s went by there and 0.33 + 0.4 + 0.4 go by here.
 	DoubtEvery = 200 * time.Millisecond
+	// ProbeBurst is how many probes of targets that are known from the log go out in one tick.
+	ProbeBurst = 64
+	// KeepEvery is how often the agreed registry of targets is written, if something in it changed;
+	// a word that says leaving or gone is written at the next tick after another write.
+	KeepEvery = 250 * time.Millisecond
+	// KeepBatch is how many targets one write holds, PlacesMax how many targets, and marks of those
+	// that are gone, the registry: at 300 bytes each 2.4 MB, and with all else under half a ring file.
+	KeepBatch = 256
+	PlacesMax = 4096
 	// WatchMost is how many targets a doubting proxy probes, about: 40 each 200 ms. Of more each is
 	// watched by a part of the proxies, of WatchMost targets by all.
 	WatchMost = 40
@@ -205,6 +219,12 @@
 	ChoiceLife = DialCap + 100*time.Millisecond
 	// DialCap is how long opening a pipe and checking its identity may take.
 	DialCap = 500 * time.Millisecond
+	// ConnectCap is how long a connection to a target may take to open: over any round trip between
+	// domains, under what a lost first packet costs anyway. Nothing was sent, so another is chosen.
+	ConnectCap = 100 * time.Millisecond
+	// OpensMax is how many choices of one exchange may end before anything is sent. They do not count
+	// as its attempts, which are targets that it was sent to.
+	OpensMax = 4
 	// Shun is how long a target that refused a pipe is used last by that proxy.
 	Shun = time.Second
 	// ClosedBar is how long a proxy leaves a target out after two pipes in a row could not be
@@ -230,8 +250,17 @@
 	// PipeIdle is how long an unused pipe to a back end is kept: under the 5 s after which common
 	// servers close theirs, so that an exchange seldom meets the close under way.
 	PipeIdle = 4 * time.Second
+	// AheadMax is how many requests of one caller's connection are begun before those ahead of them
+	// are answered; AheadRead is how much of it is looked at, in bytes: some usual headers.
+	AheadMax  = 8
+	AheadRead = 2 << 10
 	// CallerIdle is how long a caller's unused pipe is kept.
 	CallerIdle = 60 * time.Second
+	// CallerHeader is how long a caller's header may take to come: three lost words' time.
+	CallerHeader = 3 * BeatLapse
+	// IdleSlack is how much longer than it is told an unused pipe of a caller's is kept: who
+	// believes in the bound never writes on one that is being closed.
+	IdleSlack = time.Second
 	// PipesIdleMax is how many unused pipes are kept per target: targets bound the pipes from all
 	// proxies together, and some hold a slot for each.
 	PipesIdleMax = 8
@@ -284,12 +313,14 @@
 	FullPause = 70 * time.Millisecond
 	// LoadLife is how long what a target told of its load counts, less and less.
 	LoadLife = time.Second
-	// PaceLife is how long a target's slow past counts, less and less; PaceWeight is an exchange's part in it.
-	PaceLife   = 10 * time.Second
-	PaceWeight = 0.2
-	// PaceUrge is how much of a target's slowness counts beside its load, PaceMost the most that does.
-	PaceUrge = 0.5
-	PaceMost = 1.0
+	// PaceLife is how long a target's past speed counts, less and less, so that a slow one is tried
+	// again; PaceWeight is an exchange's part in it, the first ones' more: times vary as much as speeds.
+	PaceLife   = 20 * time.Second
+	PaceWeight = 0.1
+	// PaceUrge is how much of a target's slowness counts beside its load, PaceMost the most that does:
+	// as long as a slot is free, a full target is no slower than an empty one.
+	PaceUrge = 1.0
+	PaceMost = 1.5
 	// PipeUrge is what an open pipe is worth beside a target's load.
 	PipeUrge = 0.1
 	// MeanWeight is an exchange's part in its route's mean time, once a few have been seen.
@@ -322,6 +353,9 @@
 	// long enough: two misses of a look each second, and a little. StopMargin is what it leaves of that time.
 	StopLingerMost = 3 * time.Second
 	StopMargin     = 300 * time.Millisecond
+	// StopLast is how long a proxy whose grace is known waits for its callers' pipes to close, after
+	// its last exchange: within what the owner leaves of the grace.
+	StopLast = 200 * time.Millisecond
 	// StopWait is how long a stopping proxy finishes its exchanges, and StopLinger how long it
 	// serves on after going unready so that callers can move away.
 	StopWait   = 20 * time.Second
