--- a/sim/sim.go
+++ b/sim/sim.go
@@ -10,14 +10,13 @@
 	"container/heap"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"myrtlefold/core"
 	"myrtlefold/gate"
 	"myrtlefold/limit"
@@ -64,19 +63,11 @@
 
 // weigh is how many bytes a message takes on a connection.
 func weigh(m *wire.Msg) int {
-	var n counter
-	w := wire.NewWriter(&n)
-	if err := errors.Join(w.Put(m), w.Flush()); err != nil {
+	n, err := wire.NewWriter(io.Discard).Put(m)
+	if err != nil {
 		panic(err)
 	}
-	return int(n)
-}
-
-type counter int
-
-func (n *counter) Write(b []byte) (int, error) {
-	*n += counter(len(b))
-	return len(b), nil
+	return n
 }
 
 // work has a process spend time on something, after all that it has to do before; what it
