--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -107,11 +107,17 @@
 	phase := over.Flag("phase", "how long each part lasts").Default("12s").Duration()
 	pols := app.Command("policies", "one target fails, then one is slow: load without and with the shipped policy, put in force under load, and compare on the recording")
 	polPhase := pols.Flag("phase", "how long each load lasts").Default("12s").Duration()
+	hol := &hollowFlags{}
+	part := app.Command("hollow-part", "one process of a hollow fleet; hollow starts it").Hidden()
+	hol.bind(app.Command("hollow", "measure what control costs with many gates and targets that share processes"), part)
 	cmd, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "mflab: %v, see --help\n", err)
 		os.Exit(2)
 	}
+	if cmd == part.FullCommand() {
+		os.Exit(runPart(hol))
+	}
 	l.dep = deployments[l.name]
 	file := *conf
 	if file == "" {
@@ -134,6 +140,10 @@
 	code := 0
 	done := make(chan int, 1)
 	go func() {
+		if cmd == "hollow" {
+			done <- l.hollow(hol)
+			return
+		}
 		if err := l.up(); err != nil {
 			fmt.Fprintln(os.Stderr, "mflab:", err)
 			done <- 1
@@ -236,10 +246,10 @@
 	return l.serving(10 * time.Second)
 }
 
-// healthPath is the samples' by routes, and coldFor is how long a back end stays cold there.
+// healthURL is the samples' by routes, and coldFor is how long a back end stays cold there.
 const (
-	healthPath = "/health"
-	coldFor    = 6 * time.Second
+	healthURL = "/health"
+	coldFor   = 6 * time.Second
 )
 
 func (l *lab) stub(s Service, name, addr, domain, warm string) *proc {
@@ -248,7 +258,7 @@
 	p.args = []string{"--service", s.Name, "--name", name, "--addr", addr, "--bind", bind, "--from", hostOf(bind), "--domain", domain, "--work", s.Work, "--bears", strconv.Itoa(s.Bears),
 		"--warm", warm, "--ledger", l.path("ledger", name+".ledger")}
 	if l.routes {
-		p.args = append(p.args, "--health", healthPath, "--named", "--cold", coldFor.String())
+		p.args = append(p.args, "--health", healthURL, "--named", "--cold", coldFor.String())
 	}
 	for i, g := range l.gates {
 		if i%4 == len(name)%4 {
--- a/gate/route_test.go
+++ b/gate/route_test.go
@@ -692,3 +692,51 @@
 		t.Fatalf("%+v: it was sent to two", ans)
 	}
 }
+
+// A fast target's last free slot goes before a slow one's first, and chance in single
+// times does not undo it.
+func TestFastBeforeIdle(t *testing.T) {
+	b := newBench("g1", 1, routed, to("a", slots(4)), to("b", slots(4)), to("c", slots(4)))
+	r := rand.New(rand.NewPCG(1, 2))
+	usual := map[string]float64{"a": 66, "b": 100, "c": 200}
+	id := uint64(0)
+	n := map[string]int{}
+	for round := range 200 {
+		var took []float64
+		for range 6 {
+			id++
+			at := b.call(id, "/a/", time.Second).(Give).Target.Name
+			if round >= 40 {
+				n[at]++
+			}
+			took = append(took, usual[at]*(0.3+1.4*r.Float64()))
+		}
+		for i, ms := range took {
+			b.step(Done{ID: id - 5 + uint64(i), Outcome: Served, Ms: ms, Last: true})
+		}
+		b.pass(100 * time.Millisecond)
+	}
+	if n["c"] > 60 || n["a"] < 500 {
+		t.Fatalf("%v of 960 at targets that take %v", n, usual)
+	}
+}
+
+// A target of the proxy's own domain that tells of room goes before its own slots
+// elsewhere, which go before one elsewhere that tells of room.
+func TestNearRoomBeforeFarSlots(t *testing.T) {
+	near, far := func(t *wire.Target) { t.Domain = "z1" }, func(t *wire.Target) { t.Domain = "z2" }
+	b := newBench("g1", 1, routed, to("a", slots(4), near), to("b", slots(4), far), to("c", slots(4), far))
+	b.g.set.Self.Domain = "z1"
+	b.table(1, routed, to("a", slots(4), near), to("b", slots(4), far), to("c", slots(4), far))
+	at := map[string]*target{}
+	for _, x := range b.g.targets {
+		at[x.Name] = x
+		x.part, x.loadAt = 0, b.now // as told: nothing runs
+	}
+	at["b"].part = 1
+	for i, want := range []string{"a", "a", "a", "a", "b", "c"} {
+		if g, ok := b.call(uint64(i+1), "/a/", time.Second).(Give); !ok || g.Target.Name != want {
+			t.Fatalf("%d: %+v, not %s", i, g.Target, want)
+		}
+	}
+}
