--- a/host/host.go
+++ b/host/host.go
@@ -155,8 +155,9 @@
 
 // Flags puts the settings on a command line; what is given there goes before the file.
 type Flags struct {
-	File string
-	set  Settings
+	File  string
+	set   Settings
+	sized bool // a size is given, which may be 0
 }
 
 func (f *Flags) Bind(app *kingpin.Application, kind string) {
@@ -168,12 +169,15 @@
 	app.Flag("from", "IP that pipes to daemons and back ends leave from (default: the system's choice)").StringVar(&f.set.From)
 	app.Flag("http", "IP:port for operators, back ends, /ready, /live and /metrics").StringVar(&f.set.Http)
 	app.Flag("seed", "address of another daemon (repeat for up to three)").StringsVar(&f.set.Seeds)
+	app.Flag("memory-mb", "MiB that the process may take; the runtime is told").IntVar(&f.set.MemoryMb)
 	app.Flag("log", "log level: error, warn, info or debug").StringVar(&f.set.Log)
 	if kind == "gate" {
 		app.Flag("listen", "IP:port for callers").StringVar(&f.set.Listen)
+		app.Flag("grace-ms", "how long after SIGTERM the process is ended by force").IntVar(&f.set.GraceMs)
 	} else {
 		app.Flag("data", "folder for this member's state").StringVar(&f.set.Data)
-		app.Flag("size", "how many members found the core").IntVar(&f.set.Size)
+		app.Flag("size", "how many members found the core: 3 or 5 (1 for trials), 0 if the seeds found it and it grows (default 3)").IsSetByUser(&f.sized).IntVar(&f.set.Size)
+		app.Flag("found", "this is the fleet's first start ever: without a size, the seeds found the core").BoolVar(&f.set.Found)
 	}
 }
 
@@ -200,6 +204,9 @@
 			reflect.ValueOf(&s).Elem().Field(i).Set(over.Field(i))
 		}
 	}
+	if f.sized {
+		s.Size = f.set.Size
+	}
 	return s, raw, append(faults, s.Check(kind)...), nil
 }
 
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 
+	"github.com/alecthomas/kingpin/v2"
+
 	"myrtlefold/core"
 	"myrtlefold/limit"
 	"myrtlefold/quorum"
@@ -48,6 +50,26 @@
 	}
 }
 
+// Sizes by flag go before the file's, also 0; what is not given is 3.
+func TestSizeByFlag(t *testing.T) {
+	base := []string{"--name", "c", "--domain", "d", "--addr", "127.0.0.1:1", "--http", "127.0.0.1:2", "--data", "x", "--seed", "127.0.0.1:1"}
+	for _, c := range []struct {
+		more  []string
+		size  int
+		found bool
+	}{{nil, 3, false}, {[]string{"--size", "5"}, 5, false}, {[]string{"--size", "0", "--found"}, 0, true}} {
+		f, app := &Flags{}, kingpin.New("x", "")
+		f.Bind(app, "core")
+		if _, err := app.Parse(append(c.more, base...)); err != nil {
+			t.Fatal(err)
+		}
+		s, _, faults, err := f.Load("core")
+		if err != nil || len(faults) > 0 || s.Size != c.size || s.Found != c.found {
+			t.Errorf("%v: %+v %v %v", c.more, s, faults, err)
+		}
+	}
+}
+
 // A member finds on its disk again what was synced, over many turns of the ring.
 func TestDisk(t *testing.T) {
 	h := &Host{Set: Settings{Data: t.TempDir()}}
