--- a/gate/route_test.go
+++ b/gate/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -740,3 +741,24 @@
 		}
 	}
 }
+
+// What the configuration bounds callers by goes to the shell with each table, and goes
+// again when a later configuration does without it.
+func TestLimitsAreTold(t *testing.T) {
+	told := func(cmds []any) *model.Limits {
+		for _, c := range cmds {
+			if x, ok := c.(Targets); ok {
+				return x.Limits
+			}
+		}
+		t.Fatalf("%+v tells no targets", cmds)
+		return nil
+	}
+	b := newBench("g1", 1, plain, to("a"))
+	if l := told(b.table(1, strings.Replace(plain, "{", `{"limits":{"header_bytes":99,"idle_ms":7},`, 1), to("a"))); l == nil || *l != (model.Limits{HeaderBytes: 99, IdleMs: 7}) {
+		t.Fatal(l)
+	}
+	if l := told(b.table(1, plain, to("a"))); l != nil {
+		t.Fatal(*l)
+	}
+}
--- a/host/ctl.go
+++ b/host/ctl.go
@@ -67,7 +67,8 @@
 	app.Command("targets", "back ends, with the reason for each bar or hold")
 	app.Command("aims", "service-level aims: what part of each service's exchanges met them, over all proxies")
 	cfg := app.Command("config", "the configuration and its revisions")
-	cfg.Command("get", "print the configuration in force")
+	getCfg := cfg.Command("get", "print the configuration in force")
+	getPlain := getCfg.Flag("plain", "only the document, with its revision inside, as 'config put' takes it").Bool()
 	put := cfg.Command("put", "replace the whole configuration")
 	putFile := put.Arg("file", "JSON file, - for standard input").Required().String()
 	putBase := put.Flag("base", "revision that it was built on").Required().Uint64()
@@ -165,6 +166,9 @@
 	case "aims":
 		return c.aims()
 	case "config get":
+		if *getPlain {
+			return c.show("/v1/config?plain", nil)
+		}
 		return c.show("/v1/config", nil)
 	case "config put":
 		return c.put(*putFile, own, base(*putBase))
