--- a/gate/route_test.go
+++ b/gate/route_test.go
@@ -770,6 +770,8 @@
 	b.step(Done{ID: 1, Outcome: Lost})
 	if g, ok := answer(1, b.step(Again{ID: 1})).(Give); ok && g.More {
 		t.Fatal("it has no third attempt")
+	}
+}
 
 // What the configuration bounds callers by goes to the shell with each table, and goes
 // again when a later configuration does without it.
