--- a/cmd/mflab/hollow.go
+++ b/cmd/mflab/hollow.go
@@ -52,7 +52,8 @@
 
 type hollowFlags struct {
 	gates, targets, routes, changes string
-	cores, gateProcs, targetProcs   int
+	cores, spares                   int
+	gateProcs, targetProcs          int
 	real, threads, runs, rounds     int
 	net                             int
 	settle, span, beat              time.Duration
@@ -70,6 +71,7 @@
 	cmd.Flag("route-count", "how many routes").Default("10").StringVar(&f.routes)
 	cmd.Flag("changes", "configuration changes a second during the span").Default("0").StringVar(&f.changes)
 	cmd.Flag("cores", "core members").Default("3").IntVar(&f.cores)
+	cmd.Flag("spares", "core daemons beside the members").Default("1").IntVar(&f.spares)
 	cmd.Flag("real", "how many of the gates are real processes").Default("1").IntVar(&f.real)
 	cmd.Flag("gate-processes", "processes that the hollow gates share").Default("2").IntVar(&f.gateProcs)
 	cmd.Flag("target-processes", "processes that the hollow targets share").Default("1").IntVar(&f.targetProcs)
@@ -564,6 +566,7 @@
 	size    hollowSize
 	parts   []*proc // of hollow gates
 	backs   []*proc // of hollow targets
+	spares  []*proc // core daemons that are no members
 	figures []figure
 }
 
@@ -576,10 +579,10 @@
 
 func (l *hollowLab) read() reading {
 	r := reading{at: time.Now(), cpu: map[string]float64{}, mem: map[string]float64{}, core: map[string]map[string]float64{}}
-	for _, p := range slices.Concat(l.cores, l.gates, l.parts, l.backs) {
+	for _, p := range slices.Concat(l.cores, l.spares, l.gates, l.parts, l.backs) {
 		r.cpu[p.name], r.mem[p.name] = procTime(procFile(p, "stat")), procMemory(procFile(p, "status"))
 	}
-	for _, p := range slices.Concat(l.cores, l.gates) {
+	for _, p := range slices.Concat(l.cores, l.spares, l.gates) {
 		_, b := get("http://" + p.http + "/metrics")
 		r.core[p.name] = wireCounts(string(b))
 	}
@@ -622,20 +625,26 @@
 			return err
 		}
 	}
-	l.cores, l.gates, l.stubs, l.parts, l.backs, l.figures = nil, nil, nil, nil, nil, nil
+	l.cores, l.gates, l.stubs, l.parts, l.backs, l.spares, l.figures = nil, nil, nil, nil, nil, nil, nil
 	var seeds, https []string
-	for i := range l.f.cores {
+	for i := range l.f.cores + l.f.spares {
 		ip := hollowIP(l.f.net, coreBlock, i)
 		p := &proc{name: fmt.Sprintf("core-%d", i+1), kind: "mfcore", domain: hollowDomain(i), addr: ip + ":7001", http: ip + ":7101"}
+		if i >= l.f.cores {
+			l.spares = append(l.spares, p)
+			continue
+		}
 		l.cores = append(l.cores, p)
 		https = append(https, p.http)
 		if i < 3 {
 			seeds = append(seeds, p.addr)
 		}
 	}
+	core := func(p *proc) error {
+		return l.with(p, host.Settings{Name: p.name, Domain: p.domain, Addr: p.addr, Http: p.http, From: hostOf(p.addr), Seeds: seeds, Log: "info", Data: l.path("data", p.name), Size: l.f.cores})
+	}
 	for _, p := range l.cores {
-		err := l.with(p, host.Settings{Name: p.name, Domain: p.domain, Addr: p.addr, Http: p.http, From: hostOf(p.addr), Seeds: seeds, Log: "info", Data: l.path("data", p.name), Size: l.f.cores})
-		if err != nil {
+		if err := core(p); err != nil {
 			return err
 		}
 	}
@@ -656,6 +665,12 @@
 	if err := l.configure(hollowUp); err != nil {
 		return err
 	}
+	for _, p := range l.spares { // the core is founded without them
+		l.stubs = append(l.stubs, p)
+		if err := core(p); err != nil {
+			return err
+		}
+	}
 	hollow := l.size.Gates - l.f.real
 	from := time.Now()
 	for k := range l.f.gateProcs {
@@ -729,6 +744,12 @@
 	took := l.change(lead, l.f.span)
 	b := l.read()
 	l.cost(lead, a, b)
+	for _, what := range []string{"roster", "targets"} {
+		from := time.Now()
+		_, text := get("http://" + lead.http + "/v1/" + what)
+		l.fig("operator: "+what+", KB", float64(len(text))/1000)
+		l.fig("operator: "+what+", ms", float64(time.Since(from).Microseconds())/1000)
+	}
 	if l.size.Changes > 0 {
 		l.fig("changes in force, 1/s", float64(len(took))/b.at.Sub(a.at).Seconds())
 	} else {
@@ -820,7 +841,7 @@
 
 // orphaned freezes the core and measures the gates meanwhile.
 func (l *hollowLab) orphaned() {
-	for _, p := range l.cores {
+	for _, p := range slices.Concat(l.cores, l.spares) {
 		p.signal(syscall.SIGSTOP)
 	}
 	time.Sleep(hollowSoon)
@@ -831,7 +852,7 @@
 	l.fig("core frozen: gates that serve, %", 100*float64(r.Orphan+r.Granted)/float64(max(1, r.Gates)))
 	l.perGate("core frozen: gate", a, b)
 	l.fig("core frozen: gate, KB/s out as hello", rate(a.gates, b.gates, "bytes sent hello", b.at.Sub(a.at).Seconds())/float64(max(1, r.Gates))/1000)
-	for _, p := range l.cores {
+	for _, p := range slices.Concat(l.cores, l.spares) {
 		p.signal(syscall.SIGCONT)
 	}
 	l.fig("core back: gates granted, s", l.await(time.Now(), hollowUp, nil, func(r hollowReport) bool { return r.Granted == r.Gates }))
@@ -889,6 +910,9 @@
 	}
 	daemon("leader", []*proc{lead})
 	daemon("member", slices.DeleteFunc(slices.Clone(l.cores), func(p *proc) bool { return p == lead }))
+	if len(l.spares) > 0 {
+		daemon("spare", l.spares)
+	}
 	l.perGate("gate", a, b)
 	mem := 0.0
 	for _, p := range l.parts {
@@ -1037,6 +1061,15 @@
 		}
 		fmt.Fprintf(&b, "table with %d targets: %d bytes\n", n, size(&t))
 	}
+	for _, n := range []int{0, 30} {
+		var p wire.Pull
+		for i := range n {
+			s, name := hollowTarget(i, n)
+			p.Seen = append(p.Seen, wire.Seen{Service: s, Name: name, Inc: 1 << 60, Ok: 1, SumMs: 3.5})
+		}
+		m, _ := wire.Encode(&wire.Msg{Kind: uint16(wire.KPull), From: "gate-0000", To: "core-1", Stamp: 1, Pull: &p})
+		fmt.Fprintf(&b, "pull that reports on %d targets: %d bytes\n", n, len(m)+wire.FrameHead)
+	}
 	for _, n := range []int{12, 48, 192, 7100} {
 		var t wire.Table
 		for i := range n {
