--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -249,7 +249,7 @@
 // healthURL is the samples' by routes, and coldFor is how long a back end stays cold there.
 const (
 	healthURL = "/health"
-	coldFor    = 6 * time.Second
+	coldFor   = 6 * time.Second
 )
 
 func (l *lab) stub(s Service, name, addr, domain, warm string) *proc {
