--- a/host/host.go
+++ b/host/host.go
@@ -5,7 +5,6 @@
 package host
 
 import (
-	"bufio"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -216,7 +215,7 @@
 	say   Dialect
 	raw   []byte
 	start time.Time
-	out   map[string]chan *wire.Msg
+	out   map[string]chan queued
 	Quit  chan int
 	// Traffic counts the messages between this daemon and others.
 	Traffic *Traffic
@@ -274,7 +273,7 @@
 // New is a daemon's context by itself: what the process has in common is Start's.
 func New(kind string, set Settings, log *logrus.Logger) *Host {
 	h := &Host{Kind: kind, Set: set, Log: log, Reg: prometheus.NewRegistry(), Inc: rand.Uint64() | 1, Traffic: &Traffic{},
-		start: time.Now(), out: map[string]chan *wire.Msg{}, Quit: make(chan int, 1)}
+		start: time.Now(), out: map[string]chan queued{}, Quit: make(chan int, 1)}
 	h.Reg.MustRegister(h.Traffic)
 	h.Loop = &Loop{in: make(chan item, limit.EventQueue), h: h, waits: map[uint64]chan any{}}
 	return h
@@ -401,9 +400,9 @@
 			}
 			go func() {
 				defer c.Close()
-				r := bufio.NewReaderSize(c, 64<<10)
+				r, from := wire.NewReader(c), ""
 				for {
-					b, err := wire.Read(r)
+					b, err := r.Next()
 					if err != nil {
 						return
 					}
@@ -412,7 +411,11 @@
 						h.Log.WithError(err).WithField("from", c.RemoteAddr().String()).Warn("message not understood")
 						return
 					}
-					h.Traffic.add(false, m.Kind, len(b))
+					if m.From == "" {
+						m.From = from // who speaks is said once
+					}
+					from = m.From
+					h.Traffic.add(false, m.Kind, r.Size)
 					h.Loop.Tell(core.Recv{M: m})
 				}
 			}()
@@ -421,30 +424,35 @@
 	return nil
 }
 
+// queued is a message on its way and since when.
+type queued struct {
+	m  *wire.Msg
+	at time.Duration
+}
+
 // Send queues a message for an address; called on the owner's goroutine. What
 // can't be sent soon is dropped: every message is said again or made up for.
 func (h *Host) Send(addr string, m *wire.Msg) {
 	ch := h.out[addr]
 	if ch == nil {
-		ch = make(chan *wire.Msg, 256)
+		ch = make(chan queued, limit.SendQueue)
 		h.out[addr] = ch
 		go h.sender(addr, ch)
 	}
 	select {
-	case ch <- m:
+	case ch <- queued{m, h.Now()}:
 	default:
 	}
 }
 
-func (h *Host) sender(addr string, ch chan *wire.Msg) {
+func (h *Host) sender(addr string, ch chan queued) {
 	var c net.Conn
-	var w *bufio.Writer
-	for m := range ch {
-		b, err := wire.Encode(m)
-		if err != nil {
-			h.Log.WithError(err).Error("message not encoded")
+	var w *wire.Writer
+	for q := range ch {
+		if h.Now()-q.at > limit.SendLate { // it would only keep later ones waiting
 			continue
 		}
+		var err error
 		if c == nil {
 			d := carry.Dialer(h.From(), limit.ProbeCap)
 			if c, err = d.Dial("tcp", addr); err != nil {
@@ -455,19 +463,22 @@
 				}
 				continue
 			}
-			w = bufio.NewWriterSize(c, 64<<10)
+			w = wire.NewWriter(c)
 			go func(c net.Conn) { // the other side never speaks: its close is all that is read
 				io.Copy(io.Discard, c)
 				c.Close()
 			}(c)
 		}
 		c.SetWriteDeadline(time.Now().Add(limit.GateGrant))
-		h.Traffic.add(true, m.Kind, len(b))
-		err = wire.Write(w, b)
+		size := 0
+		if size, err = w.Put(q.m); err == nil {
+			h.Traffic.add(true, q.m.Kind, size)
+		}
 		if err == nil && len(ch) == 0 {
 			err = w.Flush()
 		}
 		if err != nil {
+			h.Log.WithError(err).WithField("to", addr).Debug("message not sent")
 			c.Close()
 			c = nil
 		}
@@ -624,7 +635,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for HTTP")
 	}
-	s := &http.Server{Handler: hd, ReadHeaderTimeout: limit.BeatLapse * 3, IdleTimeout: limit.CallerIdle, MaxHeaderBytes: 4 * limit.HeaderMax}
+	s := &http.Server{Handler: hd, ReadHeaderTimeout: limit.CallerHeader, IdleTimeout: limit.CallerIdle, MaxHeaderBytes: 4 * limit.HeaderMax}
 	if c != nil {
 		ln, s.ConnContext = c.Listener(ln), c.Context
 	}
