--- a/cmd/mflab/hollow.go
+++ b/cmd/mflab/hollow.go
@@ -1068,7 +1068,7 @@
 			p.Seen = append(p.Seen, wire.Seen{Service: s, Name: name, Inc: 1 << 60, Ok: 1, SumMs: 3.5})
 		}
 		m, _ := wire.Encode(&wire.Msg{Kind: uint16(wire.KPull), From: "gate-0000", To: "core-1", Stamp: 1, Pull: &p})
-		fmt.Fprintf(&b, "pull that reports on %d targets: %d bytes\n", n, len(m)+wire.FrameHead)
+		fmt.Fprintf(&b, "pull that reports on %d targets: %d bytes\n", n, len(wire.Pack(nil, m)))
 	}
 	for _, n := range []int{12, 48, 192, 7100} {
 		var t wire.Table
