--- a/cmd/mflab/hollow.go
+++ b/cmd/mflab/hollow.go
@@ -216,6 +216,7 @@
 }
 
 func runPart(f *hollowFlags) int {
+	runtime.GOMAXPROCS(runtime.NumCPU()) // what bounds the daemons must not bound those who ask them
 	var mux *http.ServeMux
 	var err error
 	if f.part == "gates" {
