--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -127,7 +127,6 @@
 	x.deadline = now + d
 	g.exchanges[x.id] = x
 	s := g.service(x.svc)
-	s.budget.earn(now, g.set.Retry)
 	s.ranks[min(x.route.Priority, limit.Ranks-1)] = now
 	g.place(now, x, true)
 }
@@ -178,6 +177,10 @@
 func (g *Gate) give(now time.Duration, x *exchange, t *target, s *service) {
 	x.waiting, x.at = false, t
 	x.tries++
+	if !x.earned {
+		x.earned = true // one that is refused brings its service no traffic
+		s.budget.earn(now, g.set.Retry)
+	}
 	if x.repeat {
 		s.budget.spend()
 		g.Counts.Retries++
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -199,6 +199,7 @@
 	opens    int // choices that ended before anything was sent
 	tried    []wire.ID
 	last     Outcome // of the latest try
+	earned   bool    // it has been given to a target and has earned its service credit
 	repeat   bool    // something of it has reached a target: a further one draws on the budget
 	set      model.Service
 }
--- a/gate/route_test.go
+++ b/gate/route_test.go
@@ -771,3 +771,16 @@
 		t.Fatal("it has no third attempt")
 	}
 }
+
+// Exchanges that are refused earn their service no retries.
+func TestRefusedEarnNothing(t *testing.T) {
+	b := newBench("g1", 1, routed, to("a", slots(2)))
+	for id := uint64(1); id <= 500; id++ {
+		b.call(id, "/a/", 100*time.Millisecond)
+	}
+	b.pass(150 * time.Millisecond)
+	s := b.g.service("s")
+	if most := s.budget.part + float64(b.g.Counts.Admitted)*b.g.set.Retry.Ratio; b.g.Counts.Admitted > 20 || s.budget.credit > most {
+		t.Fatalf("%v credit for %d exchanges at targets", s.budget.credit, b.g.Counts.Admitted)
+	}
+}
