Overload by routes in the lab: sample, cold rate in its verdict, health while warming

Stand-ins answered their health with 200 while they said that they were warming; now with 503 and Myrtlefold-Not-Run: alive, and no more. Still failing there: 3 exchanges at once at a target that is warming with a warming cap of 1, because the choice takes a cold target's next turn without looking at its warming cap; a cold target's part is 0 there, so the cap has to be dealt first.

--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -1156,6 +1156,10 @@
 		}
 	}
 	l.say("most exchanges at once at a warming target: %d", most)
+	if l.routes {
+		l.checkCold()
+		bad += l.broken["cold rate"]
+	}
 	if most > 2 {
 		bad++
 	}
--- a/cmd/mfstub/main.go
+++ b/cmd/mfstub/main.go
@@ -186,8 +186,12 @@
 	if left := s.coldLeft(); left > 0 {
 		h.Set(names.Cold, strconv.FormatInt(left, 10))
 	}
+	if st := s.state.Load().(string); st != model.Ready {
+		s.turned(w, r, http.StatusServiceUnavailable, st) // alive, and not yet or no more what 200 would say
+		return
+	}
 	s.load(h)
-	host.WriteJSON(w, 200, map[string]any{"state": s.state.Load()})
+	host.WriteJSON(w, 200, map[string]any{"state": model.Ready})
 }
 
 // repeats has an answer tell whose it is.
--- a/host/ctl_test.go
+++ b/host/ctl_test.go
@@ -44,7 +44,7 @@
 // Every sample is sound: configurations, the changes on them, and settings.
 func TestSamples(t *testing.T) {
 	changes := []string{"--change", "../sample/change-split.json", "--change", "../sample/change-unsplit.json"}
-	for f, more := range map[string][]string{"kelani": nil, "kiyihat": nil, "press": nil, "kelani-routes": nil, "kiyihat-routes": changes} {
+	for f, more := range map[string][]string{"kelani": nil, "kiyihat": nil, "press": nil, "kelani-routes": nil, "press-routes": nil, "kiyihat-routes": changes} {
 		if code, out := said(t, append([]string{"config", "check", "../sample/" + f + ".json"}, more...)...); code != exitOK {
 			t.Errorf("%s: %d %s", f, code, out)
 		}
