--- a/gate/gate.go
+++ b/gate/gate.go
@@ -84,6 +84,7 @@
 		Target  wire.Target
 		Left    time.Duration // until the exchange's deadline
 		Till    time.Duration // nothing of it may be written to this target later than this
+		More    bool          // it has attempts left after this one
 	}
 	// Refuse is an exchange's final answer, given before anything was sent on its behalf
 	// (or, after Again, after a try that its caller has classified).
@@ -95,6 +96,9 @@
 		Message string
 		Allowed []string
 	}
+	// Dark is the targets that are barred because nothing reaches them: an exchange that may
+	// be repeated and has no answer from one yet need not wait for it.
+	Dark struct{ IDs map[wire.ID]bool }
 	// Targets is the table's targets; no pipe to any other may be used again. Limits are
 	// what its configuration bounds callers by, nil: nothing.
 	Targets struct {
@@ -145,6 +149,7 @@
 	wire.Target
 	barUntil time.Duration // the table's bar
 	ownBar   time.Duration // an orphan's bar, from its own probes
+	unheard  bool          // the table's bar is for missed probes
 	held     bool          // heard here that it leaves
 	voice    core.Voice    // what was heard here of its beats
 	heir     *target       // a later start of it that claims its place while no leader can say
@@ -261,6 +266,7 @@
 	stopping  bool
 	stopAt    time.Duration
 	out       []any
+	dark      map[wire.ID]bool
 	Counts    Counts
 }
 
@@ -438,6 +444,7 @@
 		g.index(now)
 	}
 	g.queues(now)
+	g.darken(now)
 	if linger, most := g.set.stop(); g.stopping && (now-g.stopAt > linger && len(g.exchanges) == 0 || now-g.stopAt > most) {
 		g.do(core.Exit{})
 	}
@@ -756,6 +763,31 @@
 	return &w
 }
 
+// plain says that a change to the table tells only what nothing is dealt by, such as demand.
+func (g *Gate) plain(now time.Duration, t *wire.Table) bool {
+	if t.Base == (wire.Key{}) || len(t.Doc)+len(t.State)+len(t.Gates)+len(t.Gone) > 0 || !slices.Equal(t.Emptied, g.table.Emptied) || !slices.Equal(t.Was, g.table.Was) ||
+		len(g.targets) != len(g.table.Targets) {
+		return false
+	}
+	for i := range t.Targets {
+		w := t.Targets[i]
+		o := g.targets[w.ID()]
+		if o == nil {
+			return false
+		}
+		w.Demand, w.HasDemand, w.Beating, w.Number = o.Demand, o.HasDemand, o.Beating, o.Number
+		if w != o.Target || w.BarLeft > 0 || w.ColdLeft > 0 || o.barUntil > 0 {
+			return false
+		}
+	}
+	for i := range g.table.Targets { // and no later start stands here in the place of one
+		if g.targets[g.table.Targets[i].ID()] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // take puts a later table in force; an earlier one never replaces a later.
 func (g *Gate) take(now time.Duration, t *wire.Table) bool {
 	if g.table != nil && !g.table.Key.Less(t.Key) {
@@ -771,6 +803,7 @@
 			changed[t.Targets[i].ID()] = true
 		}
 	}
+	said := t
 	if t = g.whole(t); t == nil {
 		return false // said to an earlier process of this name, or long ago: the next pull asks for all
 	}
@@ -787,6 +820,14 @@
 		g.forget()
 	}
 	g.Counts.Tables++
+	if g.plain(now, said) {
+		g.table = t
+		for _, w := range said.Targets {
+			g.targets[w.ID()].Target = w
+		}
+		g.queues(now)
+		return true
+	}
 	g.table = t
 	next := map[wire.ID]*target{}
 	for _, w := range t.Targets {
@@ -805,7 +846,7 @@
 		}
 		n.Target = w
 		n.chill(now, w.ColdLeft)
-		n.barUntil = 0
+		n.barUntil, n.unheard = 0, w.BarWhy == model.DefaultPolicy
 		if w.BarLeft > 0 {
 			n.barUntil = now + time.Duration(w.BarLeft)
 		} else if was {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -60,6 +60,9 @@
 	HelloCalm = 1500 * time.Millisecond
 	// MemoryEvery is how often a proxy without a leader tells a core process again what it remembers.
 	MemoryEvery = 2 * time.Second
+	// HelloHaste is for how long after its start a core daemon that hears no leader says hello as often
+	// as it asks for leave to stand.
+	HelloHaste = time.Second
 	// ListEvery is how often a daemon is told the same list of those known again: twice before
 	// one that is known from lists only is dropped, after half of DaemonGone.
 	ListEvery = 3 * time.Second
@@ -97,6 +100,9 @@
 	// TableEvery is how often tables are made of news that may wait: many targets that come or turn
 	// ready at once make one table.
 	TableEvery = 80 * time.Millisecond
+	// TableRow is how much longer that is for each target and proxy, since every proxy deals every
+	// target among all: 0.1 s for 300 targets and 70 proxies.
+	TableRow = 5 * time.Microsecond
 	// TablesKept is of how many past tables a leader knows when it made them: more than GateDeaf has.
 	TablesKept = 64
 	// GonesKept is how many targets that went a leader remembers so as to tell changes by.
@@ -219,6 +225,10 @@
 	// ConnectCap is how long a connection to a target may take to open: over any round trip between
 	// domains, under what a lost first packet costs anyway. Nothing was sent, so another is chosen.
 	ConnectCap = 100 * time.Millisecond
+	// DarkAfter is after what time without an answer it is looked, each DarkEvery, whether the target
+	// is known to be out of reach: two missed probes take longer.
+	DarkAfter = 300 * time.Millisecond
+	DarkEvery = 60 * time.Millisecond
 	// OpensMax is how many choices of one exchange may end before anything is sent. They do not count
 	// as its attempts, which are targets that it was sent to.
 	OpensMax = 4
@@ -375,6 +385,11 @@
 	// RingFiles and RingFileSize bound a member's disk: 3 files of 8 MiB.
 	RingFiles    = 3
 	RingFileSize = 8 << 20
+	// RingPiece is how much of a file, in bytes, is in memory while it is looked through at a start.
+	RingPiece = 256 << 10
+	// Redial is how long after a pipe to a daemon could not be opened the next is tried: daemons that
+	// start together find each other within it, and there is no more to send than what is said again.
+	Redial = 20 * time.Millisecond
 	// SettingsEvery is how often a settings file is looked at for changes.
 	SettingsEvery = 2 * time.Second
 	// MemoryShare of a process's memory is what the runtime may fill, and GcPercent how much garbage
--- a/sim/scenes.go
+++ b/sim/scenes.go
@@ -41,6 +41,7 @@
 		Caused: func(s *Stats) int { return min(s.NotRun, s.Lost) }, Sabotage: "say no"},
 	{Name: "wrong-service", Rule: "wrong service", Threat: "addresses go to another service while proxies are cut off",
 		Kinds: []string{"address handed over", "address handed over", "service removed, its addresses handed over"}, Times: 3,
+		Plan:   func(p *Plan) { p.Rate = 250 },
 		Caused: func(s *Stats) int { return s.Foreign }, Sabotage: "identity"},
 	{Name: "leaving", Rule: "leaving", Threat: "targets leave while leaders die and proxies are cut off",
 		Kinds: []string{"target leaves", "leader killed", "gate isolated", "gate frozen with work in hand"}, Times: 2,
@@ -67,7 +68,7 @@
 		Kinds: []string{"config", "service comes back cold", "gate added, another gone for good", "gate killed"}, Times: 2, Plan: func(p *Plan) { p.Rate = 300 },
 		Caused: func(s *Stats) int { return s.MaxWarm }, Sabotage: "warm cap"},
 	{Name: "cold", Rule: "cold rate", Threat: "a whole service comes back cold on routes under load, proxies come and go and orphan",
-		Kinds: []string{"config", "service comes back cold", "gate added, another gone for good", "gate killed", "gate isolated"}, Times: 2,
+		Kinds: []string{"config", "service comes back cold", "target turns cold", "domain emptied and restored", "gate added, another gone for good", "gate killed", "gate isolated"}, Times: 2,
 		Plan:   func(p *Plan) { p.Rate, p.Slots, p.ColdPerS = 300, 6, 8 },
 		Caused: func(s *Stats) int { return s.Cold }, Sabotage: "cold"},
 	{Name: "slots", Rule: "ran twice", Threat: "targets of few slots turn exchanges away and lose answers under load",
@@ -190,12 +191,16 @@
 	return &c
 }
 
-// spoilLate does the same to a message that comes late.
-func (w *World) spoilLate(m *wire.Msg) *wire.Msg {
-	if w.sabotage != "old tables" {
+// spoilLate does the same to a leader's message that comes late: it brings all of the table
+// of its time as if that were the latest.
+func (w *World) spoilLate(from *Proc, m *wire.Msg) *wire.Msg {
+	if w.sabotage != "old tables" || m.Push == nil || from.core == nil || from.core.Table() == nil {
 		return m
 	}
-	return altered(m, func(t *wire.Table) { t.Key.Ver += 1000 })
+	c, p, t := *m, *m.Push, *from.core.Table()
+	t.Key.Ver += 1000
+	p.Table, c.Push = &t, &p
+	return &c
 }
 
 // ---- availability ----
