--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -126,6 +126,7 @@
 	x.deadline = now + d
 	g.exchanges[x.id] = x
 	s := g.service(x.svc)
+	s.budget.earn(now, g.set.Retry)
 	s.ranks[min(x.route.Priority, limit.Ranks-1)] = now
 	g.place(now, x, true)
 }
@@ -175,9 +176,7 @@
 
 func (g *Gate) give(now time.Duration, x *exchange, t *target, s *service) {
 	x.waiting, x.at = false, t
-	if x.tries++; x.tries == 1 { // who is refused before any target was chosen earns nothing
-		s.budget.earn(now, g.set.Retry)
-	}
+	x.tries++
 	if x.repeat {
 		s.budget.spend()
 		g.Counts.Retries++
