--- a/core/core.go
+++ b/core/core.go
@@ -204,6 +204,7 @@
 	node      *quorum.Node
 	state     State
 	known     Book
+	bootAt    time.Duration
 	helloAt   time.Duration
 	offer     uint64
 	seen      string // who could found, as last looked at, and since when
@@ -301,7 +302,7 @@
 // New starts a member from what its disk holds; a disk without a number yet is
 // given the shell's.
 func New(now time.Duration, set Settings, img quorum.Image) *Core {
-	c := &Core{set: set, img: img, known: Book{}, memories: map[string]memory{}, gates: map[string]*gate{},
+	c := &Core{set: set, img: img, bootAt: now, known: Book{}, memories: map[string]memory{}, gates: map[string]*gate{},
 		pend: map[string]*pending{}, relays: map[uint64]*pending{}, swaps: map[string]bool{}, heard: map[string]heard{}, listed: map[string]listed{}, tried: map[string]time.Duration{}, restored: map[string]time.Duration{}, state: newState(), relaySeq: set.Self.Inc << 20}
 	c.set.Self.Disk = img.Disk
 	switch {
@@ -424,7 +425,11 @@
 }
 
 func (c *Core) tick(now time.Duration) {
-	if now-c.helloAt >= limit.HelloEvery {
+	every := limit.HelloEvery
+	if now-c.bootAt < limit.HelloHaste && c.led(now) == "" {
+		every = limit.ElectAsk // members that start together know no one's address yet
+	}
+	if now-c.helloAt >= every {
 		c.helloAt = now
 		c.hello(now)
 		c.claim()
@@ -1274,7 +1279,7 @@
 			c.counts.Same++
 			return
 		case patient:
-			if now-c.madeAt[c.ver%limit.TablesKept] < limit.TableEvery {
+			if now-c.madeAt[c.ver%limit.TablesKept] < limit.TableEvery+time.Duration(len(c.targets)*len(c.state.Roster))*limit.TableRow {
 				return // the next tick sees it again
 			}
 		}
@@ -1338,7 +1343,7 @@
 }
 
 func factsOf(w *wire.Target) facts {
-	return facts{w.Addr, w.Domain, w.State, w.BarWhy, w.Held, w.Pending, w.Beating, w.ColdLeft > 0, true, w.Slots}
+	return facts{w.Addr, w.Domain, w.State, w.BarWhy, w.Held, w.Pending, w.Beating && w.BarLeft > 0, w.ColdLeft > 0, true, w.Slots}
 }
 
 // colder says that a target is cold for longer than the last table said; each word's
@@ -1353,7 +1358,7 @@
 	w.Pending = w.Pending || t.told
 	until, why := c.judge.Barred(now, t.ID())
 	w.BarLeft, w.BarWhy = max(0, int64(until-now)), why
-	w.Beating = t.beats(now)
+	w.Beating = why == "" || t.beats(now) // asked only where all that could be used are barred
 	w.ColdLeft = t.cold(now)
 	return w
 }
