--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -8,6 +8,7 @@
 
 	"myrtlefold/limit"
 	"myrtlefold/model"
+	"myrtlefold/wire"
 )
 
 // way is what is kept by route: whose turn in its split it is and what its
@@ -126,7 +127,6 @@
 	x.deadline = now + d
 	g.exchanges[x.id] = x
 	s := g.service(x.svc)
-	s.budget.earn(now, g.set.Retry)
 	s.ranks[min(x.route.Priority, limit.Ranks-1)] = now
 	g.place(now, x, true)
 }
@@ -177,6 +177,10 @@
 func (g *Gate) give(now time.Duration, x *exchange, t *target, s *service) {
 	x.waiting, x.at = false, t
 	x.tries++
+	if !x.earned {
+		x.earned = true // one that is refused brings its service no traffic
+		s.budget.earn(now, g.set.Retry)
+	}
 	if x.repeat {
 		s.budget.spend()
 		g.Counts.Retries++
@@ -188,7 +192,7 @@
 	t.usedAt = now
 	s.inflight++
 	g.Counts.Admitted++
-	g.do(Give{ID: x.id, Service: x.svc, Set: x.set, Name: x.name, Route: x.route, Target: t.Target, Left: x.deadline - now, Till: now + limit.ChoiceLife})
+	g.do(Give{ID: x.id, Service: x.svc, Set: x.set, Name: x.name, Route: x.route, Target: t.Target, Left: x.deadline - now, Till: now + limit.ChoiceLife, More: x.tries < x.route.Attempts})
 }
 
 // tooLate says that a service under pressure better spends its time on others.
@@ -444,3 +448,28 @@
 		g.give(now, x, t, s)
 	}
 }
+
+// darken tells which targets nothing reaches, when that has changed.
+func (g *Gate) darken(now time.Duration) {
+	n, same := 0, true
+	is := func(t *target) bool {
+		return t.barUntil > now && t.unheard || t.ownBar > now && t.misses >= limit.ProbeMisses
+	}
+	for id, t := range g.targets {
+		if is(t) {
+			n++
+			same = same && g.dark[id]
+		}
+	}
+	if same && n == len(g.dark) {
+		return
+	}
+	dark := make(map[wire.ID]bool, n)
+	for id, t := range g.targets {
+		if is(t) {
+			dark[id] = true
+		}
+	}
+	g.dark = dark
+	g.do(Dark{dark})
+}
--- a/gate/route_test.go
+++ b/gate/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -740,3 +741,68 @@
 		}
 	}
 }
+
+// It is told which targets missed their probes, once, and when they are back.
+func TestDarkIsTold(t *testing.T) {
+	told := func(out []any) (n int, ids map[wire.ID]bool) {
+		for _, c := range out {
+			if d, ok := c.(Dark); ok {
+				n, ids = n+1, d.IDs
+			}
+		}
+		return n, ids
+	}
+	policy := func(t *wire.Target) { barred(t); t.BarWhy = "slow" }
+	b := newBench("g1", 1, routed, to("a", slots(2)), to("b", slots(2), barred), to("c", slots(2), policy))
+	if n, ids := told(b.pass(time.Millisecond)); n != 1 || len(ids) != 1 || !ids[wire.ID{Service: "s", Name: "b", Inc: 1}] {
+		t.Fatalf("%d times %v", n, ids)
+	}
+	if n, ids := told(b.pass(time.Millisecond)); n != 0 {
+		t.Fatalf("again: %v", ids)
+	}
+	b.table(1, routed, to("a", slots(2)), to("b", slots(2)))
+	if n, ids := told(b.pass(time.Millisecond)); n != 1 || len(ids) != 0 {
+		t.Fatalf("%d times %v", n, ids)
+	}
+	if g := b.call(1, "/a/", 0).(Give); !g.More {
+		t.Fatal("it has a second attempt")
+	}
+	b.step(Done{ID: 1, Outcome: Lost})
+	if g, ok := answer(1, b.step(Again{ID: 1})).(Give); ok && g.More {
+		t.Fatal("it has no third attempt")
+	}
+}
+
+// What the configuration bounds callers by goes to the shell with each table, and goes
+// again when a later configuration does without it.
+func TestLimitsAreTold(t *testing.T) {
+	told := func(cmds []any) *model.Limits {
+		for _, c := range cmds {
+			if x, ok := c.(Targets); ok {
+				return x.Limits
+			}
+		}
+		t.Fatalf("%+v tells no targets", cmds)
+		return nil
+	}
+	b := newBench("g1", 1, plain, to("a"))
+	if l := told(b.table(1, strings.Replace(plain, "{", `{"limits":{"header_bytes":99,"idle_ms":7},`, 1), to("a"))); l == nil || *l != (model.Limits{HeaderBytes: 99, IdleMs: 7}) {
+		t.Fatal(l)
+	}
+	if l := told(b.table(1, plain, to("a"))); l != nil {
+		t.Fatal(*l)
+	}
+}
+
+// Exchanges that are refused earn their service no retries.
+func TestRefusedEarnNothing(t *testing.T) {
+	b := newBench("g1", 1, routed, to("a", slots(2)))
+	for id := uint64(1); id <= 500; id++ {
+		b.call(id, "/a/", 100*time.Millisecond)
+	}
+	b.pass(150 * time.Millisecond)
+	s := b.g.service("s")
+	if most := s.budget.part + float64(b.g.Counts.Admitted)*b.g.set.Retry.Ratio; b.g.Counts.Admitted > 20 || s.budget.credit > most {
+		t.Fatalf("%v credit for %d exchanges at targets", s.budget.credit, b.g.Counts.Admitted)
+	}
+}
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -10,6 +10,7 @@
 	"container/heap"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -36,11 +37,62 @@
 	Slots        int            // exchanges at once that targets tell, and routes in rules' place; 0: neither
 	ColdPerS     float64        // exchanges a second that a cold target bears, 0: no such bound
 	Known        []string       // domains that the core's settings name
+	Beats        time.Duration  // how far apart targets' words are, 0: limit.BeatEvery; each is said again after half a second
+	CoreOnly     bool           // targets speak to core daemons only
+	Scarce       *Scarce        // nil: processors and links take no time
+}
+
+// Scarce has processes take time for what they handle, and links for what goes over them.
+type Scarce struct {
+	CoreShare, GateShare float64 // of a processor
+	GateLink             float64 // bytes a second, each way
+}
+
+// What a process that has a processor of its own takes for one message or event, and for a
+// byte: system calls, reading and writing, and the owner's step.
+const (
+	costEvent = 60 * time.Microsecond
+	costByte  = 10 * time.Nanosecond
+)
+
+// share is the part of a processor that a process has.
+func (s *Scarce) share(p *Proc) float64 {
+	if p.kind == "core" {
+		return s.CoreShare
+	}
+	return s.GateShare
+}
+
+// weigh is how many bytes a message takes on a connection.
+func weigh(m *wire.Msg) int {
+	n, err := wire.NewWriter(io.Discard).Put(m)
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
+
+// work has a process spend time on something, after all that it has to do before; what it
+// gives is when that is done.
+func (w *World) work(p *Proc, bytes int) time.Duration {
+	d := float64(costEvent+time.Duration(bytes)*costByte) / w.Plan.Scarce.share(p)
+	p.busy = max(p.busy, w.now) + time.Duration(d)
+	return p.busy
+}
+
+// pass is when so many bytes that are ready at a moment have gone over a proxy's link.
+func (w *World) pass(at time.Duration, link *time.Duration, bytes int) time.Duration {
+	*link = max(*link, at) + time.Duration(float64(bytes)*float64(time.Second)/w.Plan.Scarce.GateLink)
+	return *link
 }
 
 // Small is a fleet that shows all behaviour and still runs fast.
 var Small = Plan{Cores: 3, Gates: 5, Domains: 3, Services: map[string]int{"fares": 5, "pay": 4}, Rate: 60, Unsafe: 0.4, Hard: 0.5}
 
+// GCPercent is how far the heap of a program that runs worlds may grow between two
+// collections: each world holds a few MiB and makes much that is over at once.
+const GCPercent = 400
+
 // foundingTime is for how long after the beginning a process is told that the fleet starts for the first time.
 const foundingTime = 1050 * time.Millisecond
 
@@ -87,6 +139,9 @@
 	pool   map[wire.ID][]*Target
 	live   map[wire.ID]string
 	rev    uint64
+	busy   time.Duration // until when its processor is taken, its link out, and its link in
+	out    time.Duration
+	in     time.Duration
 	since  time.Duration // when it last was stopped or started
 }
 
@@ -105,6 +160,9 @@
 	works                       []*exchange // those in work
 	work, usual                 time.Duration
 	coldTill                    time.Duration
+	coldTold                    time.Duration // the end that a daemon has acknowledged, and when all must keep to it
+	coldFrom                    time.Duration
+	resets                      bool            // when full it resets pipes and says nothing
 	came                        []time.Duration // arrivals while it is cold, of the last second
 	still                       bool            // says nothing, but serves and answers probes
 	named                       bool            // its words go by PUT and are numbered
@@ -328,8 +386,16 @@
 		if p.gen != gen || !p.alive {
 			return
 		}
-		if !p.frozen {
+		switch {
+		case p.frozen:
+		case w.Plan.Scarce == nil:
 			w.deliver(p, core.Tick{})
+		case p.busy-w.now < limit.TickEvery: // else the one before still waits
+			w.at(w.work(p, 0)-w.now, func() {
+				if p.gen == gen {
+					w.deliver(p, core.Tick{})
+				}
+			})
 		}
 		w.at(limit.TickEvery, beat)
 	}
@@ -421,6 +487,37 @@
 	}
 }
 
+// scarce carries a message where that takes time; what a full link would hold up for too
+// long is dropped, as a shell does.
+func (w *World) scarce(p, to *Proc, m *wire.Msg, d time.Duration) {
+	n := weigh(m)
+	at := w.work(p, n)
+	if p.kind == "gate" {
+		if p.out-w.now > limit.SendLate {
+			return
+		}
+		at = w.pass(at, &p.out, n)
+	}
+	at += d
+	if to.kind == "gate" {
+		if to.in-w.now > limit.SendLate {
+			return
+		}
+		at = w.pass(at, &to.in, n)
+	}
+	gen := to.gen
+	w.at(at-w.now, func() {
+		if to.gen != gen || !to.alive {
+			return
+		}
+		w.at(w.work(to, n)-w.now, func() {
+			if to.gen == gen && w.reach(p.name, to.name) {
+				w.deliver(to, core.Recv{M: m})
+			}
+		})
+	})
+}
+
 func (w *World) reach(a, b string) bool { return !w.cut[[2]string{a, b}] }
 
 func (w *World) exec(p *Proc, cmd any) {
@@ -438,10 +535,14 @@
 		if m == nil {
 			return
 		}
+		if w.Plan.Scarce != nil {
+			w.scarce(p, to, m, d)
+			return
+		}
 		if w.rnd.Float64() < w.late {
 			at = w.now + w.ms(200, 4000) // left over in an earlier pipe
 			w.Stats.Slips++
-			m = w.spoilLate(m)
+			m = w.spoilLate(p, m)
 		} else {
 			w.link[k] = at
 		}
@@ -459,6 +560,10 @@
 		}
 		w.at(w.ms(0, 4), func() { w.flush(p, gen, d) })
 	case core.Probe:
+		if w.Plan.Scarce != nil { // the question, and the answer
+			w.work(p, 0)
+			w.work(p, 0)
+		}
 		w.probe(p, c)
 	case core.Reply:
 		if a := w.asks[c.ID]; a != nil {
@@ -491,6 +596,7 @@
 	case gate.Targets:
 		p.live = c.Live
 		maps.DeleteFunc(p.pool, func(id wire.ID, _ []*Target) bool { _, ok := c.Live[id]; return !ok })
+	case gate.Dark: // exchanges here wait for their deadlines
 	case gate.Give:
 		w.give(p, c)
 	case gate.Refuse:
@@ -534,7 +640,9 @@
 	t.named = w.nextInc%3 != 0
 	if w.Plan.ColdPerS > 0 && w.now > coldSpan {
 		t.coldTill = w.now + coldSpan
+		t.coldTold = t.coldTill // a start is cold for its service's span, whoever has heard
 	}
+	t.resets = w.nextInc%5 == 0
 	if warm > 0 && w.Plan.ColdPerS == 0 {
 		t.state = model.Warming
 		w.at(warm, func() {
@@ -554,19 +662,30 @@
 			t.number++
 			w.beat(t, 0)
 		}
-		w.at(limit.BeatEvery, beat)
+		w.at(w.beats(), beat)
 	}
 	w.at(w.ms(0, 300), beat)
 	return t
 }
 
+func (w *World) beats() time.Duration {
+	if w.Plan.Beats > 0 {
+		return w.Plan.Beats
+	}
+	return limit.BeatEvery
+}
+
 // beat goes to the first of three daemons, tried in turn, that takes it.
 func (w *World) beat(t *Target, tries int) {
 	if tries > 3 {
 		return
 	}
-	p := w.procs[w.names[w.rnd.IntN(len(w.names))]]
-	state := t.state
+	names := w.names
+	if w.Plan.CoreOnly {
+		names = w.all("core")
+	}
+	p := w.procs[names[w.rnd.IntN(len(names))]]
+	state, cold := t.state, t.coldTill
 	done := false
 	again := func() {
 		if !done && t.alive {
@@ -585,13 +704,16 @@
 			return
 		}
 		done = true
+		if cold > w.now && t.coldTold != cold {
+			t.coldTold, t.coldFrom = cold, w.now+coldHeard
+		}
 		if state == model.Leaving && t.leftAt == 0 {
 			t.leftAt = w.now
 			w.Stats.Leaves++
 			w.log("%s/%s leaving, taken by %s", t.service, t.name, p.name)
 		}
 	})
-	w.at(limit.BeatEvery/2, again)
+	w.at(w.beats()/3, again) // not acknowledged: the next daemon hears it
 }
 
 // word is a call that says how a target is.
@@ -882,7 +1004,11 @@
 		w.checkCold(t)
 		if w.Plan.Slots > 0 && len(t.works) >= w.Plan.Slots+queued {
 			w.Stats.TurnedAway++
-			fail(0, gate.NotRun, true, false)
+			if t.resets {
+				fail(0, gate.Lost, true, false)
+			} else {
+				fail(0, gate.NotRun, true, false)
+			}
 			return
 		}
 		w.runs(t, x)
@@ -942,6 +1068,9 @@
 const (
 	coldSpan = 3 * time.Second
 	queued   = 2
+	// coldHeard is how long after a target's word was acknowledged its cold rate must hold
+	// everywhere: the bound for whatever is said of a target.
+	coldHeard = 2 * time.Second
 )
 
 // warmCap is what a warming target bears in all of them.
