Exchanges that run once take only pipes used within the last 200 ms

Cause: an exchange on a kept pipe to a target that went dark since is lost, for a kind that may run once for good; a connect that hangs is given up after 100 ms with nothing sent. Kept pipes were taken up to 1 s after their last use. Ruled out: asking each target again before an exchange (a round trip for all of them). The pool's test holds whatever the time is.

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -277,8 +277,9 @@
 	// TryLeast is the time that another try after a target's own failure needs: a few hops and a short answer.
 	TryLeast = 25 * time.Millisecond
 	// OnceIdle is how long a pipe may have been unused for an exchange that must not run twice: a
-	// target that closes it meanwhile leaves the exchange unknown, and few close within a second.
-	OnceIdle = time.Second
+	// target that closes it meanwhile, or has gone dark, leaves the exchange unknown; a new pipe finds
+	// that out before anything is sent.
+	OnceIdle = 200 * time.Millisecond
 	// AliveMargin is how much sooner than a target says it keeps a pipe the pipe is given up: a
 	// hop each way, and clocks and queues in between.
 	AliveMargin = 500 * time.Millisecond
