After a missed probe two proxies probe in the leader's place

Cause: with slots dealt one by one, proxies prefer some targets, so another may get no exchange for a while. Ruled out: exploring with exchanges, since that sends callers to targets known as slow; asking at the first miss, since an answer that is told before the second probe went out may be older than it and does not count. Now: when the probe after a missed one is unanswered for 150 ms and no proxy has told of an answer meanwhile, two proxies, of other domains where there are any, are asked to probe (indirect probes). Their answer overrules that miss. Nothing waits for them: a dead target is barred with its second miss as before and costs two probes once; one at rest costs none.

--- a/core/core.go
+++ b/core/core.go
@@ -13,6 +13,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"math"
 	"slices"
@@ -135,6 +136,8 @@
 	beatAt      time.Duration
 	probeAt     time.Duration
 	sentAt      time.Duration // 0: no probe out
+	missed      bool          // the last probe was, whether that counts or not
+	askedFor    time.Duration // the last probe for which proxies were asked to probe too
 	okAt        time.Duration // last report of a success through a proxy
 	aliveAt     time.Duration // last beat or answered probe
 	seen        wire.Seen
@@ -748,7 +751,7 @@
 	}
 	for _, s := range m.Pull.Seen {
 		if t := c.targets[wire.ID{Service: s.Service, Name: s.Name, Inc: s.Inc}]; t != nil {
-			if s.Ok > 0 {
+			if s.Ok > 0 || s.Alive {
 				t.okAt, t.told, t.misses = now, false, 0
 			}
 			t.seen.Ok += s.Ok
@@ -1220,6 +1223,47 @@
 		c.counts.Probes++
 		c.do(Probe{id, t.Addr, svc.HealthPath})
 	}
+	if t.missed && t.misses < limit.ProbeMisses && t.sentAt != 0 && t.askedFor != t.sentAt && now-t.sentAt >= limit.IndirectAfter &&
+		t.okAt < t.sentAt+limit.IndirectAfter && !t.Held && t.State != model.Leaving {
+		t.askedFor = t.sentAt
+		c.indirect(now, id)
+	}
+}
+
+// indirect has some proxies probe a target that the leader itself can't reach, so that a
+// trouble of the leader's own bars nobody. They are drawn anew each time, from as many
+// domains as can be and the leader's own last: what troubles it may trouble its neighbours.
+func (c *Core) indirect(now time.Duration, id wire.ID) {
+	type choice struct {
+		name, domain string
+		nth          int // of its domain
+		close        int
+		draw         uint32
+	}
+	var all []choice
+	for _, r := range c.state.Roster {
+		if g := c.gates[r.Name]; g != nil && g.told && c.live(now, r.Name) {
+			h := fnv.New32a()
+			fmt.Fprint(h, r.Name, id, now)
+			k := choice{name: r.Name, domain: r.Domain, draw: h.Sum32()}
+			if r.Domain == c.set.Self.Domain {
+				k.close = 1
+			}
+			all = append(all, k)
+		}
+	}
+	slices.SortFunc(all, func(a, b choice) int { return cmp.Or(cmp.Compare(a.draw, b.draw), cmp.Compare(a.name, b.name)) })
+	met := map[string]int{}
+	for i := range all {
+		all[i].nth = met[all[i].domain]
+		met[all[i].domain]++
+	}
+	slices.SortStableFunc(all, func(a, b choice) int { return cmp.Or(cmp.Compare(a.nth, b.nth), cmp.Compare(a.close, b.close)) })
+	for _, k := range all[:min(len(all), limit.IndirectProbes)] {
+		g := c.gates[k.name]
+		p := &wire.Push{Key: g.key, Probe: []wire.ID{id}}
+		c.send(k.name, &wire.Msg{Kind: uint16(wire.KPush), Epoch: c.node.Epoch(), Term: c.node.Term(), Stamp: g.stamp, Disk: g.inc, Push: p})
+	}
 }
 
 func (c *Core) probed(now time.Duration, p Probed) {
@@ -1242,6 +1286,7 @@
 	e := judge.Event{At: now, Slice: "probe", Service: t.Service, Name: t.Name, Inc: t.Inc, Ms: p.Ms}
 	b := p.Beat
 	e.Ok = b != nil && b.ID() == p.ID
+	t.missed = !e.Ok
 	if !e.Ok {
 		c.counts.Misses++
 		if t.okAt-limit.PullEvery >= p.SentAt {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -165,6 +165,7 @@
 	misses   int
 	probeAt  time.Duration
 	sentAt   time.Duration
+	indirect bool // the leader has asked for a probe and not heard of an answer
 	seen     wire.Seen
 
 	slots     int  // exchanges at once, as told
@@ -242,6 +243,7 @@
 	grantTill time.Duration
 	settled   bool
 	want      bool
+	telling   bool // the next tick pulls: the leader waits for what is to be told
 	touches   map[string]time.Duration
 	asked     map[string]time.Duration // when partners were last asked
 	wantAt    time.Duration            // when a partner was last asked for its table
@@ -431,7 +433,7 @@
 	if now-g.helloAt >= limit.HelloCalm || now-g.helloAt >= limit.HelloEvery && g.doubts(now) {
 		g.hello(now)
 	}
-	if now-g.pullAt >= limit.PullEvery {
+	if now-g.pullAt >= limit.PullEvery || g.telling {
 		g.pull(now)
 	}
 	if g.table != nil && g.alone(now) && now-g.touchAt >= limit.PullEvery {
@@ -545,7 +547,7 @@
 }
 
 func (g *Gate) pull(now time.Duration) {
-	g.pullAt = now
+	g.pullAt, g.telling = now, false
 	l := g.leader(now)
 	if l == "" {
 		return
@@ -562,7 +564,7 @@
 		}
 	}
 	for _, id := range slices.SortedFunc(maps.Keys(g.targets), wire.ID.Compare) {
-		if t := g.targets[id]; t.seen.Ok+t.seen.Errors > 0 {
+		if t := g.targets[id]; t.seen.Ok+t.seen.Errors > 0 || t.seen.Alive {
 			s := t.seen
 			s.Service, s.Name, s.Inc = id.Service, id.Name, id.Inc
 			p.Seen = append(p.Seen, s)
@@ -616,6 +618,12 @@
 		g.pull(now)
 	}
 	g.want = p.Want
+	for _, id := range p.Probe {
+		if t := g.targets[id]; t != nil && mine {
+			t.indirect = true
+			g.ping(now, t)
+		}
+	}
 	if p.Table != nil {
 		fresh := g.take(now, p.Table)
 		if fresh {
@@ -972,10 +980,13 @@
 }
 
 func (g *Gate) probe(now time.Duration, t *target) {
-	if t.sentAt != 0 && now-t.sentAt > 2*limit.ProbeCap {
-		t.sentAt = 0
+	if t.probeAt == 0 || now-t.probeAt >= limit.DoubtEvery {
+		g.ping(now, t)
 	}
-	if t.sentAt == 0 && (t.probeAt == 0 || now-t.probeAt >= limit.DoubtEvery) {
+}
+
+func (g *Gate) ping(now time.Duration, t *target) {
+	if t.sentAt == 0 || now-t.sentAt > 2*limit.ProbeCap {
 		t.probeAt, t.sentAt = now, now
 		g.do(core.Probe{ID: t.ID(), Addr: t.Addr, Path: g.cfg.Services[t.Service].HealthPath})
 	}
@@ -989,7 +1000,12 @@
 	}
 	t.sentAt = 0
 	b := p.Beat
+	asked := t.indirect
+	t.indirect = false
 	if b == nil || b.ID() != p.ID {
+		if asked && !g.doubts(now) {
+			return // the leader's to judge
+		}
 		if t.misses++; t.misses >= limit.ProbeMisses && g.doubts(now) {
 			if t.ownBar <= now {
 				g.Counts.OwnBars++
@@ -999,10 +1015,13 @@
 		return
 	}
 	t.misses = 0
+	if asked {
+		t.seen.Alive, g.telling = true, true
+	}
 	if b.State == model.Ready && t.State == model.Warming && g.state == Orphan {
 		t.State, t.warmAt = model.Ready, now
 	}
-	if t.ownBar > now {
+	if t.ownBar > now && (!asked || g.doubts(now)) {
 		t.ownBar, t.backAt = 0, now
 	}
 	if b.State == model.Leaving {
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -599,3 +599,54 @@
 		}
 	}
 }
+
+// What the leader can't reach, a proxy probes when asked: an answer goes to it with the next
+// tick, a miss is the leader's to judge, and own bars are as before.
+func TestIndirectProbe(t *testing.T) {
+	b := newBench("g1", 1, plain, to("a"), to("b"))
+	b.step(core.Recv{M: &wire.Msg{Kind: uint16(wire.KHello), From: "c1", Epoch: 1, Term: 1, Hello: &wire.Hello{Self: wire.Daemon{Name: "c1", Kind: "core", Addr: "c1", Inc: 1, Epoch: 1}, Leader: "c1", Term: 1}}})
+	id := wire.ID{Service: "s", Name: "a", Inc: 1}
+	ask := func() (n int) {
+		for _, c := range b.step(core.Recv{M: &wire.Msg{Kind: uint16(wire.KPush), From: "c1", Epoch: 1, Term: 1, Stamp: int64(b.now), Disk: 9,
+			Push: &wire.Push{Key: b.g.table.Key, Probe: []wire.ID{id, {Service: "s", Name: "c", Inc: 1}}}}}) {
+			if p, ok := c.(core.Probe); ok && p.ID == id {
+				n++
+			}
+		}
+		return n
+	}
+	b.g.targets[id].ownBar = b.now + time.Second
+	for range 3 {
+		if n := ask(); n != 1 {
+			t.Fatalf("%d probes", n)
+		}
+		if n := ask(); n != 0 {
+			t.Fatal("two probes at once")
+		}
+		b.step(core.Probed{ID: id})
+	}
+	if b.g.Counts.OwnBars != 0 {
+		t.Fatal("barred by itself")
+	}
+	told := func() (n int) {
+		b.now += limit.TickEvery
+		for _, c := range b.step(core.Tick{}) {
+			if s, ok := c.(core.Send); ok && s.M.Pull != nil {
+				for _, e := range s.M.Pull.Seen {
+					if e.Alive && e.Name == "a" && e.Ok == 0 {
+						n++
+					}
+				}
+			}
+		}
+		return n
+	}
+	if told() != 0 {
+		t.Fatal("a miss was told")
+	}
+	ask()
+	b.step(core.Probed{ID: id, Beat: &model.Beat{Service: "s", Name: "a", Incarnation: 1, State: model.Ready}})
+	if told() != 1 || told() != 0 || b.g.targets[id].ownBar == 0 {
+		t.Fatal("an answer is told once, with the next tick, and clears no own bar")
+	}
+}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -138,6 +138,12 @@
 	ProbeEvery = 450 * time.Millisecond
 	// ProbeCap is how long one probe may take (the source's 700 ms, cut for the same sum).
 	ProbeCap = 400 * time.Millisecond
+	// IndirectAfter is how long the probe after a missed one may be unanswered before the leader has
+	// IndirectProbes proxies probe in its place. What they tell counts once it comes a PullEvery after
+	// the leader's probe went out, and has ProbeCap - IndirectAfter = 0.25 s to come: two hops, a
+	// probe and a tick. A bar waits for nobody: it comes with the second miss as ever.
+	IndirectAfter  = PullEvery
+	IndirectProbes = 2
 	// DoubtAfter is how long after its last granted pull a proxy begins to probe and to touch its
 	// partners: two pulls and a little, so that a healthy leader is seldom doubted.
 	DoubtAfter = 330 * time.Millisecond
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -23,6 +23,7 @@
 		{"a grant's end, seen from the pull", drift(GateGrant) + TickEvery, GateGrant + GrantMargin},
 		{"the old leader's end, seen by members", drift(CoreGrant) + TickEvery, ElectMin},
 		{"a stalled disk's leader's end", FsyncStall + TickEvery, ElectMin},
+		{"an indirect probe's answer, before the leader's own is a miss", IndirectAfter + 2*TickEvery + push, ProbeCap},
 		{"three beats lost at most", 3*BeatEvery + TickEvery, BeatLapse},
 		{"partners touched before a grant lapses", PullEvery*2 + TickEvery, GateGrant / 2},
 		{"from nothing to deciding, a machine gone", 4*HelloEvery + FoundWait + 3*HelloEvery + ElectMin + ElectSpread + LegacyWait + WarmLeader + FirstRoster, 15 * time.Second},
--- a/sim/guards_test.go
+++ b/sim/guards_test.go
@@ -6,6 +6,7 @@
 
 	"myrtlefold/core"
 	"myrtlefold/gate"
+	"myrtlefold/limit"
 	"myrtlefold/model"
 	"myrtlefold/wire"
 )
@@ -282,6 +283,34 @@
 	}
 }
 
+// Where next to nothing is sent, proxies asked to probe in the leader's place vouch for
+// healthy targets, and for none that died meanwhile.
+func TestLeaderCutFromIdleTargets(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(8) {
+		p := Small
+		p.Rate = 1
+		w := Start(seed, p)
+		w.Run(w.now + 3*time.Second)
+		l := w.Leader()
+		for _, tg := range w.targets {
+			w.cutFor(both(l.name, tg.name), 6*time.Second)
+		}
+		before := l.core.Status(0).Counts
+		w.Run(w.now + 3*time.Second)
+		if n := l.core.Status(0).Counts; n.Bars != before.Bars || n.Overruled == before.Overruled {
+			t.Fatalf("seed %d: %d bars, %d misses overruled\n%s", seed, n.Bars-before.Bars, n.Overruled, w.Trace(20))
+		}
+		w.Crash(w.targets[int(seed)%len(w.targets)])
+		w.Run(w.now + limit.ProbeEvery + limit.ProbeEvery + limit.ProbeCap + 100*time.Millisecond)
+		if n := l.core.Status(0).Counts; n.Bars != before.Bars+1 {
+			t.Fatalf("seed %d: %d bars after a death\n%s", seed, n.Bars-before.Bars, w.Trace(20))
+		}
+		w.Run(w.now + 3*time.Second)
+		check(t, w)
+	}
+}
+
 // A leader that was frozen must not, on its first event after the thaw, grant
 // anything: another may have led and acknowledged meanwhile.
 func TestThawedLeaderGrantsNothing(t *testing.T) {
--- a/wire/convert.go
+++ b/wire/convert.go
@@ -105,7 +105,7 @@
 		}
 	}
 	if p := m.Push; p != nil {
-		n += pushSize + keySize + p.Table.size()
+		n += pushSize + keySize + p.Table.size() + idsSize(p.Probe)
 	}
 	if m.Beat != nil {
 		n += m.Beat.size()
@@ -138,15 +138,20 @@
 	return snapSize + membersSize(s.Members) + dataSize(s.Data)
 }
 
+func idsSize(ids []ID) int {
+	n := listSize(len(ids), idSize)
+	for i := range ids {
+		n += textSize(ids[i].Service) + textSize(ids[i].Name)
+	}
+	return n
+}
+
 func (t *Table) size() int {
 	if t == nil {
 		return 0
 	}
 	n := tableSize + keySize + dataSize(t.Doc) + dataSize(t.State) + listSize(len(t.Gates), gateSize) +
-		textsSize(t.Emptied) + listSize(len(t.Targets), 0) + textsSize(t.Was) + keySize + listSize(len(t.Gone), idSize)
-	for i := range t.Gone {
-		n += textSize(t.Gone[i].Service) + textSize(t.Gone[i].Name)
-	}
+		textsSize(t.Emptied) + listSize(len(t.Targets), 0) + textsSize(t.Was) + keySize + idsSize(t.Gone)
 	for i := range t.Gates {
 		n += textSize(t.Gates[i].Name) + textSize(t.Gates[i].Addr) + textSize(t.Gates[i].Domain)
 	}
@@ -480,16 +485,20 @@
 	}
 	if len(t.Gone) > 0 {
 		if l, err := c.NewGone(int32(len(t.Gone))); e.ok(err) {
-			for i := range t.Gone {
-				c, id := l.At(i), &t.Gone[i]
-				e.ok(c.SetService(id.Service))
-				e.ok(c.SetName(id.Name))
-				c.SetInc(id.Inc)
-			}
+			e.ids(l, t.Gone)
 		}
 	}
 }
 
+func (e *encoder) ids(l IdC_List, ids []ID) {
+	for i := range ids {
+		c, id := l.At(i), &ids[i]
+		e.ok(c.SetService(id.Service))
+		e.ok(c.SetName(id.Name))
+		c.SetInc(id.Inc)
+	}
+}
+
 func (e *encoder) pull(c PullC, p *Pull) {
 	if c, err := c.NewSelf(); e.ok(err) {
 		e.daemon(c, &p.Self)
@@ -511,6 +520,7 @@
 				c.SetHasDemand(s.HasDemand)
 				c.SetSlow(s.Slow)
 				c.SetNotRun(s.NotRun)
+				c.SetAlive(s.Alive)
 			}
 		}
 	}
@@ -535,6 +545,11 @@
 			e.table(c, p.Table)
 		}
 	}
+	if len(p.Probe) > 0 {
+		if l, err := c.NewProbe(int32(len(p.Probe))); e.ok(err) {
+			e.ids(l, p.Probe)
+		}
+	}
 }
 
 // ---- reading ----
@@ -702,7 +717,7 @@
 	if !d.ok(err) || !c.IsValid() {
 		return nil
 	}
-	return &Push{Grant: c.Grant(), Want: c.Want(), Key: d.key(c.Key()), Table: d.table(c.Table())}
+	return &Push{Grant: c.Grant(), Want: c.Want(), Key: d.key(c.Key()), Table: d.table(c.Table()), Probe: d.ids(c.Probe())}
 }
 
 func (d *decoder) beat(c TargetC, err error) *Target {
@@ -820,7 +835,7 @@
 		all[i] = Seen{
 			Service: d.again(c.ServiceBytes()), Name: d.text(c.NameBytes()), Inc: c.Inc(), Ok: c.Ok(),
 			Errors: c.Errors(), SumMs: c.SumMs(), Demand: c.Demand(), HasDemand: c.HasDemand(), Slow: c.Slow(),
-			NotRun: c.NotRun(),
+			NotRun: c.NotRun(), Alive: c.Alive(),
 		}
 	}
 	return all
--- a/wire/msg.capnp
+++ b/wire/msg.capnp
@@ -115,6 +115,7 @@
   hasDemand @7 :Bool;
   slow @8 :UInt32;
   notRun @9 :UInt32;
+  alive @10 :Bool;
 }
 struct KeyC {
   epoch @0 :UInt64;
@@ -159,6 +160,7 @@
   want @1 :Bool;
   key @2 :KeyC;
   table @3 :TableC;
+  probe @4 :List(IdC);
 }
 struct AskC {
   id @0 :UInt64;
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -154,6 +154,7 @@
 	HasDemand bool
 	Slow      uint32
 	NotRun    uint32 // turned away by the target itself, which says that it did not run them
+	Alive     bool   // it answered an indirect probe as itself
 }
 
 // Key orders tables: a later epoch, then term, then number, wins.
@@ -213,6 +214,7 @@
 	Want  bool
 	Key   Key
 	Table *Table
+	Probe []ID // targets that the proxy is to probe in the leader's place: indirect probes
 }
 
 type Ask struct {
