A cold target that is still warming keeps to its warming cap

Cause: a target that is both warming and cold was dealt no part of its slots, and the choice took its next cold turn before it looked at the warming cap. Where it told slots, a lone proxy had 4 exchanges at once under a warming cap of 1; where it told none, the proxy with a cold turn could have no part of the warming cap, and nobody sent it anything. Ruled out: swapping the two cases only, since the part of a cold target was 0. Now: such a target's part is its dealt part of the warming cap, the choice looks at that first, and its cold turns are drawn among the proxies that have such a part, in each of the two rosters while that changes; so who may have one of its places also has a turn. Tested first: over 1 to 7 proxies, caps of 1 to 5 and rates of 1 to 10 a second the cap and the rate hold and something is sent; the deal of rates over changing rosters is drawn for warming targets too.

--- a/gate/choice.go
+++ b/gate/choice.go
@@ -109,7 +109,7 @@
 			t.slots = set.Cap
 		}
 		g.rise(now, t, set)
-		gap := g.coldGapOf(t, set.ColdPerS)
+		gap := g.coldGapOf(t, set)
 		if gap > 0 && t.coldGap == 0 {
 			t.coldNext = now + gap // another life of this proxy may just have sent one
 		}
@@ -118,6 +118,9 @@
 			if g.coldEnd == 0 || t.coldUntil < g.coldEnd {
 				g.coldEnd = t.coldUntil
 			}
+			if t.State == model.Warming {
+				t.part = g.room(now, t, set)
+			}
 			continue
 		}
 		if t.Held || t.Pending || t.State == model.Leaving || slices.Contains(g.table.Emptied, t.Domain) {
@@ -233,6 +236,16 @@
 	return part
 }
 
+// holders are those names that have a part when a number is dealt among all of them.
+func holders(total, place int, among []string) (hs []string) {
+	for i, n := range among {
+		if m := len(among); total >= m || (i-place%m+m)%m < total {
+			hs = append(hs, n)
+		}
+	}
+	return hs
+}
+
 // room is how many exchanges this proxy may have at a target that tells no slots.
 // Each target deals its remainder on from where its service's one before it ended, so
 // that every proxy reaches some of them. A warming one must never get more than its
@@ -240,10 +253,8 @@
 // and while a change of that is not in force everywhere, a proxy has the smaller of
 // both parts.
 func (g *Gate) room(now time.Duration, t *target, set model.Service) int {
-	h := fnv.New32a()
-	h.Write([]byte(t.Service))
 	part := func(c int, among []string) int {
-		return deal(c, int(h.Sum32()>>8)+int(t.Turn)*(c%max(1, len(among))), g.set.Self.Name, among)
+		return deal(c, t.place(c, among), g.set.Self.Name, among)
 	}
 	if t.State == model.Warming {
 		n := part(set.WarmCap, g.listed)
@@ -262,6 +273,13 @@
 	return part(c, g.alive)
 }
 
+// place is from where on among names the remainder of a target's cap is dealt.
+func (t *target) place(c int, among []string) int {
+	h := fnv.New32a()
+	h.Write([]byte(t.Service))
+	return int(h.Sum32()>>8) + int(t.Turn)*(c%max(1, len(among)))
+}
+
 // rise keeps this proxy's part of a warming target's cap from growing before all that
 // others sent there under the parts of an earlier roster must be over: the parts of one
 // table add up to the cap, those of two tables that follow one another need not.
@@ -319,8 +337,10 @@
 // coldGapOf is how far apart this proxy's exchanges at a cold target are, 0: it sends
 // none. The rate is dealt among some proxies of the roster, so few that one exchange of
 // each beyond the rate stays within half of it; while a change of the roster is under
-// way, only those that both rosters draw have a part, and the smaller one.
-func (g *Gate) coldGapOf(t *target, perS float64) time.Duration {
+// way, only those that both rosters draw have a part, and the smaller one. Of a target
+// that is still warming too only those are drawn that have a part of its warming cap.
+func (g *Gate) coldGapOf(t *target, set model.Service) time.Duration {
+	perS := set.ColdPerS
 	if perS <= 0 {
 		return 0
 	}
@@ -330,6 +350,9 @@
 		if len(names) == 0 {
 			continue
 		}
+		if t.State == model.Warming {
+			names = holders(set.WarmCap, t.place(set.WarmCap, names), names)
+		}
 		n := min(max(1, int(perS/2)), len(names))
 		if !drawn(k, g.set.Self.Name, names, n) {
 			return 0
@@ -551,12 +574,14 @@
 	switch {
 	case t.fullTill > now || t.inflight >= t.slots:
 		return none
+	case t.State == model.Warming && t.inflight >= t.part:
+		return none
 	case t.cold(now, x):
 		if now < t.coldNext {
 			return none
 		}
 		return coldRate
-	case (t.strict || t.State == model.Warming) && t.inflight >= t.part:
+	case t.strict && t.inflight >= t.part:
 		return none
 	case t.shun > now:
 		return shunned
--- a/gate/route_test.go
+++ b/gate/route_test.go
@@ -422,6 +422,8 @@
 		perS := rapid.Float64Range(0.3, 40).Draw(t, "rate")
 		r := Retry{0.2, 10 * time.Second, rapid.Float64Range(1, 90).Draw(t, "slack")}
 		late := rapid.Bool().Draw(t, "late")
+		state := rapid.SampledFrom([]string{model.Ready, model.Warming}).Draw(t, "state")
+		set := model.Service{ColdPerS: perS, WarmCap: rapid.IntRange(1, 20).Draw(t, "warming cap")}
 		rate, slack, least := 0.0, 0.0, 0
 		for _, n := range all {
 			g := New(Settings{Self: wire.Daemon{Name: n}, Retry: r})
@@ -437,7 +439,7 @@
 				g.table.Gates = append(g.table.Gates, wire.Gate{Name: o, Live: true})
 			}
 			g.index(0)
-			if gap := g.coldGapOf(&target{Target: wire.Target{Service: "s", Name: "a", Inc: 1}}, perS); gap > 0 {
+			if gap := g.coldGapOf(&target{Target: wire.Target{Service: "s", Name: "a", Inc: 1, State: state, Turn: 3}}, set); gap > 0 {
 				rate += float64(time.Second) / float64(gap)
 				least++
 			}
@@ -806,3 +808,58 @@
 		t.Fatalf("%v credit for %d exchanges at targets", s.budget.credit, b.g.Counts.Admitted)
 	}
 }
+
+// A target that is both warming and cold never has more than its warming cap at once,
+// over all proxies, nor more than the cold rate; and it does get some.
+func TestColdWhileWarming(t *testing.T) {
+	const doc = `{"services":{"s":{"cap":64,"warm_cap":%d,"health_path":"/h","cold_s":30,"cold_per_s":%d}},"routes":{"r":{"host":"h","prefix":"/a/","kind":"repeatable","timeout_ms":2000,"service":"s","attempts":1}}}`
+	for _, told := range []uint32{0, 8} {
+		for _, gates := range []int{1, 2, 3, 7} {
+			for _, warmCap := range []int{1, 2, 5} {
+				for _, perS := range []int{1, 3, 10} {
+					for inc := uint64(1); inc <= 3; inc++ { // other draws
+						to := to("a", warming, slots(told), cold(30*time.Second), func(w *wire.Target) { w.Inc, w.Turn = inc, uint32(inc) })
+						var bs []*bench
+						for i := range gates {
+							b := newBench(fmt.Sprintf("g%d", i+1), gates, fmt.Sprintf(doc, warmCap, perS))
+							b.table(gates, fmt.Sprintf(doc, warmCap, perS), to)
+							bs = append(bs, b)
+						}
+						what := fmt.Sprintf("%d proxies, %d slots, warming cap %d, %d/s, start %d", gates, told, warmCap, perS, inc)
+						id := uint64(0)
+						run := func(done bool) (n int) { // 4 s in which no exchange ends, or each at once
+							for range 200 {
+								for _, b := range bs {
+									id++
+									cmds := append(b.pass(limit.TickEvery), b.step(Admit{ID: id, Host: "h:80", Path: "/a/", Method: "GET", Timeout: 100 * time.Millisecond})...)
+									for len(cmds) > 0 {
+										g, ok := cmds[0].(Give)
+										if cmds = cmds[1:]; ok {
+											n++
+											if done {
+												cmds = append(cmds, b.step(Done{ID: g.ID, Outcome: Served, Ms: 1, Last: true})...)
+											}
+										}
+									}
+								}
+							}
+							return n
+						}
+						if n := run(false); n > warmCap || n < min(warmCap, gates, max(1, perS/2)) {
+							t.Fatalf("%s: %d held at once", what, n)
+						}
+						for _, b := range bs {
+							for id := range b.g.exchanges {
+								b.step(Cancel{ID: id})
+							}
+						}
+						sent := run(true)
+						if sent > 4*perS+perS/2+1 || sent < 2*perS {
+							t.Fatalf("%s: %d sent in 4 s", what, sent)
+						}
+					}
+				}
+			}
+		}
+	}
+}
