Long configurations travel squeezed in tables and memories

Cause: a table with a configuration of 1,400 routes (220 KB) takes most of a second on a link of 2 Mbit/s, and a leader with half a processor spends its whole grant writing 69 of them. In the simulator with scarce processors and links all 69 proxies lost their grants, the leader stopped for want of a majority's answers, and a change took 1.4 s or was not in force at all. The same text went in each proxy's memory to each core daemon.

A document is now squeezed once by whoever makes the table and stands so in it; proxies open it where they read the configuration. Memories of earlier epochs travel so too.

Ruled out: reading the configuration, 11 ms for 1,400 routes on a whole processor.

--- a/core/core.go
+++ b/core/core.go
@@ -248,6 +248,7 @@
 	outVer    map[wire.ID]uint64        // first table without the target, or with it held, for words that say so
 	restored  map[string]time.Duration  // when emptied domains were last restored
 	checked   checked
+	squeeze   struct{ plain, doc []byte } // the document as last told, and its form in tables
 	judge     *judge.Judge
 	scorer    *judge.Scorer
 	judged    uint64 // revision whose policies are in force
@@ -287,10 +288,11 @@
 // Remembered is what a table remembers of its epoch.
 func Remembered(t *wire.Table) (Legacy, bool) {
 	var s State
-	if json.Unmarshal(t.State, &s) != nil {
+	doc, err := wire.Open(t.Doc)
+	if err != nil || json.Unmarshal(t.State, &s) != nil {
 		return Legacy{}, false
 	}
-	s.Doc = t.Doc
+	s.Doc = doc
 	b, _ := json.Marshal(s)
 	return Legacy{t.Key.Epoch, t.Key.Term, t.Seq, b}, true
 }
@@ -486,7 +488,7 @@
 		}
 		if len(m.Hello.Legacy) > 0 {
 			var l Legacy
-			if json.Unmarshal(m.Hello.Legacy, &l) == nil {
+			if b, err := wire.Open(m.Hello.Legacy); err == nil && json.Unmarshal(b, &l) == nil {
 				c.remember(l)
 				if m.Hello.Self.Kind == "gate" {
 					c.recall(m.From, l)
@@ -1284,7 +1286,7 @@
 			}
 		}
 	}
-	t := &wire.Table{Was: c.state.Was, Seq: c.state.Seq, Revision: c.state.Revision, Doc: c.state.Doc, State: c.state.slim(c.node.Members()), Emptied: c.state.Emptied}
+	t := &wire.Table{Was: c.state.Was, Seq: c.state.Seq, Revision: c.state.Revision, Doc: c.squeezed(), State: c.state.slim(c.node.Members()), Emptied: c.state.Emptied}
 	c.ver++
 	c.madeAt[c.ver%limit.TablesKept] = now
 	for _, r := range c.state.Roster {
@@ -1335,6 +1337,14 @@
 	}
 }
 
+// squeezed is the document as tables carry it.
+func (c *Core) squeezed() []byte {
+	if !bytes.Equal(c.squeeze.plain, c.state.Doc) {
+		c.squeeze.plain, c.squeeze.doc = c.state.Doc, wire.Squeeze(c.state.Doc)
+	}
+	return c.squeeze.doc
+}
+
 // facts are what decides in a table about one target; the rest is carried along.
 type facts struct {
 	addr, domain, state, bar            string
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -535,7 +535,7 @@
 		return nil
 	}
 	b, _ := json.Marshal(l)
-	return b
+	return wire.Squeeze(b)
 }
 
 // doubts says that the leader has been silent for over two pulls: partners are
@@ -809,7 +809,12 @@
 		return false // said to an earlier process of this name, or long ago: the next pull asks for all
 	}
 	if g.table == nil || g.table.Key.Epoch != t.Key.Epoch || t.Revision != g.revision || len(g.cfg.Services) == 0 {
-		cfg, faults, err := judge.CheckConfig(t.Doc)
+		var cfg *model.Config
+		var faults []model.Fault
+		doc, err := wire.Open(t.Doc)
+		if err == nil {
+			cfg, faults, err = judge.CheckConfig(doc)
+		}
 		if err != nil || len(faults) > 0 {
 			// Only a checked document is ever agreed; a proxy that can't read one must not serve on.
 			panic(fmt.Sprintf("table %v holds an unsound configuration: %v %v", t.Key, err, faults))
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -127,6 +127,8 @@
 	ChangesKept = 16
 	// DocMax bounds a configuration in bytes.
 	DocMax = 512 << 10
+	// SqueezeFrom is from how many bytes on a document or memory is squeezed for its way: below, it fits a few packets.
+	SqueezeFrom = 2 << 10
 	// WireMax bounds one message between daemons: a snapshot with all kept configurations.
 	WireMax = 8 << 20
 )
--- a/sim/grown_test.go
+++ b/sim/grown_test.go
@@ -1,10 +1,15 @@
 package sim
 
 import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"myrtlefold/gate"
+	"myrtlefold/model"
 )
 
 // grown is a fleet of many proxies on little: a sixth of a processor and a thin link each.
@@ -112,3 +117,54 @@
 		check(t, w)
 	}
 }
+
+// bulk is a configuration with many routes besides those of a plan.
+func (w *World) bulk(n, routes int) []byte {
+	var doc map[string]any
+	if err := json.Unmarshal(w.Doc(n), &doc); err != nil {
+		panic(err)
+	}
+	svcs := slices.Sorted(maps.Keys(w.Plan.Services))
+	all := map[string]model.Route{}
+	for i := range routes {
+		x := uint64(i) * 0x9e3779b97f4a7c15
+		all[fmt.Sprintf("r-%07x", x>>36)] = model.Route{Host: fmt.Sprintf("%05x.example", x>>44), Prefix: fmt.Sprintf("/%07x/%04x/", x>>36, i), Kind: model.Repeatable,
+			TimeoutMs: 2000, AimMs: 300, Priority: 2, Attempts: 2, Service: svcs[i%len(svcs)]}
+	}
+	doc["routes"] = all
+	b, err := json.Marshal(doc)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// A configuration with very many routes is in force in good time on thin links, and what
+// follows it too, while no proxy loses its grant.
+func TestManyRoutesOnThinLinks(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2) {
+		w := Start(seed, grown())
+		w.Run(w.now + 4*time.Second)
+		for i := range 3 {
+			l, from := w.Leader(), w.acked
+			if l == nil {
+				t.Fatalf("seed %d: nobody leads at %v\n%s", seed, w.now, w.Trace(40))
+			}
+			w.Change(l, "PUT", "/v1/config", fmt.Sprintf("base=%d", w.Revision()), w.bulk(3+i, 1400), &change{what: "config", base: w.Revision()})
+			for range 30 {
+				w.Run(w.now + 100*time.Millisecond)
+				if n := granted(w); n < 69 {
+					t.Fatalf("seed %d: %d of 69 proxies are granted at %v\n%s", seed, n, w.now, w.Trace(40))
+				}
+			}
+			if w.acked == from {
+				t.Errorf("seed %d: change %d was not in force after 3 s", seed, i)
+			}
+			if w.Stats.MaxForce > time.Second {
+				t.Errorf("seed %d: a change took %v", seed, w.Stats.MaxForce)
+			}
+		}
+		check(t, w)
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -184,7 +184,7 @@
 	Key      Key
 	Seq      uint64
 	Revision uint64
-	Doc      []byte
+	Doc      []byte // squeezed, if it is long
 	State    []byte
 	Gates    []Gate
 	Emptied  []string
