--- a/gate/gate.go
+++ b/gate/gate.go
@@ -242,8 +242,6 @@
 	grantTill time.Duration
 	settled   bool
 	want      bool
-	shownAt   time.Duration // when a leader was last sent all of the table, and which term's that was
-	shownTo   wire.Key
 	touches   map[string]time.Duration
 	asked     map[string]time.Duration // when partners were last asked
 	wantAt    time.Duration            // when a partner was last asked for its table
@@ -559,8 +557,7 @@
 	}
 	if g.table != nil {
 		p.Key, p.Revision, p.Seq = g.table.Key, g.table.Revision, g.table.Seq
-		if to := (wire.Key{Epoch: g.epoch, Term: g.term}); g.want && (to != g.shownTo || now-g.shownAt >= limit.ShowAgain) {
-			g.shownTo, g.shownAt = to, now
+		if g.want {
 			p.Table = g.export(now)
 		}
 	}
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -599,31 +599,3 @@
 		}
 	}
 }
-
-// A new leader that asks on for a proxy's whole table gets it once, again only after some
-// pulls, and another term's leader at once.
-func TestWholeTableIsNotSentAgainAtOnce(t *testing.T) {
-	b := newBench("g1", 1, plain, to("a"), to("b"))
-	whole := func(term uint64) (n int) {
-		hello := &wire.Hello{Self: wire.Daemon{Name: "c1", Kind: "core", Addr: "c1", Epoch: 1}, Leader: "c1", Term: term}
-		out := b.step(core.Recv{M: &wire.Msg{Kind: uint16(wire.KHello), From: "c1", Hello: hello}})
-		out = append(out, b.step(core.Recv{M: &wire.Msg{Kind: uint16(wire.KPush), From: "c1", Epoch: 1, Term: term, Stamp: int64(b.now), Disk: 9, Push: &wire.Push{Want: true}}})...)
-		b.now += limit.PullEvery
-		for _, c := range append(out, b.step(core.Tick{})...) {
-			if s, ok := c.(core.Send); ok && s.M.Pull != nil && s.M.Pull.Table != nil {
-				if n++; len(s.M.Pull.Table.Targets) != 2 {
-					t.Fatalf("%+v is not all of it", s.M.Pull.Table)
-				}
-			}
-		}
-		return n
-	}
-	for _, c := range []struct {
-		term uint64
-		want int
-	}{{2, 1}, {2, 0}, {2, 1}, {2, 0}, {2, 0}, {2, 1}, {3, 1}, {3, 0}} {
-		if n := whole(c.term); n != c.want {
-			t.Errorf("term %d at %v: sent %d times, wanted %d", c.term, b.now, n, c.want)
-		}
-	}
-}
--- a/host/host.go
+++ b/host/host.go
@@ -282,7 +282,7 @@
 	h := &Host{Kind: kind, Set: set, Log: log, Reg: prometheus.NewRegistry(), Inc: rand.Uint64() | 1, Traffic: &Traffic{},
 		start: time.Now(), out: map[string]chan queued{}, Quit: make(chan int, 1)}
 	h.Reg.MustRegister(h.Traffic)
-	h.Loop = &Loop{in: make(chan item, limit.EventQueue), first: make(chan item, limit.EventQueue), h: h, waits: map[uint64]chan any{}}
+	h.Loop = &Loop{in: make(chan item, limit.EventQueue), h: h, waits: map[uint64]chan any{}}
 	return h
 }
 
@@ -326,40 +326,12 @@
 // Loop feeds one owner from one goroutine.
 type Loop struct {
 	in    chan item
-	first chan item // what agreement hangs on: it goes before all that waits in in
 	h     *Host
 	waits map[uint64]chan any
 }
 
 func (l *Loop) Tell(ev any) { l.in <- item{ev: ev} }
 
-// Hear tells the owner a message. One of agreement does not wait behind others: a leader that
-// many proxies write to at once would otherwise hear its members too late to go on leading.
-func (l *Loop) Hear(m *wire.Msg) {
-	if wire.Kind(m.Kind).Agreement() {
-		l.first <- item{ev: core.Recv{M: m}}
-		return
-	}
-	l.Tell(core.Recv{M: m})
-}
-
-// next is what comes next for the owner, nil at a tick.
-func (l *Loop) next(tick <-chan time.Time) *item {
-	select {
-	case it := <-l.first:
-		return &it
-	default:
-	}
-	select {
-	case it := <-l.first:
-		return &it
-	case it := <-l.in:
-		return &it
-	case <-tick:
-		return nil
-	}
-}
-
 // Ask tells the owner ev and waits for the command that answers id; cancel is
 // told instead if the context ends first.
 func (l *Loop) Ask(ctx context.Context, id uint64, ev, cancel any) any {
@@ -399,21 +371,22 @@
 		}
 	}
 	for {
-		it := l.next(tick.C)
-		switch {
-		case it == nil:
+		select {
+		case it := <-l.in:
+			switch {
+			case it.look != nil:
+				it.look(l.h.Now())
+				continue
+			case it.reply != nil:
+				l.waits[it.id] = it.reply
+			case it.id != 0:
+				delete(l.waits, it.id)
+			}
+			if it.ev != nil {
+				do(it.ev)
+			}
+		case <-tick.C:
 			do(core.Tick{})
-			continue
-		case it.look != nil:
-			it.look(l.h.Now())
-			continue
-		case it.reply != nil:
-			l.waits[it.id] = it.reply
-		case it.id != 0:
-			delete(l.waits, it.id)
-		}
-		if it.ev != nil {
-			do(it.ev)
 		}
 	}
 }
@@ -450,7 +423,7 @@
 					}
 					from = m.From
 					h.Traffic.add(false, m.Kind, r.Size)
-					h.Loop.Hear(m)
+					h.Loop.Tell(core.Recv{M: m})
 				}
 			}()
 		}
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -98,16 +98,3 @@
 		t.Fatalf("%v: %d %d", err, got.Snap.Index, len(got.Log))
 	}
 }
-
-// Messages of agreement are taken before all that waits, and in their order.
-func TestAgreementGoesFirst(t *testing.T) {
-	l := &Loop{in: make(chan item, 16), first: make(chan item, 16)}
-	for i, k := range []wire.Kind{wire.KPull, wire.KVote, wire.KHello, wire.KBeat, wire.KAppend, wire.KPull, wire.KAppend} {
-		l.Hear(&wire.Msg{Kind: uint16(k), Stamp: int64(i)})
-	}
-	for _, want := range []int64{1, 4, 6, 0, 2, 3, 5} {
-		if it := l.next(nil); it == nil || it.ev.(core.Recv).M.Stamp != want {
-			t.Fatalf("%+v came where %d was due", it, want)
-		}
-	}
-}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -87,9 +87,6 @@
 	// GrantMargin is what the leader adds before it takes a grant as lapsed, for clock speed.
 	// Worst wait for a change to be in force: GateGrant + GrantMargin = 1.1 s, under the 2 s rule.
 	GrantMargin = 200 * time.Millisecond
-	// ShowAgain is how long a proxy that has sent a new leader its whole table, as asked, waits before it
-	// does so again: a busy leader asks on while a thin link still carries the first. Three pulls.
-	ShowAgain = 3 * PullEvery
 	// GateDeaf is how long a proxy may go on asking without taking the table that it is sent before
 	// it is granted nothing more: a few lost answers. GateDeaf + GateGrant + GrantMargin = 1.6 s.
 	GateDeaf = 500 * time.Millisecond
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -18,9 +18,6 @@
 	KAsk
 )
 
-// Agreement says that a message is the core members' own, on which a leader's standing hangs.
-func (k Kind) Agreement() bool { return k == KVote || k == KAppend }
-
 type Msg struct {
 	Kind   uint16
 	From   string
