--- a/host/host.go
+++ b/host/host.go
@@ -393,6 +393,11 @@
 
 // ---- messages between daemons ----
 
+// passes says that a listener's error ends by itself: descriptors come free, or one caller went.
+func passes(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
+}
+
 // Listen takes messages from other daemons.
 func (h *Host) Listen() error {
 	ln, err := carry.Listen(cmp.Or(h.Set.Bind, h.Set.Addr), limit.Unacked)
@@ -402,6 +407,10 @@
 	go func() {
 		for {
 			c, err := ln.Accept()
+			if passes(err) {
+				time.Sleep(limit.Redial)
+				continue
+			}
 			if err != nil {
 				h.Fatal(err, "accept from daemons")
 			}
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -1,9 +1,11 @@
 package host
 
 import (
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"testing"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -98,3 +100,18 @@
 		t.Fatalf("%v: %d %d", err, got.Snap.Index, len(got.Log))
 	}
 }
+
+// A lack of descriptors ends no daemon; a listener that is gone does.
+func TestAcceptErrorsThatPass(t *testing.T) {
+	of := func(e error) error {
+		return &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", e)}
+	}
+	for _, c := range []struct {
+		err  error
+		want bool
+	}{{of(syscall.EMFILE), true}, {of(syscall.ENFILE), true}, {of(syscall.ECONNABORTED), true}, {of(syscall.EINVAL), false}, {net.ErrClosed, false}, {nil, false}} {
+		if passes(c.err) != c.want {
+			t.Error(c.err)
+		}
+	}
+}
