Who died while its service was in no configuration is not served when it is named

A service was taken out of the configuration, its targets died, and a later configuration named it again. Targets of services that nothing names are not probed, so no bar stood against them, and the first table with the service had them as usable; the first probes go out after that. Now: such a target that was silent for 0.6 s is known by hearsay only, and proves itself by a probe, an exchange or its beats before it is served; the first probes after naming go out within half an interval, so a death just before is barred within 1.88 s. That it is hearsay is told in tables only while its service is named: rare beats make no new tables.

--- a/core/core.go
+++ b/core/core.go
@@ -1214,8 +1214,9 @@
 		t.sentAt = 0 // the shell never answered
 	}
 	svc, named := c.cfg.Services[id.Service]
-	if !named { // nothing is sent there; once it is, probes are spread
-		t.probeAt = now - limit.ProbeEvery + time.Duration(t.Turn)*limit.TickEvery%limit.ProbeEvery
+	if !named { // nothing is sent there; once it is, probes are spread, and who has been silent must answer one
+		t.probeAt = now - limit.ProbeEvery + time.Duration(t.Turn)*limit.TickEvery%limit.NamedSpread
+		t.told = t.told || now-t.beatAt > limit.NamedSilent
 		return
 	}
 	if t.sentAt == 0 && now-t.probeAt >= limit.ProbeEvery {
@@ -1400,7 +1401,9 @@
 // tabled is a target as a table made now says it.
 func (c *Core) tabled(now time.Duration, t *target) wire.Target {
 	w := t.Target
-	w.Pending = w.Pending || t.told
+	if _, named := c.cfg.Services[t.Service]; named { // else it is told once that matters
+		w.Pending = w.Pending || t.told
+	}
 	until, why := c.judge.Barred(now, t.ID())
 	w.BarLeft, w.BarWhy = max(0, int64(until-now)), why
 	w.Beating = why == "" || t.beats(now) // asked only where all that could be used are barred
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -138,6 +138,11 @@
 	ProbeEvery = 450 * time.Millisecond
 	// ProbeCap is how long one probe may take (the source's 700 ms, cut for the same sum).
 	ProbeCap = 400 * time.Millisecond
+	// NamedSilent is how long a target of a service that no configuration names, and that is not probed,
+	// may be silent before it has to prove itself anew: a beat and a little. NamedSpread is over what time
+	// the first probes go out once the service is named: with both, one that just died is barred in time.
+	NamedSilent = BeatEvery + 100*time.Millisecond
+	NamedSpread = ProbeEvery / 2
 	// IndirectAfter is how long the probe after a missed one may be unanswered before the leader has
 	// IndirectProbes proxies probe in its place. What they tell counts once it comes a PullEvery after
 	// the leader's probe went out, and has ProbeCap - IndirectAfter = 0.25 s to come: two hops, a
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -23,6 +23,7 @@
 		{"a grant's end, seen from the pull", drift(GateGrant) + TickEvery, GateGrant + GrantMargin},
 		{"the old leader's end, seen by members", drift(CoreGrant) + TickEvery, ElectMin},
 		{"a stalled disk's leader's end", FsyncStall + TickEvery, ElectMin},
+		{"a death to its bar, the service named meanwhile", NamedSilent + NamedSpread + ProbeEvery + ProbeCap + push, 2 * time.Second},
 		{"an indirect probe's answer, before the leader's own is a miss", IndirectAfter + 2*TickEvery + push, ProbeCap},
 		{"three beats lost at most", 3*BeatEvery + TickEvery, BeatLapse},
 		{"partners touched before a grant lapses", PullEvery*2 + TickEvery, GateGrant / 2},
--- a/sim/targets_test.go
+++ b/sim/targets_test.go
@@ -213,3 +213,28 @@
 		}
 	}
 }
+
+// A target that dies while no configuration names its service gets nothing once one does
+// again, however long it has been dead by then.
+func TestNamedAgain(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(24) {
+		p := Small
+		p.Rate = 400
+		w := Start(seed, p)
+		w.Change(w.Leader(), "PUT", "/v1/config", "base=1", w.DocOf(2, 10, []string{"fares"}), &change{what: "config", base: 1})
+		w.Run(w.now + 2*time.Second)
+		for _, x := range w.targets {
+			if x.service == "pay" && (x.name != "pay1" || seed%2 == 0) {
+				w.Crash(x)
+			}
+		}
+		w.Run(w.now + time.Duration(seed+1)*90*time.Millisecond)
+		w.Change(w.Leader(), "PUT", "/v1/config", "base=2", w.DocOf(3, 10, []string{"fares", "pay"}), &change{what: "config", base: 2})
+		w.Run(w.now + 5*time.Second)
+		check(t, w)
+		if w.Leader().core.Revision() != 3 {
+			t.Fatalf("seed %d: revision %d", seed, w.Leader().core.Revision())
+		}
+	}
+}
