Only targets that beat steadily and fell silent prove themselves when named

Cause: the proof asked of all silent targets of a service that is named also met those whose beats are rare and never showed anything, at a fleet's start above all.

--- a/core/core.go
+++ b/core/core.go
@@ -1214,9 +1214,9 @@
 		t.sentAt = 0 // the shell never answered
 	}
 	svc, named := c.cfg.Services[id.Service]
-	if !named { // nothing is sent there; once it is, probes are spread, and who has been silent must answer one
+	if !named { // nothing is sent there; once it is, probes are spread, and who beat and fell silent must answer one
 		t.probeAt = now - limit.ProbeEvery + time.Duration(t.Turn)*limit.TickEvery%limit.NamedSpread
-		t.told = t.told || now-t.beatAt > limit.NamedSilent
+		t.told = t.told || t.voice.words >= limit.ProofWords && now-t.beatAt > limit.NamedSilent
 		return
 	}
 	if t.sentAt == 0 && now-t.probeAt >= limit.ProbeEvery {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -139,7 +139,7 @@
 	// ProbeCap is how long one probe may take (the source's 700 ms, cut for the same sum).
 	ProbeCap = 400 * time.Millisecond
 	// NamedSilent is how long a target of a service that no configuration names, and that is not probed,
-	// may be silent before it has to prove itself anew: a beat and a little. NamedSpread is over what time
+	// may be silent, if it beat steadily before, until it has to prove itself anew: a beat and a little. NamedSpread is over what time
 	// the first probes go out once the service is named: with both, one that just died is barred in time.
 	NamedSilent = BeatEvery + 100*time.Millisecond
 	NamedSpread = ProbeEvery / 2
