--- /dev/null
+++ b/core/configcall.go
@@ -0,0 +1,141 @@
+// This file takes operators' changes of the configuration.
+package core
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	jsonpatch "github.com/evanphx/json-patch/v5"
+
+	"myrtlefold/judge"
+	"myrtlefold/limit"
+	"myrtlefold/model"
+	"myrtlefold/wire"
+)
+
+func patchOf(name string, doc []byte) []byte {
+	if !json.Valid(doc) {
+		return doc
+	}
+	return body(map[string]any{"policies": map[string]json.RawMessage{name: doc}})
+}
+
+func unnumbered(doc []byte) []byte {
+	d, err := model.Unnumbered(doc)
+	if err != nil {
+		panic(errors.Wrap(err, "an agreed document"))
+	}
+	return d
+}
+
+// screen looks at a change of the configuration before anything is made of it: its size,
+// its base, and whether the very same call has been taken already. sum stands for the
+// call: its kind, its base and what its body says.
+func (c *Core) screen(now time.Duration, p *pending, a *wire.Ask, text []byte, what string) (sum string, ok bool) {
+	if len(text) > limit.DocMax {
+		c.answer(p, tooLarge())
+		return "", false
+	}
+	b, named := number(a.Query, "base")
+	if !named {
+		c.answer(p, trouble(428, model.Trouble{Code: "base_missing", Message: "name the revision this was built on: base=N or If-Match", Revision: c.state.Revision}))
+		return "", false
+	}
+	said, err := model.Canonical(text)
+	if err != nil {
+		c.counts.Refused++
+		c.answer(p, trouble(400, model.Trouble{Code: "not_json", Message: err.Error()}))
+		return "", false
+	}
+	h := sha256.New()
+	fmt.Fprintf(h, "%s\n%d\n%s", what, b, said)
+	sum = hex.EncodeToString(h.Sum(nil)[:16])
+	if b == c.state.Revision {
+		return sum, true
+	}
+	if r := c.state.taken(sum); r != nil {
+		c.forces = append(c.forces, &force{ver: c.ver, since: now, p: p, reply: done(p.token, r.Revision)})
+		return "", false
+	}
+	c.counts.Refused++
+	c.answer(p, c.stale(p.token))
+	return "", false
+}
+
+func (c *Core) patch(now time.Duration, p *pending, a *wire.Ask, patch []byte, what string) {
+	sum, ok := c.screen(now, p, a, patch, what)
+	if !ok {
+		return
+	}
+	var doc []byte
+	var err error
+	if what == "partial" && model.IsNamed(patch) {
+		n, faults, err := model.ParseNamed(patch)
+		if err == nil && len(faults) == 0 {
+			doc, faults, err = n.Apply(c.state.Doc)
+		}
+		if err != nil || len(faults) > 0 {
+			c.faulty(p, faults, err)
+			return
+		}
+	} else if doc, err = model.Merge(unnumbered(c.state.Doc), patch); err != nil {
+		c.faulty(p, nil, err)
+		return
+	}
+	c.config(now, p, doc, what, sum)
+}
+
+// config proposes a whole configuration on the present revision.
+func (c *Core) config(now time.Duration, p *pending, doc []byte, what, sum string) {
+	if len(doc) > limit.DocMax {
+		c.answer(p, tooLarge())
+		return
+	}
+	cfg, faults, err := judge.CheckConfig(doc)
+	if err == nil && cfg.Revision != 0 && cfg.Revision <= c.state.Revision {
+		faults = append(faults, model.Fault{Path: "revision", Text: fmt.Sprintf("not above the present %d", c.state.Revision)})
+	}
+	if err != nil || len(faults) > 0 {
+		c.faulty(p, faults, err)
+		return
+	}
+	var b bytes.Buffer
+	if json.Compact(&b, doc) != nil {
+		panic("a checked document is JSON")
+	}
+	if c.change(now, p, order{Op: "config", Base: c.state.Revision, Doc: b.Bytes(), What: what, Rev: cfg.Revision, Sum: sum}) {
+		c.checked = checked{b.Bytes(), cfg}
+	}
+}
+
+func (c *Core) docAt(rev uint64) json.RawMessage {
+	for _, r := range c.state.Records {
+		if r.Revision == rev && r.Doc != nil {
+			return r.Doc
+		}
+	}
+	return nil
+}
+
+func (c *Core) diff(p *pending, a *wire.Ask) {
+	from, _ := number(a.Query, "from")
+	to, _ := number(a.Query, "to")
+	x, y := c.docAt(from), c.docAt(to)
+	if from == 0 {
+		x = json.RawMessage(`{}`)
+	}
+	if x == nil || y == nil {
+		c.answer(p, trouble(404, model.Trouble{Code: "not_found", Message: "one of the revisions is not kept"}))
+		return
+	}
+	d, err := jsonpatch.CreateMergePatch(x, y)
+	if err != nil {
+		panic(err)
+	}
+	c.answer(p, Reply{Status: 200, Body: body(map[string]any{"from": from, "to": to, "merge_patch": json.RawMessage(d)})})
+}
--- a/core/found.go
+++ b/core/recovery.go
@@ -16,7 +16,6 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
-	"io"
 	"maps"
 	"slices"
 	"strings"
@@ -28,17 +27,6 @@
 	"myrtlefold/wire"
 )
 
-// Known is what a daemon has heard of another.
-type Known struct {
-	wire.Daemon
-	At       time.Duration
-	Leader   string
-	Term     uint64
-	members  membership
-	founding uint64
-	vow      vow
-}
-
 // membership is a list of members as of an epoch and a place in its log.
 type membership struct {
 	epoch, index uint64
@@ -57,125 +45,6 @@
 	at      time.Duration
 }
 
-// heard is what is kept of a core daemon after its silence.
-type heard struct {
-	at     time.Duration
-	domain string
-	stops  bool // it said that it stops, so it is to come back
-}
-
-// What a core daemon without a part in agreement says that it is.
-const (
-	emptyState    = "empty"    // it may found the first core
-	waitingState  = "waiting"  // it founds none and waits to be learnt
-	stoppingState = "stopping" // it goes, and is to come back
-)
-
-// Book is a daemon's list of the others, by name.
-type Book map[string]*Known
-
-// Meet merges what a hello says of the daemons: its sender is taken at its word,
-// others are only added.
-func (b Book) Meet(now time.Duration, self string, h *wire.Hello) {
-	if h.Self.Name == "" || h.Self.Name == self {
-		return
-	}
-	b[h.Self.Name] = &Known{Daemon: h.Self, At: now, Leader: h.Leader, Term: h.Term, founding: h.Founding,
-		members: membership{h.MembersEpoch, h.MembersIndex, h.Members}, vow: vow{h.Refound, h.Gone, now}}
-	for _, d := range h.Known {
-		if b[d.Name] == nil && d.Name != self && d.Name != "" {
-			b[d.Name] = &Known{Daemon: d, At: now - limit.DaemonGone/2}
-		}
-	}
-}
-
-// List is the book as it is handed on.
-func (b Book) List() (l []wire.Daemon) {
-	for _, n := range slices.Sorted(maps.Keys(b)) {
-		l = append(l, b[n].Daemon)
-	}
-	return l
-}
-
-func (c *Core) self() wire.Daemon {
-	d := c.set.Self
-	d.Disk, d.Lock, d.Offer = c.img.Disk, c.img.Lock, c.offer
-	if c.safeSeq < c.lockSeq {
-		d.Lock = 0
-	}
-	if c.node != nil {
-		d.Epoch = c.node.Epoch()
-		d.Ready = c.node.Leader() != ""
-		d.State = c.node.Role().String()
-	} else if c.places > 0 {
-		d.State = emptyState
-	} else {
-		d.State = waitingState
-		d.Ready = c.via != ""
-	}
-	if c.stopping {
-		d.State = stoppingState
-	}
-	return d
-}
-
-// led is the leader that this member hears or is, "" if there is none.
-func (c *Core) led(now time.Duration) string {
-	if c.node == nil || c.retired() || !c.node.Led(now) {
-		return ""
-	}
-	return c.node.Leader()
-}
-
-// leader is where calls and words are passed on to: who leads, as heard from it or, by
-// a daemon that no leader speaks to, from those to whom one does.
-func (c *Core) leader(now time.Duration) string {
-	if l := c.led(now); l != "" {
-		return l
-	}
-	if !c.vacant() {
-		return c.node.Leader()
-	}
-	return c.known.Leader(now)
-}
-
-// relayTo is whom a call may be passed on to again: a member's only while it is heard.
-func (c *Core) relayTo(now time.Duration) string {
-	if !c.vacant() {
-		return c.led(now)
-	}
-	return c.leader(now)
-}
-
-// Leader is the one that core daemons last named, in the latest epoch and term.
-func (b Book) Leader(now time.Duration) string {
-	var best *Known
-	for _, n := range slices.Sorted(maps.Keys(b)) {
-		k := b[n]
-		if k.Kind == "core" && k.Leader != "" && now-k.At < limit.DaemonGone &&
-			(best == nil || cmp.Or(cmp.Compare(k.Epoch, best.Epoch), cmp.Compare(k.Term, best.Term)) > 0) {
-			best = k
-		}
-	}
-	if best == nil {
-		return ""
-	}
-	return best.Leader
-}
-
-// hearer is one of those seen that hears a leader, "" if none does.
-func (c *Core) hearer(now time.Duration, all []wire.Daemon) string {
-	if c.led(now) != "" {
-		return c.set.Self.Name
-	}
-	for _, d := range all {
-		if k := c.known[d.Name]; d.Name != c.set.Self.Name && k.Leader != "" {
-			return d.Name
-		}
-	}
-	return ""
-}
-
 // retired says that this member has locked a later founding than the epoch it stands in.
 func (c *Core) retired() bool { return c.node != nil && c.img.Founding > c.node.Epoch() }
 
@@ -187,96 +56,6 @@
 	return c.img.Founding
 }
 
-// listed is when and in which state a daemon was last told the list of those known.
-type listed struct {
-	at  time.Duration
-	sum uint64
-}
-
-// list is what a daemon is to be told of those known: proxies need the core daemons
-// only, and nobody what it has been told lately.
-func (c *Core) list(now time.Duration, to string) (l []wire.Daemon) {
-	k := c.known[to]
-	all := k == nil || k.Kind == "core"
-	h := fnv.New64a()
-	if k != nil {
-		fmt.Fprint(h, k.Inc) // another process of its name has been told nothing
-	}
-	names := slices.Sorted(maps.Keys(c.known))
-	for _, n := range names {
-		if k := c.known[n]; all || k.Kind == "core" {
-			io.WriteString(h, n)
-			io.WriteString(h, " ")
-			io.WriteString(h, k.Addr)
-			io.WriteString(h, " ")
-		}
-	}
-	if was, ok := c.listed[to]; ok && was.sum == h.Sum64() && now-was.at < limit.ListEvery {
-		return nil
-	}
-	for _, n := range names {
-		if k := c.known[n]; all || k.Kind == "core" {
-			l = append(l, k.Daemon)
-		}
-	}
-	c.listed[to] = listed{now, h.Sum64()}
-	return l
-}
-
-// helloMsg is a hello to a daemon, "" if only its address is known.
-func (c *Core) helloMsg(now time.Duration, to string, reply bool) *wire.Msg {
-	h := &wire.Hello{Self: c.self(), Reply: reply, Known: c.list(now, to), Leader: c.led(now), Founding: c.lockedFor()}
-	if c.node != nil {
-		h.Term = c.node.Term()
-	}
-	if k := c.known[to]; k != nil && k.Kind != "core" {
-		return &wire.Msg{Kind: uint16(wire.KHello), From: c.set.Self.Name, Epoch: h.Self.Epoch, Hello: h}
-	}
-	m := c.lastMembers()
-	h.Members, h.MembersEpoch, h.MembersIndex = m.list, m.epoch, m.index
-	h.Refound, h.Gone = c.vow.refound, c.vow.gone
-	if c.node != nil && !c.state.Adopted {
-		h.Legacy = c.img.Legacy
-	}
-	return &wire.Msg{Kind: uint16(wire.KHello), From: c.set.Self.Name, Epoch: h.Self.Epoch, Hello: h}
-}
-
-func (c *Core) hello(now time.Duration) {
-	maps.DeleteFunc(c.listed, func(n string, _ listed) bool { return n != "" && c.known[n] == nil })
-	done := map[string]bool{c.set.Self.Addr: true}
-	for _, n := range slices.Sorted(maps.Keys(c.known)) {
-		if k := c.known[n]; k.Kind == "core" && !done[k.Addr] {
-			done[k.Addr] = true
-			c.do(Send{k.Addr, c.helloMsg(now, n, false)})
-		}
-	}
-	for _, a := range c.set.Seeds {
-		if !done[a] {
-			done[a] = true
-			delete(c.listed, "")
-			c.do(Send{a, c.helloMsg(now, "", false)})
-		}
-	}
-}
-
-func (c *Core) cores(now time.Duration, fresh bool) []wire.Daemon {
-	l := []wire.Daemon{c.self()}
-	for _, k := range c.known {
-		if k.Kind == "core" && (!fresh || c.fresh(now, k.Name)) {
-			l = append(l, k.Daemon)
-		}
-	}
-	slices.SortFunc(l, func(a, b wire.Daemon) int { return cmp.Compare(a.Name, b.Name) })
-	return l
-}
-
-func (c *Core) fresh(now time.Duration, name string) bool {
-	k := c.known[name]
-	return name == c.set.Self.Name || k != nil && now-k.At < 4*limit.HelloEvery
-}
-
-// ---- founding ----
-
 // memory is what a proxy remembers, and the members that it names.
 type memory struct {
 	Legacy
--- /dev/null
+++ b/core/state.go
@@ -0,0 +1,310 @@
+// This file is the durable state that the members agree on, and the one function
+// that changes it by an agreed log entry.
+package core
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"myrtlefold/limit"
+	"myrtlefold/quorum"
+	"myrtlefold/wire"
+)
+
+// Gate is a proxy's place in the durable roster.
+type Gate struct {
+	Name   string `json:"name"`
+	Addr   string `json:"addr"`
+	Domain string `json:"domain"`
+}
+
+// Record is one change as it was agreed.
+type Record struct {
+	Id       string          `json:"id"`
+	What     string          `json:"what"`
+	Outcome  string          `json:"outcome"` // accepted or stale
+	Base     uint64          `json:"base,omitempty"`
+	Revision uint64          `json:"revision"`
+	Seq      uint64          `json:"seq"`
+	Doc      json.RawMessage `json:"doc,omitempty"`
+	Sum      string          `json:"sum,omitempty"` // of a configuration's change as it was asked for
+}
+
+// State is what the members agree on.
+type State struct {
+	Adopted  bool              `json:"adopted"`
+	Seq      uint64            `json:"seq"`
+	Revision uint64            `json:"revision"`
+	Doc      json.RawMessage   `json:"doc"`
+	Records  []Record          `json:"records,omitempty"`
+	Roster   []Gate            `json:"roster,omitempty"`
+	Was      []string          `json:"was,omitempty"`       // the roster before, while this one is not in force everywhere
+	RosterAt uint64            `json:"roster_at,omitempty"` // entry of the roster's last change
+	Emptied  []string          `json:"emptied,omitempty"`
+	Out      map[string]uint64 `json:"out,omitempty"`     // members taken out by an operator
+	Members  []wire.Member     `json:"members,omitempty"` // in proxies' copies only: who a core could be rebuilt with
+	Places   []Place           `json:"places,omitempty"`  // the targets there were, by identity; proxies have them in their tables
+	Marks    []Mark            `json:"marks,omitempty"`
+}
+
+// order is a log entry's text.
+type order struct {
+	Op    string          `json:"op"`
+	Token string          `json:"token,omitempty"`
+	Base  uint64          `json:"base,omitempty"`
+	Doc   json.RawMessage `json:"doc,omitempty"`
+	What  string          `json:"what,omitempty"`
+	Name  string          `json:"name,omitempty"`
+	Gates []Gate          `json:"gates,omitempty"`
+	Gone  []string        `json:"gone,omitempty"`
+	State json.RawMessage `json:"state,omitempty"`
+	Rev   uint64          `json:"rev,omitempty"` // the operator's own number for a configuration
+	Sum   string          `json:"sum,omitempty"`
+	Reg   *registry       `json:"reg,omitempty"`
+}
+
+func newState() State { return State{Doc: json.RawMessage(`{}`), Out: map[string]uint64{}} }
+
+// slim is the state as proxies keep it, without the texts of past changes and
+// without the document, which travels beside it, and with the members of the time.
+func (s *State) slim(ms []wire.Member) []byte {
+	t := *s
+	t.Doc, t.Members, t.Places, t.Marks = nil, ms, nil, nil
+	t.Records = slices.Clone(s.Records)
+	for i := range t.Records {
+		t.Records[i].Doc = nil
+	}
+	b, _ := json.Marshal(t)
+	return b
+}
+
+func (s *State) record(r Record) {
+	s.Records = append(s.Records, r)
+	// Configurations and all else are kept apart: orders that are repeated push no text out.
+	same, first := 0, -1
+	for i, o := range s.Records {
+		if (o.Sum == "") == (r.Sum == "") {
+			if same++; first < 0 {
+				first = i
+			}
+		}
+	}
+	if same > limit.ChangesKept {
+		s.Records = slices.Delete(slices.Clone(s.Records), first, first+1)
+	}
+	left := limit.HistoryBytes
+	for i := len(s.Records) - 1; i >= 0; i-- {
+		if left -= len(s.Records[i].Doc); left < 0 {
+			s.Records = slices.Clone(s.Records)
+			s.Records[i].Doc = nil
+		}
+	}
+}
+
+func (s *State) find(token string) *Record {
+	for i := range s.Records {
+		if s.Records[i].Id == token && token != "" {
+			return &s.Records[i]
+		}
+	}
+	return nil
+}
+
+// taken is the accepted change that the very same call led to.
+func (s *State) taken(sum string) *Record {
+	for i := range s.Records {
+		if r := &s.Records[i]; sum != "" && r.Sum == sum && r.Outcome == "accepted" {
+			return r
+		}
+	}
+	return nil
+}
+
+// Apply is the one place where agreed entries change the state.
+func (s *State) Apply(index uint64, o order) {
+	if o.Op == "targets" { // no table goes by these, so its sequence stays
+		s.register(o.Reg)
+		return
+	}
+	s.Seq = index
+	if s.find(o.Token) != nil {
+		return
+	}
+	r := Record{Id: o.Token, What: cmp.Or(o.What, o.Op+" "+o.Name), Outcome: "accepted", Base: o.Base, Seq: index}
+	switch o.Op {
+	case "config":
+		if o.Base != s.Revision || o.Rev != 0 && o.Rev <= s.Revision {
+			r.Outcome, r.Revision = "stale", s.Revision
+			if t := s.taken(o.Sum); t != nil { // asked twice before it was agreed
+				r.Outcome, r.Revision = t.Outcome, t.Revision
+			}
+			s.record(r)
+			return
+		}
+		s.Revision = cmp.Or(o.Rev, s.Revision+1)
+		s.Doc = o.Doc
+		r.Doc, r.Sum = o.Doc, o.Sum
+	case "empty":
+		if !slices.Contains(s.Emptied, o.Name) {
+			s.Emptied = append(slices.Clone(s.Emptied), o.Name)
+			slices.Sort(s.Emptied)
+		}
+	case "restore":
+		s.Emptied = slices.DeleteFunc(slices.Clone(s.Emptied), func(d string) bool { return d == o.Name })
+	case "roster":
+		s.enroll(index, o.Gates, o.Gone)
+		return
+	case "enrolled":
+		if o.Base == s.RosterAt {
+			s.Was = nil
+		}
+		return
+	case "forget":
+		s.enroll(index, nil, []string{o.Name})
+	case "out":
+		s.Out[o.Name] = index
+	case "in":
+		delete(s.Out, o.Name)
+	case "adopt":
+		if s.Adopted {
+			return
+		}
+		if len(o.State) > 0 {
+			var t State
+			if err := json.Unmarshal(o.State, &t); err == nil {
+				*s = t
+				s.Members = nil
+			}
+		}
+		if len(s.Doc) == 0 {
+			s.Doc = json.RawMessage(`{}`)
+		}
+		if s.Out == nil {
+			s.Out = map[string]uint64{}
+		}
+		s.Adopted, s.Seq = true, index
+		return
+	}
+	if o.Token != "" {
+		r.Revision = s.Revision
+		s.record(r)
+	}
+}
+
+// enroll changes the roster. The one before counts with it until the new one is in
+// force everywhere; while that is so, further changes keep the first.
+func (s *State) enroll(index uint64, add []Gate, gone []string) {
+	l := slices.DeleteFunc(slices.Clone(s.Roster), func(g Gate) bool {
+		return slices.Contains(gone, g.Name) || slices.ContainsFunc(add, func(a Gate) bool { return a.Name == g.Name })
+	})
+	l = append(l, add...)
+	slices.SortFunc(l, func(a, b Gate) int { return cmp.Compare(a.Name, b.Name) })
+	if len(s.Was) == 0 {
+		s.Was = s.names()
+	}
+	s.Roster, s.RosterAt = l, index
+}
+
+func (s *State) names() (l []string) {
+	for _, g := range s.Roster {
+		l = append(l, g.Name)
+	}
+	return l
+}
+
+// survived is the state that a disk leads to when nobody can say any more what
+// of its log was agreed: all of it, since any of it may have been acknowledged.
+func survived(im *quorum.Image) (s State, term uint64) {
+	s = newState()
+	if len(im.Snap.Data) > 0 {
+		if err := json.Unmarshal(im.Snap.Data, &s); err != nil {
+			panic(errors.Wrapf(err, "snapshot %d", im.Snap.Index))
+		}
+	}
+	term = im.Snap.Term
+	for _, e := range im.Log {
+		term = e.Term
+		var o order
+		if e.Kind == quorum.EData && json.Unmarshal(e.Data, &o) == nil {
+			s.Apply(e.Index, o)
+		}
+	}
+	return s, term
+}
+
+func (c *Core) propose(now time.Duration, o order) uint64 {
+	b, err := json.Marshal(o)
+	if err != nil {
+		panic(errors.Wrap(err, "order"))
+	}
+	return c.node.Propose(now, b)
+}
+
+func (c *Core) apply(now time.Duration, e wire.Entry) {
+	if e.Kind != quorum.EData {
+		c.state.Seq = e.Index
+		return
+	}
+	var o order
+	if err := json.Unmarshal(e.Data, &o); err != nil {
+		panic(errors.Wrapf(err, "entry %d", e.Index))
+	}
+	was, emptied := c.state.Revision, slices.Contains(c.state.Emptied, o.Name)
+	c.state.Apply(e.Index, o)
+	if o.Op == "targets" {
+		return
+	}
+	if c.state.Revision != was {
+		c.do(Change{"revision", fmt.Sprint(was), fmt.Sprint(c.state.Revision), o.What})
+	}
+	switch o.Op { // whoever leads next goes on with it
+	case "in":
+		c.swaps[o.Name] = true
+	case "out":
+		delete(c.swaps, o.Name)
+	case "restore":
+		if emptied {
+			c.restored[o.Name] = now
+		}
+	}
+	if c.lead == Idle || c.lead == Adopting {
+		return
+	}
+	c.policies()
+	if o.Op == "restore" && emptied {
+		for _, t := range c.targets {
+			c.chill(t)
+		}
+	}
+	p := c.pend[o.Token]
+	delete(c.pend, o.Token)
+	rev := c.state.Revision
+	r := c.state.find(o.Token)
+	if r != nil {
+		rev = r.Revision
+	}
+	if r != nil && r.Outcome == "stale" {
+		c.counts.Refused++
+		if p != nil {
+			c.answer(p, c.stale(p.token))
+		}
+		return
+	}
+	c.rebuild(now, true)
+	f := &force{ver: c.ver, since: now, wide: o.Op == "roster" || o.Op == "forget"}
+	if o.Op == "in" || o.Op == "out" {
+		f.member, f.joins = o.Name, o.Op == "in"
+	}
+	if p != nil {
+		c.counts.Changes++
+		f.p, f.reply = p, done(p.token, rev)
+	}
+	if f.wide || p != nil {
+		c.forces = append(c.forces, f)
+	}
+}
--- /dev/null
+++ b/core/status.go
@@ -0,0 +1,183 @@
+// This file is what operators may read: targets, daemons, policies and this
+// member's own status.
+package core
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"myrtlefold/judge"
+	"myrtlefold/model"
+	"myrtlefold/wire"
+)
+
+func (c *Core) domains() []string {
+	m := map[string]bool{}
+	for _, t := range c.targets {
+		m[t.Domain] = true
+	}
+	for _, g := range c.state.Roster {
+		m[g.Domain] = true
+	}
+	for _, d := range c.set.Domains {
+		m[d] = true
+	}
+	delete(m, "")
+	return slices.Sorted(maps.Keys(m))
+}
+
+type TargetView struct {
+	wire.Target
+	Bar    string  `json:"bar,omitempty"`
+	BarMs  int64   `json:"bar_left_ms,omitempty"`
+	Why    string  `json:"why"`
+	BeatMs float64 `json:"last_beat_ms"`
+}
+
+// Targets lists what the leader knows of targets, with the reason for each bar or hold.
+func (c *Core) Targets(now time.Duration) []TargetView {
+	l := []TargetView{}
+	for _, id := range slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare) {
+		t := c.targets[id]
+		v := TargetView{Target: t.Target, BeatMs: float64(now-t.beatAt) / 1e6, Why: "serving"}
+		v.Beating, v.ColdLeft = t.beats(now), t.cold(now)
+		until, why := c.judge.Barred(now, id)
+		if until > now {
+			v.Bar, v.BarMs = why, (until - now).Milliseconds()
+		}
+		switch {
+		case t.Held:
+			v.Why = "held: it said that it is leaving"
+		case v.Bar != "":
+			v.Why = fmt.Sprintf("barred by policy %s: %s", why, c.judge.Stats()[why].Policy.When)
+		case t.told:
+			v.Why = "known by hearsay: not served until it has answered for itself"
+		case t.Pending:
+			v.Why = "pending: its address's earlier target is not yet out of every table"
+		case slices.Contains(c.state.Emptied, t.Domain):
+			v.Why = "its domain is emptied"
+		case t.State == model.Warming:
+			v.Why = "warming: up to its share"
+		case v.ColdLeft > 0:
+			v.Why = "cold: up to its service's cold rate"
+		}
+		l = append(l, v)
+	}
+	return l
+}
+
+// policyStats are the policies in force with their scores since this leader began.
+func (c *Core) policyStats(now time.Duration) map[string]judge.Stat {
+	l := c.judge.Stats()
+	for name, s := range c.scorer.Scores(now) {
+		x := l[name]
+		x.Score = &s
+		l[name] = x
+	}
+	return l
+}
+
+type DaemonView struct {
+	wire.Daemon
+	Roster  bool    `json:"in_roster"`
+	Member  bool    `json:"member"`
+	HeardMs float64 `json:"last_heard_ms"`
+	Ver     uint64  `json:"table,omitempty"`
+}
+
+func (c *Core) roll(now time.Duration) []DaemonView {
+	l := []DaemonView{}
+	ms := c.node.Members()
+	for _, d := range append(c.cores(now, false), c.proxies()...) {
+		v := DaemonView{Daemon: d, Roster: c.inRoster(d.Name)}
+		v.Member = slices.ContainsFunc(ms, func(m wire.Member) bool { return m.Name == d.Name })
+		if k := c.known[d.Name]; k != nil {
+			v.HeardMs = float64(now-k.At) / 1e6
+		}
+		if g := c.gates[d.Name]; g != nil {
+			v.Ver = g.key.Ver
+		}
+		l = append(l, v)
+	}
+	return l
+}
+
+func (c *Core) proxies() []wire.Daemon {
+	var l []wire.Daemon
+	for _, n := range slices.Sorted(maps.Keys(c.known)) {
+		if c.known[n].Kind != "core" {
+			l = append(l, c.known[n].Daemon)
+		}
+	}
+	return l
+}
+
+type StatusView struct {
+	Name     string        `json:"name"`
+	Role     string        `json:"role"`
+	Lead     string        `json:"lead"`
+	Leader   string        `json:"leader"`
+	Epoch    uint64        `json:"epoch"`
+	Term     uint64        `json:"term"`
+	Revision uint64        `json:"revision"`
+	Seq      uint64        `json:"seq"`
+	Members  []wire.Member `json:"members"`
+	Emptied  []string      `json:"emptied"`
+	Table    wire.Key      `json:"table"`
+	Targets  int           `json:"targets"`
+	Proxies  int           `json:"proxies"`
+	Counts   Counts        `json:"counts"`
+}
+
+// Status is this member's own view.
+func (c *Core) Status(now time.Duration) StatusView {
+	v := StatusView{Name: c.set.Self.Name, Role: "empty", Lead: c.lead.String(), Revision: c.state.Revision, Seq: c.state.Seq,
+		Emptied: append([]string{}, c.state.Emptied...), Targets: len(c.targets), Proxies: len(c.state.Roster), Counts: c.counts}
+	if c.node != nil {
+		v.Role, v.Leader, v.Epoch, v.Term, v.Members = c.node.Role().String(), c.node.Leader(), c.node.Epoch(), c.node.Term(), c.node.Members()
+	}
+	if c.table != nil {
+		v.Table = c.table.Key
+	}
+	return v
+}
+
+// Table is what this member has last published as leader.
+func (c *Core) Table() *wire.Table { return c.table }
+
+// Leading says whether this member decides.
+func (c *Core) Leading() bool { return c.lead == Deciding }
+
+// Ready says whether this member takes part in agreement, or knows who leads and passes on to it.
+func (c *Core) Ready() bool {
+	return !c.stopping && (c.via != "" || c.node != nil && c.node.Leader() != "")
+}
+
+// Term is the present term, 0 before the core is founded.
+func (c *Core) Term() uint64 {
+	if c.node == nil {
+		return 0
+	}
+	return c.node.Term()
+}
+
+// Http is where a daemon answers operators.
+func (c *Core) Http(name string) string {
+	if k := c.known[name]; k != nil {
+		return k.Http
+	}
+	return ""
+}
+
+// Deciding says whether this member may decide at this very moment.
+func (c *Core) Deciding(now time.Duration) bool {
+	return c.lead == Deciding && c.node.Leads(now)
+}
+
+// Revision is the configuration's that this member has applied.
+func (c *Core) Revision() uint64 { return c.state.Revision }
+
+// Records are the changes that this member keeps.
+func (c *Core) Records() []Record { return c.state.Records }
--- /dev/null
+++ b/core/target.go
@@ -0,0 +1,354 @@
+// This file is the leader's view of the targets: their heartbeats, who holds which
+// name and address, and what proxies' tables say of them.
+package core
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"myrtlefold/judge"
+	"myrtlefold/limit"
+	"myrtlefold/model"
+	"myrtlefold/wire"
+)
+
+// Voice is how a target's words come: its beats without a gap.
+type Voice struct {
+	words       int
+	first, last time.Duration
+}
+
+func (v *Voice) Hear(now time.Duration) {
+	if v.words == 0 || now-v.last > limit.BeatLapse {
+		v.words, v.first = 0, now
+	}
+	v.words++
+	v.last = now
+}
+
+// Speaks says that they come as a living one's do, not as one late word.
+func (v *Voice) Speaks(now time.Duration) bool {
+	return v.words >= limit.ProofWords && v.last-v.first >= limit.ProofSpan && now-v.last < limit.BeatLapse
+}
+
+type target struct {
+	wire.Target
+	beatAt      time.Duration
+	probeAt     time.Duration
+	sentAt      time.Duration // 0: no probe out
+	missed      bool          // the last probe was, whether that counts or not
+	askedFor    time.Duration // the last probe for which proxies were asked to probe too
+	okAt        time.Duration // last report of a success through a proxy
+	aliveAt     time.Duration // last beat or answered probe
+	seen        wire.Seen
+	seenAt      time.Duration
+	silentAt    time.Duration
+	misses      int // probes in a row without its own answer
+	voice       Voice
+	told        bool  // known by hearsay: one word, or a proxy's table; not served until it has proved itself
+	shown       facts // what the table says of it
+	shownDemand float64
+	shownBar    time.Duration // until when, as the table says
+	shownCold   time.Duration
+	row         uint64 // the number of the table that last said something new of it
+	freed       bool   // its address had another target's entry
+	coldTill    time.Duration
+	warmFrom    uint64 // lowest number of a word that may end its coldness
+}
+
+// merge takes what a proxy's table says of targets from before this lead: which
+// targets there are from the latest table heard, holds and bars from all.
+func (c *Core) merge(now time.Duration, b *wire.Table) {
+	if c.lead == Warming && c.best.Less(b.Key) {
+		c.best = b.Key
+		for id, t := range c.targets {
+			if t.told {
+				delete(c.targets, id) // known only from an earlier table, or from the log
+				if t.Held {
+					c.left[id] = now
+				}
+			}
+		}
+		for _, w := range b.Targets {
+			if c.targets[w.ID()] != nil || c.tombs[w.ID()] != 0 {
+				continue
+			}
+			if len(c.rivals(w)) > 0 {
+				c.displaced(w)
+				continue
+			}
+			t := &target{Target: w, told: true, beatAt: now - limit.BeatLapse/2, aliveAt: now, probeAt: now - limit.ProbeEvery, seenAt: now}
+			t.BarLeft, t.BarWhy, t.Held, t.ColdLeft = 0, "", false, 0
+			c.targets[w.ID()] = t
+			if c.left[w.ID()] != 0 {
+				c.hold(now, t, "it was leaving, as agreed")
+			}
+			c.turns[w.Service] = max(c.turns[w.Service], w.Turn)
+			c.turnOf[[2]string{w.Service, w.Name}] = w.Turn
+		}
+	}
+	for _, w := range b.Targets {
+		t := c.targets[w.ID()]
+		if t == nil {
+			continue
+		}
+		if w.Held {
+			c.hold(now, t, "a proxy's table holds it")
+		}
+		t.coldTill = max(t.coldTill, now+time.Duration(w.ColdLeft))
+		c.chill(t)
+		if w.BarLeft > 0 && c.lead == Warming {
+			c.judge.Adopt(now, w.ID(), w.BarWhy, time.Duration(w.BarLeft))
+		}
+	}
+}
+
+// displaced has a target at w's address wait until w, which a table still names,
+// is out of every table.
+func (c *Core) displaced(w wire.Target) {
+	for _, t := range c.targets {
+		if t.Addr == w.Addr && t.Name != w.Name {
+			t.Pending = true
+		}
+	}
+}
+
+func (c *Core) hold(now time.Duration, t *target, why string) {
+	if t.Held {
+		return
+	}
+	t.Held, t.State = true, model.Leaving
+	c.counts.Holds++
+	d := judge.Decision{At: now, Policy: "leaving", Kind: "hold", Service: t.Service, Name: t.Name, Inc: t.Inc, Why: why}
+	c.do(Note{Decision: &d})
+}
+
+// drop takes a target's entry away; silence alone refuses nobody.
+func (c *Core) drop(now time.Duration, id wire.ID, why string) {
+	t := c.targets[id]
+	if t == nil {
+		return
+	}
+	delete(c.targets, id)
+	if t.Held {
+		c.left[id] = now
+	}
+	c.scorer.Forget(now, id)
+	d := judge.Decision{At: now, Policy: "registry", Kind: "gone", Service: id.Service, Name: id.Name, Inc: id.Inc, Why: why}
+	c.do(Note{Decision: &d})
+}
+
+// beat takes a back end's word, straight or passed on. A word whose number is not over
+// the highest heard is old and changes nothing.
+func (c *Core) beat(now time.Duration, w wire.Target, passOn bool) {
+	if c.lead != Deciding && c.lead != Warming {
+		if passOn {
+			c.send(c.leader(now), &wire.Msg{Kind: uint16(wire.KBeat), Stamp: 1, Beat: &w})
+		}
+		return
+	}
+	id := w.ID()
+	if c.tombs[id] != 0 {
+		c.tombs[id] = now
+		return
+	}
+	t := c.targets[id]
+	if w.State == model.Gone {
+		c.drop(now, id, "signed off")
+		delete(c.claims, id)
+		c.tombs[id] = now
+		c.rebuild(now, false)
+		return
+	}
+	if o := cmp.Or(t, c.claims[id]); o != nil && w.Number != 0 && w.Number <= o.Number {
+		return
+	}
+	if t != nil && t.Addr != w.Addr && w.State != model.Leaving {
+		c.counts.Refused++
+		return
+	}
+	if t == nil {
+		if w.State == model.Leaving {
+			c.left[id] = now // also if it only claims its place so far
+		}
+		if t = c.register(now, w); t == nil {
+			return
+		}
+	}
+	c.note(now, t, w)
+	c.advanceState(now, t, w.State)
+	e := judge.Event{At: now, Slice: "beat", Service: t.Service, Name: t.Name, Inc: t.Inc, Ok: true, State: t.State}
+	c.judgeEvent(e)
+	if t.HasDemand {
+		c.judgeEvent(judge.Event{At: now, Slice: "demand", Service: t.Service, Name: t.Name, Inc: t.Inc, Demand: t.Demand})
+	}
+	c.moved(now, t)
+}
+
+// note takes over what a word says beside its state.
+func (c *Core) note(now time.Duration, t *target, w wire.Target) {
+	c.spoke(now, t)
+	t.aliveAt = now
+	if w.HasDemand {
+		t.Demand, t.HasDemand = w.Demand, true
+	}
+	if w.Slots != 0 {
+		t.Slots = w.Slots
+	}
+	t.Number = max(t.Number, w.Number)
+	if w.ColdLeft > 0 {
+		t.coldTill = max(t.coldTill, now+time.Duration(w.ColdLeft))
+	} else if w.Number != 0 && w.Number >= t.warmFrom {
+		t.coldTill = 0
+	}
+}
+
+// cold is how much longer a target is cold.
+func (t *target) cold(now time.Duration) int64 { return max(0, int64(t.coldTill-now)) }
+
+// chill has a target of a restored domain be cold: it may have become so while nothing
+// was sent there. A word that was under way by then says nothing of it, so the next
+// number does not end it yet.
+func (c *Core) chill(t *target) {
+	at, was := c.restored[t.Domain]
+	svc := c.cfg.Services[t.Service]
+	if till := at + svc.Cold(); was && till > t.coldTill {
+		t.coldTill, t.warmFrom = till, t.Number+2
+	}
+}
+
+// advanceState moves a target only forward: what has said that it is leaving
+// stays held until it signs off.
+func (c *Core) advanceState(now time.Duration, t *target, s string) {
+	switch {
+	case s == model.Leaving:
+		c.hold(now, t, "a beat says leaving")
+	case s == model.Ready && !t.Held:
+		t.State = s
+	}
+}
+
+// spoke counts a beat. One alone proves nothing, since it may be a late one of a
+// start that is over; who goes on beating is there, even if no probe gets through.
+func (c *Core) spoke(now time.Duration, t *target) {
+	t.beatAt = now
+	t.voice.Hear(now)
+	t.told = t.told && !t.voice.Speaks(now)
+}
+
+// beats is what the table says of it: one that misses its probes has to speak on.
+func (t *target) beats(now time.Duration) bool {
+	return now-t.beatAt < limit.BeatLapse && (t.misses < limit.ProbeMisses || t.voice.Speaks(now))
+}
+
+// rivals are the known targets under w's name or at its address.
+func (c *Core) rivals(w wire.Target) (l []*target) {
+	for id, o := range c.targets {
+		if id != w.ID() && (id.Service == w.Service && id.Name == w.Name || o.Addr == w.Addr) {
+			l = append(l, o)
+		}
+	}
+	slices.SortFunc(l, func(a, b *target) int { return a.ID().Compare(b.ID()) })
+	return l
+}
+
+// register takes in a target that is new. Where another stands under its name or
+// at its address it only claims that place, and its own answer to a probe decides.
+func (c *Core) register(now time.Duration, w wire.Target) *target {
+	t := c.claims[w.ID()]
+	if t == nil {
+		t = &target{Target: wire.Target{Service: w.Service, Name: w.Name, Inc: w.Inc, Addr: w.Addr, Domain: w.Domain, State: model.Warming},
+			beatAt: now, aliveAt: now, probeAt: now - limit.ProbeEvery, seenAt: now, told: true}
+	}
+	if len(c.rivals(w)) > 0 {
+		t.Addr = w.Addr
+		c.note(now, t, w)
+		c.claims[w.ID()] = t
+		if !c.succeed(now, t, false) {
+			return nil
+		}
+	}
+	c.enter(now, t, w.State)
+	return t
+}
+
+// succeed lets a claimant have its place if those who stand there don't hold it:
+// an answer at the very address says whose it is; an incumbent elsewhere that
+// lives stays, by the design's incumbency, and keeps its name until it leaves or
+// misses its probes. proved is the claimant's own answer.
+func (c *Core) succeed(now time.Duration, t *target, proved bool) bool {
+	rs := c.rivals(t.Target)
+	for _, o := range rs {
+		lives := !o.told && !o.Held && o.misses < limit.ProbeMisses
+		silent := now-o.beatAt > limit.BeatLapse && o.misses >= limit.ProbeMisses
+		if proved && o.Addr != t.Addr && lives || !proved && (t.told || !silent) {
+			return false
+		}
+	}
+	for _, o := range rs {
+		c.drop(now, o.ID(), "superseded by another start, or at its address by another target")
+		c.tombs[o.ID()] = now
+		t.freed = t.freed || o.Addr == t.Addr && (o.Service != t.Service || o.Name != t.Name)
+	}
+	delete(c.claims, t.ID())
+	return true
+}
+
+// enter puts a target into the registry.
+func (c *Core) enter(now time.Duration, t *target, state string) {
+	id := t.ID()
+	if state == model.Ready {
+		t.State = model.Ready
+	}
+	t.Pending = t.freed
+	name := [2]string{id.Service, id.Name}
+	if c.turnOf[name] == 0 {
+		c.turns[id.Service]++
+		c.turnOf[name] = c.turns[id.Service]
+	}
+	t.Turn = c.turnOf[name] // a restart keeps it: orphans may have dealt by it already
+	c.targets[id] = t
+	if c.left[id] != 0 {
+		c.hold(now, t, "it was leaving when it fell silent")
+	}
+	if t.Pending && c.lead == Deciding {
+		c.rebuild(now, true)
+		c.forces = append(c.forces, &force{ver: c.ver, since: now, clear: id})
+	}
+}
+
+func (c *Core) judgeEvent(e judge.Event) {
+	c.do(Note{Event: &e})
+	c.decided(c.scorer.Step(e))
+}
+
+func (c *Core) decided(ds []judge.Decision) {
+	for i := range ds {
+		if !ds[i].Shadow {
+			c.decisions++
+			switch ds[i].Kind {
+			case "bar":
+				c.counts.Bars++
+			case "clear":
+				c.counts.Clears++
+			case "lapse":
+				c.counts.Lapses++
+			}
+		}
+		c.do(Note{Decision: &ds[i]})
+	}
+}
+
+// sorted are the targets' identities in order.
+func (c *Core) sorted() []wire.ID {
+	ok := len(c.ids) == len(c.targets)
+	for i := 0; ok && i < len(c.ids); i++ {
+		ok = c.targets[c.ids[i]] != nil
+	}
+	if !ok {
+		c.ids = slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare)
+	}
+	return c.ids
+}
--- /dev/null
+++ b/core/targetcall.go
@@ -0,0 +1,120 @@
+// This file takes the calls of targets: heartbeats, leavings and sign-offs.
+package core
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"myrtlefold/limit"
+	"myrtlefold/model"
+	"myrtlefold/wire"
+)
+
+// leaves says that a word has to be safe before it is acknowledged.
+func leaves(w wire.Target) bool { return w.State == model.Leaving || w.State == model.Gone }
+
+// readWord reads a back end's own call; a reply with a status refuses it. A sign-off by
+// name alone has no service.
+func readWord(e Ask) (t wire.Target, r Reply) {
+	var fs []model.Fault
+	rest, named := strings.CutPrefix(e.Path, "/v1/targets/")
+	svc, name, both := strings.Cut(rest, "/")
+	switch {
+	case named && e.Method == "DELETE":
+		b := model.Beat{Service: svc, Name: name, Address: "127.0.0.1:1", State: model.Gone}
+		if b.Incarnation, _ = strconv.ParseUint(query(e.Query, "incarnation"), 10, 64); !both {
+			b.Service, b.Name, b.Incarnation = "any", rest, 1
+		}
+		if t, fs = b.Target(); !both {
+			t.Service, t.Inc = "", 0
+		}
+	case named && !both && e.Method == "PUT":
+		t, fs = model.ParseNamedBeat(rest, e.Body)
+	case e.Method == "POST" && e.Path == "/v1/targets":
+		t, fs = model.ParseBeat(e.Body)
+	default:
+		return t, trouble(405, model.Trouble{Code: "method", Message: "POST /v1/targets, PUT /v1/targets/{name}, DELETE /v1/targets/{name} or DELETE /v1/targets/{service}/{name}?incarnation=N"})
+	}
+	if len(fs) > 0 {
+		return t, trouble(422, model.Trouble{Code: "invalid", Message: "not a target's word", Faults: fs})
+	}
+	return t, Reply{}
+}
+
+// heard acknowledges a word: 200 if it is safe that it says leaving or gone, else 202.
+func wordHeard(w wire.Target) Reply {
+	r := Reply{Status: 202, Body: body(map[string]any{"beat_ms": limit.BeatEvery.Milliseconds()})}
+	if leaves(w) {
+		r.Status = 200
+	}
+	return r
+}
+
+// TargetCall is a back end's own call to a proxy, which acts on it at once and passes
+// it on. A sign-off without a service is for those who know all targets.
+func TargetCall(e Ask, beat func(wire.Target)) Reply {
+	t, r := readWord(e)
+	if r.Status != 0 {
+		return r
+	}
+	if t.Service == "" {
+		return trouble(405, model.Trouble{Code: "method", Message: "a sign-off by name alone is for a core member"})
+	}
+	beat(t)
+	return Reply{Status: 202, Body: wordHeard(t).Body}
+}
+
+// word takes a back end's word as leader. One that says leaving or gone is acknowledged
+// when most proxies have a table that says so; the others' grants lapse by themselves.
+func (c *Core) word(now time.Duration, p *pending, w wire.Target) {
+	ids := []wire.ID{w.ID()}
+	if w.Service == "" {
+		ids = c.named(w.Name)
+	}
+	for _, id := range ids {
+		t := w
+		t.Service, t.Inc = id.Service, id.Inc
+		c.beat(now, t, false)
+	}
+	if !leaves(w) {
+		c.answer(p, wordHeard(w))
+		return
+	}
+	c.urgent = true
+	c.keep(now, limit.KeepEvery)
+	ver := uint64(0)
+	for _, id := range ids {
+		out := c.outVer[id]
+		if out == 0 {
+			out = c.ver
+		}
+		if t := c.targets[id]; t == nil || t.Held { // an old word has changed nothing
+			c.outVer[id] = out
+		}
+		ver = max(ver, out)
+	}
+	c.forces = append(c.forces, &force{ver: ver, since: now, p: p, reply: wordHeard(w), most: true, agreed: ids})
+}
+
+// named are the identities under a name, those that signed off lately included.
+func (c *Core) named(name string) []wire.ID {
+	m := map[wire.ID]bool{}
+	add := func(id wire.ID) {
+		if id.Name == name {
+			m[id] = true
+		}
+	}
+	for id := range c.targets {
+		add(id)
+	}
+	for id := range c.claims {
+		add(id)
+	}
+	for id := range c.tombs {
+		add(id)
+	}
+	return slices.SortedFunc(maps.Keys(m), wire.ID.Compare)
+}
--- /dev/null
+++ b/core/watchdog.go
@@ -0,0 +1,169 @@
+// This file probes the targets and has the health policies judge what comes back.
+package core
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"myrtlefold/judge"
+	"myrtlefold/limit"
+	"myrtlefold/model"
+	"myrtlefold/wire"
+)
+
+// watch is the watchdog and what else recurs while deciding.
+func (c *Core) watch(now time.Duration) {
+	for _, id := range c.sorted() {
+		t := c.targets[id]
+		c.probe(now, id, t)
+		if now-t.seenAt >= limit.SeenEvery {
+			t.seenAt = now
+			if s := t.seen; s.Ok+s.Errors > 0 {
+				t.seen = wire.Seen{}
+				c.judgeEvent(judge.Event{At: now, Slice: "exchange", Service: t.Service, Name: t.Name, Inc: t.Inc,
+					Count: int(s.Ok + s.Errors), Errors: int(s.Errors), Slow: int(s.Slow), Ms: s.SumMs})
+			}
+		}
+		if silent := now - t.beatAt; silent > limit.BeatLapse && now-t.silentAt >= limit.SeenEvery {
+			t.silentAt = now
+			c.judgeEvent(judge.Event{At: now, Slice: "beat", Service: t.Service, Name: t.Name, Inc: t.Inc, State: t.State, Ms: float64(silent) / 1e6})
+		}
+		if now-t.aliveAt > limit.TargetGone {
+			c.drop(now, id, "silent and unreachable")
+		}
+	}
+	for _, id := range slices.SortedFunc(maps.Keys(c.claims), wire.ID.Compare) {
+		t := c.claims[id]
+		if now-t.beatAt > limit.BeatLapse {
+			delete(c.claims, id)
+		} else {
+			c.probe(now, id, t)
+		}
+	}
+	if now-c.cleanAt > limit.ReconcileEvery {
+		c.cleanAt = now
+		old := func(_ wire.ID, at time.Duration) bool { return now-at > limit.TombKeep }
+		maps.DeleteFunc(c.tombs, old)
+		if len(c.turnOf) > 2*len(c.targets)+limit.NamesKept {
+			c.turnOf = map[[2]string]uint32{} // names that never come back; a new place costs little
+		}
+		maps.DeleteFunc(c.left, old)
+		maps.DeleteFunc(c.outVer, func(id wire.ID, _ uint64) bool {
+			return c.targets[id] == nil && c.claims[id] == nil && c.tombs[id] == 0
+		})
+	}
+	c.decided(c.scorer.Tick(now))
+	if c.lead != Deciding {
+		return
+	}
+	c.rebuild(now, now-c.rebuilt >= limit.ReconcileEvery)
+	c.members(now)
+	c.roster(now)
+	c.keep(now, limit.KeepEvery)
+}
+
+func (c *Core) probe(now time.Duration, id wire.ID, t *target) {
+	if t.sentAt != 0 && now-t.sentAt > 2*limit.ProbeCap {
+		t.sentAt = 0 // the shell never answered
+	}
+	svc, named := c.cfg.Services[id.Service]
+	if !named { // nothing is sent there; once it is, probes are spread, and who beat and fell silent must answer one
+		t.probeAt = now - limit.ProbeEvery + time.Duration(t.Turn)*limit.TickEvery%limit.NamedSpread
+		t.told = t.told || t.voice.words >= limit.ProofWords && now-t.beatAt > limit.NamedSilent
+		return
+	}
+	if t.sentAt == 0 && now-t.probeAt >= limit.ProbeEvery {
+		t.probeAt, t.sentAt = now, now
+		c.counts.Probes++
+		c.do(Probe{id, t.Addr, svc.HealthPath})
+	}
+	if t.missed && t.misses < limit.ProbeMisses && t.sentAt != 0 && t.askedFor != t.sentAt && now-t.sentAt >= limit.IndirectAfter &&
+		t.okAt < t.sentAt+limit.IndirectAfter && !t.Held && t.State != model.Leaving {
+		t.askedFor = t.sentAt
+		c.indirect(now, id)
+	}
+}
+
+// indirect has some proxies probe a target that the leader itself can't reach, so that a
+// trouble of the leader's own bars nobody. They are drawn anew each time, from as many
+// domains as can be and the leader's own last: what troubles it may trouble its neighbours.
+func (c *Core) indirect(now time.Duration, id wire.ID) {
+	type choice struct {
+		name, domain string
+		nth          int // of its domain
+		close        int
+		draw         uint32
+	}
+	var all []choice
+	for _, r := range c.state.Roster {
+		if g := c.gates[r.Name]; g != nil && g.told && c.live(now, r.Name) {
+			h := fnv.New32a()
+			fmt.Fprint(h, r.Name, id, now)
+			k := choice{name: r.Name, domain: r.Domain, draw: h.Sum32()}
+			if r.Domain == c.set.Self.Domain {
+				k.close = 1
+			}
+			all = append(all, k)
+		}
+	}
+	slices.SortFunc(all, func(a, b choice) int { return cmp.Or(cmp.Compare(a.draw, b.draw), cmp.Compare(a.name, b.name)) })
+	met := map[string]int{}
+	for i := range all {
+		all[i].nth = met[all[i].domain]
+		met[all[i].domain]++
+	}
+	slices.SortStableFunc(all, func(a, b choice) int { return cmp.Or(cmp.Compare(a.nth, b.nth), cmp.Compare(a.close, b.close)) })
+	for _, k := range all[:min(len(all), limit.IndirectProbes)] {
+		g := c.gates[k.name]
+		p := &wire.Push{Key: g.key, Probe: []wire.ID{id}}
+		c.send(k.name, &wire.Msg{Kind: uint16(wire.KPush), Epoch: c.node.Epoch(), Term: c.node.Term(), Stamp: g.stamp, Disk: g.inc, Push: p})
+	}
+}
+
+func (c *Core) probed(now time.Duration, p Probed) {
+	if c.lead < Warming {
+		return
+	}
+	t := c.targets[p.ID]
+	if t == nil {
+		if t = c.claims[p.ID]; t == nil {
+			return
+		}
+		t.sentAt = 0
+		if b := p.Beat; b == nil || b.ID() != p.ID || !c.succeed(now, t, true) {
+			return
+		}
+		c.enter(now, t, p.Beat.State)
+	}
+	t.sentAt = 0
+	proved := t.told
+	e := judge.Event{At: now, Slice: "probe", Service: t.Service, Name: t.Name, Inc: t.Inc, Ms: p.Ms}
+	b := p.Beat
+	e.Ok = b != nil && b.ID() == p.ID
+	t.missed = !e.Ok
+	if !e.Ok {
+		c.counts.Misses++
+		if t.okAt-limit.PullEvery >= p.SentAt {
+			// A proxy has had an answer from it since this probe went out: the miss is the leader's own.
+			c.counts.Overruled++
+			return
+		}
+		t.misses++
+	} else {
+		t.aliveAt, t.told, t.misses = now, false, 0
+		c.advanceState(now, t, b.State)
+		if b.Demand != nil {
+			t.Demand, t.HasDemand = *b.Demand, true
+		}
+		t.coldTill = max(t.coldTill, now+p.Cold) // that it says nothing of it ends nothing
+	}
+	c.judgeEvent(e)
+	if proved && !t.told {
+		return // many prove themselves at once after a loss: the next tick tells of all
+	}
+	c.moved(now, t)
+}
--- /dev/null
+++ b/quorum/image.go
@@ -0,0 +1,60 @@
+// This file is what a member's disk holds: every synced batch folded in order.
+package quorum
+
+import (
+	"slices"
+
+	"myrtlefold/wire"
+)
+
+// Image is what a disk holds: every batch folded in order.
+type Image struct {
+	Epoch  uint64
+	Disk   uint64
+	Term   uint64
+	Vote   string
+	Snap   wire.Snap
+	Log    []wire.Entry
+	Lock   uint64
+	Legacy []byte
+	// what Lock stands for
+	Founders []wire.Member
+	Founding uint64
+}
+
+// Fold applies one batch.
+func (im *Image) Fold(b *wire.Batch) {
+	if b.Fresh {
+		*im = Image{Disk: im.Disk}
+	}
+	if b.Disk != 0 {
+		im.Disk = b.Disk
+	}
+	if b.Epoch != 0 {
+		im.Epoch = b.Epoch
+	}
+	if b.Lock != 0 {
+		im.Lock, im.Founders, im.Founding = b.Lock, b.Founders, b.Founding
+	}
+	if len(b.Legacy) > 0 {
+		im.Legacy = b.Legacy
+	}
+	if b.Hard {
+		im.Term, im.Vote = b.Term, b.Vote
+	}
+	if b.Snap != nil {
+		im.Snap = *b.Snap
+		im.Log = slices.DeleteFunc(slices.Clone(im.Log), func(e wire.Entry) bool { return e.Index <= b.Snap.Index })
+	}
+	if b.Cut != 0 {
+		im.Log = slices.DeleteFunc(slices.Clone(im.Log), func(e wire.Entry) bool { return e.Index >= b.Cut })
+	}
+	im.Log = append(im.Log, b.Entries...)
+}
+
+// Whole is the image as one batch, for the head of a ring file.
+func (im *Image) Whole() *wire.Batch {
+	return &wire.Batch{Fresh: true, Epoch: im.Epoch, Disk: im.Disk, Hard: true, Term: im.Term, Vote: im.Vote,
+		Snap: &im.Snap, Entries: im.Log, Lock: im.Lock, Legacy: im.Legacy,
+		Founders: im.Founders, Founding: im.Founding}
+}
