--- /dev/null
+++ b/carry/answer.go
@@ -0,0 +1,204 @@
+// This file reads a target's answer and passes it on to the caller.
+package carry
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"myrtlefold/gate"
+	"myrtlefold/limit"
+)
+
+// answer is what a target answered: held whole, or its beginning with the rest to come.
+type answer struct {
+	resp *http.Response
+	held []byte
+	done bool
+}
+
+// hear reads the answer to what was written on p and says what it means.
+func (c *Carrier) hear(w http.ResponseWriter, r *http.Request, g *gate.Give, p *Pipe, u *upload, repeats bool, till time.Time, sent chan error, tell func(*tried, bool), stop func() bool) (t tried) {
+	// done ends the pipe's part: it is kept if all of the exchange is over on it.
+	ended := false
+	done := func(keep bool) {
+		if ended {
+			return
+		}
+		ended = true
+		if sent != nil {
+			select {
+			case err := <-sent:
+				keep = keep && err == nil
+			default: // answered before the body was all there: the caller need not send the rest
+				keep = false
+				p.Close()
+				u.ended, u.away = true, r.Context().Err() != nil
+				http.NewResponseController(w).SetReadDeadline(past())
+				w.Header().Set("Connection", "close")
+				<-sent
+				u.begun, u.bad = true, false // it was this side that broke it off; what the caller sends further is lost
+			}
+		}
+		if !stop() || !keep || p.r.Buffered() > 0 {
+			p.Close()
+			return
+		}
+		c.give(g, p)
+	}
+	defer func() { done(false) }()
+	lost := func(code, msg string) tried {
+		done(false)
+		t := tried{sent: true, ran: true, outcome: gate.Lost, code: code, msg: msg, load: t.load}
+		switch {
+		case u.left(r) || u.bad || u.over:
+			t.outcome = gate.Dropped
+		case !time.Now().Before(till):
+			t.late, t.code, t.msg = true, "late", "no answer within the deadline"
+		}
+		return t
+	}
+	if repeats && g.More && u.rest == nil && !p.await(r.Context(), till, func() bool { return c.pool.dark(g.Target.ID()) }) {
+		c.Counts.GivenUp.Add(1)
+		return lost("dark", "nothing reaches the target, which has not answered")
+	}
+	resp, err := p.head(r.Method)
+	if err != nil {
+		return lost("lost", "the target's answer was lost")
+	}
+	h := &c.Headers
+	if id := r.Header.Get(h.Attempt); id != "" && resp.Header.Get(h.Attempt) != id {
+		c.Counts.Strange.Add(1)
+		return lost("strange", "the target's answer is another exchange's")
+	}
+	ok := resp.StatusCode < 300
+	if ok && (h.Proof != "" && resp.Header.Get(h.Proof) == "" || resp.Header.Get(h.NotRun) != "") {
+		c.Counts.Strange.Add(1)
+		return lost("strange", "the target's answer is not its own")
+	}
+	if v := resp.Header.Get(h.Load); v != "" {
+		t.load = ReadLoad(v)
+	}
+	asked := g.Set.Asked()
+	if asked && resp.StatusCode == http.StatusMisdirectedRequest {
+		c.Counts.Foreign.Add(1)
+		return tried{sent: true, outcome: gate.Foreign, code: "foreign", msg: "the target's address answers for another"}
+	}
+	notRun := resp.Header.Get(h.NotRun) != ""
+	a := &answer{resp: resp}
+	if resp.ContentLength >= 0 || asked || notRun || repeats && resp.StatusCode >= 500 {
+		a.held, a.done, err = whole(resp, limit.AnswerHeld)
+	} else if resp.Body == http.NoBody {
+		a.done = true
+	}
+	if notRun {
+		c.Counts.TurnedAway.Add(1)
+		done(a.done && !resp.Close)
+		return tried{sent: true, outcome: gate.NotRun, code: "turned_away", msg: "the target turned it away", load: t.load}
+	}
+	if err != nil {
+		return lost("lost", "the target's answer was cut")
+	}
+	t.outcome = gate.Served
+	if resp.StatusCode >= 500 {
+		t.outcome = gate.Broken
+	}
+	if a.done {
+		done(!resp.Close)
+		if asked && !repeats && promises(resp.StatusCode) {
+			// To a caller it would say that nothing ran, which its target has not said.
+			return tried{sent: true, ran: true, outcome: gate.Broken, code: "unclear", msg: "the target failed", load: t.load}
+		}
+		if t.outcome == gate.Broken && repeats && g.Route.Kind != "" && resp.StatusCode != http.StatusGatewayTimeout && time.Until(till) > limit.TryLeast {
+			t.sent, t.ran, t.spare, t.code, t.msg = true, true, a, "failed", "the target failed"
+			return t
+		}
+		t.status = resp.StatusCode
+		tell(&t, true) // the target is free, however slowly the caller reads
+		c.pass(w, r, a)
+		return t
+	}
+	t.status = resp.StatusCode
+	if err := c.pass(w, r, a); err != nil {
+		t.cut = true
+		t.outcome = gate.Lost
+		if u.left(r) {
+			t.outcome = gate.Dropped
+		}
+		return t
+	}
+	done(!resp.Close)
+	return t
+}
+
+// promises says whether a status tells callers that nothing ran.
+func promises(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// pass hands an answer to the caller. One that is not held whole streams: what has
+// come goes on before more is waited for.
+func (c *Carrier) pass(w http.ResponseWriter, r *http.Request, a *answer) error {
+	resp, h := a.resp, w.Header()
+	announced := slices.Collect(maps.Keys(resp.Trailer))
+	strip(resp.Header)
+	maps.Copy(h, resp.Header)
+	size := resp.ContentLength
+	if a.done && len(announced) == 0 {
+		size = int64(len(a.held))
+	}
+	bodied := r.Method != "HEAD" && resp.StatusCode != 204 && resp.StatusCode != 304
+	if size >= 0 && bodied {
+		h["Content-Length"] = []string{strconv.FormatInt(size, 10)}
+	}
+	if len(announced) > 0 {
+		h["Trailer"] = announced
+	}
+	for _, k := range []string{"Date", "Content-Type"} {
+		if _, ok := h[k]; !ok {
+			h[k] = nil // or the library would make one up
+		}
+	}
+	w.WriteHeader(resp.StatusCode)
+	if len(a.held) > 0 && bodied {
+		if _, err := w.Write(a.held); err != nil {
+			return err
+		}
+	}
+	if !a.done {
+		if err := stream(w, resp, size >= 0); err != nil {
+			return err
+		}
+	}
+	for k, v := range resp.Trailer {
+		h[k] = v
+	}
+	return nil
+}
+
+func stream(w http.ResponseWriter, resp *http.Response, sized bool) error {
+	rc := http.NewResponseController(w)
+	b := make([]byte, 32<<10)
+	for {
+		n, err := resp.Body.Read(b)
+		if n > 0 {
+			if _, werr := w.Write(b[:n]); werr != nil {
+				return werr
+			}
+			if !sized {
+				if werr := rc.Flush(); werr != nil {
+					return werr
+				}
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/carry/refusal.go
@@ -0,0 +1,40 @@
+// This file writes the answers that the proxy gives itself.
+package carry
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"myrtlefold/model"
+)
+
+// After is a Retry-After header's value: seconds, with fractions below one.
+func After(d time.Duration) string {
+	if d >= time.Second {
+		return strconv.Itoa(int((d + time.Second - 1) / time.Second))
+	}
+	return strconv.FormatFloat(max(0.001, d.Seconds()), 'f', 3, 64)
+}
+
+// Error answers with the one error shape.
+func Error(w http.ResponseWriter, status int, retry time.Duration, t model.Trouble) {
+	fault(w, RanHeader, status, retry, t)
+}
+
+func fault(w http.ResponseWriter, ranHeader string, status int, retry time.Duration, t model.Trouble) {
+	if t.Ran == "" {
+		t.Ran = "no"
+	}
+	h := w.Header()
+	if retry > 0 {
+		h.Set("Retry-After", After(retry))
+	}
+	h.Set(ranHeader, t.Ran)
+	h.Set("Content-Type", "application/json")
+	h.Set("Cache-Control", "no-store")
+	b := t.JSON()
+	h.Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(status)
+	w.Write(b)
+}
--- /dev/null
+++ b/gate/lease.go
@@ -0,0 +1,309 @@
+// This file asks the leader for the table and a lease, and without one the other
+// proxies.
+package gate
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"myrtlefold/core"
+	"myrtlefold/limit"
+	"myrtlefold/model"
+	"myrtlefold/wire"
+)
+
+// inTouch says that a majority of the roster, and of the one before while that still
+// counts, answers.
+func (g *Gate) inTouch(now time.Duration) bool {
+	most := func(n int, name func(int) string) bool {
+		k := 0
+		for i := range n {
+			if name(i) == g.set.Self.Name {
+				if g.settled {
+					k++
+				}
+			} else if at, ok := g.touches[name(i)]; ok && now < at+limit.TouchGrant {
+				k++
+			}
+		}
+		return 2*k > n
+	}
+	return most(len(g.table.Gates), func(i int) string { return g.table.Gates[i].Name }) &&
+		(len(g.table.Was) == 0 || most(len(g.table.Was), func(i int) string { return g.table.Was[i] }))
+}
+
+// leader is the one that the core members last heard name in the latest epoch and term.
+func (g *Gate) leader(now time.Duration) string { return g.known.Leader(now) }
+
+// hello tells the core daemons of this proxy. What it remembers is long: it is told to those
+// that were heard lately, once to each process and then now and again.
+func (g *Gate) hello(now time.Duration) {
+	g.helloAt = now
+	self, memory := g.self(), []byte(nil)
+	sent := map[string]bool{}
+	for _, n := range slices.Sorted(maps.Keys(g.known)) {
+		k := g.known[n]
+		if now-k.At > limit.DaemonGone {
+			delete(g.known, n)
+		} else if k.Kind == "core" {
+			sent[k.Addr] = true
+			h := &wire.Hello{Self: self}
+			who := fmt.Sprint(n, " ", k.Inc)
+			if at, ok := g.memoryAt[who]; g.state != Granted && now-k.At < 4*limit.HelloEvery && (!ok || now-at >= limit.MemoryEvery) {
+				if memory == nil {
+					memory = g.memory()
+				}
+				if h.Legacy = memory; len(memory) > 0 {
+					g.memoryAt[who] = now
+				}
+			}
+			g.do(core.Send{Addr: k.Addr, M: &wire.Msg{Kind: uint16(wire.KHello), From: g.set.Self.Name, Hello: h}})
+		}
+	}
+	if g.state == Granted {
+		clear(g.memoryAt)
+	}
+	for _, a := range g.set.Seeds {
+		if !sent[a] && a != g.set.Self.Addr {
+			g.do(core.Send{Addr: a, M: &wire.Msg{Kind: uint16(wire.KHello), From: g.set.Self.Name, Hello: &wire.Hello{Self: self}}})
+		}
+	}
+}
+
+// touch asks partners whether they still stand on no later table: a part of the roster at
+// each turn, those first who were asked longest ago, so that all are within a touch grant
+// and no proxy's work grows with more than the roster.
+func (g *Gate) touch(now time.Duration) {
+	for n := range g.asked {
+		if !slices.ContainsFunc(g.table.Gates, func(r wire.Gate) bool { return r.Name == n }) {
+			delete(g.asked, n)
+		}
+	}
+	var who []*wire.Gate
+	for i := range g.table.Gates {
+		if r := &g.table.Gates[i]; r.Name != g.set.Self.Name {
+			who = append(who, r)
+		}
+	}
+	if len(who) > 0 { // each begins elsewhere, so that not all ask the same ones at once
+		k := int(g.salt % uint64(len(who)))
+		who = append(who[k:], who[:k]...)
+	}
+	slices.SortStableFunc(who, func(a, b *wire.Gate) int { return cmp.Compare(g.asked[a.Name], g.asked[b.Name]) })
+	n := max(limit.TouchMost, (len(who)+limit.TouchTurns-1)/limit.TouchTurns)
+	self := g.self()
+	for i, r := range who[:min(n, len(who))] {
+		if k := g.known[r.Name]; k == nil {
+			g.known[r.Name] = &core.Known{Daemon: wire.Daemon{Name: r.Name, Kind: "gate", Addr: r.Addr, Domain: r.Domain}, At: now}
+		}
+		g.asked[r.Name] = now
+		// Back from a freeze or a cut, what partners hold against targets is wanted too.
+		m := wire.Pull{Self: self, Key: g.table.Key, Want: !g.Serving() && (len(who) <= limit.TouchMost || i < limit.TouchWant)}
+		g.send(r.Name, &wire.Msg{Kind: uint16(wire.KPull), Stamp: int64(now), Disk: g.set.Self.Inc, Pull: &m})
+	}
+}
+
+// alone says that the leader is out of reach, for one that has ever been part of the fleet;
+// another waits for the leader while that speaks to it.
+func (g *Gate) alone(now time.Duration) bool {
+	return g.doubts(now) && (g.settled || g.wordAt == 0 || now-g.wordAt > limit.GateLive)
+}
+
+// memory is what this proxy tells a core that has lost its own.
+func (g *Gate) memory() []byte {
+	if g.table == nil || g.state == Granted {
+		return nil
+	}
+	l, ok := core.Remembered(g.table)
+	if !ok {
+		return nil
+	}
+	b, _ := json.Marshal(l)
+	return wire.Squeeze(b)
+}
+
+// doubts says that the leader has been silent for over two pulls: partners are
+// touched and targets probed from then on, so that both are known when the grant lapses.
+func (g *Gate) doubts(now time.Duration) bool {
+	return now > g.grantTill-limit.GateGrant+limit.DoubtAfter
+}
+
+func (g *Gate) pull(now time.Duration) {
+	g.pullAt, g.telling = now, false
+	l := g.leader(now)
+	if l == "" {
+		return
+	}
+	// The leader that grants knows this proxy; another is told all of it.
+	p := &wire.Pull{}
+	if d := g.self(); d != g.said || l != g.saidTo || g.state != Granted || g.doubts(now) {
+		p.Self, g.said, g.saidTo = d, d, l
+	}
+	if g.table != nil {
+		p.Key, p.Revision, p.Seq = g.table.Key, g.table.Revision, g.table.Seq
+		if g.want {
+			p.Table = g.export(now)
+		}
+	}
+	for _, id := range slices.SortedFunc(maps.Keys(g.targets), wire.ID.Compare) {
+		if t := g.targets[id]; t.seen.Ok+t.seen.Errors > 0 || t.seen.Alive {
+			s := t.seen
+			s.Service, s.Name, s.Inc = id.Service, id.Name, id.Inc
+			p.Seen = append(p.Seen, s)
+			t.seen = wire.Seen{}
+		}
+	}
+	g.send(l, &wire.Msg{Kind: uint16(wire.KPull), Epoch: p.Key.Epoch, Stamp: int64(now), Disk: g.set.Self.Inc, Pull: p})
+}
+
+// export is the table as it stands here now, with bars' time left and holds
+// that were heard here.
+func (g *Gate) export(now time.Duration) *wire.Table {
+	t := *g.table
+	t.Targets = nil
+	for _, id := range slices.SortedFunc(maps.Keys(g.targets), wire.ID.Compare) {
+		l := g.targets[id]
+		w := l.Target
+		if w.BarLeft = max(0, int64(l.barUntil-now)); l.ownBar > now && w.BarLeft == 0 {
+			w.BarLeft, w.BarWhy = int64(l.ownBar-now), model.DefaultPolicy
+		}
+		w.Held = w.Held || l.held
+		w.ColdLeft = max(0, int64(l.coldUntil-now))
+		t.Targets = append(t.Targets, w)
+	}
+	return &t
+}
+
+// push takes a leader's word, or a partner's answer to a touch.
+func (g *Gate) push(now time.Duration, m *wire.Msg) {
+	p := m.Push
+	mine := m.Disk == g.set.Self.Inc && m.Stamp > 0 && time.Duration(m.Stamp) <= now
+	if k := g.known[m.From]; k != nil && k.Kind == "gate" {
+		if p.Table != nil && !g.take(now, p.Table) && g.table != nil && g.table.Key == p.Table.Key && !g.Serving() {
+			g.heed(now, p.Table)
+		}
+		if p.Grant && mine && g.table != nil && !g.table.Key.Less(p.Key) {
+			g.touches[m.From] = max(g.touches[m.From], time.Duration(m.Stamp))
+		}
+		if p.Grant && g.table != nil && g.table.Key.Less(p.Key) && now-g.wantAt >= 2*limit.PullEvery {
+			g.wantAt = now // one at a time sends all of its table
+			g.send(m.From, &wire.Msg{Kind: uint16(wire.KPull), Stamp: int64(now), Disk: g.set.Self.Inc, Pull: &wire.Pull{Self: g.self()}})
+		}
+		return
+	}
+	if m.Epoch < g.epoch || m.Epoch == g.epoch && m.Term < g.term {
+		return
+	}
+	g.epoch, g.term, g.wordAt = m.Epoch, m.Term, now
+	if p.Want && g.table != nil && !g.want {
+		g.want = true
+		g.pull(now)
+	}
+	g.want = p.Want
+	for _, id := range p.Probe {
+		if t := g.targets[id]; t != nil && mine {
+			t.indirect = true
+			g.ping(now, t)
+		}
+	}
+	if p.Table != nil {
+		fresh := g.take(now, p.Table)
+		if fresh {
+			g.pull(now) // confirms at once
+		}
+	}
+	// The grant is for the table that it names, and so for any later one of that leader too.
+	if p.Grant && mine && g.table != nil && g.table.Key.Epoch == p.Key.Epoch && g.table.Key.Term == p.Key.Term && g.table.Key.Ver >= p.Key.Ver {
+		g.settled = true
+		g.grantTill = max(g.grantTill, time.Duration(m.Stamp)+limit.GateGrant)
+	}
+}
+
+// partner answers another proxy's touch.
+func (g *Gate) partner(now time.Duration, m *wire.Msg) {
+	if m.Pull == nil {
+		return
+	}
+	if m.Pull.Self.Kind == "gate" {
+		g.known[m.From] = &core.Known{Daemon: m.Pull.Self, At: now}
+	}
+	p := &wire.Push{Grant: g.settled && g.table != nil}
+	if g.table != nil {
+		p.Key = g.table.Key
+		switch {
+		case !p.Grant:
+		case m.Pull.Key == wire.Key{}:
+			p.Table = g.export(now)
+		case m.Pull.Want && m.Pull.Key == p.Key:
+			p.Table = g.holds(now)
+		}
+	}
+	g.send(m.From, &wire.Msg{Kind: uint16(wire.KPush), Stamp: m.Stamp, Disk: m.Disk, Push: p})
+}
+
+// holds is what stands here against targets beside the table, as a change to it.
+func (g *Gate) holds(now time.Duration) *wire.Table {
+	all, t := g.export(now), &wire.Table{Key: g.table.Key, Base: g.table.Key, Seq: g.table.Seq, Revision: g.table.Revision}
+	listed := map[wire.ID]bool{}
+	for i := range g.table.Targets {
+		id := g.table.Targets[i].ID()
+		listed[id] = true
+		if g.targets[id] == nil {
+			t.Gone = append(t.Gone, id)
+		}
+	}
+	for _, w := range all.Targets {
+		if w.Held || w.BarLeft > 0 || w.ColdLeft > 0 || !listed[w.ID()] {
+			t.Targets = append(t.Targets, w)
+		}
+	}
+	return t
+}
+
+// heed takes over what a partner holds against the targets of the same table, and
+// the later starts that it has put in the place of some; a probe of this proxy's own
+// soon says more.
+func (g *Gate) heed(now time.Duration, b *wire.Table) {
+	out := map[wire.ID]bool{}
+	if b.Base == (wire.Key{}) {
+		for id := range g.targets {
+			out[id] = !slices.ContainsFunc(b.Targets, func(w wire.Target) bool { return w.ID() == id })
+		}
+	}
+	for _, id := range b.Gone {
+		out[id] = true
+	}
+	for _, w := range b.Targets {
+		t := g.targets[w.ID()]
+		if t == nil {
+			for id := range g.targets {
+				if id.Service == w.Service && id.Name == w.Name && out[id] && g.leaving[w.ID()] == 0 {
+					t = &target{Target: w}
+					g.succeed(now, id, t)
+					break
+				}
+			}
+		}
+		if t != nil {
+			t.held = t.held || w.Held
+			t.chill(now, w.ColdLeft)
+			if w.BarLeft > 0 {
+				t.ownBar = max(t.ownBar, now+time.Duration(w.BarLeft))
+			}
+		}
+	}
+}
+
+// succeed puts a later start in a target's place.
+func (g *Gate) succeed(now time.Duration, id wire.ID, h *target) {
+	delete(g.targets, id)
+	g.leaving[id] = now
+	h.anew = true
+	g.targets[h.ID()] = h
+	h.chill(now, max(h.ColdLeft, int64(g.coldOf(h.Service))))
+	g.retarget(now)
+}
--- /dev/null
+++ b/gate/probe.go
@@ -0,0 +1,175 @@
+// This file is what a proxy does about targets while it doubts its leader: it takes
+// their words and probes them itself.
+package gate
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"myrtlefold/core"
+	"myrtlefold/limit"
+	"myrtlefold/model"
+	"myrtlefold/wire"
+)
+
+func (g *Gate) ask(now time.Duration, e core.Ask) {
+	r := core.TargetCall(e, func(t wire.Target) {
+		g.heardBeat(now, t)
+		if l := g.leader(now); l != "" {
+			g.send(l, &wire.Msg{Kind: uint16(wire.KBeat), Stamp: 1, Beat: &t})
+		}
+		if g.state != Granted && g.table != nil {
+			// No leader spreads it: tell the partners.
+			for _, r := range g.table.Gates {
+				g.send(r.Name, &wire.Msg{Kind: uint16(wire.KBeat), Stamp: 1, Beat: &t})
+			}
+		}
+	})
+	r.ID = e.ID
+	g.do(r)
+}
+
+// heardBeat acts at once on a target that leaves; all else is the leader's, or
+// kept for the time when there is none.
+func (g *Gate) heardBeat(now time.Duration, w wire.Target) {
+	if t := g.targets[w.ID()]; t != nil {
+		t.voice.Hear(now)
+	} else if g.state == Orphan && w.State != model.Gone {
+		g.claim(now, w)
+	}
+	if w.State != model.Leaving && w.State != model.Gone {
+		return
+	}
+	if g.leaving[w.ID()] == 0 {
+		g.leaving[w.ID()] = now
+	}
+	if t := g.targets[w.ID()]; t != nil {
+		t.held = true
+	}
+}
+
+// claim notes a later start of a target that the table knows. No leader can take it
+// in, so an orphan does for itself, once it has answered for itself: a service that
+// is rolled while the core is gone goes on. The same service and name, and an address
+// that no other target of the table has; all else waits for a leader.
+func (g *Gate) claim(now time.Duration, w wire.Target) {
+	var at *target
+	for id, t := range g.targets {
+		switch {
+		case id.Service == w.Service && id.Name == w.Name:
+			at = t
+		case t.Addr == w.Addr:
+			return
+		}
+	}
+	if at == nil || g.leaving[w.ID()] != 0 || at.heir != nil && at.heir.Inc != w.Inc && at.heir.voice.Speaks(now) {
+		return
+	}
+	if at.heir == nil || at.heir.ID() != w.ID() || at.heir.Addr != w.Addr {
+		at.heir = &target{Target: wire.Target{Service: w.Service, Name: w.Name, Inc: w.Inc, Addr: w.Addr, Domain: w.Domain, State: model.Warming, Turn: at.Turn, Slots: w.Slots, ColdLeft: w.ColdLeft}}
+	}
+	at.heir.voice.Hear(now)
+}
+
+// inherit puts an heir that has answered for itself in its place, unless who
+// stands there still answers too.
+func (g *Gate) inherit(now time.Duration, p core.Probed) {
+	for id, t := range g.targets {
+		h := t.heir
+		if h == nil || h.ID() != p.ID {
+			continue
+		}
+		h.sentAt = 0
+		gone := t.held || t.Held || t.misses >= limit.ProbeMisses || t.Addr == h.Addr
+		if g.state != Orphan || !gone || p.Beat == nil || p.Beat.ID() != p.ID || p.Beat.State == model.Leaving {
+			return
+		}
+		if p.Beat.State == model.Ready {
+			h.State = model.Ready
+		}
+		g.do(core.Change{What: "target", From: fmt.Sprint(id.Inc), To: fmt.Sprint(h.Inc), Why: "a later start of " + id.Service + "/" + id.Name + " answers, and no leader is there"})
+		g.succeed(now, id, h)
+		return
+	}
+}
+
+// watch is the watchdog of a proxy without a leader. A cut one keeps it up, so that
+// it does not come back with an old opinion.
+func (g *Gate) watch(now time.Duration) {
+	few := len(g.targets) <= limit.WatchMost
+	for _, id := range slices.SortedFunc(maps.Keys(g.targets), wire.ID.Compare) {
+		t := g.targets[id]
+		if few || g.watches(id) {
+			g.probe(now, t)
+		}
+		if t.heir != nil {
+			g.probe(now, t.heir)
+		}
+	}
+}
+
+// watches deals many targets among the roster, so that neither a proxy nor a target has
+// more to do with probes the more there are of the other. Who watches one by a probe is
+// drawn; the others see for themselves what pipes to it tell.
+func (g *Gate) watches(id wire.ID) bool {
+	parts := uint64(max(1, len(g.targets)*limit.Watchers/limit.WatchMost))
+	return hash(id.Service+" "+id.Name+" "+g.set.Self.Name)%parts < limit.Watchers
+}
+
+func (g *Gate) probe(now time.Duration, t *target) {
+	if t.probeAt == 0 || now-t.probeAt >= limit.DoubtEvery {
+		g.ping(now, t)
+	}
+}
+
+func (g *Gate) ping(now time.Duration, t *target) {
+	if t.sentAt == 0 || now-t.sentAt > 2*limit.ProbeCap {
+		t.probeAt, t.sentAt = now, now
+		g.do(core.Probe{ID: t.ID(), Addr: t.Addr, Path: g.cfg.Services[t.Service].HealthPath})
+	}
+}
+
+func (g *Gate) probed(now time.Duration, p core.Probed) {
+	t := g.targets[p.ID]
+	if t == nil {
+		g.inherit(now, p)
+		return
+	}
+	t.sentAt = 0
+	b := p.Beat
+	asked := t.indirect
+	t.indirect = false
+	if b == nil || b.ID() != p.ID {
+		if asked && !g.doubts(now) {
+			return // the leader's to judge
+		}
+		if t.misses++; t.misses >= limit.ProbeMisses && g.doubts(now) {
+			if t.ownBar <= now {
+				g.Counts.OwnBars++
+			}
+			t.ownBar = now + limit.BarTTL
+		}
+		return
+	}
+	t.misses = 0
+	if asked {
+		t.seen.Alive, g.telling = true, true
+	}
+	if b.State == model.Ready && t.State == model.Warming && g.state == Orphan {
+		t.State, t.warmAt = model.Ready, now
+	}
+	if t.ownBar > now && (!asked || g.doubts(now)) {
+		t.ownBar, t.backAt = 0, now
+	}
+	if b.State == model.Leaving {
+		g.heardBeat(now, t.leavingWord())
+	}
+}
+
+func (t *target) leavingWord() wire.Target {
+	w := t.Target
+	w.State = model.Leaving
+	return w
+}
--- /dev/null
+++ b/gate/table.go
@@ -0,0 +1,171 @@
+// This file takes tables from the leader, whole or as changes.
+package gate
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"myrtlefold/core"
+	"myrtlefold/judge"
+	"myrtlefold/limit"
+	"myrtlefold/model"
+	"myrtlefold/wire"
+)
+
+// retarget follows a change of the targets: choices go by the new ones, and pipes to
+// others go.
+func (g *Gate) retarget(now time.Duration) {
+	g.index(now)
+	live := map[wire.ID]string{}
+	for id, t := range g.targets {
+		live[id] = t.Addr
+	}
+	g.do(Targets{live, g.cfg.Limits})
+}
+
+// whole is a table with all that it leaves out because this proxy has it, nil if it has not.
+func (g *Gate) whole(t *wire.Table) *wire.Table {
+	old, w := g.table, *t
+	if len(t.Doc) == 0 {
+		if old == nil || old.Key.Epoch != t.Key.Epoch || old.Revision != t.Revision || len(t.State) == 0 && old.Seq != t.Seq {
+			return nil
+		}
+		if w.Doc = old.Doc; len(t.State) == 0 {
+			w.State = old.State
+		}
+	}
+	if t.Base == (wire.Key{}) {
+		return &w
+	}
+	if old == nil || old.Key.Epoch != t.Base.Epoch || old.Key.Term != t.Base.Term || old.Key.Ver < t.Base.Ver || t.Base.Term != t.Key.Term {
+		return nil
+	}
+	w.Base, w.Gone = wire.Key{}, nil
+	if len(t.Gates) == 0 {
+		w.Gates = old.Gates
+	}
+	out := map[wire.ID]bool{}
+	for _, id := range t.Gone {
+		out[id] = true
+	}
+	for i := range t.Targets {
+		out[t.Targets[i].ID()] = true
+	}
+	w.Targets = make([]wire.Target, 0, len(old.Targets)+len(t.Targets))
+	for i := range old.Targets {
+		if !out[old.Targets[i].ID()] {
+			w.Targets = append(w.Targets, old.Targets[i])
+		}
+	}
+	w.Targets = append(w.Targets, t.Targets...)
+	slices.SortFunc(w.Targets, func(a, b wire.Target) int { return a.ID().Compare(b.ID()) })
+	return &w
+}
+
+// plain says that a change to the table tells only what nothing is dealt by, such as demand.
+func (g *Gate) plain(now time.Duration, t *wire.Table) bool {
+	if t.Base == (wire.Key{}) || len(t.Doc)+len(t.State)+len(t.Gates)+len(t.Gone) > 0 || !slices.Equal(t.Emptied, g.table.Emptied) || !slices.Equal(t.Was, g.table.Was) ||
+		len(g.targets) != len(g.table.Targets) {
+		return false
+	}
+	for i := range t.Targets {
+		w := t.Targets[i]
+		o := g.targets[w.ID()]
+		if o == nil {
+			return false
+		}
+		w.Demand, w.HasDemand, w.Beating, w.Number = o.Demand, o.HasDemand, o.Beating, o.Number
+		if w != o.Target || w.BarLeft > 0 || w.ColdLeft > 0 || o.barUntil > 0 {
+			return false
+		}
+	}
+	for i := range g.table.Targets { // and no later start stands here in the place of one
+		if g.targets[g.table.Targets[i].ID()] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// take puts a later table in force; an earlier one never replaces a later.
+func (g *Gate) take(now time.Duration, t *wire.Table) bool {
+	if g.table != nil && !g.table.Key.Less(t.Key) {
+		if t.Key.Less(g.table.Key) {
+			g.Counts.StaleTables++
+		}
+		return false
+	}
+	var changed map[wire.ID]bool
+	if t.Base != (wire.Key{}) {
+		changed = map[wire.ID]bool{}
+		for i := range t.Targets {
+			changed[t.Targets[i].ID()] = true
+		}
+	}
+	said := t
+	if t = g.whole(t); t == nil {
+		return false // said to an earlier process of this name, or long ago: the next pull asks for all
+	}
+	if g.table == nil || g.table.Key.Epoch != t.Key.Epoch || t.Revision != g.revision || len(g.cfg.Services) == 0 {
+		var cfg *model.Config
+		var faults []model.Fault
+		doc, err := wire.Open(t.Doc)
+		if err == nil {
+			cfg, faults, err = judge.CheckConfig(doc)
+		}
+		if err != nil || len(faults) > 0 {
+			// Only a checked document is ever agreed; a proxy that can't read one must not serve on.
+			panic(fmt.Sprintf("table %v holds an unsound configuration: %v %v", t.Key, err, faults))
+		}
+		if t.Revision != g.revision {
+			g.do(core.Change{What: "revision", From: fmt.Sprint(g.revision), To: fmt.Sprint(t.Revision), Why: fmt.Sprintf("table %v", t.Key)})
+		}
+		g.cfg, g.revision = cfg, t.Revision
+		g.forget()
+	}
+	g.Counts.Tables++
+	if g.plain(now, said) {
+		g.table = t
+		for _, w := range said.Targets {
+			g.targets[w.ID()].Target = w
+		}
+		g.queues(now)
+		return true
+	}
+	g.table = t
+	next := map[wire.ID]*target{}
+	for _, w := range t.Targets {
+		id := w.ID()
+		n := g.targets[id]
+		if n != nil && changed != nil && !changed[id] {
+			next[id] = n // nothing new is said of it
+			continue
+		}
+		if n == nil {
+			n = &target{anew: g.state == Granted}
+		}
+		was := n.barUntil > now
+		if n.State == model.Warming && w.State == model.Ready {
+			n.warmAt = now
+		}
+		n.Target = w
+		n.chill(now, w.ColdLeft)
+		n.barUntil, n.unheard = 0, w.BarWhy == model.DefaultPolicy
+		if w.BarLeft > 0 {
+			n.barUntil = now + time.Duration(w.BarLeft)
+		} else if was {
+			n.backAt = now
+		}
+		if g.leaving[id] != 0 || w.Held {
+			n.held = true
+		}
+		next[id] = n
+	}
+	g.targets = next
+	maps.DeleteFunc(g.leaving, func(id wire.ID, at time.Duration) bool { return next[id] == nil && now-at > limit.TombKeep })
+	g.retarget(now)
+	g.queues(now)
+	return true
+}
--- /dev/null
+++ b/gate/view.go
@@ -0,0 +1,71 @@
+// This file is what operators may read of a proxy.
+package gate
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"myrtlefold/model"
+	"myrtlefold/wire"
+)
+
+// View is what the daemon shows of itself.
+type View struct {
+	Name     string       `json:"name"`
+	State    string       `json:"state"`
+	Ready    bool         `json:"ready"`
+	Leader   string       `json:"leader"`
+	Table    wire.Key     `json:"table"`
+	Revision uint64       `json:"revision"`
+	InFlight int          `json:"in_flight"`
+	Targets  []TargetView `json:"targets"`
+	Counts   Counts       `json:"counts"`
+	Aims     []AimView    `json:"aims,omitempty"`
+}
+
+// AimView is this proxy's part in an aim over its window.
+type AimView struct {
+	Name string `json:"name"`
+	model.Aim
+	Good int `json:"good"`
+	All  int `json:"all"`
+}
+
+type TargetView struct {
+	wire.Target
+	InFlight int   `json:"in_flight"`
+	BarMs    int64 `json:"bar_left_ms"`
+	OwnBarMs int64 `json:"own_bar_left_ms"`
+	Room     int   `json:"room"`
+}
+
+func (g *Gate) View(now time.Duration) View {
+	v := View{Name: g.set.Self.Name, State: g.state.String(), Ready: g.table != nil && g.Ready(), Leader: g.leader(now),
+		Revision: g.revision, InFlight: len(g.exchanges), Counts: g.Counts, Targets: []TargetView{}}
+	for _, n := range slices.Sorted(maps.Keys(g.cfg.Aims)) {
+		a := AimView{Name: n, Aim: g.cfg.Aims[n]}
+		if t := g.aims[n]; t != nil {
+			for _, m := range t.minutes {
+				if int(now/time.Minute)-m.minute < a.WindowMin {
+					a.Good, a.All = a.Good+m.good, a.All+m.all
+				}
+			}
+		}
+		v.Aims = append(v.Aims, a)
+	}
+	if g.table != nil {
+		v.Table = g.table.Key
+		for _, id := range slices.SortedFunc(maps.Keys(g.targets), wire.ID.Compare) {
+			t := g.targets[id]
+			tv := TargetView{Target: t.Target, InFlight: t.inflight, Room: g.room(now, t, g.cfg.Services[t.Service])}
+			if s := g.services[t.Service]; s != nil && s.slotted {
+				tv.Room = t.part
+			}
+			tv.Held = t.Held || t.held
+			tv.BarMs, tv.OwnBarMs = max(0, (t.barUntil-now).Milliseconds()), max(0, (t.ownBar-now).Milliseconds())
+			v.Targets = append(v.Targets, tv)
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/host/ctl_views.go
@@ -0,0 +1,186 @@
+// This file is the operators' commands that show what there is.
+package host
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"myrtlefold/core"
+	"myrtlefold/gate"
+	"myrtlefold/judge"
+)
+
+// status asks the members that are named and then those that the roster tells of.
+func (c *ctl) status() int {
+	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	all := []json.RawMessage{}
+	if !c.json {
+		fmt.Fprintln(tw, "MEMBER\tROLE\tLEAD\tLEADER\tEPOCH\tTERM\tREVISION\tTABLE\tTARGETS\tPROXIES\tEMPTIED")
+	}
+	ask := func(a string) bool {
+		b, err := c.view(a, "/v1/status")
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
+			return false
+		}
+		all = append(all, b)
+		var s core.StatusView
+		if !c.json && json.Unmarshal(b, &s) == nil {
+			fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.Name, s.Role, s.Lead, s.Leader, s.Epoch, s.Term, s.Revision, s.Table.Ver, s.Targets, s.Proxies, strings.Join(s.Emptied, ","))
+		}
+		return true
+	}
+	answers := ""
+	for _, a := range c.at {
+		if ask(a) && answers == "" {
+			answers = a
+		}
+	}
+	if answers != "" {
+		var r struct{ Daemons []core.DaemonView }
+		if b, err := c.view(answers, "/v1/roster"); err == nil && json.Unmarshal(b, &r) == nil {
+			for _, d := range r.Daemons {
+				if d.Kind == "core" && !slices.Contains(c.at, d.Http) {
+					ask(d.Http)
+				}
+			}
+		}
+	}
+	if c.json {
+		json.NewEncoder(os.Stdout).Encode(all)
+	}
+	tw.Flush()
+	if answers == "" {
+		return exitNoLeader
+	}
+	return exitOK
+}
+
+// view is one daemon's own word.
+func (c *ctl) view(at, path string) ([]byte, error) {
+	resp, err := ctlClient.Get("http://" + at + path)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	return io.ReadAll(resp.Body)
+}
+
+// aims adds up what the proxies count.
+func (c *ctl) aims() int {
+	status, out, err := c.call("GET", "/v1/roster", nil, nil)
+	if err != nil || status != 200 {
+		return c.end(status, out, err, nil)
+	}
+	var r struct{ Daemons []core.DaemonView }
+	json.Unmarshal(out, &r)
+	sums := map[string]*gate.AimView{}
+	for _, d := range r.Daemons {
+		if d.Kind != "gate" {
+			continue
+		}
+		resp, err := ctlClient.Get("http://" + d.Http + "/v1/status")
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "mfctl: %s left out: %v\n", d.Name, err)
+			continue
+		}
+		var v gate.View
+		err = json.NewDecoder(resp.Body).Decode(&v)
+		resp.Body.Close()
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "mfctl: %s left out: %v\n", d.Name, err)
+			continue
+		}
+		for _, a := range v.Aims {
+			if s := sums[a.Name]; s != nil {
+				s.Good, s.All = s.Good+a.Good, s.All+a.All
+			} else {
+				sums[a.Name] = &a
+			}
+		}
+	}
+	if c.json {
+		json.NewEncoder(os.Stdout).Encode(sums)
+		return exitOK
+	}
+	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "AIM\tSERVICE\tWINDOW MIN\tUNDER MS\tAIM\tMET\tEXCHANGES\tLEFT OF WHAT MAY MISS")
+	for _, n := range slices.Sorted(maps.Keys(sums)) {
+		s := sums[n]
+		met, left := "-", "-"
+		if s.All > 0 {
+			met = fmt.Sprintf("%.4f", float64(s.Good)/float64(s.All))
+			left = fmt.Sprintf("%.0f %%", 100*(1-float64(s.All-s.Good)/(float64(s.All)*(1-s.Part))))
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%g\t%s\t%d\t%s\n", n, s.Service, s.WindowMin, s.UnderMs, s.Part, met, s.All, left)
+	}
+	tw.Flush()
+	return exitOK
+}
+
+func rosterText(b []byte) {
+	var v struct{ Daemons []core.DaemonView }
+	json.Unmarshal(b, &v)
+	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "NAME\tKIND\tDOMAIN\tADDRESS\tHTTP\tREADY\tSTATE\tPLACE\tHEARD MS\tTABLE\tINCARNATION")
+	for _, d := range v.Daemons {
+		place := "-"
+		if d.Member {
+			place = "member"
+		} else if d.Roster {
+			place = "roster"
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%v\t%s\t%s\t%.0f\t%d\t%x\n", d.Name, d.Kind, d.Domain, d.Addr, d.Http, d.Ready, d.State, place, d.HeardMs, d.Ver, d.Inc)
+	}
+	tw.Flush()
+}
+
+func targetsText(b []byte) {
+	var v struct{ Targets []core.TargetView }
+	json.Unmarshal(b, &v)
+	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "SERVICE\tNAME\tADDRESS\tDOMAIN\tSTATE\tDEMAND\tSLOTS\tCOLD LEFT\tBEAT MS\tBAR LEFT\tWHY")
+	for _, t := range v.Targets {
+		bar := "-"
+		if t.Bar != "" {
+			bar = fmt.Sprintf("%.1fs", float64(t.BarMs)/1000)
+		}
+		slots, cold := "-", "-"
+		if t.Slots > 0 {
+			slots = fmt.Sprint(t.Slots)
+		}
+		if t.ColdLeft > 0 {
+			cold = fmt.Sprintf("%.1fs", time.Duration(t.ColdLeft).Seconds())
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%.2f\t%s\t%s\t%.0f\t%s\t%s\n", t.Service, t.Name, t.Addr, t.Domain, t.State, t.Demand, slots, cold, t.BeatMs, bar, t.Why)
+	}
+	tw.Flush()
+}
+
+func policiesText(b []byte) {
+	var v struct {
+		Revision uint64
+		Since    float64 `json:"since_ms"`
+		Policies map[string]judge.Stat
+	}
+	json.Unmarshal(b, &v)
+	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(tw, "revision %d, scores of the last %.0f s\nNAME\tMODE\tSLICE\tDECIDES\tTTL MS\tEVALUATED\tFAILED\tOUT\tBARS\tWRONG\tERRORS\tMISSED\tTO BAR MS\tWHEN\tLAST ERROR\n", v.Revision, v.Since/1000)
+	for _, n := range slices.Sorted(maps.Keys(v.Policies)) {
+		s := v.Policies[n]
+		x := judge.Score{}
+		if s.Score != nil {
+			x = *s.Score
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%s\t%s\n", n, s.Policy.Mode, s.Policy.Slice, s.Policy.Decide, s.Policy.TtlMs, s.Ran, s.Failed, s.Marks,
+			x.Bars, x.Wrong, x.Errors, x.Missed, x.ToBarMs, s.Policy.When, s.Error)
+	}
+	tw.Flush()
+}
--- /dev/null
+++ b/host/http.go
@@ -0,0 +1,101 @@
+// This file is the HTTP servers of a daemon.
+package host
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"myrtlefold/carry"
+	"myrtlefold/core"
+	"myrtlefold/limit"
+	"myrtlefold/model"
+)
+
+// Admin is the mux that every daemon starts from.
+func (h *Host) Admin(ready func() (bool, any)) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, r *http.Request) { WriteJSON(w, 200, map[string]any{"live": true}) })
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
+		ok, why := ready()
+		status := 200
+		if !ok {
+			status = 503
+		}
+		WriteJSON(w, status, map[string]any{"ready": ok, "state": why})
+	})
+	mux.Handle("GET /metrics", promhttp.HandlerFor(h.Reg, promhttp.HandlerOpts{}))
+	return mux
+}
+
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
+
+// Serve runs an HTTP server on addr.
+func (h *Host) Serve(addr string, hd http.Handler) (*http.Server, error) {
+	return h.serve(addr, hd, nil)
+}
+
+// ServeCallers runs the carrier's server on addr.
+func (h *Host) ServeCallers(addr string, c *carry.Carrier) (*http.Server, error) {
+	return h.serve(addr, c, c)
+}
+
+func (h *Host) serve(addr string, hd http.Handler, c *carry.Carrier) (*http.Server, error) {
+	ln, err := carry.Listen(addr, limit.CallerUnacked)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for HTTP")
+	}
+	s := &http.Server{Handler: hd, ReadHeaderTimeout: limit.CallerHeader, IdleTimeout: limit.CallerIdle, MaxHeaderBytes: 4 * limit.HeaderMax}
+	if c != nil {
+		ln, s.ConnContext = c.Listener(ln), c.Context
+	}
+	go func() {
+		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			h.Fatal(err, "HTTP server")
+		}
+	}()
+	return s, nil
+}
+
+// Call passes an operator's or back end's call to the owner.
+func (h *Host) Call(next func() uint64) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit.DocMax+1))
+		var mb *http.MaxBytesError
+		if errors.As(err, &mb) {
+			carry.Error(w, 413, 0, model.Trouble{Code: "too_large", Message: fmt.Sprintf("at most %d bytes", limit.DocMax)})
+			return
+		}
+		if err != nil {
+			return
+		}
+		id := next()
+		q := r.URL.Query()
+		if v := strings.Trim(r.Header.Get("If-Match"), `"`); v != "" && !q.Has("base") {
+			q.Set("base", v)
+		}
+		token := fmt.Sprintf("%s-%08x", time.Now().UTC().Format("20060102T150405Z"), rand.Uint32())
+		v := h.Loop.Ask(r.Context(), id, core.Ask{ID: id, Token: token, Method: r.Method, Path: r.URL.Path, Query: q.Encode(), Body: b}, nil)
+		a, ok := v.(core.Reply)
+		if !ok {
+			return
+		}
+		if a.Retry > 0 {
+			w.Header().Set("Retry-After", carry.After(a.Retry))
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(a.Status)
+		w.Write(a.Body)
+	}
+}
--- /dev/null
+++ b/sim/operator.go
@@ -0,0 +1,145 @@
+// This file is the simulated operators and their changes.
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"myrtlefold/core"
+	"myrtlefold/model"
+)
+
+type change struct {
+	token string
+	rev   uint64
+	base  uint64
+	what  string
+	empty string
+	at    time.Duration
+	acked time.Duration
+	state string // open, accepted, refused, unknown
+}
+
+type ask struct {
+	fn func(core.Reply)
+}
+
+func (w *World) call(p *Proc, method, path, query string, body []byte, token string, fn func(core.Reply)) {
+	w.nextAsk++
+	id := w.nextAsk
+	if token == "" {
+		token = fmt.Sprintf("t%d", id)
+	}
+	w.asks[id] = &ask{fn}
+	late := 2
+	if w.sabotage == "base" {
+		late = 60
+	}
+	w.at(w.ms(0, late), func() {
+		if w.sabotage == "base" && p.core != nil && strings.HasPrefix(query, "base=") {
+			query = fmt.Sprintf("base=%d", p.core.Revision())
+		}
+		w.deliver(p, core.Ask{ID: id, Token: token, Method: method, Path: path, Query: query, Body: body})
+	})
+}
+
+// Doc is a configuration that tells its revisions apart by n.
+func (w *World) Doc(n int) []byte { return w.DocOf(n, 40, slices.Sorted(maps.Keys(w.Plan.Services))) }
+
+func (w *World) warm(cap int) int {
+	if w.sabotage == "warm cap" {
+		return cap
+	}
+	return min(cap, warmCap)
+}
+
+// DocOf is one for some services, with a cap per target.
+func (w *World) DocOf(n, cap int, services []string) []byte {
+	svcs, routes := map[string]any{}, map[string]model.Route{}
+	var rules []any
+	for _, s := range services {
+		svc := map[string]any{"cap": cap, "warm_cap": w.warm(cap), "timeout_ms": 1000 + n}
+		if w.Plan.ColdPerS > 0 {
+			svc["cold_per_s"], svc["cold_s"] = w.Plan.ColdPerS, coldSpan.Seconds()
+		}
+		svcs[s] = svc
+		for kind, prefix := range map[string]string{model.Repeatable: "/" + s + "/", model.Once: "/" + s + "/once/"} {
+			routes[s+"-"+kind] = model.Route{Prefix: prefix, Kind: kind, TimeoutMs: 1000 + n, AimMs: 400, Attempts: 3, Service: s}
+		}
+		rules = append(rules, map[string]any{"path": "/" + s + "/", "service": s})
+	}
+	doc := map[string]any{"services": svcs, "rules": rules}
+	if w.Plan.Slots > 0 {
+		doc["rules"], doc["routes"] = []any{}, routes
+	}
+	b, _ := json.Marshal(doc)
+	return b
+}
+
+// Change sends an operator's change to a core member and follows its fate.
+func (w *World) Change(p *Proc, method, path, query string, body []byte, c *change) {
+	if !p.alive {
+		return
+	}
+	c.token = fmt.Sprintf("op%d", len(w.changes))
+	c.at, c.state = w.now, "open"
+	w.changes = append(w.changes, c)
+	w.Stats.Changes++
+	if strings.HasSuffix(path, "/restore") {
+		delete(w.emptied, c.empty) // from the asking on, exchanges may go there again
+	}
+	w.call(p, method, path, query, body, c.token, func(r core.Reply) {
+		switch {
+		case r.Status == 200:
+			var v struct {
+				Revision uint64 `json:"revision"`
+			}
+			json.Unmarshal(r.Body, &v)
+			c.state, c.rev, c.acked = "accepted", v.Revision, w.now
+			w.Stats.Accepted++
+			w.Stats.Forces = append(w.Stats.Forces, w.now-c.at)
+			w.Stats.MaxForce = max(w.Stats.MaxForce, w.now-c.at)
+			w.log("%s accepted as revision %d", c.what, v.Revision)
+			if w.acked = max(w.acked, v.Revision); w.ackedAt[v.Revision] == 0 {
+				w.ackedAt[v.Revision] = w.now
+			}
+			if c.what == "config" {
+				for _, o := range w.changes {
+					if o != c && o.what == "config" && o.state == "accepted" && o.base == c.base {
+						w.broken("one base", "%s and %s were both accepted on %d", o.token, c.token, c.base)
+					}
+				}
+			}
+			if strings.HasSuffix(path, "/empty") && !slices.ContainsFunc(w.changes, func(o *change) bool { return o.what == "restore "+c.empty && o.at > c.at }) {
+				w.emptied[c.empty] = w.now
+				w.Stats.Empties++
+			}
+		case r.Status == 504:
+			c.state = "unknown"
+			w.Stats.UnknownChanges++
+		default:
+			c.state = "refused"
+			w.Stats.Refused++
+			w.log("%s refused with %d", c.what, r.Status)
+		}
+	})
+}
+
+// PutConfig tries a whole configuration on a base.
+func (w *World) PutConfig(p *Proc, base uint64, n int) {
+	w.Change(p, "PUT", "/v1/config", fmt.Sprintf("base=%d", base), w.Doc(n), &change{what: "config", base: base})
+}
+
+// Revision is the highest that any living member has applied.
+func (w *World) Revision() (r uint64) {
+	for _, n := range w.names {
+		if p := w.procs[n]; p.core != nil && p.alive {
+			r = max(r, p.core.Revision())
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/sim/process.go
@@ -0,0 +1,331 @@
+// This file is one daemon's process in the simulator: its starts, kills, freezes
+// and disk.
+package sim
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"myrtlefold/core"
+	"myrtlefold/gate"
+	"myrtlefold/limit"
+	"myrtlefold/quorum"
+	"myrtlefold/wire"
+)
+
+type disk struct {
+	img     quorum.Image
+	open    []*wire.Batch
+	stalled bool
+}
+
+// Proc is one daemon's process; gen counts its starts.
+type Proc struct {
+	w      *World
+	name   string
+	kind   string
+	domain string
+	addr   string
+	alive  bool
+	frozen bool
+	held   []any
+	thawed []func()
+	gen    int
+	boot   time.Duration
+	base   time.Duration
+	rate   float64
+	core   *core.Core
+	gate   *gate.Gate
+	disk   *disk
+	pool   map[wire.ID][]*Target
+	live   map[wire.ID]string
+	rev    uint64
+	ticks  bool          // a tick waits for its processor
+	busy   time.Duration // until when its processor is taken, its link out, and its link in
+	out    time.Duration
+	in     time.Duration
+	since  time.Duration // when it last was stopped or started
+}
+
+func (w *World) addProc(kind, name string, domain int) {
+	p := &Proc{w: w, name: name, kind: kind, domain: fmt.Sprintf("d%d", domain+1), addr: fmt.Sprintf("10.0.0.%d:1", len(w.byAddr)+1), disk: &disk{}}
+	if kind == "core" {
+		p.disk.img.Disk = w.rnd.Uint64() | 1
+	}
+	w.procs[name] = p
+	w.byAddr[p.addr] = p
+	w.names = append(w.names, name)
+}
+
+func (p *Proc) local() time.Duration {
+	return p.base + time.Duration(float64(p.w.now-p.boot)*p.rate)
+}
+
+func (w *World) start(p *Proc) {
+	p.gen++
+	p.alive, p.frozen, p.held, p.thawed, p.ticks = true, false, nil, nil, false
+	p.boot, p.since = w.now, w.now
+	p.base = time.Duration(1 + w.rnd.Int64N(int64(time.Hour)))
+	p.rate = w.rate()
+	p.pool, p.live, p.rev = map[wire.ID][]*Target{}, nil, 0
+	var seeds []string
+	set := core.Settings{Size: w.Plan.Cores}
+	if w.Plan.Seeds > 0 {
+		set.Size, set.Found = 0, w.now < foundingTime
+	}
+	for _, n := range w.seeds {
+		seeds = append(seeds, w.procs[n].addr)
+	}
+	self := wire.Daemon{Name: p.name, Kind: p.kind, Domain: p.domain, Addr: p.addr, Http: p.addr, Inc: w.rnd.Uint64() | 1}
+	if p.kind == "core" {
+		p.disk.open = nil
+		img := p.disk.img
+		img.Log = slices.Clone(img.Log)
+		set.Self, set.Seeds, set.Domains = self, seeds, w.Plan.Known
+		p.core = core.New(p.local(), set, img)
+	} else {
+		p.gate = gate.New(gate.Settings{Self: self, Seeds: seeds})
+	}
+	gen := p.gen
+	var beat func()
+	beat = func() {
+		if p.gen != gen || !p.alive {
+			return
+		}
+		switch {
+		case p.frozen:
+		case w.Plan.Scarce == nil:
+			w.deliver(p, core.Tick{})
+		case !p.ticks: // else the one before still waits
+			p.ticks = true
+			w.at(w.work(p, 0)-w.now, func() {
+				if p.gen == gen {
+					p.ticks = false
+					w.deliver(p, core.Tick{})
+				}
+			})
+		}
+		w.at(limit.TickEvery, beat)
+	}
+	w.at(w.ms(0, 20), beat)
+}
+
+// Kill ends a process at once; what its disk had not synced may be there in part.
+func (w *World) Kill(p *Proc) {
+	if !p.alive {
+		return
+	}
+	w.log("kill %s", p.name)
+	p.alive, p.since = false, w.now
+	for len(p.disk.open) > 0 && w.rnd.IntN(3) > 0 {
+		p.disk.img.Fold(p.disk.open[0])
+		p.disk.open = p.disk.open[1:]
+	}
+	p.disk.open, p.disk.stalled = nil, false
+	for _, id := range slices.Sorted(maps.Keys(w.open)) {
+		if x := w.open[id]; x.gate == p && x.gen == p.gen {
+			delete(w.open, id)
+			w.Stats.NoAnswer++
+			if w.planned {
+				w.broken("in flight", "exchange %d was left behind by %s", x.id, p.name)
+			}
+		}
+	}
+}
+
+// WipeDisk loses a dead member's disk.
+func (w *World) WipeDisk(p *Proc) {
+	w.log("wipe disk of %s", p.name)
+	p.disk = &disk{img: quorum.Image{Disk: w.rnd.Uint64() | 1}}
+}
+
+func (w *World) Restart(p *Proc) {
+	if !p.alive {
+		w.log("start %s", p.name)
+		w.start(p)
+	}
+}
+
+// Freeze stops a process where it is; Thaw lets it go on with all that came meanwhile.
+func (w *World) Freeze(p *Proc, d time.Duration) {
+	if !p.alive || p.frozen {
+		return
+	}
+	w.log("freeze %s for %v", p.name, d)
+	p.frozen = true
+	gen := p.gen
+	w.at(d, func() {
+		if p.gen == gen && p.alive {
+			w.log("thaw %s", p.name)
+			p.frozen = false
+			held := p.held
+			p.held = nil
+			for _, fn := range p.thawed { // traffic goes on at once, before the owner is told anything
+				fn()
+			}
+			p.thawed = nil
+			for _, ev := range held {
+				w.deliver(p, ev)
+			}
+		}
+	})
+}
+
+func (w *World) deliver(p *Proc, ev any) {
+	if !p.alive {
+		return
+	}
+	if p.frozen {
+		p.held = append(p.held, ev)
+		return
+	}
+	var cmds []any
+	if p.core != nil {
+		cmds = p.core.Step(p.local(), ev)
+	} else {
+		cmds = p.gate.Step(p.local(), ev)
+	}
+	for _, c := range cmds {
+		w.exec(p, c)
+	}
+	if p.core != nil {
+		w.checkCores(p)
+	} else {
+		w.checkGate(p)
+	}
+}
+
+func (w *World) exec(p *Proc, cmd any) {
+	gen := p.gen
+	switch c := cmd.(type) {
+	case core.Send:
+		to := w.byAddr[c.Addr]
+		if to == nil || !w.reach(p.name, to.name) || w.rnd.Float64() < w.loss {
+			return
+		}
+		d := w.delay/5 + time.Duration(w.rnd.Int64N(int64(w.delay)))
+		k := [2]string{p.name, to.name}
+		at := max(w.now+d, w.link[k]+1) // a pipe keeps its order
+		m, tg := w.spoil(p, to, c.M), to.gen
+		if m == nil {
+			return
+		}
+		if w.Plan.Scarce != nil {
+			w.scarce(p, to, m, d)
+			return
+		}
+		if w.rnd.Float64() < w.late {
+			at = w.now + w.ms(200, 4000) // left over in an earlier pipe
+			w.Stats.Slips++
+			m = w.spoilLate(p, m)
+		} else {
+			w.link[k] = at
+		}
+		w.at(at-w.now, func() {
+			if to.gen == tg && w.reach(p.name, to.name) {
+				w.deliver(to, core.Recv{M: m})
+			}
+		})
+	case core.Sync:
+		p.disk.open = append(p.disk.open, c.B)
+		d := p.disk
+		if w.sabotage == "sync" {
+			w.at(0, func() { w.deliver(p, core.Synced{Seq: c.B.Seq}) })
+			return
+		}
+		w.at(w.ms(0, 4), func() { w.flush(p, gen, d) })
+	case core.Probe:
+		if w.Plan.Scarce != nil { // the question, and the answer
+			w.work(p, 0)
+			w.work(p, 0)
+		}
+		w.probe(p, c)
+	case core.Reply:
+		if a := w.asks[c.ID]; a != nil {
+			delete(w.asks, c.ID)
+			w.at(w.ms(0, 2), func() { a.fn(c) })
+		}
+	case core.Change:
+		w.log("%s %s %s -> %s (%s)", p.name, c.What, c.From, c.To, c.Why)
+		if w.sabotage == "early answer" && c.What == "revision" && p.core != nil {
+			w.acked = max(w.acked, p.core.Revision())
+		}
+		if c.What == "lead" && c.To == "idle" || c.To == "cut" || c.To == "orphan" {
+			w.lostLead = w.now
+		}
+		if c.To == "orphan" {
+			w.Stats.Orphaned++
+		}
+	case core.Note:
+		if c.Decision != nil && c.Decision.Kind != "lapse" {
+			w.log("%s %s %s %s/%s", p.name, c.Decision.Policy, c.Decision.Kind, c.Decision.Service, c.Decision.Name)
+		}
+	case core.Exit:
+		if p.alive {
+			w.log("exit %s", p.name)
+			if p.gate != nil && p.gate.InFlight() > 0 {
+				w.broken("in flight", "%s left %d exchanges behind at a planned stop", p.name, p.gate.InFlight())
+			}
+			w.Kill(p)
+		}
+	case gate.Targets:
+		p.live = c.Live
+		maps.DeleteFunc(p.pool, func(id wire.ID, _ []*Target) bool { _, ok := c.Live[id]; return !ok })
+	case gate.Dark: // exchanges here wait for their deadlines
+	case gate.Give:
+		w.give(p, c)
+	case gate.Refuse:
+		w.refused(p, c)
+	default:
+		panic(fmt.Sprintf("%T", cmd))
+	}
+}
+
+func (w *World) flush(p *Proc, gen int, d *disk) {
+	if p.gen != gen || !p.alive || d != p.disk || d.stalled || len(d.open) == 0 {
+		return
+	}
+	var seq uint64
+	for _, b := range d.open {
+		d.img.Fold(b)
+		seq = b.Seq
+	}
+	d.open = nil
+	w.deliver(p, core.Synced{Seq: seq})
+}
+
+// Stall keeps a disk from syncing for a while.
+func (w *World) Stall(p *Proc, d time.Duration) {
+	w.log("stall disk of %s for %v", p.name, d)
+	dk, gen := p.disk, p.gen
+	dk.stalled = true
+	w.at(d, func() {
+		dk.stalled = false
+		w.flush(p, gen, dk)
+	})
+}
+
+// Leader is the member that decides, if one does.
+func (w *World) Leader() *Proc {
+	for _, n := range w.names {
+		if p := w.procs[n]; p.core != nil && p.alive && !p.frozen && p.core.Leading() {
+			return p
+		}
+	}
+	return nil
+}
+
+func (w *World) pick(kind string, alive bool) *Proc {
+	var l []*Proc
+	for _, n := range w.names {
+		if p := w.procs[n]; p.kind == kind && p.alive == alive {
+			l = append(l, p)
+		}
+	}
+	if len(l) == 0 {
+		return nil
+	}
+	return l[w.rnd.IntN(len(l))]
+}
--- /dev/null
+++ b/sim/request.go
@@ -0,0 +1,263 @@
+// This file is the simulated callers and their requests, from the proxy's choice to
+// the last answer.
+package sim
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"myrtlefold/gate"
+	"myrtlefold/limit"
+)
+
+type exchange struct {
+	id     uint64
+	svc    string
+	unsafe bool
+	gate   *Proc
+	gen    int
+	ran    int
+	sent   bool
+	retry  bool
+	final  string
+	hard   int
+	rev    uint64 // the proxy's when it chose
+}
+
+type tick struct {
+	at    time.Duration
+	retry bool
+}
+
+// Callers sends exchanges at the plan's rate until the world is quiet.
+func (w *World) Callers() {
+	var next func()
+	next = func() {
+		if w.quiet {
+			return
+		}
+		svcs := slices.Sorted(maps.Keys(w.Plan.Services))
+		w.exchange(svcs[w.rnd.IntN(len(svcs))], w.rnd.Float64() < w.Plan.Unsafe, 0)
+		w.at(time.Duration(w.rnd.ExpFloat64()*float64(time.Second)/w.Plan.Rate), next)
+	}
+	w.at(0, next)
+}
+
+func (w *World) exchange(svc string, unsafe bool, hard int) {
+	var ready []*Proc
+	for _, n := range w.names {
+		if p := w.procs[n]; p.kind == "gate" && p.alive && !p.frozen && p.gate.Ready() {
+			ready = append(ready, p)
+		}
+	}
+	if len(ready) == 0 {
+		for _, n := range w.names {
+			if p := w.procs[n]; p.kind == "gate" && p.alive {
+				ready = append(ready, p)
+			}
+		}
+	}
+	if len(ready) == 0 {
+		return
+	}
+	w.exchangeAt(ready[w.rnd.IntN(len(ready))], svc, unsafe, hard)
+}
+
+func (w *World) exchangeAt(p *Proc, svc string, unsafe bool, hard int) {
+	w.nextEx++
+	x := &exchange{id: w.nextEx, svc: svc, unsafe: unsafe, gate: p, gen: p.gen, hard: hard}
+	w.open[x.id] = x
+	w.Stats.Exchanges++
+	m := "GET"
+	if unsafe && w.sabotage != "resend" { // that takes the owner's own guard out too
+		m = "POST"
+	}
+	path := "/a"
+	if m == "POST" {
+		path = "/once/a"
+	}
+	w.deliver(p, gate.Admit{ID: x.id, Host: "x", Path: "/" + svc + path, Method: m})
+}
+
+func (w *World) end(x *exchange, final string) {
+	x.final = final
+	delete(w.open, x.id)
+	switch final {
+	case "served":
+		w.Stats.Served++
+		if !w.quiet {
+			w.Stats.Gap = max(w.Stats.Gap, w.now-w.lastOk[x.svc])
+		}
+		w.lastOk[x.svc] = w.now
+		w.okAt = append(w.okAt, w.now)
+	case "no":
+		w.Stats.NotRun++
+		if x.ran > 0 {
+			w.broken("refused but ran", "exchange %d had run %d times", x.id, x.ran)
+		}
+	case "unknown":
+		w.Stats.Unknown++
+		if w.planned {
+			w.broken("in flight", "exchange %d at %s was lost during planned work", x.id, x.gate.name)
+		}
+	}
+	if final != "served" && x.hard < 3 && w.rnd.Float64() < w.Plan.Hard {
+		w.at(w.ms(0, 5), func() { w.exchange(x.svc, x.unsafe, x.hard+1) })
+	}
+}
+
+func (w *World) refused(p *Proc, c gate.Refuse) {
+	x := w.open[c.ID]
+	if x == nil {
+		return
+	}
+	if c.Status == 503 && c.Retry == 0 {
+		w.broken("come back when", "a refusal without Retry-After")
+	}
+	if x.sent && w.sabotage != "say no" {
+		w.end(x, "unknown")
+	} else {
+		w.end(x, "no")
+	}
+}
+
+// give plays the carrier: a pooled pipe or a new one with its identity checked,
+// then the exchange, then what its end means.
+func (w *World) give(p *Proc, c gate.Give) {
+	x := w.open[c.ID]
+	if x == nil || x.gate != p || x.gen != p.gen {
+		return
+	}
+	w.checkGive(p, &c, x)
+	id := c.Target.ID()
+	var t *Target
+	pooled := false
+	for l := p.pool[id]; len(l) > 0 && t == nil; l = p.pool[id] {
+		t, p.pool[id] = l[len(l)-1], l[:len(l)-1]
+		if !t.alive {
+			t = nil
+		}
+		pooled = t != nil
+	}
+	if t == nil {
+		t = w.listen[c.Target.Addr]
+	}
+	back := func(d time.Duration, fn func()) {
+		w.at(d, func() {
+			if p.alive && p.gen == x.gen && w.open[x.id] == x {
+				fn()
+			}
+		})
+	}
+	fail := func(d time.Duration, o gate.Outcome, sent, late bool) {
+		back(d, func() {
+			w.deliver(p, gate.Done{ID: x.id, Outcome: o, Ms: float64(d) / 1e6})
+			if w.open[x.id] != x {
+				return
+			}
+			if o == gate.NotRun {
+				x.retry = true
+				w.deliver(p, gate.Again{ID: x.id, Sent: w.sabotage != "budget"})
+				return
+			}
+			x.sent = x.sent || sent
+			if late || sent && x.unsafe && w.sabotage != "resend" {
+				w.deliver(p, gate.Cancel{ID: x.id})
+				if x.sent {
+					w.end(x, "unknown")
+				} else {
+					w.end(x, "no")
+				}
+				return
+			}
+			x.retry = sent
+			w.deliver(p, gate.Again{ID: x.id, Sent: sent && w.sabotage != "budget"})
+		})
+	}
+	switch {
+	case t == nil:
+		fail(w.ms(1, 3), gate.Closed, false, false)
+		return
+	case !pooled && (t.hang || !w.reach(p.name, t.name) || !w.reach(t.name, p.name)):
+		fail(min(limit.ConnectCap, c.Left), gate.Closed, false, false)
+		return
+	case !pooled && (t.service != id.Service || t.name != id.Name || t.inc != id.Inc) && w.sabotage != "identity":
+		w.Stats.Foreign++
+		fail(w.ms(1, 3), gate.Foreign, false, false)
+		return
+	}
+	w.at(w.ms(0, 2), func() { w.write(p, c, x, t, back, fail) })
+}
+
+// write is the moment at which an exchange's first byte goes out; a process that
+// is frozen then goes on with it when it thaws.
+func (w *World) write(p *Proc, c gate.Give, x *exchange, t *Target, back func(time.Duration, func()), fail func(time.Duration, gate.Outcome, bool, bool)) {
+	id := c.Target.ID()
+	if !p.alive || p.gen != x.gen {
+		return
+	}
+	if p.frozen {
+		p.thawed = append(p.thawed, func() { w.write(p, c, x, t, back, fail) })
+		return
+	}
+	if p.local() > c.Till {
+		fail(0, gate.Stale, false, false)
+		return
+	}
+	w.checkWrite(p, &c, x)
+	if x.retry {
+		w.Stats.Retries++
+	}
+	w.sends[x.svc] = append(w.sends[x.svc], tick{w.now, x.retry})
+	x.retry = false
+	w.at(0, func() {
+		if t.service != x.svc {
+			w.broken("wrong service", "exchange %d for %s reached %s/%s", x.id, x.svc, t.service, t.name)
+		}
+		switch {
+		case !t.alive:
+			fail(0, gate.Lost, true, false)
+			return
+		case t.hang || !w.reach(p.name, t.name) || !w.reach(t.name, p.name):
+			x.sent = true
+			fail(c.Left, gate.Lost, true, true)
+			return
+		}
+		w.checkCold(t)
+		if w.Plan.Slots > 0 && len(t.works) >= w.Plan.Slots+queued {
+			w.Stats.TurnedAway++
+			if t.resets {
+				fail(0, gate.Lost, true, false)
+			} else {
+				fail(0, gate.NotRun, true, false)
+			}
+			return
+		}
+		w.runs(t, x)
+		t.works = append(t.works, x)
+		w.at(t.work, func() {
+			t.works = slices.DeleteFunc(t.works, func(o *exchange) bool { return o == x })
+			switch {
+			case !t.alive || t.lose:
+				w.Stats.Lost++
+				if x.unsafe {
+					w.Stats.LostUnsafe++
+				}
+				fail(0, gate.Lost, true, false)
+			default:
+				o := gate.Served
+				if t.fail {
+					o = gate.Broken
+				}
+				back(0, func() {
+					if _, ok := p.live[id]; ok {
+						p.pool[id] = append(p.pool[id], t)
+					}
+					w.deliver(p, gate.Done{ID: x.id, Outcome: o, Ms: float64(t.work) / 1e6, Last: true})
+					w.end(x, "served")
+				})
+			}
+		})
+	})
+}
