--- a/carry/ahead.go
+++ b/carry/ahead.go
@@ -1,4 +1,4 @@
-// This file has pipelined exchanges begin before the ones ahead of them are answered.
+// This file has pipelined requests begin before the ones ahead of them are answered.
 // The library's server reads a caller's next request only after the answer to the one
 // before. A caller's connection looks at what it hands to that server: while one request
 // is under way, a further one that is complete, plain and bodiless is begun aside, and its
@@ -22,11 +22,11 @@
 type callerKey struct{}
 
 // Listener has its connections look ahead.
-func (c *Carrier) Listener(ln net.Listener) net.Listener { return listener{ln, c} }
+func (c *Forwarder) Listener(ln net.Listener) net.Listener { return listener{ln, c} }
 
 type listener struct {
 	net.Listener
-	c *Carrier
+	c *Forwarder
 }
 
 func (l listener) Accept() (net.Conn, error) {
@@ -39,18 +39,18 @@
 	return p, nil
 }
 
-// Context tells exchanges which connection they came on; it is the server's ConnContext.
-func (c *Carrier) Context(ctx context.Context, conn net.Conn) context.Context {
+// Context tells requests which connection they came on; it is the server's ConnContext.
+func (c *Forwarder) Context(ctx context.Context, conn net.Conn) context.Context {
 	if p, ok := conn.(*caller); ok {
 		return context.WithValue(ctx, callerKey{}, p)
 	}
 	return ctx
 }
 
-// caller is a caller's connection. Reads follow one another, and so do exchanges.
+// caller is a caller's connection. Reads follow one another, and so do requests.
 type caller struct {
 	net.Conn
-	c      *Carrier
+	c      *Forwarder
 	ctx    context.Context
 	cancel context.CancelFunc
 	early  chan *early
@@ -62,10 +62,10 @@
 	heads int    // requests whose header was handed on
 	blind bool   // something not plain came: nothing is looked at any more
 
-	// The exchanges' side's.
+	// The requests' side's.
 	served int
 	next   *early
-	busy   bool // an exchange is under way
+	busy   bool // a request is under way
 
 	// ahead is how many are begun and not answered; below 0: none is begun any more.
 	ahead atomic.Int64
@@ -100,7 +100,7 @@
 			return 0, err
 		}
 		p.in = p.buf[:n]
-		// The server reads one byte while an exchange runs: then the first header is ahead too.
+		// The server reads one byte while a request runs: then the first header is ahead too.
 		p.look(len(b) == 1 && p.heads > 0 && len(p.head) == 0)
 	}
 	n := min(len(b), len(p.in))
@@ -234,8 +234,8 @@
 	return p.ahead.Load() < 0 || p.ahead.CompareAndSwap(0, -1)
 }
 
-// ServeHTTP carries an exchange, or hands on the answer to one that was begun ahead.
-func (c *Carrier) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP carries a request, or hands on the answer to one that was begun ahead.
+func (c *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p, _ := r.Context().Value(callerKey{}).(*caller)
 	if p == nil {
 		c.serve(w, r)
@@ -281,7 +281,7 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
-// early is an exchange that was begun ahead, and its answer: kept, or, if it is larger
+// early is a request that was begun ahead, and its answer: kept, or, if it is larger
 // than what is kept, written on by its own goroutine once the server has come to it.
 type early struct {
 	id     int
@@ -295,7 +295,7 @@
 	failed any // what it panicked with
 }
 
-func (e *early) run(c *Carrier) {
+func (e *early) run(c *Forwarder) {
 	defer close(e.done)
 	defer func() { e.failed = recover() }()
 	c.serve(e, e.r)
--- a/carry/ahead_test.go
+++ b/carry/ahead_test.go
@@ -20,7 +20,7 @@
 	"myrtlefold/wire"
 )
 
-// A pipelined exchange reaches its target while the one ahead of it runs; the answers
+// A pipelined request reaches its target while the one ahead of it runs; the answers
 // come in order, and no connection is announced to end while others are ahead on it.
 func TestAhead(t *testing.T) {
 	first, second := make(chan bool), make(chan bool)
@@ -171,7 +171,7 @@
 	}
 }
 
-// An exchange that may be repeated leaves a target that nothing reaches, one that may not
+// A request that may be repeated leaves a target that nothing reaches, one that may not
 // or has no attempts left waits on.
 func TestDarkTarget(t *testing.T) {
 	for _, c := range []struct {
--- a/carry/answer.go
+++ b/carry/answer.go
@@ -21,8 +21,8 @@
 }
 
 // hear reads the answer to what was written on p and says what it means.
-func (c *Carrier) hear(w http.ResponseWriter, r *http.Request, g *gate.Give, p *Pipe, u *upload, repeats bool, till time.Time, sent chan error, tell func(*tried, bool), stop func() bool) (t tried) {
-	// done ends the pipe's part: it is kept if all of the exchange is over on it.
+func (c *Forwarder) readAnswer(w http.ResponseWriter, r *http.Request, g *gate.Give, p *Conn, u *upload, repeats bool, till time.Time, sent chan error, tell func(*tried, bool), stop func() bool) (t tried) {
+	// done ends the connection's part: it is kept if all of the request is over on it.
 	ended := false
 	done := func(keep bool) {
 		if ended {
@@ -118,11 +118,11 @@
 		}
 		t.status = resp.StatusCode
 		tell(&t, true) // the target is free, however slowly the caller reads
-		c.pass(w, r, a)
+		c.passAnswer(w, r, a)
 		return t
 	}
 	t.status = resp.StatusCode
-	if err := c.pass(w, r, a); err != nil {
+	if err := c.passAnswer(w, r, a); err != nil {
 		t.cut = true
 		t.outcome = gate.Lost
 		if u.left(r) {
@@ -141,7 +141,7 @@
 
 // pass hands an answer to the caller. One that is not held whole streams: what has
 // come goes on before more is waited for.
-func (c *Carrier) pass(w http.ResponseWriter, r *http.Request, a *answer) error {
+func (c *Forwarder) passAnswer(w http.ResponseWriter, r *http.Request, a *answer) error {
 	resp, h := a.resp, w.Header()
 	announced := slices.Collect(maps.Keys(resp.Trailer))
 	strip(resp.Header)
--- a/carry/carry.go
+++ b/carry/carry.go
@@ -1,13 +1,13 @@
-// Package carry takes callers' HTTP exchanges to back ends, on pipes of its own (see
-// pipe.go), because the library's transport sends some exchanges again by itself. Who
-// answers on a pipe is checked: targets that are asked for their health are told with
-// each exchange who is expected, others are asked for their identity on each new pipe.
+// Package carry takes callers' HTTP requests to back ends, on connections of its own (see
+// pipe.go), because the library's transport sends some requests again by itself. Who
+// answers on a connection is checked: targets that are asked for their health are told with
+// each request who is expected, others are asked for their identity on each new connection.
 //
-// That an exchange did not run is believed only if nothing of it was written or the
-// target says so. An answer must belong to its exchange; a small one is read whole
+// That a request did not run is believed only if nothing of it was written or the
+// target says so. An answer must belong to its request; a small one is read whole
 // before its caller gets any of it, so that one that is cut can be made up for.
-// Answers pass unaltered. Errors have one JSON shape that says whether the exchange
-// ran: no, or unknown. A large answer that is cut cuts the caller's pipe.
+// Answers pass unaltered. Errors have one JSON shape that says whether the request
+// ran: no, or unknown. A large answer that is cut cuts the caller's connection.
 package carry
 
 import (
@@ -33,17 +33,17 @@
 const (
 	// DeadlineHeader is how many milliseconds the caller still gives; it is passed on with what is left.
 	DeadlineHeader = "Myrtlefold-Deadline-Ms"
-	// RanHeader repeats an error's word on whether the exchange ran.
+	// RanHeader repeats an error's word on whether the request ran.
 	RanHeader = "Myrtlefold-Ran"
 )
 
 // Headers are the names of the headers that are spoken with callers and targets.
 type Headers struct {
 	Deadline string // milliseconds that the caller still gives; passed on with what is left
-	Ran      string // an error's word on whether the exchange ran
-	Attempt  string // the exchange's id, which answers repeat
+	Ran      string // an error's word on whether the request ran
+	Attempt  string // the request's id, which answers repeat
 	Expect   string // the target that is meant; any other answers 421 and runs nothing
-	NotRun   string // a target's word that it did not run the exchange
+	NotRun   string // a target's word that it did not run the request
 	Load     string // a target's "running,waiting,slots"
 	Identity string // who answers, in health answers
 	Cold     string // for how many milliseconds it is still cold, in health answers
@@ -71,31 +71,31 @@
 }
 
 // Owner passes events to the proxy's owner. Ask waits for the Give or Refuse
-// that answers an event for an exchange.
+// that answers an event for a request.
 type Owner struct {
 	Now  func() time.Duration
 	Tell func(ev any)
 	Ask  func(ctx context.Context, id uint64, ev any) any
 }
 
-// Counts are the carrier's counters.
+// Counts are the forwarder's counters.
 type Counts struct {
 	Exchanges, Served, Unknown, NotRun, Cut, Gone, Opened, Reused, Foreign, TurnedAway, Strange, Ahead, GivenUp atomic.Uint64
 }
 
 // Carrier is the handler of the callers' address.
-type Carrier struct {
+type Forwarder struct {
 	owner  Owner
 	pool   *Pool
 	nextID atomic.Uint64
 	Counts Counts
-	// Observe is told each exchange's service, status and seconds.
+	// Observe is told each request's service, status and seconds.
 	Observe func(svc string, status int, sec float64)
-	// Leaving has each answer end its caller's pipe, so that callers move to other proxies.
+	// Leaving has each answer end its caller's connection, so that callers move to other proxies.
 	Leaving atomic.Bool
 	// Limits are the configuration's bounds on callers, nil: the program's own.
 	Limits atomic.Pointer[model.Limits]
-	// From is where pipes leave from, nil for the system's choice.
+	// From is where connections leave from, nil for the system's choice.
 	From net.Addr
 	// Headers are the names of the headers that it speaks.
 	Headers Headers
@@ -103,8 +103,8 @@
 	Forwarded bool
 }
 
-func New(o Owner, p *Pool) *Carrier {
-	return &Carrier{owner: o, pool: p, Observe: func(string, int, float64) {}, Headers: Defaults(), Forwarded: true}
+func New(o Owner, p *Pool) *Forwarder {
+	return &Forwarder{owner: o, pool: p, Observe: func(string, int, float64) {}, Headers: Defaults(), Forwarded: true}
 }
 
 var hop = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
@@ -148,7 +148,7 @@
 	return append(append(append(append(out, k...), ": "...), v...), "\r\n"...)
 }
 
-func (c *Carrier) serve(w http.ResponseWriter, r *http.Request) {
+func (c *Forwarder) serve(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
 	c.Counts.Exchanges.Add(1)
 	if c.Leaving.Load() {
@@ -164,7 +164,7 @@
 		}
 		fault(w, c.Headers.Ran, s, retry, t)
 	}
-	// gone ends an exchange whose caller has left: an answer, or none, would be a false one.
+	// gone ends a request whose caller has left: an answer, or none, would be a false one.
 	gone := func() {
 		c.Counts.Gone.Add(1)
 		panic(http.ErrAbortHandler)
@@ -216,7 +216,7 @@
 			if spare != nil {
 				status = spare.resp.StatusCode
 				c.Counts.Served.Add(1)
-				c.pass(w, r, spare)
+				c.passAnswer(w, r, spare)
 				return
 			}
 			retry, code, msg, st := no.Retry, no.Code, no.Message, no.Status
@@ -285,7 +285,7 @@
 			if spare != nil {
 				status = spare.resp.StatusCode
 				c.Counts.Served.Add(1)
-				c.pass(w, r, spare)
+				c.passAnswer(w, r, spare)
 				return
 			}
 			st := lastStatus
@@ -300,7 +300,7 @@
 }
 
 // receive reads the body within the time that the caller gave.
-func (c *Carrier) receive(w http.ResponseWriter, r *http.Request, start time.Time, timeout time.Duration) (*upload, error) {
+func (c *Forwarder) receive(w http.ResponseWriter, r *http.Request, start time.Time, timeout time.Duration) (*upload, error) {
 	if timeout == 0 || r.ContentLength == 0 {
 		return receive(r)
 	}
@@ -327,8 +327,8 @@
 	outcome gate.Outcome
 }
 
-// pipe is an idle pipe to the target or a new one; its deadline is set.
-func (c *Carrier) pipe(ctx context.Context, g *gate.Give, idle time.Duration, till time.Time) (*Pipe, error) {
+// connection is an idle connection to the target or a new one; its deadline is set.
+func (c *Forwarder) conn(ctx context.Context, g *gate.Give, idle time.Duration, till time.Time) (*Conn, error) {
 	if idle > 0 {
 		if p := c.pool.take(g.Target.ID(), idle, till); p != nil {
 			c.Counts.Reused.Add(1)
@@ -355,7 +355,7 @@
 		}
 	}
 	p.c.SetDeadline(till)
-	if !p.quiet() { // a target that is full may reset a pipe at once: then nothing was written
+	if !p.quiet() { // a target that is full may reset a connection at once: then nothing was written
 		p.Close()
 		return nil, net.ErrClosed
 	}
@@ -370,17 +370,17 @@
 	return a
 }
 
-// give keeps a pipe for later; a target that bounds its pipes is left some for other proxies.
-func (c *Carrier) give(g *gate.Give, p *Pipe) {
-	n := limit.PipesIdleMax
+// give keeps a connection for later; a target that bounds its connections is left some for other proxies.
+func (c *Forwarder) give(g *gate.Give, p *Conn) {
+	n := limit.IdleConnsMax
 	if g.Set.ConnCap > 0 {
 		n = min(n, max(1, g.Set.ConnCap/limit.ConnParts))
 	}
 	c.pool.give(g.Target.ID(), p, n)
 }
 
-// compose writes the exchange's head, and its body as far as it is kept.
-func (c *Carrier) compose(out []byte, r *http.Request, g *gate.Give, u *upload, left time.Duration) []byte {
+// compose writes the request's head, and its body as far as it is kept.
+func (c *Forwarder) compose(out []byte, r *http.Request, g *gate.Give, u *upload, left time.Duration) []byte {
 	uri := r.RequestURI
 	if !strings.HasPrefix(uri, "/") {
 		uri = r.URL.RequestURI()
@@ -445,7 +445,7 @@
 	return false
 }
 
-func (c *Carrier) try(w http.ResponseWriter, r *http.Request, g *gate.Give, u *upload, repeats bool) (t tried) {
+func (c *Forwarder) try(w http.ResponseWriter, r *http.Request, g *gate.Give, u *upload, repeats bool) (t tried) {
 	start := time.Now()
 	told := false
 	tell := func(t *tried, last bool) {
@@ -456,12 +456,12 @@
 	}
 	defer func() { tell(&t, t.status != 0 || t.outcome == gate.Dropped) }()
 	till := start.Add(g.Left)
-	idle := limit.PipeIdle
+	idle := limit.ConnIdle
 	if !repeats {
 		idle = limit.OnceIdle
 	}
 	for {
-		p, err := c.pipe(r.Context(), g, idle, till)
+		p, err := c.conn(r.Context(), g, idle, till)
 		if err != nil {
 			switch {
 			case r.Context().Err() != nil:
@@ -488,7 +488,7 @@
 		if n == 0 && err != nil && idle > 0 && !p.fresh {
 			stop()
 			p.Close()
-			idle = 0 // the pipe was dead and nothing went out: a new one tells more
+			idle = 0 // the connection was dead and nothing went out: a new one tells more
 			continue
 		}
 		p.fresh = false
@@ -512,7 +512,7 @@
 				}
 			}()
 		}
-		t = c.hear(w, r, g, p, u, repeats, till, sent, tell, stop)
+		t = c.readAnswer(w, r, g, p, u, repeats, till, sent, tell, stop)
 		return t
 	}
 }
--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -22,7 +22,7 @@
 	"myrtlefold/wire"
 )
 
-// backend is a back end whose exchanges do what the test says.
+// backend is a back end whose requests do what the test says.
 type backend struct {
 	wire.Target
 	srv  *httptest.Server
@@ -61,7 +61,7 @@
 	fmt.Fprintf(w, "ran %s", b)
 }
 
-// front runs a carrier whose owner gives the targets in turn, then refuses.
+// front runs a forwarder whose owner gives the targets in turn, then refuses.
 type front struct {
 	url    string
 	pool   *Pool
@@ -70,7 +70,7 @@
 	addr   string
 	client *http.Client
 	now    atomic.Int64
-	car    *Carrier
+	car    *Forwarder
 	set    model.Service
 	route  model.Route
 	left   time.Duration
@@ -130,7 +130,7 @@
 	return resp.StatusCode, resp.Header, string(b)
 }
 
-// What an answer's loss means for each kind of exchange, and that nothing that
+// What an answer's loss means for each kind of request, and that nothing that
 // may have run is ever sent again.
 func TestLostAnswers(t *testing.T) {
 	gone, _ := net.Listen("tcp", "127.0.0.1:0")
@@ -174,7 +174,7 @@
 }
 
 // An answer that ends early must not look whole: one that is held is made up for by
-// an error, one that streams cuts the caller's pipe.
+// an error, one that streams cuts the caller's connection.
 func TestCutAnswer(t *testing.T) {
 	for _, say := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"} {
 		f := carrier(t, serve(t, "a", hijack(say)).Target)
@@ -190,7 +190,7 @@
 	}
 }
 
-// A pipe is used only for the identity that the table names.
+// A connection is used only for the identity that the table names.
 func TestIdentity(t *testing.T) {
 	a := serve(t, "a", fine)
 	other := a.Target
@@ -203,7 +203,7 @@
 }
 
 // A choice has a short life: a proxy that froze between choosing and writing
-// writes nothing, on a new pipe or a kept one, and asks its owner again.
+// writes nothing, on a new connection or a kept one, and asks its owner again.
 func TestOldChoice(t *testing.T) {
 	a := serve(t, "a", fine)
 	f := carrier(t, a.Target)
@@ -211,7 +211,7 @@
 		t.Fatal(status)
 	}
 	<-f.told
-	f.now.Store(int64(limit.ChoiceLife + 1)) // the pool holds a pipe by now
+	f.now.Store(int64(limit.ChoiceLife + 1)) // the pool holds a connection by now
 	for range 2 {
 		status, h, _ := f.do(t, "POST", "/x", "body")
 		if d := (<-f.told).(gate.Done); status != 503 || h.Get(RanHeader) != "no" || d.Outcome != gate.Stale {
@@ -226,7 +226,7 @@
 	}
 }
 
-// No pipe outlives its target's entry in the table.
+// No connection outlives its target's entry in the table.
 func TestPipeLeavesWithItsTarget(t *testing.T) {
 	a := serve(t, "a", fine)
 	f := carrier(t, a.Target)
@@ -236,7 +236,7 @@
 	if d := <-f.told; d.(gate.Done).Outcome != gate.Served {
 		t.Fatal(d)
 	}
-	take := func(p *Pool) *Pipe { return p.take(a.Target.ID(), time.Hour, time.Now().Add(time.Hour)) }
+	take := func(p *Pool) *Conn { return p.take(a.Target.ID(), time.Hour, time.Now().Add(time.Hour)) }
 	p := take(f.pool)
 	if p == nil {
 		t.Fatal("no pipe was kept")
@@ -247,7 +247,7 @@
 		t.Fatal("the pipe is still open")
 	}
 	g := carrier(t, a.Target)
-	g.pool.Live(map[wire.ID]string{}) // it left while the exchange was under way
+	g.pool.Live(map[wire.ID]string{}) // it left while the request was under way
 	g.do(t, "GET", "/x", "")
 	if take(g.pool) != nil {
 		t.Fatal("a pipe came back for a target that left")
@@ -382,7 +382,7 @@
 	return b
 }
 
-// says is an answer that echoes the exchange's id and bears the proof.
+// says is an answer that echoes the request's id and bears the proof.
 func says(status int, body string, hd ...string) func(int, int, *http.Request) (string, bool) {
 	return func(_, _ int, r *http.Request) (string, bool) {
 		s := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\nA: %s\r\nP: yes\r\n", status, len(body), r.Header.Get("A"))
@@ -405,7 +405,7 @@
 	return f
 }
 
-// What each answer means for an exchange that may run once and for one that may be
+// What each answer means for a request that may run once and for one that may be
 // repeated: only a target's own word makes it one that did not run.
 func TestOutcomes(t *testing.T) {
 	head := func(s string) func(int, int, *http.Request) (string, bool) {
@@ -552,7 +552,7 @@
 	}
 }
 
-// One pipe serves exchange after exchange, unless its target, its age or what came on
+// One connection serves request after request, unless its target, its age or what came on
 // it speaks against it.
 func TestReuse(t *testing.T) {
 	for _, c := range []struct {
@@ -583,7 +583,7 @@
 	}
 }
 
-// What comes on an idle pipe ends it, and so does its close.
+// What comes on an idle connection ends it, and so does its close.
 func TestIdlePipe(t *testing.T) {
 	for _, surplus := range []string{"HTTP/1.1 200 OK\r\n\r\n", "x", ""} {
 		ln, _ := net.Listen("tcp", "127.0.0.1:0")
@@ -605,28 +605,28 @@
 	}
 }
 
-// An exchange that must not run twice takes only a pipe that was just used; one that
+// A request that must not run twice takes only a connection that was just used; one that
 // may be repeated takes any that its target still keeps.
 func TestAges(t *testing.T) {
 	ln, _ := net.Listen("tcp", "127.0.0.1:0")
 	defer ln.Close()
 	s := &shelf{}
-	open := func(ago time.Duration) *Pipe {
+	open := func(ago time.Duration) *Conn {
 		p, err := Open(t.Context(), ln.Addr().String(), nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		s.put(p, limit.PipesIdleMax)
+		s.put(p, limit.IdleConnsMax)
 		p.used.Add(-int64(ago))
 		return p
 	}
 	till := time.Now().Add(time.Hour)
-	old, mid := open(limit.PipeIdle), open(2*limit.OnceIdle)
+	old, mid := open(limit.ConnIdle), open(2*limit.OnceIdle)
 	if s.take(limit.OnceIdle, till) != nil {
 		t.Fatal("too old for once")
 	}
 	young := open(0)
-	if s.take(limit.OnceIdle, till) != young || s.take(limit.PipeIdle, till) != mid || s.take(limit.PipeIdle, till) != nil {
+	if s.take(limit.OnceIdle, till) != young || s.take(limit.ConnIdle, till) != mid || s.take(limit.ConnIdle, till) != nil {
 		t.Fatal("not the last used first")
 	}
 	s.sweep(time.Now())
@@ -641,14 +641,14 @@
 			t.Errorf("%q: %v", v, got)
 		}
 	}
-	for range limit.PipesIdleMax + 3 {
+	for range limit.IdleConnsMax + 3 {
 		open(0)
 	}
 	n := 0
-	for s.take(limit.PipeIdle, till) != nil {
+	for s.take(limit.ConnIdle, till) != nil {
 		n++
 	}
-	if n != limit.PipesIdleMax {
+	if n != limit.IdleConnsMax {
 		t.Fatal(n, "kept")
 	}
 }
@@ -801,7 +801,7 @@
 	}
 }
 
-// A target that bounds its pipes is left most of them.
+// A target that bounds its connections is left most of them.
 func TestPipesLeft(t *testing.T) {
 	a := bytesOf(t, "a", says(200, "ok"))
 	f := carrier(t, a.Target)
@@ -845,11 +845,11 @@
 	}
 }
 
-// Many at once, over few pipes that come and go: each caller gets its own answer.
+// Many at once, over few connections that come and go: each caller gets its own answer.
 func TestManyAtOnce(t *testing.T) {
 	a := bytesOf(t, "a", func(c, n int, r *http.Request) (string, bool) {
 		s, _ := says(200, r.URL.Path)(c, n, r)
-		return s, n%7 != 0 // it closes a pipe now and then
+		return s, n%7 != 0 // it closes a connection now and then
 	})
 	go func() {
 		for range a.seen {
@@ -948,7 +948,7 @@
 	}
 }
 
-// Large answers stream, and one that is cut cuts its caller's pipe.
+// Large answers stream, and one that is cut cuts its caller's connection.
 func TestLargeAnswers(t *testing.T) {
 	big := strings.Repeat("z", limit.AnswerHeld+1)
 	for _, cut := range []bool{false, true} {
@@ -1046,7 +1046,7 @@
 	})
 }
 
-// One small exchange from end to end over loopback, caller and target included.
+// One small request from end to end over loopback, caller and target included.
 func BenchmarkExchange(b *testing.B) {
 	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 600\r\nMyrtlefold-Attempt: 1f\r\nDate: Mon, 01 Jan 2024 00:00:00 GMT\r\nContent-Type: text/plain\r\n\r\n"
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/carry/limits.go
+++ b/carry/limits.go
@@ -1,5 +1,5 @@
 // This file holds callers to the bounds of the configuration, which may change at any
-// moment: sizes are looked at exchange by exchange, and a connection turns the two
+// moment: sizes are looked at request by request, and a connection turns the two
 // deadlines that the library's server sets on it into the configured ones. What the
 // configuration leaves open has the program's own bounds.
 package carry
@@ -11,7 +11,7 @@
 	"myrtlefold/model"
 )
 
-func (c *Carrier) limits() model.Limits {
+func (c *Forwarder) limits() model.Limits {
 	if l := c.Limits.Load(); l != nil {
 		return *l
 	}
@@ -19,7 +19,7 @@
 }
 
 // headerMost is how large a caller's header may be.
-func (c *Carrier) headerMost() int {
+func (c *Forwarder) headerMost() int {
 	if n := c.limits().HeaderBytes; n > 0 {
 		return n
 	}
@@ -28,7 +28,7 @@
 
 // bodyMost is how large a caller's body for a service may be. One whose targets are asked
 // for their health has the configuration's bound alone, others the smaller of both.
-func (c *Carrier) bodyMost(s *model.Service) int64 {
+func (c *Forwarder) bodyMost(s *model.Service) int64 {
 	own, all := int64(s.BodyMax), int64(c.limits().BodyBytes)
 	switch {
 	case s.Asked() && all > 0:
@@ -41,7 +41,7 @@
 	return own
 }
 
-// SetReadDeadline is the server's and, while an exchange is under way, the carrier's. The
+// SetReadDeadline is the server's and, while a request is under way, the forwarder's. The
 // server sets one further away than a header's while it waits for the next request.
 func (p *caller) SetReadDeadline(t time.Time) error {
 	if left := time.Until(t); !p.busy && !t.IsZero() && left > 0 {
--- a/carry/limits_test.go
+++ b/carry/limits_test.go
@@ -16,7 +16,7 @@
 	"myrtlefold/model"
 )
 
-// Callers' sizes are bounded by the configuration, as it stands at each exchange.
+// Callers' sizes are bounded by the configuration, as it stands at each request.
 func TestSizes(t *testing.T) {
 	b := serve(t, "b", fine)
 	f := carrier(t, b.Target)
@@ -85,7 +85,7 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// The library's server waits for headers and for the next exchange as long as the
+// The library's server waits for headers and for the next request as long as the
 // configuration says, and a caller's own time for its body stays what it is.
 func TestWaits(t *testing.T) {
 	const min = 60 * 1000
--- a/carry/pipe.go
+++ b/carry/pipe.go
@@ -1,7 +1,7 @@
-// This file is the pipes to targets: one TCP connection each, HTTP/1.1, one exchange
-// at a time, written and read by the goroutine that carries the exchange. So it is
-// known of every byte whether it went out, an idle pipe costs no goroutine, and what
-// comes without being asked for is seen before the pipe is used again. Idle pipes
+// This file is the connections to targets: one TCP connection each, HTTP/1.1, one request
+// at a time, written and read by the goroutine that carries the request. So it is
+// known of every byte whether it went out, an idle connection costs no goroutine, and what
+// comes without being asked for is seen before the connection is used again. Idle connections
 // stand in a shelf per target, whose places are taken and filled by single atomic
 // steps. The sockets' own options are here too.
 package carry
@@ -32,7 +32,7 @@
 	errForeign  = errors.New("another identity answers at the target's address")
 )
 
-// born is what pipes count their age from.
+// born is what connections count their age from.
 var born = time.Now()
 
 // past is a deadline that ends what waits.
@@ -65,7 +65,7 @@
 }
 
 // Pipe is a connection to a target.
-type Pipe struct {
+type Conn struct {
 	c     net.Conn
 	raw   syscall.RawConn
 	r     *bufio.Reader
@@ -76,13 +76,13 @@
 	used  atomic.Int64 // when it was last put back; read by those who look for one
 }
 
-// Open opens a pipe by ctx's end.
-func Open(ctx context.Context, addr string, from net.Addr) (*Pipe, error) {
+// Open opens a connection by ctx's end.
+func Open(ctx context.Context, addr string, from net.Addr) (*Conn, error) {
 	c, err := Dialer(from, limit.DialCap).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	p := &Pipe{c: c, fresh: true}
+	p := &Conn{c: c, fresh: true}
 	if p.raw, err = c.(syscall.Conn).SyscallConn(); err != nil {
 		c.Close()
 		return nil, err
@@ -91,7 +91,7 @@
 	return p, nil
 }
 
-func (p *Pipe) Read(b []byte) (int, error) {
+func (p *Conn) Read(b []byte) (int, error) {
 	if p.room <= 0 {
 		return 0, errNoAnswer
 	}
@@ -103,15 +103,15 @@
 	return n, err
 }
 
-// Addr is where the pipe leads.
-func (p *Pipe) Addr() string { return p.c.RemoteAddr().String() }
+// Addr is where the connection leads.
+func (p *Conn) Addr() string { return p.c.RemoteAddr().String() }
 
-// Close closes the pipe.
-func (p *Pipe) Close() { p.c.Close() }
+// Close closes the connection.
+func (p *Conn) Close() { p.c.Close() }
 
-// quiet says whether the pipe is open and nothing has come on it since the last
+// quiet says whether the connection is open and nothing has come on it since the last
 // answer. Its deadline must lie ahead.
-func (p *Pipe) quiet() bool {
+func (p *Conn) quiet() bool {
 	if p.r.Buffered() > 0 {
 		return false
 	}
@@ -132,7 +132,7 @@
 
 // await waits until something comes, until the deadline or as long as the target is
 // not given up; it returns false in that last case.
-func (p *Pipe) await(ctx context.Context, till time.Time, dark func() bool) bool {
+func (p *Conn) await(ctx context.Context, till time.Time, dark func() bool) bool {
 	p.room = 4 * limit.HeaderMax
 	for wait := limit.DarkAfter; ; wait = limit.DarkEvery {
 		at := time.Now().Add(wait)
@@ -157,7 +157,7 @@
 }
 
 // head reads an answer's status and header.
-func (p *Pipe) head(method string) (*http.Response, error) {
+func (p *Conn) head(method string) (*http.Response, error) {
 	req := &http.Request{Method: method}
 	for range limit.InterimMax {
 		p.room = 4 * limit.HeaderMax
@@ -177,8 +177,8 @@
 	return nil, errNoAnswer
 }
 
-// keep notes how long the target says that it keeps the pipe.
-func (p *Pipe) keep(resp *http.Response) {
+// keep notes how long the target says that it keeps the connection.
+func (p *Conn) keep(resp *http.Response) {
 	p.till = time.Time{}
 	for f := range strings.SplitSeq(resp.Header.Get("Keep-Alive"), ",") {
 		k, v, _ := strings.Cut(strings.TrimSpace(f), "=")
@@ -225,9 +225,9 @@
 	return b, err == nil, err
 }
 
-// Get asks for a path and reads a small answer whole. again says whether the pipe
+// Get asks for a path and reads a small answer whole. again says whether the connection
 // can be used once more.
-func (p *Pipe) Get(till time.Time, host, path string, extra ...string) (resp *http.Response, body []byte, again bool, err error) {
+func (p *Conn) Get(till time.Time, host, path string, extra ...string) (resp *http.Response, body []byte, again bool, err error) {
 	p.c.SetDeadline(till)
 	if !p.fresh && !p.quiet() {
 		return nil, nil, false, net.ErrClosed
@@ -255,9 +255,9 @@
 	return resp, body, done && !resp.Close && p.r.Buffered() == 0, err
 }
 
-// Identify asks a target that says so itself who it is. again says whether the pipe
+// Identify asks a target that says so itself who it is. again says whether the connection
 // can be used once more.
-func (p *Pipe) Identify(till time.Time, addr string) (beat *model.Beat, again bool, err error) {
+func (p *Conn) Identify(till time.Time, addr string) (beat *model.Beat, again bool, err error) {
 	resp, b, again, err := p.Get(till, addr, model.IdentityPath)
 	if err != nil {
 		return nil, false, err
@@ -269,15 +269,15 @@
 	return beat, again, errors.Wrap(json.Unmarshal(b, beat), "identity")
 }
 
-// shelf holds a target's idle pipes.
+// shelf holds a target's idle connections.
 type shelf struct {
-	slots [limit.PipesIdleMax]atomic.Pointer[Pipe]
+	slots [limit.IdleConnsMax]atomic.Pointer[Conn]
 	gone  atomic.Bool
 	dark  atomic.Bool // nothing reaches the target
 }
 
-// put keeps a pipe in one of the first n places, or closes it.
-func (s *shelf) put(p *Pipe, n int) {
+// put keeps a connection in one of the first n places, or closes it.
+func (s *shelf) put(p *Conn, n int) {
 	p.used.Store(int64(time.Since(born)))
 	for i := range s.slots[:n] {
 		if s.slots[i].CompareAndSwap(nil, p) {
@@ -290,10 +290,10 @@
 	p.Close()
 }
 
-// take takes the pipe that was used last, if that was less than idle ago. Its deadline is set.
-func (s *shelf) take(idle time.Duration, till time.Time) *Pipe {
+// take takes the connection that was used last, if that was less than idle ago. Its deadline is set.
+func (s *shelf) take(idle time.Duration, till time.Time) *Conn {
 	for {
-		var best *Pipe
+		var best *Conn
 		at := 0
 		for i := range s.slots {
 			if p := s.slots[i].Load(); p != nil && (best == nil || p.used.Load() > best.used.Load()) {
@@ -319,13 +319,13 @@
 	}
 }
 
-func (p *Pipe) idle(now time.Time) time.Duration {
+func (p *Conn) idle(now time.Time) time.Duration {
 	return now.Sub(born) - time.Duration(p.used.Load())
 }
 
-// stale says whether a pipe that is the asker's own is too old to be used.
-func (p *Pipe) stale(now time.Time) bool {
-	return p.idle(now) >= limit.PipeIdle || !p.till.IsZero() && now.After(p.till)
+// stale says whether a connection that is the asker's own is too old to be used.
+func (p *Conn) stale(now time.Time) bool {
+	return p.idle(now) >= limit.ConnIdle || !p.till.IsZero() && now.After(p.till)
 }
 
 func (s *shelf) close() {
@@ -358,7 +358,7 @@
 	p := &Pool{stop: make(chan struct{})}
 	p.shelves.Store(&map[wire.ID]*shelf{})
 	go func() {
-		sweep := time.NewTicker(limit.PipeIdle / 4)
+		sweep := time.NewTicker(limit.ConnIdle / 4)
 		defer sweep.Stop()
 		for {
 			select {
@@ -404,20 +404,20 @@
 	return s != nil && s.dark.Load()
 }
 
-// Close closes all idle pipes, and those that come back later.
+// Close closes all idle connections, and those that come back later.
 func (p *Pool) Close() {
 	close(p.stop)
 	p.Live(nil)
 }
 
-func (p *Pool) take(id wire.ID, idle time.Duration, till time.Time) *Pipe {
+func (p *Pool) take(id wire.ID, idle time.Duration, till time.Time) *Conn {
 	if s := (*p.shelves.Load())[id]; s != nil {
 		return s.take(idle, till)
 	}
 	return nil
 }
 
-func (p *Pool) give(id wire.ID, x *Pipe, n int) {
+func (p *Pool) give(id wire.ID, x *Conn, n int) {
 	if s := (*p.shelves.Load())[id]; s != nil {
 		s.put(x, n)
 	} else {
--- a/cmd/mflab/checks.go
+++ b/cmd/mflab/checks.go
@@ -18,7 +18,7 @@
 	l.say("BROKEN %s: %s", rule, fmt.Sprintf(f, a...))
 }
 
-// checkEmptied looks for exchanges that began in an emptied domain.
+// checkEmptied looks for requests that began in an emptied domain.
 func (l *lab) checkEmptied(domain string, from, to time.Time) {
 	files, _ := filepath.Glob(l.path("ledger", "*.ledger"))
 	late := 0
--- a/cmd/mflab/hollow.go
+++ b/cmd/mflab/hollow.go
@@ -42,7 +42,7 @@
 // Times and bounds of a run: each wait ends, whatever the fleet does.
 const (
 	hollowUp       = 20 * time.Second      // until all gates are granted and all targets usable
-	hollowChange   = 12 * time.Second      // until a change or a bar has reached all
+	hollowChange   = 12 * time.Second      // until a change or an ejection has reached all
 	hollowPoll     = 10 * time.Millisecond // how often gates are looked at for that
 	hollowPatience = 2 * time.Second       // for the answer of one hollow process
 	hollowFreeze   = 3 * time.Second       // how long the core is frozen
@@ -172,7 +172,7 @@
 
 type hollowGate struct {
 	h   *host.Host
-	own *gate.Gate
+	own *gate.Proxy
 	now atomic.Pointer[standing]
 }
 
@@ -190,9 +190,9 @@
 	switch s.state {
 	case gate.Granted:
 		r.Granted++
-	case gate.Orphan:
+	case gate.PeerServing:
 		r.Orphan++
-	case gate.Cut:
+	case gate.Isolated:
 		r.Cut++
 	}
 	if s.revision >= want && want > 0 {
@@ -307,7 +307,7 @@
 	return resp.StatusCode < 300
 }
 
-// counted is a pipe whose bytes are counted.
+// counted is a connection whose bytes are counted.
 type counted struct {
 	net.Conn
 	in, out *atomic.Uint64
@@ -840,7 +840,7 @@
 	return l.await(from, hollowChange, q, func(r hollowReport) bool { return r.Out == r.Gates })
 }
 
-// orphaned freezes the core and measures the gates meanwhile.
+// leaderless freezes the core and measures the gates meanwhile.
 func (l *hollowLab) orphaned() {
 	for _, p := range slices.Concat(l.cores, l.spares) {
 		p.signal(syscall.SIGSTOP)
--- a/cmd/mflab/hollow_test.go
+++ b/cmd/mflab/hollow_test.go
@@ -121,7 +121,7 @@
 	}
 }
 
-// A gate counts a target as out if its table has it not, or held, barred or pending.
+// A gate counts a target as out if its table has it not, or held, ejected or pending.
 func TestHollowReport(t *testing.T) {
 	tab := &wire.Table{Targets: []wire.Target{{Service: "s", Name: "a"}, {Service: "s", Name: "b", Held: true}, {Service: "s", Name: "c", BarLeft: 1}, {Service: "s", Name: "d", Pending: true}, {Service: "r", Name: "c"}}}
 	for name, out := range map[string]int{"a": 0, "b": 1, "c": 1, "d": 1, "e": 1} {
@@ -132,8 +132,8 @@
 		}
 	}
 	var r, sum hollowReport
-	r.look(&standing{gate.Cut, 2, nil}, 3, "s", "a")
-	r.look(&standing{gate.Orphan, 4, tab}, 3, "s", "a")
+	r.look(&standing{gate.Isolated, 2, nil}, 3, "s", "a")
+	r.look(&standing{gate.PeerServing, 4, tab}, 3, "s", "a")
 	if r.Gates != 2 || r.Usable != 0 || r.At != 1 || r.Out != 1 || r.Cut != 1 || r.Orphan != 1 {
 		t.Fatalf("%+v", r)
 	}
--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -48,7 +48,7 @@
 	"kiyihat": {5, 8, []string{"north", "south", "isles", "quay"}, []Service{{"fares", 14, "4ms", 64, "500ms"},
 		{"payments", 9, "25ms", 32, "1500ms"}, {"documents", 8, "30ms", 16, "1s"}}, 630},
 	// press is small enough that one machine can ask it for twice what it bears: 4 targets
-	// of 4 exchanges at a time and 40 ms each, 400 a second.
+	// of 4 requests at a time and 40 ms each, 400 a second.
 	"press": {3, 3, []string{"hill", "port", "coast"}, []Service{{"records", 4, "40ms", 4, "3s"}}, 400},
 	"small": {3, 3, []string{"hill", "port", "coast"}, []Service{{"records", 4, "20ms", 24, "1s"}, {"monitoring", 3, "5ms", 48, "500ms"}}, 60},
 }
--- a/cmd/mflab/measure.go
+++ b/cmd/mflab/measure.go
@@ -60,7 +60,7 @@
 	return 0
 }
 
-// policies shows what a shipped policy changes on real exchanges. It is put in
+// policies shows what a shipped policy changes on real requests. It is put in
 // force a quarter into the second load, so that the switch itself is seen too.
 func (l *lab) policies(phase time.Duration) int {
 	bad := 0
--- a/cmd/mflab/net.go
+++ b/cmd/mflab/net.go
@@ -2,7 +2,7 @@
 // ends tell the others, which can hold back what one machine sends another, or delay
 // all. What is held back arrives when the cut ends, as late as it then is; that is
 // harder on the fleet than losing it. Machines are told apart by the addresses that
-// their pipes leave from, so no privileges are needed.
+// their connections leave from, so no privileges are needed.
 package main
 
 import (
@@ -53,7 +53,7 @@
 	return m != nil && (*m)[[2]string{from, to}]
 }
 
-// relay takes pipes at one address and passes them on to another.
+// relay takes connections at one address and passes them on to another.
 func (f *fabric) relay(at, to string) error {
 	ln, err := net.Listen("tcp", at)
 	if err != nil {
--- a/cmd/mfload/main.go
+++ b/cmd/mfload/main.go
@@ -1,7 +1,7 @@
 // Command mfload is the load generator: open-loop arrivals of a deployment's mix
-// against the proxies that say they are ready, user agents that ask again as they
+// against the proxies that say they are ready, clients that ask again as they
 // please, and a check of every answer, at the end also against the ledgers of the
-// stand-in back ends. Latency counts from the moment an exchange was due, so that
+// stand-in back ends. Latency counts from the moment a request was due, so that
 // a stall is felt by all that it delayed.
 package main
 
@@ -31,7 +31,7 @@
 	"myrtlefold/host"
 )
 
-// Kind is one sort of exchange in a mix.
+// Kind is one sort of request in a mix.
 type Kind struct {
 	Name    string  `json:"name"`
 	Service string  `json:"service"`
@@ -75,7 +75,7 @@
 	again  int
 }
 
-// Group is what the user agents of one sort got, however often they asked.
+// Group is what the clients of one sort got, however often they asked.
 type Group struct {
 	Agents int                `json:"user_agents"`
 	Asked  int                `json:"asked"`
@@ -250,7 +250,7 @@
 		o := l.one(k, id, due, pick)
 		o.hard, o.again = hard, again
 		l.out <- o
-		// A hard user agent asks again at once as long as it is refused, each time as a new exchange.
+		// A hard client asks again at once as long as it is refused, each time as a new request.
 		if hard && o.ran != "" && again < 5 && time.Now().Before(l.until) {
 			l.start(k, fmt.Sprintf("%s.%d", id, again+1), time.Now(), hard, pick*7919+1, again+1)
 		}
--- a/cmd/mfstub/main.go
+++ b/cmd/mfstub/main.go
@@ -1,9 +1,9 @@
 // Command mfstub stands in for one back end. It registers and beats, serves
-// its identity, keeps a ledger of every exchange that it ran, and on request
-// misbehaves in the ways that the fleet must bear: it hangs, runs an exchange
+// its identity, keeps a ledger of every request that it ran, and on request
+// misbehaves in the ways that the fleet must bear: it hangs, runs a request
 // and loses the answer, sends garbage or half an answer, is slow, fails, warms
 // up, or leaves. It stands for a back end's code, so only its identity page or health
-// path, its words and the headers of exchanges are part of the system's contract.
+// path, its words and the headers of requests are part of the system's contract.
 package main
 
 import (
@@ -201,7 +201,7 @@
 	}
 }
 
-// turned says that an exchange is not run here, and why.
+// turned says that a request is not run here, and why.
 func (s *stub) turned(w http.ResponseWriter, r *http.Request, status int, why string) {
 	repeats(w, r)
 	w.Header().Set(names.NotRun, "1")
--- a/core/configcall.go
+++ b/core/configcall.go
@@ -36,20 +36,20 @@
 // screen looks at a change of the configuration before anything is made of it: its size,
 // its base, and whether the very same call has been taken already. sum stands for the
 // call: its kind, its base and what its body says.
-func (c *Core) screen(now time.Duration, p *pending, a *wire.Ask, text []byte, what string) (sum string, ok bool) {
+func (c *Core) precheckChange(now time.Duration, p *pending, a *wire.Ask, text []byte, what string) (sum string, ok bool) {
 	if len(text) > limit.DocMax {
 		c.answer(p, tooLarge())
 		return "", false
 	}
 	b, named := number(a.Query, "base")
 	if !named {
-		c.answer(p, trouble(428, model.Trouble{Code: "base_missing", Message: "name the revision this was built on: base=N or If-Match", Revision: c.state.Revision}))
+		c.answer(p, problem(428, model.Trouble{Code: "base_missing", Message: "name the revision this was built on: base=N or If-Match", Revision: c.state.Revision}))
 		return "", false
 	}
 	said, err := model.Canonical(text)
 	if err != nil {
 		c.counts.Refused++
-		c.answer(p, trouble(400, model.Trouble{Code: "not_json", Message: err.Error()}))
+		c.answer(p, problem(400, model.Trouble{Code: "not_json", Message: err.Error()}))
 		return "", false
 	}
 	h := sha256.New()
@@ -58,17 +58,17 @@
 	if b == c.state.Revision {
 		return sum, true
 	}
-	if r := c.state.taken(sum); r != nil {
-		c.forces = append(c.forces, &force{ver: c.ver, since: now, p: p, reply: done(p.token, r.Revision)})
+	if r := c.state.findAcceptedBySum(sum); r != nil {
+		c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, p: p, reply: accepted(p.token, r.Revision)})
 		return "", false
 	}
 	c.counts.Refused++
-	c.answer(p, c.stale(p.token))
+	c.answer(p, c.staleBase(p.token))
 	return "", false
 }
 
 func (c *Core) patch(now time.Duration, p *pending, a *wire.Ask, patch []byte, what string) {
-	sum, ok := c.screen(now, p, a, patch, what)
+	sum, ok := c.precheckChange(now, p, a, patch, what)
 	if !ok {
 		return
 	}
@@ -80,11 +80,11 @@
 			doc, faults, err = n.Apply(c.state.Doc)
 		}
 		if err != nil || len(faults) > 0 {
-			c.faulty(p, faults, err)
+			c.refuseInvalid(p, faults, err)
 			return
 		}
 	} else if doc, err = model.Merge(unnumbered(c.state.Doc), patch); err != nil {
-		c.faulty(p, nil, err)
+		c.refuseInvalid(p, nil, err)
 		return
 	}
 	c.config(now, p, doc, what, sum)
@@ -101,14 +101,14 @@
 		faults = append(faults, model.Fault{Path: "revision", Text: fmt.Sprintf("not above the present %d", c.state.Revision)})
 	}
 	if err != nil || len(faults) > 0 {
-		c.faulty(p, faults, err)
+		c.refuseInvalid(p, faults, err)
 		return
 	}
 	var b bytes.Buffer
 	if json.Compact(&b, doc) != nil {
 		panic("a checked document is JSON")
 	}
-	if c.change(now, p, order{Op: "config", Base: c.state.Revision, Doc: b.Bytes(), What: what, Rev: cfg.Revision, Sum: sum}) {
+	if c.change(now, p, command{Op: "config", Base: c.state.Revision, Doc: b.Bytes(), What: what, Rev: cfg.Revision, Sum: sum}) {
 		c.checked = checked{b.Bytes(), cfg}
 	}
 }
@@ -130,7 +130,7 @@
 		x = json.RawMessage(`{}`)
 	}
 	if x == nil || y == nil {
-		c.answer(p, trouble(404, model.Trouble{Code: "not_found", Message: "one of the revisions is not kept"}))
+		c.answer(p, problem(404, model.Trouble{Code: "not_found", Message: "one of the revisions is not kept"}))
 		return
 	}
 	d, err := jsonpatch.CreateMergePatch(x, y)
--- a/core/discovery.go
+++ b/core/discovery.go
@@ -22,7 +22,7 @@
 	Term     uint64
 	members  membership
 	founding uint64
-	vow      vow
+	consent      consent
 }
 
 // heard is what is kept of a core daemon after its silence.
@@ -40,16 +40,16 @@
 )
 
 // Book is a daemon's list of the others, by name.
-type Book map[string]*Known
+type Directory map[string]*Known
 
 // Meet merges what a hello says of the daemons: its sender is taken at its word,
 // others are only added.
-func (b Book) Meet(now time.Duration, self string, h *wire.Hello) {
+func (b Directory) Meet(now time.Duration, self string, h *wire.Hello) {
 	if h.Self.Name == "" || h.Self.Name == self {
 		return
 	}
 	b[h.Self.Name] = &Known{Daemon: h.Self, At: now, Leader: h.Leader, Term: h.Term, founding: h.Founding,
-		members: membership{h.MembersEpoch, h.MembersIndex, h.Members}, vow: vow{h.Refound, h.Gone, now}}
+		members: membership{h.MembersEpoch, h.MembersIndex, h.Members}, consent: consent{h.Refound, h.Gone, now}}
 	for _, d := range h.Known {
 		if b[d.Name] == nil && d.Name != self && d.Name != "" {
 			b[d.Name] = &Known{Daemon: d, At: now - limit.DaemonGone/2}
@@ -58,7 +58,7 @@
 }
 
 // List is the book as it is handed on.
-func (b Book) List() (l []wire.Daemon) {
+func (b Directory) List() (l []wire.Daemon) {
 	for _, n := range slices.Sorted(maps.Keys(b)) {
 		l = append(l, b[n].Daemon)
 	}
@@ -66,20 +66,20 @@
 }
 
 func (c *Core) self() wire.Daemon {
-	d := c.set.Self
-	d.Disk, d.Lock, d.Offer = c.img.Disk, c.img.Lock, c.offer
-	if c.safeSeq < c.lockSeq {
+	d := c.settings.Self
+	d.Disk, d.Lock, d.Offer = c.image.Disk, c.image.Lock, c.offer
+	if c.syncedSeq < c.lockSeq {
 		d.Lock = 0
 	}
 	if c.node != nil {
 		d.Epoch = c.node.Epoch()
 		d.Ready = c.node.Leader() != ""
 		d.State = c.node.Role().String()
-	} else if c.places > 0 {
+	} else if c.bootstrapSize > 0 {
 		d.State = emptyState
 	} else {
 		d.State = waitingState
-		d.Ready = c.via != ""
+		d.Ready = c.leaderHint != ""
 	}
 	if c.stopping {
 		d.State = stoppingState
@@ -88,8 +88,8 @@
 }
 
 // led is the leader that this member hears or is, "" if there is none.
-func (c *Core) led(now time.Duration) string {
-	if c.node == nil || c.retired() || !c.node.Led(now) {
+func (c *Core) heardLeader(now time.Duration) string {
+	if c.node == nil || c.superseded() || !c.node.HearsLeader(now) {
 		return ""
 	}
 	return c.node.Leader()
@@ -98,25 +98,25 @@
 // leader is where calls and words are passed on to: who leads, as heard from it or, by
 // a daemon that no leader speaks to, from those to whom one does.
 func (c *Core) leader(now time.Duration) string {
-	if l := c.led(now); l != "" {
+	if l := c.heardLeader(now); l != "" {
 		return l
 	}
-	if !c.vacant() {
+	if !c.isNonVoter() {
 		return c.node.Leader()
 	}
-	return c.known.Leader(now)
+	return c.directory.Leader(now)
 }
 
 // relayTo is whom a call may be passed on to again: a member's only while it is heard.
 func (c *Core) relayTo(now time.Duration) string {
-	if !c.vacant() {
-		return c.led(now)
+	if !c.isNonVoter() {
+		return c.heardLeader(now)
 	}
 	return c.leader(now)
 }
 
 // Leader is the one that core daemons last named, in the latest epoch and term.
-func (b Book) Leader(now time.Duration) string {
+func (b Directory) Leader(now time.Duration) string {
 	var best *Known
 	for _, n := range slices.Sorted(maps.Keys(b)) {
 		k := b[n]
@@ -132,12 +132,12 @@
 }
 
 // hearer is one of those seen that hears a leader, "" if none does.
-func (c *Core) hearer(now time.Duration, all []wire.Daemon) string {
-	if c.led(now) != "" {
-		return c.set.Self.Name
+func (c *Core) whoHearsLeader(now time.Duration, all []wire.Daemon) string {
+	if c.heardLeader(now) != "" {
+		return c.settings.Self.Name
 	}
 	for _, d := range all {
-		if k := c.known[d.Name]; d.Name != c.set.Self.Name && k.Leader != "" {
+		if k := c.directory[d.Name]; d.Name != c.settings.Self.Name && k.Leader != "" {
 			return d.Name
 		}
 	}
@@ -145,81 +145,81 @@
 }
 
 // listed is when and in which state a daemon was last told the list of those known.
-type listed struct {
+type toldList struct {
 	at  time.Duration
 	sum uint64
 }
 
 // list is what a daemon is to be told of those known: proxies need the core daemons
 // only, and nobody what it has been told lately.
-func (c *Core) list(now time.Duration, to string) (l []wire.Daemon) {
-	k := c.known[to]
+func (c *Core) directoryFor(now time.Duration, to string) (l []wire.Daemon) {
+	k := c.directory[to]
 	all := k == nil || k.Kind == "core"
 	h := fnv.New64a()
 	if k != nil {
 		fmt.Fprint(h, k.Inc) // another process of its name has been told nothing
 	}
-	names := slices.Sorted(maps.Keys(c.known))
+	names := slices.Sorted(maps.Keys(c.directory))
 	for _, n := range names {
-		if k := c.known[n]; all || k.Kind == "core" {
+		if k := c.directory[n]; all || k.Kind == "core" {
 			io.WriteString(h, n)
 			io.WriteString(h, " ")
 			io.WriteString(h, k.Addr)
 			io.WriteString(h, " ")
 		}
 	}
-	if was, ok := c.listed[to]; ok && was.sum == h.Sum64() && now-was.at < limit.ListEvery {
+	if was, ok := c.toldLists[to]; ok && was.sum == h.Sum64() && now-was.at < limit.ListEvery {
 		return nil
 	}
 	for _, n := range names {
-		if k := c.known[n]; all || k.Kind == "core" {
+		if k := c.directory[n]; all || k.Kind == "core" {
 			l = append(l, k.Daemon)
 		}
 	}
-	c.listed[to] = listed{now, h.Sum64()}
+	c.toldLists[to] = toldList{now, h.Sum64()}
 	return l
 }
 
 // helloMsg is a hello to a daemon, "" if only its address is known.
 func (c *Core) helloMsg(now time.Duration, to string, reply bool) *wire.Msg {
-	h := &wire.Hello{Self: c.self(), Reply: reply, Known: c.list(now, to), Leader: c.led(now), Founding: c.lockedFor()}
+	h := &wire.Hello{Self: c.self(), Reply: reply, Known: c.directoryFor(now, to), Leader: c.heardLeader(now), Founding: c.lockedFor()}
 	if c.node != nil {
 		h.Term = c.node.Term()
 	}
-	if k := c.known[to]; k != nil && k.Kind != "core" {
-		return &wire.Msg{Kind: uint16(wire.KHello), From: c.set.Self.Name, Epoch: h.Self.Epoch, Hello: h}
+	if k := c.directory[to]; k != nil && k.Kind != "core" {
+		return &wire.Msg{Kind: uint16(wire.KHello), From: c.settings.Self.Name, Epoch: h.Self.Epoch, Hello: h}
 	}
 	m := c.lastMembers()
 	h.Members, h.MembersEpoch, h.MembersIndex = m.list, m.epoch, m.index
-	h.Refound, h.Gone = c.vow.refound, c.vow.gone
+	h.Refound, h.Gone = c.consent.refound, c.consent.gone
 	if c.node != nil && !c.state.Adopted {
-		h.Legacy = c.img.Legacy
+		h.Legacy = c.image.Legacy
 	}
-	return &wire.Msg{Kind: uint16(wire.KHello), From: c.set.Self.Name, Epoch: h.Self.Epoch, Hello: h}
+	return &wire.Msg{Kind: uint16(wire.KHello), From: c.settings.Self.Name, Epoch: h.Self.Epoch, Hello: h}
 }
 
 func (c *Core) hello(now time.Duration) {
-	maps.DeleteFunc(c.listed, func(n string, _ listed) bool { return n != "" && c.known[n] == nil })
-	done := map[string]bool{c.set.Self.Addr: true}
-	for _, n := range slices.Sorted(maps.Keys(c.known)) {
-		if k := c.known[n]; k.Kind == "core" && !done[k.Addr] {
+	maps.DeleteFunc(c.toldLists, func(n string, _ toldList) bool { return n != "" && c.directory[n] == nil })
+	done := map[string]bool{c.settings.Self.Addr: true}
+	for _, n := range slices.Sorted(maps.Keys(c.directory)) {
+		if k := c.directory[n]; k.Kind == "core" && !done[k.Addr] {
 			done[k.Addr] = true
-			c.do(Send{k.Addr, c.helloMsg(now, n, false)})
+			c.emit(Send{k.Addr, c.helloMsg(now, n, false)})
 		}
 	}
-	for _, a := range c.set.Seeds {
+	for _, a := range c.settings.Seeds {
 		if !done[a] {
 			done[a] = true
-			delete(c.listed, "")
-			c.do(Send{a, c.helloMsg(now, "", false)})
+			delete(c.toldLists, "")
+			c.emit(Send{a, c.helloMsg(now, "", false)})
 		}
 	}
 }
 
-func (c *Core) cores(now time.Duration, fresh bool) []wire.Daemon {
+func (c *Core) coreDaemons(now time.Duration, fresh bool) []wire.Daemon {
 	l := []wire.Daemon{c.self()}
-	for _, k := range c.known {
-		if k.Kind == "core" && (!fresh || c.fresh(now, k.Name)) {
+	for _, k := range c.directory {
+		if k.Kind == "core" && (!fresh || c.heardLately(now, k.Name)) {
 			l = append(l, k.Daemon)
 		}
 	}
@@ -227,7 +227,7 @@
 	return l
 }
 
-func (c *Core) fresh(now time.Duration, name string) bool {
-	k := c.known[name]
-	return name == c.set.Self.Name || k != nil && now-k.At < 4*limit.HelloEvery
+func (c *Core) heardLately(now time.Duration, name string) bool {
+	k := c.directory[name]
+	return name == c.settings.Self.Name || k != nil && now-k.At < 4*limit.HelloEvery
 }
--- a/core/inforce.go
+++ b/core/inforce.go
@@ -10,33 +10,33 @@
 )
 
 // force is something that waits until a table is in force everywhere.
-type force struct {
-	ver    uint64
-	majAt  time.Duration
+type commitWaiter struct {
+	version    uint64
+	majorityAt  time.Duration
 	since  time.Duration
 	p      *pending // who waits for reply, if any
 	reply  Reply
-	clear  wire.ID // target that may be served from then on
-	wide   bool    // a change of the roster
+	clearPending  wire.ID // target that may be served from then on
+	rosterChange   bool    // a change of the roster
 	member string  // a core member whose joining or leaving is waited for
-	joins  bool
-	most   bool      // confirmed by a majority of the proxies is enough
+	joining  bool
+	majorityOnly   bool      // confirmed by a majority of the proxies is enough
 	agreed []wire.ID // targets whose leaving or sign-off has to be agreed
 }
 
 // inForce says whether a table binds every proxy: a majority of the roster, and of
-// the one before while that still counts, has confirmed it, and each other one's grant, from the leader or from
-// partners that had not confirmed yet, must have lapsed.
-func (c *Core) inForce(now time.Duration, f *force) bool {
-	if f.member != "" && (!c.node.Settled() || f.joins != slices.ContainsFunc(c.node.Members(), func(m wire.Member) bool { return m.Name == f.member })) {
+// the one before while that still counts, has confirmed it, and each other one's lease, from the leader or from
+// peers that had not confirmed yet, must have lapsed.
+func (c *Core) inForce(now time.Duration, f *commitWaiter) bool {
+	if f.member != "" && (!c.node.CanChangeMembers() || f.joining != slices.ContainsFunc(c.node.Members(), func(m wire.Member) bool { return m.Name == f.member })) {
 		return false
 	}
-	var rest []*gate
+	var rest []*proxyState
 	confirmed := func(names []string) bool {
 		conf := 0
 		for _, n := range names {
-			g := c.gates[n]
-			if g != nil && g.key.Epoch == c.node.Epoch() && g.key.Term == c.node.Term() && g.key.Ver >= f.ver {
+			g := c.proxies[n]
+			if g != nil && g.key.Epoch == c.node.Epoch() && g.key.Term == c.node.Term() && g.key.Ver >= f.version {
 				conf++
 			} else if g != nil {
 				rest = append(rest, g)
@@ -47,18 +47,18 @@
 	if slices.ContainsFunc(f.agreed, func(id wire.ID) bool { return !c.agreed(id) }) {
 		return false
 	}
-	if now, was := confirmed(c.state.names()), confirmed(c.state.Was); !now || !was {
-		f.majAt = 0
+	if now, was := confirmed(c.state.names()), confirmed(c.state.PreviousRoster); !now || !was {
+		f.majorityAt = 0
 		return false
 	}
-	if f.most {
+	if f.majorityOnly {
 		return true
 	}
-	if f.majAt == 0 {
-		f.majAt = now
+	if f.majorityAt == 0 {
+		f.majorityAt = now
 	}
 	for _, g := range rest {
-		if now-g.grantAt <= limit.GateGrant+limit.GrantMargin || now-f.majAt <= limit.TouchGrant+limit.GrantMargin {
+		if now-g.grantAt <= limit.ProxyLease+limit.LeaseMargin || now-f.majorityAt <= limit.PeerLease+limit.LeaseMargin {
 			return false
 		}
 	}
@@ -66,17 +66,17 @@
 }
 
 // settle answers for what has come into force.
-func (c *Core) settle(now time.Duration) {
-	var done []*force
-	c.forces = slices.DeleteFunc(c.forces, func(f *force) bool {
+func (c *Core) answerWaiters(now time.Duration) {
+	var done []*commitWaiter
+	c.waiters = slices.DeleteFunc(c.waiters, func(f *commitWaiter) bool {
 		if c.inForce(now, f) {
 			done = append(done, f)
 			return true
 		}
-		if f.p != nil && (now-f.since > limit.AskWait || f.p.word && now-f.p.at > limit.WordWait) {
-			c.unknown(f.p)
+		if f.p != nil && (now-f.since > limit.CallWait || f.p.targetReport && now-f.p.at > limit.TargetReportWait) {
+			c.answerUnknown(f.p)
 			f.p = nil
-			return !f.wide
+			return !f.rosterChange
 		}
 		return false
 	})
@@ -84,10 +84,10 @@
 		if f.p != nil {
 			c.answer(f.p, f.reply)
 		}
-		if f.wide && len(c.state.Was) > 0 && !slices.ContainsFunc(c.forces, func(f *force) bool { return f.wide }) {
-			c.wide(now, order{Op: "enrolled", Base: c.state.RosterAt})
+		if f.rosterChange && len(c.state.PreviousRoster) > 0 && !slices.ContainsFunc(c.waiters, func(f *commitWaiter) bool { return f.rosterChange }) {
+			c.proposeRoster(now, command{Op: "enrolled", Base: c.state.RosterAt})
 		}
-		if t := c.targets[f.clear]; t != nil && t.Pending {
+		if t := c.targets[f.clearPending]; t != nil && t.Pending {
 			t.Pending = false
 			c.rebuild(now, false)
 		}
--- a/core/leadership.go
+++ b/core/leadership.go
@@ -29,7 +29,7 @@
 func (l Lead) String() string { return [...]string{"idle", "adopting", "warming", "deciding"}[l] }
 
 // Legacy is what someone remembers of an earlier epoch.
-type Legacy struct {
+type RecoveredState struct {
 	Epoch uint64          `json:"epoch"`
 	Term  uint64          `json:"term"`
 	Seq   uint64          `json:"seq"`
@@ -37,18 +37,18 @@
 }
 
 // Remembered is what a table remembers of its epoch.
-func Remembered(t *wire.Table) (Legacy, bool) {
+func Remembered(t *wire.Table) (RecoveredState, bool) {
 	var s State
-	doc, err := wire.Open(t.Doc)
+	doc, err := wire.Decompress(t.Doc)
 	if err != nil || json.Unmarshal(t.State, &s) != nil {
-		return Legacy{}, false
+		return RecoveredState{}, false
 	}
 	s.Doc = doc
 	b, _ := json.Marshal(s)
-	return Legacy{t.Key.Epoch, t.Key.Term, t.Seq, b}, true
+	return RecoveredState{t.Key.Epoch, t.Key.Term, t.Seq, b}, true
 }
 
-func (l Legacy) less(o Legacy) bool {
+func (l RecoveredState) less(o RecoveredState) bool {
 	return cmp.Or(cmp.Compare(l.Epoch, o.Epoch), cmp.Compare(l.Seq, o.Seq), cmp.Compare(l.Term, o.Term)) < 0
 }
 
@@ -56,40 +56,40 @@
 	if l == c.lead {
 		return
 	}
-	c.do(Change{"lead", c.lead.String(), l.String(), why})
+	c.emit(Change{"lead", c.lead.String(), l.String(), why})
 	c.lead, c.leadAt = l, now
 	switch l {
 	case Idle:
-		for _, t := range slices.Sorted(maps.Keys(c.pend)) {
-			c.unknown(c.pend[t])
+		for _, t := range slices.Sorted(maps.Keys(c.pendingChanges)) {
+			c.answerUnknown(c.pendingChanges[t])
 		}
-		for _, f := range c.forces {
+		for _, f := range c.waiters {
 			if f.p != nil {
-				c.unknown(f.p)
+				c.answerUnknown(f.p)
 			}
 		}
-		c.forces = nil
-		clear(c.pend)
+		c.waiters = nil
+		clear(c.pendingChanges)
 	case Adopting:
 		c.proposed = false
 	case Warming:
-		c.targets, c.claims, c.judge, c.judged = map[wire.ID]*target{}, map[wire.ID]*target{}, judge.New(), 0
+		c.targets, c.claims, c.judge, c.policyRevision = map[wire.ID]*target{}, map[wire.ID]*target{}, judge.New(), 0
 		c.scorer = judge.NewScorer(c.judge)
-		c.turns, c.turnOf = map[string]uint32{}, map[[2]string]uint32{}
-		c.tombs, c.left = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
-		c.outVer = map[wire.ID]uint64{}
-		c.table, c.slight, c.ids, c.best, c.wideUntil = nil, nil, nil, wire.Key{}, 0
-		c.changes, c.gones, c.gatesVer, c.firstVer = nil, nil, c.ver+1, c.ver+1
-		c.policies()
-		c.recollect(now)
+		c.lastTurn, c.turnByName = map[string]uint32{}, map[[2]string]uint32{}
+		c.tombstones, c.leaving = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
+		c.withdrawnAt = map[wire.ID]uint64{}
+		c.table, c.tableWithoutDocument, c.sortedIDs, c.latestMergedKey, c.rosterPendingAt = nil, nil, nil, wire.Key{}, 0
+		c.changes, c.withdrawnTargets, c.rosterTableVersion, c.oldestDeltaBase = nil, nil, c.tableVersion+1, c.tableVersion+1
+		c.applyPolicies()
+		c.loadRegistrations(now)
 		// Whatever an earlier leader granted may still run.
-		for _, g := range c.gates {
-			g.grantAt, g.told, g.key, g.revision, g.seq = now, false, wire.Key{}, 0, 0
-			g.sent, g.flying = wire.Key{}, 0
+		for _, g := range c.proxies {
+			g.grantAt, g.tableMerged, g.key, g.revision, g.seq = now, false, wire.Key{}, 0, 0
+			g.sentKey, g.bytesInFlight = wire.Key{}, 0
 		}
-		for _, n := range append(c.state.names(), c.state.Was...) {
-			if c.gates[n] == nil {
-				c.gates[n] = &gate{grantAt: now}
+		for _, n := range append(c.state.names(), c.state.PreviousRoster...) {
+			if c.proxies[n] == nil {
+				c.proxies[n] = &proxyState{grantAt: now}
 			}
 		}
 		c.counts.Elections++
@@ -101,17 +101,17 @@
 // been heard for that.
 func (c *Core) announce(now time.Duration) {
 	for _, r := range c.state.Roster {
-		if c.known[r.Name] == nil {
-			c.known[r.Name] = &Known{Daemon: wire.Daemon{Name: r.Name, Kind: "gate", Addr: r.Addr, Domain: r.Domain}, At: now - limit.DaemonGone/2}
+		if c.directory[r.Name] == nil {
+			c.directory[r.Name] = &Known{Daemon: wire.Daemon{Name: r.Name, Kind: "gate", Addr: r.Addr, Domain: r.Domain}, At: now - limit.DaemonGone/2}
 		}
 	}
-	for _, n := range slices.Sorted(maps.Keys(c.known)) {
-		c.do(Send{c.known[n].Addr, c.helloMsg(now, n, true)})
+	for _, n := range slices.Sorted(maps.Keys(c.directory)) {
+		c.emit(Send{c.directory[n].Addr, c.helloMsg(now, n, true)})
 	}
 }
 
 func (c *Core) leadership(now time.Duration) {
-	leads := c.node != nil && !c.stopping && !c.retired() && c.node.Leads(now)
+	leads := c.node != nil && !c.stopping && !c.superseded() && c.node.HasLease(now)
 	if !leads {
 		c.setLead(now, Idle, "no grant from a majority")
 		return
@@ -123,15 +123,15 @@
 	switch c.lead {
 	case Idle:
 		if !c.state.Adopted {
-			c.legacy = nil
-			if len(c.img.Legacy) > 0 {
-				var l Legacy
-				if json.Unmarshal(c.img.Legacy, &l) == nil {
-					c.remember(l)
+			c.recovered = nil
+			if len(c.image.Legacy) > 0 {
+				var l RecoveredState
+				if json.Unmarshal(c.image.Legacy, &l) == nil {
+					c.addRecovered(l)
 				}
 			}
-			for _, n := range slices.Sorted(maps.Keys(c.memories)) {
-				c.remember(c.memories[n].Legacy)
+			for _, n := range slices.Sorted(maps.Keys(c.proxyMemories)) {
+				c.addRecovered(c.proxyMemories[n].RecoveredState)
 			}
 			c.setLead(now, Adopting, "elected in a new epoch")
 		} else {
@@ -140,21 +140,21 @@
 	case Adopting:
 		if c.state.Adopted {
 			c.setLead(now, Warming, "epoch's first state agreed")
-		} else if now-c.leadAt > limit.LegacyWait && !c.proposed {
-			best := Legacy{}
-			for _, l := range c.legacy {
+		} else if now-c.leadAt > limit.RecoveryWait && !c.proposed {
+			best := RecoveredState{}
+			for _, l := range c.recovered {
 				if best.less(l) {
 					best = l
 				}
 			}
 			c.proposed = true
-			c.propose(now, order{Op: "adopt", State: best.State})
+			c.propose(now, command{Op: "adopt", State: best.State})
 		}
 	case Warming:
 		told, need := 0, 0
 		for _, r := range c.state.Roster {
 			need++
-			if g := c.gates[r.Name]; g != nil && g.told {
+			if g := c.proxies[r.Name]; g != nil && g.tableMerged {
 				told++
 			}
 		}
@@ -162,26 +162,26 @@
 			2*told > need && now-c.leadAt > limit.WarmLeader/3 {
 			c.setLead(now, Deciding, fmt.Sprintf("heard %d of %d proxies", told, need))
 			c.rebuild(now, true)
-			if len(c.state.Was) > 0 {
-				c.forces = append(c.forces, &force{ver: c.ver, since: now, wide: true})
+			if len(c.state.PreviousRoster) > 0 {
+				c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, rosterChange: true})
 			}
 			for _, id := range slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare) {
 				if c.targets[id].Pending {
-					c.forces = append(c.forces, &force{ver: c.ver, since: now, clear: id})
+					c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, clearPending: id})
 				}
 			}
 		}
 	}
 }
 
-func (c *Core) remember(l Legacy) {
+func (c *Core) addRecovered(l RecoveredState) {
 	if c.node != nil && !c.state.Adopted && l.Epoch < c.node.Epoch() && len(l.State) > 0 {
-		c.legacy = append(c.legacy, l)
+		c.recovered = append(c.recovered, l)
 	}
 }
 
-func (c *Core) policies() {
-	if c.judged == c.state.Revision && c.judged != 0 {
+func (c *Core) applyPolicies() {
+	if c.policyRevision == c.state.Revision && c.policyRevision != 0 {
 		return
 	}
 	cfg := c.checked.cfg
@@ -193,5 +193,5 @@
 	}
 	c.cfg = cfg
 	c.judge.Replace(cfg)
-	c.judged = c.state.Revision
+	c.policyRevision = c.state.Revision
 }
--- a/core/lease.go
+++ b/core/lease.go
@@ -1,4 +1,4 @@
-// This file grants leases to the proxies that pull from the leader, and sends each
+// This file leases leases to the proxies that pull from the leader, and sends each
 // the part of the table that it lacks.
 package core
 
@@ -10,19 +10,19 @@
 	"myrtlefold/wire"
 )
 
-type gate struct {
-	inc           uint64
-	past          []uint64 // incarnations that this one replaced
+type proxyState struct {
+	incarnation           uint64
+	pastIncarnations          []uint64 // incarnations that this one replaced
 	key           wire.Key
 	stamp         int64
 	pullAt        time.Duration
 	grantAt       time.Duration
 	movedAt       time.Duration // when it last stood on the table of the time, or came on
 	revision, seq uint64        // of the document and state that it holds
-	told          bool          // its table of before this lead is merged
-	sent          wire.Key      // the latest table that it was sent and has not confirmed yet
+	tableMerged          bool          // its table of before this lead is merged
+	sentKey          wire.Key      // the latest table that it was sent and has not confirmed yet
 	sentAt        time.Duration
-	flying        int // bytes of tables sent and not confirmed, about
+	bytesInFlight        int // bytes of tables sent and not confirmed, about
 }
 
 // change tells which change to a table is meant, and whether it needs the state or the document too.
@@ -32,14 +32,14 @@
 }
 
 func (c *Core) inRoster(name string) bool {
-	return slices.ContainsFunc(c.state.Roster, func(g Gate) bool { return g.Name == name })
+	return slices.ContainsFunc(c.state.Roster, func(g RosterEntry) bool { return g.Name == name })
 }
 
 func (c *Core) pull(now time.Duration, m *wire.Msg) {
 	if m.Pull == nil {
 		return
 	}
-	k, inc := c.known[m.From], m.Pull.Self.Inc
+	k, inc := c.directory[m.From], m.Pull.Self.Inc
 	switch {
 	case m.Pull.Self.Name == "": // it goes on as it said before
 		if k == nil || k.Inc != m.Disk {
@@ -47,30 +47,30 @@
 		}
 		k.At, inc = now, m.Disk
 	case k == nil || k.Inc != inc:
-		c.known.Meet(now, c.set.Self.Name, &wire.Hello{Self: m.Pull.Self})
+		c.directory.Meet(now, c.settings.Self.Name, &wire.Hello{Self: m.Pull.Self})
 	default:
 		k.At, k.Daemon = now, m.Pull.Self
 	}
 	if t := m.Pull.Table; t != nil && c.lead == Adopting && t.Key.Epoch < c.node.Epoch() {
 		if l, ok := Remembered(t); ok {
-			c.remember(l)
+			c.addRecovered(l)
 		}
 	}
 	if c.lead == Idle {
 		return
 	}
-	g := c.gates[m.From]
+	g := c.proxies[m.From]
 	if g == nil {
-		g = &gate{}
-		c.gates[m.From] = g
+		g = &proxyState{}
+		c.proxies[m.From] = g
 	}
-	if inc != g.inc {
-		if slices.Contains(g.past, inc) {
+	if inc != g.incarnation {
+		if slices.Contains(g.pastIncarnations, inc) {
 			return // a late word of a process that is gone
 		}
-		g.past = append(g.past, g.inc)
-		g.inc, g.key, g.stamp, g.revision, g.seq = inc, wire.Key{}, 0, 0, 0
-		g.sent, g.flying = wire.Key{}, 0
+		g.pastIncarnations = append(g.pastIncarnations, g.incarnation)
+		g.incarnation, g.key, g.stamp, g.revision, g.seq = inc, wire.Key{}, 0, 0, 0
+		g.sentKey, g.bytesInFlight = wire.Key{}, 0
 	}
 	g.pullAt = now
 	g.stamp = max(g.stamp, m.Stamp)
@@ -78,22 +78,22 @@
 		g.movedAt = now
 	}
 	g.key = m.Pull.Key
-	if !g.key.Less(g.sent) || now-g.sentAt > flight(g.flying) {
-		g.sent, g.flying = wire.Key{}, 0
+	if !g.key.Less(g.sentKey) || now-g.sentAt > flightTime(g.bytesInFlight) {
+		g.sentKey, g.bytesInFlight = wire.Key{}, 0
 	}
-	if t := m.Pull.Table; t != nil && c.lead >= Warming && !g.told {
-		g.told = true
+	if t := m.Pull.Table; t != nil && c.lead >= Warming && !g.tableMerged {
+		g.tableMerged = true
 		c.merge(now, t)
 		c.rebuild(now, false)
 	}
 	g.revision, g.seq = m.Pull.Revision, m.Pull.Seq
 	if m.Pull.Key == (wire.Key{}) {
-		g.told = true // nothing to tell
+		g.tableMerged = true // nothing to tell
 	}
 	for _, s := range m.Pull.Seen {
 		if t := c.targets[wire.ID{Service: s.Service, Name: s.Name, Inc: s.Inc}]; t != nil {
 			if s.Ok > 0 || s.Alive {
-				t.okAt, t.told, t.misses = now, false, 0
+				t.okAt, t.unconfirmed, t.misses = now, false, 0
 			}
 			t.seen.Ok += s.Ok
 			t.seen.Errors += s.Errors
@@ -110,47 +110,47 @@
 	}
 	// One that asks but does not take what it is sent hears nothing: it must not hold up
 	// what is to be in force, so it is granted nothing more.
-	c.push(m.From, g, c.inRoster(m.From) && now-g.movedAt < limit.GateDeaf && !c.lags(now, g.key))
+	c.push(m.From, g, c.inRoster(m.From) && now-g.movedAt < limit.ProxyDeaf && !c.isLagging(now, g.key))
 }
 
 // lags says that a proxy stands on a table of this lead that has not been the latest for too long.
-func (c *Core) lags(now time.Duration, k wire.Key) bool {
-	if !c.ours(k) || k.Ver >= c.ver {
+func (c *Core) isLagging(now time.Duration, k wire.Key) bool {
+	if !c.isOwnTable(k) || k.Ver >= c.tableVersion {
 		return false
 	}
-	return c.ver-k.Ver >= limit.TablesKept || now-c.madeAt[(k.Ver+1)%limit.TablesKept] >= limit.GateDeaf
+	return c.tableVersion-k.Ver >= limit.TablesKept || now-c.madeAt[(k.Ver+1)%limit.TablesKept] >= limit.ProxyDeaf
 }
 
 // ours says that a key is one of this lead's tables.
-func (c *Core) ours(k wire.Key) bool {
+func (c *Core) isOwnTable(k wire.Key) bool {
 	return c.table != nil && k.Epoch == c.table.Key.Epoch && k.Term == c.table.Key.Term && k.Ver != 0
 }
 
 // flight is how long tables of so many bytes may be under way.
-func flight(bytes int) time.Duration {
+func flightTime(bytes int) time.Duration {
 	return limit.PullEvery + time.Duration(bytes)*time.Second/limit.SlowLink
 }
 
 // weight is about how many bytes a table takes on its way.
-func weight(t *wire.Table) int {
+func tableBytes(t *wire.Table) int {
 	return len(t.Doc) + len(t.State) + limit.RowBytes*(len(t.Targets)+len(t.Gates)+len(t.Gone)+1)
 }
 
 // push sends a proxy what it lacks, unless enough is under way to it: it asks again when it
-// has that. A grant runs from the proxy's own stamp, and is for the table that it names or
+// has that. A lease runs from the proxy's own stamp, and is for the table that it names or
 // that comes with it.
-func (c *Core) push(name string, g *gate, grant bool) {
-	p := &wire.Push{Grant: grant, Want: !g.told}
+func (c *Core) push(name string, g *proxyState, grant bool) {
+	p := &wire.Push{Grant: grant, Want: !g.tableMerged}
 	if c.lead == Deciding && c.table != nil {
 		p.Key = c.table.Key
 		if g.key != c.table.Key {
-			p.Table = c.lacking(g)
-			if n := weight(p.Table); g.flying == 0 || g.flying+n <= limit.FlightBytes {
-				g.sent, g.sentAt = p.Key, g.pullAt
-				g.flying += n
+			p.Table = c.tableFor(g)
+			if n := tableBytes(p.Table); g.bytesInFlight == 0 || g.bytesInFlight+n <= limit.FlightBytes {
+				g.sentKey, g.sentAt = p.Key, g.pullAt
+				g.bytesInFlight += n
 			} else {
 				p.Table = nil
-				if c.ours(g.key) {
+				if c.isOwnTable(g.key) {
 					p.Key = g.key
 				}
 			}
@@ -160,36 +160,36 @@
 		}
 	}
 	// The stamp is the proxy's own and means nothing to a later process of its name.
-	c.send(name, &wire.Msg{Kind: uint16(wire.KPush), Epoch: c.node.Epoch(), Term: c.node.Term(), Stamp: g.stamp, Disk: g.inc, Push: p})
+	c.send(name, &wire.Msg{Kind: uint16(wire.KPush), Epoch: c.node.Epoch(), Term: c.node.Term(), Stamp: g.stamp, Disk: g.incarnation, Push: p})
 }
 
 // lacking is the table for a proxy: only what changed since the one that it holds, if that
 // is of this lead; else all, but for a document and state that it has.
-func (c *Core) lacking(g *gate) *wire.Table {
+func (c *Core) tableFor(g *proxyState) *wire.Table {
 	doc, state := g.revision != c.table.Revision, g.seq != c.table.Seq
-	if c.ours(g.key) && g.key.Ver >= c.firstVer && g.seq != 0 {
+	if c.isOwnTable(g.key) && g.key.Ver >= c.oldestDeltaBase && g.seq != 0 {
 		k := change{g.key.Ver, state, doc}
 		if c.changes[k] == nil {
 			if c.changes == nil {
 				c.changes = map[change]*wire.Table{}
 			}
-			c.changes[k] = c.since(k)
+			c.changes[k] = c.tableSince(k)
 		}
 		return c.changes[k]
 	}
 	if g.key.Epoch == c.table.Key.Epoch && !doc && !state && g.seq != 0 {
-		if c.slight == nil {
+		if c.tableWithoutDocument == nil {
 			t := *c.table
 			t.Doc, t.State = nil, nil
-			c.slight = &t
+			c.tableWithoutDocument = &t
 		}
-		return c.slight
+		return c.tableWithoutDocument
 	}
 	return c.table
 }
 
 // since is the table as a change to an earlier one.
-func (c *Core) since(k change) *wire.Table {
+func (c *Core) tableSince(k change) *wire.Table {
 	t := *c.table
 	t.Base, t.Targets, t.Gone = wire.Key{Epoch: t.Key.Epoch, Term: t.Key.Term, Ver: k.base}, nil, nil
 	if !k.doc {
@@ -198,15 +198,15 @@
 	if !k.state {
 		t.State = nil
 	}
-	if c.gatesVer <= k.base {
+	if c.rosterTableVersion <= k.base {
 		t.Gates = nil
 	}
 	for i := range c.table.Targets {
-		if w := &c.table.Targets[i]; c.targets[w.ID()] == nil || c.targets[w.ID()].row > k.base {
+		if w := &c.table.Targets[i]; c.targets[w.ID()] == nil || c.targets[w.ID()].changedInVersion > k.base {
 			t.Targets = append(t.Targets, *w)
 		}
 	}
-	for _, o := range c.gones {
+	for _, o := range c.withdrawnTargets {
 		if o.ver > k.base {
 			t.Gone = append(t.Gone, o.id)
 		}
@@ -215,6 +215,6 @@
 }
 
 func (c *Core) live(now time.Duration, name string) bool {
-	g := c.gates[name]
-	return g != nil && g.pullAt != 0 && now-g.pullAt < limit.GateLive
+	g := c.proxies[name]
+	return g != nil && g.pullAt != 0 && now-g.pullAt < limit.ProxyLive
 }
--- a/core/membership.go
+++ b/core/membership.go
@@ -15,58 +15,58 @@
 // members admits again a member that came back with another disk, and those
 // that an operator asked for, once they have caught up; and it looks after the
 // others, by number or, if none is given, by who is there.
-func (c *Core) members(now time.Duration) {
-	if !c.node.Settled() {
+func (c *Core) maintainMembers(now time.Duration) {
+	if !c.node.CanChangeMembers() {
 		return
 	}
 	ms := c.node.Members()
-	all := c.cores(now, true)
+	all := c.coreDaemons(now, true)
 	ghost := slices.IndexFunc(ms, func(m wire.Member) bool { return m.Disk == 0 })
 	for _, d := range all {
-		if d.Name == c.set.Self.Name || d.Disk == 0 {
+		if d.Name == c.settings.Self.Name || d.Disk == 0 {
 			continue
 		}
 		i := slices.IndexFunc(ms, func(m wire.Member) bool { return m.Name == d.Name })
 		switch {
 		case i >= 0 && ms[i].Disk != d.Disk && (d.Epoch == 0 || d.Epoch == c.node.Epoch()):
-			c.do(Change{"member", d.Name, "out", "it lost its disk"})
-			c.swaps[d.Name] = true
-			c.node.Change(now, slices.Delete(slices.Clone(ms), i, i+1))
+			c.emit(Change{"member", d.Name, "out", "it lost its disk"})
+			c.requestedMembers[d.Name] = true
+			c.node.ProposeMembers(now, slices.Delete(slices.Clone(ms), i, i+1))
 			return
-		case i < 0 && c.set.Size > 0 && c.state.Out[d.Name] == 0 && ghost >= 0:
-			c.do(Change{"member", ms[ghost].Name, "out", "its place was kept for who was not there at the founding"})
-			c.swaps[d.Name] = true
-			c.node.Change(now, slices.Delete(slices.Clone(ms), ghost, ghost+1))
+		case i < 0 && c.settings.Size > 0 && c.state.Out[d.Name] == 0 && ghost >= 0:
+			c.emit(Change{"member", ms[ghost].Name, "out", "its place was kept for who was not there at the founding"})
+			c.requestedMembers[d.Name] = true
+			c.node.ProposeMembers(now, slices.Delete(slices.Clone(ms), ghost, ghost+1))
 			return
-		case i < 0 && (c.swaps[d.Name] || len(ms) < c.set.Size && c.state.Out[d.Name] == 0):
+		case i < 0 && (c.requestedMembers[d.Name] || len(ms) < c.settings.Size && c.state.Out[d.Name] == 0):
 			if c.admit(now, ms, d) {
 				return
 			}
 		}
 	}
-	if c.set.Size == 0 {
-		c.tend(now, ms, all)
+	if c.settings.Size == 0 {
+		c.reconcileMembers(now, ms, all)
 	}
 }
 
 // admit has a daemon learn, and makes it a member once it has caught up.
 func (c *Core) admit(now time.Duration, ms []wire.Member, d wire.Daemon) bool {
 	m := wire.Member{Name: d.Name, Disk: d.Disk}
-	c.node.Learn(m)
+	c.node.AddLearner(m)
 	if !c.node.CaughtUp(m) {
 		return false
 	}
-	c.do(Change{"member", d.Name, "in", "caught up"})
-	delete(c.swaps, d.Name)
-	delete(c.tried, d.Name)
+	c.emit(Change{"member", d.Name, "in", "caught up"})
+	delete(c.requestedMembers, d.Name)
+	delete(c.learningSince, d.Name)
 	c.changedAt = now
-	c.node.Change(now, append(slices.Clone(ms), m))
+	c.node.ProposeMembers(now, append(slices.Clone(ms), m))
 	return true
 }
 
 // silent is how long a member has not been heard, as far as this lead can tell.
-func (c *Core) silent(now time.Duration, name string) time.Duration {
-	if name == c.set.Self.Name {
+func (c *Core) silentFor(now time.Duration, name string) time.Duration {
+	if name == c.settings.Self.Name {
 		return 0
 	}
 	return now - max(c.heard[name].at, c.leadAt)
@@ -74,19 +74,19 @@
 
 // gone says that a member may be replaced: nobody's place at once, who fell silent
 // soon, and who said that it stops only after a machine's restart.
-func (c *Core) gone(now time.Duration, m wire.Member) bool {
-	after := limit.MemberGone
+func (c *Core) replaceable(now time.Duration, m wire.Member) bool {
+	after := limit.MemberReplaceAfter
 	if c.heard[m.Name].stops {
 		after = limit.MemberForget
 	}
-	return m.Disk == 0 || c.silent(now, m.Name) > after
+	return m.Disk == 0 || c.silentFor(now, m.Name) > after
 }
 
 // sound says that a list of members has a majority that answers now.
-func (c *Core) sound(now time.Duration, ms []wire.Member) bool {
+func (c *Core) hasResponsiveMajority(now time.Duration, ms []wire.Member) bool {
 	n := 0
 	for _, m := range ms {
-		if c.node.Answers(now, m) {
+		if c.node.RecentlyActive(now, m) {
 			n++
 		}
 	}
@@ -94,8 +94,8 @@
 }
 
 func (c *Core) domainOf(name string) string {
-	if name == c.set.Self.Name {
-		return c.set.Self.Domain
+	if name == c.settings.Self.Name {
+		return c.settings.Self.Domain
 	}
 	if h, ok := c.heard[name]; ok {
 		return h.domain
@@ -105,7 +105,7 @@
 
 // worth compares sets of members by what they outlive: any one domain, then as many
 // machines as can be, with no more members than that takes; but two keep more than one.
-func (c *Core) worth(names []string) (w [3]int) {
+func (c *Core) resilience(names []string) (w [3]int) {
 	per, most := map[string]int{}, 0
 	for _, n := range names {
 		d := c.domainOf(n)
@@ -129,23 +129,23 @@
 	return l
 }
 
-// newcomer is who should become a member next, beside those who stay: the first of
+// learner is who should become a member next, beside those who stay: the first of
 // those who make the best core, one from the domain with the fewest at each step.
-func (c *Core) newcomer(now time.Duration, stay []wire.Member, ms []wire.Member, all []wire.Daemon) (next wire.Daemon, ok bool) {
+func (c *Core) nextMember(now time.Duration, stay []wire.Member, ms []wire.Member, all []wire.Daemon) (next wire.Daemon, ok bool) {
 	list := namesOf(stay)
 	free := slices.DeleteFunc(slices.Clone(all), func(d wire.Daemon) bool {
-		since, tried := c.tried[d.Name]
+		since, tried := c.learningSince[d.Name]
 		vain := tried && now-since > limit.LearnWait && now-since < limit.LearnAgain
 		return d.Disk == 0 || d.State == stoppingState || c.state.Out[d.Name] != 0 || vain || slices.Contains(namesOf(ms), d.Name)
 	})
-	if w := c.worth(list); w[0] == 0 && len(list) > 2 { // one may come for another
+	if w := c.resilience(list); w[0] == 0 && len(list) > 2 { // one may come for another
 		for _, d := range free {
-			if i := c.spared(append(slices.Clone(list), d.Name)); i >= 0 && i < len(list) {
+			if i := c.surplusMember(append(slices.Clone(list), d.Name)); i >= 0 && i < len(list) {
 				return d, true
 			}
 		}
 	}
-	best, first := c.worth(list), wire.Daemon{}
+	best, first := c.resilience(list), wire.Daemon{}
 	for len(list) < limit.VotersMax && len(free) > 0 {
 		per := map[string]int{}
 		for _, n := range list {
@@ -159,7 +159,7 @@
 		if first.Name == "" {
 			first = d
 		}
-		if w := c.worth(list); slices.Compare(best[:], w[:]) < 0 {
+		if w := c.resilience(list); slices.Compare(best[:], w[:]) < 0 {
 			best, next, ok = w, first, true
 		}
 	}
@@ -168,68 +168,68 @@
 
 // spared is the place of one without whom a list would outlive any domain, -1 if it
 // does with all, or without none of them.
-func (c *Core) spared(list []string) int {
-	if w := c.worth(list); w[0] == 1 {
+func (c *Core) surplusMember(list []string) int {
+	if w := c.resilience(list); w[0] == 1 {
 		return -1
 	}
 	return slices.IndexFunc(list, func(n string) bool {
-		w := c.worth(slices.DeleteFunc(slices.Clone(list), func(o string) bool { return o == n }))
-		return n != c.set.Self.Name && w[0] == 1
+		w := c.resilience(slices.DeleteFunc(slices.Clone(list), func(o string) bool { return o == n }))
+		return n != c.settings.Self.Name && w[0] == 1
 	})
 }
 
 // tend grows and mends a core whose size nobody has given, by one change at a time,
-// each between lists of which a majority answers. A newcomer is in before the one
+// each between lists of which a majority answers. A learner is in before the one
 // that it replaces is out. One whose return would add nothing goes then; without a
 // replacement a silent one goes late, and only if a majority then takes fewer.
-func (c *Core) tend(now time.Duration, ms []wire.Member, all []wire.Daemon) {
+func (c *Core) reconcileMembers(now time.Duration, ms []wire.Member, all []wire.Daemon) {
 	var stay, gone []wire.Member
 	late := 0
 	for _, m := range ms {
-		if !c.gone(now, m) {
+		if !c.replaceable(now, m) {
 			stay = append(stay, m)
 			continue
 		}
 		gone = append(gone, m)
-		if c.silent(now, m.Name) > limit.MemberForget {
+		if c.silentFor(now, m.Name) > limit.MemberForget {
 			late++
 		}
 	}
-	next, ok := c.newcomer(now, stay, ms, all)
+	next, ok := c.nextMember(now, stay, ms, all)
 	astray := map[string]bool{} // they stand in an earlier list of members, and are to learn that they are out
 	for _, d := range all {
-		if d.Epoch > 0 && !d.Ready && d.Name != c.set.Self.Name && !slices.Contains(namesOf(ms), d.Name) {
+		if d.Epoch > 0 && !d.Ready && d.Name != c.settings.Self.Name && !slices.Contains(namesOf(ms), d.Name) {
 			astray[d.Name] = true
-			c.node.Learn(wire.Member{Name: d.Name, Disk: d.Disk})
+			c.node.AddLearner(wire.Member{Name: d.Name, Disk: d.Disk})
 		}
 	}
-	c.node.Release(func(m wire.Member) bool { return ok && m.Name == next.Name || c.swaps[m.Name] || astray[m.Name] })
+	c.node.RetainLearners(func(m wire.Member) bool { return ok && m.Name == next.Name || c.requestedMembers[m.Name] || astray[m.Name] })
 	if ok {
 		m := wire.Member{Name: next.Name, Disk: next.Disk}
-		if since, tried := c.tried[m.Name]; !tried || now-since >= limit.LearnAgain {
-			c.tried[m.Name] = now
+		if since, tried := c.learningSince[m.Name]; !tried || now-since >= limit.LearnAgain {
+			c.learningSince[m.Name] = now
 		}
-		if !c.node.CaughtUp(m) || c.sound(now, append(slices.Clone(ms), m)) {
+		if !c.node.CaughtUp(m) || c.hasResponsiveMajority(now, append(slices.Clone(ms), m)) {
 			c.admit(now, ms, next)
 		}
 		return
 	}
-	if i := c.spared(namesOf(ms)); len(gone) == 0 && i >= 0 && now-c.changedAt > limit.MemberGone {
-		if left := slices.Delete(slices.Clone(ms), i, i+1); c.sound(now, ms) && c.sound(now, left) {
-			c.do(Change{"member", ms[i].Name, "out", "its domain has too many"})
-			c.node.Change(now, left)
+	if i := c.surplusMember(namesOf(ms)); len(gone) == 0 && i >= 0 && now-c.changedAt > limit.MemberReplaceAfter {
+		if left := slices.Delete(slices.Clone(ms), i, i+1); c.hasResponsiveMajority(now, ms) && c.hasResponsiveMajority(now, left) {
+			c.emit(Change{"member", ms[i].Name, "out", "its domain has too many"})
+			c.node.ProposeMembers(now, left)
 			c.changedAt = now
 			return
 		}
 	}
 	for _, m := range gone {
 		left := slices.DeleteFunc(slices.Clone(ms), func(o wire.Member) bool { return o == m })
-		with, without := c.worth(append(namesOf(stay), m.Name)), c.worth(namesOf(stay))
+		with, without := c.resilience(append(namesOf(stay), m.Name)), c.resilience(namesOf(stay))
 		spent := slices.Compare(with[:], without[:]) <= 0
-		fewer := c.silent(now, m.Name) > limit.MemberForget && (len(ms)-late)/2 < len(ms)/2
-		if (spent || fewer) && c.sound(now, ms) && c.sound(now, left) {
-			c.do(Change{"member", m.Name, "out", fmt.Sprintf("silent for %v", c.silent(now, m.Name).Truncate(time.Second))})
-			c.node.Change(now, left)
+		fewer := c.silentFor(now, m.Name) > limit.MemberForget && (len(ms)-late)/2 < len(ms)/2
+		if (spent || fewer) && c.hasResponsiveMajority(now, ms) && c.hasResponsiveMajority(now, left) {
+			c.emit(Change{"member", m.Name, "out", fmt.Sprintf("silent for %v", c.silentFor(now, m.Name).Truncate(time.Second))})
+			c.node.ProposeMembers(now, left)
 			return
 		}
 	}
--- a/core/message.go
+++ b/core/message.go
@@ -9,15 +9,15 @@
 	"myrtlefold/wire"
 )
 
-func (c *Core) do(cmd any) { c.out = append(c.out, cmd) }
+func (c *Core) emit(cmd any) { c.out = append(c.out, cmd) }
 
 func (c *Core) send(name string, m *wire.Msg) {
-	k := c.known[name]
-	if k == nil || name == c.set.Self.Name {
+	k := c.directory[name]
+	if k == nil || name == c.settings.Self.Name {
 		return
 	}
-	m.To, m.From = name, c.set.Self.Name
-	c.do(Send{k.Addr, m})
+	m.To, m.From = name, c.settings.Self.Name
+	c.emit(Send{k.Addr, m})
 }
 
 func (c *Core) recv(now time.Duration, m *wire.Msg) {
@@ -26,16 +26,16 @@
 		if m.Hello == nil {
 			return
 		}
-		c.known.Meet(now, c.set.Self.Name, m.Hello)
-		if d := m.Hello.Self; d.Kind == "core" && d.Name != c.set.Self.Name {
+		c.directory.Meet(now, c.settings.Self.Name, m.Hello)
+		if d := m.Hello.Self; d.Kind == "core" && d.Name != c.settings.Self.Name {
 			c.heard[d.Name] = heard{now, d.Domain, d.State == stoppingState}
 		}
 		if len(m.Hello.Legacy) > 0 {
-			var l Legacy
-			if b, err := wire.Open(m.Hello.Legacy); err == nil && json.Unmarshal(b, &l) == nil {
-				c.remember(l)
+			var l RecoveredState
+			if b, err := wire.Decompress(m.Hello.Legacy); err == nil && json.Unmarshal(b, &l) == nil {
+				c.addRecovered(l)
 				if m.Hello.Self.Kind == "gate" {
-					c.recall(m.From, l)
+					c.rememberProxy(m.From, l)
 				}
 			}
 		}
@@ -43,13 +43,13 @@
 			c.send(m.From, c.helloMsg(now, m.From, true))
 		}
 	case wire.KVote, wire.KAppend:
-		if m.Epoch < c.img.Founding {
+		if m.Epoch < c.image.Founding {
 			return // this member has promised to found a later epoch and takes no more part in this one
 		}
 		if m.Append != nil && !m.Append.Reply && (c.node == nil || m.Epoch > c.node.Epoch()) {
 			// An empty member, or one of an older epoch that has been passed by, learns from a leader.
 			if m.Epoch == c.lockedFor() {
-				c.establish(now) // a founder that had not seen all the locks: what it remembers counts
+				c.beginEpoch(now) // a founder that had not seen all the locks: what it remembers counts
 			} else {
 				c.join(now, m.Epoch)
 			}
@@ -61,26 +61,26 @@
 		c.pull(now, m)
 	case wire.KBeat:
 		if m.Beat != nil {
-			c.beat(now, *m.Beat, m.Stamp == 0)
+			c.heartbeat(now, *m.Beat, m.Stamp == 0)
 		}
 	case wire.KAsk:
 		if m.Ask == nil {
 			return
 		}
 		if m.Ask.Reply {
-			if p := c.relays[m.Ask.Id]; p != nil && p.to == m.From {
-				if p.word && m.Ask.Status == 503 {
+			if p := c.relayedCalls[m.Ask.Id]; p != nil && p.relayedTo == m.From {
+				if p.targetReport && m.Ask.Status == 503 {
 					return // it is passed on again while it may wait
 				}
-				if p.passes > 1 && m.Ask.Status == 503 {
-					p.to = "" // an earlier leader may have agreed it: the next that decides will know
+				if p.relayCount > 1 && m.Ask.Status == 503 {
+					p.relayedTo = "" // an earlier leader may have agreed it: the next that decides will know
 					return
 				}
-				delete(c.relays, m.Ask.Id)
+				delete(c.relayedCalls, m.Ask.Id)
 				c.answer(p, Reply{p.ask, int(m.Ask.Status), time.Duration(m.Ask.RetryMs) * time.Millisecond, m.Ask.Body})
 			}
 			return
 		}
-		c.operate(now, &pending{token: m.Ask.Token, at: now, relay: m.From, rid: m.Ask.Id}, m.Ask)
+		c.operate(now, &pending{token: m.Ask.Token, at: now, relay: m.From, relayID: m.Ask.Id}, m.Ask)
 	}
 }
--- a/core/operator.go
+++ b/core/operator.go
@@ -21,19 +21,19 @@
 
 // ask takes a call at this daemon: some it answers itself, the others it
 // carries out as leader or passes to the leader.
-func (c *Core) ask(now time.Duration, e Ask) {
+func (c *Core) handleCall(now time.Duration, e Ask) {
 	p := &pending{token: e.Token, ask: e.ID, at: now}
 	word := wire.Target{}
 	if strings.HasPrefix(e.Path, "/v1/targets") && e.Method != "GET" {
-		w, r := readWord(e)
+		w, r := parseTargetReport(e)
 		if r.Status != 0 {
 			c.answer(p, r)
 			return
 		}
-		word, p.word = w, true
+		word, p.targetReport = w, true
 	}
 	if e.Path == "/v1/core/refound" && e.Method == "POST" {
-		c.answer(p, c.refound(now, query(e.Query, "gone")))
+		c.answer(p, c.recoverByOperator(now, query(e.Query, "gone")))
 		return
 	}
 	if e.Path == "/v1/status" {
@@ -51,31 +51,31 @@
 	if !c.stopping {
 		l = c.leader(now)
 	}
-	if p.word && !leaves(word) && l != "" {
-		c.beat(now, word, true)
-		c.answer(p, wordHeard(word))
+	if p.targetReport && !isLeaving(word) && l != "" {
+		c.heartbeat(now, word, true)
+		c.answer(p, reportAccepted(word))
 		return
 	}
-	waits := p.word && c.lead == Warming
-	if !waits && (l == "" || l == c.set.Self.Name || c.known[l] == nil) {
+	waits := p.targetReport && c.lead == Warming
+	if !waits && (l == "" || l == c.settings.Self.Name || c.directory[l] == nil) {
 		c.answer(p, noLeader())
 		return
 	}
-	c.relaySeq++
-	c.relays[c.relaySeq] = p
-	p.call = &wire.Ask{Id: c.relaySeq, Token: p.token, Method: e.Method, Path: e.Path, Query: e.Query, Body: e.Body}
+	c.relayID++
+	c.relayedCalls[c.relayID] = p
+	p.call = &wire.Ask{Id: c.relayID, Token: p.token, Method: e.Method, Path: e.Path, Query: e.Query, Body: e.Body}
 	if waits {
-		p.to = c.set.Self.Name // made known as soon as this member decides
-		c.beat(now, word, false)
+		p.relayedTo = c.settings.Self.Name // made known as soon as this member decides
+		c.heartbeat(now, word, false)
 		return
 	}
-	c.pass(now, c.relaySeq, p, l)
+	c.relay(now, c.relayID, p, l)
 }
 
 // pass hands a call to the leader.
-func (c *Core) pass(now time.Duration, id uint64, p *pending, leader string) {
-	p.to, p.passAt = leader, now
-	p.passes++
+func (c *Core) relay(now time.Duration, id uint64, p *pending, leader string) {
+	p.relayedTo, p.relayedAt = leader, now
+	p.relayCount++
 	c.send(leader, &wire.Msg{Kind: uint16(wire.KAsk), Ask: p.call})
 }
 
@@ -95,26 +95,26 @@
 		return
 	}
 	if strings.HasPrefix(a.Path, "/v1/targets") && a.Method != "GET" {
-		p.word = true
-		w, r := readWord(Ask{Method: a.Method, Path: a.Path, Query: a.Query, Body: a.Body})
+		p.targetReport = true
+		w, r := parseTargetReport(Ask{Method: a.Method, Path: a.Path, Query: a.Query, Body: a.Body})
 		if r.Status != 0 {
 			c.answer(p, r)
 			return
 		}
-		c.word(now, p, w)
+		c.reportTarget(now, p, w)
 		return
 	}
-	if r := c.state.find(p.token); r != nil && a.Method != "GET" {
+	if r := c.state.findByID(p.token); r != nil && a.Method != "GET" {
 		if r.Outcome == "stale" {
-			c.answer(p, c.stale(p.token))
+			c.answer(p, c.staleBase(p.token))
 			return
 		}
 		// The same change again: wait for it as for the first.
-		c.forces = append(c.forces, &force{ver: c.ver, since: now, p: p, reply: done(p.token, r.Revision)})
+		c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, p: p, reply: accepted(p.token, r.Revision)})
 		return
 	}
-	if c.pend[p.token] != nil && a.Method != "GET" {
-		c.answer(p, trouble(409, model.Trouble{Code: "under_way", Message: "a change with this id is under way", Id: p.token}))
+	if c.pendingChanges[p.token] != nil && a.Method != "GET" {
+		c.answer(p, problem(409, model.Trouble{Code: "under_way", Message: "a change with this id is under way", Id: p.token}))
 		return
 	}
 	seg := strings.Split(strings.Trim(a.Path, "/"), "/")
@@ -132,7 +132,7 @@
 	case call == "GET config" && seg[2] == "":
 		c.answer(p, Reply{Status: 200, Body: body(map[string]any{"revision": c.state.Revision, "config": c.state.Doc})})
 	case call == "PUT config" && seg[2] == "":
-		if sum, ok := c.screen(now, p, a, a.Body, "whole"); ok {
+		if sum, ok := c.precheckChange(now, p, a, a.Body, "whole"); ok {
 			c.config(now, p, a.Body, "whole", sum)
 		}
 	case call == "PATCH config" && seg[2] == "":
@@ -145,23 +145,23 @@
 		to, ok := number(a.Query, "to")
 		doc := c.docAt(to)
 		if !ok || doc == nil {
-			c.answer(p, trouble(404, model.Trouble{Code: "not_found", Message: fmt.Sprintf("revision %d is not kept; the last %d changes are", to, limit.ChangesKept)}))
+			c.answer(p, problem(404, model.Trouble{Code: "not_found", Message: fmt.Sprintf("revision %d is not kept; the last %d changes are", to, limit.ChangesKept)}))
 			return
 		}
 		what := fmt.Sprintf("rollback to %d", to)
-		if sum, ok := c.screen(now, p, a, []byte("{}"), what); ok {
+		if sum, ok := c.precheckChange(now, p, a, []byte("{}"), what); ok {
 			c.config(now, p, unnumbered(doc), what, sum)
 		}
 	case call == "GET changes":
-		if r := c.state.find(seg[2]); r != nil {
+		if r := c.state.findByID(seg[2]); r != nil {
 			t := *r
 			t.Doc = nil
 			c.answer(p, Reply{Status: 200, Body: body(t)})
 			return
 		}
-		c.answer(p, trouble(404, model.Trouble{Code: "not_found", Ran: "unknown", Message: "no such change has been agreed so far"}))
+		c.answer(p, problem(404, model.Trouble{Code: "not_found", Ran: "unknown", Message: "no such change has been agreed so far"}))
 	case call == "GET roster":
-		c.answer(p, Reply{Status: 200, Body: body(map[string]any{"daemons": c.roll(now)})})
+		c.answer(p, Reply{Status: 200, Body: body(map[string]any{"daemons": c.daemonViews(now)})})
 	case call == "GET targets":
 		c.answer(p, Reply{Status: 200, Body: body(map[string]any{"revision": c.state.Revision, "targets": c.Targets(now)})})
 	case call == "GET policies":
@@ -174,34 +174,34 @@
 		c.answer(p, Reply{Status: 200, Body: body(map[string]any{"emptied": append([]string{}, c.state.Emptied...), "domains": c.domains()})})
 	case call == "POST domains" && (seg[3] == "empty" || seg[3] == "restore"):
 		if !slices.Contains(c.domains(), seg[2]) && !slices.Contains(c.state.Emptied, seg[2]) {
-			c.answer(p, trouble(404, model.Trouble{Code: "not_found", Message: fmt.Sprintf("no target or proxy stands in domain %q", seg[2])}))
+			c.answer(p, problem(404, model.Trouble{Code: "not_found", Message: fmt.Sprintf("no target or proxy stands in domain %q", seg[2])}))
 			return
 		}
-		c.change(now, p, order{Op: seg[3], Name: seg[2]})
+		c.change(now, p, command{Op: seg[3], Name: seg[2]})
 	case call == "POST gates" && seg[3] == "forget":
 		if !c.inRoster(seg[2]) {
-			c.answer(p, trouble(404, model.Trouble{Code: "not_found", Message: "no such proxy in the roster"}))
+			c.answer(p, problem(404, model.Trouble{Code: "not_found", Message: "no such proxy in the roster"}))
 			return
 		}
-		if g := c.gates[seg[2]]; g != nil && now-g.pullAt < limit.GateLive {
-			c.answer(p, trouble(409, model.Trouble{Code: "alive", Message: "that proxy is still asking for its table"}))
+		if g := c.proxies[seg[2]]; g != nil && now-g.pullAt < limit.ProxyLive {
+			c.answer(p, problem(409, model.Trouble{Code: "alive", Message: "that proxy is still asking for its table"}))
 			return
 		}
-		c.change(now, p, order{Op: "forget", Name: seg[2]})
+		c.change(now, p, command{Op: "forget", Name: seg[2]})
 	case call == "POST core" && (seg[3] == "add" || seg[3] == "remove"):
-		c.swap(now, p, seg[2], seg[3])
+		c.changeMember(now, p, seg[2], seg[3])
 	default:
-		c.answer(p, trouble(404, model.Trouble{Code: "not_found", Message: "no such call: " + a.Method + " " + a.Path}))
+		c.answer(p, problem(404, model.Trouble{Code: "not_found", Message: "no such call: " + a.Method + " " + a.Path}))
 	}
 }
 
-func (c *Core) change(now time.Duration, p *pending, o order) bool {
+func (c *Core) change(now time.Duration, p *pending, o command) bool {
 	o.Token = p.token
-	if c.node.Open() > limit.OpenBytes {
-		c.answer(p, trouble(503, model.Trouble{Code: "busy", Message: "too much is waiting to be agreed; nothing was changed"}))
+	if c.node.UncommittedBytes() > limit.OpenBytes {
+		c.answer(p, problem(503, model.Trouble{Code: "busy", Message: "too much is waiting to be agreed; nothing was changed"}))
 		return false
 	}
-	c.pend[p.token] = p
+	c.pendingChanges[p.token] = p
 	c.propose(now, o)
 	return true
 }
@@ -212,31 +212,31 @@
 }
 
 // swap adds or removes a core member on an operator's word.
-func (c *Core) swap(now time.Duration, p *pending, name, what string) {
+func (c *Core) changeMember(now time.Duration, p *pending, name, what string) {
 	ms := c.node.Members()
 	i := slices.IndexFunc(ms, func(m wire.Member) bool { return m.Name == name })
 	switch {
 	case what == "add" && i >= 0:
-		c.answer(p, trouble(409, model.Trouble{Code: "member", Message: name + " is a member"}))
+		c.answer(p, problem(409, model.Trouble{Code: "member", Message: name + " is a member"}))
 	case what == "add":
-		if k := c.known[name]; k == nil || k.Kind != "core" {
-			c.answer(p, trouble(404, model.Trouble{Code: "not_found", Message: "no core daemon of that name has been heard"}))
+		if k := c.directory[name]; k == nil || k.Kind != "core" {
+			c.answer(p, problem(404, model.Trouble{Code: "not_found", Message: "no core daemon of that name has been heard"}))
 			return
 		}
-		c.change(now, p, order{Op: "in", Name: name})
+		c.change(now, p, command{Op: "in", Name: name})
 	case i < 0:
-		c.answer(p, trouble(404, model.Trouble{Code: "not_found", Message: name + " is no member"}))
-	case len(ms) == 1 || !c.node.Settled():
-		c.answer(p, trouble(409, model.Trouble{Code: "busy", Message: "the last member stays, and changes of members go one at a time"}))
-	case name == c.set.Self.Name:
-		c.answer(p, trouble(503, model.Trouble{Code: "leading", Message: name + " leads; it hands leadership over first and nothing was changed; ask again"}))
-		c.node.Yield(now)
+		c.answer(p, problem(404, model.Trouble{Code: "not_found", Message: name + " is no member"}))
+	case len(ms) == 1 || !c.node.CanChangeMembers():
+		c.answer(p, problem(409, model.Trouble{Code: "busy", Message: "the last member stays, and changes of members go one at a time"}))
+	case name == c.settings.Self.Name:
+		c.answer(p, problem(503, model.Trouble{Code: "leading", Message: name + " leads; it hands leadership over first and nothing was changed; ask again"}))
+		c.node.TransferLeadership(now)
 	default:
-		if c.change(now, p, order{Op: "out", Name: name}) && c.node.Settled() {
-			c.node.Change(now, slices.Delete(slices.Clone(ms), i, i+1))
+		if c.change(now, p, command{Op: "out", Name: name}) && c.node.CanChangeMembers() {
+			c.node.ProposeMembers(now, slices.Delete(slices.Clone(ms), i, i+1))
 		}
 	}
 }
 
 // Seeds replaces the seed addresses.
-func (c *Core) Seeds(s []string) { c.set.Seeds = s }
+func (c *Core) Seeds(s []string) { c.settings.Seeds = s }
--- a/core/recovery.go
+++ b/core/recovery.go
@@ -37,43 +37,43 @@
 	return cmp.Or(cmp.Compare(m.epoch, o.epoch), cmp.Compare(m.index, o.index)) < 0
 }
 
-// vow is an operator's word that a core must be founded again, and that the disks of
+// consent is an operator's word that a core must be founded again, and that the disks of
 // some of its members will never come back.
-type vow struct {
+type consent struct {
 	refound bool
 	gone    []string
 	at      time.Duration
 }
 
 // retired says that this member has locked a later founding than the epoch it stands in.
-func (c *Core) retired() bool { return c.node != nil && c.img.Founding > c.node.Epoch() }
+func (c *Core) superseded() bool { return c.node != nil && c.image.Founding > c.node.Epoch() }
 
 // lockedFor is the epoch of a lock that is on disk.
 func (c *Core) lockedFor() uint64 {
-	if c.safeSeq < c.lockSeq {
+	if c.syncedSeq < c.lockSeq {
 		return 0
 	}
-	return c.img.Founding
+	return c.image.Founding
 }
 
 // memory is what a proxy remembers, and the members that it names.
-type memory struct {
-	Legacy
+type proxyMemory struct {
+	RecoveredState
 	members membership
 }
 
 // recall takes what a proxy says that it remembers. It says so with each hello while
 // it has no leader, so only what is new is read.
-func (c *Core) recall(from string, l Legacy) {
-	if m := c.memories[from]; m.Epoch == l.Epoch && m.Term == l.Term && m.Seq == l.Seq && bytes.Equal(m.State, l.State) {
+func (c *Core) rememberProxy(from string, l RecoveredState) {
+	if m := c.proxyMemories[from]; m.Epoch == l.Epoch && m.Term == l.Term && m.Seq == l.Seq && bytes.Equal(m.State, l.State) {
 		return
 	}
 	var s State
-	m := memory{Legacy: l}
+	m := proxyMemory{RecoveredState: l}
 	if json.Unmarshal(l.State, &s) == nil && len(s.Members) > 0 {
 		m.members = membership{l.Epoch, l.Seq, s.Members}
 	}
-	c.memories[from] = m
+	c.proxyMemories[from] = m
 }
 
 // lastMembers is the latest list known here: its own, other members', or proxies'.
@@ -81,13 +81,13 @@
 	if c.node != nil && len(c.node.Members()) > 0 {
 		m = membership{c.node.Epoch(), c.node.Commit(), c.node.Members()}
 	}
-	for _, n := range slices.Sorted(maps.Keys(c.known)) {
-		if k := c.known[n]; k.Kind == "core" && m.less(k.members) {
+	for _, n := range slices.Sorted(maps.Keys(c.directory)) {
+		if k := c.directory[n]; k.Kind == "core" && m.less(k.members) {
 			m = k.members
 		}
 	}
-	for _, n := range slices.Sorted(maps.Keys(c.memories)) {
-		if k := c.memories[n].members; m.less(k) {
+	for _, n := range slices.Sorted(maps.Keys(c.proxyMemories)) {
+		if k := c.proxyMemories[n].members; m.less(k) {
 			m = k
 		}
 	}
@@ -95,16 +95,16 @@
 }
 
 // outlook is what can be said of the last core from those who are seen.
-type outlook struct {
+type survivors struct {
 	last               membership
 	sized              bool
 	places             int // how many members a founding has
-	lost, held, absent int // of the last members: disk gone, here with their disk and no later lock, not seen
+	lostDisk, withDisk, unseen int // of the last members: disk gone, here with their disk and no later lock, not seen
 }
 
-func (c *Core) outlook(all []wire.Daemon, gone []string) outlook {
-	o := outlook{last: c.lastMembers(), sized: c.set.Size > 0}
-	o.places = cmp.Or(len(o.last.list), c.places)
+func (c *Core) surveySurvivors(all []wire.Daemon, gone []string) survivors {
+	o := survivors{last: c.lastMembers(), sized: c.settings.Size > 0}
+	o.places = cmp.Or(len(o.last.list), c.bootstrapSize)
 	for _, n := range gone {
 		if !slices.ContainsFunc(all, func(d wire.Daemon) bool { return d.Name == n }) &&
 			(len(o.last.list) == 0 || slices.ContainsFunc(o.last.list, func(m wire.Member) bool { return m.Name == n })) {
@@ -116,26 +116,26 @@
 		switch {
 		case m.Disk == 0: // nobody
 		case i < 0 && slices.Contains(gone, m.Name) || i >= 0 && all[i].Disk != m.Disk:
-			o.lost++
+			o.lostDisk++
 		case i < 0:
-			o.absent++
+			o.unseen++
 		case c.foundingOf(m.Name) <= o.last.epoch:
-			o.held++
+			o.withDisk++
 		}
 	}
 	return o
 }
 
 func (c *Core) foundingOf(name string) uint64 {
-	if name == c.set.Self.Name {
-		return c.img.Founding
+	if name == c.settings.Self.Name {
+		return c.image.Founding
 	}
-	return c.known[name].founding
+	return c.directory[name].founding
 }
 
 // founders are those of the seen who may found: the last core's members by name,
 // or, if nobody remembers one, whoever says that it may found the first.
-func (o outlook) founders(all []wire.Daemon) []wire.Daemon {
+func (o survivors) founders(all []wire.Daemon) []wire.Daemon {
 	return slices.DeleteFunc(slices.Clone(all), func(d wire.Daemon) bool {
 		if len(o.last.list) == 0 {
 			return !o.sized && d.State != emptyState
@@ -145,16 +145,16 @@
 }
 
 // elects says that the last core can go on by itself.
-func (o outlook) elects() bool { return 2*o.held > len(o.last.list) }
+func (o survivors) canElect() bool { return 2*o.withDisk > len(o.last.list) }
 
 // certain says that it can't decide, whatever those that are not seen still hold.
-func (o outlook) certain() bool { return 2*(o.held+o.absent) <= len(o.last.list) }
+func (o survivors) canNeverElect() bool { return 2*(o.withDisk+o.unseen) <= len(o.last.list) }
 
-func (c *Core) vows(all []wire.Daemon) (refound bool, gone []string) {
+func (c *Core) operatorConsent(all []wire.Daemon) (refound bool, gone []string) {
 	for _, d := range all {
-		v := c.vow
-		if k := c.known[d.Name]; d.Name != c.set.Self.Name && k != nil {
-			v = k.vow
+		v := c.consent
+		if k := c.directory[d.Name]; d.Name != c.settings.Self.Name && k != nil {
+			v = k.consent
 		}
 		refound = refound || v.refound
 		gone = append(gone, v.gone...)
@@ -168,65 +168,65 @@
 // them, or a proxy, knows of is over once they have locked. Without all of them it
 // must be over whatever those not seen still hold, or an operator must say so. All
 // must offer the same founding, and have locked it on disk, before any acts on it.
-func (c *Core) found(now time.Duration) {
-	if c.vow.refound && now-c.vow.at > limit.VowLife {
-		c.vow = vow{}
+func (c *Core) bootstrap(now time.Duration) {
+	if c.consent.refound && now-c.consent.at > limit.ConsentLife {
+		c.consent = consent{}
 	}
-	all := c.cores(now, true)
-	if c.lockedFor() > c.img.Epoch && c.carryOut(now, all) {
+	all := c.coreDaemons(now, true)
+	if c.lockedFor() > c.image.Epoch && c.completeBootstrap(now, all) {
 		return
 	}
 	c.offer = 0
-	if c.hearer(now, all) != "" {
-		c.seen = ""
+	if c.whoHearsLeader(now, all) != "" {
+		c.seenFounders = ""
 		return
 	}
-	refound, gone := c.vows(all)
-	o := c.outlook(all, gone)
+	refound, gone := c.operatorConsent(all)
+	o := c.surveySurvivors(all, gone)
 	all = o.founders(all)
 	var b strings.Builder
 	for _, d := range all {
 		fmt.Fprintf(&b, "%s %d ", d.Name, d.Disk)
 	}
-	if b.String() != c.seen {
-		c.seen, c.seenAt = b.String(), now
+	if b.String() != c.seenFounders {
+		c.seenFounders, c.seenFoundersAt = b.String(), now
 	}
-	if len(all) > o.places || 2*len(all) <= o.places || o.elects() || !slices.ContainsFunc(all, func(d wire.Daemon) bool { return d.Name == c.set.Self.Name }) {
+	if len(all) > o.places || 2*len(all) <= o.places || o.canElect() || !slices.ContainsFunc(all, func(d wire.Daemon) bool { return d.Name == c.settings.Self.Name }) {
 		return
 	}
-	offer, epoch, ms := c.founding(all, o.places)
+	offer, epoch, ms := c.bootstrapOffer(all, o.places)
 	if len(all) < o.places {
-		waited := now-c.seenAt >= limit.FoundWait && o.certain()
-		if !waited && !refound && !slices.ContainsFunc(all, func(d wire.Daemon) bool { return d.Name != c.set.Self.Name && d.Offer == offer }) {
+		waited := now-c.seenFoundersAt >= limit.BootstrapWait && o.canNeverElect()
+		if !waited && !refound && !slices.ContainsFunc(all, func(d wire.Daemon) bool { return d.Name != c.settings.Self.Name && d.Offer == offer }) {
 			return
 		}
 	}
 	c.offer = offer
 	for _, d := range all {
-		if d.Offer != c.offer && d.Name != c.set.Self.Name {
+		if d.Offer != c.offer && d.Name != c.settings.Self.Name {
 			return
 		}
 	}
-	if c.img.Lock != c.offer {
+	if c.image.Lock != c.offer {
 		k := &wire.Batch{Lock: c.offer, Founders: ms, Founding: epoch}
-		c.img.Fold(k)
+		c.image.Fold(k)
 		if c.node == nil {
-			c.whole()
-			c.lockSeq = c.freshAt
+			c.syncImage()
+			c.lockSeq = c.batchOffset
 		} else {
-			c.lockSeq = c.freshAt + c.node.Keep(now, k)
+			c.lockSeq = c.batchOffset + c.node.SyncBatch(now, k)
 		}
 	}
 }
 
 // founding is what those seen would found: the epoch after all that they know, or
 // the one that some of them have locked already for this very set.
-func (c *Core) founding(all []wire.Daemon, places int) (offer, epoch uint64, ms []wire.Member) {
+func (c *Core) bootstrapOffer(all []wire.Daemon, places int) (offer, epoch uint64, ms []wire.Member) {
 	for _, d := range all {
 		epoch = max(epoch, d.Epoch, c.foundingOf(d.Name))
 		ms = append(ms, wire.Member{Name: d.Name, Disk: d.Disk})
 	}
-	for _, k := range c.known {
+	for _, k := range c.directory {
 		epoch = max(epoch, k.Epoch, k.founding)
 	}
 	for i := len(ms); i < places; i++ {
@@ -254,50 +254,50 @@
 
 // claim keeps on disk that this process was told to found, so that a restart while it
 // does changes nothing: as a lock of no epoch.
-func (c *Core) claim() {
-	if c.set.Size > 0 || c.places == 0 || c.node != nil || c.img.Lock != 0 {
+func (c *Core) recordBootstrapIntent() {
+	if c.settings.Size > 0 || c.bootstrapSize == 0 || c.node != nil || c.image.Lock != 0 {
 		return
 	}
 	b := &wire.Batch{Lock: 1}
-	for i := range c.places {
+	for i := range c.bootstrapSize {
 		b.Founders = append(b.Founders, wire.Member{Name: fmt.Sprintf("absent-%d", i+1)})
 	}
-	c.img.Fold(b)
-	c.whole()
+	c.image.Fold(b)
+	c.syncImage()
 }
 
 // carryOut acts on a lock: when all founders have it, or when one has acted, since
 // then all had.
-func (c *Core) carryOut(now time.Duration, all []wire.Daemon) bool {
+func (c *Core) completeBootstrap(now time.Duration, all []wire.Daemon) bool {
 	locked := true
-	for _, m := range c.img.Founders {
+	for _, m := range c.image.Founders {
 		i := slices.IndexFunc(all, func(d wire.Daemon) bool { return d.Name == m.Name && d.Disk == m.Disk })
-		locked = locked && (m.Disk == 0 || i >= 0 && all[i].Lock == c.img.Lock)
-		if i >= 0 && all[i].Lock == c.img.Lock && all[i].Epoch == c.img.Founding {
+		locked = locked && (m.Disk == 0 || i >= 0 && all[i].Lock == c.image.Lock)
+		if i >= 0 && all[i].Lock == c.image.Lock && all[i].Epoch == c.image.Founding {
 			locked = true
 			break
 		}
 	}
 	if locked {
-		c.establish(now)
+		c.beginEpoch(now)
 	}
 	return locked
 }
 
 // vacant says that this process is no member of anything: empty, or only learning.
-func (c *Core) vacant() bool {
-	return c.node == nil || !slices.Contains(c.node.Members(), wire.Member{Name: c.set.Self.Name, Disk: c.img.Disk})
+func (c *Core) isNonVoter() bool {
+	return c.node == nil || !slices.Contains(c.node.Members(), wire.Member{Name: c.settings.Self.Name, Disk: c.image.Disk})
 }
 
-func (c *Core) establish(now time.Duration) {
-	epoch := c.img.Founding
+func (c *Core) beginEpoch(now time.Duration) {
+	epoch := c.image.Founding
 	// The founding is entry 1, so that a member that was too slow to found learns it as a snapshot.
-	img := quorum.Image{Epoch: epoch, Disk: c.img.Disk, Lock: c.img.Lock, Founders: c.img.Founders, Founding: epoch,
-		Snap: wire.Snap{Index: 1, Members: c.img.Founders}}
-	img.Legacy = c.img.Legacy
-	if s, term := survived(&c.img); s.Adopted && !c.vacant() {
+	img := quorum.Image{Epoch: epoch, Disk: c.image.Disk, Lock: c.image.Lock, Founders: c.image.Founders, Founding: epoch,
+		Snap: wire.Snap{Index: 1, Members: c.image.Founders}}
+	img.Legacy = c.image.Legacy
+	if s, term := stateFromDisk(&c.image); s.Adopted && !c.isNonVoter() {
 		b, _ := json.Marshal(s)
-		img.Legacy, _ = json.Marshal(Legacy{c.node.Epoch(), term, s.Seq, b})
+		img.Legacy, _ = json.Marshal(RecoveredState{c.node.Epoch(), term, s.Seq, b})
 	}
 	there := 0
 	for _, m := range img.Founders {
@@ -305,48 +305,48 @@
 			there++
 		}
 	}
-	c.node, c.img, c.offer, c.vow = nil, img, 0, vow{}
-	c.freshAt += 1 << 32 // past every number of the old node
-	c.whole()
+	c.node, c.image, c.offer, c.consent = nil, img, 0, consent{}
+	c.batchOffset += 1 << 32 // past every number of the old node
+	c.syncImage()
 	c.start(now)
-	c.do(Change{"epoch", "", fmt.Sprint(epoch), fmt.Sprintf("%d of %d members agreed to found", there, len(img.Founders))})
+	c.emit(Change{"epoch", "", fmt.Sprint(epoch), fmt.Sprintf("%d of %d members agreed to found", there, len(img.Founders))})
 }
 
 func (c *Core) join(now time.Duration, epoch uint64) {
-	c.do(Change{"epoch", fmt.Sprint(c.img.Epoch), fmt.Sprint(epoch), "joined"})
+	c.emit(Change{"epoch", fmt.Sprint(c.image.Epoch), fmt.Sprint(epoch), "joined"})
 	c.node, c.offer = nil, 0
-	c.img = quorum.Image{Epoch: epoch, Disk: c.img.Disk}
-	c.freshAt += 1 << 32
-	c.whole()
+	c.image = quorum.Image{Epoch: epoch, Disk: c.image.Disk}
+	c.batchOffset += 1 << 32
+	c.syncImage()
 	c.start(now)
 }
 
 // refound is an operator's override for what can't be decided safely from here: the
 // members who are seen found again without waiting for anybody's memory. It is
 // refused while a majority of the last core may still live; machines that are
-// vouched to be gone for good count as lost, unless they were heard of lately.
-func (c *Core) refound(now time.Duration, list string) Reply {
+// confirmed to be gone for good count as lost, unless they were heard of lately.
+func (c *Core) recoverByOperator(now time.Duration, list string) Reply {
 	no := func(code, f string, a ...any) Reply {
-		return trouble(409, model.Trouble{Code: code, Message: fmt.Sprintf(f, a...) + "; nothing was changed"})
+		return problem(409, model.Trouble{Code: code, Message: fmt.Sprintf(f, a...) + "; nothing was changed"})
 	}
 	gone := strings.FieldsFunc(list, func(r rune) bool { return r == ',' })
-	all := c.cores(now, true)
-	if n := c.hearer(now, all); n != "" {
+	all := c.coreDaemons(now, true)
+	if n := c.whoHearsLeader(now, all); n != "" {
 		return no("living", "%s hears a leader", n)
 	}
 	for _, n := range gone {
-		if k := c.known[n]; n == c.set.Self.Name || k != nil && now-k.At < limit.DaemonGone {
+		if k := c.directory[n]; n == c.settings.Self.Name || k != nil && now-k.At < limit.DaemonGone {
 			return no("alive", "%s was heard less than %v ago", n, limit.DaemonGone)
 		}
 	}
-	o := c.outlook(all, gone)
+	o := c.surveySurvivors(all, gone)
 	all = o.founders(all)
 	switch {
 	case 2*len(all) <= o.places:
 		return no("may_live", "%d of %d machines are seen, and the others may be a living majority; name those that are gone for good", len(all), o.places)
-	case o.elects():
-		return no("living", "%d of %d members are here with their disks and can elect a leader", o.held, len(o.last.list))
+	case o.canElect():
+		return no("living", "%d of %d members are here with their disks and can elect a leader", o.withDisk, len(o.last.list))
 	}
-	c.vow = vow{true, gone, now}
-	return Reply{Status: 202, Body: body(map[string]any{"refounding": true, "seen": len(all), "lost": o.lost, "not_seen": o.absent})}
+	c.consent = consent{true, gone, now}
+	return Reply{Status: 202, Body: body(map[string]any{"refounding": true, "seen": len(all), "lost": o.lostDisk, "not_seen": o.unseen})}
 }
--- a/core/registry.go
+++ b/core/registry.go
@@ -1,6 +1,6 @@
 // This file is the registry of targets as the members agree on it: which there are and
 // where, who said that it leaves, who signed off. It is written in batches and says
-// nothing of bars, probes or beats. A leader that finds no proxy with a table, as after
+// nothing of ejections, probes or beats. A leader that finds no proxy with a table, as after
 // a loss of all processes, begins from it; what it says is hearsay until a target has
 // answered this leader. A leaving or a sign-off is acknowledged only once it is in here.
 package core
@@ -16,7 +16,7 @@
 )
 
 // Place is a target in the agreed registry.
-type Place struct {
+type Registration struct {
 	Service string `json:"s"`
 	Name    string `json:"n"`
 	Inc     uint64 `json:"i"`
@@ -28,31 +28,31 @@
 	Leaving bool   `json:"l,omitempty"`
 }
 
-func (p Place) ID() wire.ID { return wire.ID{Service: p.Service, Name: p.Name, Inc: p.Inc} }
+func (p Registration) ID() wire.ID { return wire.ID{Service: p.Service, Name: p.Name, Inc: p.Inc} }
 
 // Mark is what is remembered of a target without a place: that it was leaving when it
 // fell silent, or, Gone, that it signed off or was superseded.
-type Mark struct {
+type Tombstone struct {
 	Service string `json:"s"`
 	Name    string `json:"n"`
 	Inc     uint64 `json:"i"`
 	Gone    bool   `json:"g,omitempty"`
 }
 
-func (m Mark) ID() wire.ID { return wire.ID{Service: m.Service, Name: m.Name, Inc: m.Inc} }
+func (m Tombstone) ID() wire.ID { return wire.ID{Service: m.Service, Name: m.Name, Inc: m.Inc} }
 
 // registry is a batch of changes.
 type registry struct {
-	Put    []Place `json:"put,omitempty"`
-	Drop   []Place `json:"drop,omitempty"` // by identity alone
-	Mark   []Mark  `json:"mark,omitempty"`
-	Unmark []Mark  `json:"unmark,omitempty"`
+	Put    []Registration `json:"put,omitempty"`
+	Drop   []Registration `json:"drop,omitempty"` // by identity alone
+	Mark   []Tombstone  `json:"mark,omitempty"`
+	Unmark []Tombstone  `json:"unmark,omitempty"`
 }
 
 func (s *State) register(r *registry) {
 	if r != nil {
-		s.Places = merged(s.Places, r.Put, r.Drop, Place.ID)
-		s.Marks = merged(s.Marks, r.Mark, r.Unmark, Mark.ID)
+		s.Registrations = merged(s.Registrations, r.Put, r.Drop, Registration.ID)
+		s.Tombstones = merged(s.Tombstones, r.Mark, r.Unmark, Tombstone.ID)
 	}
 }
 
@@ -83,20 +83,20 @@
 }
 
 // recollect begins a lead with the targets that are agreed.
-func (c *Core) recollect(now time.Duration) {
-	c.kept, c.marked = map[wire.ID]Place{}, map[wire.ID]bool{}
-	for _, m := range c.state.Marks {
-		c.marked[m.ID()] = m.Gone
+func (c *Core) loadRegistrations(now time.Duration) {
+	c.persistedRegistrations, c.persistedTombstones = map[wire.ID]Registration{}, map[wire.ID]bool{}
+	for _, m := range c.state.Tombstones {
+		c.persistedTombstones[m.ID()] = m.Gone
 		if m.Gone {
-			c.tombs[m.ID()] = now
+			c.tombstones[m.ID()] = now
 		} else {
-			c.left[m.ID()] = now
+			c.leaving[m.ID()] = now
 		}
 	}
-	for i, p := range c.state.Places {
-		c.kept[p.ID()] = p
+	for i, p := range c.state.Registrations {
+		c.persistedRegistrations[p.ID()] = p
 		t := &target{Target: wire.Target{Service: p.Service, Name: p.Name, Inc: p.Inc, Addr: p.Addr, Domain: p.Domain, State: model.Warming, Slots: p.Slots, Turn: p.Turn},
-			told: true, beatAt: now - limit.BeatLapse/2, aliveAt: now, seenAt: now,
+			unconfirmed: true, beatAt: now - limit.BeatLapse/2, aliveAt: now, seenAt: now,
 			probeAt: now - limit.ProbeEvery + time.Duration(i/limit.ProbeBurst)*limit.TickEvery}
 		if p.Leaving {
 			t.Held, t.State = true, model.Leaving
@@ -106,78 +106,78 @@
 			t.coldTill = now + svc.Cold()
 		}
 		c.targets[p.ID()] = t
-		c.chill(t)
-		c.turns[p.Service] = max(c.turns[p.Service], p.Turn)
-		c.turnOf[[2]string{p.Service, p.Name}] = p.Turn
+		c.markCold(t)
+		c.lastTurn[p.Service] = max(c.lastTurn[p.Service], p.Turn)
+		c.turnByName[[2]string{p.Service, p.Name}] = p.Turn
 	}
 }
 
 // keep writes what has changed since, if the last write is long enough ago. Who is known
 // by hearsay is written only when it leaves.
-func (c *Core) keep(now, every time.Duration) {
-	if now-c.keptAt < every && !(c.urgent && now-c.keptAt >= limit.TickEvery) || c.node.Open() > limit.OpenBytes/4 {
+func (c *Core) persistRegistrations(now, every time.Duration) {
+	if now-c.persistedAt < every && !(c.persistNow && now-c.persistedAt >= limit.TickEvery) || c.node.UncommittedBytes() > limit.OpenBytes/4 {
 		return
 	}
 	r := registry{}
 	for _, id := range c.sorted() {
 		t := c.targets[id]
-		p := Place{id.Service, id.Name, id.Inc, t.Addr, t.Domain, t.Slots, t.Turn, t.cold(now) > 0, t.Held}
-		was, ok := c.kept[id]
-		if ok && was == p || !ok && (t.told && !t.Held || len(c.kept) >= limit.PlacesMax) {
+		p := Registration{id.Service, id.Name, id.Inc, t.Addr, t.Domain, t.Slots, t.Turn, t.coldLeft(now) > 0, t.Held}
+		was, ok := c.persistedRegistrations[id]
+		if ok && was == p || !ok && (t.unconfirmed && !t.Held || len(c.persistedRegistrations) >= limit.RegistryMax) {
 			continue
 		}
-		c.kept[id] = p
-		if r.Put = append(r.Put, p); len(r.Put) == limit.KeepBatch {
+		c.persistedRegistrations[id] = p
+		if r.Put = append(r.Put, p); len(r.Put) == limit.RegistryBatch {
 			break
 		}
 	}
-	for _, id := range slices.SortedFunc(maps.Keys(c.kept), wire.ID.Compare) {
+	for _, id := range slices.SortedFunc(maps.Keys(c.persistedRegistrations), wire.ID.Compare) {
 		if c.targets[id] == nil {
-			delete(c.kept, id)
-			r.Drop = append(r.Drop, Place{Service: id.Service, Name: id.Name, Inc: id.Inc})
+			delete(c.persistedRegistrations, id)
+			r.Drop = append(r.Drop, Registration{Service: id.Service, Name: id.Name, Inc: id.Inc})
 		}
 	}
 	marks := map[wire.ID]bool{}
-	for id := range c.left {
+	for id := range c.leaving {
 		marks[id] = false
 	}
-	for id := range c.tombs {
+	for id := range c.tombstones {
 		marks[id] = true
 	}
 	for _, id := range slices.SortedFunc(maps.Keys(marks), wire.ID.Compare) {
-		if was, ok := c.marked[id]; (!ok || was != marks[id]) && (ok || len(c.marked) < limit.PlacesMax) && len(r.Mark) < limit.KeepBatch {
-			c.marked[id] = marks[id]
-			r.Mark = append(r.Mark, Mark{id.Service, id.Name, id.Inc, marks[id]})
+		if was, ok := c.persistedTombstones[id]; (!ok || was != marks[id]) && (ok || len(c.persistedTombstones) < limit.RegistryMax) && len(r.Mark) < limit.RegistryBatch {
+			c.persistedTombstones[id] = marks[id]
+			r.Mark = append(r.Mark, Tombstone{id.Service, id.Name, id.Inc, marks[id]})
 		}
 	}
-	for _, id := range slices.SortedFunc(maps.Keys(c.marked), wire.ID.Compare) {
+	for _, id := range slices.SortedFunc(maps.Keys(c.persistedTombstones), wire.ID.Compare) {
 		if _, ok := marks[id]; !ok {
-			delete(c.marked, id)
-			r.Unmark = append(r.Unmark, Mark{Service: id.Service, Name: id.Name, Inc: id.Inc})
+			delete(c.persistedTombstones, id)
+			r.Unmark = append(r.Unmark, Tombstone{Service: id.Service, Name: id.Name, Inc: id.Inc})
 		}
 	}
 	if len(r.Put)+len(r.Drop)+len(r.Mark)+len(r.Unmark) == 0 {
 		return
 	}
-	c.keptAt, c.urgent = now, false
-	c.propose(now, order{Op: "targets", Reg: &r})
+	c.persistedAt, c.persistNow = now, false
+	c.propose(now, command{Op: "targets", Reg: &r})
 }
 
 // agreed says that what is known of a target's leaving or sign-off is in the log. A
 // registry that is full takes no more: then the proxies' tables alone vouch for it.
 func (c *Core) agreed(id wire.ID) bool {
-	mark, marked := found(c.state.Marks, id, Mark.ID)
-	full := len(c.state.Marks) >= limit.PlacesMax || len(c.state.Places) >= limit.PlacesMax
+	mark, marked := found(c.state.Tombstones, id, Tombstone.ID)
+	full := len(c.state.Tombstones) >= limit.RegistryMax || len(c.state.Registrations) >= limit.RegistryMax
 	t := c.targets[id]
 	switch {
 	case full:
 		return true
-	case c.tombs[id] != 0:
+	case c.tombstones[id] != 0:
 		return marked && mark.Gone
 	case t != nil && t.Held:
-		p, ok := found(c.state.Places, id, Place.ID)
+		p, ok := found(c.state.Registrations, id, Registration.ID)
 		return ok && p.Leaving
-	case c.left[id] != 0:
+	case c.leaving[id] != 0:
 		return marked
 	}
 	return true
--- a/core/reply.go
+++ b/core/reply.go
@@ -18,7 +18,7 @@
 	return append(b, '\n')
 }
 
-func trouble(status int, t model.Trouble) Reply {
+func problem(status int, t model.Trouble) Reply {
 	r := Reply{Status: status, Body: t.JSON()}
 	if status == 503 {
 		r.Retry = limit.RetryAfterMin
@@ -26,56 +26,56 @@
 	return r
 }
 
-func done(token string, rev uint64) Reply {
+func accepted(token string, rev uint64) Reply {
 	return Reply{Status: 200, Body: body(map[string]any{"id": token, "revision": rev, "in_force": true})}
 }
 
-func (c *Core) stale(token string) Reply {
-	return trouble(412, model.Trouble{Code: "stale", Revision: c.state.Revision, Id: token,
+func (c *Core) staleBase(token string) Reply {
+	return problem(412, model.Trouble{Code: "stale", Revision: c.state.Revision, Id: token,
 		Message: fmt.Sprintf("built on another revision than the present %d; nothing was changed", c.state.Revision)})
 }
 
 func (c *Core) answer(p *pending, r Reply) {
-	if r.Status == 503 && p.passes > 1 && !p.word {
-		c.unknown(p) // not 'nothing was changed': an earlier leader had it too
+	if r.Status == 503 && p.relayCount > 1 && !p.targetReport {
+		c.answerUnknown(p) // not 'nothing was changed': an earlier leader had it too
 		return
 	}
 	if p.relay != "" {
-		c.send(p.relay, &wire.Msg{Kind: uint16(wire.KAsk), Ask: &wire.Ask{Id: p.rid, Reply: true, Status: uint16(r.Status), RetryMs: uint32(r.Retry.Milliseconds()), Body: r.Body}})
+		c.send(p.relay, &wire.Msg{Kind: uint16(wire.KAsk), Ask: &wire.Ask{Id: p.relayID, Reply: true, Status: uint16(r.Status), RetryMs: uint32(r.Retry.Milliseconds()), Body: r.Body}})
 		return
 	}
 	r.ID = p.ask
-	c.do(r)
+	c.emit(r)
 }
 
-func (c *Core) unknown(p *pending) {
-	if p.word {
-		c.answer(p, unheard())
+func (c *Core) answerUnknown(p *pending) {
+	if p.targetReport {
+		c.answer(p, notPropagated())
 		return
 	}
-	c.answer(p, trouble(504, model.Trouble{Code: "unknown", Ran: "unknown", Id: p.token,
+	c.answer(p, problem(504, model.Trouble{Code: "unknown", Ran: "unknown", Id: p.token,
 		Message: "it cannot be told whether the change was agreed or is in force everywhere; ask for it by its id"}))
 }
 
 func noLeader() Reply {
-	return trouble(503, model.Trouble{Code: "no_leader", Message: "no leader that a majority has heard; nothing was changed"})
+	return problem(503, model.Trouble{Code: "no_leader", Message: "no leader that a majority has heard; nothing was changed"})
 }
 
 // unheard promises nothing to a target that says it leaves or is gone: it is to tell
 // another daemon.
-func unheard() Reply {
-	return trouble(503, model.Trouble{Code: "unheard", Message: "no leader has made this known to most proxies in time; say it again, to any daemon"})
+func notPropagated() Reply {
+	return problem(503, model.Trouble{Code: "unheard", Message: "no leader has made this known to most proxies in time; say it again, to any daemon"})
 }
 
 func tooLarge() Reply {
-	return trouble(413, model.Trouble{Code: "too_large", Message: fmt.Sprintf("at most %d bytes", limit.DocMax)})
+	return problem(413, model.Trouble{Code: "too_large", Message: fmt.Sprintf("at most %d bytes", limit.DocMax)})
 }
 
-func (c *Core) faulty(p *pending, faults []model.Fault, err error) {
+func (c *Core) refuseInvalid(p *pending, faults []model.Fault, err error) {
 	c.counts.Refused++
 	if err != nil {
-		c.answer(p, trouble(400, model.Trouble{Code: "not_json", Message: err.Error()}))
+		c.answer(p, problem(400, model.Trouble{Code: "not_json", Message: err.Error()}))
 		return
 	}
-	c.answer(p, trouble(422, model.Trouble{Code: "invalid", Message: fmt.Sprintf("%d faults; nothing was changed", len(faults)), Faults: faults, Revision: c.state.Revision}))
+	c.answer(p, problem(422, model.Trouble{Code: "invalid", Message: fmt.Sprintf("%d faults; nothing was changed", len(faults)), Faults: faults, Revision: c.state.Revision}))
 }
--- a/core/rest_test.go
+++ b/core/rest_test.go
@@ -99,7 +99,7 @@
 	}
 }
 
-// Targets whose beats are too rare, and which answer probes, make no new tables; of barred
+// Targets whose beats are too rare, and which answer probes, make no new tables; of ejected
 // ones it is told whether they beat.
 func TestRareBeatsMoveNothing(t *testing.T) {
 	r := atRest(12, 36)
@@ -116,11 +116,11 @@
 		t.Fatalf("table %v -> %v", was, k)
 	}
 	x := r.c.targets[words[0].ID()]
-	w := r.c.tabled(r.now, x)
+	w := r.c.tableRow(r.now, x)
 	w.BarLeft, w.BarWhy = 1, "default"
 	silent := w
 	w.Beating, silent.Beating = true, false
-	if factsOf(&w) == factsOf(&silent) {
+	if routingFactsOf(&w) == routingFactsOf(&silent) {
 		t.Fatal("it is not told whether a barred target beats")
 	}
 }
--- a/core/roster.go
+++ b/core/roster.go
@@ -13,17 +13,17 @@
 // roster admits and drops proxies, all that wait in one step. The roster before counts
 // with it until it is in force everywhere, so that majorities always meet.
 func (c *Core) roster(now time.Duration) {
-	if slices.ContainsFunc(c.forces, func(f *force) bool { return f.wide }) || c.wideUntil > c.state.Seq || !c.node.Settled() {
+	if slices.ContainsFunc(c.waiters, func(f *commitWaiter) bool { return f.rosterChange }) || c.rosterPendingAt > c.state.Seq || !c.node.CanChangeMembers() {
 		return
 	}
-	o := order{Op: "roster"}
-	for _, n := range slices.Sorted(maps.Keys(c.gates)) {
-		k := c.known[n]
-		if k == nil || now-c.gates[n].pullAt > limit.GateLive || c.gates[n].pullAt == 0 {
+	o := command{Op: "roster"}
+	for _, n := range slices.Sorted(maps.Keys(c.proxies)) {
+		k := c.directory[n]
+		if k == nil || now-c.proxies[n].pullAt > limit.ProxyLive || c.proxies[n].pullAt == 0 {
 			continue
 		}
-		i, ok := slices.BinarySearchFunc(c.state.Roster, n, func(r Gate, n string) int { return cmp.Compare(r.Name, n) })
-		if r := (Gate{n, k.Addr, k.Domain}); !ok || c.state.Roster[i] != r {
+		i, ok := slices.BinarySearchFunc(c.state.Roster, n, func(r RosterEntry, n string) int { return cmp.Compare(r.Name, n) })
+		if r := (RosterEntry{n, k.Addr, k.Domain}); !ok || c.state.Roster[i] != r {
 			o.Gates = append(o.Gates, r)
 		}
 	}
@@ -31,13 +31,13 @@
 		return
 	}
 	for _, r := range c.state.Roster {
-		if g := c.gates[r.Name]; now-c.leadAt > limit.GateForget && (g == nil || now-g.pullAt > limit.GateForget) {
+		if g := c.proxies[r.Name]; now-c.leadAt > limit.ProxyForget && (g == nil || now-g.pullAt > limit.ProxyForget) {
 			o.Gone = append(o.Gone, r.Name)
 		}
 	}
 	if len(o.Gates)+len(o.Gone) > 0 {
-		c.wide(now, o)
+		c.proposeRoster(now, o)
 	}
 }
 
-func (c *Core) wide(now time.Duration, o order) { c.wideUntil = c.propose(now, o) }
+func (c *Core) proposeRoster(now time.Duration, o command) { c.rosterPendingAt = c.propose(now, o) }
--- a/core/state.go
+++ b/core/state.go
@@ -17,7 +17,7 @@
 )
 
 // Gate is a proxy's place in the durable roster.
-type Gate struct {
+type RosterEntry struct {
 	Name   string `json:"name"`
 	Addr   string `json:"addr"`
 	Domain string `json:"domain"`
@@ -42,25 +42,25 @@
 	Revision uint64            `json:"revision"`
 	Doc      json.RawMessage   `json:"doc"`
 	Records  []Record          `json:"records,omitempty"`
-	Roster   []Gate            `json:"roster,omitempty"`
-	Was      []string          `json:"was,omitempty"`       // the roster before, while this one is not in force everywhere
+	Roster   []RosterEntry            `json:"roster,omitempty"`
+	PreviousRoster      []string          `json:"was,omitempty"`       // the roster before, while this one is not in force everywhere
 	RosterAt uint64            `json:"roster_at,omitempty"` // entry of the roster's last change
 	Emptied  []string          `json:"emptied,omitempty"`
 	Out      map[string]uint64 `json:"out,omitempty"`     // members taken out by an operator
 	Members  []wire.Member     `json:"members,omitempty"` // in proxies' copies only: who a core could be rebuilt with
-	Places   []Place           `json:"places,omitempty"`  // the targets there were, by identity; proxies have them in their tables
-	Marks    []Mark            `json:"marks,omitempty"`
+	Registrations   []Registration           `json:"places,omitempty"`  // the targets there were, by identity; proxies have them in their tables
+	Tombstones    []Tombstone            `json:"marks,omitempty"`
 }
 
 // order is a log entry's text.
-type order struct {
+type command struct {
 	Op    string          `json:"op"`
 	Token string          `json:"token,omitempty"`
 	Base  uint64          `json:"base,omitempty"`
 	Doc   json.RawMessage `json:"doc,omitempty"`
 	What  string          `json:"what,omitempty"`
 	Name  string          `json:"name,omitempty"`
-	Gates []Gate          `json:"gates,omitempty"`
+	Gates []RosterEntry          `json:"gates,omitempty"`
 	Gone  []string        `json:"gone,omitempty"`
 	State json.RawMessage `json:"state,omitempty"`
 	Rev   uint64          `json:"rev,omitempty"` // the operator's own number for a configuration
@@ -72,9 +72,9 @@
 
 // slim is the state as proxies keep it, without the texts of past changes and
 // without the document, which travels beside it, and with the members of the time.
-func (s *State) slim(ms []wire.Member) []byte {
+func (s *State) forProxies(ms []wire.Member) []byte {
 	t := *s
-	t.Doc, t.Members, t.Places, t.Marks = nil, ms, nil, nil
+	t.Doc, t.Members, t.Registrations, t.Tombstones = nil, ms, nil, nil
 	t.Records = slices.Clone(s.Records)
 	for i := range t.Records {
 		t.Records[i].Doc = nil
@@ -83,7 +83,7 @@
 	return b
 }
 
-func (s *State) record(r Record) {
+func (s *State) addRecord(r Record) {
 	s.Records = append(s.Records, r)
 	// Configurations and all else are kept apart: orders that are repeated push no text out.
 	same, first := 0, -1
@@ -106,7 +106,7 @@
 	}
 }
 
-func (s *State) find(token string) *Record {
+func (s *State) findByID(token string) *Record {
 	for i := range s.Records {
 		if s.Records[i].Id == token && token != "" {
 			return &s.Records[i]
@@ -116,7 +116,7 @@
 }
 
 // taken is the accepted change that the very same call led to.
-func (s *State) taken(sum string) *Record {
+func (s *State) findAcceptedBySum(sum string) *Record {
 	for i := range s.Records {
 		if r := &s.Records[i]; sum != "" && r.Sum == sum && r.Outcome == "accepted" {
 			return r
@@ -126,13 +126,13 @@
 }
 
 // Apply is the one place where agreed entries change the state.
-func (s *State) Apply(index uint64, o order) {
+func (s *State) Apply(index uint64, o command) {
 	if o.Op == "targets" { // no table goes by these, so its sequence stays
 		s.register(o.Reg)
 		return
 	}
 	s.Seq = index
-	if s.find(o.Token) != nil {
+	if s.findByID(o.Token) != nil {
 		return
 	}
 	r := Record{Id: o.Token, What: cmp.Or(o.What, o.Op+" "+o.Name), Outcome: "accepted", Base: o.Base, Seq: index}
@@ -140,10 +140,10 @@
 	case "config":
 		if o.Base != s.Revision || o.Rev != 0 && o.Rev <= s.Revision {
 			r.Outcome, r.Revision = "stale", s.Revision
-			if t := s.taken(o.Sum); t != nil { // asked twice before it was agreed
+			if t := s.findAcceptedBySum(o.Sum); t != nil { // asked twice before it was agreed
 				r.Outcome, r.Revision = t.Outcome, t.Revision
 			}
-			s.record(r)
+			s.addRecord(r)
 			return
 		}
 		s.Revision = cmp.Or(o.Rev, s.Revision+1)
@@ -161,7 +161,7 @@
 		return
 	case "enrolled":
 		if o.Base == s.RosterAt {
-			s.Was = nil
+			s.PreviousRoster = nil
 		}
 		return
 	case "forget":
@@ -192,20 +192,20 @@
 	}
 	if o.Token != "" {
 		r.Revision = s.Revision
-		s.record(r)
+		s.addRecord(r)
 	}
 }
 
 // enroll changes the roster. The one before counts with it until the new one is in
 // force everywhere; while that is so, further changes keep the first.
-func (s *State) enroll(index uint64, add []Gate, gone []string) {
-	l := slices.DeleteFunc(slices.Clone(s.Roster), func(g Gate) bool {
-		return slices.Contains(gone, g.Name) || slices.ContainsFunc(add, func(a Gate) bool { return a.Name == g.Name })
+func (s *State) enroll(index uint64, add []RosterEntry, gone []string) {
+	l := slices.DeleteFunc(slices.Clone(s.Roster), func(g RosterEntry) bool {
+		return slices.Contains(gone, g.Name) || slices.ContainsFunc(add, func(a RosterEntry) bool { return a.Name == g.Name })
 	})
 	l = append(l, add...)
-	slices.SortFunc(l, func(a, b Gate) int { return cmp.Compare(a.Name, b.Name) })
-	if len(s.Was) == 0 {
-		s.Was = s.names()
+	slices.SortFunc(l, func(a, b RosterEntry) int { return cmp.Compare(a.Name, b.Name) })
+	if len(s.PreviousRoster) == 0 {
+		s.PreviousRoster = s.names()
 	}
 	s.Roster, s.RosterAt = l, index
 }
@@ -219,7 +219,7 @@
 
 // survived is the state that a disk leads to when nobody can say any more what
 // of its log was agreed: all of it, since any of it may have been acknowledged.
-func survived(im *quorum.Image) (s State, term uint64) {
+func stateFromDisk(im *quorum.Image) (s State, term uint64) {
 	s = newState()
 	if len(im.Snap.Data) > 0 {
 		if err := json.Unmarshal(im.Snap.Data, &s); err != nil {
@@ -229,15 +229,15 @@
 	term = im.Snap.Term
 	for _, e := range im.Log {
 		term = e.Term
-		var o order
-		if e.Kind == quorum.EData && json.Unmarshal(e.Data, &o) == nil {
+		var o command
+		if e.Kind == quorum.EntryData && json.Unmarshal(e.Data, &o) == nil {
 			s.Apply(e.Index, o)
 		}
 	}
 	return s, term
 }
 
-func (c *Core) propose(now time.Duration, o order) uint64 {
+func (c *Core) propose(now time.Duration, o command) uint64 {
 	b, err := json.Marshal(o)
 	if err != nil {
 		panic(errors.Wrap(err, "order"))
@@ -246,11 +246,11 @@
 }
 
 func (c *Core) apply(now time.Duration, e wire.Entry) {
-	if e.Kind != quorum.EData {
+	if e.Kind != quorum.EntryData {
 		c.state.Seq = e.Index
 		return
 	}
-	var o order
+	var o command
 	if err := json.Unmarshal(e.Data, &o); err != nil {
 		panic(errors.Wrapf(err, "entry %d", e.Index))
 	}
@@ -260,13 +260,13 @@
 		return
 	}
 	if c.state.Revision != was {
-		c.do(Change{"revision", fmt.Sprint(was), fmt.Sprint(c.state.Revision), o.What})
+		c.emit(Change{"revision", fmt.Sprint(was), fmt.Sprint(c.state.Revision), o.What})
 	}
 	switch o.Op { // whoever leads next goes on with it
 	case "in":
-		c.swaps[o.Name] = true
+		c.requestedMembers[o.Name] = true
 	case "out":
-		delete(c.swaps, o.Name)
+		delete(c.requestedMembers, o.Name)
 	case "restore":
 		if emptied {
 			c.restored[o.Name] = now
@@ -275,36 +275,36 @@
 	if c.lead == Idle || c.lead == Adopting {
 		return
 	}
-	c.policies()
+	c.applyPolicies()
 	if o.Op == "restore" && emptied {
 		for _, t := range c.targets {
-			c.chill(t)
+			c.markCold(t)
 		}
 	}
-	p := c.pend[o.Token]
-	delete(c.pend, o.Token)
+	p := c.pendingChanges[o.Token]
+	delete(c.pendingChanges, o.Token)
 	rev := c.state.Revision
-	r := c.state.find(o.Token)
+	r := c.state.findByID(o.Token)
 	if r != nil {
 		rev = r.Revision
 	}
 	if r != nil && r.Outcome == "stale" {
 		c.counts.Refused++
 		if p != nil {
-			c.answer(p, c.stale(p.token))
+			c.answer(p, c.staleBase(p.token))
 		}
 		return
 	}
 	c.rebuild(now, true)
-	f := &force{ver: c.ver, since: now, wide: o.Op == "roster" || o.Op == "forget"}
+	f := &commitWaiter{version: c.tableVersion, since: now, rosterChange: o.Op == "roster" || o.Op == "forget"}
 	if o.Op == "in" || o.Op == "out" {
-		f.member, f.joins = o.Name, o.Op == "in"
+		f.member, f.joining = o.Name, o.Op == "in"
 	}
 	if p != nil {
 		c.counts.Changes++
-		f.p, f.reply = p, done(p.token, rev)
+		f.p, f.reply = p, accepted(p.token, rev)
 	}
-	if f.wide || p != nil {
-		c.forces = append(c.forces, f)
+	if f.rosterChange || p != nil {
+		c.waiters = append(c.waiters, f)
 	}
 }
--- a/core/status.go
+++ b/core/status.go
@@ -21,7 +21,7 @@
 	for _, g := range c.state.Roster {
 		m[g.Domain] = true
 	}
-	for _, d := range c.set.Domains {
+	for _, d := range c.settings.Domains {
 		m[d] = true
 	}
 	delete(m, "")
@@ -36,13 +36,13 @@
 	BeatMs float64 `json:"last_beat_ms"`
 }
 
-// Targets lists what the leader knows of targets, with the reason for each bar or hold.
+// Targets lists what the leader knows of targets, with the reason for each ejection or hold.
 func (c *Core) Targets(now time.Duration) []TargetView {
 	l := []TargetView{}
 	for _, id := range slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare) {
 		t := c.targets[id]
 		v := TargetView{Target: t.Target, BeatMs: float64(now-t.beatAt) / 1e6, Why: "serving"}
-		v.Beating, v.ColdLeft = t.beats(now), t.cold(now)
+		v.Beating, v.ColdLeft = t.isBeating(now), t.coldLeft(now)
 		until, why := c.judge.Barred(now, id)
 		if until > now {
 			v.Bar, v.BarMs = why, (until - now).Milliseconds()
@@ -52,7 +52,7 @@
 			v.Why = "held: it said that it is leaving"
 		case v.Bar != "":
 			v.Why = fmt.Sprintf("barred by policy %s: %s", why, c.judge.Stats()[why].Policy.When)
-		case t.told:
+		case t.unconfirmed:
 			v.Why = "known by hearsay: not served until it has answered for itself"
 		case t.Pending:
 			v.Why = "pending: its address's earlier target is not yet out of every table"
@@ -87,16 +87,16 @@
 	Ver     uint64  `json:"table,omitempty"`
 }
 
-func (c *Core) roll(now time.Duration) []DaemonView {
+func (c *Core) daemonViews(now time.Duration) []DaemonView {
 	l := []DaemonView{}
 	ms := c.node.Members()
-	for _, d := range append(c.cores(now, false), c.proxies()...) {
+	for _, d := range append(c.coreDaemons(now, false), c.proxyDaemons()...) {
 		v := DaemonView{Daemon: d, Roster: c.inRoster(d.Name)}
 		v.Member = slices.ContainsFunc(ms, func(m wire.Member) bool { return m.Name == d.Name })
-		if k := c.known[d.Name]; k != nil {
+		if k := c.directory[d.Name]; k != nil {
 			v.HeardMs = float64(now-k.At) / 1e6
 		}
-		if g := c.gates[d.Name]; g != nil {
+		if g := c.proxies[d.Name]; g != nil {
 			v.Ver = g.key.Ver
 		}
 		l = append(l, v)
@@ -104,11 +104,11 @@
 	return l
 }
 
-func (c *Core) proxies() []wire.Daemon {
+func (c *Core) proxyDaemons() []wire.Daemon {
 	var l []wire.Daemon
-	for _, n := range slices.Sorted(maps.Keys(c.known)) {
-		if c.known[n].Kind != "core" {
-			l = append(l, c.known[n].Daemon)
+	for _, n := range slices.Sorted(maps.Keys(c.directory)) {
+		if c.directory[n].Kind != "core" {
+			l = append(l, c.directory[n].Daemon)
 		}
 	}
 	return l
@@ -133,7 +133,7 @@
 
 // Status is this member's own view.
 func (c *Core) Status(now time.Duration) StatusView {
-	v := StatusView{Name: c.set.Self.Name, Role: "empty", Lead: c.lead.String(), Revision: c.state.Revision, Seq: c.state.Seq,
+	v := StatusView{Name: c.settings.Self.Name, Role: "empty", Lead: c.lead.String(), Revision: c.state.Revision, Seq: c.state.Seq,
 		Emptied: append([]string{}, c.state.Emptied...), Targets: len(c.targets), Proxies: len(c.state.Roster), Counts: c.counts}
 	if c.node != nil {
 		v.Role, v.Leader, v.Epoch, v.Term, v.Members = c.node.Role().String(), c.node.Leader(), c.node.Epoch(), c.node.Term(), c.node.Members()
@@ -152,7 +152,7 @@
 
 // Ready says whether this member takes part in agreement, or knows who leads and passes on to it.
 func (c *Core) Ready() bool {
-	return !c.stopping && (c.via != "" || c.node != nil && c.node.Leader() != "")
+	return !c.stopping && (c.leaderHint != "" || c.node != nil && c.node.Leader() != "")
 }
 
 // Term is the present term, 0 before the core is founded.
@@ -165,7 +165,7 @@
 
 // Http is where a daemon answers operators.
 func (c *Core) Http(name string) string {
-	if k := c.known[name]; k != nil {
+	if k := c.directory[name]; k != nil {
 		return k.Http
 	}
 	return ""
@@ -173,7 +173,7 @@
 
 // Deciding says whether this member may decide at this very moment.
 func (c *Core) Deciding(now time.Duration) bool {
-	return c.lead == Deciding && c.node.Leads(now)
+	return c.lead == Deciding && c.node.HasLease(now)
 }
 
 // Revision is the configuration's that this member has applied.
--- a/core/target.go
+++ b/core/target.go
@@ -15,22 +15,22 @@
 )
 
 // Voice is how a target's words come: its beats without a gap.
-type Voice struct {
-	words       int
+type HeartbeatStreak struct {
+	beats       int
 	first, last time.Duration
 }
 
-func (v *Voice) Hear(now time.Duration) {
-	if v.words == 0 || now-v.last > limit.BeatLapse {
-		v.words, v.first = 0, now
+func (v *HeartbeatStreak) Hear(now time.Duration) {
+	if v.beats == 0 || now-v.last > limit.BeatLapse {
+		v.beats, v.first = 0, now
 	}
-	v.words++
+	v.beats++
 	v.last = now
 }
 
 // Speaks says that they come as a living one's do, not as one late word.
-func (v *Voice) Speaks(now time.Duration) bool {
-	return v.words >= limit.ProofWords && v.last-v.first >= limit.ProofSpan && now-v.last < limit.BeatLapse
+func (v *HeartbeatStreak) Speaks(now time.Duration) bool {
+	return v.beats >= limit.ProofWords && v.last-v.first >= limit.ProofSpan && now-v.last < limit.BeatLapse
 }
 
 type target struct {
@@ -46,47 +46,47 @@
 	seenAt      time.Duration
 	silentAt    time.Duration
 	misses      int // probes in a row without its own answer
-	voice       Voice
-	told        bool  // known by hearsay: one word, or a proxy's table; not served until it has proved itself
-	shown       facts // what the table says of it
-	shownDemand float64
-	shownBar    time.Duration // until when, as the table says
-	shownCold   time.Duration
-	row         uint64 // the number of the table that last said something new of it
-	freed       bool   // its address had another target's entry
+	streak       HeartbeatStreak
+	unconfirmed        bool  // known by hearsay: one word, or a proxy's table; not served until it has proved itself
+	publishedFacts       routingFacts // what the table says of it
+	publishedDemand float64
+	publishedBar    time.Duration // until when, as the table says
+	publishedCold   time.Duration
+	changedInVersion         uint64 // the number of the table that last said something new of it
+	addressReused       bool   // its address had another target's entry
 	coldTill    time.Duration
 	warmFrom    uint64 // lowest number of a word that may end its coldness
 }
 
 // merge takes what a proxy's table says of targets from before this lead: which
-// targets there are from the latest table heard, holds and bars from all.
+// targets there are from the latest table heard, holds and ejections from all.
 func (c *Core) merge(now time.Duration, b *wire.Table) {
-	if c.lead == Warming && c.best.Less(b.Key) {
-		c.best = b.Key
+	if c.lead == Warming && c.latestMergedKey.Less(b.Key) {
+		c.latestMergedKey = b.Key
 		for id, t := range c.targets {
-			if t.told {
+			if t.unconfirmed {
 				delete(c.targets, id) // known only from an earlier table, or from the log
 				if t.Held {
-					c.left[id] = now
+					c.leaving[id] = now
 				}
 			}
 		}
 		for _, w := range b.Targets {
-			if c.targets[w.ID()] != nil || c.tombs[w.ID()] != 0 {
+			if c.targets[w.ID()] != nil || c.tombstones[w.ID()] != 0 {
 				continue
 			}
-			if len(c.rivals(w)) > 0 {
-				c.displaced(w)
+			if len(c.conflictingTargets(w)) > 0 {
+				c.markDisplaced(w)
 				continue
 			}
-			t := &target{Target: w, told: true, beatAt: now - limit.BeatLapse/2, aliveAt: now, probeAt: now - limit.ProbeEvery, seenAt: now}
+			t := &target{Target: w, unconfirmed: true, beatAt: now - limit.BeatLapse/2, aliveAt: now, probeAt: now - limit.ProbeEvery, seenAt: now}
 			t.BarLeft, t.BarWhy, t.Held, t.ColdLeft = 0, "", false, 0
 			c.targets[w.ID()] = t
-			if c.left[w.ID()] != 0 {
+			if c.leaving[w.ID()] != 0 {
 				c.hold(now, t, "it was leaving, as agreed")
 			}
-			c.turns[w.Service] = max(c.turns[w.Service], w.Turn)
-			c.turnOf[[2]string{w.Service, w.Name}] = w.Turn
+			c.lastTurn[w.Service] = max(c.lastTurn[w.Service], w.Turn)
+			c.turnByName[[2]string{w.Service, w.Name}] = w.Turn
 		}
 	}
 	for _, w := range b.Targets {
@@ -98,7 +98,7 @@
 			c.hold(now, t, "a proxy's table holds it")
 		}
 		t.coldTill = max(t.coldTill, now+time.Duration(w.ColdLeft))
-		c.chill(t)
+		c.markCold(t)
 		if w.BarLeft > 0 && c.lead == Warming {
 			c.judge.Adopt(now, w.ID(), w.BarWhy, time.Duration(w.BarLeft))
 		}
@@ -107,7 +107,7 @@
 
 // displaced has a target at w's address wait until w, which a table still names,
 // is out of every table.
-func (c *Core) displaced(w wire.Target) {
+func (c *Core) markDisplaced(w wire.Target) {
 	for _, t := range c.targets {
 		if t.Addr == w.Addr && t.Name != w.Name {
 			t.Pending = true
@@ -122,7 +122,7 @@
 	t.Held, t.State = true, model.Leaving
 	c.counts.Holds++
 	d := judge.Decision{At: now, Policy: "leaving", Kind: "hold", Service: t.Service, Name: t.Name, Inc: t.Inc, Why: why}
-	c.do(Note{Decision: &d})
+	c.emit(Note{Decision: &d})
 }
 
 // drop takes a target's entry away; silence alone refuses nobody.
@@ -133,16 +133,16 @@
 	}
 	delete(c.targets, id)
 	if t.Held {
-		c.left[id] = now
+		c.leaving[id] = now
 	}
 	c.scorer.Forget(now, id)
 	d := judge.Decision{At: now, Policy: "registry", Kind: "gone", Service: id.Service, Name: id.Name, Inc: id.Inc, Why: why}
-	c.do(Note{Decision: &d})
+	c.emit(Note{Decision: &d})
 }
 
 // beat takes a back end's word, straight or passed on. A word whose number is not over
 // the highest heard is old and changes nothing.
-func (c *Core) beat(now time.Duration, w wire.Target, passOn bool) {
+func (c *Core) heartbeat(now time.Duration, w wire.Target, passOn bool) {
 	if c.lead != Deciding && c.lead != Warming {
 		if passOn {
 			c.send(c.leader(now), &wire.Msg{Kind: uint16(wire.KBeat), Stamp: 1, Beat: &w})
@@ -150,15 +150,15 @@
 		return
 	}
 	id := w.ID()
-	if c.tombs[id] != 0 {
-		c.tombs[id] = now
+	if c.tombstones[id] != 0 {
+		c.tombstones[id] = now
 		return
 	}
 	t := c.targets[id]
 	if w.State == model.Gone {
 		c.drop(now, id, "signed off")
 		delete(c.claims, id)
-		c.tombs[id] = now
+		c.tombstones[id] = now
 		c.rebuild(now, false)
 		return
 	}
@@ -171,25 +171,25 @@
 	}
 	if t == nil {
 		if w.State == model.Leaving {
-			c.left[id] = now // also if it only claims its place so far
+			c.leaving[id] = now // also if it only claims its place so far
 		}
 		if t = c.register(now, w); t == nil {
 			return
 		}
 	}
-	c.note(now, t, w)
+	c.updateFromReport(now, t, w)
 	c.advanceState(now, t, w.State)
 	e := judge.Event{At: now, Slice: "beat", Service: t.Service, Name: t.Name, Inc: t.Inc, Ok: true, State: t.State}
 	c.judgeEvent(e)
 	if t.HasDemand {
 		c.judgeEvent(judge.Event{At: now, Slice: "demand", Service: t.Service, Name: t.Name, Inc: t.Inc, Demand: t.Demand})
 	}
-	c.moved(now, t)
+	c.targetChanged(now, t)
 }
 
 // note takes over what a word says beside its state.
-func (c *Core) note(now time.Duration, t *target, w wire.Target) {
-	c.spoke(now, t)
+func (c *Core) updateFromReport(now time.Duration, t *target, w wire.Target) {
+	c.countHeartbeat(now, t)
 	t.aliveAt = now
 	if w.HasDemand {
 		t.Demand, t.HasDemand = w.Demand, true
@@ -206,12 +206,12 @@
 }
 
 // cold is how much longer a target is cold.
-func (t *target) cold(now time.Duration) int64 { return max(0, int64(t.coldTill-now)) }
+func (t *target) coldLeft(now time.Duration) int64 { return max(0, int64(t.coldTill-now)) }
 
 // chill has a target of a restored domain be cold: it may have become so while nothing
 // was sent there. A word that was under way by then says nothing of it, so the next
 // number does not end it yet.
-func (c *Core) chill(t *target) {
+func (c *Core) markCold(t *target) {
 	at, was := c.restored[t.Domain]
 	svc := c.cfg.Services[t.Service]
 	if till := at + svc.Cold(); was && till > t.coldTill {
@@ -232,19 +232,19 @@
 
 // spoke counts a beat. One alone proves nothing, since it may be a late one of a
 // start that is over; who goes on beating is there, even if no probe gets through.
-func (c *Core) spoke(now time.Duration, t *target) {
+func (c *Core) countHeartbeat(now time.Duration, t *target) {
 	t.beatAt = now
-	t.voice.Hear(now)
-	t.told = t.told && !t.voice.Speaks(now)
+	t.streak.Hear(now)
+	t.unconfirmed = t.unconfirmed && !t.streak.Speaks(now)
 }
 
 // beats is what the table says of it: one that misses its probes has to speak on.
-func (t *target) beats(now time.Duration) bool {
-	return now-t.beatAt < limit.BeatLapse && (t.misses < limit.ProbeMisses || t.voice.Speaks(now))
+func (t *target) isBeating(now time.Duration) bool {
+	return now-t.beatAt < limit.BeatLapse && (t.misses < limit.ProbeMisses || t.streak.Speaks(now))
 }
 
 // rivals are the known targets under w's name or at its address.
-func (c *Core) rivals(w wire.Target) (l []*target) {
+func (c *Core) conflictingTargets(w wire.Target) (l []*target) {
 	for id, o := range c.targets {
 		if id != w.ID() && (id.Service == w.Service && id.Name == w.Name || o.Addr == w.Addr) {
 			l = append(l, o)
@@ -260,17 +260,17 @@
 	t := c.claims[w.ID()]
 	if t == nil {
 		t = &target{Target: wire.Target{Service: w.Service, Name: w.Name, Inc: w.Inc, Addr: w.Addr, Domain: w.Domain, State: model.Warming},
-			beatAt: now, aliveAt: now, probeAt: now - limit.ProbeEvery, seenAt: now, told: true}
+			beatAt: now, aliveAt: now, probeAt: now - limit.ProbeEvery, seenAt: now, unconfirmed: true}
 	}
-	if len(c.rivals(w)) > 0 {
+	if len(c.conflictingTargets(w)) > 0 {
 		t.Addr = w.Addr
-		c.note(now, t, w)
+		c.updateFromReport(now, t, w)
 		c.claims[w.ID()] = t
-		if !c.succeed(now, t, false) {
+		if !c.takeOver(now, t, false) {
 			return nil
 		}
 	}
-	c.enter(now, t, w.State)
+	c.admitTarget(now, t, w.State)
 	return t
 }
 
@@ -278,49 +278,49 @@
 // an answer at the very address says whose it is; an incumbent elsewhere that
 // lives stays, by the design's incumbency, and keeps its name until it leaves or
 // misses its probes. proved is the claimant's own answer.
-func (c *Core) succeed(now time.Duration, t *target, proved bool) bool {
-	rs := c.rivals(t.Target)
+func (c *Core) takeOver(now time.Duration, t *target, proved bool) bool {
+	rs := c.conflictingTargets(t.Target)
 	for _, o := range rs {
-		lives := !o.told && !o.Held && o.misses < limit.ProbeMisses
+		lives := !o.unconfirmed && !o.Held && o.misses < limit.ProbeMisses
 		silent := now-o.beatAt > limit.BeatLapse && o.misses >= limit.ProbeMisses
-		if proved && o.Addr != t.Addr && lives || !proved && (t.told || !silent) {
+		if proved && o.Addr != t.Addr && lives || !proved && (t.unconfirmed || !silent) {
 			return false
 		}
 	}
 	for _, o := range rs {
 		c.drop(now, o.ID(), "superseded by another start, or at its address by another target")
-		c.tombs[o.ID()] = now
-		t.freed = t.freed || o.Addr == t.Addr && (o.Service != t.Service || o.Name != t.Name)
+		c.tombstones[o.ID()] = now
+		t.addressReused = t.addressReused || o.Addr == t.Addr && (o.Service != t.Service || o.Name != t.Name)
 	}
 	delete(c.claims, t.ID())
 	return true
 }
 
 // enter puts a target into the registry.
-func (c *Core) enter(now time.Duration, t *target, state string) {
+func (c *Core) admitTarget(now time.Duration, t *target, state string) {
 	id := t.ID()
 	if state == model.Ready {
 		t.State = model.Ready
 	}
-	t.Pending = t.freed
+	t.Pending = t.addressReused
 	name := [2]string{id.Service, id.Name}
-	if c.turnOf[name] == 0 {
-		c.turns[id.Service]++
-		c.turnOf[name] = c.turns[id.Service]
+	if c.turnByName[name] == 0 {
+		c.lastTurn[id.Service]++
+		c.turnByName[name] = c.lastTurn[id.Service]
 	}
-	t.Turn = c.turnOf[name] // a restart keeps it: orphans may have dealt by it already
+	t.Turn = c.turnByName[name] // a restart keeps it: proxies that serve on their peers may have dealt by it already
 	c.targets[id] = t
-	if c.left[id] != 0 {
+	if c.leaving[id] != 0 {
 		c.hold(now, t, "it was leaving when it fell silent")
 	}
 	if t.Pending && c.lead == Deciding {
 		c.rebuild(now, true)
-		c.forces = append(c.forces, &force{ver: c.ver, since: now, clear: id})
+		c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, clearPending: id})
 	}
 }
 
 func (c *Core) judgeEvent(e judge.Event) {
-	c.do(Note{Event: &e})
+	c.emit(Note{Event: &e})
 	c.decided(c.scorer.Step(e))
 }
 
@@ -337,18 +337,18 @@
 				c.counts.Lapses++
 			}
 		}
-		c.do(Note{Decision: &ds[i]})
+		c.emit(Note{Decision: &ds[i]})
 	}
 }
 
 // sorted are the targets' identities in order.
 func (c *Core) sorted() []wire.ID {
-	ok := len(c.ids) == len(c.targets)
-	for i := 0; ok && i < len(c.ids); i++ {
-		ok = c.targets[c.ids[i]] != nil
+	ok := len(c.sortedIDs) == len(c.targets)
+	for i := 0; ok && i < len(c.sortedIDs); i++ {
+		ok = c.targets[c.sortedIDs[i]] != nil
 	}
 	if !ok {
-		c.ids = slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare)
+		c.sortedIDs = slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare)
 	}
-	return c.ids
+	return c.sortedIDs
 }
--- a/core/targetcall.go
+++ b/core/targetcall.go
@@ -14,11 +14,11 @@
 )
 
 // leaves says that a word has to be safe before it is acknowledged.
-func leaves(w wire.Target) bool { return w.State == model.Leaving || w.State == model.Gone }
+func isLeaving(w wire.Target) bool { return w.State == model.Leaving || w.State == model.Gone }
 
 // readWord reads a back end's own call; a reply with a status refuses it. A sign-off by
 // name alone has no service.
-func readWord(e Ask) (t wire.Target, r Reply) {
+func parseTargetReport(e Ask) (t wire.Target, r Reply) {
 	var fs []model.Fault
 	rest, named := strings.CutPrefix(e.Path, "/v1/targets/")
 	svc, name, both := strings.Cut(rest, "/")
@@ -36,18 +36,18 @@
 	case e.Method == "POST" && e.Path == "/v1/targets":
 		t, fs = model.ParseBeat(e.Body)
 	default:
-		return t, trouble(405, model.Trouble{Code: "method", Message: "POST /v1/targets, PUT /v1/targets/{name}, DELETE /v1/targets/{name} or DELETE /v1/targets/{service}/{name}?incarnation=N"})
+		return t, problem(405, model.Trouble{Code: "method", Message: "POST /v1/targets, PUT /v1/targets/{name}, DELETE /v1/targets/{name} or DELETE /v1/targets/{service}/{name}?incarnation=N"})
 	}
 	if len(fs) > 0 {
-		return t, trouble(422, model.Trouble{Code: "invalid", Message: "not a target's word", Faults: fs})
+		return t, problem(422, model.Trouble{Code: "invalid", Message: "not a target's word", Faults: fs})
 	}
 	return t, Reply{}
 }
 
 // heard acknowledges a word: 200 if it is safe that it says leaving or gone, else 202.
-func wordHeard(w wire.Target) Reply {
+func reportAccepted(w wire.Target) Reply {
 	r := Reply{Status: 202, Body: body(map[string]any{"beat_ms": limit.BeatEvery.Milliseconds()})}
-	if leaves(w) {
+	if isLeaving(w) {
 		r.Status = 200
 	}
 	return r
@@ -56,20 +56,20 @@
 // TargetCall is a back end's own call to a proxy, which acts on it at once and passes
 // it on. A sign-off without a service is for those who know all targets.
 func TargetCall(e Ask, beat func(wire.Target)) Reply {
-	t, r := readWord(e)
+	t, r := parseTargetReport(e)
 	if r.Status != 0 {
 		return r
 	}
 	if t.Service == "" {
-		return trouble(405, model.Trouble{Code: "method", Message: "a sign-off by name alone is for a core member"})
+		return problem(405, model.Trouble{Code: "method", Message: "a sign-off by name alone is for a core member"})
 	}
 	beat(t)
-	return Reply{Status: 202, Body: wordHeard(t).Body}
+	return Reply{Status: 202, Body: reportAccepted(t).Body}
 }
 
 // word takes a back end's word as leader. One that says leaving or gone is acknowledged
-// when most proxies have a table that says so; the others' grants lapse by themselves.
-func (c *Core) word(now time.Duration, p *pending, w wire.Target) {
+// when most proxies have a table that says so; the others' leases lapse by themselves.
+func (c *Core) reportTarget(now time.Duration, p *pending, w wire.Target) {
 	ids := []wire.ID{w.ID()}
 	if w.Service == "" {
 		ids = c.named(w.Name)
@@ -77,26 +77,26 @@
 	for _, id := range ids {
 		t := w
 		t.Service, t.Inc = id.Service, id.Inc
-		c.beat(now, t, false)
+		c.heartbeat(now, t, false)
 	}
-	if !leaves(w) {
-		c.answer(p, wordHeard(w))
+	if !isLeaving(w) {
+		c.answer(p, reportAccepted(w))
 		return
 	}
-	c.urgent = true
-	c.keep(now, limit.KeepEvery)
+	c.persistNow = true
+	c.persistRegistrations(now, limit.RegistryEvery)
 	ver := uint64(0)
 	for _, id := range ids {
-		out := c.outVer[id]
+		out := c.withdrawnAt[id]
 		if out == 0 {
-			out = c.ver
+			out = c.tableVersion
 		}
 		if t := c.targets[id]; t == nil || t.Held { // an old word has changed nothing
-			c.outVer[id] = out
+			c.withdrawnAt[id] = out
 		}
 		ver = max(ver, out)
 	}
-	c.forces = append(c.forces, &force{ver: ver, since: now, p: p, reply: wordHeard(w), most: true, agreed: ids})
+	c.waiters = append(c.waiters, &commitWaiter{version: ver, since: now, p: p, reply: reportAccepted(w), majorityOnly: true, agreed: ids})
 }
 
 // named are the identities under a name, those that signed off lately included.
@@ -113,7 +113,7 @@
 	for id := range c.claims {
 		add(id)
 	}
-	for id := range c.tombs {
+	for id := range c.tombstones {
 		add(id)
 	}
 	return slices.SortedFunc(maps.Keys(m), wire.ID.Compare)
--- a/core/watchdog.go
+++ b/core/watchdog.go
@@ -46,14 +46,14 @@
 	}
 	if now-c.cleanAt > limit.ReconcileEvery {
 		c.cleanAt = now
-		old := func(_ wire.ID, at time.Duration) bool { return now-at > limit.TombKeep }
-		maps.DeleteFunc(c.tombs, old)
-		if len(c.turnOf) > 2*len(c.targets)+limit.NamesKept {
-			c.turnOf = map[[2]string]uint32{} // names that never come back; a new place costs little
+		old := func(_ wire.ID, at time.Duration) bool { return now-at > limit.TombstoneKeep }
+		maps.DeleteFunc(c.tombstones, old)
+		if len(c.turnByName) > 2*len(c.targets)+limit.NamesKept {
+			c.turnByName = map[[2]string]uint32{} // names that never come back; a new place costs little
 		}
-		maps.DeleteFunc(c.left, old)
-		maps.DeleteFunc(c.outVer, func(id wire.ID, _ uint64) bool {
-			return c.targets[id] == nil && c.claims[id] == nil && c.tombs[id] == 0
+		maps.DeleteFunc(c.leaving, old)
+		maps.DeleteFunc(c.withdrawnAt, func(id wire.ID, _ uint64) bool {
+			return c.targets[id] == nil && c.claims[id] == nil && c.tombstones[id] == 0
 		})
 	}
 	c.decided(c.scorer.Tick(now))
@@ -61,9 +61,9 @@
 		return
 	}
 	c.rebuild(now, now-c.rebuilt >= limit.ReconcileEvery)
-	c.members(now)
+	c.maintainMembers(now)
 	c.roster(now)
-	c.keep(now, limit.KeepEvery)
+	c.persistRegistrations(now, limit.RegistryEvery)
 }
 
 func (c *Core) probe(now time.Duration, id wire.ID, t *target) {
@@ -73,13 +73,13 @@
 	svc, named := c.cfg.Services[id.Service]
 	if !named { // nothing is sent there; once it is, probes are spread, and who beat and fell silent must answer one
 		t.probeAt = now - limit.ProbeEvery + time.Duration(t.Turn)*limit.TickEvery%limit.NamedSpread
-		t.told = t.told || t.voice.words >= limit.ProofWords && now-t.beatAt > limit.NamedSilent
+		t.unconfirmed = t.unconfirmed || t.streak.beats >= limit.ProofWords && now-t.beatAt > limit.NamedSilent
 		return
 	}
 	if t.sentAt == 0 && now-t.probeAt >= limit.ProbeEvery {
 		t.probeAt, t.sentAt = now, now
 		c.counts.Probes++
-		c.do(Probe{id, t.Addr, svc.HealthPath})
+		c.emit(Probe{id, t.Addr, svc.HealthPath})
 	}
 	if t.missed && t.misses < limit.ProbeMisses && t.sentAt != 0 && t.askedFor != t.sentAt && now-t.sentAt >= limit.IndirectAfter &&
 		t.okAt < t.sentAt+limit.IndirectAfter && !t.Held && t.State != model.Leaving {
@@ -89,7 +89,7 @@
 }
 
 // indirect has some proxies probe a target that the leader itself can't reach, so that a
-// trouble of the leader's own bars nobody. They are drawn anew each time, from as many
+// trouble of the leader's own ejections nobody. They are drawn anew each time, from as many
 // domains as can be and the leader's own last: what troubles it may trouble its neighbours.
 func (c *Core) indirect(now time.Duration, id wire.ID) {
 	type choice struct {
@@ -100,11 +100,11 @@
 	}
 	var all []choice
 	for _, r := range c.state.Roster {
-		if g := c.gates[r.Name]; g != nil && g.told && c.live(now, r.Name) {
+		if g := c.proxies[r.Name]; g != nil && g.tableMerged && c.live(now, r.Name) {
 			h := fnv.New32a()
 			fmt.Fprint(h, r.Name, id, now)
 			k := choice{name: r.Name, domain: r.Domain, draw: h.Sum32()}
-			if r.Domain == c.set.Self.Domain {
+			if r.Domain == c.settings.Self.Domain {
 				k.close = 1
 			}
 			all = append(all, k)
@@ -118,9 +118,9 @@
 	}
 	slices.SortStableFunc(all, func(a, b choice) int { return cmp.Or(cmp.Compare(a.nth, b.nth), cmp.Compare(a.close, b.close)) })
 	for _, k := range all[:min(len(all), limit.IndirectProbes)] {
-		g := c.gates[k.name]
+		g := c.proxies[k.name]
 		p := &wire.Push{Key: g.key, Probe: []wire.ID{id}}
-		c.send(k.name, &wire.Msg{Kind: uint16(wire.KPush), Epoch: c.node.Epoch(), Term: c.node.Term(), Stamp: g.stamp, Disk: g.inc, Push: p})
+		c.send(k.name, &wire.Msg{Kind: uint16(wire.KPush), Epoch: c.node.Epoch(), Term: c.node.Term(), Stamp: g.stamp, Disk: g.incarnation, Push: p})
 	}
 }
 
@@ -134,13 +134,13 @@
 			return
 		}
 		t.sentAt = 0
-		if b := p.Beat; b == nil || b.ID() != p.ID || !c.succeed(now, t, true) {
+		if b := p.Beat; b == nil || b.ID() != p.ID || !c.takeOver(now, t, true) {
 			return
 		}
-		c.enter(now, t, p.Beat.State)
+		c.admitTarget(now, t, p.Beat.State)
 	}
 	t.sentAt = 0
-	proved := t.told
+	proved := t.unconfirmed
 	e := judge.Event{At: now, Slice: "probe", Service: t.Service, Name: t.Name, Inc: t.Inc, Ms: p.Ms}
 	b := p.Beat
 	e.Ok = b != nil && b.ID() == p.ID
@@ -154,7 +154,7 @@
 		}
 		t.misses++
 	} else {
-		t.aliveAt, t.told, t.misses = now, false, 0
+		t.aliveAt, t.unconfirmed, t.misses = now, false, 0
 		c.advanceState(now, t, b.State)
 		if b.Demand != nil {
 			t.Demand, t.HasDemand = *b.Demand, true
@@ -162,8 +162,8 @@
 		t.coldTill = max(t.coldTill, now+p.Cold) // that it says nothing of it ends nothing
 	}
 	c.judgeEvent(e)
-	if proved && !t.told {
+	if proved && !t.unconfirmed {
 		return // many prove themselves at once after a loss: the next tick tells of all
 	}
-	c.moved(now, t)
+	c.targetChanged(now, t)
 }
--- a/gate/budget.go
+++ b/gate/budget.go
@@ -1,6 +1,6 @@
 // This file is the retry budget: what a service's targets may get beyond the first
-// target of each exchange. A proxy earns a little less than the ratio with each
-// exchange, and its part of the slack with time. What it may have saved up at a
+// target of each request. A proxy earns a little less than the ratio with each
+// request, and its part of the slack with time. What it may have saved up at a
 // window's start and what it earns within stay, summed over the fleet, under ratio
 // and slack, whichever proxies start anew: a new life begins with nothing.
 package gate
@@ -43,7 +43,7 @@
 	return least
 }
 
-// earn takes an exchange in.
+// earn takes a request in.
 func (b *budget) earn(now time.Duration, r Retry) {
 	b.grow(now, r)
 	b.credit += r.Ratio * limit.RetryEarn
--- a/gate/choice.go
+++ b/gate/choice.go
@@ -1,4 +1,4 @@
-// This file is the choice of a target. Where targets tell how many exchanges they
+// This file is the choice of a target. Where targets tell how many requests they
 // work on at once, those slots are dealt among the live proxies, each slot to one, so
 // that with no talk at all nobody queues while every proxy keeps to its own; beyond
 // them a proxy borrows where little load is known, within a window that shrinks when
@@ -52,14 +52,14 @@
 // share is this proxy's part of a number that holds for all proxies together: the
 // parts of the live proxies add up to it, and the remainder falls on other proxies
 // for other keys.
-func (g *Gate) share(total int, key string) int {
+func (g *Proxy) share(total int, key string) int {
 	h := fnv.New32a()
 	h.Write([]byte(key))
-	return deal(total, int(h.Sum32()>>1), g.set.Self.Name, g.alive)
+	return deal(total, int(h.Sum32()>>1), g.settings.Self.Name, g.alive)
 }
 
 // index prepares what choices go by, when table, targets or state have changed.
-func (g *Gate) index(now time.Duration) {
+func (g *Proxy) index(now time.Duration) {
 	g.alive, g.listed, g.coldEnd = nil, nil, 0
 	for _, s := range g.services {
 		s.targets, s.own = nil, nil
@@ -71,7 +71,7 @@
 	for _, r := range g.table.Gates {
 		g.listed = append(g.listed, r.Name)
 		// The proxies that the leader hears share caps, or all of them if there is no leader to say.
-		if r.Live || r.Name == g.set.Self.Name || g.state != Granted {
+		if r.Live || r.Name == g.settings.Self.Name || g.state != Granted {
 			g.alive = append(g.alive, r.Name)
 			doms = append(doms, r.Domain)
 		}
@@ -91,20 +91,20 @@
 		g.prepare(now, s, doms)
 	}
 	for n, s := range g.services {
-		s.budget.part = g.set.Retry.slack(hash(n), g.set.Self.Name, g.listed, g.table.Was)
+		s.budget.part = g.settings.Retry.slack(hash(n), g.settings.Self.Name, g.listed, g.table.Was)
 	}
 }
 
 // prepare readies a service's targets: who is cold and what this proxy may send there,
 // and which slots are its own.
-func (g *Gate) prepare(now time.Duration, s *service, doms []string) {
+func (g *Proxy) prepare(now time.Duration, s *service, doms []string) {
 	s.slotted, s.own = false, nil
 	total := 0
 	set := g.cfg.Services[s.targets[0].Service]
 	lots, barred := make([]lot, 0, len(s.targets)), []lot(nil)
 	for _, t := range s.targets {
 		s.slotted = s.slotted || t.Slots > 0
-		t.part, t.slots, t.near = 0, int(t.Slots), t.Domain == g.set.Self.Domain
+		t.part, t.slots, t.near = 0, int(t.Slots), t.Domain == g.settings.Self.Domain
 		if t.strict = t.slots == 0 || set.Cap < t.slots; t.strict {
 			t.slots = set.Cap
 		}
@@ -147,7 +147,7 @@
 		}
 	}
 	for i, parts := range dealSlots(lots, g.alive, doms) {
-		if at := slices.Index(g.alive, g.set.Self.Name); at >= 0 {
+		if at := slices.Index(g.alive, g.settings.Self.Name); at >= 0 {
 			lots[i].t.part = parts[at]
 		}
 	}
@@ -246,15 +246,15 @@
 	return hs
 }
 
-// room is how many exchanges this proxy may have at a target that tells no slots.
+// room is how many requests this proxy may have at a target that tells no slots.
 // Each target deals its remainder on from where its service's one before it ended, so
 // that every proxy reaches some of them. A warming one must never get more than its
 // cap, whatever tables the proxies stand on: its cap is dealt among the whole roster,
 // and while a change of that is not in force everywhere, a proxy has the smaller of
 // both parts.
-func (g *Gate) room(now time.Duration, t *target, set model.Service) int {
+func (g *Proxy) room(now time.Duration, t *target, set model.Service) int {
 	part := func(c int, among []string) int {
-		return deal(c, t.place(c, among), g.set.Self.Name, among)
+		return deal(c, t.place(c, among), g.settings.Self.Name, among)
 	}
 	if t.State == model.Warming {
 		n := part(set.WarmCap, g.listed)
@@ -283,7 +283,7 @@
 // rise keeps this proxy's part of a warming target's cap from growing before all that
 // others sent there under the parts of an earlier roster must be over: the parts of one
 // table add up to the cap, those of two tables that follow one another need not.
-func (g *Gate) rise(now time.Duration, t *target, set model.Service) {
+func (g *Proxy) rise(now time.Duration, t *target, set model.Service) {
 	if t.State != model.Warming {
 		t.warmPart, t.warmNext, t.riseAt = 0, 0, 0
 		return
@@ -305,8 +305,8 @@
 	}
 }
 
-// longest is how long an exchange of a service may take.
-func (g *Gate) longest(svc string) time.Duration {
+// longest is how long a request of a service may take.
+func (g *Proxy) longest(svc string) time.Duration {
 	d := time.Duration(g.cfg.Services[svc].TimeoutMs) * time.Millisecond
 	for _, r := range g.cfg.Routes {
 		if r.Service == svc || slices.ContainsFunc(r.Split, func(s model.Share) bool { return s.Service == svc }) {
@@ -319,7 +319,7 @@
 // ---- cold targets ----
 
 // coldOf is how long a target of a service is cold from its start.
-func (g *Gate) coldOf(svc string) time.Duration {
+func (g *Proxy) coldOf(svc string) time.Duration {
 	s := g.cfg.Services[svc]
 	if s.ColdPerS <= 0 {
 		return 0
@@ -334,12 +334,12 @@
 	}
 }
 
-// coldGapOf is how far apart this proxy's exchanges at a cold target are, 0: it sends
-// none. The rate is dealt among some proxies of the roster, so few that one exchange of
+// coldGapOf is how far apart this proxy's requests at a cold target are, 0: it sends
+// none. The rate is dealt among some proxies of the roster, so few that one request of
 // each beyond the rate stays within half of it; while a change of the roster is under
 // way, only those that both rosters draw have a part, and the smaller one. Of a target
 // that is still warming too only those are drawn that have a part of its warming cap.
-func (g *Gate) coldGapOf(t *target, set model.Service) time.Duration {
+func (g *Proxy) coldGapOf(t *target, set model.Service) time.Duration {
 	perS := set.ColdPerS
 	if perS <= 0 {
 		return 0
@@ -354,7 +354,7 @@
 			names = holders(set.WarmCap, t.place(set.WarmCap, names), names)
 		}
 		n := min(max(1, int(perS/2)), len(names))
-		if !drawn(k, g.set.Self.Name, names, n) {
+		if !drawn(k, g.settings.Self.Name, names, n) {
 			return 0
 		}
 		gap = max(gap, time.Duration(float64(n)/perS*float64(time.Second)))
@@ -364,22 +364,22 @@
 
 // ---- the choice ----
 
-// standing of a target before an exchange.
+// standing of a target before a request.
 type standing int
 
 const (
 	out  standing = iota // never
-	last                 // barred, but it beats: if there is no other
+	last                 // ejected, but it beats: if there is no other
 	in
 )
 
-func (g *Gate) standing(now time.Duration, t *target, x *exchange) standing {
+func (g *Proxy) standing(now time.Duration, t *target, x *request) standing {
 	if t.held || t.Held || t.Pending || t.State == model.Leaving ||
 		slices.Contains(g.table.Emptied, t.Domain) || len(x.tried) > 0 && slices.Contains(x.tried, t.ID()) {
 		return out
 	}
-	if t.barUntil > now || t.ownBar > now {
-		if g.beats(now, t) && t.ownBar <= now {
+	if t.ejectedUntil > now || t.ownEjection > now {
+		if g.beats(now, t) && t.ownEjection <= now {
 			return last
 		}
 		return out
@@ -388,12 +388,12 @@
 }
 
 // cold says that a target bears only its service's cold rate now.
-func (t *target) cold(now time.Duration, x *exchange) bool {
+func (t *target) cold(now time.Duration, x *request) bool {
 	return t.coldUntil > now && x.set.ColdPerS > 0
 }
 
-// choose finds a target that takes the exchange now; any says that one may later.
-func (g *Gate) choose(now time.Duration, x *exchange) (t *target, any bool) {
+// choose finds a target that takes the request now; any says that one may later.
+func (g *Proxy) choose(now time.Duration, x *request) (t *target, any bool) {
 	s := g.service(x.svc)
 	if s.slotted {
 		return g.pick(now, x, s)
@@ -403,8 +403,8 @@
 
 // spread picks the less burdened of two admitted targets, met in a turn that
 // goes round them all, or the least burdened of all if both are full. A target
-// whose bar was lifted starts at the back, so that its return moves nothing.
-func (g *Gate) spread(now time.Duration, x *exchange, s *service) (t *target, any bool) {
+// whose ejection was lifted starts at the back, so that its return moves nothing.
+func (g *Proxy) spread(now time.Duration, x *request, s *service) (t *target, any bool) {
 	open, barred := g.open[:0], g.barred[:0]
 	defer func() { g.open, g.barred = open[:0], barred[:0] }()
 	for _, t := range s.targets {
@@ -431,7 +431,7 @@
 		b = open[(g.turn+1+g.turn/n%(n-1))%n] // never a itself
 	}
 	best := g.better(now, a, b, x)
-	if best == nil || best.shun > now {
+	if best == nil || best.avoidUntil > now {
 		best = nil
 		for _, t := range open {
 			best = g.better(now, best, t, x)
@@ -441,15 +441,15 @@
 }
 
 // beats says whether a target is known to beat: by the table while the leader
-// keeps it fresh, else by what was heard here, straight or through a partner.
-func (g *Gate) beats(now time.Duration, t *target) bool {
+// keeps it fresh, else by what was heard here, straight or through a peer.
+func (g *Proxy) beats(now time.Duration, t *target) bool {
 	if g.state == Granted {
 		return t.Beating
 	}
-	return t.voice.Speaks(now)
+	return t.streak.Speaks(now)
 }
 
-func (g *Gate) better(now time.Duration, a, b *target, x *exchange) *target {
+func (g *Proxy) better(now time.Duration, a, b *target, x *request) *target {
 	sa, sb := g.burden(now, a, x), g.burden(now, b, x)
 	switch {
 	case sa < 0 && sb < 0:
@@ -461,7 +461,7 @@
 }
 
 // burden is under 0 for a target without room.
-func (g *Gate) burden(now time.Duration, t *target, x *exchange) float64 {
+func (g *Proxy) burden(now time.Duration, t *target, x *request) float64 {
 	if t == nil {
 		return -1
 	}
@@ -473,7 +473,7 @@
 	if t.backAt > 0 && now-t.backAt < limit.ReconcileEvery {
 		b++
 	}
-	if t.shun > now {
+	if t.avoidUntil > now {
 		b += 100
 	}
 	return b
@@ -493,9 +493,9 @@
 	none
 )
 
-// pick goes by tier, then by load, speed and open pipes; a turn that begins
+// pick goes by tier, then by load, speed and open connections; a turn that begins
 // elsewhere at each proxy breaks ties, so that not all go to the same.
-func (g *Gate) pick(now time.Duration, x *exchange, s *service) (t *target, any bool) {
+func (g *Proxy) pick(now time.Duration, x *request, s *service) (t *target, any bool) {
 	room := g.ranked(now, x, s)
 	g.turn++
 	// Its own slots nearby come first: mostly there is no need to look further.
@@ -514,7 +514,7 @@
 	return nil, false
 }
 
-func (g *Gate) among(now time.Duration, x *exchange, s *service, ts []*target, as standing, room bool) (best *target, at tier, any bool) {
+func (g *Proxy) among(now time.Duration, x *request, s *service, ts []*target, as standing, room bool) (best *target, at tier, any bool) {
 	at = none
 	load, n := 0.0, len(ts)
 	for i := range ts {
@@ -534,7 +534,7 @@
 	return best, at, any
 }
 
-func (g *Gate) tell(k tier) {
+func (g *Proxy) tell(k tier) {
 	switch k {
 	case dealtNear, dealtFar:
 		g.Counts.Dealt++
@@ -545,10 +545,10 @@
 	}
 }
 
-// ranked says whether an exchange of its priority may go to a target now: while the
+// ranked says whether a request of its priority may go to a target now: while the
 // service is under pressure and higher ones come, each leaves a part to those before
 // it, unless a target offers more.
-func (g *Gate) ranked(now time.Duration, x *exchange, s *service) bool {
+func (g *Proxy) ranked(now time.Duration, x *request, s *service) bool {
 	r := min(x.route.Priority, limit.Ranks-1)
 	if r == 0 || !s.pressed(now) {
 		return true
@@ -570,7 +570,7 @@
 	return s.pressAt > 0 && now-s.pressAt < limit.PressLife
 }
 
-func (g *Gate) tier(now time.Duration, t *target, x *exchange, s *service) tier {
+func (g *Proxy) tier(now time.Duration, t *target, x *request, s *service) tier {
 	switch {
 	case t.fullTill > now || t.inflight >= t.slots:
 		return none
@@ -583,7 +583,7 @@
 		return coldRate
 	case t.strict && t.inflight >= t.part:
 		return none
-	case t.shun > now:
+	case t.avoidUntil > now:
 		return shunned
 	case t.inflight < t.part && t.used(now) >= 1:
 		return borrowed // others have borrowed it meanwhile
@@ -628,8 +628,8 @@
 
 func (t *target) load(now time.Duration) float64 {
 	l := t.used(now) + t.Demand + min(limit.PaceUrge*t.slowness(now), limit.PaceMost)
-	if t.usedAt > 0 && now-t.usedAt < limit.PipeIdle {
-		l -= limit.PipeUrge
+	if t.usedAt > 0 && now-t.usedAt < limit.ConnIdle {
+		l -= limit.ConnUrge
 	}
 	if t.backAt > 0 && now-t.backAt < limit.ReconcileEvery {
 		l++
@@ -638,7 +638,7 @@
 }
 
 // learn takes in what an answer tells of its target.
-func (g *Gate) learn(now time.Duration, t *target, x *exchange, s *service, e Done) {
+func (g *Proxy) learn(now time.Duration, t *target, x *request, s *service, e Done) {
 	if e.Load != nil {
 		t.others, t.loadAt = max(0, float64(e.Load.Running+e.Load.Waiting-t.inflight)), now
 	}
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -1,4 +1,4 @@
-// This file is an exchange's way through the proxy: which route it takes, whether it
+// This file is a request's way through the proxy: which route it takes, whether it
 // gets a target, waits for one or is refused, what follows a try, and its end.
 package gate
 
@@ -12,8 +12,8 @@
 )
 
 // way is what is kept by route: whose turn in its split it is and what its
-// exchanges usually take.
-type way struct {
+// requests usually take.
+type routeState struct {
 	shares []model.Share
 	owed   []float64 // how far each of them is behind its weight
 	sum    float64
@@ -22,11 +22,11 @@
 }
 
 // way is a route's, begun anew when its split has changed.
-func (g *Gate) way(name string, r *model.Route) *way {
-	w := g.ways[name]
+func (g *Proxy) routeState(name string, r *model.Route) *routeState {
+	w := g.routeStates[name]
 	if w == nil {
-		w = &way{}
-		g.ways[name] = w
+		w = &routeState{}
+		g.routeStates[name] = w
 	}
 	if w.shares == nil {
 		w.shares = r.Shares()
@@ -40,7 +40,7 @@
 
 // next is the service whose turn in the split it is: each gains its weight, the one
 // that is owed most goes and pays for all.
-func (w *way) next() string {
+func (w *routeState) next() string {
 	best := 0
 	for i, s := range w.shares {
 		w.owed[i] += s.Weight
@@ -52,45 +52,45 @@
 	return w.shares[best].Service
 }
 
-// see takes an exchange's time in and returns the usual one.
-func (w *way) see(ms float64) float64 {
+// see takes a request's time in and returns the usual one.
+func (w *routeState) see(ms float64) float64 {
 	w.seen++
 	w.mean += max(limit.MeanWeight, 1/float64(w.seen)) * (ms - w.mean)
 	return w.mean
 }
 
-func (w *way) usual() time.Duration { return time.Duration(w.mean * float64(time.Millisecond)) }
+func (w *routeState) usual() time.Duration { return time.Duration(w.mean * float64(time.Millisecond)) }
 
 // forget has splits begin anew under another configuration and drops the routes that
 // it lacks.
-func (g *Gate) forget() {
-	for n, w := range g.ways {
+func (g *Proxy) forget() {
+	for n, w := range g.routeStates {
 		if _, ok := g.cfg.Routes[n]; !ok && n != "" {
-			delete(g.ways, n)
+			delete(g.routeStates, n)
 		}
 		w.shares = nil
 	}
 }
 
-func (g *Gate) service(n string) *service {
+func (g *Proxy) service(n string) *service {
 	s := g.services[n]
 	if s == nil {
 		s = &service{}
 		if g.table != nil {
-			s.budget.part = g.set.Retry.slack(hash(n), g.set.Self.Name, g.listed, g.table.Was)
+			s.budget.part = g.settings.Retry.slack(hash(n), g.settings.Self.Name, g.listed, g.table.Was)
 		}
 		g.services[n] = s
 	}
 	return s
 }
 
-// idempotent says whether exchanges of a rule may run more than once.
+// idempotent says whether requests of a rule may run more than once.
 func idempotent(method string) bool {
 	return method == "GET" || method == "HEAD" || method == "OPTIONS"
 }
 
-func (g *Gate) admit(now time.Duration, e Admit) {
-	x := &exchange{id: e.ID, start: now, unknown: e.Timeout <= 0, deadline: now + e.Timeout}
+func (g *Proxy) admit(now time.Duration, e Admit) {
+	x := &request{id: e.ID, start: now, unknown: e.Timeout <= 0, deadline: now + e.Timeout}
 	if !g.Serving() {
 		g.Counts.NotServing++
 		g.refuse(now, x, 503, "not_serving", "this proxy has no fresh table")
@@ -98,14 +98,14 @@
 	}
 	name, route, ok := g.cfg.Route(e.Host, e.Path)
 	if ok {
-		x.name, x.route, x.way = name, route, g.way(name, &route)
+		x.name, x.route, x.way = name, route, g.routeState(name, &route)
 		x.svc = x.way.next()
 	} else {
 		svc, allowed, ok := g.cfg.Match(e.Host, e.Path, e.Method)
 		switch {
 		case !ok && len(allowed) > 0:
 			g.Counts.Refused++
-			g.do(Refuse{ID: e.ID, Status: 405, Code: "method", Message: "the rule for this path takes other methods", Allowed: allowed})
+			g.emit(Refuse{ID: e.ID, Status: 405, Code: "method", Message: "the rule for this path takes other methods", Allowed: allowed})
 			return
 		case !ok:
 			g.Counts.Refused++
@@ -125,14 +125,14 @@
 		d = min(d, e.Timeout)
 	}
 	x.deadline = now + d
-	g.exchanges[x.id] = x
+	g.requests[x.id] = x
 	s := g.service(x.svc)
 	s.ranks[min(x.route.Priority, limit.Ranks-1)] = now
 	g.place(now, x, true)
 }
 
-// place gives the exchange a target, lets it wait, or refuses it.
-func (g *Gate) place(now time.Duration, x *exchange, mayWait bool) {
+// place gives the request a target, lets it wait, or refuses it.
+func (g *Proxy) place(now time.Duration, x *request, mayWait bool) {
 	s := g.service(x.svc)
 	if g.tooLate(now, x, s) {
 		g.Counts.TooLate++
@@ -152,7 +152,7 @@
 			}
 			was, set := x.svc, x.set
 			x.svc, x.set = o.Service, g.cfg.Services[o.Service]
-			if c, _ := g.choose(now, x); c != nil && (!x.repeat || g.service(x.svc).budget.has(now, g.set.Retry)) {
+			if c, _ := g.choose(now, x); c != nil && (!x.repeat || g.service(x.svc).budget.has(now, g.settings.Retry)) {
 				t, any, s = c, true, g.service(x.svc)
 				g.Counts.OtherShare++
 				break
@@ -174,12 +174,12 @@
 	}
 }
 
-func (g *Gate) give(now time.Duration, x *exchange, t *target, s *service) {
+func (g *Proxy) give(now time.Duration, x *request, t *target, s *service) {
 	x.waiting, x.at = false, t
 	x.tries++
 	if !x.earned {
 		x.earned = true // one that is refused brings its service no traffic
-		s.budget.earn(now, g.set.Retry)
+		s.budget.earn(now, g.settings.Retry)
 	}
 	if x.repeat {
 		s.budget.spend()
@@ -192,23 +192,23 @@
 	t.usedAt = now
 	s.inflight++
 	g.Counts.Admitted++
-	g.do(Give{ID: x.id, Service: x.svc, Set: x.set, Name: x.name, Route: x.route, Target: t.Target, Left: x.deadline - now, Till: now + limit.ChoiceLife, More: x.tries < x.route.Attempts})
+	g.emit(Give{ID: x.id, Service: x.svc, Set: x.set, Name: x.name, Route: x.route, Target: t.Target, Left: x.deadline - now, Till: now + limit.ChoiceLife, More: x.tries < x.route.Attempts})
 }
 
 // tooLate says that a service under pressure better spends its time on others.
-func (g *Gate) tooLate(now time.Duration, x *exchange, s *service) bool {
+func (g *Proxy) tooLate(now time.Duration, x *request, s *service) bool {
 	return x.way != nil && s.pressed(now) && x.deadline-now < x.way.usual()
 }
 
 // behind says that others of its rank or before it wait already.
-func (g *Gate) behind(s *service, x *exchange) bool {
-	return len(s.queue) > 0 && g.exchanges[s.queue[0]].route.Priority <= x.route.Priority
+func (g *Proxy) behind(s *service, x *request) bool {
+	return len(s.queue) > 0 && g.requests[s.queue[0]].route.Priority <= x.route.Priority
 }
 
-// mayWait puts the exchange among those that wait, by priority and then by when they
+// mayWait puts the request among those that wait, by priority and then by when they
 // came. On a route it waits for a part of its aim at most, and only as many do as have
 // a chance of a target by then; one of a lower priority makes room.
-func (g *Gate) mayWait(now time.Duration, x *exchange, s *service) bool {
+func (g *Proxy) mayWait(now time.Duration, x *request, s *service) bool {
 	most := time.Duration(x.set.WaitMs) * time.Millisecond
 	room := 0
 	if x.way == nil {
@@ -235,7 +235,7 @@
 		if n == 0 {
 			return false
 		}
-		o := g.exchanges[s.queue[n-1]]
+		o := g.requests[s.queue[n-1]]
 		if o.route.Priority <= x.route.Priority {
 			return false
 		}
@@ -245,7 +245,7 @@
 	x.waiting = true
 	x.waitTill = min(now+most, x.deadline)
 	at, _ := slices.BinarySearchFunc(s.queue, x.route.Priority, func(id uint64, p int) int {
-		if g.exchanges[id].route.Priority <= p {
+		if g.requests[id].route.Priority <= p {
 			return -1
 		}
 		return 1
@@ -258,7 +258,7 @@
 
 // refuse gives the final answer. A caller whose time is known is told to come back
 // while it still has some, each at another moment.
-func (g *Gate) refuse(now time.Duration, x *exchange, status int, code, msg string) {
+func (g *Proxy) refuse(now time.Duration, x *request, status int, code, msg string) {
 	r := Refuse{ID: x.id, Status: status, Code: code, Message: msg}
 	if status == 503 {
 		spread := x.id * 2654435761 >> 8
@@ -272,21 +272,21 @@
 			r.Retry = max(limit.RefuseMin, min(base+time.Duration(spread%uint64(base)), (x.deadline-now)/limit.RefuseLeft))
 		}
 	}
-	g.do(r)
+	g.emit(r)
 	if status >= 500 && x.svc != "" {
 		g.aim(now, x, false)
 	}
 	g.leave(x)
 }
 
-// aim counts an exchange's end for the aims of its service.
-func (g *Gate) aim(now time.Duration, x *exchange, good bool) {
+// aim counts a request's end for the aims of its service.
+func (g *Proxy) aim(now time.Duration, x *request, good bool) {
 	for n, a := range g.cfg.Aims {
 		if a.Service != x.svc {
 			continue
 		}
 		if g.aims[n] == nil {
-			g.aims[n] = &tally{}
+			g.aims[n] = &aimCounts{}
 		}
 		min := int(now / time.Minute)
 		m := &g.aims[n].minutes[min%limit.AimMinutes]
@@ -300,19 +300,19 @@
 	}
 }
 
-// leave drops an exchange that has its final answer.
-func (g *Gate) leave(x *exchange) {
-	delete(g.exchanges, x.id)
+// leave drops a request that has its final answer.
+func (g *Proxy) leave(x *request) {
+	delete(g.requests, x.id)
 	if x.waiting {
 		s := g.service(x.svc)
 		s.queue = slices.DeleteFunc(s.queue, func(id uint64) bool { return id == x.id })
 	}
 }
 
-// again gives another target to an exchange that may have one. The answer to one that
+// again gives another target to a request that may have one. The answer to one that
 // may run only once, and whose latest try may have run, is final.
-func (g *Gate) again(now time.Duration, e Again) {
-	x := g.exchanges[e.ID]
+func (g *Proxy) again(now time.Duration, e Again) {
+	x := g.requests[e.ID]
 	if x == nil || x.at != nil || x.waiting {
 		return
 	}
@@ -329,7 +329,7 @@
 		g.refuse(now, x, 503, "not_serving", "this proxy has no fresh table")
 	case x.tries >= x.route.Attempts || x.opens >= limit.OpensMax || now >= x.deadline:
 		g.refuse(now, x, 503, "tries", "no try is left")
-	case x.repeat && !g.service(x.svc).budget.has(now, g.set.Retry):
+	case x.repeat && !g.service(x.svc).budget.has(now, g.settings.Retry):
 		g.Counts.RetriesDenied++
 		g.refuse(now, x, 503, "retry_budget", "the service's retry budget is used up")
 	default:
@@ -337,8 +337,8 @@
 	}
 }
 
-func (g *Gate) done(now time.Duration, e Done) {
-	x := g.exchanges[e.ID]
+func (g *Proxy) done(now time.Duration, e Done) {
+	x := g.requests[e.ID]
 	if x == nil {
 		return
 	}
@@ -370,10 +370,10 @@
 			g.Counts.StaleChoices++
 		case Closed, Foreign:
 			t.seen.Errors++
-			t.shun = now + limit.Shun
+			t.avoidUntil = now + limit.AvoidFor
 			g.Counts.Shunned++
 			if t.closed++; t.closed >= limit.ProbeMisses {
-				t.ownBar = max(t.ownBar, now+limit.ClosedBar)
+				t.ownEjection = max(t.ownEjection, now+limit.ClosedEjection)
 				g.Counts.OwnBars++
 			}
 		}
@@ -387,8 +387,8 @@
 	g.serveQueue(now, g.service(x.svc))
 }
 
-func (g *Gate) cancel(now time.Duration, e Cancel) {
-	x := g.exchanges[e.ID]
+func (g *Proxy) cancel(now time.Duration, e Cancel) {
+	x := g.requests[e.ID]
 	if x == nil {
 		return
 	}
@@ -404,7 +404,7 @@
 
 // queues refuses those that have waited long enough, and gives the others what
 // became free meanwhile.
-func (g *Gate) queues(now time.Duration) {
+func (g *Proxy) queues(now time.Duration) {
 	var waited []string
 	for n, s := range g.services {
 		if len(s.queue) > 0 {
@@ -415,7 +415,7 @@
 	for _, n := range waited {
 		s := g.services[n]
 		for _, id := range slices.Clone(s.queue) {
-			if x := g.exchanges[id]; now >= x.waitTill {
+			if x := g.requests[id]; now >= x.waitTill {
 				g.Counts.Busy++
 				s.pressAt = now
 				g.refuse(now, x, 503, "busy", "every target of the service is busy")
@@ -426,9 +426,9 @@
 }
 
 // serveQueue gives what became free to those who wait, in their order.
-func (g *Gate) serveQueue(now time.Duration, s *service) {
+func (g *Proxy) serveQueue(now time.Duration, s *service) {
 	for g.Serving() && len(s.queue) > 0 {
-		x := g.exchanges[s.queue[0]]
+		x := g.requests[s.queue[0]]
 		full := x.set.InFlight > 0 && s.inflight >= g.share(x.set.InFlight, x.svc)
 		t, any := g.choose(now, x)
 		if full || t == nil && any {
@@ -440,7 +440,7 @@
 			g.place(now, x, false)
 			continue
 		}
-		if x.repeat && !s.budget.has(now, g.set.Retry) {
+		if x.repeat && !s.budget.has(now, g.settings.Retry) {
 			g.Counts.RetriesDenied++
 			g.refuse(now, x, 503, "retry_budget", "the service's retry budget is used up")
 			continue
@@ -450,10 +450,10 @@
 }
 
 // darken tells which targets nothing reaches, when that has changed.
-func (g *Gate) darken(now time.Duration) {
+func (g *Proxy) darken(now time.Duration) {
 	n, same := 0, true
 	is := func(t *target) bool {
-		return t.barUntil > now && t.unheard || t.ownBar > now && t.misses >= limit.ProbeMisses
+		return t.ejectedUntil > now && t.unheard || t.ownEjection > now && t.misses >= limit.ProbeMisses
 	}
 	for id, t := range g.targets {
 		if is(t) {
@@ -471,5 +471,5 @@
 		}
 	}
 	g.dark = dark
-	g.do(Dark{dark})
+	g.emit(Dark{dark})
 }
