--- a/gate/gate.go
+++ b/gate/gate.go
@@ -1,13 +1,13 @@
-// Package gate is the owner of a proxy daemon: its table and grant, the choice
-// of a target for each exchange, waiting, retries and their budget, and what it
+// Package gate is the owner of a proxy daemon: its table and lease, the choice
+// of a target for each request, waiting, retries and their budget, and what it
 // does when the leader is out of reach, as one pure Step(now, event) -> commands.
 //
 // A proxy serves only on a table that is known to be fresh. Granted: the leader
-// answered a pull that was sent less than a grant ago. Orphan: no grant, but a
+// answered a pull that was sent less than a lease ago. Orphan: no lease, but a
 // majority of the roster's proxies, itself included, answered within a touch
-// grant, and it has taken the highest table among them; since the leader calls a
-// change in force only when a majority has confirmed it and all other grants
-// have lapsed, an orphan can't miss it. Otherwise it is cut and refuses.
+// lease, and it has taken the highest table among them; since the leader calls a
+// change in force only when a majority has confirmed it and all other leases
+// have lapsed, a proxy that serves on its peers can't miss it. Otherwise it is cut and refuses.
 package gate
 
 import (
@@ -23,19 +23,19 @@
 // Events besides core.Recv, core.Tick, core.Probed, core.Ask and core.Stop,
 // which both daemons share.
 type (
-	// Admit asks for a target for a new exchange.
+	// Admit asks for a target for a new request.
 	Admit struct {
 		ID                 uint64
 		Host, Path, Method string
 		Timeout            time.Duration // what the caller still gives, 0: not said
 	}
 	// Again asks for another target after a try that may be repeated. Sent says
-	// that something of the exchange had been written.
+	// that something of the request had been written.
 	Again struct {
 		ID   uint64
 		Sent bool
 	}
-	// Done ends an exchange's stay at its target.
+	// Done ends a request's stay at its target.
 	Done struct {
 		ID      uint64
 		Outcome Outcome
@@ -43,7 +43,7 @@
 		Last    bool  // no Again will follow
 		Load    *Load // what the target told of itself with the answer
 	}
-	// Cancel ends an exchange that is at no target or is to leave it: its user agent
+	// Cancel ends a request that is at no target or is to leave it: its client
 	// has gone, or, Failed, its caller got an error.
 	Cancel struct {
 		ID     uint64
@@ -60,28 +60,28 @@
 	Served  Outcome = iota // a whole answer below 500
 	Broken                 // an answer of 500 and above
 	Lost                   // no answer, garbage, or one that was cut
-	Closed                 // no pipe could be opened; nothing was written
+	Closed                 // no connection could be opened; nothing was written
 	Foreign                // another identity answered there; nothing was written
 	Stale                  // the choice grew too old before anything was written
-	Dropped                // the user agent went away
+	Dropped                // the client went away
 	NotRun                 // the target turned it away and says that it did not run
 )
 
 // Commands besides those shared with core.
 type (
-	// Give sends an exchange to a target.
+	// Give sends a request to a target.
 	Give struct {
 		ID      uint64
 		Service string
 		Set     model.Service
 		Name    string      // the route's, "" for a rule
-		Route   model.Route // what holds for the exchange; a rule's has its service's numbers
+		Route   model.Route // what holds for the request; a rule's has its service's numbers
 		Target  wire.Target
-		Left    time.Duration // until the exchange's deadline
+		Left    time.Duration // until the request's deadline
 		Till    time.Duration // nothing of it may be written to this target later than this
 		More    bool          // it has attempts left after this one
 	}
-	// Refuse is an exchange's final answer, given before anything was sent on its behalf
+	// Refuse is a request's final answer, given before anything was sent on its behalf
 	// (or, after Again, after a try that its caller has classified).
 	Refuse struct {
 		ID      uint64
@@ -91,10 +91,10 @@
 		Message string
 		Allowed []string
 	}
-	// Dark is the targets that are barred because nothing reaches them: an exchange that may
+	// Dark is the targets that are ejected because nothing reaches them: a request that may
 	// be repeated and has no answer from one yet need not wait for it.
 	Dark struct{ IDs map[wire.ID]bool }
-	// Targets is the table's targets; no pipe to any other may be used again. Limits are
+	// Targets is the table's targets; no connection to any other may be used again. Limits are
 	// what its configuration bounds callers by, nil: nothing.
 	Targets struct {
 		Live   map[wire.ID]string
@@ -107,8 +107,8 @@
 const (
 	Cold State = iota // no table yet
 	Granted
-	Orphan
-	Cut
+	PeerServing
+	Isolated
 )
 
 func (s State) String() string { return [...]string{"cold", "granted", "orphan", "cut"}[s] }
@@ -132,8 +132,8 @@
 	return min(limit.StopLingerMost, s.Grace/2), max(s.Grace-limit.StopMargin, s.Grace/2)
 }
 
-// Retry bounds what a service's targets get beyond the first target of each exchange:
-// over all proxies, in any window, a ratio of the exchanges and a little slack.
+// Retry bounds what a service's targets get beyond the first target of each request:
+// over all proxies, in any window, a ratio of the requests and a little slack.
 type Retry struct {
 	Ratio  float64
 	Window time.Duration
@@ -142,49 +142,49 @@
 
 type target struct {
 	wire.Target
-	barUntil time.Duration // the table's bar
-	ownBar   time.Duration // an orphan's bar, from its own probes
-	unheard  bool          // the table's bar is for missed probes
+	ejectedUntil time.Duration // the table's ejection
+	ownEjection   time.Duration // a proxy that serves on its peers's ejection, from its own probes
+	unheard  bool          // the table's ejection is for missed probes
 	held     bool          // heard here that it leaves
-	voice    core.Voice    // what was heard here of its beats
-	heir     *target       // a later start of it that claims its place while no leader can say
-	shun     time.Duration
-	backAt   time.Duration // when a bar was lifted
+	streak    core.HeartbeatStreak    // what was heard here of its beats
+	successor     *target       // a later start of it that claims its place while no leader can say
+	avoidUntil     time.Duration
+	backAt   time.Duration // when an ejection was lifted
 	warmAt   time.Duration // when it ended its warming
-	anew     bool          // it came to the table of a proxy with a grant: nothing older runs there
+	anew     bool          // it came to the table of a proxy with a lease: nothing older runs there
 	warmPart int           // this proxy's part of its warming cap, and, until riseAt, the most that it may use
 	warmNext int           // the greater part that holds from then on
 	riseAt   time.Duration
 	inflight int
-	closed   int // pipes in a row that could not be opened
+	closed   int // connections in a row that could not be opened
 	misses   int
 	probeAt  time.Duration
 	sentAt   time.Duration
 	indirect bool // the leader has asked for a probe and not heard of an answer
 	seen     wire.Seen
 
-	slots     int  // exchanges at once, as told
+	slots     int  // requests at once, as told
 	part      int  // those of them that are dealt to this proxy
 	strict    bool // they are the operator's cap: nothing is borrowed
 	near      bool
 	coldUntil time.Duration
-	coldGap   time.Duration // between this proxy's exchanges while it is cold, 0: none
+	coldGap   time.Duration // between this proxy's requests while it is cold, 0: none
 	coldNext  time.Duration
 	fullTill  time.Duration // it said that it is full
 	others    float64       // what it told of its load besides this proxy's
 	loadAt    time.Duration
 	pace      float64 // how its times compare with its routes', 1: as usual
-	paces     int     // how many exchanges told of it
+	paces     int     // how many requests told of it
 	paceAt    time.Duration
 	usedAt    time.Duration
 }
 
-type exchange struct {
+type request struct {
 	id       uint64
 	svc      string
 	name     string
 	route    model.Route
-	way      *way
+	way      *routeState
 	start    time.Duration
 	deadline time.Duration
 	unknown  bool // how long the caller waits was not said
@@ -200,8 +200,8 @@
 	set      model.Service
 }
 
-// tally counts an aim's exchanges by the minute.
-type tally struct {
+// tally counts an aim's requests by the minute.
+type aimCounts struct {
 	minutes [limit.AimMinutes]struct{ minute, good, all int }
 }
 
@@ -213,10 +213,10 @@
 	own      []*target // those of them with slots that are dealt to this proxy
 	slotted  bool      // its targets tell their slots
 	even     float64   // this proxy's even part of all slots
-	window   float64   // how many of its exchanges may be at targets now
+	window   float64   // how many of its requests may be at targets now
 	pressAt  time.Duration
-	ranks    [limit.Ranks]time.Duration // when exchanges of each priority last came
-	mean     float64                    // ms that its exchanges take
+	ranks    [limit.Ranks]time.Duration // when requests of each priority last came
+	mean     float64                    // ms that its requests take
 }
 
 // Counts are the owner's counters.
@@ -225,9 +225,9 @@
 	NoRoute, Dealt, Borrowed, ToCold, ColdWaits, Full, TooLate, Overtaken, LowRank, OnceKept, OtherShare                               uint64
 }
 
-type Gate struct {
-	set       Settings
-	known     core.Book
+type Proxy struct {
+	settings       Settings
+	directory     core.Directory
 	helloAt   time.Duration
 	pullAt    time.Duration
 	touchAt   time.Duration
@@ -235,17 +235,17 @@
 	table     *wire.Table
 	epoch     uint64
 	term      uint64 // highest leader heard, with epoch
-	grantTill time.Duration
+	leaseUntil time.Duration
 	settled   bool
 	want      bool
 	telling   bool // the next tick pulls: the leader waits for what is to be told
-	touches   map[string]time.Duration
-	asked     map[string]time.Duration // when partners were last asked
-	wantAt    time.Duration            // when a partner was last asked for its table
+	peerAnswers   map[string]time.Duration
+	asked     map[string]time.Duration // when peers were last asked
+	wantAt    time.Duration            // when a peer was last asked for its table
 	wordAt    time.Duration            // when a leader last said anything
 	said      wire.Daemon              // what it was last told of this one, and which leader that was
 	saidTo    string
-	memoryAt  map[string]time.Duration // when core daemons were last told what is remembered here, by name and process
+	memoryToldAt  map[string]time.Duration // when core daemons were last told what is remembered here, by name and process
 	cfg       *model.Config
 	revision  uint64
 	targets   map[wire.ID]*target
@@ -255,9 +255,9 @@
 	barred    []*target
 	leaving   map[wire.ID]time.Duration
 	services  map[string]*service
-	exchanges map[uint64]*exchange
-	aims      map[string]*tally
-	ways      map[string]*way // what is kept by route
+	requests map[uint64]*request
+	aims      map[string]*aimCounts
+	routeStates      map[string]*routeState // what is kept by route
 	salt      uint64
 	coldEnd   time.Duration // when the next target ends being cold, or a part of a warming one grows, 0: never
 	turn      uint64
@@ -268,19 +268,19 @@
 	Counts    Counts
 }
 
-func New(set Settings) *Gate {
+func New(set Settings) *Proxy {
 	if set.Retry.Window < limit.CountSlices {
 		set.Retry = Retry{1 / float64(limit.RetryShare), limit.RetryWindow, limit.RetryFree}
 	}
-	return &Gate{set: set, ways: map[string]*way{}, salt: hash(set.Self.Name), known: core.Book{}, touches: map[string]time.Duration{}, asked: map[string]time.Duration{}, memoryAt: map[string]time.Duration{}, cfg: &model.Config{},
-		targets: map[wire.ID]*target{}, leaving: map[wire.ID]time.Duration{}, services: map[string]*service{}, exchanges: map[uint64]*exchange{}, aims: map[string]*tally{}, grantTill: -1}
+	return &Proxy{settings: set, routeStates: map[string]*routeState{}, salt: hash(set.Self.Name), directory: core.Directory{}, peerAnswers: map[string]time.Duration{}, asked: map[string]time.Duration{}, memoryToldAt: map[string]time.Duration{}, cfg: &model.Config{},
+		targets: map[wire.ID]*target{}, leaving: map[wire.ID]time.Duration{}, services: map[string]*service{}, requests: map[uint64]*request{}, aims: map[string]*aimCounts{}, leaseUntil: -1}
 }
 
-func (g *Gate) do(cmd any) { g.out = append(g.out, cmd) }
+func (g *Proxy) emit(cmd any) { g.out = append(g.out, cmd) }
 
 // Step is the owner: one event in, commands out.
-func (g *Gate) Step(now time.Duration, ev any) []any {
-	g.judge(now) // time may have passed since the last step, and with it a grant
+func (g *Proxy) Step(now time.Duration, ev any) []any {
+	g.updateState(now) // time may have passed since the last step, and with it a lease
 	switch e := ev.(type) {
 	case core.Recv:
 		g.recv(now, e.M)
@@ -293,7 +293,7 @@
 	case core.Stop:
 		if !g.stopping {
 			g.stopping, g.stopAt = true, now
-			g.do(core.Change{What: "stop", From: "serving", To: "stopping", Why: "asked to"})
+			g.emit(core.Change{What: "stop", From: "serving", To: "stopping", Why: "asked to"})
 		}
 	case Admit:
 		g.admit(now, e)
@@ -304,66 +304,66 @@
 	case Cancel:
 		g.cancel(now, e)
 	}
-	g.judge(now)
+	g.updateState(now)
 	o := g.out
 	g.out = nil
 	return o
 }
 
 // judge sets the state from what is known at this moment.
-func (g *Gate) judge(now time.Duration) {
+func (g *Proxy) updateState(now time.Duration) {
 	switch {
 	case g.table == nil:
 		g.setState(now, Cold, "no table")
-	case now < g.grantTill:
+	case now < g.leaseUntil:
 		g.setState(now, Granted, "the leader answers")
 	case g.inTouch(now):
 		g.settled = true
-		g.setState(now, Orphan, "a majority of proxies answers")
+		g.setState(now, PeerServing, "a majority of proxies answers")
 	default:
-		g.setState(now, Cut, "neither the leader nor a majority of proxies answers")
+		g.setState(now, Isolated, "neither the leader nor a majority of proxies answers")
 	}
 }
 
-func (g *Gate) setState(now time.Duration, s State, why string) {
+func (g *Proxy) setState(now time.Duration, s State, why string) {
 	if s == g.state {
 		return
 	}
-	g.do(core.Change{What: "gate", From: g.state.String(), To: s.String(), Why: why})
+	g.emit(core.Change{What: "gate", From: g.state.String(), To: s.String(), Why: why})
 	g.state = s
 	g.index(now)
 	if s == Granted {
 		// The leader judges again, and has taken in what was seen here meanwhile.
 		for _, t := range g.targets {
-			t.misses, t.sentAt, t.probeAt, t.ownBar = 0, 0, 0, 0
+			t.misses, t.sentAt, t.probeAt, t.ownEjection = 0, 0, 0, 0
 		}
 	}
 }
 
-// Serving says whether exchanges may be admitted now.
-func (g *Gate) Serving() bool { return g.state == Granted || g.state == Orphan }
+// Serving says whether requests may be admitted now.
+func (g *Proxy) Serving() bool { return g.state == Granted || g.state == PeerServing }
 
 // Ready is what the platform is told: an emptied domain's proxy serves on but
 // asks for no more callers.
-func (g *Gate) Ready() bool {
-	return g.Serving() && !g.stopping && (g.set.ReadyWhenEmptied || !slices.Contains(g.table.Emptied, g.set.Self.Domain))
+func (g *Proxy) Ready() bool {
+	return g.Serving() && !g.stopping && (g.settings.ReadyWhenEmptied || !slices.Contains(g.table.Emptied, g.settings.Self.Domain))
 }
 
-func (g *Gate) State() State { return g.state }
+func (g *Proxy) State() State { return g.state }
 
-func (g *Gate) Table() *wire.Table { return g.table }
+func (g *Proxy) Table() *wire.Table { return g.table }
 
-func (g *Gate) InFlight() int { return len(g.exchanges) }
+func (g *Proxy) InFlight() int { return len(g.requests) }
 
-func (g *Gate) send(name string, m *wire.Msg) {
-	if k := g.known[name]; k != nil && name != g.set.Self.Name {
-		m.To, m.From = name, g.set.Self.Name
-		g.do(core.Send{Addr: k.Addr, M: m})
+func (g *Proxy) send(name string, m *wire.Msg) {
+	if k := g.directory[name]; k != nil && name != g.settings.Self.Name {
+		m.To, m.From = name, g.settings.Self.Name
+		g.emit(core.Send{Addr: k.Addr, M: m})
 	}
 }
 
-func (g *Gate) self() wire.Daemon {
-	d := g.set.Self
+func (g *Proxy) self() wire.Daemon {
+	d := g.settings.Self
 	d.State, d.Ready = g.state.String(), g.table != nil && g.Ready()
 	if g.table != nil {
 		d.Epoch = g.table.Key.Epoch
@@ -371,19 +371,19 @@
 	return d
 }
 
-func (g *Gate) recv(now time.Duration, m *wire.Msg) {
+func (g *Proxy) recv(now time.Duration, m *wire.Msg) {
 	switch wire.Kind(m.Kind) {
 	case wire.KHello:
 		if m.Hello == nil {
 			return
 		}
 		led := g.leader(now)
-		g.known.Meet(now, g.set.Self.Name, m.Hello)
+		g.directory.Meet(now, g.settings.Self.Name, m.Hello)
 		if l := g.leader(now); l != led && l == m.From && now > g.pullAt {
-			g.pull(now) // the leader waits for what proxies hold, and they for its grant
+			g.pull(now) // the leader waits for what proxies hold, and they for its lease
 		}
 		if !m.Hello.Reply {
-			h := &wire.Hello{Self: g.self(), Reply: true, Known: g.known.List()}
+			h := &wire.Hello{Self: g.self(), Reply: true, Known: g.directory.List()}
 			g.send(m.From, &wire.Msg{Kind: uint16(wire.KHello), Hello: h})
 		}
 	case wire.KPush:
@@ -391,7 +391,7 @@
 			g.push(now, m)
 		}
 	case wire.KPull:
-		g.partner(now, m)
+		g.peerAnswer(now, m)
 	case wire.KBeat:
 		if m.Beat != nil {
 			g.heardBeat(now, *m.Beat)
@@ -399,18 +399,18 @@
 	}
 }
 
-func (g *Gate) tick(now time.Duration) {
+func (g *Proxy) tick(now time.Duration) {
 	if now-g.helloAt >= limit.HelloCalm || now-g.helloAt >= limit.HelloEvery && g.doubts(now) {
 		g.hello(now)
 	}
 	if now-g.pullAt >= limit.PullEvery || g.telling {
 		g.pull(now)
 	}
-	if g.table != nil && g.alone(now) && now-g.touchAt >= limit.PullEvery {
+	if g.table != nil && g.hasNoLeader(now) && now-g.touchAt >= limit.PullEvery {
 		g.touchAt = now
-		g.touch(now)
+		g.askPeers(now)
 	}
-	if g.state != Cold && g.alone(now) {
+	if g.state != Cold && g.hasNoLeader(now) {
 		g.watch(now)
 	}
 	if g.coldEnd > 0 && now >= g.coldEnd {
@@ -418,13 +418,13 @@
 	}
 	g.queues(now)
 	g.darken(now)
-	if linger, most := g.set.stop(); g.stopping && (now-g.stopAt > linger && len(g.exchanges) == 0 || now-g.stopAt > most) {
-		g.do(core.Exit{})
+	if linger, most := g.settings.stop(); g.stopping && (now-g.stopAt > linger && len(g.requests) == 0 || now-g.stopAt > most) {
+		g.emit(core.Exit{})
 	}
 }
 
 // Seeds replaces the seed addresses.
-func (g *Gate) Seeds(s []string) { g.set.Seeds = s }
+func (g *Proxy) Seeds(s []string) { g.settings.Seeds = s }
 
 // Revision is the configuration's that this proxy serves by.
-func (g *Gate) Revision() uint64 { return g.revision }
+func (g *Proxy) Revision() uint64 { return g.revision }
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -15,7 +15,7 @@
 
 // bench is one proxy with a granted table.
 type bench struct {
-	g   *Gate
+	g   *Proxy
 	now time.Duration
 	ver uint64
 }
@@ -66,13 +66,13 @@
 	return t
 }
 
-func barred(t *wire.Target)  { t.BarLeft, t.BarWhy = int64(limit.BarTTL), "default" }
+func barred(t *wire.Target)  { t.BarLeft, t.BarWhy = int64(limit.EjectionTTL), "default" }
 func warming(t *wire.Target) { t.State = model.Warming }
 func busy(t *wire.Target)    { t.Demand = 0.9 }
 
 const plain = `{"services":{"s":{"cap":8,"warm_cap":3}},"rules":[{"path":"/s","service":"s"}]}`
 
-// A target whose bar was lifted moves nothing that runs well; after a refresh's
+// A target whose ejection was lifted moves nothing that runs well; after a refresh's
 // time it is one of them again.
 func TestIncumbency(t *testing.T) {
 	b := newBench("g1", 1, plain, to("a"), to("b"), to("c", barred))
@@ -135,7 +135,7 @@
 }
 
 // Waiting is first come first served, ends at its bound with a refusal, and one
-// whose user agent left never runs.
+// whose client left never runs.
 func TestWaiting(t *testing.T) {
 	b := newBench("g1", 1, `{"services":{"s":{"cap":1,"warm_cap":1,"wait_ms":200,"wait_len":3}},"rules":[{"path":"/s","service":"s"}]}`, to("a"))
 	if _, ok := b.admit(1).(Give); !ok {
@@ -155,7 +155,7 @@
 		t.Fatalf("%+v", out)
 	}
 	b.now += 201 * time.Millisecond
-	b.g.grantTill = b.now + time.Second
+	b.g.leaseUntil = b.now + time.Second
 	if r, ok := answer(4, b.step(core.Tick{})).(Refuse); !ok || r.Status != 503 {
 		t.Fatalf("%+v", r)
 	}
@@ -164,11 +164,11 @@
 	}
 }
 
-// Once its grant has lapsed a proxy alone refuses at the very next exchange, and a
-// push that answers an earlier process of its name grants nothing.
+// Once its lease has lapsed a proxy alone refuses at the very next request, and a
+// push that answers an earlier process of its name leases nothing.
 func TestLapse(t *testing.T) {
 	b := newBench("g1", 3, plain, to("a"))
-	b.now += limit.GateGrant - time.Millisecond
+	b.now += limit.ProxyLease - time.Millisecond
 	if _, ok := b.admit(1).(Give); !ok {
 		t.Fatal("refused within the grant")
 	}
@@ -191,13 +191,13 @@
 	}
 }
 
-// Retries spend what exchanges earn.
+// Retries spend what requests earn.
 func TestRetryCredit(t *testing.T) {
 	b := newBench("g1", 1, plain, to("a"), to("b"), to("c"))
 	retried := 0
 	for id := uint64(1); id <= 600; id++ {
 		b.now += 10 * time.Millisecond
-		b.g.grantTill = b.now + time.Second
+		b.g.leaseUntil = b.now + time.Second
 		if _, ok := b.admit(id).(Give); !ok {
 			t.Fatal("refused")
 		}
@@ -227,7 +227,7 @@
 		id++
 		b.admit(id)
 		b.now += took
-		b.g.grantTill = b.now + time.Second
+		b.g.leaseUntil = b.now + time.Second
 		for _, e := range end {
 			b.step(e)
 		}
@@ -250,9 +250,9 @@
 	}
 }
 
-// orphan has the bench's proxy stand by its partners alone.
+// proxy that serves on its peers has the bench's proxy stand by its peers alone.
 func (b *bench) orphan() {
-	b.now += limit.GateGrant + time.Millisecond
+	b.now += limit.ProxyLease + time.Millisecond
 	b.touch()
 }
 
@@ -267,7 +267,7 @@
 	b.step(core.Recv{M: &wire.Msg{Kind: uint16(wire.KBeat), From: "g2", Stamp: 1, Beat: &t}})
 }
 
-// An orphan whose table bars every target uses those that beat now, not those that
+// An proxy that serves on its peers whose table ejections every target uses those that beat now, not those that
 // did when the leader still kept the table.
 func TestOrphansLastResort(t *testing.T) {
 	b := newBench("g1", 3, plain, to("a", barred), to("b", barred))
@@ -293,7 +293,7 @@
 	}
 }
 
-// An orphan takes the restart of a target that its table knows, once the new
+// An proxy that serves on its peers takes the restart of a target that its table knows, once the new
 // start has answered for itself, and takes nobody else.
 func TestOrphanTakesRestart(t *testing.T) {
 	for _, c := range []struct {
@@ -346,7 +346,7 @@
 }
 
 // A proxy that was frozen is in touch again at once, on the very table it had; what
-// its partners hold against targets by then counts before it serves.
+// its peers hold against targets by then counts before it serves.
 func TestThawedOrphanHeedsPartners(t *testing.T) {
 	b := newBench("g1", 3, plain, to("a"), to("b"))
 	b.orphan()
@@ -445,7 +445,7 @@
 	})
 }
 
-// The roster grows while a warming target works on exchanges that last as long as they
+// The roster grows while a warming target works on requests that last as long as they
 // may: those of the old parts and those of the new ones together stay within its cap,
 // also where a new proxy saw nothing of the change, and in the end the new parts hold.
 func TestWarmCapWhileTheRosterGrows(t *testing.T) {
@@ -519,7 +519,7 @@
 	}
 }
 
-// What an exchange costs the owner, which is one goroutine: admitted and done, with
+// What a request costs the owner, which is one goroutine: admitted and done, with
 // the fleets of today and ten times as many targets.
 func BenchmarkExchange(b *testing.B) {
 	for _, n := range []int{9, 36, 360} {
@@ -562,7 +562,7 @@
 	}
 }
 
-// The same with a target that restarted meanwhile: partners have its later start in
+// The same with a target that restarted meanwhile: peers have its later start in
 // its place, and so has a proxy that comes back on the same table.
 func TestThawedOrphanLearnsRestarts(t *testing.T) {
 	b := newBench("g1", 3, plain, to("a"))
@@ -601,7 +601,7 @@
 }
 
 // What the leader can't reach, a proxy probes when asked: an answer goes to it with the next
-// tick, a miss is the leader's to judge, and own bars are as before.
+// tick, a miss is the leader's to judge, and own ejections are as before.
 func TestIndirectProbe(t *testing.T) {
 	b := newBench("g1", 1, plain, to("a"), to("b"))
 	b.step(core.Recv{M: &wire.Msg{Kind: uint16(wire.KHello), From: "c1", Epoch: 1, Term: 1, Hello: &wire.Hello{Self: wire.Daemon{Name: "c1", Kind: "core", Addr: "c1", Inc: 1, Epoch: 1}, Leader: "c1", Term: 1}}})
@@ -615,7 +615,7 @@
 		}
 		return n
 	}
-	b.g.targets[id].ownBar = b.now + time.Second
+	b.g.targets[id].ownEjection = b.now + time.Second
 	for range 3 {
 		if n := ask(); n != 1 {
 			t.Fatalf("%d probes", n)
@@ -646,7 +646,7 @@
 	}
 	ask()
 	b.step(core.Probed{ID: id, Beat: &model.Beat{Service: "s", Name: "a", Incarnation: 1, State: model.Ready}})
-	if told() != 1 || told() != 0 || b.g.targets[id].ownBar == 0 {
+	if told() != 1 || told() != 0 || b.g.targets[id].ownEjection == 0 {
 		t.Fatal("an answer is told once, with the next tick, and clears no own bar")
 	}
 }
--- a/gate/lease.go
+++ b/gate/lease.go
@@ -18,15 +18,15 @@
 
 // inTouch says that a majority of the roster, and of the one before while that still
 // counts, answers.
-func (g *Gate) inTouch(now time.Duration) bool {
+func (g *Proxy) inTouch(now time.Duration) bool {
 	most := func(n int, name func(int) string) bool {
 		k := 0
 		for i := range n {
-			if name(i) == g.set.Self.Name {
+			if name(i) == g.settings.Self.Name {
 				if g.settled {
 					k++
 				}
-			} else if at, ok := g.touches[name(i)]; ok && now < at+limit.TouchGrant {
+			} else if at, ok := g.peerAnswers[name(i)]; ok && now < at+limit.PeerLease {
 				k++
 			}
 		}
@@ -37,47 +37,47 @@
 }
 
 // leader is the one that the core members last heard name in the latest epoch and term.
-func (g *Gate) leader(now time.Duration) string { return g.known.Leader(now) }
+func (g *Proxy) leader(now time.Duration) string { return g.directory.Leader(now) }
 
 // hello tells the core daemons of this proxy. What it remembers is long: it is told to those
 // that were heard lately, once to each process and then now and again.
-func (g *Gate) hello(now time.Duration) {
+func (g *Proxy) hello(now time.Duration) {
 	g.helloAt = now
 	self, memory := g.self(), []byte(nil)
 	sent := map[string]bool{}
-	for _, n := range slices.Sorted(maps.Keys(g.known)) {
-		k := g.known[n]
+	for _, n := range slices.Sorted(maps.Keys(g.directory)) {
+		k := g.directory[n]
 		if now-k.At > limit.DaemonGone {
-			delete(g.known, n)
+			delete(g.directory, n)
 		} else if k.Kind == "core" {
 			sent[k.Addr] = true
 			h := &wire.Hello{Self: self}
 			who := fmt.Sprint(n, " ", k.Inc)
-			if at, ok := g.memoryAt[who]; g.state != Granted && now-k.At < 4*limit.HelloEvery && (!ok || now-at >= limit.MemoryEvery) {
+			if at, ok := g.memoryToldAt[who]; g.state != Granted && now-k.At < 4*limit.HelloEvery && (!ok || now-at >= limit.MemoryEvery) {
 				if memory == nil {
-					memory = g.memory()
+					memory = g.rememberedState()
 				}
 				if h.Legacy = memory; len(memory) > 0 {
-					g.memoryAt[who] = now
+					g.memoryToldAt[who] = now
 				}
 			}
-			g.do(core.Send{Addr: k.Addr, M: &wire.Msg{Kind: uint16(wire.KHello), From: g.set.Self.Name, Hello: h}})
+			g.emit(core.Send{Addr: k.Addr, M: &wire.Msg{Kind: uint16(wire.KHello), From: g.settings.Self.Name, Hello: h}})
 		}
 	}
 	if g.state == Granted {
-		clear(g.memoryAt)
+		clear(g.memoryToldAt)
 	}
-	for _, a := range g.set.Seeds {
-		if !sent[a] && a != g.set.Self.Addr {
-			g.do(core.Send{Addr: a, M: &wire.Msg{Kind: uint16(wire.KHello), From: g.set.Self.Name, Hello: &wire.Hello{Self: self}}})
+	for _, a := range g.settings.Seeds {
+		if !sent[a] && a != g.settings.Self.Addr {
+			g.emit(core.Send{Addr: a, M: &wire.Msg{Kind: uint16(wire.KHello), From: g.settings.Self.Name, Hello: &wire.Hello{Self: self}}})
 		}
 	}
 }
 
-// touch asks partners whether they still stand on no later table: a part of the roster at
-// each turn, those first who were asked longest ago, so that all are within a touch grant
+// touch asks peers whether they still stand on no later table: a part of the roster at
+// each turn, those first who were asked longest ago, so that all are within a touch lease
 // and no proxy's work grows with more than the roster.
-func (g *Gate) touch(now time.Duration) {
+func (g *Proxy) askPeers(now time.Duration) {
 	for n := range g.asked {
 		if !slices.ContainsFunc(g.table.Gates, func(r wire.Gate) bool { return r.Name == n }) {
 			delete(g.asked, n)
@@ -85,7 +85,7 @@
 	}
 	var who []*wire.Gate
 	for i := range g.table.Gates {
-		if r := &g.table.Gates[i]; r.Name != g.set.Self.Name {
+		if r := &g.table.Gates[i]; r.Name != g.settings.Self.Name {
 			who = append(who, r)
 		}
 	}
@@ -97,24 +97,24 @@
 	n := max(limit.TouchMost, (len(who)+limit.TouchTurns-1)/limit.TouchTurns)
 	self := g.self()
 	for i, r := range who[:min(n, len(who))] {
-		if k := g.known[r.Name]; k == nil {
-			g.known[r.Name] = &core.Known{Daemon: wire.Daemon{Name: r.Name, Kind: "gate", Addr: r.Addr, Domain: r.Domain}, At: now}
+		if k := g.directory[r.Name]; k == nil {
+			g.directory[r.Name] = &core.Known{Daemon: wire.Daemon{Name: r.Name, Kind: "gate", Addr: r.Addr, Domain: r.Domain}, At: now}
 		}
 		g.asked[r.Name] = now
-		// Back from a freeze or a cut, what partners hold against targets is wanted too.
+		// Back from a freeze or a cut, what peers hold against targets is wanted too.
 		m := wire.Pull{Self: self, Key: g.table.Key, Want: !g.Serving() && (len(who) <= limit.TouchMost || i < limit.TouchWant)}
-		g.send(r.Name, &wire.Msg{Kind: uint16(wire.KPull), Stamp: int64(now), Disk: g.set.Self.Inc, Pull: &m})
+		g.send(r.Name, &wire.Msg{Kind: uint16(wire.KPull), Stamp: int64(now), Disk: g.settings.Self.Inc, Pull: &m})
 	}
 }
 
 // alone says that the leader is out of reach, for one that has ever been part of the fleet;
 // another waits for the leader while that speaks to it.
-func (g *Gate) alone(now time.Duration) bool {
-	return g.doubts(now) && (g.settled || g.wordAt == 0 || now-g.wordAt > limit.GateLive)
+func (g *Proxy) hasNoLeader(now time.Duration) bool {
+	return g.doubts(now) && (g.settled || g.wordAt == 0 || now-g.wordAt > limit.ProxyLive)
 }
 
 // memory is what this proxy tells a core that has lost its own.
-func (g *Gate) memory() []byte {
+func (g *Proxy) rememberedState() []byte {
 	if g.table == nil || g.state == Granted {
 		return nil
 	}
@@ -123,22 +123,22 @@
 		return nil
 	}
 	b, _ := json.Marshal(l)
-	return wire.Squeeze(b)
+	return wire.Compress(b)
 }
 
-// doubts says that the leader has been silent for over two pulls: partners are
-// touched and targets probed from then on, so that both are known when the grant lapses.
-func (g *Gate) doubts(now time.Duration) bool {
-	return now > g.grantTill-limit.GateGrant+limit.DoubtAfter
+// doubts says that the leader has been silent for over two pulls: peers are
+// touched and targets probed from then on, so that both are known when the lease lapses.
+func (g *Proxy) doubts(now time.Duration) bool {
+	return now > g.leaseUntil-limit.ProxyLease+limit.DoubtAfter
 }
 
-func (g *Gate) pull(now time.Duration) {
+func (g *Proxy) pull(now time.Duration) {
 	g.pullAt, g.telling = now, false
 	l := g.leader(now)
 	if l == "" {
 		return
 	}
-	// The leader that grants knows this proxy; another is told all of it.
+	// The leader that leases knows this proxy; another is told all of it.
 	p := &wire.Pull{}
 	if d := g.self(); d != g.said || l != g.saidTo || g.state != Granted || g.doubts(now) {
 		p.Self, g.said, g.saidTo = d, d, l
@@ -157,19 +157,19 @@
 			t.seen = wire.Seen{}
 		}
 	}
-	g.send(l, &wire.Msg{Kind: uint16(wire.KPull), Epoch: p.Key.Epoch, Stamp: int64(now), Disk: g.set.Self.Inc, Pull: p})
+	g.send(l, &wire.Msg{Kind: uint16(wire.KPull), Epoch: p.Key.Epoch, Stamp: int64(now), Disk: g.settings.Self.Inc, Pull: p})
 }
 
-// export is the table as it stands here now, with bars' time left and holds
+// export is the table as it stands here now, with ejections' time left and holds
 // that were heard here.
-func (g *Gate) export(now time.Duration) *wire.Table {
+func (g *Proxy) export(now time.Duration) *wire.Table {
 	t := *g.table
 	t.Targets = nil
 	for _, id := range slices.SortedFunc(maps.Keys(g.targets), wire.ID.Compare) {
 		l := g.targets[id]
 		w := l.Target
-		if w.BarLeft = max(0, int64(l.barUntil-now)); l.ownBar > now && w.BarLeft == 0 {
-			w.BarLeft, w.BarWhy = int64(l.ownBar-now), model.DefaultPolicy
+		if w.BarLeft = max(0, int64(l.ejectedUntil-now)); l.ownEjection > now && w.BarLeft == 0 {
+			w.BarLeft, w.BarWhy = int64(l.ownEjection-now), model.DefaultPolicy
 		}
 		w.Held = w.Held || l.held
 		w.ColdLeft = max(0, int64(l.coldUntil-now))
@@ -178,20 +178,20 @@
 	return &t
 }
 
-// push takes a leader's word, or a partner's answer to a touch.
-func (g *Gate) push(now time.Duration, m *wire.Msg) {
+// push takes a leader's word, or a peer's answer to a touch.
+func (g *Proxy) push(now time.Duration, m *wire.Msg) {
 	p := m.Push
-	mine := m.Disk == g.set.Self.Inc && m.Stamp > 0 && time.Duration(m.Stamp) <= now
-	if k := g.known[m.From]; k != nil && k.Kind == "gate" {
+	mine := m.Disk == g.settings.Self.Inc && m.Stamp > 0 && time.Duration(m.Stamp) <= now
+	if k := g.directory[m.From]; k != nil && k.Kind == "gate" {
 		if p.Table != nil && !g.take(now, p.Table) && g.table != nil && g.table.Key == p.Table.Key && !g.Serving() {
-			g.heed(now, p.Table)
+			g.adoptPeerEjections(now, p.Table)
 		}
 		if p.Grant && mine && g.table != nil && !g.table.Key.Less(p.Key) {
-			g.touches[m.From] = max(g.touches[m.From], time.Duration(m.Stamp))
+			g.peerAnswers[m.From] = max(g.peerAnswers[m.From], time.Duration(m.Stamp))
 		}
 		if p.Grant && g.table != nil && g.table.Key.Less(p.Key) && now-g.wantAt >= 2*limit.PullEvery {
 			g.wantAt = now // one at a time sends all of its table
-			g.send(m.From, &wire.Msg{Kind: uint16(wire.KPull), Stamp: int64(now), Disk: g.set.Self.Inc, Pull: &wire.Pull{Self: g.self()}})
+			g.send(m.From, &wire.Msg{Kind: uint16(wire.KPull), Stamp: int64(now), Disk: g.settings.Self.Inc, Pull: &wire.Pull{Self: g.self()}})
 		}
 		return
 	}
@@ -216,20 +216,20 @@
 			g.pull(now) // confirms at once
 		}
 	}
-	// The grant is for the table that it names, and so for any later one of that leader too.
+	// The lease is for the table that it names, and so for any later one of that leader too.
 	if p.Grant && mine && g.table != nil && g.table.Key.Epoch == p.Key.Epoch && g.table.Key.Term == p.Key.Term && g.table.Key.Ver >= p.Key.Ver {
 		g.settled = true
-		g.grantTill = max(g.grantTill, time.Duration(m.Stamp)+limit.GateGrant)
+		g.leaseUntil = max(g.leaseUntil, time.Duration(m.Stamp)+limit.ProxyLease)
 	}
 }
 
-// partner answers another proxy's touch.
-func (g *Gate) partner(now time.Duration, m *wire.Msg) {
+// peer answers another proxy's touch.
+func (g *Proxy) peerAnswer(now time.Duration, m *wire.Msg) {
 	if m.Pull == nil {
 		return
 	}
 	if m.Pull.Self.Kind == "gate" {
-		g.known[m.From] = &core.Known{Daemon: m.Pull.Self, At: now}
+		g.directory[m.From] = &core.Known{Daemon: m.Pull.Self, At: now}
 	}
 	p := &wire.Push{Grant: g.settled && g.table != nil}
 	if g.table != nil {
@@ -239,14 +239,14 @@
 		case m.Pull.Key == wire.Key{}:
 			p.Table = g.export(now)
 		case m.Pull.Want && m.Pull.Key == p.Key:
-			p.Table = g.holds(now)
+			p.Table = g.ejectionsAndDrains(now)
 		}
 	}
 	g.send(m.From, &wire.Msg{Kind: uint16(wire.KPush), Stamp: m.Stamp, Disk: m.Disk, Push: p})
 }
 
 // holds is what stands here against targets beside the table, as a change to it.
-func (g *Gate) holds(now time.Duration) *wire.Table {
+func (g *Proxy) ejectionsAndDrains(now time.Duration) *wire.Table {
 	all, t := g.export(now), &wire.Table{Key: g.table.Key, Base: g.table.Key, Seq: g.table.Seq, Revision: g.table.Revision}
 	listed := map[wire.ID]bool{}
 	for i := range g.table.Targets {
@@ -264,10 +264,10 @@
 	return t
 }
 
-// heed takes over what a partner holds against the targets of the same table, and
+// heed takes over what a peer holds against the targets of the same table, and
 // the later starts that it has put in the place of some; a probe of this proxy's own
 // soon says more.
-func (g *Gate) heed(now time.Duration, b *wire.Table) {
+func (g *Proxy) adoptPeerEjections(now time.Duration, b *wire.Table) {
 	out := map[wire.ID]bool{}
 	if b.Base == (wire.Key{}) {
 		for id := range g.targets {
@@ -292,14 +292,14 @@
 			t.held = t.held || w.Held
 			t.chill(now, w.ColdLeft)
 			if w.BarLeft > 0 {
-				t.ownBar = max(t.ownBar, now+time.Duration(w.BarLeft))
+				t.ownEjection = max(t.ownEjection, now+time.Duration(w.BarLeft))
 			}
 		}
 	}
 }
 
 // succeed puts a later start in a target's place.
-func (g *Gate) succeed(now time.Duration, id wire.ID, h *target) {
+func (g *Proxy) succeed(now time.Duration, id wire.ID, h *target) {
 	delete(g.targets, id)
 	g.leaving[id] = now
 	h.anew = true
--- a/gate/probe.go
+++ b/gate/probe.go
@@ -14,29 +14,29 @@
 	"myrtlefold/wire"
 )
 
-func (g *Gate) ask(now time.Duration, e core.Ask) {
+func (g *Proxy) ask(now time.Duration, e core.Ask) {
 	r := core.TargetCall(e, func(t wire.Target) {
 		g.heardBeat(now, t)
 		if l := g.leader(now); l != "" {
 			g.send(l, &wire.Msg{Kind: uint16(wire.KBeat), Stamp: 1, Beat: &t})
 		}
 		if g.state != Granted && g.table != nil {
-			// No leader spreads it: tell the partners.
+			// No leader spreads it: tell the peers.
 			for _, r := range g.table.Gates {
 				g.send(r.Name, &wire.Msg{Kind: uint16(wire.KBeat), Stamp: 1, Beat: &t})
 			}
 		}
 	})
 	r.ID = e.ID
-	g.do(r)
+	g.emit(r)
 }
 
 // heardBeat acts at once on a target that leaves; all else is the leader's, or
 // kept for the time when there is none.
-func (g *Gate) heardBeat(now time.Duration, w wire.Target) {
+func (g *Proxy) heardBeat(now time.Duration, w wire.Target) {
 	if t := g.targets[w.ID()]; t != nil {
-		t.voice.Hear(now)
-	} else if g.state == Orphan && w.State != model.Gone {
+		t.streak.Hear(now)
+	} else if g.state == PeerServing && w.State != model.Gone {
 		g.claim(now, w)
 	}
 	if w.State != model.Leaving && w.State != model.Gone {
@@ -51,10 +51,10 @@
 }
 
 // claim notes a later start of a target that the table knows. No leader can take it
-// in, so an orphan does for itself, once it has answered for itself: a service that
+// in, so a proxy that serves on its peers does for itself, once it has answered for itself: a service that
 // is rolled while the core is gone goes on. The same service and name, and an address
 // that no other target of the table has; all else waits for a leader.
-func (g *Gate) claim(now time.Duration, w wire.Target) {
+func (g *Proxy) claim(now time.Duration, w wire.Target) {
 	var at *target
 	for id, t := range g.targets {
 		switch {
@@ -64,32 +64,32 @@
 			return
 		}
 	}
-	if at == nil || g.leaving[w.ID()] != 0 || at.heir != nil && at.heir.Inc != w.Inc && at.heir.voice.Speaks(now) {
+	if at == nil || g.leaving[w.ID()] != 0 || at.successor != nil && at.successor.Inc != w.Inc && at.successor.streak.Speaks(now) {
 		return
 	}
-	if at.heir == nil || at.heir.ID() != w.ID() || at.heir.Addr != w.Addr {
-		at.heir = &target{Target: wire.Target{Service: w.Service, Name: w.Name, Inc: w.Inc, Addr: w.Addr, Domain: w.Domain, State: model.Warming, Turn: at.Turn, Slots: w.Slots, ColdLeft: w.ColdLeft}}
+	if at.successor == nil || at.successor.ID() != w.ID() || at.successor.Addr != w.Addr {
+		at.successor = &target{Target: wire.Target{Service: w.Service, Name: w.Name, Inc: w.Inc, Addr: w.Addr, Domain: w.Domain, State: model.Warming, Turn: at.Turn, Slots: w.Slots, ColdLeft: w.ColdLeft}}
 	}
-	at.heir.voice.Hear(now)
+	at.successor.streak.Hear(now)
 }
 
 // inherit puts an heir that has answered for itself in its place, unless who
 // stands there still answers too.
-func (g *Gate) inherit(now time.Duration, p core.Probed) {
+func (g *Proxy) inherit(now time.Duration, p core.Probed) {
 	for id, t := range g.targets {
-		h := t.heir
+		h := t.successor
 		if h == nil || h.ID() != p.ID {
 			continue
 		}
 		h.sentAt = 0
 		gone := t.held || t.Held || t.misses >= limit.ProbeMisses || t.Addr == h.Addr
-		if g.state != Orphan || !gone || p.Beat == nil || p.Beat.ID() != p.ID || p.Beat.State == model.Leaving {
+		if g.state != PeerServing || !gone || p.Beat == nil || p.Beat.ID() != p.ID || p.Beat.State == model.Leaving {
 			return
 		}
 		if p.Beat.State == model.Ready {
 			h.State = model.Ready
 		}
-		g.do(core.Change{What: "target", From: fmt.Sprint(id.Inc), To: fmt.Sprint(h.Inc), Why: "a later start of " + id.Service + "/" + id.Name + " answers, and no leader is there"})
+		g.emit(core.Change{What: "target", From: fmt.Sprint(id.Inc), To: fmt.Sprint(h.Inc), Why: "a later start of " + id.Service + "/" + id.Name + " answers, and no leader is there"})
 		g.succeed(now, id, h)
 		return
 	}
@@ -97,41 +97,41 @@
 
 // watch is the watchdog of a proxy without a leader. A cut one keeps it up, so that
 // it does not come back with an old opinion.
-func (g *Gate) watch(now time.Duration) {
+func (g *Proxy) watch(now time.Duration) {
 	few := len(g.targets) <= limit.WatchMost
 	for _, id := range slices.SortedFunc(maps.Keys(g.targets), wire.ID.Compare) {
 		t := g.targets[id]
 		if few || g.watches(id) {
 			g.probe(now, t)
 		}
-		if t.heir != nil {
-			g.probe(now, t.heir)
+		if t.successor != nil {
+			g.probe(now, t.successor)
 		}
 	}
 }
 
 // watches deals many targets among the roster, so that neither a proxy nor a target has
 // more to do with probes the more there are of the other. Who watches one by a probe is
-// drawn; the others see for themselves what pipes to it tell.
-func (g *Gate) watches(id wire.ID) bool {
+// drawn; the others see for themselves what connections to it tell.
+func (g *Proxy) watches(id wire.ID) bool {
 	parts := uint64(max(1, len(g.targets)*limit.Watchers/limit.WatchMost))
-	return hash(id.Service+" "+id.Name+" "+g.set.Self.Name)%parts < limit.Watchers
+	return hash(id.Service+" "+id.Name+" "+g.settings.Self.Name)%parts < limit.Watchers
 }
 
-func (g *Gate) probe(now time.Duration, t *target) {
+func (g *Proxy) probe(now time.Duration, t *target) {
 	if t.probeAt == 0 || now-t.probeAt >= limit.DoubtEvery {
 		g.ping(now, t)
 	}
 }
 
-func (g *Gate) ping(now time.Duration, t *target) {
+func (g *Proxy) ping(now time.Duration, t *target) {
 	if t.sentAt == 0 || now-t.sentAt > 2*limit.ProbeCap {
 		t.probeAt, t.sentAt = now, now
-		g.do(core.Probe{ID: t.ID(), Addr: t.Addr, Path: g.cfg.Services[t.Service].HealthPath})
+		g.emit(core.Probe{ID: t.ID(), Addr: t.Addr, Path: g.cfg.Services[t.Service].HealthPath})
 	}
 }
 
-func (g *Gate) probed(now time.Duration, p core.Probed) {
+func (g *Proxy) probed(now time.Duration, p core.Probed) {
 	t := g.targets[p.ID]
 	if t == nil {
 		g.inherit(now, p)
@@ -146,10 +146,10 @@
 			return // the leader's to judge
 		}
 		if t.misses++; t.misses >= limit.ProbeMisses && g.doubts(now) {
-			if t.ownBar <= now {
+			if t.ownEjection <= now {
 				g.Counts.OwnBars++
 			}
-			t.ownBar = now + limit.BarTTL
+			t.ownEjection = now + limit.EjectionTTL
 		}
 		return
 	}
@@ -157,11 +157,11 @@
 	if asked {
 		t.seen.Alive, g.telling = true, true
 	}
-	if b.State == model.Ready && t.State == model.Warming && g.state == Orphan {
+	if b.State == model.Ready && t.State == model.Warming && g.state == PeerServing {
 		t.State, t.warmAt = model.Ready, now
 	}
-	if t.ownBar > now && (!asked || g.doubts(now)) {
-		t.ownBar, t.backAt = 0, now
+	if t.ownEjection > now && (!asked || g.doubts(now)) {
+		t.ownEjection, t.backAt = 0, now
 	}
 	if b.State == model.Leaving {
 		g.heardBeat(now, t.leavingWord())
--- a/gate/route_test.go
+++ b/gate/route_test.go
@@ -23,7 +23,7 @@
 
 func (b *bench) pass(d time.Duration) []any {
 	b.now += d
-	b.g.grantTill = b.now + time.Second
+	b.g.leaseUntil = b.now + time.Second
 	return b.step(core.Tick{})
 }
 
@@ -38,7 +38,7 @@
 	"x":{"host":"h","prefix":"/x/","kind":"repeatable","timeout_ms":2000,"split":[{"service":"s","weight":90},{"service":"t","weight":10}],"attempts":2}}}`
 
 // The host's longest prefix decides; what the caller gives and the route's timeout
-// both bound an exchange; there is no route for anything else.
+// both bound a request; there is no route for anything else.
 func TestRoutes(t *testing.T) {
 	b := newBench("g1", 3, routed, to("a", slots(8)))
 	g, ok := b.call(1, "/a/b", time.Second).(Give)
@@ -51,7 +51,7 @@
 	if r, ok := b.call(3, "/b", time.Second).(Refuse); !ok || r.Status != 404 {
 		t.Fatalf("%+v", r)
 	}
-	b.now += limit.GateGrant + time.Millisecond
+	b.now += limit.ProxyLease + time.Millisecond
 	if r, ok := b.call(4, "/b", time.Second).(Refuse); !ok || r.Status != 503 || r.Retry > time.Second/3 || r.Retry < limit.RefuseMin {
 		t.Fatalf("%+v: without a fresh table nobody knows", r)
 	}
@@ -238,7 +238,7 @@
 	}
 }
 
-// Where all are barred, those that beat are dealt as others are.
+// Where all are ejected, those that beat are dealt as others are.
 func TestBarredAreDealt(t *testing.T) {
 	b := newBench("g1", 1, routed, to("a", slots(9), barred), to("b", slots(9), barred))
 	for id := uint64(1); id <= 18; id++ {
@@ -377,7 +377,7 @@
 					continue
 				}
 				b.now = now
-				b.g.grantTill = now + time.Second
+				b.g.leaseUntil = now + time.Second
 				id++
 				for _, c := range append(b.step(core.Tick{}), b.step(Admit{ID: id, Host: "h", Path: "/a/", Timeout: time.Second})...) {
 					if x, ok := c.(Give); ok {
@@ -492,7 +492,7 @@
 			}
 			b := gates[i]
 			b.now = now
-			b.g.grantTill = now + time.Second
+			b.g.leaseUntil = now + time.Second
 			for range rnd.IntN(15) {
 				id++
 				came = append(came, now)
@@ -619,7 +619,7 @@
 				break
 			}
 			for _, w := range append([]uint64{}, waits...) {
-				if x := b.g.exchanges[w]; x == nil || !x.waiting {
+				if x := b.g.requests[w]; x == nil || !x.waiting {
 					waits = drop(waits, w)
 				}
 			}
@@ -636,10 +636,10 @@
 	return out
 }
 
-// A stop is told at once, lasts while exchanges are under way and no longer than the grace.
+// A stop is told at once, lasts while requests are under way and no longer than the grace.
 func TestStop(t *testing.T) {
 	b := newBench("g1", 1, routed, to("a", slots(2)))
-	b.g.set.Grace = 6 * time.Second
+	b.g.settings.Grace = 6 * time.Second
 	b.call(1, "/a/", 0)
 	b.step(core.Stop{})
 	if b.g.Ready() || !b.g.Serving() {
@@ -665,7 +665,7 @@
 	b.step(Done{ID: 1, Outcome: Served, Last: true})
 }
 
-// Targets that no pipe opens to cost no attempts, but their number is bounded.
+// Targets that no connection opens to cost no attempts, but their number is bounded.
 func TestUnsentChoicesAreNoAttempts(t *testing.T) {
 	b := newBench("g1", 1, routed, to("a", slots(2)), to("b", slots(2)), to("c", slots(2)), to("d", slots(2)), to("e", slots(2)), to("f", slots(2)))
 	for _, path := range []string{"/a/", "/once/"} {
@@ -681,7 +681,7 @@
 		if r, ok := ans.(Refuse); most != limit.OpensMax || !ok || r.Status != 503 || r.Code != "tries" {
 			t.Fatalf("%s: %d choices, then %+v", path, most, ans)
 		}
-		b.pass(limit.ClosedBar)
+		b.pass(limit.ClosedEjection)
 	}
 	ans := b.call(20, "/a/", 0)
 	for _, o := range []Outcome{Closed, Lost, Closed, Lost} {
@@ -729,7 +729,7 @@
 func TestNearRoomBeforeFarSlots(t *testing.T) {
 	near, far := func(t *wire.Target) { t.Domain = "z1" }, func(t *wire.Target) { t.Domain = "z2" }
 	b := newBench("g1", 1, routed, to("a", slots(4), near), to("b", slots(4), far), to("c", slots(4), far))
-	b.g.set.Self.Domain = "z1"
+	b.g.settings.Self.Domain = "z1"
 	b.table(1, routed, to("a", slots(4), near), to("b", slots(4), far), to("c", slots(4), far))
 	at := map[string]*target{}
 	for _, x := range b.g.targets {
@@ -804,7 +804,7 @@
 	}
 	b.pass(150 * time.Millisecond)
 	s := b.g.service("s")
-	if most := s.budget.part + float64(b.g.Counts.Admitted)*b.g.set.Retry.Ratio; b.g.Counts.Admitted > 20 || s.budget.credit > most {
+	if most := s.budget.part + float64(b.g.Counts.Admitted)*b.g.settings.Retry.Ratio; b.g.Counts.Admitted > 20 || s.budget.credit > most {
 		t.Fatalf("%v credit for %d exchanges at targets", s.budget.credit, b.g.Counts.Admitted)
 	}
 }
@@ -827,7 +827,7 @@
 						}
 						what := fmt.Sprintf("%d proxies, %d slots, warming cap %d, %d/s, start %d", gates, told, warmCap, perS, inc)
 						id := uint64(0)
-						run := func(done bool) (n int) { // 4 s in which no exchange ends, or each at once
+						run := func(done bool) (n int) { // 4 s in which no request ends, or each at once
 							for range 200 {
 								for _, b := range bs {
 									id++
@@ -849,7 +849,7 @@
 							t.Fatalf("%s: %d held at once", what, n)
 						}
 						for _, b := range bs {
-							for id := range b.g.exchanges {
+							for id := range b.g.requests {
 								b.step(Cancel{ID: id})
 							}
 						}
--- a/gate/table.go
+++ b/gate/table.go
@@ -14,19 +14,19 @@
 	"myrtlefold/wire"
 )
 
-// retarget follows a change of the targets: choices go by the new ones, and pipes to
+// retarget follows a change of the targets: choices go by the new ones, and connections to
 // others go.
-func (g *Gate) retarget(now time.Duration) {
+func (g *Proxy) retarget(now time.Duration) {
 	g.index(now)
 	live := map[wire.ID]string{}
 	for id, t := range g.targets {
 		live[id] = t.Addr
 	}
-	g.do(Targets{live, g.cfg.Limits})
+	g.emit(Targets{live, g.cfg.Limits})
 }
 
 // whole is a table with all that it leaves out because this proxy has it, nil if it has not.
-func (g *Gate) whole(t *wire.Table) *wire.Table {
+func (g *Proxy) whole(t *wire.Table) *wire.Table {
 	old, w := g.table, *t
 	if len(t.Doc) == 0 {
 		if old == nil || old.Key.Epoch != t.Key.Epoch || old.Revision != t.Revision || len(t.State) == 0 && old.Seq != t.Seq {
@@ -65,7 +65,7 @@
 }
 
 // plain says that a change to the table tells only what nothing is dealt by, such as demand.
-func (g *Gate) plain(now time.Duration, t *wire.Table) bool {
+func (g *Proxy) plain(now time.Duration, t *wire.Table) bool {
 	if t.Base == (wire.Key{}) || len(t.Doc)+len(t.State)+len(t.Gates)+len(t.Gone) > 0 || !slices.Equal(t.Emptied, g.table.Emptied) || !slices.Equal(t.Was, g.table.Was) ||
 		len(g.targets) != len(g.table.Targets) {
 		return false
@@ -77,7 +77,7 @@
 			return false
 		}
 		w.Demand, w.HasDemand, w.Beating, w.Number = o.Demand, o.HasDemand, o.Beating, o.Number
-		if w != o.Target || w.BarLeft > 0 || w.ColdLeft > 0 || o.barUntil > 0 {
+		if w != o.Target || w.BarLeft > 0 || w.ColdLeft > 0 || o.ejectedUntil > 0 {
 			return false
 		}
 	}
@@ -90,7 +90,7 @@
 }
 
 // take puts a later table in force; an earlier one never replaces a later.
-func (g *Gate) take(now time.Duration, t *wire.Table) bool {
+func (g *Proxy) take(now time.Duration, t *wire.Table) bool {
 	if g.table != nil && !g.table.Key.Less(t.Key) {
 		if t.Key.Less(g.table.Key) {
 			g.Counts.StaleTables++
@@ -111,7 +111,7 @@
 	if g.table == nil || g.table.Key.Epoch != t.Key.Epoch || t.Revision != g.revision || len(g.cfg.Services) == 0 {
 		var cfg *model.Config
 		var faults []model.Fault
-		doc, err := wire.Open(t.Doc)
+		doc, err := wire.Decompress(t.Doc)
 		if err == nil {
 			cfg, faults, err = judge.CheckConfig(doc)
 		}
@@ -120,7 +120,7 @@
 			panic(fmt.Sprintf("table %v holds an unsound configuration: %v %v", t.Key, err, faults))
 		}
 		if t.Revision != g.revision {
-			g.do(core.Change{What: "revision", From: fmt.Sprint(g.revision), To: fmt.Sprint(t.Revision), Why: fmt.Sprintf("table %v", t.Key)})
+			g.emit(core.Change{What: "revision", From: fmt.Sprint(g.revision), To: fmt.Sprint(t.Revision), Why: fmt.Sprintf("table %v", t.Key)})
 		}
 		g.cfg, g.revision = cfg, t.Revision
 		g.forget()
@@ -146,15 +146,15 @@
 		if n == nil {
 			n = &target{anew: g.state == Granted}
 		}
-		was := n.barUntil > now
+		was := n.ejectedUntil > now
 		if n.State == model.Warming && w.State == model.Ready {
 			n.warmAt = now
 		}
 		n.Target = w
 		n.chill(now, w.ColdLeft)
-		n.barUntil, n.unheard = 0, w.BarWhy == model.DefaultPolicy
+		n.ejectedUntil, n.unheard = 0, w.BarWhy == model.DefaultPolicy
 		if w.BarLeft > 0 {
-			n.barUntil = now + time.Duration(w.BarLeft)
+			n.ejectedUntil = now + time.Duration(w.BarLeft)
 		} else if was {
 			n.backAt = now
 		}
@@ -164,7 +164,7 @@
 		next[id] = n
 	}
 	g.targets = next
-	maps.DeleteFunc(g.leaving, func(id wire.ID, at time.Duration) bool { return next[id] == nil && now-at > limit.TombKeep })
+	maps.DeleteFunc(g.leaving, func(id wire.ID, at time.Duration) bool { return next[id] == nil && now-at > limit.TombstoneKeep })
 	g.retarget(now)
 	g.queues(now)
 	return true
--- a/gate/view.go
+++ b/gate/view.go
@@ -40,9 +40,9 @@
 	Room     int   `json:"room"`
 }
 
-func (g *Gate) View(now time.Duration) View {
-	v := View{Name: g.set.Self.Name, State: g.state.String(), Ready: g.table != nil && g.Ready(), Leader: g.leader(now),
-		Revision: g.revision, InFlight: len(g.exchanges), Counts: g.Counts, Targets: []TargetView{}}
+func (g *Proxy) View(now time.Duration) View {
+	v := View{Name: g.settings.Self.Name, State: g.state.String(), Ready: g.table != nil && g.Ready(), Leader: g.leader(now),
+		Revision: g.revision, InFlight: len(g.requests), Counts: g.Counts, Targets: []TargetView{}}
 	for _, n := range slices.Sorted(maps.Keys(g.cfg.Aims)) {
 		a := AimView{Name: n, Aim: g.cfg.Aims[n]}
 		if t := g.aims[n]; t != nil {
@@ -63,7 +63,7 @@
 				tv.Room = t.part
 			}
 			tv.Held = t.Held || t.held
-			tv.BarMs, tv.OwnBarMs = max(0, (t.barUntil-now).Milliseconds()), max(0, (t.ownBar-now).Milliseconds())
+			tv.BarMs, tv.OwnBarMs = max(0, (t.ejectedUntil-now).Milliseconds()), max(0, (t.ownEjection-now).Milliseconds())
 			v.Targets = append(v.Targets, tv)
 		}
 	}
--- a/host/ctl_config.go
+++ b/host/ctl_config.go
@@ -164,7 +164,7 @@
 	return exitOK
 }
 
-// split says where a route's exchanges go, and in which parts.
+// split says where a route's requests go, and in which parts.
 func split(r model.Route) string {
 	sum := 0.0
 	for _, s := range r.Shares() {
--- a/host/gate.go
+++ b/host/gate.go
@@ -1,5 +1,5 @@
 // This file is the proxy daemon's shell: it starts the gate owner and the
-// carrier, and carries out the owner's commands.
+// forwarder, and carries out the owner's commands.
 package host
 
 import (
@@ -63,7 +63,7 @@
 	})
 	h.Counters("carry", func() any { return &car.Counts })
 	var ids atomic.Uint64
-	ids.Store(1 << 63) // apart from the exchanges' numbers
+	ids.Store(1 << 63) // apart from the requests' numbers
 	mux := h.Admin(func() (ok bool, why any) {
 		h.Loop.Look(func(now time.Duration) { v := own.View(now); ok, why = v.Ready, v.State })
 		return
--- a/host/host.go
+++ b/host/host.go
@@ -120,7 +120,7 @@
 // Now is monotonic time since the process started, never 0.
 func (h *Host) Now() time.Duration { return time.Since(h.start) + time.Millisecond }
 
-// From is where pipes leave from, nil for the system's choice.
+// From is where connections leave from, nil for the system's choice.
 func (h *Host) From() net.Addr {
 	if h.Set.From == "" {
 		return nil
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -84,7 +84,7 @@
 	want := quorum.Image{Disk: img.Disk}
 	big := make([]byte, 100<<10)
 	for i := range uint64(200) {
-		b := &wire.Batch{Seq: i + 1, Entries: []wire.Entry{{Index: i + 1, Term: 1, Kind: quorum.EData, Data: big}}}
+		b := &wire.Batch{Seq: i + 1, Entries: []wire.Entry{{Index: i + 1, Term: 1, Kind: quorum.EntryData, Data: big}}}
 		if i%8 == 7 {
 			b.Snap = &wire.Snap{Index: i, Term: 1, Data: big}
 		}
--- a/host/http.go
+++ b/host/http.go
@@ -46,12 +46,12 @@
 	return h.serve(addr, hd, nil)
 }
 
-// ServeCallers runs the carrier's server on addr.
-func (h *Host) ServeCallers(addr string, c *carry.Carrier) (*http.Server, error) {
+// ServeCallers runs the forwarder's server on addr.
+func (h *Host) ServeCallers(addr string, c *carry.Forwarder) (*http.Server, error) {
 	return h.serve(addr, c, c)
 }
 
-func (h *Host) serve(addr string, hd http.Handler, c *carry.Carrier) (*http.Server, error) {
+func (h *Host) serve(addr string, hd http.Handler, c *carry.Forwarder) (*http.Server, error) {
 	ln, err := carry.Listen(addr, limit.CallerUnacked)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for HTTP")
--- a/host/metrics.go
+++ b/host/metrics.go
@@ -8,7 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// Counters shows an owner's or carrier's counts, whatever fields they have.
+// Counters shows an owner's or forwarder's counts, whatever fields they have.
 func (h *Host) Counters(prefix string, get func() any) {
 	h.Reg.MustRegister(counts{prefix, get})
 }
--- a/host/probe.go
+++ b/host/probe.go
@@ -1,4 +1,4 @@
-// This file is the probes: targets are asked on pipes that stay open from one probe
+// This file is the probes: targets are asked on connections that stay open from one probe
 // to the next, either for their health or, where a service has no path for that, who
 // they are. What an answer means for a target is the owners' to say.
 package host
@@ -16,14 +16,14 @@
 	"myrtlefold/wire"
 )
 
-// probed is one target's place: its pipe while no probe has it.
+// probed is one target's place: its connection while no probe has it.
 type probed struct {
-	pipe atomic.Pointer[carry.Pipe]
+	pipe atomic.Pointer[carry.Conn]
 	at   time.Duration
 	gone atomic.Bool
 }
 
-func (s *probed) put(p *carry.Pipe) {
+func (s *probed) put(p *carry.Conn) {
 	if old := s.pipe.Swap(p); old != nil {
 		old.Close()
 	}
@@ -43,10 +43,10 @@
 			h.Headers = carry.Defaults()
 		}
 	}
-	if sent-h.probesAt > limit.ProbePipe/4 {
+	if sent-h.probesAt > limit.ProbeConnIdle/4 {
 		h.probesAt = sent
 		for id, s := range h.probes {
-			if sent-s.at > limit.ProbePipe {
+			if sent-s.at > limit.ProbeConnIdle {
 				delete(h.probes, id)
 				s.gone.Store(true)
 				s.put(nil)
@@ -98,8 +98,8 @@
 	}
 }
 
-// look asks on a pipe and reads what the answer says of the target.
-func look(pipe *carry.Pipe, p core.Probe, names *carry.Headers, till time.Time) (b *model.Beat, cold time.Duration, again bool, err error) {
+// look asks on a connection and reads what the answer says of the target.
+func look(pipe *carry.Conn, p core.Probe, names *carry.Headers, till time.Time) (b *model.Beat, cold time.Duration, again bool, err error) {
 	if p.Path == "" {
 		b, again, err = pipe.Identify(till, p.Addr)
 		if err != nil {
--- a/host/probe_test.go
+++ b/host/probe_test.go
@@ -94,7 +94,7 @@
 	}
 }
 
-// Targets without a health path are asked who they are, also on a pipe that stays.
+// Targets without a health path are asked who they are, also on a connection that stays.
 func TestProbeIdentity(t *testing.T) {
 	addr, conns := counting(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != model.IdentityPath {
@@ -114,8 +114,8 @@
 	}
 }
 
-// A kept pipe that its target closed is no miss, a target that moved is asked at its
-// new address, and pipes of targets that are no longer probed go.
+// A kept connection that its target closed is no miss, a target that moved is asked at its
+// new address, and connections of targets that are no longer probed go.
 func TestProbePipes(t *testing.T) {
 	addr, conns := counting(t, func(w http.ResponseWriter, r *http.Request) {
 		c, _, _ := http.NewResponseController(w).Hijack()
@@ -142,7 +142,7 @@
 	if got := h.probeOnce(p); got.Beat == nil {
 		t.Fatal("not asked where it is now")
 	}
-	h.start = h.start.Add(-2 * limit.ProbePipe)
+	h.start = h.start.Add(-2 * limit.ProbeConnIdle)
 	p.ID.Name = "other"
 	p.Addr = addr
 	h.probeOnce(p)
--- a/host/settings.go
+++ b/host/settings.go
@@ -50,7 +50,7 @@
 type Dialect struct {
 	// Load reads the settings and, for comparing, what they were read from; nil: flags and file.
 	Load func() (Settings, []byte, []model.Fault, error)
-	// Headers are the names of the headers that exchanges carry.
+	// Headers are the names of the headers that requests carry.
 	Headers carry.Headers
 }
 
--- a/host/transport.go
+++ b/host/transport.go
@@ -102,7 +102,7 @@
 				c.Close()
 			}(c)
 		}
-		c.SetWriteDeadline(time.Now().Add(limit.GateGrant))
+		c.SetWriteDeadline(time.Now().Add(limit.ProxyLease))
 		size := 0
 		if size, err = w.Put(q.m); err == nil {
 			h.Traffic.add(true, q.m.Kind, size)
--- a/judge/compare.go
+++ b/judge/compare.go
@@ -127,7 +127,7 @@
 	return ds
 }
 
-// Tick lets bars lapse.
+// Tick lets ejections lapse.
 func (s *Scorer) Tick(now time.Duration) []Decision {
 	ds := s.j.Tick(now)
 	for _, d := range ds {
--- a/judge/judge.go
+++ b/judge/judge.go
@@ -1,6 +1,6 @@
 // Package judge turns target events into decisions. A policy is one condition
-// over one slice of what is known of a target (probe, beat, exchange, demand)
-// and one decision: a bar, which lapses by itself, or a hold, which lasts until its
+// over one slice of what is known of a target (probe, beat, request, demand)
+// and one decision: an ejection, which lapses by itself, or a hold, which lasts until its
 // clear condition holds, or while its condition does if it has none. A Judge is pure: events go in with their time, decisions
 // come out, and the same events always give the same decisions, which is what
 // shadow runs and comparisons rest on. A policy that fails to evaluate decides
@@ -98,7 +98,7 @@
 
 var envs = map[string]any{"probe": Probe{}, "beat": Beat{}, "exchange": Exchange{}, "demand": Demand{}}
 
-// exchangeWindow is how far the exchange and demand slices look back.
+// exchangeWindow is how far the request and demand slices look back.
 const exchangeWindow = limit.RetryWindow
 
 type looper struct{ found string }
@@ -150,8 +150,8 @@
 	ttl := time.Duration(p.TtlMs) * time.Millisecond
 	switch p.Decide {
 	case "bar":
-		if ttl <= 0 || ttl > limit.BarMaxTTL {
-			add("ttl_ms", "a bar needs a ttl_ms between 1 and %d", limit.BarMaxTTL.Milliseconds())
+		if ttl <= 0 || ttl > limit.EjectionMaxTTL {
+			add("ttl_ms", "a bar needs a ttl_ms between 1 and %d", limit.EjectionMaxTTL.Milliseconds())
 		}
 	case "hold":
 		if p.TtlMs != 0 {
@@ -211,7 +211,7 @@
 	return &Judge{policies: map[string]*policy{}, windows: map[wire.ID]map[string]*window{}, marks: map[wire.ID]map[string]mark{}}
 }
 
-// Replace puts a configuration's policies in force. What a kept or changed bar
+// Replace puts a configuration's policies in force. What a kept or changed ejection
 // policy had decided stays until it lapses; a policy's marks go at once when it
 // is removed, off, or goes between live and shadow.
 func (j *Judge) Replace(c *model.Config) {
@@ -261,10 +261,10 @@
 	return until, why
 }
 
-// Adopt takes over a bar that an earlier leader had decided.
+// Adopt takes over an ejection that an earlier leader had decided.
 func (j *Judge) Adopt(now time.Duration, id wire.ID, policy string, left time.Duration) {
 	if p := j.policies[policy]; p != nil && p.p.Mode == "live" && left > 0 {
-		j.mark(id, policy, mark{until: now + min(left, limit.BarMaxTTL), hold: p.p.Decide == "hold"})
+		j.mark(id, policy, mark{until: now + min(left, limit.EjectionMaxTTL), hold: p.p.Decide == "hold"})
 	}
 }
 
@@ -275,7 +275,7 @@
 	j.marks[id][policy] = m
 }
 
-// Tick lets bars lapse.
+// Tick lets ejections lapse.
 func (j *Judge) Tick(now time.Duration) []Decision {
 	var out []Decision
 	for _, id := range slices.SortedFunc(maps.Keys(j.marks), wire.ID.Compare) {
@@ -342,7 +342,7 @@
 		m, was := j.marks[id][name]
 		switch {
 		case hit && p.p.Decide == "hold":
-			j.mark(id, name, mark{until: e.At + limit.BarTTL, hold: true})
+			j.mark(id, name, mark{until: e.At + limit.EjectionTTL, hold: true})
 			if !was {
 				out = append(out, p.decision(e.At, "hold", id, p.p.When))
 			}
--- a/judge/judge_test.go
+++ b/judge/judge_test.go
@@ -32,7 +32,7 @@
 	return j
 }
 
-// The given design: one miss is nothing, two in a row bar, the bar lapses by
+// The given design: one miss is nothing, two in a row ejection, the ejection lapses by
 // itself if nobody judges any more, an answer clears it.
 func TestDefaultPolicy(t *testing.T) {
 	j := with(nil)
@@ -54,13 +54,13 @@
 			t.Fatalf("step %d: %q, barred until %v", i, got, until)
 		}
 	}
-	if got := kinds(j.Tick(9*s + limit.BarTTL - 1)); got != "" {
+	if got := kinds(j.Tick(9*s + limit.EjectionTTL - 1)); got != "" {
 		t.Fatal(got)
 	}
-	if got := kinds(j.Tick(9*s + limit.BarTTL)); got != "default lapse" {
+	if got := kinds(j.Tick(9*s + limit.EjectionTTL)); got != "default lapse" {
 		t.Fatal(got)
 	}
-	if until, _ := j.Barred(9*s+limit.BarTTL, id); until != 0 {
+	if until, _ := j.Barred(9*s+limit.EjectionTTL, id); until != 0 {
 		t.Fatal(until)
 	}
 }
@@ -120,7 +120,7 @@
 	}
 }
 
-// Replacing policies keeps what a changed bar policy had decided, drops what a
+// Replacing policies keeps what a changed ejection policy had decided, drops what a
 // removed one had, and a shadow decides without effect.
 func TestReplace(t *testing.T) {
 	p := model.Policy{Slice: "probe", When: "missed >= 1", Decide: "bar", TtlMs: 60000, Mode: "live"}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -7,10 +7,10 @@
 
 // Agreement among the core members.
 const (
-	// CoreBeat is how often a leader speaks to each member: several chances within a core grant.
-	CoreBeat = 100 * time.Millisecond
+	// CoreBeat is how often a leader speaks to each member: several chances within a core lease.
+	HeartbeatEvery = 100 * time.Millisecond
 	// CoreGrant is how long after a majority's last proof of hearing a leader may decide.
-	CoreGrant = 500 * time.Millisecond
+	LeaderLease = 500 * time.Millisecond
 	// ElectMin is how long a member that heard a leader refuses others: over CoreGrant plus a
 	// twentieth for clocks that run at unlike speed, so the old leader stops before a new one starts.
 	ElectMin = 700 * time.Millisecond
@@ -18,11 +18,11 @@
 	ElectSpread = 400 * time.Millisecond
 	// LeaderQuiet is how long no leader has spoken to a member that says that it hears none: three of
 	// its beats. A living leader that is late says itself that it leads.
-	LeaderQuiet = 3 * CoreBeat
+	LeaderQuiet = 3 * HeartbeatEvery
 	// ElectAsk is how often a member that hears no leader asks whether all the others hear none either.
 	ElectAsk = 60 * time.Millisecond
 	// FsyncStall is how long a sync may hang before a leader stops deciding: under ElectMin.
-	FsyncStall = 400 * time.Millisecond
+	SyncStall = 400 * time.Millisecond
 	// LogMax is how many entries are held before a snapshot is taken.
 	LogMax = 256
 	// LogBytes is the same in bytes. With OpenBytes, HistoryBytes and one document more a member's
@@ -35,28 +35,28 @@
 	// AppendMax bounds the bytes of entries in one message, to keep messages small beside WireMax.
 	AppendMax = 1 << 20
 	// LegacyWait is how long a leader of a refounded core collects what proxies and survivors remember.
-	LegacyWait = 1500 * time.Millisecond
+	RecoveryWait = 1500 * time.Millisecond
 	// FoundWait is how long those who could found a core without one of its machines wait for it:
 	// longer than a daemon's restart, and with all that follows within 15 s.
-	FoundWait = 5 * time.Second
+	BootstrapWait = 5 * time.Second
 	// VotersMax is how many members a core grows to if no size is given: any three machines may go,
 	// or a domain of three, and each entry is still synced by four only.
 	VotersMax = 7
-	// MemberGone is how long a member is silent before a spare daemon takes its place: longer than
+	// MemberGone is how long a member is silent before a standby daemon takes its place: longer than
 	// a process's restart. One that said that it stops has MemberForget.
-	MemberGone = 8 * time.Second
+	MemberReplaceAfter = 8 * time.Second
 	// MemberForget is how long a member is silent before it goes without a replacement: longer
 	// than a machine's restart.
 	MemberForget = 60 * time.Second
-	// LearnWait is how long a newcomer may take to catch up, and LearnAgain when one that did not
+	// LearnWait is how long a learner may take to catch up, and LearnAgain when one that did not
 	// is tried once more: others go first meanwhile.
 	LearnWait  = 3 * time.Second
 	LearnAgain = 15 * time.Second
 	// VowLife is how long an operator's order to found again holds.
-	VowLife = time.Minute
+	ConsentLife = time.Minute
 	// HelloEvery is how often daemons tell each other who is there.
 	HelloEvery = 300 * time.Millisecond
-	// HelloCalm is the same for a proxy while the leader grants it, which makes its pulls tell who is there.
+	// HelloCalm is the same for a proxy while the leader leases it, which makes its pulls tell who is there.
 	HelloCalm = 1500 * time.Millisecond
 	// MemoryEvery is how often a proxy without a leader tells a core process again what it remembers.
 	MemoryEvery = 2 * time.Second
@@ -70,31 +70,31 @@
 	DaemonGone = 15 * time.Second
 )
 
-// Tables and grants between the leader and the proxies.
+// Tables and leases between the leader and the proxies.
 const (
-	// PullEvery is how often a proxy asks for its table and grant.
+	// PullEvery is how often a proxy asks for its table and lease.
 	PullEvery = 150 * time.Millisecond
 	// GateGrant is how long a proxy serves on a leader's word, counted from when it asked.
-	GateGrant = 900 * time.Millisecond
-	// TouchGrant is the same between orphaned proxies.
-	TouchGrant = 600 * time.Millisecond
-	// TouchMost is how many partners an orphan asks at a turn, or a TouchTurns-th of a roster for which
+	ProxyLease = 900 * time.Millisecond
+	// TouchGrant is the same between leaderless proxies.
+	PeerLease = 600 * time.Millisecond
+	// TouchMost is how many peers a proxy that serves on its peers asks at a turn, or a TouchTurns-th of a roster for which
 	// that is more: all are asked again before a touch lapses, 3 x 150 ms and a hop under 600 ms.
 	TouchMost  = 16
 	TouchTurns = 3
 	// TouchWant is how many of them, in a larger roster, are asked at once what they hold against targets.
 	TouchWant = 4
-	// GrantMargin is what the leader adds before it takes a grant as lapsed, for clock speed.
+	// GrantMargin is what the leader adds before it takes a lease as lapsed, for clock speed.
 	// Worst wait for a change to be in force: GateGrant + GrantMargin = 1.1 s, under the 2 s rule.
-	GrantMargin = 200 * time.Millisecond
+	LeaseMargin = 200 * time.Millisecond
 	// GateDeaf is how long a proxy may go on asking without taking the table that it is sent before
 	// it is granted nothing more: a few lost answers. GateDeaf + GateGrant + GrantMargin = 1.6 s.
-	GateDeaf = 500 * time.Millisecond
+	ProxyDeaf = 500 * time.Millisecond
 	// GateForget is how long a proxy may be silent before the leader drops it from the roster:
 	// long enough for a machine's restart.
-	GateForget = 60 * time.Second
+	ProxyForget = 60 * time.Second
 	// GateLive is how long after its last pull a proxy counts when shares are split.
-	GateLive = 2 * time.Second
+	ProxyLive = 2 * time.Second
 	// FirstRoster is how long a leader with an empty roster gathers proxies before it admits them as one.
 	FirstRoster = 500 * time.Millisecond
 	// TableEvery is how often tables are made of news that may wait: many targets that come or turn
@@ -107,7 +107,7 @@
 	TablesKept = 64
 	// GonesKept is how many targets that went a leader remembers so as to tell changes by.
 	GonesKept = 1024
-	// LeftStep is how far the end of a bar or of coldness must move to be told again.
+	// LeftStep is how far the end of an ejection or of coldness must move to be told again.
 	LeftStep = 250 * time.Millisecond
 	// FlightBytes is how much may be under way to a proxy unconfirmed, in bytes: a slow link's tenth of a
 	// second. SlowLink is what such a link carries beside traffic, in bytes a second, RowBytes a table's row.
@@ -121,14 +121,14 @@
 	// WarmLeader is how long a new leader waits for tables from a majority of proxies.
 	WarmLeader = 1500 * time.Millisecond
 	// AskWait bounds an operator's change: past it the answer is 'unknown'.
-	AskWait = 6 * time.Second
+	CallWait = 6 * time.Second
 	// ChangesKept is how many past changes can be asked about, and rolled back to while their
 	// texts fit HistoryBytes.
 	ChangesKept = 16
 	// DocMax bounds a configuration in bytes.
 	DocMax = 512 << 10
-	// SqueezeFrom is from how many bytes on a document or memory is squeezed for its way: below, it fits a few packets.
-	SqueezeFrom = 2 << 10
+	// SqueezeFrom is from how many bytes on a document or memory is compressed for its way: below, it fits a few packets.
+	CompressFrom = 2 << 10
 	// WireMax bounds one message between daemons: a snapshot with all kept configurations.
 	WireMax = 8 << 20
 )
@@ -142,47 +142,47 @@
 	ProbeCap = 400 * time.Millisecond
 	// NamedSilent is how long a target of a service that no configuration names, and that is not probed,
 	// may be silent, if it beat steadily before, until it has to prove itself anew: a beat and a little. NamedSpread is over what time
-	// the first probes go out once the service is named: with both, one that just died is barred in time.
+	// the first probes go out once the service is named: with both, one that just died is ejected in time.
 	NamedSilent = BeatEvery + 100*time.Millisecond
 	NamedSpread = ProbeEvery / 2
 	// IndirectAfter is how long the probe after a missed one may be unanswered before the leader has
 	// IndirectProbes proxies probe in its place. What they tell counts once it comes a PullEvery after
 	// the leader's probe went out, and has ProbeCap - IndirectAfter = 0.25 s to come: two hops, a
-	// probe and a tick. A bar waits for nobody: it comes with the second miss as ever.
+	// probe and a tick. An ejection waits for nobody: it comes with the second miss as ever.
 	IndirectAfter  = PullEvery
 	IndirectProbes = 2
 	// DoubtAfter is how long after its last granted pull a proxy begins to probe and to touch its
-	// partners: two pulls and a little, so that a healthy leader is seldom doubted.
+	// peers: two pulls and a little, so that a healthy leader is seldom doubted.
 	DoubtAfter = 330 * time.Millisecond
 	// DoubtEvery is a doubting proxy's own probe interval: the leader, if it is lost, may have been
-	// one miss short of a bar. At the worst 0.45 + 0.45 + 0.4 s went by there and 0.33 + 0.4 + 0.4 go by here.
+	// one miss short of an ejection. At the worst 0.45 + 0.45 + 0.4 s went by there and 0.33 + 0.4 + 0.4 go by here.
 	DoubtEvery = 200 * time.Millisecond
 	// ProbeBurst is how many probes of targets that are known from the log go out in one tick.
 	ProbeBurst = 64
 	// KeepEvery is how often the agreed registry of targets is written, if something in it changed;
 	// a word that says leaving or gone is written at the next tick after another write.
-	KeepEvery = 250 * time.Millisecond
+	RegistryEvery = 250 * time.Millisecond
 	// KeepBatch is how many targets one write holds, PlacesMax how many targets, and marks of those
 	// that are gone, the registry: at 300 bytes each 2.4 MB, and with all else under half a ring file.
-	KeepBatch = 256
-	PlacesMax = 4096
+	RegistryBatch = 256
+	RegistryMax = 4096
 	// WatchMost is how many targets a doubting proxy probes, about: 40 each 200 ms. Of more each is
 	// watched by a part of the proxies, of WatchMost targets by all.
 	WatchMost = 40
 	Watchers  = 8
-	// ProbeMisses in a row make a bar; the source's two.
+	// ProbeMisses in a row make an ejection; the source's two.
 	ProbeMisses = 2
-	// BarTTL is the source's 30 s, after which a bar lapses by itself.
-	BarTTL = 30 * time.Second
-	// BarMaxTTL is the longest bar that a policy may ask for.
-	BarMaxTTL = 10 * time.Minute
+	// BarTTL is the source's 30 s, after which an ejection lapses by itself.
+	EjectionTTL = 30 * time.Second
+	// BarMaxTTL is the longest ejection that a policy may ask for.
+	EjectionMaxTTL = 10 * time.Minute
 	// ReconcileEvery is the source's 10 s full rewrite.
 	ReconcileEvery = 10 * time.Second
 	// BeatEvery is what back ends are told to keep to.
 	BeatEvery = 500 * time.Millisecond
 	// BeatLapse is how long a target may be silent before it no longer counts as beating:
 	// three beats and a little, and with one push still under the 2 s rule, since a service
-	// whose targets are all barred is served by those that beat.
+	// whose targets are all ejected is served by those that beat.
 	BeatLapse = 1600 * time.Millisecond
 	// SeenEvery is how often what proxies saw of a target becomes one event for the policies:
 	// Window of them reach back over RetryWindow.
@@ -195,9 +195,9 @@
 	ProofSpan  = 900 * time.Millisecond
 	// WordWait is how long a word that says leaving or gone may wait until a majority of the proxies
 	// has confirmed it: who says it goes to the next daemon after 1 s.
-	WordWait = 850 * time.Millisecond
+	TargetReportWait = 850 * time.Millisecond
 	// WordAgain is after what time such a word is passed to the leader once more, if no answer came.
-	WordAgain = 200 * time.Millisecond
+	TargetReportRetry = 200 * time.Millisecond
 	// NameMax bounds a domain's name in bytes.
 	NameMax = 128
 	// SlotsMax and ColdMax bound what a target may say of itself: far over any real one.
@@ -206,7 +206,7 @@
 	// NamesKept is how many names of targets that are gone a leader remembers the places of.
 	NamesKept = 4096
 	// TombKeep is how long after its last word a signed-off or superseded incarnation is refused.
-	TombKeep = 2 * time.Minute
+	TombstoneKeep = 2 * time.Minute
 	// Window is the longest look back that a policy's condition has, in samples.
 	Window = 32
 	// PolicyNodes bounds a condition's size.
@@ -217,23 +217,23 @@
 	PolicyMax = 16
 )
 
-// Carrying exchanges.
+// Carrying requests.
 const (
 	// RetryWindow and RetryShare are the brief's: a fifth of the traffic in any 10 s.
 	RetryWindow = 10 * time.Second
 	RetryShare  = 5
-	// RetryCost is what a retry costs in exchanges, a little over RetryShare, so that what may be
+	// RetryCost is what a retry costs in requests, a little over RetryShare, so that what may be
 	// saved up, a RetryBurst-th of the last 10 s, still fits: 1/6 + 1/60 = 0.18, under a fifth.
 	RetryCost  = 6
 	RetryBurst = 60
 	// RetryFree is the small allowance of retries per service, split over the proxies, at least one each.
 	RetryFree = 10
-	// TriesMax is how often one exchange may be sent in all.
+	// TriesMax is how often one request may be sent in all.
 	TriesMax = 3
-	// ChoiceLife is how long after a target was chosen an exchange may begin to be written to it: a
-	// new pipe's time and a little. A process that freezes in between sends nothing on an old choice.
+	// ChoiceLife is how long after a target was chosen a request may begin to be written to it: a
+	// new connection's time and a little. A process that freezes in between sends nothing on an old choice.
 	ChoiceLife = DialCap + 100*time.Millisecond
-	// DialCap is how long opening a pipe and checking its identity may take.
+	// DialCap is how long opening a connection and checking its identity may take.
 	DialCap = 500 * time.Millisecond
 	// ConnectCap is how long a connection to a target may take to open: over any round trip between
 	// domains, under what a lost first packet costs anyway. Nothing was sent, so another is chosen.
@@ -242,61 +242,61 @@
 	// is known to be out of reach: two missed probes take longer.
 	DarkAfter = 300 * time.Millisecond
 	DarkEvery = 60 * time.Millisecond
-	// OpensMax is how many choices of one exchange may end before anything is sent. They do not count
+	// OpensMax is how many choices of one request may end before anything is sent. They do not count
 	// as its attempts, which are targets that it was sent to.
 	OpensMax = 4
-	// Shun is how long a target that refused a pipe is used last by that proxy.
-	Shun = time.Second
-	// ClosedBar is how long a proxy leaves a target out after two pipes in a row could not be
+	// Shun is how long a target that refused a connection is used last by that proxy.
+	AvoidFor = time.Second
+	// ClosedBar is how long a proxy leaves a target out after two connections in a row could not be
 	// opened: the design's two misses, seen from where they hurt, until the leader's word comes.
-	ClosedBar = 3 * time.Second
+	ClosedEjection = 3 * time.Second
 	// BodyMax is the default bound of a caller's body in bytes.
 	BodyMax = 1 << 20
-	// ReplayMax is the largest body, in bytes, kept so that a safe exchange can be sent again.
+	// ReplayMax is the largest body, in bytes, kept so that a safe request can be sent again.
 	ReplayMax = 64 << 10
 	// TimeoutMaxMs bounds a route's times: ten minutes.
 	TimeoutMaxMs = 600000
-	// TimeoutMs is the default deadline of an exchange.
+	// TimeoutMs is the default deadline of a request.
 	TimeoutMs = 5000
-	// CapDefault is the default number of exchanges in flight per target over all proxies.
+	// CapDefault is the default number of requests in flight per target over all proxies.
 	CapDefault = 64
 	// WarmDefault is the same for a warming target.
 	WarmDefault = 4
 	// RampUp is over what time a target's cap grows from its warming one to the full one.
 	RampUp = 3 * time.Second
-	// RetryAfterMin and RetryAfterSpan make the Retry-After of a refusal, spread by exchange.
+	// RetryAfterMin and RetryAfterSpan make the Retry-After of a refusal, spread by request.
 	RetryAfterMin  = time.Second
 	RetryAfterSpan = 3 * time.Second
-	// PipeIdle is how long an unused pipe to a back end is kept: under the 5 s after which common
-	// servers close theirs, so that an exchange seldom meets the close under way.
-	PipeIdle = 4 * time.Second
+	// PipeIdle is how long an unused connection to a back end is kept: under the 5 s after which common
+	// servers close theirs, so that a request seldom meets the close under way.
+	ConnIdle = 4 * time.Second
 	// AheadMax is how many requests of one caller's connection are begun before those ahead of them
 	// are answered; AheadRead is how much of it is looked at, in bytes: some usual headers.
 	AheadMax  = 8
 	AheadRead = 2 << 10
-	// CallerIdle is how long a caller's unused pipe is kept.
+	// CallerIdle is how long a caller's unused connection is kept.
 	CallerIdle = 60 * time.Second
 	// CallerHeader is how long a caller's header may take to come: three lost words' time.
 	CallerHeader = 3 * BeatLapse
-	// IdleSlack is how much longer than it is told an unused pipe of a caller's is kept: who
+	// IdleSlack is how much longer than it is told an unused connection of a caller's is kept: who
 	// believes in the bound never writes on one that is being closed.
 	IdleSlack = time.Second
-	// PipesIdleMax is how many unused pipes are kept per target: targets bound the pipes from all
+	// PipesIdleMax is how many unused connections are kept per target: targets bound the connections from all
 	// proxies together, and some hold a slot for each.
-	PipesIdleMax = 8
-	// ConnParts: a proxy keeps at most this part of the pipes that a target takes from all, so that
+	IdleConnsMax = 8
+	// ConnParts: a proxy keeps at most this part of the connections that a target takes from all, so that
 	// idle ones of many proxies leave room for new ones.
 	ConnParts = 16
 	// TryLeast is the time that another try after a target's own failure needs: a few hops and a short answer.
 	TryLeast = 25 * time.Millisecond
-	// OnceIdle is how long a pipe may have been unused for an exchange that must not run twice: a
-	// target that closes it meanwhile, or has gone dark, leaves the exchange unknown; a new pipe finds
+	// OnceIdle is how long a connection may have been unused for a request that must not run twice: a
+	// target that closes it meanwhile, or has gone dark, leaves the request unknown; a new connection finds
 	// that out before anything is sent.
 	OnceIdle = 200 * time.Millisecond
-	// AliveMargin is how much sooner than a target says it keeps a pipe the pipe is given up: a
+	// AliveMargin is how much sooner than a target says it keeps a connection the connection is given up: a
 	// hop each way, and clocks and queues in between.
 	AliveMargin = 500 * time.Millisecond
-	// Unacked is how long what was sent on a pipe to a target or daemon may stay unacknowledged
+	// Unacked is how long what was sent on a connection to a target or daemon may stay unacknowledged
 	// before it is broken: the rule's 2 s.
 	Unacked = 2 * time.Second
 	// CallerUnacked is the same for callers, over the pauses of one who reads slowly.
@@ -317,36 +317,36 @@
 	CallerBody = 64 << 20
 	// ProbeBody bounds what is read of an answer to a probe, in bytes.
 	ProbeBody = 4 << 10
-	// ProbePipe is how long a pipe for probes is kept without one: a target that is gone leaves none.
-	ProbePipe = 10 * time.Second
+	// ProbePipe is how long a connection for probes is kept without one: a target that is gone leaves none.
+	ProbeConnIdle = 10 * time.Second
 	// AimMinutes is the longest window of a service-level aim, in minutes: proxies keep it in memory.
 	AimMinutes = 60
 	// HeaderMax bounds a caller's header in bytes.
 	HeaderMax = 32 << 10
-	// RetryEarn and RetrySave, parts of the retry ratio: what each exchange earns at once, and what of
+	// RetryEarn and RetrySave, parts of the retry ratio: what each request earns at once, and what of
 	// the window before may be saved up. Together with rounding they stay under the whole.
 	RetryEarn = 0.85
 	RetrySave = 0.1
-	// CountSlices is in how many slices a window's exchanges are counted.
+	// CountSlices is in how many slices a window's requests are counted.
 	CountSlices = 20
-	// FullPause is how long a target that said it is full is left out: less than a usual exchange,
+	// FullPause is how long a target that said it is full is left out: less than a usual request,
 	// one of which ends meanwhile.
 	FullPause = 70 * time.Millisecond
 	// LoadLife is how long what a target told of its load counts, less and less.
 	LoadLife = time.Second
 	// PaceLife is how long a target's past speed counts, less and less, so that a slow one is tried
-	// again; PaceWeight is an exchange's part in it, the first ones' more: times vary as much as speeds.
+	// again; PaceWeight is a request's part in it, the first ones' more: times vary as much as speeds.
 	PaceLife   = 20 * time.Second
 	PaceWeight = 0.1
 	// PaceUrge is how much of a target's slowness counts beside its load, PaceMost the most that does:
 	// as long as a slot is free, a full target is no slower than an empty one.
 	PaceUrge = 1.0
 	PaceMost = 1.5
-	// PipeUrge is what an open pipe is worth beside a target's load.
-	PipeUrge = 0.1
-	// MeanWeight is an exchange's part in its route's mean time, once a few have been seen.
+	// PipeUrge is what an open connection is worth beside a target's load.
+	ConnUrge = 0.1
+	// MeanWeight is a request's part in its route's mean time, once a few have been seen.
 	MeanWeight = 0.05
-	// BorrowParts of its even part of the slots, and BorrowMore exchanges, is what a proxy may have at
+	// BorrowParts of its even part of the slots, and BorrowMore requests, is what a proxy may have at
 	// a service's targets in any case, so that queues before them stay short; as long as none
 	// says that it is full, up to BorrowMost parts.
 	BorrowParts = 1.5
@@ -360,7 +360,7 @@
 	// to those before it while there is pressure.
 	Ranks    = 4
 	RankRoom = 0.1
-	// WaitPart of a route's aim is how long an exchange may wait for a target: a refusal after that
+	// WaitPart of a route's aim is how long a request may wait for a target: a refusal after that
 	// is a late one. A route without an aim has WaitAim of its timeout in its place.
 	WaitPart = 4
 	WaitAim  = 4
@@ -374,10 +374,10 @@
 	// long enough: two misses of a look each second, and a little. StopMargin is what it leaves of that time.
 	StopLingerMost = 3 * time.Second
 	StopMargin     = 300 * time.Millisecond
-	// StopLast is how long a proxy whose grace is known waits for its callers' pipes to close, after
-	// its last exchange: within what the owner leaves of the grace.
+	// StopLast is how long a proxy whose grace is known waits for its callers' connections to close, after
+	// its last request: within what the owner leaves of the grace.
 	StopLast = 200 * time.Millisecond
-	// StopWait is how long a stopping proxy finishes its exchanges, and StopLinger how long it
+	// StopWait is how long a stopping proxy finishes its requests, and StopLinger how long it
 	// serves on after going unready so that callers can move away.
 	StopWait   = 20 * time.Second
 	StopLinger = 1500 * time.Millisecond
@@ -387,7 +387,7 @@
 const (
 	// TickEvery is the owners' heartbeat.
 	TickEvery = 20 * time.Millisecond
-	// SendQueue is how many messages may wait for one connection, and SendLate how long: a grant that
+	// SendQueue is how many messages may wait for one connection, and SendLate how long: a lease that
 	// comes later is of no use, and old words would keep new ones waiting.
 	SendQueue = 64
 	SendLate  = 500 * time.Millisecond
@@ -401,7 +401,7 @@
 	RingFileSize = 8 << 20
 	// RingPiece is how much of a file, in bytes, is in memory while it is looked through at a start.
 	RingPiece = 256 << 10
-	// Redial is how long after a pipe to a daemon could not be opened the next is tried: daemons that
+	// Redial is how long after a connection to a daemon could not be opened the next is tried: daemons that
 	// start together find each other within it, and there is no more to send than what is said again.
 	Redial = 20 * time.Millisecond
 	// SettingsEvery is how often a settings file is looked at for changes.
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -15,19 +15,19 @@
 		max  time.Duration
 	}{
 		{"a target's death to its bar everywhere", 2*ProbeEvery + ProbeCap + push, 2 * time.Second},
-		{"a proxy's doubt to its own bar, as an orphan", GateGrant/2 + 2*ProbeEvery + ProbeCap + push, 2 * time.Second},
+		{"a proxy's doubt to its own bar, as an orphan", ProxyLease/2 + 2*ProbeEvery + ProbeCap + push, 2 * time.Second},
 		{"silence until a target no longer counts as beating", BeatLapse + push, 2 * time.Second},
-		{"a change agreed to in force, with a proxy cut off", drift(GateGrant) + GrantMargin + push, 2 * time.Second},
-		{"the same with a proxy that asks and hears nothing", GateDeaf + drift(GateGrant) + GrantMargin + push, 2 * time.Second},
-		{"a touch's end, seen from the majority's stand", drift(TouchGrant) + TickEvery, TouchGrant + GrantMargin},
-		{"a grant's end, seen from the pull", drift(GateGrant) + TickEvery, GateGrant + GrantMargin},
-		{"the old leader's end, seen by members", drift(CoreGrant) + TickEvery, ElectMin},
-		{"a stalled disk's leader's end", FsyncStall + TickEvery, ElectMin},
+		{"a change agreed to in force, with a proxy cut off", drift(ProxyLease) + LeaseMargin + push, 2 * time.Second},
+		{"the same with a proxy that asks and hears nothing", ProxyDeaf + drift(ProxyLease) + LeaseMargin + push, 2 * time.Second},
+		{"a touch's end, seen from the majority's stand", drift(PeerLease) + TickEvery, PeerLease + LeaseMargin},
+		{"a grant's end, seen from the pull", drift(ProxyLease) + TickEvery, ProxyLease + LeaseMargin},
+		{"the old leader's end, seen by members", drift(LeaderLease) + TickEvery, ElectMin},
+		{"a stalled disk's leader's end", SyncStall + TickEvery, ElectMin},
 		{"a death to its bar, the service named meanwhile", NamedSilent + NamedSpread + ProbeEvery + ProbeCap + push, 2 * time.Second},
 		{"an indirect probe's answer, before the leader's own is a miss", IndirectAfter + 2*TickEvery + push, ProbeCap},
 		{"three beats lost at most", 3*BeatEvery + TickEvery, BeatLapse},
-		{"partners touched before a grant lapses", PullEvery*2 + TickEvery, GateGrant / 2},
-		{"from nothing to deciding, a machine gone", 4*HelloEvery + FoundWait + 3*HelloEvery + ElectMin + ElectSpread + LegacyWait + WarmLeader + FirstRoster, 15 * time.Second},
+		{"partners touched before a grant lapses", PullEvery*2 + TickEvery, ProxyLease / 2},
+		{"from nothing to deciding, a machine gone", 4*HelloEvery + BootstrapWait + 3*HelloEvery + ElectMin + ElectSpread + RecoveryWait + WarmLeader + FirstRoster, 15 * time.Second},
 		{"a look back over the retry window in events", RetryWindow / (Window / 2), SeenEvery * 2},
 	} {
 		if c.sum > c.max {
@@ -44,7 +44,7 @@
 
 // Who says that it leaves goes to the next daemon after a second: the answer is there before.
 func TestWordIsAnsweredInTime(t *testing.T) {
-	if WordWait+2*TickEvery >= 900*time.Millisecond || WordAgain >= WordWait/2 || WordWait <= 2*PullEvery {
-		t.Errorf("%v, once more after %v", WordWait, WordAgain)
+	if TargetReportWait+2*TickEvery >= 900*time.Millisecond || TargetReportRetry >= TargetReportWait/2 || TargetReportWait <= 2*PullEvery {
+		t.Errorf("%v, once more after %v", TargetReportWait, TargetReportRetry)
 	}
 }
--- a/model/model.go
+++ b/model/model.go
@@ -36,11 +36,11 @@
 	BodyMax   int `koanf:"body_max" json:"body_max"`
 	Tries     int `koanf:"tries" json:"tries"`
 	SlowMs    int `koanf:"slow_ms" json:"slow_ms,omitempty"`
-	// HealthPath is where targets are asked for their health; "": the identity exchange instead.
+	// HealthPath is where targets are asked for their health; "": the identity request instead.
 	HealthPath string `koanf:"health_path" json:"health_path,omitempty"`
-	// ConnCap is how many pipes a target takes from all callers together, 0: not said.
+	// ConnCap is how many connections a target takes from all callers together, 0: not said.
 	ConnCap int `koanf:"conn_cap" json:"conn_cap,omitempty"`
-	// ColdS is how many seconds a target is cold after its start, ColdPerS the exchanges a second
+	// ColdS is how many seconds a target is cold after its start, ColdPerS the requests a second
 	// that it bears meanwhile from all proxies together; 0: no such bound.
 	ColdS    float64 `koanf:"cold_s" json:"cold_s,omitempty"`
 	ColdPerS float64 `koanf:"cold_per_s" json:"cold_per_s,omitempty"`
@@ -71,13 +71,13 @@
 // configuration that does not name it has it all the same.
 const DefaultPolicy = "default"
 
-// Default is the given design: two misses in a row bar, an answer clears.
+// Default is the given design: two misses in a row ejection, an answer clears.
 func Default() Policy {
 	return Policy{Slice: "probe", When: fmt.Sprintf("misses_in_row >= %d", limit.ProbeMisses), Clear: "ok_in_row >= 1",
-		Decide: "bar", TtlMs: int(limit.BarTTL.Milliseconds()), Mode: "live", Note: "two missed probes in a row"}
+		Decide: "bar", TtlMs: int(limit.EjectionTTL.Milliseconds()), Mode: "live", Note: "two missed probes in a row"}
 }
 
-// Aim is a service-level aim: of a service's exchanges in the window, this part
+// Aim is a service-level aim: of a service's requests in the window, this part
 // is to be answered below 500 within under_ms. Refusals count against it.
 type Aim struct {
 	Service   string  `koanf:"service" json:"service"`
@@ -387,7 +387,7 @@
 	return out, errors.Mark(err, ErrNotJSON)
 }
 
-// Match finds the rule for an exchange: an exact host before any host, then the
+// Match finds the rule for a request: an exact host before any host, then the
 // longest path, whose end must fall on a segment. Allowed lists the methods
 // of that path when only the method is wrong.
 func (c *Config) Match(host, path, method string) (svc string, allowed []string, ok bool) {
@@ -442,7 +442,7 @@
 	Domain      string   `json:"domain,omitempty"`
 	State       string   `json:"state"`
 	Demand      *float64 `json:"demand,omitempty"`
-	// Slots are the exchanges that it works on at once, 0: not said. ColdLeftMs is how much longer
+	// Slots are the requests that it works on at once, 0: not said. ColdLeftMs is how much longer
 	// it bears only its service's cold rate. Number rises with each word, 0: not numbered.
 	Slots      int64  `json:"slots,omitempty"`
 	ColdLeftMs int64  `json:"cold_left_ms,omitempty"`
@@ -521,7 +521,7 @@
 }
 
 // Trouble is the one shape of every error that a daemon answers with. Ran says
-// whether the exchange reached a back end: no, or unknown.
+// whether the request reached a back end: no, or unknown.
 type Trouble struct {
 	Code     string  `json:"code"`
 	Message  string  `json:"message"`
--- a/model/route.go
+++ b/model/route.go
@@ -1,4 +1,4 @@
-// This file is routes: exchanges chosen by host and longest prefix, each with what
+// This file is routes: requests chosen by host and longest prefix, each with what
 // holds for it (whether it may be repeated, tries, times, priority) and one service
 // or a weighted split over several. An index by host and prefix makes a choice cost
 // the path's depth, however many routes there are.
@@ -18,7 +18,7 @@
 	"myrtlefold/limit"
 )
 
-// Kinds of routes: what an exchange on one may be subjected to.
+// Kinds of routes: what a request on one may be subjected to.
 const (
 	Repeatable = "repeatable" // may run more than once
 	Once       = "once"       // may run at most once for each exchange
@@ -31,7 +31,7 @@
 	Weight  float64 `json:"weight"`
 }
 
-// Route is what holds for exchanges under a host and prefix. Times are in ms.
+// Route is what holds for requests under a host and prefix. Times are in ms.
 type Route struct {
 	Host      string  `json:"host"`
 	Prefix    string  `json:"prefix"`
@@ -52,7 +52,7 @@
 	IdleMs      int `json:"idle_ms,omitempty"`
 }
 
-// Repeats says whether an exchange of the route may run more than once.
+// Repeats says whether a request of the route may run more than once.
 func (r *Route) Repeats() bool { return r.Kind != Once }
 
 // Timeout and Aim are the route's times.
@@ -71,8 +71,8 @@
 func (s *Service) Cold() time.Duration { return time.Duration(s.ColdS * float64(time.Second)) }
 
 // Asked says that the service's targets are asked for their health and take the
-// identity that is expected of them with each exchange; others are asked for it on
-// each new pipe.
+// identity that is expected of them with each request; others are asked for it on
+// each new connection.
 func (s *Service) Asked() bool { return s.HealthPath != "" }
 
 // hosts is the index of a configuration's routes.
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -1,4 +1,4 @@
-// This file is the election: who asks for votes, who grants them, and when a
+// This file is the election: who asks for votes, who leases them, and when a
 // candidate leads.
 package quorum
 
@@ -12,30 +12,30 @@
 )
 
 // hearsNone says that this node leads nobody and that no leader has spoken to it lately.
-func (n *Node) hearsNone(now time.Duration) bool {
-	return n.role != Leader && now-n.met >= limit.LeaderQuiet
+func (n *Node) hearsNoLeader(now time.Duration) bool {
+	return n.role != Leader && now-n.leaderSpokeAt >= limit.LeaderQuiet
 }
 
 // stand asks for votes; all says that every member is asked whether it may be at once.
-func (n *Node) stand(now time.Duration, pre, transfer, all bool) {
+func (n *Node) campaign(now time.Duration, pre, transfer, all bool) {
 	n.askedAt = now
 	if pre {
-		n.become(now, Asking)
+		n.become(now, PreCandidate)
 	} else {
 		n.term++
 		n.vote = n.self.Name
 		n.become(now, Candidate)
-		n.hard(now)
+		n.syncHardState(now)
 	}
 	t := n.term
 	if pre {
 		t++
 	}
-	n.all = all
+	n.unanimous = all
 	lt, _ := n.termAt(n.last())
 	ask := n.members
 	if all {
-		ask = n.everyone
+		ask = n.electorate
 	}
 	for _, m := range ask {
 		if m == n.self || m.Disk == 0 {
@@ -45,37 +45,37 @@
 		n.send(v, !pre)
 		v.Term = t
 	}
-	n.alone[n.self.Name] = true
-	n.count(now, n.self.Name, true)
+	n.consents[n.self.Name] = true
+	n.countVote(now, n.self.Name, true)
 }
 
 // count takes a vote, or only leave to stand at once, and acts on what there is.
-func (n *Node) count(now time.Duration, name string, vote bool) {
+func (n *Node) countVote(now time.Duration, name string, vote bool) {
 	if vote && !n.votes[name] {
 		n.votes[name], n.votedAt = true, now
 	}
-	if 2*len(n.votes) <= len(n.members) || n.all && (n.outdone || !n.leave()) {
+	if 2*len(n.votes) <= len(n.members) || n.unanimous && (n.outranked || !n.unanimousConsent()) {
 		return
 	}
 	switch n.role {
-	case Asking:
-		n.stand(now, false, false, n.all)
+	case PreCandidate:
+		n.campaign(now, false, false, n.unanimous)
 	case Candidate:
 		n.become(now, Leader)
-		n.spread(now, true)
+		n.replicate(now, true)
 	}
 }
 
 // leave says that every member has given leave to stand at once.
-func (n *Node) leave() bool {
-	return !slices.ContainsFunc(n.everyone, func(m wire.Member) bool { return !n.alone[m.Name] })
+func (n *Node) unanimousConsent() bool {
+	return !slices.ContainsFunc(n.electorate, func(m wire.Member) bool { return !n.consents[m.Name] })
 }
 
-// Yield gives leadership up and asks the best partner to stand at once.
-func (n *Node) Yield(now time.Duration) bool {
-	var best *partner
+// Yield gives leadership up and asks the best peer to stand at once.
+func (n *Node) TransferLeadership(now time.Duration) bool {
+	var best *peer
 	for _, p := range n.sorted() {
-		if p.voter && now-p.acked < limit.CoreGrant && (best == nil || p.match > best.match) {
+		if p.voter && now-p.acked < limit.LeaderLease && (best == nil || p.match > best.match) {
 			best = p
 		}
 	}
@@ -85,8 +85,8 @@
 	n.become(now, Follower)
 	n.leader = ""
 	n.deadline = now + 4*limit.ElectMin
-	n.met = n.deadline
-	n.send(&wire.Msg{Kind: uint16(wire.KVote), To: best.m.Name, Vote: &wire.Vote{Transfer: true, Reply: true}}, false)
+	n.leaderSpokeAt = n.deadline
+	n.send(&wire.Msg{Kind: uint16(wire.KVote), To: best.member.Name, Vote: &wire.Vote{Transfer: true, Reply: true}}, false)
 	return true
 }
 
@@ -99,10 +99,10 @@
 	}
 	lt, _ := n.termAt(n.last())
 	upToDate := v.LastTerm > lt || v.LastTerm == lt && v.LastIndex >= n.last()
-	quiet := v.Transfer || now-n.heard >= limit.ElectMin && n.role != Leader || v.All && n.hearsNone(now)
+	quiet := v.Transfer || now-n.leaderHeardAt >= limit.ElectMin && n.role != Leader || v.All && n.hearsNoLeader(now)
 	r := &wire.Msg{Kind: uint16(wire.KVote), To: m.From, Vote: &wire.Vote{Pre: v.Pre, Reply: true, All: v.All, LastIndex: n.last(), LastTerm: lt}}
 	if v.Pre {
-		r.Vote.Alone = v.All && n.hearsNone(now) && len(n.open) == 0
+		r.Vote.Alone = v.All && n.hearsNoLeader(now) && len(n.unsyncedBatches) == 0
 		r.Vote.Granted = quiet && upToDate && m.Term > n.term
 		n.send(r, false)
 		if r.Vote.Granted {
@@ -120,7 +120,7 @@
 	if upToDate && (n.vote == "" || n.vote == m.From) && n.role == Follower {
 		if n.vote == "" {
 			n.vote = m.From
-			n.hard(now)
+			n.syncHardState(now)
 		}
 		r.Vote.Granted = true
 		n.deadline = now + limit.ElectMin + limit.ElectSpread
@@ -131,20 +131,20 @@
 
 func (n *Node) voteReply(now time.Duration, m *wire.Msg) {
 	from, v := wire.Member{Name: m.From, Disk: m.Disk}, m.Vote
-	if !slices.Contains(n.everyone, from) || v.All != n.all && (n.role == Asking || n.role == Candidate) {
+	if !slices.Contains(n.electorate, from) || v.All != n.unanimous && (n.role == PreCandidate || n.role == Candidate) {
 		return
 	}
-	vote := v.Granted && n.voter(m.From, m.Disk)
+	vote := v.Granted && n.isVoter(m.From, m.Disk)
 	switch {
-	case n.role == Asking && v.Pre && (v.Granted && m.Term == n.term+1 || v.Alone && m.Term <= n.term):
+	case n.role == PreCandidate && v.Pre && (v.Granted && m.Term == n.term+1 || v.Alone && m.Term <= n.term):
 		lt, _ := n.termAt(n.last())
-		n.outdone = n.outdone || v.All && cmp.Or(cmp.Compare(v.LastTerm, lt), cmp.Compare(v.LastIndex, n.last()), cmp.Compare(n.self.Name, m.From)) > 0
-		n.alone[m.From] = n.alone[m.From] || v.Alone
-		n.count(now, m.From, vote)
+		n.outranked = n.outranked || v.All && cmp.Or(cmp.Compare(v.LastTerm, lt), cmp.Compare(v.LastIndex, n.last()), cmp.Compare(n.self.Name, m.From)) > 0
+		n.consents[m.From] = n.consents[m.From] || v.Alone
+		n.countVote(now, m.From, vote)
 	case !v.Granted && m.Term > n.term:
 		n.follow(now, m.Term)
 	case n.role == Candidate && !v.Pre && m.Term == n.term:
-		n.alone[m.From] = n.alone[m.From] || v.Alone
-		n.count(now, m.From, vote)
+		n.consents[m.From] = n.consents[m.From] || v.Alone
+		n.countVote(now, m.From, vote)
 	}
 }
--- a/quorum/member.go
+++ b/quorum/member.go
@@ -16,83 +16,83 @@
 func (n *Node) Members() []wire.Member { return slices.Clone(n.members) }
 
 func (n *Node) readMembers() {
-	n.members, n.everyone = n.snap.Members, nil
+	n.members, n.electorate = n.snap.Members, nil
 	for _, e := range n.log {
-		if e.Kind == EMembers {
+		if e.Kind == EntryMembers {
 			var ms []wire.Member
 			if err := json.Unmarshal(e.Data, &ms); err != nil {
 				panic(errors.Wrapf(err, "members entry %d", e.Index))
 			}
-			n.everyone = n.members
+			n.electorate = n.members
 			n.members = ms
 		}
 	}
-	n.everyone = slices.Clone(n.everyone)
+	n.electorate = slices.Clone(n.electorate)
 	for _, m := range n.members {
-		if !slices.Contains(n.everyone, m) {
-			n.everyone = append(n.everyone, m)
+		if !slices.Contains(n.electorate, m) {
+			n.electorate = append(n.electorate, m)
 		}
 	}
-	n.everyone = slices.DeleteFunc(n.everyone, func(m wire.Member) bool { return m.Disk == 0 }) // a place that nobody has
+	n.electorate = slices.DeleteFunc(n.electorate, func(m wire.Member) bool { return m.Disk == 0 }) // a place that nobody has
 	if n.role == Leader {
 		n.syncPartners()
 	}
 }
 
-func (n *Node) voter(name string, disk uint64) bool {
+func (n *Node) isVoter(name string, disk uint64) bool {
 	return slices.Contains(n.members, wire.Member{Name: name, Disk: disk})
 }
 
 func (n *Node) syncPartners() {
-	for _, p := range n.partners {
-		p.voter = slices.Contains(n.members, p.m)
+	for _, p := range n.peers {
+		p.voter = slices.Contains(n.members, p.member)
 	}
 	for _, m := range n.members {
 		if m == n.self {
 			continue
 		}
-		if p := n.partners[m.Name]; p == nil || p.m != m {
-			n.partners[m.Name] = &partner{m: m, voter: true, next: n.last() + 1, acked: -1 << 62}
+		if p := n.peers[m.Name]; p == nil || p.member != m {
+			n.peers[m.Name] = &peer{member: m, voter: true, next: n.last() + 1, acked: -1 << 62}
 		}
 	}
 }
 
 // Learn has the leader keep m up to date without a vote.
-func (n *Node) Learn(m wire.Member) {
-	if p := n.partners[m.Name]; n.role == Leader && (p == nil || p.m != m) && !n.voterName(m.Name) {
-		n.partners[m.Name] = &partner{m: m, next: n.last() + 1, acked: -1 << 62}
+func (n *Node) AddLearner(m wire.Member) {
+	if p := n.peers[m.Name]; n.role == Leader && (p == nil || p.member != m) && !n.isVoterName(m.Name) {
+		n.peers[m.Name] = &peer{member: m, next: n.last() + 1, acked: -1 << 62}
 	}
 }
 
 // Release stops keeping those without a vote up to date that are not to be kept.
-func (n *Node) Release(keep func(wire.Member) bool) {
-	maps.DeleteFunc(n.partners, func(_ string, p *partner) bool { return !p.voter && !keep(p.m) })
+func (n *Node) RetainLearners(keep func(wire.Member) bool) {
+	maps.DeleteFunc(n.peers, func(_ string, p *peer) bool { return !p.voter && !keep(p.member) })
 }
 
 // Answers says that a member, or one that learns, has answered lately.
-func (n *Node) Answers(now time.Duration, m wire.Member) bool {
-	p := n.partners[m.Name]
-	return m == n.self || p != nil && p.m == m && now-p.acked < limit.CoreGrant
+func (n *Node) RecentlyActive(now time.Duration, m wire.Member) bool {
+	p := n.peers[m.Name]
+	return m == n.self || p != nil && p.member == m && now-p.acked < limit.LeaderLease
 }
 
-func (n *Node) voterName(name string) bool {
+func (n *Node) isVoterName(name string) bool {
 	return slices.ContainsFunc(n.members, func(m wire.Member) bool { return m.Name == name })
 }
 
-// CaughtUp says that a partner holds all that is agreed.
+// CaughtUp says that a peer holds all that is agreed.
 func (n *Node) CaughtUp(m wire.Member) bool {
-	p := n.partners[m.Name]
-	return p != nil && p.m == m && p.match >= n.commit && p.match > 0
+	p := n.peers[m.Name]
+	return p != nil && p.member == m && p.match >= n.commit && p.match > 0
 }
 
 // Settled says that no change of members is under way and that the leader has
 // agreed an entry of its own term, so that a change may be proposed.
-func (n *Node) Settled() bool {
-	if n.role != Leader || n.commit < n.noop {
+func (n *Node) CanChangeMembers() bool {
+	if n.role != Leader || n.commit < n.termStart {
 		return false
 	}
 	for _, e := range n.log {
-		if e.Kind == EMembers && e.Index > n.commit {
+		if e.Kind == EntryMembers && e.Index > n.commit {
 			return false
 		}
 	}
@@ -100,7 +100,7 @@
 }
 
 // Change proposes a member list that differs from the present one by one.
-func (n *Node) Change(now time.Duration, ms []wire.Member) {
+func (n *Node) ProposeMembers(now time.Duration, ms []wire.Member) {
 	d := 0
 	for _, m := range ms {
 		if !slices.Contains(n.members, m) {
@@ -112,10 +112,10 @@
 			d++
 		}
 	}
-	if d != 1 || !n.Settled() {
-		panic(errors.AssertionFailedf("change of members by %d, settled %v", d, n.Settled()))
+	if d != 1 || !n.CanChangeMembers() {
+		panic(errors.AssertionFailedf("change of members by %d, settled %v", d, n.CanChangeMembers()))
 	}
 	b, _ := json.Marshal(ms)
-	n.add(now, EMembers, b)
-	n.spread(now, false)
+	n.add(now, EntryMembers, b)
+	n.replicate(now, false)
 }
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -29,7 +29,7 @@
 
 const (
 	Follower Role = iota
-	Asking        // a pre-vote is out
+	PreCandidate        // a pre-vote is out
 	Candidate
 	Leader
 )
@@ -38,9 +38,9 @@
 
 // Kinds of log entries.
 const (
-	ENoop uint16 = iota
-	EMembers
-	EData
+	EntryNoop uint16 = iota
+	EntryMembers
+	EntryData
 )
 
 // Out is what a step left to do, in order: sync, send, apply.
@@ -64,24 +64,24 @@
 	applied  uint64
 	stable   uint64
 	leader   string
-	heard    time.Duration
+	leaderHeardAt    time.Duration
 	deadline time.Duration
 	votes    map[string]bool
-	all      bool            // it stands without waiting, by everybody's leave
-	alone    map[string]bool // who gave that
-	outdone  bool            // another member should stand in its place
-	met      time.Duration   // when a leader last spoke here since this start
+	unanimous      bool            // it stands without waiting, by everybody's leave
+	consents    map[string]bool // who gave that
+	outranked  bool            // another member should stand in its place
+	leaderSpokeAt      time.Duration   // when a leader last spoke here since this start
 	askedAt  time.Duration
 	votedAt  time.Duration
-	everyone []wire.Member // the members, and those before the last change if that may be under way
-	partners map[string]*partner
+	electorate []wire.Member // the members, and those before the last change if that may be under way
+	peers map[string]*peer
 	beatAt   time.Duration
 	since    time.Duration
 	seq      uint64
 	hardSeq  uint64
-	open     []batch
-	wait     []waiting
-	noop     uint64
+	unsyncedBatches     []unsyncedBatch
+	heldMessages     []heldMessage
+	termStart     uint64
 	out      Out
 }
 
@@ -89,7 +89,7 @@
 // leader, since the node may have promised one that it would wait.
 func New(now time.Duration, self string, im Image) *Node {
 	n := &Node{self: wire.Member{Name: self, Disk: im.Disk}, epoch: im.Epoch, term: im.Term, vote: im.Vote,
-		snap: im.Snap, log: slices.Clone(im.Log), heard: now, met: -1 << 62, askedAt: -1 << 62, partners: map[string]*partner{}}
+		snap: im.Snap, log: slices.Clone(im.Log), leaderHeardAt: now, leaderSpokeAt: -1 << 62, askedAt: -1 << 62, peers: map[string]*peer{}}
 	n.commit, n.applied = im.Snap.Index, im.Snap.Index
 	n.stable = n.last()
 	n.readMembers()
@@ -134,8 +134,8 @@
 func (n *Node) become(now time.Duration, r Role) {
 	n.role = r
 	n.since = now
-	n.votes, n.alone, n.all, n.outdone = map[string]bool{}, map[string]bool{}, false, false
-	n.partners = map[string]*partner{}
+	n.votes, n.consents, n.unanimous, n.outranked = map[string]bool{}, map[string]bool{}, false, false
+	n.peers = map[string]*peer{}
 	h := fnv.New64a()
 	h.Write([]byte(n.self.Name))
 	h.Write([]byte{byte(n.term), byte(n.term >> 8), byte(now >> 20), byte(now >> 28)})
@@ -143,30 +143,30 @@
 	if r == Leader {
 		n.leader = n.self.Name
 		n.syncPartners()
-		for _, p := range n.partners {
+		for _, p := range n.peers {
 			p.next = n.last() + 1
 		}
-		n.noop = n.add(now, ENoop, nil)
+		n.termStart = n.add(now, EntryNoop, nil)
 		n.beatAt = 0
 	}
 }
 
 // Led says whether a leader is heard, or is this node.
-func (n *Node) Led(now time.Duration) bool {
-	return n.role == Leader || n.leader != "" && now-n.heard < 3*limit.ElectMin
+func (n *Node) HearsLeader(now time.Duration) bool {
+	return n.role == Leader || n.leader != "" && now-n.leaderHeardAt < 3*limit.ElectMin
 }
 
 // Leads says whether this node may decide now.
-func (n *Node) Leads(now time.Duration) bool {
-	return n.role == Leader && n.commit >= n.noop && !n.Stalled(now) && n.majorityHeard(now) > now-limit.CoreGrant
+func (n *Node) HasLease(now time.Duration) bool {
+	return n.role == Leader && n.commit >= n.termStart && !n.DiskStalled(now) && n.majorityAckedAt(now) > now-limit.LeaderLease
 }
 
-func (n *Node) majorityHeard(now time.Duration) time.Duration {
+func (n *Node) majorityAckedAt(now time.Duration) time.Duration {
 	var at []time.Duration
 	for _, m := range n.members {
 		if m == n.self {
 			at = append(at, now)
-		} else if p := n.partners[m.Name]; p != nil && p.m == m {
+		} else if p := n.peers[m.Name]; p != nil && p.member == m {
 			at = append(at, p.acked)
 		} else {
 			at = append(at, -1<<62)
@@ -183,30 +183,30 @@
 func (n *Node) Tick(now time.Duration) {
 	switch n.role {
 	case Leader:
-		if n.Stalled(now) || now-max(n.majorityHeard(now), n.since) > limit.ElectMin {
+		if n.DiskStalled(now) || now-max(n.majorityAckedAt(now), n.since) > limit.ElectMin {
 			n.become(now, Follower)
 			n.leader = ""
 			return
 		}
-		if now-n.beatAt >= limit.CoreBeat {
+		if now-n.beatAt >= limit.HeartbeatEvery {
 			n.beatAt = now
-			n.spread(now, true)
+			n.replicate(now, true)
 		}
 	default:
-		if n.Stalled(now) || !n.voter(n.self.Name, n.self.Disk) {
+		if n.DiskStalled(now) || !n.isVoter(n.self.Name, n.self.Disk) {
 			return
 		}
-		if n.role == Candidate && n.all && 2*len(n.votes) > len(n.members) && now-n.votedAt >= limit.ElectMin {
+		if n.role == Candidate && n.unanimous && 2*len(n.votes) > len(n.members) && now-n.votedAt >= limit.ElectMin {
 			n.become(now, Leader) // whatever its voters had promised before is over now
-			n.spread(now, true)
+			n.replicate(now, true)
 			return
 		}
-		if now >= n.deadline && now-n.heard >= limit.ElectMin {
+		if now >= n.deadline && now-n.leaderHeardAt >= limit.ElectMin {
 			n.leader = ""
-			n.stand(now, true, false, false)
-		} else if n.hearsNone(now) && now-n.askedAt >= limit.ElectAsk && (n.role == Follower || n.all && n.role == Asking) {
+			n.campaign(now, true, false, false)
+		} else if n.hearsNoLeader(now) && now-n.askedAt >= limit.ElectAsk && (n.role == Follower || n.unanimous && n.role == PreCandidate) {
 			at := n.deadline
-			n.stand(now, true, false, true)
+			n.campaign(now, true, false, true)
 			n.deadline = at
 		}
 	}
@@ -215,7 +215,7 @@
 func (n *Node) follow(now time.Duration, term uint64) {
 	if term > n.term {
 		n.term, n.vote, n.leader = term, "", ""
-		n.hard(now)
+		n.syncHardState(now)
 	}
 	if n.role != Follower {
 		n.become(now, Follower)
@@ -229,8 +229,8 @@
 	}
 	switch {
 	case m.Vote != nil && m.Vote.Transfer && m.Vote.Reply:
-		if m.Term == n.term && n.role == Follower && n.voter(n.self.Name, n.self.Disk) {
-			n.stand(now, false, true, false)
+		if m.Term == n.term && n.role == Follower && n.isVoter(n.self.Name, n.self.Disk) {
+			n.campaign(now, false, true, false)
 		}
 	case m.Vote != nil && m.Vote.Reply:
 		n.voteReply(now, m)
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -74,7 +74,7 @@
 	if n.Take(); n.Term() != 5 {
 		t.Fatal("a handover was refused")
 	}
-	if limit.ElectMin < limit.CoreGrant*105/100 || limit.FsyncStall >= limit.ElectMin {
+	if limit.ElectMin < limit.LeaderLease*105/100 || limit.SyncStall >= limit.ElectMin {
 		t.Fatal("a leader may decide while another is elected")
 	}
 }
@@ -137,7 +137,7 @@
 				}
 			}
 		}
-		if nodes["a"].Leads(now) {
+		if nodes["a"].HasLease(now) {
 			return
 		}
 	}
@@ -197,7 +197,7 @@
 					n.Synced(w.now, b.Seq)
 				}
 			}
-			if n.Leads(w.now) {
+			if n.HasLease(w.now) {
 				leads++
 			}
 		}
@@ -213,7 +213,7 @@
 
 func (w *trio) leader() string {
 	for _, n := range []string{"a", "b", "c"} {
-		if w.nodes[n].Leads(w.now) {
+		if w.nodes[n].HasLease(w.now) {
 			return n
 		}
 	}
@@ -270,7 +270,7 @@
 	ms := []wire.Member{{Name: "a", Disk: 1}, {Name: "b", Disk: 2}, {Name: "c", Disk: 3}}
 	left, _ := json.Marshal(ms[:2])
 	now := limit.ElectMin / 4
-	n := New(0, "a", Image{Epoch: 1, Disk: 1, Term: 3, Snap: wire.Snap{Index: 1, Members: ms}, Log: []wire.Entry{{Index: 2, Term: 3, Kind: EMembers, Data: left}}})
+	n := New(0, "a", Image{Epoch: 1, Disk: 1, Term: 3, Snap: wire.Snap{Index: 1, Members: ms}, Log: []wire.Entry{{Index: 2, Term: 3, Kind: EntryMembers, Data: left}}})
 	leave := func(from string, disk uint64, pre bool, term uint64) {
 		n.Recv(now, &wire.Msg{Kind: uint16(wire.KVote), From: from, Disk: disk, Epoch: 1, Term: term,
 			Vote: &wire.Vote{Pre: pre, Reply: true, All: true, Granted: true, Alone: true, LastIndex: 1}})
@@ -281,7 +281,7 @@
 		}
 	}
 	n.Tick(now)
-	if leave("b", 2, true, 4); n.Role() != Asking {
+	if leave("b", 2, true, 4); n.Role() != PreCandidate {
 		t.Fatalf("it is a %v without the leave of who was taken out last", n.Role())
 	}
 	if leave("c", 3, true, 4); n.Role() != Candidate {
--- a/quorum/replication.go
+++ b/quorum/replication.go
@@ -12,8 +12,8 @@
 	"myrtlefold/wire"
 )
 
-type partner struct {
-	m      wire.Member
+type peer struct {
+	member      wire.Member
 	voter  bool
 	next   uint64
 	match  uint64
@@ -24,19 +24,19 @@
 func (n *Node) add(now time.Duration, kind uint16, data []byte) uint64 {
 	e := wire.Entry{Index: n.last() + 1, Term: n.term, Kind: kind, Data: data}
 	n.log = append(n.log, e)
-	if kind == EMembers {
+	if kind == EntryMembers {
 		n.readMembers()
 	}
-	n.sync(now, &wire.Batch{Entries: []wire.Entry{e}})
+	n.syncBatch(now, &wire.Batch{Entries: []wire.Entry{e}})
 	n.advance(now)
 	return e.Index
 }
 
 // Propose adds data to the log and returns its index; only a leader with a
-// grant may call it.
+// lease may call it.
 func (n *Node) Propose(now time.Duration, data []byte) uint64 {
-	i := n.add(now, EData, data)
-	n.spread(now, false)
+	i := n.add(now, EntryData, data)
+	n.replicate(now, false)
 	return i
 }
 
@@ -46,7 +46,7 @@
 		for _, m := range n.members {
 			if m == n.self {
 				ix = append(ix, n.stable)
-			} else if p := n.partners[m.Name]; p != nil && p.m == m {
+			} else if p := n.peers[m.Name]; p != nil && p.member == m {
 				ix = append(ix, p.match)
 			} else {
 				ix = append(ix, 0)
@@ -57,7 +57,7 @@
 			c := ix[(len(ix)-1)/2]
 			if t, ok := n.termAt(c); ok && t == n.term && c > n.commit {
 				n.commit = c
-				n.spread(now, false)
+				n.replicate(now, false)
 			}
 		}
 	}
@@ -65,13 +65,13 @@
 		n.applied++
 		n.out.Apply = append(n.out.Apply, n.log[n.applied-n.snap.Index-1])
 	}
-	if n.role == Leader && n.commit >= n.noop && n.Settled() && !n.voter(n.self.Name, n.self.Disk) {
+	if n.role == Leader && n.commit >= n.termStart && n.CanChangeMembers() && !n.isVoter(n.self.Name, n.self.Disk) {
 		n.become(now, Follower)
 		n.leader = ""
 	}
 }
 
-func (n *Node) bytes(after, upTo uint64) (b int) {
+func (n *Node) entryBytes(after, upTo uint64) (b int) {
 	for _, e := range n.log {
 		if e.Index > after && e.Index <= upTo {
 			b += len(e.Data)
@@ -81,9 +81,9 @@
 }
 
 // Open is how much has been proposed and is not agreed yet.
-func (n *Node) Open() int { return n.bytes(n.commit, n.last()) }
+func (n *Node) UncommittedBytes() int { return n.entryBytes(n.commit, n.last()) }
 
-func (n *Node) spread(now time.Duration, beat bool) {
+func (n *Node) replicate(now time.Duration, beat bool) {
 	if n.role != Leader {
 		return
 	}
@@ -94,13 +94,13 @@
 	}
 }
 
-func (n *Node) sorted() []*partner {
-	var ps []*partner
-	for _, p := range n.partners {
+func (n *Node) sorted() []*peer {
+	var ps []*peer
+	for _, p := range n.peers {
 		ps = append(ps, p)
 	}
-	slices.SortFunc(ps, func(a, b *partner) int {
-		if a.m.Name < b.m.Name {
+	slices.SortFunc(ps, func(a, b *peer) int {
+		if a.member.Name < b.member.Name {
 			return -1
 		}
 		return 1
@@ -108,11 +108,11 @@
 	return ps
 }
 
-func (n *Node) sendAppend(now time.Duration, p *partner) {
+func (n *Node) sendAppend(now time.Duration, p *peer) {
 	a := &wire.Append{Commit: n.commit}
 	if p.next <= n.snap.Index {
 		a.PrevIndex, a.PrevTerm = n.snap.Index, n.snap.Term
-		if now-p.snapAt > 5*limit.CoreBeat || p.snapAt == 0 {
+		if now-p.snapAt > 5*limit.HeartbeatEvery || p.snapAt == 0 {
 			p.snapAt = now
 			s := n.snap
 			a.Snap = &s
@@ -129,32 +129,32 @@
 		}
 		p.next += uint64(len(a.Entries))
 	}
-	n.send(&wire.Msg{Kind: uint16(wire.KAppend), To: p.m.Name, Stamp: int64(now), Append: a}, false)
+	n.send(&wire.Msg{Kind: uint16(wire.KAppend), To: p.member.Name, Stamp: int64(now), Append: a}, false)
 }
 
 func (n *Node) appendAsk(now time.Duration, m *wire.Msg) {
 	a := m.Append
 	r := &wire.Msg{Kind: uint16(wire.KAppend), To: m.From, Stamp: m.Stamp, Append: &wire.Append{Reply: true, Match: n.last()}}
-	n.met = now
+	n.leaderSpokeAt = now
 	if m.Term < n.term {
 		n.send(r, false)
 		return
 	}
 	n.follow(now, m.Term)
 	n.leader = m.From
-	n.heard = now
+	n.leaderHeardAt = now
 	n.deadline = now + limit.ElectMin + n.deadline%limit.ElectSpread
 	if a.Snap != nil && a.Snap.Index > n.commit {
 		n.snap = *a.Snap
 		n.log = nil
 		n.commit, n.applied = a.Snap.Index, a.Snap.Index
 		n.stable = 0
-		for i := range n.open {
-			n.open[i].last = 0
+		for i := range n.unsyncedBatches {
+			n.unsyncedBatches[i].last = 0
 		}
 		n.readMembers()
 		s := n.snap
-		n.sync(now, &wire.Batch{Snap: &s, Cut: 1})
+		n.syncBatch(now, &wire.Batch{Snap: &s, Cut: 1})
 		n.out.Restore = &s
 		n.out.Apply = nil
 	}
@@ -186,8 +186,8 @@
 			cut = e.Index
 			n.log = slices.Clone(n.log[:e.Index-n.snap.Index-1])
 			n.stable = min(n.stable, e.Index-1)
-			for i := range n.open {
-				n.open[i].last = min(n.open[i].last, e.Index-1)
+			for i := range n.unsyncedBatches {
+				n.unsyncedBatches[i].last = min(n.unsyncedBatches[i].last, e.Index-1)
 			}
 		}
 		break
@@ -195,11 +195,11 @@
 	if len(fresh) > 0 {
 		n.log = append(n.log, fresh...)
 		n.readMembers()
-		n.sync(now, &wire.Batch{Cut: cut, Entries: fresh})
+		n.syncBatch(now, &wire.Batch{Cut: cut, Entries: fresh})
 	}
 	match := a.PrevIndex + uint64(len(a.Entries))
 	r.Append.Ok, r.Append.Match = true, match
-	n.send(r, match > n.stable || len(n.open) > 0 && n.open[0].seq <= n.hardSeq)
+	n.send(r, match > n.stable || len(n.unsyncedBatches) > 0 && n.unsyncedBatches[0].seq <= n.hardSeq)
 	if c := min(a.Commit, match); c > n.commit {
 		n.commit = c
 		n.advance(now)
@@ -211,14 +211,14 @@
 		n.follow(now, m.Term)
 		return
 	}
-	p := n.partners[m.From]
-	if n.role != Leader || m.Term != n.term || p == nil || p.m.Disk != m.Disk {
+	p := n.peers[m.From]
+	if n.role != Leader || m.Term != n.term || p == nil || p.member.Disk != m.Disk {
 		return
 	}
 	p.acked = max(p.acked, time.Duration(m.Stamp))
 	if !m.Append.Ok {
 		p.next = max(p.match+1, min(p.next, m.Append.Match+1))
-		if p.next > n.snap.Index || now-p.snapAt > 5*limit.CoreBeat {
+		if p.next > n.snap.Index || now-p.snapAt > 5*limit.HeartbeatEvery {
 			n.sendAppend(now, p)
 		}
 		return
--- a/quorum/snapshot.go
+++ b/quorum/snapshot.go
@@ -13,8 +13,8 @@
 func (n *Node) Snap() *wire.Snap { return &n.snap }
 
 // Full says that a snapshot is due.
-func (n *Node) Full() bool {
-	return n.applied > n.snap.Index && (len(n.log) > limit.LogMax || n.bytes(n.snap.Index, n.applied) > limit.LogBytes)
+func (n *Node) SnapshotDue() bool {
+	return n.applied > n.snap.Index && (len(n.log) > limit.LogMax || n.entryBytes(n.snap.Index, n.applied) > limit.LogBytes)
 }
 
 // Compact replaces the applied log by the state that it led to.
@@ -25,7 +25,7 @@
 	}
 	ms := n.snap.Members
 	for _, e := range n.log {
-		if e.Index <= n.applied && e.Kind == EMembers {
+		if e.Index <= n.applied && e.Kind == EntryMembers {
 			var l []wire.Member
 			if json.Unmarshal(e.Data, &l) == nil {
 				ms = l
@@ -35,5 +35,5 @@
 	s := wire.Snap{Index: n.applied, Term: t, Members: ms, Data: data}
 	n.log = slices.Clone(n.log[n.applied-n.snap.Index:])
 	n.snap = s
-	n.sync(now, &wire.Batch{Snap: &s})
+	n.syncBatch(now, &wire.Batch{Snap: &s})
 }
--- a/sim/backend.go
+++ b/sim/backend.go
@@ -23,12 +23,12 @@
 	state                       string
 	leftAt                      time.Duration // when a daemon first took its word that it leaves
 	goneAt                      time.Duration
-	works                       []*exchange // those in work
+	works                       []*request // those in work
 	work, usual                 time.Duration
 	coldTill                    time.Duration
 	coldTold                    time.Duration // the end that a daemon has acknowledged, and when all must keep to it
 	coldFrom                    time.Duration
-	resets                      bool            // when full it resets pipes and says nothing
+	resets                      bool            // when full it resets connections and says nothing
 	came                        []time.Duration // arrivals while it is cold, of the last second
 	still                       bool            // says nothing, but serves and answers probes
 	named                       bool            // its words go by PUT and are numbered
--- a/sim/clocks_test.go
+++ b/sim/clocks_test.go
@@ -17,7 +17,7 @@
 	owners := []string{"core", "gate", "judge", "quorum"}
 	barred := []string{"math/rand", "math/rand/v2", "os", "net", "net/http", "sync", "sync/atomic", "context"}
 	wall := []string{"Unix", "UnixNano", "UnixMilli", "UnixMicro", "UTC", "Local", "Date", "Clock", "Format", "Round", "Truncate"}
-	naming := map[string]int{"../host/host.go": 2, "../host/ctl.go": 2} // a change's id begins with the date
+	naming := map[string]int{"../host/http.go": 2, "../host/ctl.go": 2} // a change's id begins with the date
 	for _, dir := range append(slices.Clone(owners), "carry", "host", "ring", "wire", "model") {
 		files, _ := filepath.Glob("../" + dir + "/*.go")
 		if len(files) == 0 {
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -333,7 +333,7 @@
 			return
 		}
 		for i := range 4 * len(w.Plan.Services) { // chosen, and not yet written
-			w.exchangeAt(p, slices.Sorted(maps.Keys(w.Plan.Services))[i%len(w.Plan.Services)], i%2 == 0, 9)
+			w.requestAt(p, slices.Sorted(maps.Keys(w.Plan.Services))[i%len(w.Plan.Services)], i%2 == 0, 9)
 		}
 		w.Freeze(p, w.ms(300, 8000))
 		if t := w.pickTarget(); t != nil && w.spare(t.service) > 2 {
--- a/sim/fleet_test.go
+++ b/sim/fleet_test.go
@@ -286,7 +286,7 @@
 
 // A majority of the old proxies is cut off from the core, but not from their callers,
 // while many new ones come: the new majority alone must not put a change in force that
-// the old one, standing together as orphans, can't know of.
+// the old one, standing together as proxies that serve on their peers, can't know of.
 func TestJointRoster(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(12) {
@@ -335,7 +335,7 @@
 	}
 }
 
-// Herds of proxies die and spares come in numbers, during cuts.
+// Herds of proxies die and standbys come in numbers, during cuts.
 func TestHerdsAndSpares(t *testing.T) {
 	t.Parallel()
 	f := func(name string) Fault { x, _ := ByName(name); return x }
--- a/sim/grown_test.go
+++ b/sim/grown_test.go
@@ -140,7 +140,7 @@
 }
 
 // A configuration with very many routes is in force in good time on thin links, and what
-// follows it too, while no proxy loses its grant.
+// follows it too, while no proxy loses its lease.
 func TestManyRoutesOnThinLinks(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(2) {
@@ -180,7 +180,7 @@
 	return p
 }
 
-// Members that come from spares, leave for good or lose their disks, herds of proxies and the loss
+// Members that come from standbys, leave for good or lose their disks, herds of proxies and the loss
 // of everything at once: changes are acknowledged within 4 s, and nothing acknowledged is forgotten.
 func TestManyCoreMachinesOnLittle(t *testing.T) {
 	t.Parallel()
--- a/sim/guards_test.go
+++ b/sim/guards_test.go
@@ -97,8 +97,8 @@
 	}
 }
 
-// A proxy that was cut off just after a grant goes on for that grant's time, so an
-// acknowledgement waits for its end, be it this leader's grant or an earlier one's.
+// A proxy that was cut off just after a lease goes on for that lease's time, so an
+// acknowledgement waits for its end, be it this leader's lease or an earlier one's.
 func TestAcknowledgementWaitsForGrants(t *testing.T) {
 	t.Parallel()
 	p := Small
@@ -130,7 +130,7 @@
 	}
 }
 
-// A stopping proxy ends only when its exchanges have.
+// A stopping proxy ends only when its requests have.
 func TestStopFinishesWork(t *testing.T) {
 	t.Parallel()
 	w := Start(2, Small)
@@ -153,7 +153,7 @@
 	}
 }
 
-// A proxy that has just started and has a table from one partner only does not
+// A proxy that has just started and has a table from one peer only does not
 // stand surety for others: it may have forgotten what it once confirmed.
 func TestNewProxyStandsNoSurety(t *testing.T) {
 	t.Parallel()
@@ -178,7 +178,7 @@
 
 // The given design on the ordinary path: two missed probes take a target out of
 // every proxy's table at once, though its beats go on; the regular refresh keeps
-// it out; an answer clears the bar and what runs well stays where it is.
+// it out; an answer clears the ejection and what runs well stays where it is.
 func TestDesign(t *testing.T) {
 	t.Parallel()
 	w := Start(5, Small)
@@ -194,7 +194,7 @@
 		}
 		return n
 	}
-	delete(w.listen, tg.addr) // its port is shut, pipes included, while its process beats on
+	delete(w.listen, tg.addr) // its port is shut, connections included, while its process beats on
 	for _, p := range w.procs {
 		delete(p.pool, wire.ID{Service: tg.service, Name: tg.name, Inc: tg.inc})
 	}
@@ -206,7 +206,7 @@
 		t.Fatalf("%v until no table held it", took)
 	}
 	ver := w.Leader().core.Table().Key.Ver
-	w.Run(w.now + 45*time.Second) // over several refreshes and the bar's 30 s
+	w.Run(w.now + 45*time.Second) // over several refreshes and the ejection's 30 s
 	if in() > 0 || w.Leader().core.Table().Key.Ver == ver {
 		t.Fatalf("in %d tables again; version %d -> %d", in(), ver, w.Leader().core.Table().Key.Ver)
 	}
@@ -235,7 +235,7 @@
 	}
 }
 
-// When every target of a service is barred, those that still beat are used; held
+// When every target of a service is ejected, those that still beat are used; held
 // and gone ones never are.
 func TestAllBarred(t *testing.T) {
 	t.Parallel()
@@ -244,7 +244,7 @@
 	var fares []*Target
 	for _, tg := range w.targets {
 		if tg.service == "fares" {
-			tg.deaf = true // probes fail, exchanges are served
+			tg.deaf = true // probes fail, requests are served
 			fares = append(fares, tg)
 		}
 	}
@@ -254,7 +254,7 @@
 	w.quiet = false
 	before := w.Stats.Served
 	for range 50 {
-		w.exchange("fares", true, 9)
+		w.request("fares", true, 9)
 	}
 	w.Run(w.now + time.Second)
 	check(t, w)
@@ -263,8 +263,8 @@
 	}
 }
 
-// A leader that is cut off from healthy targets does not bar them: proxies have
-// answers from them. What no proxy can vouch for is barred all the same.
+// A leader that is cut off from healthy targets does not ejection them: proxies have
+// answers from them. What no proxy can vouch for is ejected all the same.
 func TestLeaderCutFromTargets(t *testing.T) {
 	t.Parallel()
 	p := Small
@@ -311,7 +311,7 @@
 	}
 }
 
-// A leader that was frozen must not, on its first event after the thaw, grant
+// A leader that was frozen must not, on its first event after the thaw, lease
 // anything: another may have led and acknowledged meanwhile.
 func TestThawedLeaderGrantsNothing(t *testing.T) {
 	t.Parallel()
@@ -338,7 +338,7 @@
 }
 
 // A proxy that could reach nothing for a while serves again as soon as the leader
-// grants it: what it held against targets then was its own trouble.
+// leases it: what it held against targets then was its own trouble.
 func TestBackFromIsolation(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(10) {
@@ -364,7 +364,7 @@
 func latest(t *testing.T, seed uint64, do func(w *World, tg *Target)) time.Duration {
 	t.Helper()
 	p := Small
-	p.Rate = 60 // few enough that pipes which do not open do not tell it first
+	p.Rate = 60 // few enough that connections which do not open do not tell it first
 	w := Start(seed, p)
 	w.Run(w.now + time.Second)
 	do(w, w.targets[int(seed)%len(w.targets)])
@@ -391,7 +391,7 @@
 	}
 }
 
-// A leader is cut off just before its bar: proxies judge by probes of their own.
+// A leader is cut off just before its ejection: proxies judge by probes of their own.
 func TestTargetDiesBeforeLeaderIsCutOff(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(40) {
@@ -405,7 +405,7 @@
 	}
 }
 
-// A proxy freezes with exchanges in hand, chosen and not yet written. What happens
+// A proxy freezes with requests in hand, chosen and not yet written. What happens
 // meanwhile holds for them too: on the thaw they go elsewhere or back.
 func TestFrozenWithWorkInHand(t *testing.T) {
 	t.Parallel()
--- a/sim/operate_test.go
+++ b/sim/operate_test.go
@@ -193,7 +193,7 @@
 }
 
 // Policies are compared on the traffic of the day: the live one and a shadow one that
-// bars at the first miss see the same, and each has its own score.
+// ejections at the first miss see the same, and each has its own score.
 func TestLiveScores(t *testing.T) {
 	t.Parallel()
 	w := Start(11, Small)
@@ -223,7 +223,7 @@
 	}
 }
 
-// What policies decided outlives leaders and replacements: a bar by the default
+// What policies decided outlives leaders and replacements: an ejection by the default
 // policy and a hold by an operator's stand under the next leader from its first table
 // on, and under a changed policy of the same name.
 func TestDecisionsOutliveLeaders(t *testing.T) {
--- a/sim/operator.go
+++ b/sim/operator.go
@@ -90,7 +90,7 @@
 	w.changes = append(w.changes, c)
 	w.Stats.Changes++
 	if strings.HasSuffix(path, "/restore") {
-		delete(w.emptied, c.empty) // from the asking on, exchanges may go there again
+		delete(w.emptied, c.empty) // from the asking on, requests may go there again
 	}
 	w.call(p, method, path, query, body, c.token, func(r core.Reply) {
 		switch {
--- a/sim/process.go
+++ b/sim/process.go
@@ -37,7 +37,7 @@
 	base   time.Duration
 	rate   float64
 	core   *core.Core
-	gate   *gate.Gate
+	gate   *gate.Proxy
 	disk   *disk
 	pool   map[wire.ID][]*Target
 	live   map[wire.ID]string
@@ -207,7 +207,7 @@
 		}
 		d := w.delay/5 + time.Duration(w.rnd.Int64N(int64(w.delay)))
 		k := [2]string{p.name, to.name}
-		at := max(w.now+d, w.link[k]+1) // a pipe keeps its order
+		at := max(w.now+d, w.link[k]+1) // a connection keeps its order
 		m, tg := w.spoil(p, to, c.M), to.gen
 		if m == nil {
 			return
@@ -217,7 +217,7 @@
 			return
 		}
 		if w.rnd.Float64() < w.late {
-			at = w.now + w.ms(200, 4000) // left over in an earlier pipe
+			at = w.now + w.ms(200, 4000) // left over in an earlier connection
 			w.Stats.Slips++
 			m = w.spoilLate(p, m)
 		} else {
@@ -273,7 +273,7 @@
 	case gate.Targets:
 		p.live = c.Live
 		maps.DeleteFunc(p.pool, func(id wire.ID, _ []*Target) bool { _, ok := c.Live[id]; return !ok })
-	case gate.Dark: // exchanges here wait for their deadlines
+	case gate.Dark: // requests here wait for their deadlines
 	case gate.Give:
 		w.give(p, c)
 	case gate.Refuse:
--- a/sim/request.go
+++ b/sim/request.go
@@ -11,7 +11,7 @@
 	"myrtlefold/limit"
 )
 
-type exchange struct {
+type request struct {
 	id     uint64
 	svc    string
 	unsafe bool
@@ -30,7 +30,7 @@
 	retry bool
 }
 
-// Callers sends exchanges at the plan's rate until the world is quiet.
+// Callers sends requests at the plan's rate until the world is quiet.
 func (w *World) Callers() {
 	var next func()
 	next = func() {
@@ -38,13 +38,13 @@
 			return
 		}
 		svcs := slices.Sorted(maps.Keys(w.Plan.Services))
-		w.exchange(svcs[w.rnd.IntN(len(svcs))], w.rnd.Float64() < w.Plan.Unsafe, 0)
+		w.request(svcs[w.rnd.IntN(len(svcs))], w.rnd.Float64() < w.Plan.Unsafe, 0)
 		w.at(time.Duration(w.rnd.ExpFloat64()*float64(time.Second)/w.Plan.Rate), next)
 	}
 	w.at(0, next)
 }
 
-func (w *World) exchange(svc string, unsafe bool, hard int) {
+func (w *World) request(svc string, unsafe bool, hard int) {
 	var ready []*Proc
 	for _, n := range w.names {
 		if p := w.procs[n]; p.kind == "gate" && p.alive && !p.frozen && p.gate.Ready() {
@@ -61,12 +61,12 @@
 	if len(ready) == 0 {
 		return
 	}
-	w.exchangeAt(ready[w.rnd.IntN(len(ready))], svc, unsafe, hard)
+	w.requestAt(ready[w.rnd.IntN(len(ready))], svc, unsafe, hard)
 }
 
-func (w *World) exchangeAt(p *Proc, svc string, unsafe bool, hard int) {
+func (w *World) requestAt(p *Proc, svc string, unsafe bool, hard int) {
 	w.nextEx++
-	x := &exchange{id: w.nextEx, svc: svc, unsafe: unsafe, gate: p, gen: p.gen, hard: hard}
+	x := &request{id: w.nextEx, svc: svc, unsafe: unsafe, gate: p, gen: p.gen, hard: hard}
 	w.open[x.id] = x
 	w.Stats.Exchanges++
 	m := "GET"
@@ -80,7 +80,7 @@
 	w.deliver(p, gate.Admit{ID: x.id, Host: "x", Path: "/" + svc + path, Method: m})
 }
 
-func (w *World) end(x *exchange, final string) {
+func (w *World) end(x *request, final string) {
 	x.final = final
 	delete(w.open, x.id)
 	switch final {
@@ -103,7 +103,7 @@
 		}
 	}
 	if final != "served" && x.hard < 3 && w.rnd.Float64() < w.Plan.Hard {
-		w.at(w.ms(0, 5), func() { w.exchange(x.svc, x.unsafe, x.hard+1) })
+		w.at(w.ms(0, 5), func() { w.request(x.svc, x.unsafe, x.hard+1) })
 	}
 }
 
@@ -122,8 +122,8 @@
 	}
 }
 
-// give plays the carrier: a pooled pipe or a new one with its identity checked,
-// then the exchange, then what its end means.
+// give plays the forwarder: a pooled connection or a new one with its identity checked,
+// then the request, then what its end means.
 func (w *World) give(p *Proc, c gate.Give) {
 	x := w.open[c.ID]
 	if x == nil || x.gate != p || x.gen != p.gen {
@@ -190,9 +190,9 @@
 	w.at(w.ms(0, 2), func() { w.write(p, c, x, t, back, fail) })
 }
 
-// write is the moment at which an exchange's first byte goes out; a process that
+// write is the moment at which a request's first byte goes out; a process that
 // is frozen then goes on with it when it thaws.
-func (w *World) write(p *Proc, c gate.Give, x *exchange, t *Target, back func(time.Duration, func()), fail func(time.Duration, gate.Outcome, bool, bool)) {
+func (w *World) write(p *Proc, c gate.Give, x *request, t *Target, back func(time.Duration, func()), fail func(time.Duration, gate.Outcome, bool, bool)) {
 	id := c.Target.ID()
 	if !p.alive || p.gen != x.gen {
 		return
@@ -237,7 +237,7 @@
 		w.runs(t, x)
 		t.works = append(t.works, x)
 		w.at(t.work, func() {
-			t.works = slices.DeleteFunc(t.works, func(o *exchange) bool { return o == x })
+			t.works = slices.DeleteFunc(t.works, func(o *request) bool { return o == x })
 			switch {
 			case !t.alive || t.lose:
 				w.Stats.Lost++
--- a/sim/rules.go
+++ b/sim/rules.go
@@ -17,7 +17,7 @@
 	leaveBound = 2 * time.Second
 	goneBound  = 2 * time.Second
 	// lostBound is the same when the leader was lost in those very seconds, one miss short of
-	// its bar: what it had spent is added to a proxy's doubt and its own two probes.
+	// its ejection: what it had spent is added to a proxy's doubt and its own two probes.
 	lostBound = 2500 * time.Millisecond
 )
 
@@ -44,8 +44,8 @@
 	}
 }
 
-// checkGive: what a proxy may do with an exchange now.
-func (w *World) checkGive(p *Proc, c *gate.Give, x *exchange) {
+// checkGive: what a proxy may do with a request now.
+func (w *World) checkGive(p *Proc, c *gate.Give, x *request) {
 	if r := p.gate.Revision(); r < w.acked {
 		w.broken("not in force", "%s serves on revision %d, %d was acknowledged", p.name, r, w.acked)
 	}
@@ -58,7 +58,7 @@
 
 // checkWrite: the same once more when the first byte goes out, which a frozen process
 // does late. A choice that was right may be carried out for its short life.
-func (w *World) checkWrite(p *Proc, c *gate.Give, x *exchange) {
+func (w *World) checkWrite(p *Proc, c *gate.Give, x *request) {
 	life := limit.ChoiceLife * 21 / 20
 	for r, at := range w.ackedAt {
 		if r > x.rev && w.now-at > life {
@@ -97,8 +97,8 @@
 	}
 }
 
-// runs: an exchange reaches a back end's code.
-func (w *World) runs(t *Target, x *exchange) {
+// runs: a request reaches a back end's code.
+func (w *World) runs(t *Target, x *request) {
 	x.ran++
 	if x.unsafe && x.ran > 1 {
 		w.broken("ran twice", "exchange %d at %s/%s", x.id, t.service, t.name)
@@ -183,7 +183,7 @@
 	}
 }
 
-// ServedBetween counts served exchanges in a span.
+// ServedBetween counts served requests in a span.
 func (w *World) ServedBetween(a, b time.Duration) (n int) {
 	for _, t := range w.okAt {
 		if t >= a && t < b {
--- a/sim/scenes.go
+++ b/sim/scenes.go
@@ -216,7 +216,7 @@
 	Fail                               string
 }
 
-// Bad is the part of exchanges that were not served.
+// Bad is the part of requests that were not served.
 func (r *Row) Bad() float64 {
 	return float64(r.Refused+r.Failed+r.NoAnswer) / float64(max(1, r.Offered))
 }
@@ -224,7 +224,7 @@
 // Measure brings faults about once, all at the same moment, and looks at the 25 s
 // that follow, in which most end by themselves.
 func Measure(seed uint64, p Plan, kinds ...Fault) Row {
-	p.Hard = 0 // each exchange counts once
+	p.Hard = 0 // each request counts once
 	var r Row
 	for _, k := range kinds {
 		r.Kinds = append(r.Kinds, k.Name)
--- a/sim/scenes_test.go
+++ b/sim/scenes_test.go
@@ -48,7 +48,7 @@
 }
 
 // What each kind of fault may cost: a system that refuses everything breaks no rule.
-// Bounds are a third or so over the worst of 6 seeds (docs/measured.md), of exchanges
+// Bounds are a third or so over the worst of 6 seeds (docs/measured.md), of requests
 // not served, of the longest time without an answer from some service, and, where a
 // change can be made at all, of the time until it is in force.
 func TestAvailability(t *testing.T) {
@@ -59,7 +59,7 @@
 	gap := map[string]time.Duration{"service removed, its addresses handed over": 10 * time.Second, "service loses answers": 10 * time.Second,
 		"power fails everywhere": 4 * time.Second, "service comes back cold": 1500 * time.Millisecond, "all proxies forget": 1200 * time.Millisecond}
 	// No leader, no majority of proxies, or a leader that nobody can tell from a sound
-	// one before its grant is over: the answer may be late, or 'unknown'.
+	// one before its lease is over: the answer may be late, or 'unknown'.
 	slow := []string{"power fails everywhere", "core herd killed", "gate herd killed", "core gone for long, service rolled", "core cut off from proxies",
 		"a majority's disks stall", "net loses and delays", "leader isolated", "core split", "domain cut off"}
 	for _, f := range Faults {
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -26,11 +26,11 @@
 	Domains      int
 	Seeds        int            // core daemons that found the first core, of which the others learn; 0: all, by number
 	Services     map[string]int // targets each
-	Rate         float64        // exchanges a second
+	Rate         float64        // requests a second
 	Unsafe       float64        // part of them that must not run twice
 	Hard         float64        // part of refusals that are sent again at once
-	Slots        int            // exchanges at once that targets tell, and routes in rules' place; 0: neither
-	ColdPerS     float64        // exchanges a second that a cold target bears, 0: no such bound
+	Slots        int            // requests at once that targets tell, and routes in rules' place; 0: neither
+	ColdPerS     float64        // requests a second that a cold target bears, 0: no such bound
 	Known        []string       // domains that the core's settings name
 	Beats        time.Duration  // how far apart targets' words are, 0: limit.BeatEvery; each is said again after half a second
 	CoreOnly     bool           // targets speak to core daemons only
@@ -85,7 +85,7 @@
 	loss     float64
 	delay    time.Duration
 	nextEx   uint64
-	open     map[uint64]*exchange
+	open     map[uint64]*request
 	link     map[[2]string]time.Duration
 	nextInc  uint64
 	asks     map[uint64]*ask
@@ -121,14 +121,14 @@
 	Cold, TurnedAway                            int // arrivals at cold targets, and at full ones
 	Orphaned                                    int
 	Back                                        time.Duration // from healing to full capacity
-	Lost, LostUnsafe, Foreign, NoAnswer         int           // answers lost, pipes to another identity, callers whose proxy died
+	Lost, LostUnsafe, Foreign, NoAnswer         int           // answers lost, connections to another identity, callers whose proxy died
 	Leaves, Deaths, Empties, Slips, Stops       int
-	Gap                                         time.Duration // longest time without a served exchange of some service
+	Gap                                         time.Duration // longest time without a served request of some service
 }
 
 func New(seed uint64, p Plan) *World {
 	w := &World{Plan: p, Seed: seed, rnd: rand.New(rand.NewPCG(seed, 0x6d79727465)), procs: map[string]*Proc{}, byAddr: map[string]*Proc{},
-		listen: map[string]*Target{}, cut: map[[2]string]bool{}, open: map[uint64]*exchange{}, link: map[[2]string]time.Duration{},
+		listen: map[string]*Target{}, cut: map[[2]string]bool{}, open: map[uint64]*request{}, link: map[[2]string]time.Duration{},
 		asks: map[uint64]*ask{}, ackedAt: map[uint64]time.Duration{}, emptied: map[string]time.Duration{}, sends: map[string][]tick{}, delay: time.Millisecond, lastOk: map[string]time.Duration{}}
 	for i := range p.Cores {
 		w.addProc("core", fmt.Sprintf("c%d", i+1), i%p.Domains)
@@ -205,11 +205,11 @@
 
 func (w *World) reach(a, b string) bool { return !w.cut[[2]string{a, b}] }
 
-// Slots is how many exchanges named targets say that they work on at once where the plan does not.
+// Slots is how many requests named targets say that they work on at once where the plan does not.
 const Slots = 16
 
 // coldSpan is how long a target is cold after a start during traffic, queued how many
-// exchanges wait at one that is full.
+// requests wait at one that is full.
 const (
 	coldSpan = 3 * time.Second
 	queued   = 2
--- a/sim/sim_test.go
+++ b/sim/sim_test.go
@@ -202,7 +202,7 @@
 // the demand falls.
 func TestOverload(t *testing.T) {
 	t.Parallel()
-	const bears = 5 * 10 * 10 // targets, cap, exchanges a second each
+	const bears = 5 * 10 * 10 // targets, cap, requests a second each
 	steps := []struct {
 		rate     float64
 		lo, hi   float64
@@ -244,7 +244,7 @@
 		if served[i] < c.lo || served[i] > c.hi {
 			t.Errorf("asked %v/s: served %v/s, wanted %v to %v", c.rate, served[i], c.lo, c.hi)
 		}
-		// The lower bound at the knee is this one alone. An exchange holds its place for its work and 1 ms on the way.
+		// The lower bound at the knee is this one alone. A request holds its place for its work and 1 ms on the way.
 		best := lossless(c.rate, 0.3, 101*time.Millisecond, Small.Gates, bears/10/Small.Gates)
 		err := math.Sqrt((squares[i] - served[i]*served[i]) / (seeds - 1))
 		t.Logf("asked %v/s: served %.1f/s, error %.1f, %.1f by Erlang's formula", c.rate, served[i], err, best)
--- a/sim/targets_test.go
+++ b/sim/targets_test.go
@@ -185,7 +185,7 @@
 }
 
 // What short pauses of targets cost: one that is shorter than the watchdog's
-// interval bars nobody, a long one always does.
+// interval ejections nobody, a long one always does.
 func TestPauses(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
--- a/sim/words_test.go
+++ b/sim/words_test.go
@@ -132,7 +132,7 @@
 	}
 }
 
-// A majority is enough: proxies that are lost hold no word up, as their grants lapse.
+// A majority is enough: proxies that are lost hold no word up, as their leases lapse.
 func TestLeavingWaitsForNoneThatIsLost(t *testing.T) {
 	t.Parallel()
 	w := Start(25, Small)
--- a/wire/squeeze.go
+++ b/wire/squeeze.go
@@ -1,8 +1,8 @@
 package wire
 
-// Long texts between daemons, documents and what proxies remember, are squeezed by whoever
+// Long texts between daemons, documents and what proxies remember, are compressed by whoever
 // makes them, once, and opened where they are read: one of a thousand routes takes a tenth,
-// and a thin link or a leader that tells all proxies of it a tenth of the time. A squeezed
+// and a thin link or a leader that tells all proxies of it a tenth of the time. A compressed
 // text begins with a byte that no plain one does; short ones stay as they are.
 
 import (
@@ -18,8 +18,8 @@
 const squeezed = 0
 
 // Squeeze gives a text, or a shorter form of it that Open reads.
-func Squeeze(text []byte) []byte {
-	if len(text) < limit.SqueezeFrom {
+func Compress(text []byte) []byte {
+	if len(text) < limit.CompressFrom {
 		return text
 	}
 	var b bytes.Buffer
@@ -39,8 +39,8 @@
 	return bytes.Clone(b.Bytes())
 }
 
-// Open gives a text whether it was squeezed or not; one that grows over a message's bound is an error.
-func Open(b []byte) ([]byte, error) {
+// Open gives a text whether it was compressed or not; one that grows over a message's bound is an error.
+func Decompress(b []byte) ([]byte, error) {
 	if len(b) == 0 || b[0] != squeezed {
 		return b, nil
 	}
--- a/wire/squeeze_test.go
+++ b/wire/squeeze_test.go
@@ -10,10 +10,10 @@
 	"myrtlefold/limit"
 )
 
-// What is squeezed opens to the same text, and is shorter where that can be.
+// What is compressed opens to the same text, and is shorter where that can be.
 func TestSqueezedTextOpens(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(7, 7))
-	noise := make([]byte, 5*limit.SqueezeFrom)
+	noise := make([]byte, 5*limit.CompressFrom)
 	for i := range noise {
 		noise[i] = byte(1 + rnd.IntN(255))
 	}
@@ -21,28 +21,28 @@
 	for range 1400 {
 		fmt.Fprintf(&routes, `"r-%07x":{"host":"%05x.example","prefix":"/%07x/","kind":"repeatable","timeout_ms":2000},`, rnd.Uint32(), rnd.Uint32N(1<<20), rnd.Uint32())
 	}
-	for _, text := range [][]byte{nil, []byte("{}"), bytes.Repeat([]byte("a"), limit.SqueezeFrom-1), bytes.Repeat([]byte("a"), limit.SqueezeFrom), noise, routes.Bytes()} {
-		b := Squeeze(text)
+	for _, text := range [][]byte{nil, []byte("{}"), bytes.Repeat([]byte("a"), limit.CompressFrom-1), bytes.Repeat([]byte("a"), limit.CompressFrom), noise, routes.Bytes()} {
+		b := Compress(text)
 		if len(b) > len(text) {
 			t.Errorf("%d bytes grew to %d", len(text), len(b))
 		}
-		if got, err := Open(b); err != nil || !bytes.Equal(got, text) {
+		if got, err := Decompress(b); err != nil || !bytes.Equal(got, text) {
 			t.Errorf("%d bytes opened to %d: %v", len(text), len(got), err)
 		}
-		if again := Squeeze(text); !bytes.Equal(again, b) {
+		if again := Compress(text); !bytes.Equal(again, b) {
 			t.Errorf("%d bytes are squeezed in two ways", len(text))
 		}
 	}
-	if b := Squeeze(routes.Bytes()); 2*len(b) > routes.Len() {
+	if b := Compress(routes.Bytes()); 2*len(b) > routes.Len() {
 		t.Errorf("%d bytes of routes take %d", routes.Len(), len(b))
 	}
 }
 
 // A text that breaks off is an error, and so is one that grows without a bound.
 func TestOddSqueezedTextIsRefused(t *testing.T) {
-	whole := Squeeze(bytes.Repeat([]byte("one and another "), limit.SqueezeFrom))
+	whole := Compress(bytes.Repeat([]byte("one and another "), limit.CompressFrom))
 	for n := 1; n < len(whole); n++ {
-		if _, err := Open(whole[:n]); err == nil {
+		if _, err := Decompress(whole[:n]); err == nil {
 			t.Fatalf("%d of %d bytes were opened", n, len(whole))
 		}
 	}
@@ -60,7 +60,7 @@
 	if err := w.Close(); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Open(b.Bytes()); err == nil {
+	if _, err := Decompress(b.Bytes()); err == nil {
 		t.Error("a text over a message's bound was opened")
 	}
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -185,7 +185,7 @@
 	Key      Key
 	Seq      uint64
 	Revision uint64
-	Doc      []byte // squeezed, if it is long
+	Doc      []byte // compressed, if it is long
 	State    []byte
 	Gates    []Gate
 	Emptied  []string
@@ -205,7 +205,7 @@
 	// Revision and Seq are those of the document and state held here: a table that has the same comes without.
 	Revision uint64
 	Seq      uint64
-	// Want asks a partner for what it holds against targets, or for its table if that is later.
+	// Want asks a peer for what it holds against targets, or for its table if that is later.
 	Want bool
 }
 
