--- a/cmd/mflab/hollow.go
+++ b/cmd/mflab/hollow.go
@@ -32,10 +32,10 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/sirupsen/logrus"
 
-	"myrtlefold/gate"
 	"myrtlefold/host"
 	"myrtlefold/limit"
 	"myrtlefold/model"
+	"myrtlefold/proxy"
 	"myrtlefold/wire"
 )
 
@@ -165,14 +165,14 @@
 
 // standing is what a gate shows of itself; asking its owner would wait behind its work.
 type standing struct {
-	state    gate.State
+	state    proxy.State
 	revision uint64
 	table    *wire.Table
 }
 
 type hollowGate struct {
 	h   *host.Host
-	own *gate.Proxy
+	own *proxy.Proxy
 	now atomic.Pointer[standing]
 }
 
@@ -188,11 +188,11 @@
 func (r *hollowReport) look(s *standing, want uint64, service, name string) {
 	r.Gates++
 	switch s.state {
-	case gate.Granted:
+	case proxy.Granted:
 		r.Granted++
-	case gate.PeerServing:
+	case proxy.PeerServing:
 		r.Orphan++
-	case gate.Isolated:
+	case proxy.Isolated:
 		r.Cut++
 	}
 	if s.revision >= want && want > 0 {
@@ -239,7 +239,7 @@
 	for i := f.first; i < f.first+f.count; i++ {
 		s := gateSettings(f.net, i, strings.Split(f.seeds, ","))
 		h := host.New("gate", s, log)
-		g := &hollowGate{h: h, own: gate.New(gate.Settings{Self: h.Daemon(), Seeds: s.Seeds})}
+		g := &hollowGate{h: h, own: proxy.New(proxy.Settings{Self: h.Daemon(), Seeds: s.Seeds})}
 		g.now.Store(&standing{})
 		gs = append(gs, g)
 	}
@@ -248,7 +248,7 @@
 			g.h.Fatal(err, "hollow gate")
 		}
 		go g.h.Loop.Run(g.step, func(cmd any) {
-			if _, pipes := cmd.(gate.Targets); !pipes {
+			if _, pipes := cmd.(proxy.Targets); !pipes {
 				g.h.Do(cmd)
 			}
 		})
--- a/cmd/mflab/hollow_test.go
+++ b/cmd/mflab/hollow_test.go
@@ -7,9 +7,9 @@
 	"strings"
 	"testing"
 
-	"myrtlefold/gate"
 	"myrtlefold/host"
-	"myrtlefold/judge"
+	"myrtlefold/policy"
+	"myrtlefold/proxy"
 	"myrtlefold/wire"
 )
 
@@ -40,7 +40,7 @@
 	rnd := rand.New(rand.NewPCG(1, 1))
 	for range 20 {
 		targets, routes := 1+rnd.IntN(1200), 1+rnd.IntN(2500)
-		cfg, faults, err := judge.CheckConfig(hollowConfig(targets, routes))
+		cfg, faults, err := policy.CheckConfig(hollowConfig(targets, routes))
 		if err != nil || len(faults) > 0 || len(cfg.Routes) != routes {
 			t.Fatalf("%d targets, %d routes: %v %v, %d routes", targets, routes, err, faults, len(cfg.Routes))
 		}
@@ -126,14 +126,14 @@
 	tab := &wire.Table{Targets: []wire.Target{{Service: "s", Name: "a"}, {Service: "s", Name: "b", Held: true}, {Service: "s", Name: "c", BarLeft: 1}, {Service: "s", Name: "d", Pending: true}, {Service: "r", Name: "c"}}}
 	for name, out := range map[string]int{"a": 0, "b": 1, "c": 1, "d": 1, "e": 1} {
 		var r hollowReport
-		r.look(&standing{gate.Granted, 3, tab}, 3, "s", name)
+		r.look(&standing{proxy.Granted, 3, tab}, 3, "s", name)
 		if r.Out != out || r.Usable != 2 || r.Granted != 1 || r.At != 1 {
 			t.Fatalf("%s: %+v", name, r)
 		}
 	}
 	var r, sum hollowReport
-	r.look(&standing{gate.Isolated, 2, nil}, 3, "s", "a")
-	r.look(&standing{gate.PeerServing, 4, tab}, 3, "s", "a")
+	r.look(&standing{proxy.Isolated, 2, nil}, 3, "s", "a")
+	r.look(&standing{proxy.PeerServing, 4, tab}, 3, "s", "a")
 	if r.Gates != 2 || r.Usable != 0 || r.At != 1 || r.Out != 1 || r.Cut != 1 || r.Orphan != 1 {
 		t.Fatalf("%+v", r)
 	}
--- a/cmd/mfstub/main.go
+++ b/cmd/mfstub/main.go
@@ -27,7 +27,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"myrtlefold/carry"
+	"myrtlefold/forward"
 	"myrtlefold/host"
 	"myrtlefold/limit"
 	"myrtlefold/model"
@@ -167,7 +167,7 @@
 
 func (s *stub) coldLeft() int64 { return max(0, time.Until(s.coldTill).Milliseconds()) }
 
-var names = carry.Defaults()
+var names = forward.Defaults()
 
 // load has an answer tell how much there is to do here.
 func (s *stub) load(h http.Header) {
--- a/core/core.go
+++ b/core/core.go
@@ -15,9 +15,9 @@
 	"slices"
 	"time"
 
-	"myrtlefold/judge"
 	"myrtlefold/limit"
 	"myrtlefold/model"
+	"myrtlefold/policy"
 	"myrtlefold/quorum"
 	"myrtlefold/wire"
 )
@@ -64,8 +64,8 @@
 	}
 	// Note is a target event or a decision for those who read the stream.
 	Note struct {
-		Event    *judge.Event    `json:"event,omitempty"`
-		Decision *judge.Decision `json:"decision,omitempty"`
+		Event    *policy.Event    `json:"event,omitempty"`
+		Decision *policy.Decision `json:"decision,omitempty"`
 	}
 	// Change is a change of state worth a line in the log.
 	Change struct{ What, From, To, Why string }
@@ -82,16 +82,16 @@
 }
 
 type pending struct {
-	token  string
-	ask    uint64
-	at     time.Duration
-	relay  string // asker's daemon, when it came over the wire
-	relayID    uint64
-	relayedTo     string // the leader that it was passed to
-	relayCount int    // how many leaders have had it
-	call   *wire.Ask
-	relayedAt time.Duration
-	targetReport   bool // a target's: made known in time or not promised, and never in doubt
+	token        string
+	ask          uint64
+	at           time.Duration
+	relay        string // asker's daemon, when it came over the wire
+	relayID      uint64
+	relayedTo    string // the leader that it was passed to
+	relayCount   int    // how many leaders have had it
+	call         *wire.Ask
+	relayedAt    time.Duration
+	targetReport bool // a target's: made known in time or not promised, and never in doubt
 }
 
 // checked is the configuration last found sound, so that it need not be read again.
@@ -102,76 +102,76 @@
 
 type Core struct {
 	settings       Settings
-	image       quorum.Image
-	node      *quorum.Node
-	state     State
-	directory     Directory
-	bootAt    time.Duration
-	helloAt   time.Duration
-	offer     uint64
-	seenFounders      string // who could found, as last looked at, and since when
-	seenFoundersAt    time.Duration
+	image          quorum.Image
+	node           *quorum.Node
+	state          State
+	directory      Directory
+	bootAt         time.Duration
+	helloAt        time.Duration
+	offer          uint64
+	seenFounders   string // who could found, as last looked at, and since when
+	seenFoundersAt time.Duration
 	proxyMemories  map[string]proxyMemory // what proxies said that they remember
-	consent       consent
-	lockSeq   uint64 // batch that has the lock; it is told to nobody before that is synced
-	syncedSeq   uint64
-	leaderHint       string                   // who leads, as last heard of
-	bootstrapSize    int                      // of the first core, if this process may found it
-	heard     map[string]heard         // other core daemons, as last heard
-	changedAt time.Duration            // when the members last changed
-	toldLists    map[string]toldList        // what daemons were last told of those known
-	learningSince     map[string]time.Duration // who learns, or has tried to in vain, since when
-	batchOffset   uint64                   // number of the last founding batch; a node's batches count on from it
-	stopping  bool
-	stopAt    time.Duration
+	consent        consent
+	lockSeq        uint64 // batch that has the lock; it is told to nobody before that is synced
+	syncedSeq      uint64
+	leaderHint     string                   // who leads, as last heard of
+	bootstrapSize  int                      // of the first core, if this process may found it
+	heard          map[string]heard         // other core daemons, as last heard
+	changedAt      time.Duration            // when the members last changed
+	toldLists      map[string]toldList      // what daemons were last told of those known
+	learningSince  map[string]time.Duration // who learns, or has tried to in vain, since when
+	batchOffset    uint64                   // number of the last founding batch; a node's batches count on from it
+	stopping       bool
+	stopAt         time.Duration
 
-	lead      Lead
-	leadAt    time.Duration
-	leadTerm  uint64
-	tableVersion       uint64
-	table     *wire.Table
-	latestMergedKey      wire.Key                        // latest proxies' table merged while warming
-	tableWithoutDocument    *wire.Table                     // the same without document and state, for those who have them
-	changes   map[change]*wire.Table          // the same as changes to earlier ones of this lead
-	madeAt    [limit.TablesKept]time.Duration // when each of the last tables was made
-	withdrawnTargets     []withdrawnTarget                       // targets that are in no table any more, and since which one
-	rosterTableVersion  uint64                          // the table that first said the proxies as now
-	oldestDeltaBase  uint64                          // the earliest table of this lead that changes can still be told from
-	sortedIDs       []wire.ID                       // the targets' identities, as last sorted
-	decisions uint64                          // how many there were, and how many when a table was last thought about
-	decidedAt uint64
-	rebuilt   time.Duration
-	demandAt  time.Duration
-	proxies     map[string]*proxyState
-	targets   map[wire.ID]*target
-	claims    map[wire.ID]*target       // words of targets in whose place another stands
-	tombstones     map[wire.ID]time.Duration // signed off or superseded: refused while it goes on speaking
-	leaving      map[wire.ID]time.Duration // held when it fell silent: held again if it comes back
-	withdrawnAt    map[wire.ID]uint64        // first table without the target, or with it held, for words that say so
-	restored  map[string]time.Duration  // when emptied domains were last restored
-	checked   checked
-	compressed   struct{ plain, doc []byte } // the document as last told, and its form in tables
-	judge     *judge.Judge
-	scorer    *judge.Scorer
-	policyRevision    uint64 // revision whose policies are in force
-	cfg       *model.Config
-	waiters    []*commitWaiter
-	pendingChanges      map[string]*pending
-	relayedCalls    map[uint64]*pending
-	relayID  uint64
-	requestedMembers     map[string]bool // members that an operator asked to add
-	recovered    []RecoveredState
-	out       []any
-	counts    Counts
-	cleanAt   time.Duration
-	lastTurn     map[string]uint32 // last place dealt in each service, and each name's own
-	turnByName    map[[2]string]uint32
-	rosterPendingAt uint64            // entry of the roster's last change
-	proposed  bool              // the epoch's first state, while adopting
-	persistedRegistrations      map[wire.ID]Registration // what the log says of targets, with what is under way
+	lead                   Lead
+	leadAt                 time.Duration
+	leadTerm               uint64
+	tableVersion           uint64
+	table                  *wire.Table
+	latestMergedKey        wire.Key                        // latest proxies' table merged while warming
+	tableWithoutDocument   *wire.Table                     // the same without document and state, for those who have them
+	changes                map[change]*wire.Table          // the same as changes to earlier ones of this lead
+	madeAt                 [limit.TablesKept]time.Duration // when each of the last tables was made
+	withdrawnTargets       []withdrawnTarget               // targets that are in no table any more, and since which one
+	rosterTableVersion     uint64                          // the table that first said the proxies as now
+	oldestDeltaBase        uint64                          // the earliest table of this lead that changes can still be told from
+	sortedIDs              []wire.ID                       // the targets' identities, as last sorted
+	decisions              uint64                          // how many there were, and how many when a table was last thought about
+	decidedAt              uint64
+	rebuilt                time.Duration
+	demandAt               time.Duration
+	proxies                map[string]*proxyState
+	targets                map[wire.ID]*target
+	claims                 map[wire.ID]*target       // words of targets in whose place another stands
+	tombstones             map[wire.ID]time.Duration // signed off or superseded: refused while it goes on speaking
+	leaving                map[wire.ID]time.Duration // held when it fell silent: held again if it comes back
+	withdrawnAt            map[wire.ID]uint64        // first table without the target, or with it held, for words that say so
+	restored               map[string]time.Duration  // when emptied domains were last restored
+	checked                checked
+	compressed             struct{ plain, doc []byte } // the document as last told, and its form in tables
+	judge                  *policy.Judge
+	scorer                 *policy.Scorer
+	policyRevision         uint64 // revision whose policies are in force
+	cfg                    *model.Config
+	waiters                []*commitWaiter
+	pendingChanges         map[string]*pending
+	relayedCalls           map[uint64]*pending
+	relayID                uint64
+	requestedMembers       map[string]bool // members that an operator asked to add
+	recovered              []RecoveredState
+	out                    []any
+	counts                 Counts
+	cleanAt                time.Duration
+	lastTurn               map[string]uint32 // last place dealt in each service, and each name's own
+	turnByName             map[[2]string]uint32
+	rosterPendingAt        uint64                   // entry of the roster's last change
+	proposed               bool                     // the epoch's first state, while adopting
+	persistedRegistrations map[wire.ID]Registration // what the log says of targets, with what is under way
 	persistedTombstones    map[wire.ID]bool
-	persistedAt    time.Duration
-	persistNow    bool // a word waits for the next write
+	persistedAt            time.Duration
+	persistNow             bool // a word waits for the next write
 }
 
 // Counts are the owner's counters.
--- a/core/discovery.go
+++ b/core/discovery.go
@@ -22,7 +22,7 @@
 	Term     uint64
 	members  membership
 	founding uint64
-	consent      consent
+	consent  consent
 }
 
 // heard is what is kept of a core daemon after its silence.
--- a/core/inforce.go
+++ b/core/inforce.go
@@ -11,17 +11,17 @@
 
 // force is something that waits until a table is in force everywhere.
 type commitWaiter struct {
-	version    uint64
-	majorityAt  time.Duration
-	since  time.Duration
-	p      *pending // who waits for reply, if any
-	reply  Reply
-	clearPending  wire.ID // target that may be served from then on
-	rosterChange   bool    // a change of the roster
-	member string  // a core member whose joining or leaving is waited for
-	joining  bool
-	majorityOnly   bool      // confirmed by a majority of the proxies is enough
-	agreed []wire.ID // targets whose leaving or sign-off has to be agreed
+	version      uint64
+	majorityAt   time.Duration
+	since        time.Duration
+	p            *pending // who waits for reply, if any
+	reply        Reply
+	clearPending wire.ID // target that may be served from then on
+	rosterChange bool    // a change of the roster
+	member       string  // a core member whose joining or leaving is waited for
+	joining      bool
+	majorityOnly bool      // confirmed by a majority of the proxies is enough
+	agreed       []wire.ID // targets whose leaving or sign-off has to be agreed
 }
 
 // inForce says whether a table binds every proxy: a majority of the roster, and of
--- a/core/leadership.go
+++ b/core/leadership.go
@@ -11,8 +11,8 @@
 	"slices"
 	"time"
 
-	"myrtlefold/judge"
 	"myrtlefold/limit"
+	"myrtlefold/policy"
 	"myrtlefold/wire"
 )
 
@@ -73,8 +73,8 @@
 	case Adopting:
 		c.proposed = false
 	case Warming:
-		c.targets, c.claims, c.judge, c.policyRevision = map[wire.ID]*target{}, map[wire.ID]*target{}, judge.New(), 0
-		c.scorer = judge.NewScorer(c.judge)
+		c.targets, c.claims, c.judge, c.policyRevision = map[wire.ID]*target{}, map[wire.ID]*target{}, policy.New(), 0
+		c.scorer = policy.NewScorer(c.judge)
 		c.lastTurn, c.turnByName = map[string]uint32{}, map[[2]string]uint32{}
 		c.tombstones, c.leaving = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
 		c.withdrawnAt = map[wire.ID]uint64{}
@@ -187,7 +187,7 @@
 	cfg := c.checked.cfg
 	if cfg == nil || !bytes.Equal(c.checked.doc, c.state.Doc) {
 		var err error
-		if cfg, _, err = judge.CheckConfig(c.state.Doc); err != nil {
+		if cfg, _, err = policy.CheckConfig(c.state.Doc); err != nil {
 			panic(fmt.Sprintf("agreed configuration %d: %v", c.state.Revision, err))
 		}
 	}
--- a/core/lease.go
+++ b/core/lease.go
@@ -11,18 +11,18 @@
 )
 
 type proxyState struct {
-	incarnation           uint64
-	pastIncarnations          []uint64 // incarnations that this one replaced
-	key           wire.Key
-	stamp         int64
-	pullAt        time.Duration
-	grantAt       time.Duration
-	movedAt       time.Duration // when it last stood on the table of the time, or came on
-	revision, seq uint64        // of the document and state that it holds
-	tableMerged          bool          // its table of before this lead is merged
+	incarnation      uint64
+	pastIncarnations []uint64 // incarnations that this one replaced
+	key              wire.Key
+	stamp            int64
+	pullAt           time.Duration
+	grantAt          time.Duration
+	movedAt          time.Duration // when it last stood on the table of the time, or came on
+	revision, seq    uint64        // of the document and state that it holds
+	tableMerged      bool          // its table of before this lead is merged
 	sentKey          wire.Key      // the latest table that it was sent and has not confirmed yet
-	sentAt        time.Duration
-	bytesInFlight        int // bytes of tables sent and not confirmed, about
+	sentAt           time.Duration
+	bytesInFlight    int // bytes of tables sent and not confirmed, about
 }
 
 // change tells which change to a table is meant, and whether it needs the state or the document too.
--- a/core/membership.go
+++ b/core/membership.go
@@ -203,7 +203,9 @@
 			c.node.AddLearner(wire.Member{Name: d.Name, Disk: d.Disk})
 		}
 	}
-	c.node.RetainLearners(func(m wire.Member) bool { return ok && m.Name == next.Name || c.requestedMembers[m.Name] || astray[m.Name] })
+	c.node.RetainLearners(func(m wire.Member) bool {
+		return ok && m.Name == next.Name || c.requestedMembers[m.Name] || astray[m.Name]
+	})
 	if ok {
 		m := wire.Member{Name: next.Name, Disk: next.Disk}
 		if since, tried := c.learningSince[m.Name]; !tried || now-since >= limit.LearnAgain {
--- a/core/recovery.go
+++ b/core/recovery.go
@@ -96,9 +96,9 @@
 
 // outlook is what can be said of the last core from those who are seen.
 type survivors struct {
-	last               membership
-	sized              bool
-	places             int // how many members a founding has
+	last                       membership
+	sized                      bool
+	places                     int // how many members a founding has
 	lostDisk, withDisk, unseen int // of the last members: disk gone, here with their disk and no later lock, not seen
 }
 
--- a/core/registry.go
+++ b/core/registry.go
@@ -45,8 +45,8 @@
 type registry struct {
 	Put    []Registration `json:"put,omitempty"`
 	Drop   []Registration `json:"drop,omitempty"` // by identity alone
-	Mark   []Tombstone  `json:"mark,omitempty"`
-	Unmark []Tombstone  `json:"unmark,omitempty"`
+	Mark   []Tombstone    `json:"mark,omitempty"`
+	Unmark []Tombstone    `json:"unmark,omitempty"`
 }
 
 func (s *State) register(r *registry) {
--- a/core/state.go
+++ b/core/state.go
@@ -37,19 +37,19 @@
 
 // State is what the members agree on.
 type State struct {
-	Adopted  bool              `json:"adopted"`
-	Seq      uint64            `json:"seq"`
-	Revision uint64            `json:"revision"`
-	Doc      json.RawMessage   `json:"doc"`
-	Records  []Record          `json:"records,omitempty"`
-	Roster   []RosterEntry            `json:"roster,omitempty"`
-	PreviousRoster      []string          `json:"was,omitempty"`       // the roster before, while this one is not in force everywhere
-	RosterAt uint64            `json:"roster_at,omitempty"` // entry of the roster's last change
-	Emptied  []string          `json:"emptied,omitempty"`
-	Out      map[string]uint64 `json:"out,omitempty"`     // members taken out by an operator
-	Members  []wire.Member     `json:"members,omitempty"` // in proxies' copies only: who a core could be rebuilt with
-	Registrations   []Registration           `json:"places,omitempty"`  // the targets there were, by identity; proxies have them in their tables
-	Tombstones    []Tombstone            `json:"marks,omitempty"`
+	Adopted        bool              `json:"adopted"`
+	Seq            uint64            `json:"seq"`
+	Revision       uint64            `json:"revision"`
+	Doc            json.RawMessage   `json:"doc"`
+	Records        []Record          `json:"records,omitempty"`
+	Roster         []RosterEntry     `json:"roster,omitempty"`
+	PreviousRoster []string          `json:"was,omitempty"`       // the roster before, while this one is not in force everywhere
+	RosterAt       uint64            `json:"roster_at,omitempty"` // entry of the roster's last change
+	Emptied        []string          `json:"emptied,omitempty"`
+	Out            map[string]uint64 `json:"out,omitempty"`     // members taken out by an operator
+	Members        []wire.Member     `json:"members,omitempty"` // in proxies' copies only: who a core could be rebuilt with
+	Registrations  []Registration    `json:"places,omitempty"`  // the targets there were, by identity; proxies have them in their tables
+	Tombstones     []Tombstone       `json:"marks,omitempty"`
 }
 
 // order is a log entry's text.
@@ -60,7 +60,7 @@
 	Doc   json.RawMessage `json:"doc,omitempty"`
 	What  string          `json:"what,omitempty"`
 	Name  string          `json:"name,omitempty"`
-	Gates []RosterEntry          `json:"gates,omitempty"`
+	Gates []RosterEntry   `json:"gates,omitempty"`
 	Gone  []string        `json:"gone,omitempty"`
 	State json.RawMessage `json:"state,omitempty"`
 	Rev   uint64          `json:"rev,omitempty"` // the operator's own number for a configuration
--- a/core/status.go
+++ b/core/status.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
-	"myrtlefold/judge"
 	"myrtlefold/model"
+	"myrtlefold/policy"
 	"myrtlefold/wire"
 )
 
@@ -69,7 +69,7 @@
 }
 
 // policyStats are the policies in force with their scores since this leader began.
-func (c *Core) policyStats(now time.Duration) map[string]judge.Stat {
+func (c *Core) policyStats(now time.Duration) map[string]policy.Stat {
 	l := c.judge.Stats()
 	for name, s := range c.scorer.Scores(now) {
 		x := l[name]
--- a/core/table.go
+++ b/core/table.go
@@ -129,7 +129,7 @@
 type urgency int
 
 const (
-	unchanged    urgency = iota
+	unchanged  urgency = iota
 	deferrable         // it may wait a moment, so that much is said at once
 	urgent
 )
--- a/core/target.go
+++ b/core/target.go
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
-	"myrtlefold/judge"
 	"myrtlefold/limit"
 	"myrtlefold/model"
+	"myrtlefold/policy"
 	"myrtlefold/wire"
 )
 
@@ -35,27 +35,27 @@
 
 type target struct {
 	wire.Target
-	beatAt      time.Duration
-	probeAt     time.Duration
-	sentAt      time.Duration // 0: no probe out
-	missed      bool          // the last probe was, whether that counts or not
-	askedFor    time.Duration // the last probe for which proxies were asked to probe too
-	okAt        time.Duration // last report of a success through a proxy
-	aliveAt     time.Duration // last beat or answered probe
-	seen        wire.Seen
-	seenAt      time.Duration
-	silentAt    time.Duration
-	misses      int // probes in a row without its own answer
-	streak       HeartbeatStreak
-	unconfirmed        bool  // known by hearsay: one word, or a proxy's table; not served until it has proved itself
-	publishedFacts       routingFacts // what the table says of it
-	publishedDemand float64
-	publishedBar    time.Duration // until when, as the table says
-	publishedCold   time.Duration
-	changedInVersion         uint64 // the number of the table that last said something new of it
-	addressReused       bool   // its address had another target's entry
-	coldTill    time.Duration
-	warmFrom    uint64 // lowest number of a word that may end its coldness
+	beatAt           time.Duration
+	probeAt          time.Duration
+	sentAt           time.Duration // 0: no probe out
+	missed           bool          // the last probe was, whether that counts or not
+	askedFor         time.Duration // the last probe for which proxies were asked to probe too
+	okAt             time.Duration // last report of a success through a proxy
+	aliveAt          time.Duration // last beat or answered probe
+	seen             wire.Seen
+	seenAt           time.Duration
+	silentAt         time.Duration
+	misses           int // probes in a row without its own answer
+	streak           HeartbeatStreak
+	unconfirmed      bool         // known by hearsay: one word, or a proxy's table; not served until it has proved itself
+	publishedFacts   routingFacts // what the table says of it
+	publishedDemand  float64
+	publishedBar     time.Duration // until when, as the table says
+	publishedCold    time.Duration
+	changedInVersion uint64 // the number of the table that last said something new of it
+	addressReused    bool   // its address had another target's entry
+	coldTill         time.Duration
+	warmFrom         uint64 // lowest number of a word that may end its coldness
 }
 
 // merge takes what a proxy's table says of targets from before this lead: which
@@ -121,7 +121,7 @@
 	}
 	t.Held, t.State = true, model.Leaving
 	c.counts.Holds++
-	d := judge.Decision{At: now, Policy: "leaving", Kind: "hold", Service: t.Service, Name: t.Name, Inc: t.Inc, Why: why}
+	d := policy.Decision{At: now, Policy: "leaving", Kind: "hold", Service: t.Service, Name: t.Name, Inc: t.Inc, Why: why}
 	c.emit(Note{Decision: &d})
 }
 
@@ -136,7 +136,7 @@
 		c.leaving[id] = now
 	}
 	c.scorer.Forget(now, id)
-	d := judge.Decision{At: now, Policy: "registry", Kind: "gone", Service: id.Service, Name: id.Name, Inc: id.Inc, Why: why}
+	d := policy.Decision{At: now, Policy: "registry", Kind: "gone", Service: id.Service, Name: id.Name, Inc: id.Inc, Why: why}
 	c.emit(Note{Decision: &d})
 }
 
@@ -179,10 +179,10 @@
 	}
 	c.updateFromReport(now, t, w)
 	c.advanceState(now, t, w.State)
-	e := judge.Event{At: now, Slice: "beat", Service: t.Service, Name: t.Name, Inc: t.Inc, Ok: true, State: t.State}
+	e := policy.Event{At: now, Slice: "beat", Service: t.Service, Name: t.Name, Inc: t.Inc, Ok: true, State: t.State}
 	c.judgeEvent(e)
 	if t.HasDemand {
-		c.judgeEvent(judge.Event{At: now, Slice: "demand", Service: t.Service, Name: t.Name, Inc: t.Inc, Demand: t.Demand})
+		c.judgeEvent(policy.Event{At: now, Slice: "demand", Service: t.Service, Name: t.Name, Inc: t.Inc, Demand: t.Demand})
 	}
 	c.targetChanged(now, t)
 }
@@ -319,12 +319,12 @@
 	}
 }
 
-func (c *Core) judgeEvent(e judge.Event) {
+func (c *Core) judgeEvent(e policy.Event) {
 	c.emit(Note{Event: &e})
 	c.decided(c.scorer.Step(e))
 }
 
-func (c *Core) decided(ds []judge.Decision) {
+func (c *Core) decided(ds []policy.Decision) {
 	for i := range ds {
 		if !ds[i].Shadow {
 			c.decisions++
--- a/carry/ahead_test.go
+++ b/forward/ahead_test.go
@@ -1,4 +1,4 @@
-package carry
+package forward
 
 import (
 	"bufio"
@@ -14,9 +14,9 @@
 
 	"pgregory.net/rapid"
 
-	"myrtlefold/gate"
 	"myrtlefold/limit"
 	"myrtlefold/model"
+	"myrtlefold/proxy"
 	"myrtlefold/wire"
 )
 
@@ -114,7 +114,7 @@
 // ahead is the request that the server will read at that place.
 func TestAheadIsWhatComes(t *testing.T) {
 	car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, ev any) any {
-		return gate.Refuse{ID: id, Status: 503}
+		return proxy.Refuse{ID: id, Status: 503}
 	}}, nil)
 	begun := 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/carry/answer.go
+++ b/forward/answer.go
@@ -1,5 +1,5 @@
 // This file reads a target's answer and passes it on to the caller.
-package carry
+package forward
 
 import (
 	"io"
@@ -9,8 +9,8 @@
 	"strconv"
 	"time"
 
-	"myrtlefold/gate"
 	"myrtlefold/limit"
+	"myrtlefold/proxy"
 )
 
 // answer is what a target answered: held whole, or its beginning with the rest to come.
@@ -21,7 +21,7 @@
 }
 
 // hear reads the answer to what was written on p and says what it means.
-func (c *Forwarder) readAnswer(w http.ResponseWriter, r *http.Request, g *gate.Give, p *Conn, u *upload, repeats bool, till time.Time, sent chan error, tell func(*tried, bool), stop func() bool) (t tried) {
+func (c *Forwarder) readAnswer(w http.ResponseWriter, r *http.Request, g *proxy.Give, p *Conn, u *upload, repeats bool, till time.Time, sent chan error, tell func(*tried, bool), stop func() bool) (t tried) {
 	// done ends the connection's part: it is kept if all of the request is over on it.
 	ended := false
 	done := func(keep bool) {
@@ -52,10 +52,10 @@
 	defer func() { done(false) }()
 	lost := func(code, msg string) tried {
 		done(false)
-		t := tried{sent: true, ran: true, outcome: gate.Lost, code: code, msg: msg, load: t.load}
+		t := tried{sent: true, ran: true, outcome: proxy.Lost, code: code, msg: msg, load: t.load}
 		switch {
 		case u.left(r) || u.bad || u.over:
-			t.outcome = gate.Dropped
+			t.outcome = proxy.Dropped
 		case !time.Now().Before(till):
 			t.late, t.code, t.msg = true, "late", "no answer within the deadline"
 		}
@@ -85,7 +85,7 @@
 	asked := g.Set.Asked()
 	if asked && resp.StatusCode == http.StatusMisdirectedRequest {
 		c.Counts.Foreign.Add(1)
-		return tried{sent: true, outcome: gate.Foreign, code: "foreign", msg: "the target's address answers for another"}
+		return tried{sent: true, outcome: proxy.Foreign, code: "foreign", msg: "the target's address answers for another"}
 	}
 	notRun := resp.Header.Get(h.NotRun) != ""
 	a := &answer{resp: resp}
@@ -97,22 +97,22 @@
 	if notRun {
 		c.Counts.TurnedAway.Add(1)
 		done(a.done && !resp.Close)
-		return tried{sent: true, outcome: gate.NotRun, code: "turned_away", msg: "the target turned it away", load: t.load}
+		return tried{sent: true, outcome: proxy.NotRun, code: "turned_away", msg: "the target turned it away", load: t.load}
 	}
 	if err != nil {
 		return lost("lost", "the target's answer was cut")
 	}
-	t.outcome = gate.Served
+	t.outcome = proxy.Served
 	if resp.StatusCode >= 500 {
-		t.outcome = gate.Broken
+		t.outcome = proxy.Broken
 	}
 	if a.done {
 		done(!resp.Close)
 		if asked && !repeats && promises(resp.StatusCode) {
 			// To a caller it would say that nothing ran, which its target has not said.
-			return tried{sent: true, ran: true, outcome: gate.Broken, code: "unclear", msg: "the target failed", load: t.load}
+			return tried{sent: true, ran: true, outcome: proxy.Broken, code: "unclear", msg: "the target failed", load: t.load}
 		}
-		if t.outcome == gate.Broken && repeats && g.Route.Kind != "" && resp.StatusCode != http.StatusGatewayTimeout && time.Until(till) > limit.TryLeast {
+		if t.outcome == proxy.Broken && repeats && g.Route.Kind != "" && resp.StatusCode != http.StatusGatewayTimeout && time.Until(till) > limit.TryLeast {
 			t.sent, t.ran, t.spare, t.code, t.msg = true, true, a, "failed", "the target failed"
 			return t
 		}
@@ -124,9 +124,9 @@
 	t.status = resp.StatusCode
 	if err := c.passAnswer(w, r, a); err != nil {
 		t.cut = true
-		t.outcome = gate.Lost
+		t.outcome = proxy.Lost
 		if u.left(r) {
-			t.outcome = gate.Dropped
+			t.outcome = proxy.Dropped
 		}
 		return t
 	}
--- a/carry/carry.go
+++ b/forward/forward.go
@@ -1,4 +1,4 @@
-// Package carry takes callers' HTTP requests to back ends, on connections of its own (see
+// Package forward takes callers' HTTP requests to back ends, on connections of its own (see
 // pipe.go), because the library's transport sends some requests again by itself. Who
 // answers on a connection is checked: targets that are asked for their health are told with
 // each request who is expected, others are asked for their identity on each new connection.
@@ -8,7 +8,7 @@
 // before its caller gets any of it, so that one that is cut can be made up for.
 // Answers pass unaltered. Errors have one JSON shape that says whether the request
 // ran: no, or unknown. A large answer that is cut cuts the caller's connection.
-package carry
+package forward
 
 import (
 	"context"
@@ -24,9 +24,9 @@
 
 	"github.com/cockroachdb/errors"
 
-	"myrtlefold/gate"
 	"myrtlefold/limit"
 	"myrtlefold/model"
+	"myrtlefold/proxy"
 )
 
 // Headers of the project's own.
@@ -57,7 +57,7 @@
 }
 
 // ReadLoad reads a Load header, nil if it says nothing sound.
-func ReadLoad(v string) *gate.Load {
+func ReadLoad(v string) *proxy.Load {
 	a, rest, _ := strings.Cut(v, ",")
 	b, c, _ := strings.Cut(rest, ",")
 	var n [3]int
@@ -67,7 +67,7 @@
 			return nil
 		}
 	}
-	return &gate.Load{Running: n[0], Waiting: n[1], Slots: n[2]}
+	return &proxy.Load{Running: n[0], Waiting: n[1], Slots: n[2]}
 }
 
 // Owner passes events to the proxy's owner. Ask waits for the Give or Refuse
@@ -204,7 +204,7 @@
 		timeout = max(time.Millisecond, timeout-time.Since(start))
 	}
 	id := c.nextID.Add(1)
-	ans := c.owner.Ask(r.Context(), id, gate.Admit{ID: id, Host: r.Host, Path: r.URL.Path, Method: r.Method, Timeout: timeout})
+	ans := c.owner.Ask(r.Context(), id, proxy.Admit{ID: id, Host: r.Host, Path: r.URL.Path, Method: r.Method, Timeout: timeout})
 	ran, last := "no", ""
 	lastStatus := 0
 	var spare *answer // a target's own failure, passed on if no other target does better
@@ -212,7 +212,7 @@
 		if ans == nil {
 			gone() // while it waited; the owner has been told
 		}
-		if no, ok := ans.(gate.Refuse); ok {
+		if no, ok := ans.(proxy.Refuse); ok {
 			if spare != nil {
 				status = spare.resp.StatusCode
 				c.Counts.Served.Add(1)
@@ -235,11 +235,11 @@
 			fail(st, retry, model.Trouble{Code: code, Message: msg, Ran: ran})
 			return
 		}
-		g := ans.(gate.Give)
+		g := ans.(proxy.Give)
 		svc = g.Service
 		most := c.bodyMost(&g.Set)
 		if body.room = most - int64(len(body.kept)); r.ContentLength > most || body.room < 0 {
-			c.owner.Tell(gate.Done{ID: id, Outcome: gate.Dropped, Last: true})
+			c.owner.Tell(proxy.Done{ID: id, Outcome: proxy.Dropped, Last: true})
 			fail(413, 0, model.Trouble{Code: "body", Message: "the body is over the service's limit"})
 			return
 		}
@@ -258,8 +258,8 @@
 			}
 			return
 		case body.left(r):
-			if t.outcome != gate.Dropped {
-				c.owner.Tell(gate.Cancel{ID: id})
+			if t.outcome != proxy.Dropped {
+				c.owner.Tell(proxy.Cancel{ID: id})
 			}
 			gone()
 		case body.over:
@@ -281,7 +281,7 @@
 			spare = t.spare
 		}
 		if t.late || t.ran && !repeats || body.begun {
-			c.owner.Tell(gate.Cancel{ID: id, Failed: true})
+			c.owner.Tell(proxy.Cancel{ID: id, Failed: true})
 			if spare != nil {
 				status = spare.resp.StatusCode
 				c.Counts.Served.Add(1)
@@ -295,7 +295,7 @@
 			fail(st, limit.RetryAfterMin+time.Duration(id*2654435761>>8)%limit.RetryAfterSpan, model.Trouble{Code: last, Message: t.msg, Ran: ran})
 			return
 		}
-		ans = c.owner.Ask(r.Context(), id, gate.Again{ID: id, Sent: t.sent})
+		ans = c.owner.Ask(r.Context(), id, proxy.Again{ID: id, Sent: t.sent})
 	}
 }
 
@@ -323,12 +323,12 @@
 	spare   *answer
 	code    string
 	msg     string
-	load    *gate.Load
-	outcome gate.Outcome
+	load    *proxy.Load
+	outcome proxy.Outcome
 }
 
 // connection is an idle connection to the target or a new one; its deadline is set.
-func (c *Forwarder) conn(ctx context.Context, g *gate.Give, idle time.Duration, till time.Time) (*Conn, error) {
+func (c *Forwarder) conn(ctx context.Context, g *proxy.Give, idle time.Duration, till time.Time) (*Conn, error) {
 	if idle > 0 {
 		if p := c.pool.take(g.Target.ID(), idle, till); p != nil {
 			c.Counts.Reused.Add(1)
@@ -371,7 +371,7 @@
 }
 
 // give keeps a connection for later; a target that bounds its connections is left some for other proxies.
-func (c *Forwarder) give(g *gate.Give, p *Conn) {
+func (c *Forwarder) give(g *proxy.Give, p *Conn) {
 	n := limit.IdleConnsMax
 	if g.Set.ConnCap > 0 {
 		n = min(n, max(1, g.Set.ConnCap/limit.ConnParts))
@@ -380,7 +380,7 @@
 }
 
 // compose writes the request's head, and its body as far as it is kept.
-func (c *Forwarder) compose(out []byte, r *http.Request, g *gate.Give, u *upload, left time.Duration) []byte {
+func (c *Forwarder) compose(out []byte, r *http.Request, g *proxy.Give, u *upload, left time.Duration) []byte {
 	uri := r.RequestURI
 	if !strings.HasPrefix(uri, "/") {
 		uri = r.URL.RequestURI()
@@ -445,16 +445,16 @@
 	return false
 }
 
-func (c *Forwarder) try(w http.ResponseWriter, r *http.Request, g *gate.Give, u *upload, repeats bool) (t tried) {
+func (c *Forwarder) try(w http.ResponseWriter, r *http.Request, g *proxy.Give, u *upload, repeats bool) (t tried) {
 	start := time.Now()
 	told := false
 	tell := func(t *tried, last bool) {
 		if !told {
 			told = true
-			c.owner.Tell(gate.Done{ID: g.ID, Outcome: t.outcome, Ms: float64(time.Since(start)) / 1e6, Last: last, Load: t.load})
+			c.owner.Tell(proxy.Done{ID: g.ID, Outcome: t.outcome, Ms: float64(time.Since(start)) / 1e6, Last: last, Load: t.load})
 		}
 	}
-	defer func() { tell(&t, t.status != 0 || t.outcome == gate.Dropped) }()
+	defer func() { tell(&t, t.status != 0 || t.outcome == proxy.Dropped) }()
 	till := start.Add(g.Left)
 	idle := limit.ConnIdle
 	if !repeats {
@@ -465,20 +465,20 @@
 		if err != nil {
 			switch {
 			case r.Context().Err() != nil:
-				return tried{outcome: gate.Dropped}
+				return tried{outcome: proxy.Dropped}
 			case errors.Is(err, errForeign):
 				c.Counts.Foreign.Add(1)
-				return tried{outcome: gate.Foreign, code: "foreign", msg: "the target's address answers for another"}
+				return tried{outcome: proxy.Foreign, code: "foreign", msg: "the target's address answers for another"}
 			}
 			if !time.Now().Before(till) {
-				return tried{outcome: gate.Stale, code: "late", msg: "the deadline came before a pipe to the target", late: true}
+				return tried{outcome: proxy.Stale, code: "late", msg: "the deadline came before a pipe to the target", late: true}
 			}
-			return tried{outcome: gate.Closed, code: "closed", msg: "no pipe to the target"}
+			return tried{outcome: proxy.Closed, code: "closed", msg: "no pipe to the target"}
 		}
 		p.out = c.compose(p.out, r, g, u, time.Until(till))
 		if c.owner.Now() > g.Till {
 			c.give(g, p)
-			return tried{outcome: gate.Stale, code: "stale", msg: "the choice of a target grew too old before anything was sent"}
+			return tried{outcome: proxy.Stale, code: "stale", msg: "the choice of a target grew too old before anything was sent"}
 		}
 		stop := context.AfterFunc(r.Context(), func() { p.c.SetDeadline(past()) })
 		n, err := p.c.Write(p.out)
@@ -496,9 +496,9 @@
 			stop()
 			p.Close()
 			if r.Context().Err() != nil {
-				return tried{outcome: gate.Dropped}
+				return tried{outcome: proxy.Dropped}
 			}
-			return tried{outcome: gate.Closed, code: "closed", msg: "the pipe to the target was closed", late: !time.Now().Before(till)}
+			return tried{outcome: proxy.Closed, code: "closed", msg: "the pipe to the target was closed", late: !time.Now().Before(till)}
 		}
 		var sent chan error
 		if u.rest != nil {
--- a/carry/carry_test.go
+++ b/forward/forward_test.go
@@ -1,4 +1,4 @@
-package carry
+package forward
 
 import (
 	"bufio"
@@ -16,9 +16,9 @@
 	"testing"
 	"time"
 
-	"myrtlefold/gate"
 	"myrtlefold/limit"
 	"myrtlefold/model"
+	"myrtlefold/proxy"
 	"myrtlefold/wire"
 )
 
@@ -91,16 +91,16 @@
 		f.asks = append(f.asks, ev)
 		n := 0
 		for _, a := range f.asks {
-			if _, ok := a.(gate.Admit); ok {
+			if _, ok := a.(proxy.Admit); ok {
 				n = 0
 			} else {
 				n++
 			}
 		}
 		if n >= len(targets) {
-			return gate.Refuse{ID: id, Status: 503, Retry: 2 * time.Second, Code: "busy", Message: "none left"}
+			return proxy.Refuse{ID: id, Status: 503, Retry: 2 * time.Second, Code: "busy", Message: "none left"}
 		}
-		return gate.Give{ID: id, Service: "s", Target: targets[n], Left: f.left, Till: limit.ChoiceLife, Set: f.set, Route: f.route, More: f.more}
+		return proxy.Give{ID: id, Service: "s", Target: targets[n], Left: f.left, Till: limit.ChoiceLife, Set: f.set, Route: f.route, More: f.more}
 	}}, f.pool)
 	f.car = c
 	srv := httptest.NewUnstartedServer(c)
@@ -214,10 +214,10 @@
 	f.now.Store(int64(limit.ChoiceLife + 1)) // the pool holds a connection by now
 	for range 2 {
 		status, h, _ := f.do(t, "POST", "/x", "body")
-		if d := (<-f.told).(gate.Done); status != 503 || h.Get(RanHeader) != "no" || d.Outcome != gate.Stale {
+		if d := (<-f.told).(proxy.Done); status != 503 || h.Get(RanHeader) != "no" || d.Outcome != proxy.Stale {
 			t.Fatalf("%d, ran %q, outcome %v", status, h.Get(RanHeader), d.Outcome)
 		}
-		if e := f.asks[len(f.asks)-1].(gate.Again); e.Sent {
+		if e := f.asks[len(f.asks)-1].(proxy.Again); e.Sent {
 			t.Fatal("counted as sent")
 		}
 	}
@@ -233,7 +233,7 @@
 	for range 3 {
 		f.do(t, "GET", "/x", "")
 	}
-	if d := <-f.told; d.(gate.Done).Outcome != gate.Served {
+	if d := <-f.told; d.(proxy.Done).Outcome != proxy.Served {
 		t.Fatal(d)
 	}
 	take := func(p *Pool) *Conn { return p.take(a.Target.ID(), time.Hour, time.Now().Add(time.Hour)) }
@@ -418,35 +418,35 @@
 		ran     string
 		body    string // "": any
 		second  int64  // runs at the second target
-		outcome gate.Outcome
+		outcome proxy.Outcome
 	}
 	other := end{200, "", "fine", 1, 0}
-	is := func(e end, o gate.Outcome) end { e.outcome = o; return e }
+	is := func(e end, o proxy.Outcome) end { e.outcome = o; return e }
 	for _, c := range []struct {
 		name         string
 		say          func(int, int, *http.Request) (string, bool)
 		once, repeat end
 	}{
-		{"fine", says(200, "mine"), end{200, "", "mine", 0, gate.Served}, end{200, "", "mine", 0, gate.Served}},
-		{"turned away", says(503, "", "N", "1"), is(other, gate.NotRun), is(other, gate.NotRun)},
-		{"turned away as too many", says(429, "x", "N", "1", "Retry-After", "0.2"), is(other, gate.NotRun), is(other, gate.NotRun)},
-		{"another's address", says(421, ""), is(other, gate.Foreign), is(other, gate.Foreign)},
-		{"503 that says nothing", says(503, "x"), end{502, "unknown", "", 0, gate.Broken}, is(other, gate.Broken)},
-		{"429 that says nothing", says(429, "x"), end{502, "unknown", "", 0, gate.Broken}, end{429, "", "x", 0, gate.Served}},
-		{"500", says(500, "own"), end{500, "", "own", 0, gate.Broken}, is(other, gate.Broken)},
-		{"504", says(504, "own"), end{504, "", "own", 0, gate.Broken}, end{504, "", "own", 0, gate.Broken}},
-		{"404", says(404, "own"), end{404, "", "own", 0, gate.Served}, end{404, "", "own", 0, gate.Served}},
-		{"silence", bytesOnly(""), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
-		{"garbage", bytesOnly("\x00\xff no\r\n\r\n"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
-		{"cut", head("HTTP/1.1 200 OK\r\nContent-Length: 9\r\nA: ID\r\nP: yes\r\n\r\nhalf"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
-		{"chunks cut", head("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: ID\r\nP: yes\r\n\r\n4\r\nhalf\r\n"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
-		{"head cut", head("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: ID\r\n"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
-		{"another exchange's", head("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: other\r\nP: yes\r\n\r\nnope"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
-		{"another exchange was turned away", head("HTTP/1.1 503 X\r\nContent-Length: 0\r\nA: other\r\nN: 1\r\n\r\n"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
-		{"no proof", head("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: ID\r\n\r\nnope"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
-		{"success that did not run", says(200, "x", "N", "1"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
-		{"another protocol", head("HTTP/1.1 101 X\r\nA: ID\r\nP: yes\r\n\r\n"), end{502, "unknown", "", 0, gate.Lost}, is(other, gate.Lost)},
-		{"interim first", head("HTTP/1.1 103 X\r\nZ: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: ID\r\nP: yes\r\n\r\nfine"), end{200, "", "fine", 0, gate.Served}, end{200, "", "fine", 0, gate.Served}},
+		{"fine", says(200, "mine"), end{200, "", "mine", 0, proxy.Served}, end{200, "", "mine", 0, proxy.Served}},
+		{"turned away", says(503, "", "N", "1"), is(other, proxy.NotRun), is(other, proxy.NotRun)},
+		{"turned away as too many", says(429, "x", "N", "1", "Retry-After", "0.2"), is(other, proxy.NotRun), is(other, proxy.NotRun)},
+		{"another's address", says(421, ""), is(other, proxy.Foreign), is(other, proxy.Foreign)},
+		{"503 that says nothing", says(503, "x"), end{502, "unknown", "", 0, proxy.Broken}, is(other, proxy.Broken)},
+		{"429 that says nothing", says(429, "x"), end{502, "unknown", "", 0, proxy.Broken}, end{429, "", "x", 0, proxy.Served}},
+		{"500", says(500, "own"), end{500, "", "own", 0, proxy.Broken}, is(other, proxy.Broken)},
+		{"504", says(504, "own"), end{504, "", "own", 0, proxy.Broken}, end{504, "", "own", 0, proxy.Broken}},
+		{"404", says(404, "own"), end{404, "", "own", 0, proxy.Served}, end{404, "", "own", 0, proxy.Served}},
+		{"silence", bytesOnly(""), end{502, "unknown", "", 0, proxy.Lost}, is(other, proxy.Lost)},
+		{"garbage", bytesOnly("\x00\xff no\r\n\r\n"), end{502, "unknown", "", 0, proxy.Lost}, is(other, proxy.Lost)},
+		{"cut", head("HTTP/1.1 200 OK\r\nContent-Length: 9\r\nA: ID\r\nP: yes\r\n\r\nhalf"), end{502, "unknown", "", 0, proxy.Lost}, is(other, proxy.Lost)},
+		{"chunks cut", head("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: ID\r\nP: yes\r\n\r\n4\r\nhalf\r\n"), end{502, "unknown", "", 0, proxy.Lost}, is(other, proxy.Lost)},
+		{"head cut", head("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: ID\r\n"), end{502, "unknown", "", 0, proxy.Lost}, is(other, proxy.Lost)},
+		{"another exchange's", head("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: other\r\nP: yes\r\n\r\nnope"), end{502, "unknown", "", 0, proxy.Lost}, is(other, proxy.Lost)},
+		{"another exchange was turned away", head("HTTP/1.1 503 X\r\nContent-Length: 0\r\nA: other\r\nN: 1\r\n\r\n"), end{502, "unknown", "", 0, proxy.Lost}, is(other, proxy.Lost)},
+		{"no proof", head("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: ID\r\n\r\nnope"), end{502, "unknown", "", 0, proxy.Lost}, is(other, proxy.Lost)},
+		{"success that did not run", says(200, "x", "N", "1"), end{502, "unknown", "", 0, proxy.Lost}, is(other, proxy.Lost)},
+		{"another protocol", head("HTTP/1.1 101 X\r\nA: ID\r\nP: yes\r\n\r\n"), end{502, "unknown", "", 0, proxy.Lost}, is(other, proxy.Lost)},
+		{"interim first", head("HTTP/1.1 103 X\r\nZ: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: ID\r\nP: yes\r\n\r\nfine"), end{200, "", "fine", 0, proxy.Served}, end{200, "", "fine", 0, proxy.Served}},
 	} {
 		for kind, want := range map[string]end{model.Once: c.once, model.Repeatable: c.repeat} {
 			t.Run(kind+"/"+c.name, func(t *testing.T) {
@@ -454,7 +454,7 @@
 				f := carrier(t, a.Target, b.Target).asked(kind)
 				method := map[string]string{model.Once: "GET", model.Repeatable: "POST"}[kind] // the route says, not the method
 				status, h, body := f.do(t, method, "/x", "body", "A", "1f")
-				d := (<-f.told).(gate.Done)
+				d := (<-f.told).(proxy.Done)
 				if status != want.status || h.Get("R") != want.ran || want.body != "" && body != want.body || b.runs.Load() != want.second || d.Outcome != want.outcome || a.runs.Load() != 1 {
 					t.Fatalf("%d ran %q %q, outcome %v, runs %d and %d", status, h.Get("R"), body, d.Outcome, a.runs.Load(), b.runs.Load())
 				}
@@ -471,7 +471,7 @@
 	}
 }
 
-func (f *front) last() gate.Again { return f.asks[len(f.asks)-1].(gate.Again) }
+func (f *front) last() proxy.Again { return f.asks[len(f.asks)-1].(proxy.Again) }
 
 // A target's own failure is passed on unchanged if no other target does better.
 func TestFailurePassedOn(t *testing.T) {
@@ -532,10 +532,10 @@
 	if got, want := fmt.Sprint(r.Header), fmt.Sprint(http.Header{"A": {"77"}, "E": {"a"}, "Kept": {"v"}, "Content-Length": {"5"}}); got != want {
 		t.Fatal(got)
 	}
-	if d := (<-f.told).(gate.Done); d.Load == nil || *d.Load != (gate.Load{Running: 3, Waiting: 1, Slots: 4}) {
+	if d := (<-f.told).(proxy.Done); d.Load == nil || *d.Load != (proxy.Load{Running: 3, Waiting: 1, Slots: 4}) {
 		t.Fatal(d.Load)
 	}
-	if ad := f.asks[0].(gate.Admit); ad.Timeout <= 0 || ad.Timeout > 900*time.Millisecond {
+	if ad := f.asks[0].(proxy.Admit); ad.Timeout <= 0 || ad.Timeout > 900*time.Millisecond {
 		t.Fatal(ad.Timeout)
 	}
 	if a.conns.Load() != 1 || a.runs.Load() != 1 {
@@ -684,7 +684,7 @@
 	if b, _ := io.ReadAll(c); len(b) > 0 {
 		t.Fatalf("%q", b)
 	}
-	if d := (<-f.told).(gate.Done); d.Outcome != gate.Dropped || !d.Last {
+	if d := (<-f.told).(proxy.Done); d.Outcome != proxy.Dropped || !d.Last {
 		t.Fatal(d)
 	}
 }
@@ -725,7 +725,7 @@
 		if len(b) > 0 && !bytes.HasPrefix(b, []byte("HTTP/1.1 400")) {
 			t.Fatalf("%q", b)
 		}
-		if d := (<-f.told).(gate.Done); d.Outcome != gate.Dropped {
+		if d := (<-f.told).(proxy.Done); d.Outcome != proxy.Dropped {
 			t.Fatal(d)
 		}
 	}
@@ -775,7 +775,7 @@
 	if err != nil || resp.StatusCode != 502 || resp.Header.Get("R") != "unknown" {
 		t.Fatal(err, resp)
 	}
-	if d := (<-f.told).(gate.Done); d.Outcome != gate.Lost {
+	if d := (<-f.told).(proxy.Done); d.Outcome != proxy.Lost {
 		t.Fatal(d)
 	}
 }
@@ -810,7 +810,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.car.give(&gate.Give{Target: a.Target, Set: model.Service{ConnCap: 2 * limit.ConnParts}}, p)
+		f.car.give(&proxy.Give{Target: a.Target, Set: model.Service{ConnCap: 2 * limit.ConnParts}}, p)
 	}
 	n := 0
 	for f.pool.take(a.Target.ID(), time.Hour, time.Now().Add(time.Hour)) != nil {
@@ -860,7 +860,7 @@
 	defer pool.Close()
 	pool.Live(map[wire.ID]string{a.ID(): a.Addr})
 	car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, ev any) any {
-		return gate.Give{ID: id, Service: "s", Target: a.Target, Left: time.Minute, Till: time.Hour, Set: model.Service{BodyMax: 1 << 20, HealthPath: "/h"}, Route: model.Route{Kind: model.Repeatable}}
+		return proxy.Give{ID: id, Service: "s", Target: a.Target, Left: time.Minute, Till: time.Hour, Set: model.Service{BodyMax: 1 << 20, HealthPath: "/h"}, Route: model.Route{Kind: model.Repeatable}}
 	}}, pool)
 	car.Headers.Attempt = "A"
 	srv := httptest.NewServer(car)
@@ -1083,7 +1083,7 @@
 	defer pool.Close()
 	pool.Live(map[wire.ID]string{tg.ID(): tg.Addr})
 	car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, _ any) any {
-		return gate.Give{ID: id, Service: "s", Target: tg, Left: 5 * time.Second, Till: time.Hour, Set: model.Service{BodyMax: 1 << 20}}
+		return proxy.Give{ID: id, Service: "s", Target: tg, Left: 5 * time.Second, Till: time.Hour, Set: model.Service{BodyMax: 1 << 20}}
 	}}, pool)
 	srv := httptest.NewServer(car)
 	defer srv.Close()
--- a/carry/limits_test.go
+++ b/forward/limits_test.go
@@ -1,4 +1,4 @@
-package carry
+package forward
 
 import (
 	"bufio"
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	"myrtlefold/gate"
 	"myrtlefold/limit"
 	"myrtlefold/model"
+	"myrtlefold/proxy"
 )
 
 // Callers' sizes are bounded by the configuration, as it stands at each request.
@@ -99,7 +99,7 @@
 		{&model.Limits{IdleMs: 20 * min}, [4]time.Duration{limit.CallerHeader, 30 * time.Minute, 20*time.Minute + limit.IdleSlack, limit.CallerHeader}},
 	} {
 		car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, ev any) any {
-			return gate.Refuse{ID: id, Status: 503, Code: "busy"}
+			return proxy.Refuse{ID: id, Status: 503, Code: "busy"}
 		}}, NewPool())
 		car.Limits.Store(c.l)
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/carry/refusal.go
+++ b/forward/refusal.go
@@ -1,5 +1,5 @@
 // This file writes the answers that the proxy gives itself.
-package carry
+package forward
 
 import (
 	"net/http"
--- a/carry/upload.go
+++ b/forward/upload.go
@@ -1,5 +1,5 @@
 // This file reads a caller's body and sends it to a target.
-package carry
+package forward
 
 import (
 	"io"
--- a/host/ctl_config.go
+++ b/host/ctl_config.go
@@ -13,8 +13,8 @@
 	"strings"
 	"text/tabwriter"
 
-	"myrtlefold/judge"
 	"myrtlefold/model"
+	"myrtlefold/policy"
 )
 
 func read(name string) ([]byte, error) {
@@ -94,7 +94,7 @@
 			doc, faults, err = changed(doc, b)
 		}
 		if err == nil && len(faults) == 0 {
-			_, faults, err = judge.CheckConfig(doc)
+			_, faults, err = policy.CheckConfig(doc)
 		}
 		if c.json && err == nil {
 			json.NewEncoder(os.Stdout).Encode(map[string]any{"file": f, "sound": len(faults) == 0, "faults": faults})
@@ -147,7 +147,7 @@
 		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
 		return exitUsage
 	}
-	cfg, faults, err := judge.CheckConfig(b)
+	cfg, faults, err := policy.CheckConfig(b)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
 		return exitInvalid
--- a/host/ctl_policy.go
+++ b/host/ctl_policy.go
@@ -15,9 +15,9 @@
 	"text/tabwriter"
 	"time"
 
-	"myrtlefold/judge"
 	"myrtlefold/limit"
 	"myrtlefold/model"
+	"myrtlefold/policy"
 )
 
 // compare prints each policy's score; policies are files named for the policy.
@@ -34,7 +34,7 @@
 			fmt.Fprintf(os.Stderr, "mfctl: %s: %v\n", f, err)
 			return exitInvalid
 		}
-		for _, x := range append(faults, judge.Check(p)...) {
+		for _, x := range append(faults, policy.Check(p)...) {
 			fmt.Fprintf(os.Stderr, "mfctl: %s: %s: %s\n", f, x.Path, x.Text)
 			err = errBadPolicy
 		}
@@ -53,12 +53,12 @@
 		defer f.Close()
 		in = f
 	}
-	var l []judge.Event
-	if err := judge.ReadEvents(in, func(e judge.Event) error { l = append(l, e); return nil }); err != nil {
+	var l []policy.Event
+	if err := policy.ReadEvents(in, func(e policy.Event) error { l = append(l, e); return nil }); err != nil {
 		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
 		return exitInvalid
 	}
-	scores := judge.Compare(l, ps)
+	scores := policy.Compare(l, ps)
 	if c.json {
 		json.NewEncoder(os.Stdout).Encode(scores)
 		return exitOK
@@ -78,14 +78,14 @@
 		b, err := os.ReadFile(config)
 		var faults []model.Fault
 		if err == nil {
-			cfg, faults, err = judge.CheckConfig(b)
+			cfg, faults, err = policy.CheckConfig(b)
 		}
 		if err != nil || len(faults) > 0 {
 			fmt.Fprintf(os.Stderr, "mfctl: %s: %v %v\n", config, err, faults)
 			return exitInvalid
 		}
 	}
-	d := judge.NewDesk(cfg)
+	d := policy.NewDesk(cfg)
 	enc := json.NewEncoder(os.Stdout)
 	code := exitOK
 	sc := bufio.NewScanner(os.Stdin)
--- a/host/ctl_test.go
+++ b/host/ctl_test.go
@@ -10,7 +10,7 @@
 	"strings"
 	"testing"
 
-	"myrtlefold/judge"
+	"myrtlefold/policy"
 )
 
 // said runs mfctl and gives its exit code and what it said on both of its outputs.
@@ -99,7 +99,7 @@
 		"own":{"prefix":"/x/","host":"h.test","kind":"once","timeout_ms":700,"attempts":1,"priority":3,"split":[{"service":"a","weight":1},{"service":"b","weight":3}]}},
 		"rules":[{"path":"/y","methods":["GET"],"service":"b"}]}`)
 	b, _ := os.ReadFile(doc)
-	if _, faults, err := judge.CheckConfig(b); err != nil || len(faults) > 0 {
+	if _, faults, err := policy.CheckConfig(b); err != nil || len(faults) > 0 {
 		t.Fatal(faults, err)
 	}
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/host/ctl_views.go
+++ b/host/ctl_views.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"myrtlefold/core"
-	"myrtlefold/gate"
-	"myrtlefold/judge"
+	"myrtlefold/policy"
+	"myrtlefold/proxy"
 )
 
 // status asks the members that are named and then those that the roster tells of.
@@ -81,7 +81,7 @@
 	}
 	var r struct{ Daemons []core.DaemonView }
 	json.Unmarshal(out, &r)
-	sums := map[string]*gate.AimView{}
+	sums := map[string]*proxy.AimView{}
 	for _, d := range r.Daemons {
 		if d.Kind != "gate" {
 			continue
@@ -91,7 +91,7 @@
 			fmt.Fprintf(os.Stderr, "mfctl: %s left out: %v\n", d.Name, err)
 			continue
 		}
-		var v gate.View
+		var v proxy.View
 		err = json.NewDecoder(resp.Body).Decode(&v)
 		resp.Body.Close()
 		if err != nil {
@@ -168,14 +168,14 @@
 	var v struct {
 		Revision uint64
 		Since    float64 `json:"since_ms"`
-		Policies map[string]judge.Stat
+		Policies map[string]policy.Stat
 	}
 	json.Unmarshal(b, &v)
 	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(tw, "revision %d, scores of the last %.0f s\nNAME\tMODE\tSLICE\tDECIDES\tTTL MS\tEVALUATED\tFAILED\tOUT\tBARS\tWRONG\tERRORS\tMISSED\tTO BAR MS\tWHEN\tLAST ERROR\n", v.Revision, v.Since/1000)
 	for _, n := range slices.Sorted(maps.Keys(v.Policies)) {
 		s := v.Policies[n]
-		x := judge.Score{}
+		x := policy.Score{}
 		if s.Score != nil {
 			x = *s.Score
 		}
--- a/host/door.go
+++ b/host/door.go
@@ -11,14 +11,14 @@
 	"net/http"
 	"time"
 
-	"myrtlefold/carry"
-	"myrtlefold/judge"
+	"myrtlefold/forward"
 	"myrtlefold/limit"
 	"myrtlefold/model"
+	"myrtlefold/policy"
 )
 
 type desk struct {
-	*judge.Desk
+	*policy.Desk
 	id   string
 	left time.Time // when its reader went, zero while it is there
 }
@@ -62,7 +62,7 @@
 			case len(desks) >= limit.Desks:
 				a.reply <- deskReply{status: 503, why: fmt.Sprintf("%d streams are open", limit.Desks)}
 			default:
-				d = &desk{Desk: judge.NewDesk(&model.Config{}), id: fmt.Sprintf("%016x", rand.Uint64())}
+				d = &desk{Desk: policy.NewDesk(&model.Config{}), id: fmt.Sprintf("%016x", rand.Uint64())}
 				desks[d.id] = d
 				a.reply <- deskReply{d: d}
 			}
@@ -86,7 +86,7 @@
 			retry = limit.RetryAfterMin
 		}
 		w.Header().Set("Connection", "close")
-		carry.Error(w, got.status, retry, model.Trouble{Code: "stream", Message: got.why})
+		forward.Error(w, got.status, retry, model.Trouble{Code: "stream", Message: got.why})
 		return
 	}
 	defer func() { u.ask <- deskAsk{leave: got.d} }()
@@ -109,6 +109,6 @@
 		}
 	}
 	if err := sc.Err(); err != nil {
-		enc.Encode(judge.OutLine{Line: got.d.Line + 1, Error: err.Error()})
+		enc.Encode(policy.OutLine{Line: got.d.Line + 1, Error: err.Error()})
 	}
 }
--- a/host/gate.go
+++ b/host/gate.go
@@ -11,31 +11,31 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"myrtlefold/carry"
 	"myrtlefold/core"
-	"myrtlefold/gate"
+	"myrtlefold/forward"
 	"myrtlefold/limit"
+	"myrtlefold/proxy"
 )
 
 // RunGate is mfgate.
 func RunGate(args []string, say Dialect) int {
 	h := Start("gate", args, say)
-	own := gate.New(gate.Settings{Self: h.Daemon(), Seeds: h.Set.Seeds, Grace: time.Duration(h.Set.GraceMs) * time.Millisecond, ReadyWhenEmptied: h.Set.ReadyWhenEmptied,
-		Retry: gate.Retry{Ratio: h.Set.RetryRatio, Window: time.Duration(h.Set.RetryWindowMs) * time.Millisecond, Slack: float64(h.Set.RetrySlack)}})
-	pool := carry.NewPool()
-	car := carry.New(carry.Owner{Now: h.Now, Tell: h.Loop.Tell, Ask: func(ctx context.Context, id uint64, ev any) any {
-		return h.Loop.Ask(ctx, id, ev, gate.Cancel{ID: id})
+	own := proxy.New(proxy.Settings{Self: h.Daemon(), Seeds: h.Set.Seeds, Grace: time.Duration(h.Set.GraceMs) * time.Millisecond, ReadyWhenEmptied: h.Set.ReadyWhenEmptied,
+		Retry: proxy.Retry{Ratio: h.Set.RetryRatio, Window: time.Duration(h.Set.RetryWindowMs) * time.Millisecond, Slack: float64(h.Set.RetrySlack)}})
+	pool := forward.NewPool()
+	car := forward.New(forward.Owner{Now: h.Now, Tell: h.Loop.Tell, Ask: func(ctx context.Context, id uint64, ev any) any {
+		return h.Loop.Ask(ctx, id, ev, proxy.Cancel{ID: id})
 	}}, pool)
-	car.From, car.Headers, car.Forwarded = h.From(), h.say.Headers, h.say.Headers == carry.Defaults()
+	car.From, car.Headers, car.Forwarded = h.From(), h.say.Headers, h.say.Headers == forward.Defaults()
 	exec := func(cmd any) {
 		switch c := cmd.(type) {
-		case gate.Give:
+		case proxy.Give:
 			h.Loop.Answer(c.ID, c)
-		case gate.Refuse:
+		case proxy.Refuse:
 			h.Loop.Answer(c.ID, c)
-		case gate.Dark:
+		case proxy.Dark:
 			pool.Dark(c.IDs)
-		case gate.Targets:
+		case proxy.Targets:
 			pool.Live(c.Live)
 			car.Limits.Store(c.Limits)
 		case core.Change:
@@ -57,7 +57,7 @@
 		took.WithLabelValues(svc, strconv.Itoa(status)).Observe(sec)
 	}
 	h.Counters("gate", func() any {
-		var n gate.Counts
+		var n proxy.Counts
 		h.Loop.Look(func(time.Duration) { n = own.Counts })
 		return n
 	})
@@ -69,7 +69,7 @@
 		return
 	})
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
-		var v gate.View
+		var v proxy.View
 		h.Loop.Look(func(now time.Duration) { v = own.View(now) })
 		WriteJSON(w, 200, v)
 	})
--- a/host/host.go
+++ b/host/host.go
@@ -22,8 +22,8 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/sirupsen/logrus"
 
-	"myrtlefold/carry"
 	"myrtlefold/core"
+	"myrtlefold/forward"
 	"myrtlefold/limit"
 	"myrtlefold/model"
 	"myrtlefold/wire"
@@ -49,7 +49,7 @@
 	// Traffic counts the messages between this daemon and others.
 	Traffic *Traffic
 	// Headers are the names that targets are asked with; none: the product's own.
-	Headers  carry.Headers
+	Headers  forward.Headers
 	probes   map[wire.ID]*probed
 	probesAt time.Duration
 }
--- a/host/http.go
+++ b/host/http.go
@@ -13,8 +13,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"myrtlefold/carry"
 	"myrtlefold/core"
+	"myrtlefold/forward"
 	"myrtlefold/limit"
 	"myrtlefold/model"
 )
@@ -47,12 +47,12 @@
 }
 
 // ServeCallers runs the forwarder's server on addr.
-func (h *Host) ServeCallers(addr string, c *carry.Forwarder) (*http.Server, error) {
+func (h *Host) ServeCallers(addr string, c *forward.Forwarder) (*http.Server, error) {
 	return h.serve(addr, c, c)
 }
 
-func (h *Host) serve(addr string, hd http.Handler, c *carry.Forwarder) (*http.Server, error) {
-	ln, err := carry.Listen(addr, limit.CallerUnacked)
+func (h *Host) serve(addr string, hd http.Handler, c *forward.Forwarder) (*http.Server, error) {
+	ln, err := forward.Listen(addr, limit.CallerUnacked)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for HTTP")
 	}
@@ -74,7 +74,7 @@
 		b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit.DocMax+1))
 		var mb *http.MaxBytesError
 		if errors.As(err, &mb) {
-			carry.Error(w, 413, 0, model.Trouble{Code: "too_large", Message: fmt.Sprintf("at most %d bytes", limit.DocMax)})
+			forward.Error(w, 413, 0, model.Trouble{Code: "too_large", Message: fmt.Sprintf("at most %d bytes", limit.DocMax)})
 			return
 		}
 		if err != nil {
@@ -92,7 +92,7 @@
 			return
 		}
 		if a.Retry > 0 {
-			w.Header().Set("Retry-After", carry.After(a.Retry))
+			w.Header().Set("Retry-After", forward.After(a.Retry))
 		}
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(a.Status)
--- a/host/probe.go
+++ b/host/probe.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"myrtlefold/carry"
 	"myrtlefold/core"
+	"myrtlefold/forward"
 	"myrtlefold/limit"
 	"myrtlefold/model"
 	"myrtlefold/wire"
@@ -18,12 +18,12 @@
 
 // probed is one target's place: its connection while no probe has it.
 type probed struct {
-	pipe atomic.Pointer[carry.Conn]
+	pipe atomic.Pointer[forward.Conn]
 	at   time.Duration
 	gone atomic.Bool
 }
 
-func (s *probed) put(p *carry.Conn) {
+func (s *probed) put(p *forward.Conn) {
 	if old := s.pipe.Swap(p); old != nil {
 		old.Close()
 	}
@@ -39,8 +39,8 @@
 	sent := h.Now()
 	if h.probes == nil {
 		h.probes = map[wire.ID]*probed{}
-		if h.Headers == (carry.Headers{}) {
-			h.Headers = carry.Defaults()
+		if h.Headers == (forward.Headers{}) {
+			h.Headers = forward.Defaults()
 		}
 	}
 	if sent-h.probesAt > limit.ProbeConnIdle/4 {
@@ -67,7 +67,7 @@
 	}()
 }
 
-func ask(s *probed, p core.Probe, names *carry.Headers, h *Host) (*model.Beat, time.Duration) {
+func ask(s *probed, p core.Probe, names *forward.Headers, h *Host) (*model.Beat, time.Duration) {
 	till := time.Now().Add(limit.ProbeCap)
 	pipe := s.pipe.Swap(nil)
 	for pipe != nil && pipe.Addr() != p.Addr {
@@ -79,7 +79,7 @@
 		if !kept {
 			ctx, cancel := context.WithDeadline(context.Background(), till)
 			var err error
-			pipe, err = carry.Open(ctx, p.Addr, h.From())
+			pipe, err = forward.Open(ctx, p.Addr, h.From())
 			cancel()
 			if err != nil {
 				return nil, 0
@@ -99,7 +99,7 @@
 }
 
 // look asks on a connection and reads what the answer says of the target.
-func look(pipe *carry.Conn, p core.Probe, names *carry.Headers, till time.Time) (b *model.Beat, cold time.Duration, again bool, err error) {
+func look(pipe *forward.Conn, p core.Probe, names *forward.Headers, till time.Time) (b *model.Beat, cold time.Duration, again bool, err error) {
 	if p.Path == "" {
 		b, again, err = pipe.Identify(till, p.Addr)
 		if err != nil {
@@ -127,7 +127,7 @@
 	if ms, err := strconv.ParseFloat(resp.Header.Get(names.Cold), 64); err == nil && ms > 0 && ms <= limit.TimeoutMaxMs {
 		cold = time.Duration(ms * float64(time.Millisecond))
 	}
-	if l := carry.ReadLoad(resp.Header.Get(names.Load)); l != nil && l.Slots > 0 {
+	if l := forward.ReadLoad(resp.Header.Get(names.Load)); l != nil && l.Slots > 0 {
 		d := float64(l.Running+l.Waiting) / float64(l.Slots)
 		b.Demand = &d
 	}
--- a/host/probe_test.go
+++ b/host/probe_test.go
@@ -12,15 +12,15 @@
 
 	"golang.org/x/sys/unix"
 
-	"myrtlefold/carry"
 	"myrtlefold/core"
+	"myrtlefold/forward"
 	"myrtlefold/limit"
 	"myrtlefold/model"
 	"myrtlefold/wire"
 )
 
 func prober() *Host {
-	h := &Host{start: time.Now(), Headers: carry.Headers{Deadline: "D", NotRun: "N", Load: "L", Identity: "I", Cold: "C"}}
+	h := &Host{start: time.Now(), Headers: forward.Headers{Deadline: "D", NotRun: "N", Load: "L", Identity: "I", Cold: "C"}}
 	h.Loop = &Loop{in: make(chan item, limit.EventQueue), h: h}
 	return h
 }
@@ -161,12 +161,12 @@
 // Connections to and from daemons, callers and targets break when what is sent on
 // them stays unacknowledged.
 func TestSocketOptions(t *testing.T) {
-	ln, err := carry.Listen("127.0.0.1:0", limit.CallerUnacked)
+	ln, err := forward.Listen("127.0.0.1:0", limit.CallerUnacked)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	out, err := carry.Dialer(nil, time.Second).Dial("tcp", ln.Addr().String())
+	out, err := forward.Dialer(nil, time.Second).Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/host/settings.go
+++ b/host/settings.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
-	"myrtlefold/carry"
+	"myrtlefold/forward"
 	"myrtlefold/model"
 )
 
@@ -51,11 +51,11 @@
 	// Load reads the settings and, for comparing, what they were read from; nil: flags and file.
 	Load func() (Settings, []byte, []model.Fault, error)
 	// Headers are the names of the headers that requests carry.
-	Headers carry.Headers
+	Headers forward.Headers
 }
 
 // Own is the product's own way.
-func Own() Dialect { return Dialect{Headers: carry.Defaults()} }
+func Own() Dialect { return Dialect{Headers: forward.Defaults()} }
 
 // Check lists the faults of settings for a kind of daemon.
 func (s *Settings) Check(kind string) []model.Fault {
--- a/host/transport.go
+++ b/host/transport.go
@@ -9,15 +9,15 @@
 
 	"github.com/cockroachdb/errors"
 
-	"myrtlefold/carry"
 	"myrtlefold/core"
+	"myrtlefold/forward"
 	"myrtlefold/limit"
 	"myrtlefold/wire"
 )
 
 // Listen takes messages from other daemons.
 func (h *Host) Listen() error {
-	ln, err := carry.Listen(cmp.Or(h.Set.Bind, h.Set.Addr), limit.Unacked)
+	ln, err := forward.Listen(cmp.Or(h.Set.Bind, h.Set.Addr), limit.Unacked)
 	if err != nil {
 		return errors.Wrap(err, "listen for daemons")
 	}
@@ -87,7 +87,7 @@
 		}
 		var err error
 		if c == nil {
-			d := carry.Dialer(h.From(), limit.ProbeCap)
+			d := forward.Dialer(h.From(), limit.ProbeCap)
 			if c, err = d.Dial("tcp", addr); err != nil {
 				c = nil
 				time.Sleep(limit.Redial)
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -165,7 +165,7 @@
 	// KeepBatch is how many targets one write holds, PlacesMax how many targets, and marks of those
 	// that are gone, the registry: at 300 bytes each 2.4 MB, and with all else under half a ring file.
 	RegistryBatch = 256
-	RegistryMax = 4096
+	RegistryMax   = 4096
 	// WatchMost is how many targets a doubting proxy probes, about: 40 each 200 ms. Of more each is
 	// watched by a part of the proxies, of WatchMost targets by all.
 	WatchMost = 40
--- a/judge/judge.go
+++ b/policy/policy.go
@@ -1,11 +1,11 @@
-// Package judge turns target events into decisions. A policy is one condition
+// Package policy turns target events into decisions. A policy is one condition
 // over one slice of what is known of a target (probe, beat, request, demand)
 // and one decision: an ejection, which lapses by itself, or a hold, which lasts until its
 // clear condition holds, or while its condition does if it has none. A Judge is pure: events go in with their time, decisions
 // come out, and the same events always give the same decisions, which is what
 // shadow runs and comparisons rest on. A policy that fails to evaluate decides
 // nothing, is counted, and what it had decided runs out.
-package judge
+package policy
 
 import (
 	"cmp"
--- a/judge/judge_test.go
+++ b/policy/policy_test.go
@@ -1,4 +1,4 @@
-package judge
+package policy
 
 import (
 	"encoding/json"
--- a/gate/gate.go
+++ b/proxy/proxy.go
@@ -1,4 +1,4 @@
-// Package gate is the owner of a proxy daemon: its table and lease, the choice
+// Package proxy is the owner of a proxy daemon: its table and lease, the choice
 // of a target for each request, waiting, retries and their budget, and what it
 // does when the leader is out of reach, as one pure Step(now, event) -> commands.
 //
@@ -8,7 +8,7 @@
 // lease, and it has taken the highest table among them; since the leader calls a
 // change in force only when a majority has confirmed it and all other leases
 // have lapsed, a proxy that serves on its peers can't miss it. Otherwise it is cut and refuses.
-package gate
+package proxy
 
 import (
 	"slices"
@@ -142,26 +142,26 @@
 
 type target struct {
 	wire.Target
-	ejectedUntil time.Duration // the table's ejection
-	ownEjection   time.Duration // a proxy that serves on its peers's ejection, from its own probes
-	unheard  bool          // the table's ejection is for missed probes
-	held     bool          // heard here that it leaves
-	streak    core.HeartbeatStreak    // what was heard here of its beats
-	successor     *target       // a later start of it that claims its place while no leader can say
-	avoidUntil     time.Duration
-	backAt   time.Duration // when an ejection was lifted
-	warmAt   time.Duration // when it ended its warming
-	anew     bool          // it came to the table of a proxy with a lease: nothing older runs there
-	warmPart int           // this proxy's part of its warming cap, and, until riseAt, the most that it may use
-	warmNext int           // the greater part that holds from then on
-	riseAt   time.Duration
-	inflight int
-	closed   int // connections in a row that could not be opened
-	misses   int
-	probeAt  time.Duration
-	sentAt   time.Duration
-	indirect bool // the leader has asked for a probe and not heard of an answer
-	seen     wire.Seen
+	ejectedUntil time.Duration        // the table's ejection
+	ownEjection  time.Duration        // a proxy that serves on its peers's ejection, from its own probes
+	unheard      bool                 // the table's ejection is for missed probes
+	held         bool                 // heard here that it leaves
+	streak       core.HeartbeatStreak // what was heard here of its beats
+	successor    *target              // a later start of it that claims its place while no leader can say
+	avoidUntil   time.Duration
+	backAt       time.Duration // when an ejection was lifted
+	warmAt       time.Duration // when it ended its warming
+	anew         bool          // it came to the table of a proxy with a lease: nothing older runs there
+	warmPart     int           // this proxy's part of its warming cap, and, until riseAt, the most that it may use
+	warmNext     int           // the greater part that holds from then on
+	riseAt       time.Duration
+	inflight     int
+	closed       int // connections in a row that could not be opened
+	misses       int
+	probeAt      time.Duration
+	sentAt       time.Duration
+	indirect     bool // the leader has asked for a probe and not heard of an answer
+	seen         wire.Seen
 
 	slots     int  // requests at once, as told
 	part      int  // those of them that are dealt to this proxy
@@ -226,46 +226,46 @@
 }
 
 type Proxy struct {
-	settings       Settings
-	directory     core.Directory
-	helloAt   time.Duration
-	pullAt    time.Duration
-	touchAt   time.Duration
-	state     State
-	table     *wire.Table
-	epoch     uint64
-	term      uint64 // highest leader heard, with epoch
-	leaseUntil time.Duration
-	settled   bool
-	want      bool
-	telling   bool // the next tick pulls: the leader waits for what is to be told
-	peerAnswers   map[string]time.Duration
-	asked     map[string]time.Duration // when peers were last asked
-	wantAt    time.Duration            // when a peer was last asked for its table
-	wordAt    time.Duration            // when a leader last said anything
-	said      wire.Daemon              // what it was last told of this one, and which leader that was
-	saidTo    string
-	memoryToldAt  map[string]time.Duration // when core daemons were last told what is remembered here, by name and process
-	cfg       *model.Config
-	revision  uint64
-	targets   map[wire.ID]*target
-	alive     []string // proxies that share caps, and all of the roster
-	listed    []string
-	open      []*target // room for choices
-	barred    []*target
-	leaving   map[wire.ID]time.Duration
-	services  map[string]*service
-	requests map[uint64]*request
-	aims      map[string]*aimCounts
-	routeStates      map[string]*routeState // what is kept by route
-	salt      uint64
-	coldEnd   time.Duration // when the next target ends being cold, or a part of a warming one grows, 0: never
-	turn      uint64
-	stopping  bool
-	stopAt    time.Duration
-	out       []any
-	dark      map[wire.ID]bool
-	Counts    Counts
+	settings     Settings
+	directory    core.Directory
+	helloAt      time.Duration
+	pullAt       time.Duration
+	touchAt      time.Duration
+	state        State
+	table        *wire.Table
+	epoch        uint64
+	term         uint64 // highest leader heard, with epoch
+	leaseUntil   time.Duration
+	settled      bool
+	want         bool
+	telling      bool // the next tick pulls: the leader waits for what is to be told
+	peerAnswers  map[string]time.Duration
+	asked        map[string]time.Duration // when peers were last asked
+	wantAt       time.Duration            // when a peer was last asked for its table
+	wordAt       time.Duration            // when a leader last said anything
+	said         wire.Daemon              // what it was last told of this one, and which leader that was
+	saidTo       string
+	memoryToldAt map[string]time.Duration // when core daemons were last told what is remembered here, by name and process
+	cfg          *model.Config
+	revision     uint64
+	targets      map[wire.ID]*target
+	alive        []string // proxies that share caps, and all of the roster
+	listed       []string
+	open         []*target // room for choices
+	barred       []*target
+	leaving      map[wire.ID]time.Duration
+	services     map[string]*service
+	requests     map[uint64]*request
+	aims         map[string]*aimCounts
+	routeStates  map[string]*routeState // what is kept by route
+	salt         uint64
+	coldEnd      time.Duration // when the next target ends being cold, or a part of a warming one grows, 0: never
+	turn         uint64
+	stopping     bool
+	stopAt       time.Duration
+	out          []any
+	dark         map[wire.ID]bool
+	Counts       Counts
 }
 
 func New(set Settings) *Proxy {
--- a/gate/route_test.go
+++ b/proxy/route_test.go
@@ -1,4 +1,4 @@
-package gate
+package proxy
 
 import (
 	"fmt"
--- a/gate/table.go
+++ b/proxy/table.go
@@ -1,5 +1,5 @@
 // This file takes tables from the leader, whole or as changes.
-package gate
+package proxy
 
 import (
 	"fmt"
@@ -8,9 +8,9 @@
 	"time"
 
 	"myrtlefold/core"
-	"myrtlefold/judge"
 	"myrtlefold/limit"
 	"myrtlefold/model"
+	"myrtlefold/policy"
 	"myrtlefold/wire"
 )
 
@@ -113,7 +113,7 @@
 		var faults []model.Fault
 		doc, err := wire.Decompress(t.Doc)
 		if err == nil {
-			cfg, faults, err = judge.CheckConfig(doc)
+			cfg, faults, err = policy.CheckConfig(doc)
 		}
 		if err != nil || len(faults) > 0 {
 			// Only a checked document is ever agreed; a proxy that can't read one must not serve on.
--- a/gate/view.go
+++ b/proxy/view.go
@@ -1,5 +1,5 @@
 // This file is what operators may read of a proxy.
-package gate
+package proxy
 
 import (
 	"maps"
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -28,8 +28,8 @@
 type Role int
 
 const (
-	Follower Role = iota
-	PreCandidate        // a pre-vote is out
+	Follower     Role = iota
+	PreCandidate      // a pre-vote is out
 	Candidate
 	Leader
 )
@@ -52,37 +52,37 @@
 }
 
 type Node struct {
-	self     wire.Member
-	epoch    uint64
-	role     Role
-	term     uint64
-	vote     string
-	snap     wire.Snap
-	log      []wire.Entry
-	members  []wire.Member
-	commit   uint64
-	applied  uint64
-	stable   uint64
-	leader   string
-	leaderHeardAt    time.Duration
-	deadline time.Duration
-	votes    map[string]bool
-	unanimous      bool            // it stands without waiting, by everybody's leave
-	consents    map[string]bool // who gave that
-	outranked  bool            // another member should stand in its place
-	leaderSpokeAt      time.Duration   // when a leader last spoke here since this start
-	askedAt  time.Duration
-	votedAt  time.Duration
-	electorate []wire.Member // the members, and those before the last change if that may be under way
-	peers map[string]*peer
-	beatAt   time.Duration
-	since    time.Duration
-	seq      uint64
-	hardSeq  uint64
-	unsyncedBatches     []unsyncedBatch
-	heldMessages     []heldMessage
-	termStart     uint64
-	out      Out
+	self            wire.Member
+	epoch           uint64
+	role            Role
+	term            uint64
+	vote            string
+	snap            wire.Snap
+	log             []wire.Entry
+	members         []wire.Member
+	commit          uint64
+	applied         uint64
+	stable          uint64
+	leader          string
+	leaderHeardAt   time.Duration
+	deadline        time.Duration
+	votes           map[string]bool
+	unanimous       bool            // it stands without waiting, by everybody's leave
+	consents        map[string]bool // who gave that
+	outranked       bool            // another member should stand in its place
+	leaderSpokeAt   time.Duration   // when a leader last spoke here since this start
+	askedAt         time.Duration
+	votedAt         time.Duration
+	electorate      []wire.Member // the members, and those before the last change if that may be under way
+	peers           map[string]*peer
+	beatAt          time.Duration
+	since           time.Duration
+	seq             uint64
+	hardSeq         uint64
+	unsyncedBatches []unsyncedBatch
+	heldMessages    []heldMessage
+	termStart       uint64
+	out             Out
 }
 
 // New starts a node from what its disk holds. Booting counts as having heard a
--- a/quorum/replication.go
+++ b/quorum/replication.go
@@ -13,7 +13,7 @@
 )
 
 type peer struct {
-	member      wire.Member
+	member wire.Member
 	voter  bool
 	next   uint64
 	match  uint64
--- a/sim/clocks_test.go
+++ b/sim/clocks_test.go
@@ -14,11 +14,11 @@
 // no chance and do no I/O; and the shells look at wall time only to name things.
 func TestClocks(t *testing.T) {
 	t.Parallel()
-	owners := []string{"core", "gate", "judge", "quorum"}
+	owners := []string{"core", "proxy", "policy", "quorum"}
 	barred := []string{"math/rand", "math/rand/v2", "os", "net", "net/http", "sync", "sync/atomic", "context"}
 	wall := []string{"Unix", "UnixNano", "UnixMilli", "UnixMicro", "UTC", "Local", "Date", "Clock", "Format", "Round", "Truncate"}
 	naming := map[string]int{"../host/http.go": 2, "../host/ctl.go": 2} // a change's id begins with the date
-	for _, dir := range append(slices.Clone(owners), "carry", "host", "ring", "wire", "model") {
+	for _, dir := range append(slices.Clone(owners), "forward", "host", "ring", "wire", "model") {
 		files, _ := filepath.Glob("../" + dir + "/*.go")
 		if len(files) == 0 {
 			t.Fatal("no files in", dir)
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"myrtlefold/core"
-	"myrtlefold/gate"
 	"myrtlefold/model"
+	"myrtlefold/proxy"
 )
 
 // Fault is one kind of trouble; Do starts it and makes sure that it ends.
@@ -886,7 +886,7 @@
 	w.CheckState()
 	w.CheckBudget()
 	for _, n := range w.names {
-		if p := w.procs[n]; w.Fail == "" && p.gate != nil && p.alive && p.gate.State() == gate.Granted && p.gate.InFlight() > 0 {
+		if p := w.procs[n]; w.Fail == "" && p.gate != nil && p.alive && p.gate.State() == proxy.Granted && p.gate.InFlight() > 0 {
 			w.broken("forgotten exchange", "%s still counts %d in flight", n, p.gate.InFlight())
 		}
 	}
--- a/sim/fleet_test.go
+++ b/sim/fleet_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"myrtlefold/core"
-	"myrtlefold/gate"
+	"myrtlefold/proxy"
 	"myrtlefold/wire"
 )
 
@@ -369,7 +369,7 @@
 		seq   uint64
 		takes bool
 	}{{nil, 5, false}, {whole, 5, true}, {whole, 6, false}} {
-		g := gate.New(gate.Settings{Self: wire.Daemon{Name: "g1", Kind: "gate", Inc: 9}})
+		g := proxy.New(proxy.Settings{Self: wire.Daemon{Name: "g1", Kind: "gate", Inc: 9}})
 		g.Step(1, core.Recv{M: core1})
 		push := func(now time.Duration, t *wire.Table) []any {
 			return g.Step(now, core.Recv{M: &wire.Msg{Kind: uint16(wire.KPush), From: "c1", Epoch: 1, Term: 1, Stamp: 1, Disk: 9, Push: &wire.Push{Grant: true, Key: t.Key, Table: t}}})
--- a/sim/process.go
+++ b/sim/process.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"myrtlefold/core"
-	"myrtlefold/gate"
 	"myrtlefold/limit"
+	"myrtlefold/proxy"
 	"myrtlefold/quorum"
 	"myrtlefold/wire"
 )
@@ -37,7 +37,7 @@
 	base   time.Duration
 	rate   float64
 	core   *core.Core
-	gate   *gate.Proxy
+	gate   *proxy.Proxy
 	disk   *disk
 	pool   map[wire.ID][]*Target
 	live   map[wire.ID]string
@@ -86,7 +86,7 @@
 		set.Self, set.Seeds, set.Domains = self, seeds, w.Plan.Known
 		p.core = core.New(p.local(), set, img)
 	} else {
-		p.gate = gate.New(gate.Settings{Self: self, Seeds: seeds})
+		p.gate = proxy.New(proxy.Settings{Self: self, Seeds: seeds})
 	}
 	gen := p.gen
 	var beat func()
@@ -270,13 +270,13 @@
 			}
 			w.Kill(p)
 		}
-	case gate.Targets:
+	case proxy.Targets:
 		p.live = c.Live
 		maps.DeleteFunc(p.pool, func(id wire.ID, _ []*Target) bool { _, ok := c.Live[id]; return !ok })
-	case gate.Dark: // requests here wait for their deadlines
-	case gate.Give:
+	case proxy.Dark: // requests here wait for their deadlines
+	case proxy.Give:
 		w.give(p, c)
-	case gate.Refuse:
+	case proxy.Refuse:
 		w.refused(p, c)
 	default:
 		panic(fmt.Sprintf("%T", cmd))
--- a/sim/request.go
+++ b/sim/request.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"myrtlefold/gate"
 	"myrtlefold/limit"
+	"myrtlefold/proxy"
 )
 
 type request struct {
@@ -77,7 +77,7 @@
 	if m == "POST" {
 		path = "/once/a"
 	}
-	w.deliver(p, gate.Admit{ID: x.id, Host: "x", Path: "/" + svc + path, Method: m})
+	w.deliver(p, proxy.Admit{ID: x.id, Host: "x", Path: "/" + svc + path, Method: m})
 }
 
 func (w *World) end(x *request, final string) {
@@ -107,7 +107,7 @@
 	}
 }
 
-func (w *World) refused(p *Proc, c gate.Refuse) {
+func (w *World) refused(p *Proc, c proxy.Refuse) {
 	x := w.open[c.ID]
 	if x == nil {
 		return
@@ -124,7 +124,7 @@
 
 // give plays the forwarder: a pooled connection or a new one with its identity checked,
 // then the request, then what its end means.
-func (w *World) give(p *Proc, c gate.Give) {
+func (w *World) give(p *Proc, c proxy.Give) {
 	x := w.open[c.ID]
 	if x == nil || x.gate != p || x.gen != p.gen {
 		return
@@ -150,20 +150,20 @@
 			}
 		})
 	}
-	fail := func(d time.Duration, o gate.Outcome, sent, late bool) {
+	fail := func(d time.Duration, o proxy.Outcome, sent, late bool) {
 		back(d, func() {
-			w.deliver(p, gate.Done{ID: x.id, Outcome: o, Ms: float64(d) / 1e6})
+			w.deliver(p, proxy.Done{ID: x.id, Outcome: o, Ms: float64(d) / 1e6})
 			if w.open[x.id] != x {
 				return
 			}
-			if o == gate.NotRun {
+			if o == proxy.NotRun {
 				x.retry = true
-				w.deliver(p, gate.Again{ID: x.id, Sent: w.sabotage != "budget"})
+				w.deliver(p, proxy.Again{ID: x.id, Sent: w.sabotage != "budget"})
 				return
 			}
 			x.sent = x.sent || sent
 			if late || sent && x.unsafe && w.sabotage != "resend" {
-				w.deliver(p, gate.Cancel{ID: x.id})
+				w.deliver(p, proxy.Cancel{ID: x.id})
 				if x.sent {
 					w.end(x, "unknown")
 				} else {
@@ -172,19 +172,19 @@
 				return
 			}
 			x.retry = sent
-			w.deliver(p, gate.Again{ID: x.id, Sent: sent && w.sabotage != "budget"})
+			w.deliver(p, proxy.Again{ID: x.id, Sent: sent && w.sabotage != "budget"})
 		})
 	}
 	switch {
 	case t == nil:
-		fail(w.ms(1, 3), gate.Closed, false, false)
+		fail(w.ms(1, 3), proxy.Closed, false, false)
 		return
 	case !pooled && (t.hang || !w.reach(p.name, t.name) || !w.reach(t.name, p.name)):
-		fail(min(limit.ConnectCap, c.Left), gate.Closed, false, false)
+		fail(min(limit.ConnectCap, c.Left), proxy.Closed, false, false)
 		return
 	case !pooled && (t.service != id.Service || t.name != id.Name || t.inc != id.Inc) && w.sabotage != "identity":
 		w.Stats.Foreign++
-		fail(w.ms(1, 3), gate.Foreign, false, false)
+		fail(w.ms(1, 3), proxy.Foreign, false, false)
 		return
 	}
 	w.at(w.ms(0, 2), func() { w.write(p, c, x, t, back, fail) })
@@ -192,7 +192,7 @@
 
 // write is the moment at which a request's first byte goes out; a process that
 // is frozen then goes on with it when it thaws.
-func (w *World) write(p *Proc, c gate.Give, x *request, t *Target, back func(time.Duration, func()), fail func(time.Duration, gate.Outcome, bool, bool)) {
+func (w *World) write(p *Proc, c proxy.Give, x *request, t *Target, back func(time.Duration, func()), fail func(time.Duration, proxy.Outcome, bool, bool)) {
 	id := c.Target.ID()
 	if !p.alive || p.gen != x.gen {
 		return
@@ -202,7 +202,7 @@
 		return
 	}
 	if p.local() > c.Till {
-		fail(0, gate.Stale, false, false)
+		fail(0, proxy.Stale, false, false)
 		return
 	}
 	w.checkWrite(p, &c, x)
@@ -217,20 +217,20 @@
 		}
 		switch {
 		case !t.alive:
-			fail(0, gate.Lost, true, false)
+			fail(0, proxy.Lost, true, false)
 			return
 		case t.hang || !w.reach(p.name, t.name) || !w.reach(t.name, p.name):
 			x.sent = true
-			fail(c.Left, gate.Lost, true, true)
+			fail(c.Left, proxy.Lost, true, true)
 			return
 		}
 		w.checkCold(t)
 		if w.Plan.Slots > 0 && len(t.works) >= w.Plan.Slots+queued {
 			w.Stats.TurnedAway++
 			if t.resets {
-				fail(0, gate.Lost, true, false)
+				fail(0, proxy.Lost, true, false)
 			} else {
-				fail(0, gate.NotRun, true, false)
+				fail(0, proxy.NotRun, true, false)
 			}
 			return
 		}
@@ -244,17 +244,17 @@
 				if x.unsafe {
 					w.Stats.LostUnsafe++
 				}
-				fail(0, gate.Lost, true, false)
+				fail(0, proxy.Lost, true, false)
 			default:
-				o := gate.Served
+				o := proxy.Served
 				if t.fail {
-					o = gate.Broken
+					o = proxy.Broken
 				}
 				back(0, func() {
 					if _, ok := p.live[id]; ok {
 						p.pool[id] = append(p.pool[id], t)
 					}
-					w.deliver(p, gate.Done{ID: x.id, Outcome: o, Ms: float64(t.work) / 1e6, Last: true})
+					w.deliver(p, proxy.Done{ID: x.id, Outcome: o, Ms: float64(t.work) / 1e6, Last: true})
 					w.end(x, "served")
 				})
 			}
--- a/sim/rules.go
+++ b/sim/rules.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"myrtlefold/core"
-	"myrtlefold/gate"
 	"myrtlefold/limit"
 	"myrtlefold/model"
+	"myrtlefold/proxy"
 )
 
 // Bounds of the brief's "about 2 s".
@@ -45,7 +45,7 @@
 }
 
 // checkGive: what a proxy may do with a request now.
-func (w *World) checkGive(p *Proc, c *gate.Give, x *request) {
+func (w *World) checkGive(p *Proc, c *proxy.Give, x *request) {
 	if r := p.gate.Revision(); r < w.acked {
 		w.broken("not in force", "%s serves on revision %d, %d was acknowledged", p.name, r, w.acked)
 	}
@@ -58,7 +58,7 @@
 
 // checkWrite: the same once more when the first byte goes out, which a frozen process
 // does late. A choice that was right may be carried out for its short life.
-func (w *World) checkWrite(p *Proc, c *gate.Give, x *request) {
+func (w *World) checkWrite(p *Proc, c *proxy.Give, x *request) {
 	life := limit.ChoiceLife * 21 / 20
 	for r, at := range w.ackedAt {
 		if r > x.rev && w.now-at > life {
@@ -71,7 +71,7 @@
 	w.checkTarget(p, c)
 }
 
-func (w *World) checkTarget(p *Proc, c *gate.Give) {
+func (w *World) checkTarget(p *Proc, c *proxy.Give) {
 	for _, t := range w.targets {
 		if t.service != c.Target.Service || t.name != c.Target.Name || t.inc != c.Target.Inc {
 			continue
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"myrtlefold/core"
-	"myrtlefold/gate"
+	"myrtlefold/proxy"
 	"myrtlefold/wire"
 )
 
@@ -242,7 +242,7 @@
 		return false
 	}
 	for _, n := range w.names {
-		if p := w.procs[n]; p.gate != nil && p.alive && (p.gate.State() != gate.Granted || p.gate.Table().Key.Term != l.core.Table().Key.Term) {
+		if p := w.procs[n]; p.gate != nil && p.alive && (p.gate.State() != proxy.Granted || p.gate.Table().Key.Term != l.core.Table().Key.Term) {
 			return false
 		}
 	}
