Remember accepted orders by digest, far past the records, and never answer 409 for one under way

Cause: what was asked for was known for limit.ChangesKept = 16 configurations only, so the same order sent again after more changes was refused with 412; an id that was under way was answered 409, which ends a caller's tries; an old order for a domain was carried out once more.

An order whose base lies before the oldest that is remembered is left without a clear answer (504), since nobody can know; the log's own verdict is the same. Orders that are no configurations are remembered by their id. A repetition under an id that is under way waits for the same answer.

The tests' inquire now ends when a rule is broken; it went on for ever before.

--- a/core/configcall.go
+++ b/core/configcall.go
@@ -3,10 +3,9 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,35 +35,42 @@
 // screen looks at a change of the configuration before anything is made of it: its size,
 // its base, and whether the very same call has been taken already. sum stands for the
 // call: its kind, its base and what its body says.
-func (c *Core) precheckChange(now time.Duration, p *pending, a *wire.Ask, text []byte, what string) (sum string, ok bool) {
+func (c *Core) precheckChange(now time.Duration, p *pending, a *wire.Ask, text []byte, what string) (sum *orderDigest, ok bool) {
 	if len(text) > limit.DocMax {
 		c.answer(p, tooLarge())
-		return "", false
+		return nil, false
 	}
 	b, named := number(a.Query, "base")
 	if !named {
 		c.answer(p, problem(428, model.Trouble{Code: "base_missing", Message: "name the revision this was built on: base=N or If-Match", Revision: c.state.Revision}))
-		return "", false
+		return nil, false
 	}
 	said, err := model.Canonical(text)
 	if err != nil {
 		c.counts.Refused++
 		c.answer(p, problem(400, model.Trouble{Code: "not_json", Message: err.Error()}))
-		return "", false
+		return nil, false
 	}
-	h := sha256.New()
-	fmt.Fprintf(h, "%s\n%d\n%s", what, b, said)
-	sum = hex.EncodeToString(h.Sum(nil)[:16])
+	digest := digestOf([]byte(what), strconv.AppendUint(nil, b, 10), said)
 	if b == c.state.Revision {
-		return sum, true
-	}
-	if r := c.state.findAcceptedBySum(sum); r != nil {
-		c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, p: p, reply: accepted(p.token, r.Revision)})
-		return "", false
+		return &digest, true
+	}
+	switch verdict, revision := c.state.judgeOrder(digest, b); verdict {
+	case orderTaken:
+		c.answerWhenInForce(now, p, revision)
+	case orderForgotten:
+		c.answerUnknown(p)
+	default:
+		c.counts.Refused++
+		c.answer(p, c.staleBase(p.token))
 	}
-	c.counts.Refused++
-	c.answer(p, c.staleBase(p.token))
-	return "", false
+	return nil, false
+}
+
+// answerWhenInForce acknowledges an order that was taken earlier, once the present table,
+// which holds it, is in force.
+func (c *Core) answerWhenInForce(now time.Duration, p *pending, revision uint64) {
+	c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, p: p, reply: accepted(p.token, revision)})
 }
 
 func (c *Core) patch(now time.Duration, p *pending, a *wire.Ask, patch []byte, what string) {
@@ -91,7 +97,7 @@
 }
 
 // config proposes a whole configuration on the present revision.
-func (c *Core) config(now time.Duration, p *pending, doc []byte, what, sum string) {
+func (c *Core) config(now time.Duration, p *pending, doc []byte, what string, sum *orderDigest) {
 	if len(doc) > limit.DocMax {
 		c.answer(p, tooLarge())
 		return
--- a/core/core.go
+++ b/core/core.go
@@ -91,7 +91,8 @@
 	relayCount   int    // how many leaders have had it
 	call         *wire.Ask
 	relayedAt    time.Duration
-	targetReport bool // a target's: made known in time or not promised, and never in doubt
+	repetitions  []*pending // the same order asked again while it is under way: answered with it
+	targetReport bool       // a target's: made known in time or not promised, and never in doubt
 }
 
 // checked is the configuration last found sound, so that it need not be read again.
@@ -210,6 +211,7 @@
 		if err := json.Unmarshal(s.Data, &c.state); err != nil {
 			panic(fmt.Sprintf("snapshot %d: %v", s.Index, err))
 		}
+		c.state.completeOrders()
 	}
 }
 
--- a/core/operator.go
+++ b/core/operator.go
@@ -105,16 +105,20 @@
 		return
 	}
 	if r := c.state.findByID(p.token); r != nil && a.Method != "GET" {
-		if r.Outcome == "stale" {
-			c.answer(p, c.staleBase(p.token))
+		if r.Outcome != outcomeAccepted {
+			c.answerNotAccepted(p, r)
 			return
 		}
 		// The same change again: wait for it as for the first.
-		c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, p: p, reply: accepted(p.token, r.Revision)})
+		c.answerWhenInForce(now, p, r.Revision)
 		return
 	}
-	if c.pendingChanges[p.token] != nil && a.Method != "GET" {
-		c.answer(p, problem(409, model.Trouble{Code: "under_way", Message: "a change with this id is under way", Id: p.token}))
+	if revision, taken := c.state.tokenTaken(p.token); taken && a.Method != "GET" {
+		c.answerWhenInForce(now, p, revision)
+		return
+	}
+	if first := c.pendingChanges[p.token]; first != nil && a.Method != "GET" {
+		first.repetitions = append(first.repetitions, p)
 		return
 	}
 	seg := strings.Split(strings.Trim(a.Path, "/"), "/")
--- /dev/null
+++ b/core/orders_test.go
@@ -0,0 +1,94 @@
+package core
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"myrtlefold/limit"
+)
+
+// taken is a state after so many accepted changes, each built on the one before.
+func stateAfter(changes int) State {
+	s := newState()
+	s.Adopted = true
+	for i := range changes {
+		d := digestOf(fmt.Append(nil, i))
+		s.Apply(uint64(i+1), command{Op: "config", Token: fmt.Sprint("t", i), Base: s.Revision, Doc: json.RawMessage(`{}`), Sum: &d})
+	}
+	return s
+}
+
+// Accepted orders are known far past the records, and of one that was built on a revision
+// before all that is remembered nobody says that it was refused.
+func TestOrderMemory(t *testing.T) {
+	changes := limit.OrdersRemembered + 100
+	s := stateAfter(changes)
+	text, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read State
+	if err := json.Unmarshal(text, &read); err != nil {
+		t.Fatal(err)
+	}
+	read.completeOrders()
+	proxies := State{}
+	if err := json.Unmarshal(s.forProxies(nil), &proxies); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name  string
+		state State
+		kept  int
+	}{{"kept", s, limit.OrdersRemembered}, {"read again", read, limit.OrdersRemembered}, {"with proxies", proxies, limit.OrdersInTables}} {
+		for i := range changes {
+			base := uint64(i)
+			v, revision := c.state.judgeOrder(digestOf(fmt.Append(nil, i)), base)
+			if known := i >= changes-c.kept; known && (v != orderTaken || revision != base+1) || !known && v != orderForgotten {
+				t.Fatalf("%s: change %d: verdict %d, revision %d", c.name, i, v, revision)
+			}
+			if v, _ := c.state.judgeOrder(digestOf([]byte("other")), base); v == orderTaken || v == orderNeverTaken && i < changes-c.kept || v == orderForgotten && i >= changes-c.kept {
+				t.Fatalf("%s: another on base %d: verdict %d", c.name, base, v)
+			}
+		}
+	}
+	if most := limit.OrdersRemembered*takenOrderBytes*4/3 + 16<<10; len(text) > most {
+		t.Errorf("a state of %d bytes", len(text))
+	}
+	if n := len(s.forProxies(nil)); n > 12<<10 {
+		t.Errorf("proxies' copy has %d bytes", n)
+	}
+}
+
+// The log's verdict is the same: taken again, refused for good, or unknown.
+func TestOrdersAgainInTheLog(t *testing.T) {
+	s := stateAfter(limit.OrdersRemembered + 100)
+	last := digestOf(fmt.Append(nil, limit.OrdersRemembered+99))
+	first, other := digestOf(fmt.Append(nil, 0)), digestOf([]byte("other"))
+	for _, c := range []struct {
+		token   string
+		base    uint64
+		sum     orderDigest
+		outcome string
+	}{
+		{"a", s.Revision - 1, last, outcomeAccepted},
+		{"b", s.Revision - 1, other, outcomeStale},
+		{"c", 0, first, outcomeUnknown},
+	} {
+		was := s.Revision
+		s.Apply(s.Seq+1, command{Op: "config", Token: c.token, Base: c.base, Doc: json.RawMessage(`{"x":1}`), Sum: &c.sum})
+		if r := s.findByID(c.token); r == nil || r.Outcome != c.outcome || s.Revision != was {
+			t.Errorf("%+v: %+v, revision %d", c, r, s.Revision)
+		}
+	}
+}
+
+// A state that was written before orders were remembered refuses none that it can't know.
+func TestStateWithoutOrders(t *testing.T) {
+	s := State{Revision: 7}
+	s.completeOrders()
+	if v, _ := s.judgeOrder(orderDigest{1}, 6); v != orderForgotten {
+		t.Errorf("verdict %d", v)
+	}
+}
--- a/core/reply.go
+++ b/core/reply.go
@@ -35,7 +35,21 @@
 		Message: fmt.Sprintf("built on another revision than the present %d; nothing was changed", c.state.Revision)})
 }
 
+// answerNotAccepted tells of a change that has been agreed on without taking effect.
+func (c *Core) answerNotAccepted(p *pending, r *Record) {
+	if r.Outcome == outcomeUnknown {
+		c.answerUnknown(p)
+		return
+	}
+	c.answer(p, c.staleBase(p.token))
+}
+
 func (c *Core) answer(p *pending, r Reply) {
+	repetitions := p.repetitions
+	p.repetitions = nil
+	for _, same := range repetitions {
+		c.answer(same, r)
+	}
 	if r.Status == 503 && p.relayCount > 1 && !p.targetReport {
 		c.answerUnknown(p) // not 'nothing was changed': an earlier leader had it too
 		return
--- a/core/state.go
+++ b/core/state.go
@@ -27,14 +27,21 @@
 type Record struct {
 	Id       string          `json:"id"`
 	What     string          `json:"what"`
-	Outcome  string          `json:"outcome"` // accepted or stale
+	Outcome  string          `json:"outcome"` // one of the outcomes below
 	Base     uint64          `json:"base,omitempty"`
 	Revision uint64          `json:"revision"`
 	Seq      uint64          `json:"seq"`
 	Doc      json.RawMessage `json:"doc,omitempty"`
-	Sum      string          `json:"sum,omitempty"` // of a configuration's change as it was asked for
+	Sum      *orderDigest    `json:"sum,omitempty"` // of a configuration's change as it was asked for
 }
 
+// Outcomes of a change.
+const (
+	outcomeAccepted = "accepted"
+	outcomeStale    = "stale"   // built on another revision than the present one
+	outcomeUnknown  = "unknown" // built on a revision so old that it may have been accepted long ago
+)
+
 // State is what the members agree on.
 type State struct {
 	Adopted        bool              `json:"adopted"`
@@ -42,6 +49,7 @@
 	Revision       uint64            `json:"revision"`
 	Doc            json.RawMessage   `json:"doc"`
 	Records        []Record          `json:"records,omitempty"`
+	Orders         orderMemory       `json:"orders,omitzero"`
 	Roster         []RosterEntry     `json:"roster,omitempty"`
 	PreviousRoster []string          `json:"was,omitempty"`       // the roster before, while this one is not in force everywhere
 	RosterAt       uint64            `json:"roster_at,omitempty"` // entry of the roster's last change
@@ -64,7 +72,7 @@
 	Gone  []string        `json:"gone,omitempty"`
 	State json.RawMessage `json:"state,omitempty"`
 	Rev   uint64          `json:"rev,omitempty"` // the operator's own number for a configuration
-	Sum   string          `json:"sum,omitempty"`
+	Sum   *orderDigest    `json:"sum,omitempty"`
 	Reg   *registry       `json:"reg,omitempty"`
 }
 
@@ -75,6 +83,7 @@
 func (s *State) forProxies(ms []wire.Member) []byte {
 	t := *s
 	t.Doc, t.Members, t.Registrations, t.Tombstones = nil, ms, nil, nil
+	t.Orders = s.Orders.latest(limit.OrdersInTables)
 	t.Records = slices.Clone(s.Records)
 	for i := range t.Records {
 		t.Records[i].Doc = nil
@@ -88,7 +97,7 @@
 	// Configurations and all else are kept apart: orders that are repeated push no text out.
 	same, first := 0, -1
 	for i, o := range s.Records {
-		if (o.Sum == "") == (r.Sum == "") {
+		if (o.Sum == nil) == (r.Sum == nil) {
 			if same++; first < 0 {
 				first = i
 			}
@@ -115,16 +124,6 @@
 	return nil
 }
 
-// taken is the accepted change that the very same call led to.
-func (s *State) findAcceptedBySum(sum string) *Record {
-	for i := range s.Records {
-		if r := &s.Records[i]; sum != "" && r.Sum == sum && r.Outcome == "accepted" {
-			return r
-		}
-	}
-	return nil
-}
-
 // Apply is the one place where agreed entries change the state.
 func (s *State) Apply(index uint64, o command) {
 	if o.Op == "targets" { // no table goes by these, so its sequence stays
@@ -135,20 +134,23 @@
 	if s.findByID(o.Token) != nil {
 		return
 	}
-	r := Record{Id: o.Token, What: cmp.Or(o.What, o.Op+" "+o.Name), Outcome: "accepted", Base: o.Base, Seq: index}
+	if _, taken := s.tokenTaken(o.Token); taken {
+		return
+	}
+	r := Record{Id: o.Token, What: cmp.Or(o.What, o.Op+" "+o.Name), Outcome: outcomeAccepted, Base: o.Base, Seq: index}
 	switch o.Op {
 	case "config":
 		if o.Base != s.Revision || o.Rev != 0 && o.Rev <= s.Revision {
-			r.Outcome, r.Revision = "stale", s.Revision
-			if t := s.findAcceptedBySum(o.Sum); t != nil { // asked twice before it was agreed
-				r.Outcome, r.Revision = t.Outcome, t.Revision
-			}
+			r.Outcome, r.Revision = s.outcomeOffBase(o)
 			s.addRecord(r)
 			return
 		}
 		s.Revision = cmp.Or(o.Rev, s.Revision+1)
 		s.Doc = o.Doc
 		r.Doc, r.Sum = o.Doc, o.Sum
+		if o.Sum != nil {
+			s.Orders.addConfiguration(*o.Sum, s.Revision)
+		}
 	case "empty":
 		if !slices.Contains(s.Emptied, o.Name) {
 			s.Emptied = append(slices.Clone(s.Emptied), o.Name)
@@ -179,6 +181,7 @@
 			if err := json.Unmarshal(o.State, &t); err == nil {
 				*s = t
 				s.Members = nil
+				s.completeOrders()
 			}
 		}
 		if len(s.Doc) == 0 {
@@ -190,10 +193,30 @@
 		s.Adopted, s.Seq = true, index
 		return
 	}
-	if o.Token != "" {
-		r.Revision = s.Revision
-		s.addRecord(r)
+	if o.Token == "" {
+		return
+	}
+	r.Revision = s.Revision
+	s.addRecord(r)
+	if o.Op != "config" {
+		s.Orders.addToken(o.Token, s.Revision)
+	}
+}
+
+// outcomeOffBase is what becomes of a change of the configuration that is not built on
+// the present revision, or numbered below it.
+func (s *State) outcomeOffBase(o command) (outcome string, revision uint64) {
+	if o.Sum == nil {
+		return outcomeStale, s.Revision
+	}
+	verdict, revision := s.judgeOrder(*o.Sum, o.Base)
+	switch verdict {
+	case orderTaken: // asked twice before it was agreed
+		return outcomeAccepted, revision
+	case orderForgotten:
+		return outcomeUnknown, s.Revision
 	}
+	return outcomeStale, s.Revision
 }
 
 // enroll changes the roster. The one before counts with it until the new one is in
@@ -225,6 +248,7 @@
 		if err := json.Unmarshal(im.Snap.Data, &s); err != nil {
 			panic(errors.Wrapf(err, "snapshot %d", im.Snap.Index))
 		}
+		s.completeOrders()
 	}
 	term = im.Snap.Term
 	for _, e := range im.Log {
@@ -288,10 +312,10 @@
 	if r != nil {
 		rev = r.Revision
 	}
-	if r != nil && r.Outcome == "stale" {
+	if r != nil && r.Outcome != outcomeAccepted {
 		c.counts.Refused++
 		if p != nil {
-			c.answer(p, c.staleBase(p.token))
+			c.answerNotAccepted(p, r)
 		}
 		return
 	}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -125,6 +125,12 @@
 	// ChangesKept is how many past changes can be asked about, and rolled back to while their
 	// texts fit HistoryBytes.
 	ChangesKept = 16
+	// OrdersRemembered is how many accepted orders are remembered by their digests, so that one that is sent
+	// again is known: several days of hundreds of changes. At 32 bytes each in a snapshot that is 128 KiB.
+	OrdersRemembered = 4096
+	// OrdersInTables is the same in the state that travels to proxies with tables, which a total loss is recovered
+	// from: 2 KiB beside a FlightBytes of 12 KiB. More than were under way at any loss are among them.
+	OrdersInTables = 64
 	// DocMax bounds a configuration in bytes.
 	DocMax = 512 << 10
 	// SqueezeFrom is from how many bytes on a document or memory is compressed for its way: below, it fits a few packets.
--- a/sim/operate_test.go
+++ b/sim/operate_test.go
@@ -17,11 +17,11 @@
 	t.Helper()
 	var got *core.Reply
 	w.call(p, method, path, query, []byte(body), token, func(r core.Reply) { got = &r })
-	for end := w.now + 10*time.Second; got == nil && w.now < end; {
+	for end := w.now + 10*time.Second; got == nil && w.now < end && w.Fail == ""; {
 		w.Run(w.now + 10*time.Millisecond)
 	}
 	if got == nil {
-		t.Fatalf("%s %s got no answer\n%s", method, path, w.Trace(20))
+		t.Fatalf("%s %s got no answer %s\n%s", method, path, w.Fail, w.Trace(20))
 	}
 	var m map[string]any
 	if err := json.Unmarshal(got.Body, &m); err != nil {
--- a/sim/operator.go
+++ b/sim/operator.go
@@ -143,3 +143,14 @@
 	}
 	return r
 }
+
+// revisionOf is the revision that an answer names, 0 if none.
+func revisionOf(r core.Reply) uint64 {
+	var v struct {
+		Revision uint64 `json:"revision"`
+	}
+	if json.Unmarshal(r.Body, &v) != nil {
+		return 0
+	}
+	return v.Revision
+}
