Check the lab's operators for linearizability; a lost answer makes mfctl say unknown

All calls for the configuration in mflab's runs are recorded and checked like the simulator's.

mfctl said 'nothing changed' (exit code 5) when a change's answer was lost and the members asked after that knew no leader; it now says unknown (6). TestCtlLostAnswer fails without it.

The lab's pair of changes sent the same document twice, which is one order and is acknowledged twice by right, so its check could not fail for the reason it names; the two now differ.

--- a/cmd/mflab/checks.go
+++ b/cmd/mflab/checks.go
@@ -104,7 +104,7 @@
 		fmt.Println("  e.g.", e)
 	}
 	for _, r := range []string{"runs twice", "refused but ran", "wrong answer", "wrong service", "leaving target", "cold rate", "come back when", "emptied domain",
-		"in force everywhere", "one base", "invalid configuration", "planned restart", "settings changed", "capacity back", "back in 15 s"} {
+		"in force everywhere", "one base", "history", "invalid configuration", "planned restart", "settings changed", "capacity back", "back in 15 s"} {
 		if r == "cold rate" && !l.routes {
 			continue
 		}
--- a/cmd/mflab/faults.go
+++ b/cmd/mflab/faults.go
@@ -11,6 +11,10 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"myrtlefold/history"
+	"myrtlefold/limit"
+	"myrtlefold/model"
 )
 
 type fault struct {
@@ -237,18 +241,28 @@
 	}},
 	{"config", func(l *lab) { l.reconfigure() }},
 	{"config pair", func(l *lab) {
-		b := strconv.Itoa(l.revision())
-		ch := make(chan int, 2)
-		for range 2 {
-			go func() {
-				_, code := l.ctl(l.config, "config", "put", "-", "--base", b)
-				ch <- code
-			}()
-		}
-		x, y := <-ch, <-ch
-		l.say("two changes on revision %s: exit codes %d and %d", b, x, y)
-		if x == 0 && y == 0 {
-			l.note("one base", "both changes on %s were accepted", b)
+		b := l.revision()
+		if b < 0 {
+			return
+		}
+		// Two that say the same are one order, and both are acknowledged.
+		other, err := model.Merge(l.config, fmt.Appendf(nil, `{"limits":{"body_bytes":%d}}`, limit.BodyMax))
+		if err != nil {
+			l.note("one base", "the second change can't be made: %v", err)
+			return
+		}
+		docs := [][]byte{l.config, other}
+		writes := []*history.Operation{l.recordOrder(docs[0], b), l.recordOrder(docs[1], b)}
+		answers := []chan configCall{make(chan configCall, 1), make(chan configCall, 1)}
+		for i := range docs {
+			go func() { answers[i] <- l.runPut(docs[i], b) }()
+		}
+		first, second := <-answers[0], <-answers[1]
+		recordAnswer(writes[0], first)
+		recordAnswer(writes[1], second)
+		l.say("two changes on revision %d: exit codes %d and %d", b, first.code, second.code)
+		if first.code == ctlDone && second.code == ctlDone {
+			l.note("one base", "both changes on %d were accepted", b)
 		}
 	}},
 	{"config invalid", func(l *lab) {
@@ -325,7 +339,7 @@
 func (l *lab) reconfigure() {
 	b := l.revision()
 	t := time.Now()
-	out, code := l.ctl(l.config, "config", "put", "-", "--base", strconv.Itoa(b))
+	out, code := l.putConfig(l.config, max(0, b))
 	d := time.Since(t)
 	l.say("configuration on %d: exit code %d after %v", b, code, d.Round(time.Millisecond))
 	if code != 0 {
@@ -350,6 +364,7 @@
 // wipe ends a day with the loss of everything that was acknowledged.
 func (l *lab) wipe() {
 	l.say("every daemon is killed and every disk lost")
+	l.history.Reset()
 	for _, p := range slices.Concat(l.cores, l.gates) {
 		p.kill()
 	}
--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -23,6 +23,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"myrtlefold/history"
 	"myrtlefold/host"
 	"myrtlefold/model"
 )
@@ -65,22 +66,23 @@
 }
 
 type lab struct {
-	dep    Deployment
-	name   string
-	dir    string
-	bin    string
-	cores  []*proc
-	gates  []*proc
-	stubs  []*proc
-	rnd    *rand.Rand
-	start  time.Time
-	config []byte
-	faults []string
-	forces []float64
-	net    fabric
-	broken map[string]int
-	notes  []string
-	routes bool // by routes: targets have health paths, slots, cold times and names of one start
+	dep     Deployment
+	name    string
+	dir     string
+	bin     string
+	cores   []*proc
+	gates   []*proc
+	stubs   []*proc
+	rnd     *rand.Rand
+	start   time.Time
+	config  []byte
+	faults  []string
+	forces  []float64
+	net     fabric
+	broken  map[string]int
+	history history.Log
+	notes   []string
+	routes  bool // by routes: targets have health paths, slots, cold times and names of one start
 }
 
 func main() {
@@ -344,19 +346,10 @@
 	return string(out), c.ProcessState.ExitCode()
 }
 
-func (l *lab) revision() int {
-	out, code := l.ctl(nil, "-o", "json", "config", "get")
-	var v struct{ Revision int }
-	if code != 0 || json.Unmarshal([]byte(out), &v) != nil {
-		return -1
-	}
-	return v.Revision
-}
-
 func (l *lab) configure(within time.Duration) error {
 	end := time.Now().Add(within)
 	for {
-		out, code := l.ctl(l.config, "--wait", "3s", "config", "put", "-", "--base", strconv.Itoa(max(0, l.revision())))
+		out, code := l.putConfig(l.config, max(0, l.revision()), "--wait", "3s")
 		if code == 0 {
 			return nil
 		}
@@ -527,6 +520,7 @@
 	if err := l.serving(15 * time.Second); err != nil {
 		l.note("back in 15 s", "%v", err)
 	}
+	l.checkHistory()
 	if wipe {
 		l.wipe()
 	}
--- a/host/ctl.go
+++ b/host/ctl.go
@@ -13,9 +13,11 @@
 	"net/url"
 	"os"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
 
 	"myrtlefold/model"
 )
@@ -225,6 +227,7 @@
 	var status int
 	var out []byte
 	var err error
+	unclear := false // a member may have had the change and its answer was lost
 	for i := 0; ; i++ {
 		u := "http://" + c.at[i%len(c.at)] + path
 		if len(q) > 0 {
@@ -240,13 +243,28 @@
 			out, err = io.ReadAll(resp.Body)
 			resp.Body.Close()
 		}
-		if err == nil && status != 503 || time.Now().After(end) {
+		if err != nil && method != "GET" && !errors.Is(err, syscall.ECONNREFUSED) {
+			unclear = true
+		}
+		if err == nil && status != 503 {
+			return status, out, nil
+		}
+		if time.Now().After(end) {
+			if unclear {
+				return 504, unclearAnswer(q.Get("id")), nil
+			}
 			return status, out, err
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
 }
 
+// unclearAnswer is what is told of a change whose answer was lost and of which nobody has
+// told more until the end.
+func unclearAnswer(id string) []byte {
+	return model.Trouble{Code: "unknown", Ran: "unknown", Id: id, Message: "an answer was lost, and it cannot be told whether the change was agreed"}.JSON()
+}
+
 func (c *ctl) end(status int, out []byte, err error, text func([]byte)) int {
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
--- a/host/ctl_test.go
+++ b/host/ctl_test.go
@@ -203,3 +203,27 @@
 		t.Fatal(code, asked, out)
 	}
 }
+
+// A change whose answer was lost is never called unchanged because the next member knows
+// no leader: it is unknown, while one that every member turned away is unchanged.
+func TestCtlLostAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose bool
+		code int
+	}{{"answer lost", true, exitUnknown}, {"turned away", false, exitNoLeader}} {
+		calls := 0
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if calls++; calls == 1 && c.lose {
+				panic(http.ErrAbortHandler)
+			}
+			w.WriteHeader(503)
+			w.Write([]byte(`{"error":{"code":"no_leader"}}`))
+		}))
+		defer srv.Close()
+		code, out := said(t, "--at", strings.TrimPrefix(srv.URL, "http://"), "--wait", "300ms", "config", "put", write(t, `{}`), "--base", "1")
+		if code != c.code || calls < 2 {
+			t.Errorf("%s: exit code %d after %d calls: %s", c.name, code, calls, out)
+		}
+	}
+}
