A member that the leader does not hear acknowledges no target's word; status says if it is current

Cause: a member passed a heartbeat on to the leader that it heard and answered 202, also when the leader did not hear it (a cut one way): a target could speak for twenty seconds to a member whose words went nowhere. It now answers 503 unless the leader answered one of its hellos within four of their intervals (1.2 s), so the target goes on to another daemon.

A call that was passed to a leader whose process then ended stayed unanswered for 6.5 s if a later process of the same name led next: it is now passed on again in each new term, under its id.

Of what operators read, only /v1/status is a member's own view: it says 'current' when the member decides at that moment. Everything else is answered by the leader.

--- a/core/core.go
+++ b/core/core.go
@@ -91,6 +91,7 @@
 	relayCount   int    // how many leaders have had it
 	call         *wire.Ask
 	relayedAt    time.Duration
+	relayedTerm  uint64     // the term in which it was passed on
 	repetitions  []*pending // the same order asked again while it is under way: answered with it
 	targetReport bool       // a target's: made known in time or not promised, and never in doubt
 }
@@ -331,7 +332,7 @@
 			delete(c.relayedCalls, id)
 			p.relayCount++
 			c.operate(now, p, p.call)
-		case l != "" && l != c.settings.Self.Name && (l != p.relayedTo || p.targetReport && now-p.relayedAt > limit.TargetReportRetry):
+		case l != "" && l != c.settings.Self.Name && (l != p.relayedTo || c.Term() != p.relayedTerm || p.targetReport && now-p.relayedAt > limit.TargetReportRetry):
 			c.relay(now, id, p, l) // under its id a change is made once, whoever hears it how often
 		}
 	}
--- a/core/discovery.go
+++ b/core/discovery.go
@@ -30,6 +30,9 @@
 	at     time.Duration
 	domain string
 	stops  bool // it said that it stops, so it is to come back
+	// repliedAt is when it last answered a hello: then it heard this daemon, and not only
+	// this daemon it.
+	repliedAt time.Duration
 }
 
 // What a core daemon without a part in agreement says that it is.
@@ -227,6 +230,13 @@
 	return l
 }
 
+// reaches says whether what is sent to another core daemon arrives there, as far as its
+// answers tell: one that is heard need not hear. A process that has just started gives
+// the others the time of an answer.
+func (c *Core) reaches(now time.Duration, name string) bool {
+	return name == c.settings.Self.Name || now-max(c.heard[name].repliedAt, c.bootAt) < 4*limit.HelloEvery
+}
+
 func (c *Core) heardLately(now time.Duration, name string) bool {
 	k := c.directory[name]
 	return name == c.settings.Self.Name || k != nil && now-k.At < 4*limit.HelloEvery
--- a/core/message.go
+++ b/core/message.go
@@ -28,7 +28,11 @@
 		}
 		c.directory.Meet(now, c.settings.Self.Name, m.Hello)
 		if d := m.Hello.Self; d.Kind == "core" && d.Name != c.settings.Self.Name {
-			c.heard[d.Name] = heard{now, d.Domain, d.State == stoppingState}
+			h := heard{at: now, domain: d.Domain, stops: d.State == stoppingState, repliedAt: c.heard[d.Name].repliedAt}
+			if m.Hello.Reply {
+				h.repliedAt = now
+			}
+			c.heard[d.Name] = h
 		}
 		if len(m.Hello.Legacy) > 0 {
 			var l RecoveredState
--- a/core/operator.go
+++ b/core/operator.go
@@ -53,6 +53,10 @@
 	}
 	if p.targetReport && !isLeaving(word) && l != "" {
 		c.heartbeat(now, word, true)
+		if !c.reaches(now, l) {
+			c.answer(p, notPropagated()) // the leader may be heard and not hear: another daemon is to be told too
+			return
+		}
 		c.answer(p, reportAccepted(word))
 		return
 	}
@@ -74,7 +78,7 @@
 
 // pass hands a call to the leader.
 func (c *Core) relay(now time.Duration, id uint64, p *pending, leader string) {
-	p.relayedTo, p.relayedAt = leader, now
+	p.relayedTo, p.relayedAt, p.relayedTerm = leader, now, c.Term()
 	p.relayCount++
 	c.send(leader, &wire.Msg{Kind: uint16(wire.KAsk), Ask: p.call})
 }
--- a/core/status.go
+++ b/core/status.go
@@ -115,6 +115,9 @@
 }
 
 type StatusView struct {
+	// Current says that this member decides at this moment, so that the agreed part of the
+	// view is the latest there is. Any other member's view may be old.
+	Current  bool          `json:"current"`
 	Name     string        `json:"name"`
 	Role     string        `json:"role"`
 	Lead     string        `json:"lead"`
@@ -133,7 +136,7 @@
 
 // Status is this member's own view.
 func (c *Core) Status(now time.Duration) StatusView {
-	v := StatusView{Name: c.settings.Self.Name, Role: "empty", Lead: c.lead.String(), Revision: c.state.Revision, Seq: c.state.Seq,
+	v := StatusView{Current: c.lead == Deciding && c.Deciding(now), Name: c.settings.Self.Name, Role: "empty", Lead: c.lead.String(), Revision: c.state.Revision, Seq: c.state.Seq,
 		Emptied: append([]string{}, c.state.Emptied...), Targets: len(c.targets), Proxies: len(c.state.Roster), Counts: c.counts}
 	if c.node != nil {
 		v.Role, v.Leader, v.Epoch, v.Term, v.Members = c.node.Role().String(), c.node.Leader(), c.node.Epoch(), c.node.Term(), c.node.Members()
--- /dev/null
+++ b/sim/cutoff_test.go
@@ -0,0 +1,159 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"myrtlefold/core"
+	"myrtlefold/limit"
+)
+
+// cutOffSpan is for how long a member is cut off.
+const cutOffSpan = 20 * time.Second
+
+// A core member that is cut off for twenty seconds, either way or one way, stands still or
+// has a disk that stalls, leader or not: whoever asks it meanwhile is told neither an old
+// configuration nor that anything was agreed or refused, only that it can't tell. When it
+// is back, it takes part again and the leader of the time goes on leading.
+func TestCutOffForTwentySeconds(t *testing.T) {
+	t.Parallel()
+	troubles := []struct {
+		name string
+		do   func(w *World, p *Proc)
+	}{
+		{"cut off", func(w *World, p *Proc) { w.isolate([]string{p.name}, cutOffSpan, true, true) }},
+		{"not heard", func(w *World, p *Proc) { w.isolate([]string{p.name}, cutOffSpan, true, false) }},
+		{"deaf", func(w *World, p *Proc) { w.isolate([]string{p.name}, cutOffSpan, false, true) }},
+		{"frozen", func(w *World, p *Proc) { w.Freeze(p, cutOffSpan) }},
+		{"disk stalls", func(w *World, p *Proc) { w.Stall(p, cutOffSpan) }},
+	}
+	for _, trouble := range troubles {
+		for _, leads := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, leads %v", trouble.name, leads), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(3) {
+					w := Start(seed, Small)
+					for _, fault := range w.cutOffOnce(t, leads, trouble.do, trouble.name == "disk stalls") {
+						t.Errorf("seed %d: %s", seed, fault)
+					}
+					check(t, w)
+				}
+			})
+		}
+	}
+}
+
+// The same sees a member that answers reads from its own state.
+func TestCutOffCanFail(t *testing.T) {
+	t.Parallel()
+	w := Start(1, Small)
+	w.sabotage = followersAnswer
+	faults := w.cutOffOnce(t, false, func(w *World, p *Proc) { w.isolate([]string{p.name}, cutOffSpan, true, true) }, false)
+	if len(faults) == 0 {
+		t.Error("a member that is cut off answered reads, and nothing was seen")
+	}
+}
+
+// cutOffOnce brings a trouble about once and lists what was wrong. A member whose disk
+// stalls may pass calls on to the leader.
+func (w *World) cutOffOnce(t *testing.T, leads bool, trouble func(*World, *Proc), passesOn bool) (faults []string) {
+	wrong := func(f string, a ...any) { faults = append(faults, fmt.Sprintf(f, a...)) }
+	w.Readers(100 * time.Millisecond)
+	p := w.Leader()
+	if !leads {
+		p = followers(w)[w.Seed%2]
+	}
+	begin := w.now
+	trouble(w, p)
+	told := map[int]int{}
+	ask := func(method, path, query string, body []byte) {
+		asked := w.now
+		w.call(p, method, path, query, body, "", func(r core.Reply) {
+			// What was asked before the loss can be known, and while the lease of the time may run.
+			if asked-begin > time.Second && w.now-begin < cutOffSpan {
+				told[r.Status]++
+			}
+		})
+	}
+	base := w.Revision()
+	for i := range 60 {
+		w.at(time.Duration(i)*cutOffSpan/60, func() {
+			ask("GET", "/v1/config", "", nil)
+			ask("PUT", "/v1/config", fmt.Sprintf("base=%d", base), w.Doc(1000+i))
+			if l := w.Leader(); l != nil && l != p {
+				w.call(l, "PUT", "/v1/config", fmt.Sprintf("base=%d", w.Revision()), w.Doc(2000+i), "", w.ignore)
+			}
+		})
+	}
+	w.Run(begin + cutOffSpan - time.Millisecond)
+	l := w.Leader()
+	if l == nil || l == p && leads {
+		return append(faults, "no other leader")
+	}
+	term := l.core.Term()
+	for status, n := range told {
+		if status != 503 && status != 504 && !passesOn {
+			wrong("it answered %d %d times", status, n)
+		}
+	}
+	if len(told) == 0 && !p.frozen {
+		wrong("it answered nothing")
+	}
+	w.Run(begin + cutOffSpan + 8*time.Second)
+	if now := w.Leader(); now != l || now.core.Term() != term {
+		wrong("%s was unseated", l.name)
+	}
+	if r, _ := w.inquire(t, p, "GET", "/v1/config", "", "", ""); r.Status != 200 || p.core.Revision() != l.core.Revision() {
+		wrong("back, it answers %d and has revision %d of %d", r.Status, p.core.Revision(), l.core.Revision())
+	}
+	if err := w.history.Check(); err != nil {
+		wrong("%v", err)
+	}
+	w.CheckState()
+	return faults
+}
+
+// A target's word to a member that the leader does not hear is not acknowledged: its
+// caller goes on to another member.
+func TestWordToUnheardMember(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		w := Start(seed, Small)
+		p := followers(w)[seed%2]
+		word := `{"service":"fares","name":"new","incarnation":9,"address":"10.9.9.9:80","domain":"d1","state":"ready"}`
+		if r, _ := w.inquire(t, p, "POST", "/v1/targets", "", word, ""); r.Status != 202 {
+			t.Errorf("seed %d: before: %d", seed, r.Status)
+		}
+		w.isolate([]string{p.name}, cutOffSpan, true, false)
+		w.Run(w.now + 5*limit.HelloEvery)
+		if r, _ := w.inquire(t, p, "POST", "/v1/targets", "", word, ""); r.Status != 503 {
+			t.Errorf("seed %d: unheard: %d", seed, r.Status)
+		}
+		w.Run(w.now + cutOffSpan)
+		if r, _ := w.inquire(t, p, "POST", "/v1/targets", "", word, ""); r.Status != 202 {
+			t.Errorf("seed %d: after: %d", seed, r.Status)
+		}
+		check(t, w)
+	}
+}
+
+// A call that was passed to a leader whose process ended is passed on again when the next
+// one leads, also if that is a later process of the same name.
+func TestCallOutlivesLeadersProcess(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(8) {
+		w := Start(seed, Small)
+		l, p := w.Leader(), followers(w)[seed%2]
+		w.Kill(l)
+		var got core.Reply
+		w.call(p, "PUT", "/v1/config", "base=1", w.Doc(2), "", func(r core.Reply) { got = r })
+		w.Run(w.now + w.ms(30, 200))
+		w.Restart(l)
+		w.Run(w.now + 4*time.Second)
+		if got.Status != 200 {
+			t.Errorf("seed %d: %d %s", seed, got.Status, got.Body)
+		}
+		check(t, w)
+	}
+}
