--- a/cmd/mflab/checks.go
+++ b/cmd/mflab/checks.go
@@ -1,4 +1,5 @@
 // This file holds what was served against the rules.
+
 package main
 
 import (
--- a/cmd/mflab/faults.go
+++ b/cmd/mflab/faults.go
@@ -1,4 +1,5 @@
 // This file is the faults that break a fleet on request.
+
 package main
 
 import (
--- a/cmd/mflab/hollow.go
+++ b/cmd/mflab/hollow.go
@@ -5,6 +5,7 @@
 // answer probes. The driver reads processor time and memory from /proc and messages
 // from each side's counters, over a span in which nothing else happens, and then how
 // long changes take. One real mfgate stands among the hollow ones for comparison.
+
 package main
 
 import (
--- a/cmd/mflab/measure.go
+++ b/cmd/mflab/measure.go
@@ -1,4 +1,5 @@
 // This file measures a fleet on one machine.
+
 package main
 
 import (
--- a/cmd/mflab/net.go
+++ b/cmd/mflab/net.go
@@ -3,6 +3,7 @@
 // all. What is held back arrives when the cut ends, as late as it then is; that is
 // harder on the fleet than losing it. Machines are told apart by the addresses that
 // their connections leave from, so no privileges are needed.
+
 package main
 
 import (
--- a/core/configcall.go
+++ b/core/configcall.go
@@ -1,4 +1,5 @@
 // This file takes operators' changes of the configuration.
+
 package core
 
 import (
--- a/core/discovery.go
+++ b/core/discovery.go
@@ -1,4 +1,5 @@
 // This file is how daemons find one another: hellos, who is known, and who leads.
+
 package core
 
 import (
--- a/core/inforce.go
+++ b/core/inforce.go
@@ -1,4 +1,5 @@
 // This file tells when a table binds every proxy, and answers those who wait for it.
+
 package core
 
 import (
--- a/core/lease.go
+++ b/core/lease.go
@@ -1,5 +1,6 @@
 // This file leases leases to the proxies that pull from the leader, and sends each
 // the part of the table that it lacks.
+
 package core
 
 import (
--- a/core/membership.go
+++ b/core/membership.go
@@ -1,5 +1,6 @@
 // This file decides who is a member of the core: who learns, who joins, who is
 // replaced and who is removed, one change at a time.
+
 package core
 
 import (
--- a/core/message.go
+++ b/core/message.go
@@ -1,5 +1,6 @@
 // This file takes in messages from other daemons and hands each to the part of
 // the core that it concerns.
+
 package core
 
 import (
--- a/core/operator.go
+++ b/core/operator.go
@@ -2,6 +2,7 @@
 // agreed log changes it, and the calls that read or change it. A change is
 // answered only once it is in force; when that cannot be told any more, the
 // answer is 'unknown' with the change's id, which can be asked about.
+
 package core
 
 import (
--- a/core/recovery.go
+++ b/core/recovery.go
@@ -7,6 +7,7 @@
 // are no majority. Places of machines that were not there are kept by names without
 // a disk, so that any two foundings share a machine that locked both, one after the
 // other. docs/design.md goes through the cases.
+
 package core
 
 import (
--- a/core/registry.go
+++ b/core/registry.go
@@ -3,6 +3,7 @@
 // nothing of ejections, probes or beats. A leader that finds no proxy with a table, as after
 // a loss of all processes, begins from it; what it says is hearsay until a target has
 // answered this leader. A leaving or a sign-off is acknowledged only once it is in here.
+
 package core
 
 import (
--- a/core/reply.go
+++ b/core/reply.go
@@ -1,4 +1,5 @@
 // This file builds the answers to operators and targets.
+
 package core
 
 import (
--- a/core/roster.go
+++ b/core/roster.go
@@ -1,4 +1,5 @@
 // This file keeps the roster, which is the agreed list of proxies.
+
 package core
 
 import (
--- a/core/status.go
+++ b/core/status.go
@@ -1,5 +1,6 @@
 // This file is what operators may read: targets, daemons, policies and this
 // member's own status.
+
 package core
 
 import (
--- a/core/table.go
+++ b/core/table.go
@@ -1,5 +1,6 @@
 // This file makes the forwarding table that all proxies choose targets from, when
 // it has something new to say.
+
 package core
 
 import (
--- a/core/target.go
+++ b/core/target.go
@@ -1,5 +1,6 @@
 // This file is the leader's view of the targets: their heartbeats, who holds which
 // name and address, and what proxies' tables say of them.
+
 package core
 
 import (
--- a/core/targetcall.go
+++ b/core/targetcall.go
@@ -1,4 +1,5 @@
 // This file takes the calls of targets: heartbeats, leavings and sign-offs.
+
 package core
 
 import (
--- a/core/watchdog.go
+++ b/core/watchdog.go
@@ -1,4 +1,5 @@
 // This file probes the targets and has the health policies judge what comes back.
+
 package core
 
 import (
--- a/forward/ahead.go
+++ b/forward/ahead.go
@@ -4,6 +4,7 @@
 // is under way, a further one that is complete, plain and bodiless is begun aside, and its
 // answer kept until the server comes to it in the usual way. So bytes, order and framing
 // stay the server's; whatever is not plain in every byte ends the looking ahead for good.
+
 package forward
 
 import (
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -1,4 +1,5 @@
 // This file reads a target's answer and passes it on to the caller.
+
 package forward
 
 import (
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -4,6 +4,7 @@
 // comes without being asked for is seen before the connection is used again. Idle connections
 // stand in a shelf per target, whose places are taken and filled by single atomic
 // steps. The sockets' own options are here too.
+
 package forward
 
 import (
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -2,6 +2,7 @@
 // moment: sizes are looked at request by request, and a connection turns the two
 // deadlines that the library's server sets on it into the configured ones. What the
 // configuration leaves open has the program's own bounds.
+
 package forward
 
 import (
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -1,4 +1,5 @@
 // This file writes the answers that the proxy gives itself.
+
 package forward
 
 import (
--- a/forward/upload.go
+++ b/forward/upload.go
@@ -1,4 +1,5 @@
 // This file reads a caller's body and sends it to a target.
+
 package forward
 
 import (
--- a/host/core.go
+++ b/host/core.go
@@ -1,5 +1,6 @@
 // This file is the control daemon's shell: it opens the disk, starts the core
 // owner, and carries out its commands.
+
 package host
 
 import (
--- a/host/ctl.go
+++ b/host/ctl.go
@@ -1,6 +1,7 @@
 // This file is mfctl, the operators' command: it asks any core member, tries the
 // next one where that is safe, names its changes itself so that asking again
 // can't apply one twice, and says by its exit code how a call ended.
+
 package host
 
 import (
--- a/host/ctl_config.go
+++ b/host/ctl_config.go
@@ -1,4 +1,5 @@
 // This file is the operators' commands for configurations.
+
 package host
 
 import (
--- a/host/ctl_policy.go
+++ b/host/ctl_policy.go
@@ -1,4 +1,5 @@
 // This file is the operators' commands that compare and stream policies.
+
 package host
 
 import (
--- a/host/ctl_views.go
+++ b/host/ctl_views.go
@@ -1,4 +1,5 @@
 // This file is the operators' commands that show what there is.
+
 package host
 
 import (
--- a/host/disk.go
+++ b/host/disk.go
@@ -1,4 +1,5 @@
 // This file is a member's disk: batches in, syncs out, on a goroutine of its own.
+
 package host
 
 import (
--- a/host/door.go
+++ b/host/door.go
@@ -1,6 +1,7 @@
 // This file is the judge's stream over HTTP: POST /v1/judge takes lines as they come
 // and answers each at once. A desk that breaks off is kept for a while, so that its
 // reader goes on from the line it had got to. It judges beside the fleet, never in it.
+
 package host
 
 import (
--- a/host/gate.go
+++ b/host/gate.go
@@ -1,5 +1,6 @@
 // This file is the proxy daemon's shell: it starts the gate owner and the
 // forwarder, and carries out the owner's commands.
+
 package host
 
 import (
--- a/host/http.go
+++ b/host/http.go
@@ -1,4 +1,5 @@
 // This file is the HTTP servers of a daemon.
+
 package host
 
 import (
--- a/host/loop.go
+++ b/host/loop.go
@@ -1,4 +1,5 @@
 // This file runs an owner: events in, commands out, on one goroutine.
+
 package host
 
 import (
--- a/host/metrics.go
+++ b/host/metrics.go
@@ -1,4 +1,5 @@
 // This file shows the owners' counters.
+
 package host
 
 import (
--- a/host/probe.go
+++ b/host/probe.go
@@ -1,6 +1,7 @@
 // This file is the probes: targets are asked on connections that stay open from one probe
 // to the next, either for their health or, where a service has no path for that, who
 // they are. What an answer means for a target is the owners' to say.
+
 package host
 
 import (
--- a/host/settings.go
+++ b/host/settings.go
@@ -1,4 +1,5 @@
 // This file is a daemon's settings: where they come from and what is checked.
+
 package host
 
 import (
--- a/host/stream.go
+++ b/host/stream.go
@@ -1,6 +1,7 @@
 // This file is the stream of target events and decisions that a leading core
 // daemon serves as JSON lines. A reader resumes by the last line's term and
 // number; one that is too slow, or comes too late, is told what it missed.
+
 package host
 
 import (
--- a/host/traffic.go
+++ b/host/traffic.go
@@ -1,5 +1,6 @@
 // This file is the count of messages between daemons, by direction and kind, as
 // /metrics shows it.
+
 package host
 
 import (
--- a/host/transport.go
+++ b/host/transport.go
@@ -1,4 +1,5 @@
 // This file is the connections between daemons.
+
 package host
 
 import (
--- a/model/route.go
+++ b/model/route.go
@@ -2,6 +2,7 @@
 // holds for it (whether it may be repeated, tries, times, priority) and one service
 // or a weighted split over several. An index by host and prefix makes a choice cost
 // the path's depth, however many routes there are.
+
 package model
 
 import (
--- a/model/tree.go
+++ b/model/tree.go
@@ -1,6 +1,7 @@
 // This file reads JSON into plain values in one pass. A key given twice, of which
 // common readers silently keep the last, is refused with its place; and a canonical
 // form tells whether two documents say the same, whatever their spacing and order.
+
 package model
 
 import (
--- a/policy/compare.go
+++ b/policy/compare.go
@@ -1,6 +1,7 @@
 // This file compares policies on recorded target events. Each policy is run by
 // itself over the same events; what it decided is held against what the events
 // show, so a recording always gives the same scores.
+
 package policy
 
 import (
--- a/policy/door.go
+++ b/policy/door.go
@@ -1,6 +1,7 @@
 // This file is the judge as a stream: lines with target events go in, lines with
 // decisions come out, and a line may replace policies in between. A line that
 // can't be taken is answered by itself and changes nothing.
+
 package policy
 
 import (
--- a/proxy/budget.go
+++ b/proxy/budget.go
@@ -3,6 +3,7 @@
 // request, and its part of the slack with time. What it may have saved up at a
 // window's start and what it earns within stay, summed over the fleet, under ratio
 // and slack, whichever proxies start anew: a new life begins with nothing.
+
 package proxy
 
 import (
--- a/proxy/choice.go
+++ b/proxy/choice.go
@@ -4,6 +4,7 @@
 // them a proxy borrows where little load is known, within a window that shrinks when
 // a target says that it is full. Where they do not, a configured cap is shared out.
 // A cold target's rate is dealt as well, over the whole roster.
+
 package proxy
 
 import (
--- a/proxy/lease.go
+++ b/proxy/lease.go
@@ -1,5 +1,6 @@
 // This file asks the leader for the table and a lease, and without one the other
 // proxies.
+
 package proxy
 
 import (
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -1,4 +1,5 @@
 // This file takes tables from the leader, whole or as changes.
+
 package proxy
 
 import (
--- a/proxy/view.go
+++ b/proxy/view.go
@@ -1,4 +1,5 @@
 // This file is what operators may read of a proxy.
+
 package proxy
 
 import (
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -1,5 +1,6 @@
 // This file is the election: who asks for votes, who leases them, and when a
 // candidate leads.
+
 package quorum
 
 import (
--- a/quorum/image.go
+++ b/quorum/image.go
@@ -1,4 +1,5 @@
 // This file is what a member's disk holds: every synced batch folded in order.
+
 package quorum
 
 import (
--- a/quorum/member.go
+++ b/quorum/member.go
@@ -1,4 +1,5 @@
 // This file is the list of members: who votes, who learns, and changes by one.
+
 package quorum
 
 import (
--- a/quorum/replication.go
+++ b/quorum/replication.go
@@ -1,5 +1,6 @@
 // This file replicates the log from the leader to the others and counts what a
 // majority has synced.
+
 package quorum
 
 import (
--- a/quorum/snapshot.go
+++ b/quorum/snapshot.go
@@ -1,4 +1,5 @@
 // This file replaces the applied log by the state that it led to.
+
 package quorum
 
 import (
--- a/sim/backend.go
+++ b/sim/backend.go
@@ -1,4 +1,5 @@
 // This file is the simulated back ends: their words, probes, crashes and leavings.
+
 package sim
 
 import (
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -1,6 +1,7 @@
 // This file holds the faults of the brief and the days that are made of them: a
 // day draws faults by its seed, lets them overlap, heals all, and then wants
 // service back and everything acknowledged still in force.
+
 package sim
 
 import (
@@ -314,8 +315,7 @@
 			p = w.pick("gate", true)
 		}
 		w.Kill(p)
-		var forget func()
-		forget = func() {
+		forget := func() {
 			if l := w.Leader(); l != nil && !p.alive {
 				w.call(l, "POST", "/v1/gates/"+p.name+"/forget", "", nil, "", func(core.Reply) {})
 			}
--- a/sim/operator.go
+++ b/sim/operator.go
@@ -1,4 +1,5 @@
 // This file is the simulated operators and their changes.
+
 package sim
 
 import (
--- a/sim/process.go
+++ b/sim/process.go
@@ -1,5 +1,6 @@
 // This file is one daemon's process in the simulator: its starts, kills, freezes
 // and disk.
+
 package sim
 
 import (
--- a/sim/request.go
+++ b/sim/request.go
@@ -1,5 +1,6 @@
 // This file is the simulated callers and their requests, from the proxy's choice to
 // the last answer.
+
 package sim
 
 import (
--- a/sim/rules.go
+++ b/sim/rules.go
@@ -1,5 +1,6 @@
 // This file holds the rules of what must never happen, as checks that the
 // simulator makes at each step they concern.
+
 package sim
 
 import (
--- a/sim/scarce.go
+++ b/sim/scarce.go
@@ -1,5 +1,6 @@
 // This file has processes take time for what they handle, and links for what goes
 // over them.
+
 package sim
 
 import (
--- a/sim/scenes.go
+++ b/sim/scenes.go
@@ -2,6 +2,7 @@
 // counts how often it did, and names a guard which, taken out of the simulated
 // shell, makes the rule's check fail. It also measures what is left of the service
 // under each kind of fault, since a system that refuses everything breaks no rule.
+
 package sim
 
 import (
