Document wire, ring and limit for a reader who is new to them

Each exported type, field group and function of wire and ring says what it is, with units and errors. Comments of limit named constants by names that were given up (CoreBeat, GateGrant, BarTTL and 26 others); they name today's. No exported name and no code path is changed.

--- a/limit/agreement.go
+++ b/limit/agreement.go
@@ -4,21 +4,21 @@
 
 // Agreement among the core members.
 const (
-	// CoreBeat is how often a leader speaks to each member: several chances within a core lease.
+	// HeartbeatEvery is the interval of a leader's heartbeats to each member: several within a LeaderLease.
 	HeartbeatEvery = 100 * time.Millisecond
-	// CoreGrant is how long after a majority's last proof of hearing a leader may decide.
+	// LeaderLease is how long after a majority's last acknowledgement a leader may decide.
 	LeaderLease = 500 * time.Millisecond
-	// ElectMin is how long a member that heard a leader refuses others: over CoreGrant plus a
+	// ElectMin is how long a member that heard a leader refuses others: over LeaderLease plus a
 	// twentieth for clocks that run at unlike speed, so the old leader stops before a new one starts.
 	ElectMin = 700 * time.Millisecond
 	// ElectSpread is added by name and term so that members seldom stand at once.
 	ElectSpread = 400 * time.Millisecond
 	// LeaderQuiet is how long no leader has spoken to a member that says that it hears none: three of
-	// its beats. A living leader that is late says itself that it leads.
+	// its heartbeats. A living leader that is late says itself that it leads.
 	LeaderQuiet = 3 * HeartbeatEvery
 	// ElectAsk is how often a member that hears no leader asks whether all the others hear none either.
 	ElectAsk = 60 * time.Millisecond
-	// FsyncStall is how long a sync may hang before a leader stops deciding: under ElectMin.
+	// SyncStall is how long a sync may hang before a leader stops deciding: under ElectMin.
 	SyncStall = 400 * time.Millisecond
 	// LogMax is how many entries are held before a snapshot is taken.
 	LogMax = 256
@@ -31,15 +31,16 @@
 	HistoryBytes = 512 << 10
 	// AppendMax bounds the bytes of entries in one message, to keep messages small beside WireMax.
 	AppendMax = 1 << 20
-	// LegacyWait is how long a leader of a refounded core collects what proxies and survivors remember.
+	// RecoveryWait is how long a leader after disaster recovery collects the states that proxies and
+	// surviving members remember.
 	RecoveryWait = 1500 * time.Millisecond
-	// FoundWait is how long those who could found a core without one of its machines wait for it:
+	// BootstrapWait is how long those who could found a core without one of its machines wait for it:
 	// longer than a daemon's restart, and with all that follows within 15 s.
 	BootstrapWait = 5 * time.Second
 	// VotersMax is how many members a core grows to if no size is given: any three machines may go,
 	// or a domain of three, and each entry is still synced by four only.
 	VotersMax = 7
-	// MemberGone is how long a member is silent before a standby daemon takes its place: longer than
+	// MemberReplaceAfter is how long a member is silent before a standby daemon takes its place: longer than
 	// a process's restart. One that said that it stops has MemberForget.
 	MemberReplaceAfter = 8 * time.Second
 	// MemberForget is how long a member is silent before it goes without a replacement: longer
@@ -49,7 +50,7 @@
 	// is tried once more: others go first meanwhile.
 	LearnWait  = 3 * time.Second
 	LearnAgain = 15 * time.Second
-	// VowLife is how long an operator's order to found again holds.
+	// ConsentLife is how long an operator's consent to a disaster recovery holds.
 	ConsentLife = time.Minute
 	// HelloEvery is how often daemons tell each other who is there.
 	HelloEvery = 300 * time.Millisecond
--- a/limit/forward.go
+++ b/limit/forward.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Carrying requests.
+// Forwarding requests to targets.
 const (
 	// RetryWindow and RetryShare are the brief's: a fifth of the traffic in any 10 s.
 	RetryWindow = 10 * time.Second
@@ -30,10 +30,10 @@
 	// OpensMax is how many choices of one request may end before anything is sent. They do not count
 	// as its attempts, which are targets that it was sent to.
 	OpensMax = 4
-	// Shun is how long a target that refused a connection is used last by that proxy.
+	// AvoidFor is how long a target that refused a connection is used last by that proxy.
 	AvoidFor = time.Second
-	// ClosedBar is how long a proxy leaves a target out after two connections in a row could not be
-	// opened: the design's two misses, seen from where they hurt, until the leader's word comes.
+	// ClosedEjection is how long a proxy leaves a target out after two connections in a row could not be
+	// opened: as two missed probes, seen from the proxy, until the leader's own ejection arrives.
 	ClosedEjection = 3 * time.Second
 	// BodyMax is the default bound of a caller's body in bytes.
 	BodyMax = 1 << 20
@@ -52,7 +52,7 @@
 	// RetryAfterMin and RetryAfterSpan make the Retry-After of a refusal, spread by request.
 	RetryAfterMin  = time.Second
 	RetryAfterSpan = 3 * time.Second
-	// PipeIdle is how long an unused connection to a back end is kept: under the 5 s after which common
+	// ConnIdle is how long an unused connection to a back end is kept: under the 5 s after which common
 	// servers close theirs, so that a request seldom meets the close under way.
 	ConnIdle = 4 * time.Second
 	// AheadMax is how many requests of one caller's connection are begun before those ahead of them
@@ -66,7 +66,7 @@
 	// IdleSlack is how much longer than it is told an unused connection of a caller's is kept: who
 	// believes in the bound never writes on one that is being closed.
 	IdleSlack = time.Second
-	// PipesIdleMax is how many unused connections are kept per target: targets bound the connections from all
+	// IdleConnsMax is how many unused connections are kept per target: targets bound the connections from all
 	// proxies together, and some hold a slot for each.
 	IdleConnsMax = 8
 	// ConnParts: a proxy keeps at most this part of the connections that a target takes from all, so that
@@ -96,13 +96,13 @@
 	// AnswerHeld is the largest answer in bytes that is read whole before its caller gets any of
 	// it, so that one that is cut can be made up for: what most interfaces answer with.
 	AnswerHeld = 64 << 10
-	// NetHop is kept back from the time that is passed on: a target's last word has to travel.
+	// NetHop is kept back from the time that is passed on: a target's last answer has to travel.
 	NetHop = 5 * time.Millisecond
 	// CallerBody is what a caller may send, in bytes, to services whose targets are asked for their health.
 	CallerBody = 64 << 20
 	// ProbeBody bounds what is read of an answer to a probe, in bytes.
 	ProbeBody = 4 << 10
-	// ProbePipe is how long a connection for probes is kept without one: a target that is gone leaves none.
+	// ProbeConnIdle is how long a connection for probes is kept without one: a target that is gone leaves none.
 	ProbeConnIdle = 10 * time.Second
 	// AimMinutes is the longest window of a service-level aim, in minutes: proxies keep it in memory.
 	AimMinutes = 60
@@ -127,7 +127,7 @@
 	// as long as a slot is free, a full target is no slower than an empty one.
 	PaceUrge = 1.0
 	PaceMost = 1.5
-	// PipeUrge is what an open connection is worth beside a target's load.
+	// ConnUrge is what an open connection is worth beside a target's load.
 	ConnUrge = 0.1
 	// MeanWeight is a request's part in its route's mean time, once a few have been seen.
 	MeanWeight = 0.05
--- a/limit/lease.go
+++ b/limit/lease.go
@@ -6,26 +6,26 @@
 const (
 	// PullEvery is how often a proxy asks for its table and lease.
 	PullEvery = 150 * time.Millisecond
-	// GateGrant is how long a proxy serves on a leader's word, counted from when it asked.
+	// ProxyLease is how long a proxy serves on the leader's lease, counted from when it asked.
 	ProxyLease = 900 * time.Millisecond
-	// TouchGrant is the same between leaderless proxies.
+	// PeerLease is the same for the leases that proxies without a leader give each other.
 	PeerLease = 600 * time.Millisecond
 	// TouchMost is how many peers a proxy that serves on its peers asks at a turn, or a TouchTurns-th of a roster for which
-	// that is more: all are asked again before a touch lapses, 3 x 150 ms and a hop under 600 ms.
+	// that is more: all are asked again before a peer lease lapses, 3 x 150 ms and a hop under 600 ms.
 	TouchMost  = 16
 	TouchTurns = 3
 	// TouchWant is how many of them, in a larger roster, are asked at once what they hold against targets.
 	TouchWant = 4
-	// GrantMargin is what the leader adds before it takes a lease as lapsed, for clock speed.
-	// Worst wait for a change to be in force: GateGrant + GrantMargin = 1.1 s, under the 2 s rule.
+	// LeaseMargin is what the leader adds before it takes a lease as lapsed, for clock speed.
+	// Worst wait for a change to be in force: ProxyLease + LeaseMargin = 1.1 s, under the 2 s rule.
 	LeaseMargin = 200 * time.Millisecond
-	// GateDeaf is how long a proxy may go on asking without taking the table that it is sent before
-	// it is granted nothing more: a few lost answers. GateDeaf + GateGrant + GrantMargin = 1.6 s.
+	// ProxyDeaf is how long a proxy may go on asking without taking the table that it is sent before
+	// it gets no more leases: a few lost answers. ProxyDeaf + ProxyLease + LeaseMargin = 1.6 s.
 	ProxyDeaf = 500 * time.Millisecond
-	// GateForget is how long a proxy may be silent before the leader drops it from the roster:
+	// ProxyForget is how long a proxy may be silent before the leader drops it from the roster:
 	// long enough for a machine's restart.
 	ProxyForget = 60 * time.Second
-	// GateLive is how long after its last pull a proxy counts when shares are split.
+	// ProxyLive is how long after its last pull a proxy counts when shares are split.
 	ProxyLive = 2 * time.Second
 	// FirstRoster is how long a leader with an empty roster gathers proxies before it admits them as one.
 	FirstRoster = 500 * time.Millisecond
@@ -35,13 +35,13 @@
 	// TableRow is how much longer that is for each target and proxy, since every proxy deals every
 	// target among all: 0.1 s for 300 targets and 70 proxies.
 	TableRow = 5 * time.Microsecond
-	// TablesKept is of how many past tables a leader knows when it made them: more than GateDeaf has.
+	// TablesKept is of how many past tables a leader knows when it made them: more than ProxyDeaf has.
 	TablesKept = 64
-	// GonesKept is how many targets that went a leader remembers so as to tell changes by.
+	// GonesKept is how many removed targets a leader remembers, so that a table can be sent as changes.
 	GonesKept = 1024
-	// LeftStep is how far the end of an ejection or of coldness must move to be told again.
+	// LeftStep is how far the end of an ejection or of a cold start must move to be sent again.
 	LeftStep = 250 * time.Millisecond
-	// FlightBytes is how much may be under way to a proxy unconfirmed, in bytes: a slow link's tenth of a
+	// FlightBytes is how much may be under way to a proxy unacknowledged, in bytes: a slow link's tenth of a
 	// second. SlowLink is what such a link carries beside traffic, in bytes a second, RowBytes a table's row.
 	FlightBytes = 12 << 10
 	SlowLink    = 128 << 10
@@ -52,14 +52,14 @@
 	DemandStep = 0.125
 	// WarmLeader is how long a new leader waits for tables from a majority of proxies.
 	WarmLeader = 1500 * time.Millisecond
-	// AskWait bounds an operator's change: past it the answer is 'unknown'.
+	// CallWait bounds an operator's change: past it the answer is 'unknown'.
 	CallWait = 6 * time.Second
 	// ChangesKept is how many past changes can be asked about, and rolled back to while their
 	// texts fit HistoryBytes.
 	ChangesKept = 16
 	// DocMax bounds a configuration in bytes.
 	DocMax = 512 << 10
-	// SqueezeFrom is from how many bytes on a document or memory is compressed for its way: below, it fits a few packets.
+	// CompressFrom is from how many bytes on a document or memory is compressed for its way: below, it fits a few packets.
 	CompressFrom = 2 << 10
 	// WireMax bounds one message between daemons: a snapshot with all kept configurations.
 	WireMax = 8 << 20
--- a/limit/probe.go
+++ b/limit/probe.go
@@ -10,12 +10,12 @@
 	// ProbeCap is how long one probe may take (the source's 700 ms, cut for the same sum).
 	ProbeCap = 400 * time.Millisecond
 	// NamedSilent is how long a target of a service that no configuration names, and that is not probed,
-	// may be silent, if it beat steadily before, until it has to prove itself anew: a beat and a little. NamedSpread is over what time
+	// may be silent, if its heartbeats were steady before, until it has to prove itself anew: one interval and a little. NamedSpread is over what time
 	// the first probes go out once the service is named: with both, one that just died is ejected in time.
 	NamedSilent = BeatEvery + 100*time.Millisecond
 	NamedSpread = ProbeEvery / 2
 	// IndirectAfter is how long the probe after a missed one may be unanswered before the leader has
-	// IndirectProbes proxies probe in its place. What they tell counts once it comes a PullEvery after
+	// IndirectProbes proxies probe in its place. What they report counts once it comes a PullEvery after
 	// the leader's probe went out, and has ProbeCap - IndirectAfter = 0.25 s to come: two hops, a
 	// probe and a tick. An ejection waits for nobody: it comes with the second miss as ever.
 	IndirectAfter  = PullEvery
@@ -28,10 +28,10 @@
 	DoubtEvery = 200 * time.Millisecond
 	// ProbeBurst is how many probes of targets that are known from the log go out in one tick.
 	ProbeBurst = 64
-	// KeepEvery is how often the agreed registry of targets is written, if something in it changed;
-	// a word that says leaving or gone is written at the next tick after another write.
+	// RegistryEvery is how often the agreed registry of targets is written, if something in it changed;
+	// a report of leaving or gone is written at the next tick after another write.
 	RegistryEvery = 250 * time.Millisecond
-	// KeepBatch is how many targets one write holds, PlacesMax how many targets, and marks of those
+	// RegistryBatch is how many targets one write holds, RegistryMax how many targets, and tombstones of those
 	// that are gone, the registry: at 300 bytes each 2.4 MB, and with all else under half a ring file.
 	RegistryBatch = 256
 	RegistryMax   = 4096
@@ -41,31 +41,31 @@
 	Watchers  = 8
 	// ProbeMisses in a row make an ejection; the source's two.
 	ProbeMisses = 2
-	// BarTTL is the source's 30 s, after which an ejection lapses by itself.
+	// EjectionTTL is the source's 30 s, after which an ejection lapses by itself.
 	EjectionTTL = 30 * time.Second
-	// BarMaxTTL is the longest ejection that a policy may ask for.
+	// EjectionMaxTTL is the longest ejection that a policy may ask for.
 	EjectionMaxTTL = 10 * time.Minute
 	// ReconcileEvery is the source's 10 s full rewrite.
 	ReconcileEvery = 10 * time.Second
-	// BeatEvery is what back ends are told to keep to.
+	// BeatEvery is the interval of heartbeats that back ends are to keep.
 	BeatEvery = 500 * time.Millisecond
-	// BeatLapse is how long a target may be silent before it no longer counts as beating:
-	// three beats and a little, and with one push still under the 2 s rule, since a service
-	// whose targets are all ejected is served by those that beat.
+	// BeatLapse is how long a target may be silent before it no longer counts as alive by its heartbeats:
+	// three intervals and a little, and with one push still under the 2 s rule, since a service
+	// whose targets are all ejected is served by those that send heartbeats.
 	BeatLapse = 1600 * time.Millisecond
 	// SeenEvery is how often what proxies saw of a target becomes one event for the policies:
 	// Window of them reach back over RetryWindow.
 	SeenEvery = 500 * time.Millisecond
 	// TargetGone is how long silence and missed probes together last before the entry goes.
 	TargetGone = 20 * time.Second
-	// ProofWords beats over ProofSpan prove that a target is there when no probe reaches it: a
-	// late word comes once, a repeated one with its first, who lives beats every BeatEvery.
+	// ProofWords heartbeats over ProofSpan prove that a target is there when no probe reaches it: a
+	// late heartbeat comes once, a repeated one with its first; a live target sends one every BeatEvery.
 	ProofWords = 3
 	ProofSpan  = 900 * time.Millisecond
-	// WordWait is how long a word that says leaving or gone may wait until a majority of the proxies
-	// has confirmed it: who says it goes to the next daemon after 1 s.
+	// TargetReportWait is how long a target's report of leaving or gone may wait until a majority of the proxies
+	// has confirmed it: a target without an answer goes to the next daemon after 1 s.
 	TargetReportWait = 850 * time.Millisecond
-	// WordAgain is after what time such a word is passed to the leader once more, if no answer came.
+	// TargetReportRetry is after what time such a report is sent to the leader again, if no answer came.
 	TargetReportRetry = 200 * time.Millisecond
 	// NameMax bounds a domain's name in bytes.
 	NameMax = 128
@@ -74,7 +74,7 @@
 	ColdMax  = time.Hour
 	// NamesKept is how many names of targets that are gone a leader remembers the places of.
 	NamesKept = 4096
-	// TombKeep is how long after its last word a signed-off or superseded incarnation is refused.
+	// TombstoneKeep is how long after its last heartbeat a signed-off or superseded incarnation is refused.
 	TombstoneKeep = 2 * time.Minute
 	// Window is the longest look back that a policy's condition has, in samples.
 	Window = 32
--- a/limit/process.go
+++ b/limit/process.go
@@ -4,10 +4,10 @@
 
 // Processes.
 const (
-	// TickEvery is the owners' heartbeat.
+	// TickEvery is the interval at which every owner's state machine is stepped without another event.
 	TickEvery = 20 * time.Millisecond
 	// SendQueue is how many messages may wait for one connection, and SendLate how long: a lease that
-	// comes later is of no use, and old words would keep new ones waiting.
+	// comes later is of no use, and old messages would keep new ones waiting.
 	SendQueue = 64
 	SendLate  = 500 * time.Millisecond
 	// WireBuffer is what a connection between daemons has for reading and for writing, in bytes: some
@@ -31,7 +31,7 @@
 	GcPercent   = 60
 	// StreamBuffer is how many decisions wait for a slow reader before it is told what it missed.
 	StreamBuffer = 512
-	// LineMax bounds a line of the judge's stream in bytes, DeskTargets the targets of one stream,
+	// LineMax bounds a line of the policies' stream in bytes, DeskTargets the targets of one stream,
 	// Desks the streams at once on one daemon, and DeskKept is how long one that broke off can be resumed.
 	LineMax     = 256 << 10
 	DeskTargets = 4096
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -23,9 +23,14 @@
 )
 
 const (
-	magic = 0x4d46524e
+	magic = 0x4d46524e        // a record's first four bytes
 	again = 0x4d45524e        // an echo's magic; its last byte is the same
 	head  = 4 + 8 + 4 + 4 + 4 // magic, generation, number, length, checksum
+	// Offsets of the head's fields, in bytes; all are little-endian.
+	generationAt = 4
+	numberAt     = 12
+	lengthAt     = 16
+	checksumAt   = 20
 )
 
 // common is what a record's and an echo's magic begin with on disk.
@@ -33,31 +38,32 @@
 
 var table = crc32.MakeTable(crc32.Castagnoli)
 
-// ErrDamaged marks a ring whose middle cannot be trusted.
+// ErrDamaged is returned for a ring in which unsound bytes stand before sound records.
 var ErrDamaged = errors.New("ring damaged")
 
-// ErrFull marks a whole record that no file can hold.
+// ErrFull is returned for a state that no file can hold.
 var ErrFull = errors.New("state larger than a ring file")
 
+// Ring is an open ring of files. Its methods are for one goroutine.
 type Ring struct {
-	dir   string
-	files []*os.File
-	size  int64
-	cur   int
-	gen   uint64
-	num   uint32
-	off   int64
-	buf   []byte
+	files      []*os.File
+	size       int64 // of each file, in bytes
+	current    int   // index of the file that is written to, -1 before the first
+	generation uint64
+	records    uint32 // in the current file, which is the next record's number
+	offset     int64  // where the next record goes, in bytes
+	buffer     []byte
 }
 
-// Open preallocates or reads the ring in dir and returns the records of its
-// newest file; the first of them, if any, is a whole record. No more of a file is in
+// Open opens the ring of so many files of size bytes in the folder dir, and allocates it if it
+// does not exist. It returns the records of the newest file; the first of them, if any, holds the
+// whole state. Besides errors of the file system it returns ErrDamaged. No more of a file is in
 // memory at a time than a piece of it and one record.
 func Open(dir string, files int, size int64) (*Ring, [][]byte, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, nil, errors.Wrap(err, "ring folder")
 	}
-	r := &Ring{dir: dir, size: size, cur: -1}
+	r := &Ring{size: size, current: -1}
 	piece := make([]byte, min(size, limit.RingPiece))
 	for i := range files {
 		f, err := os.OpenFile(filepath.Join(dir, fmt.Sprintf("ring-%d", i)), os.O_RDWR|os.O_CREATE, 0o600)
@@ -76,17 +82,17 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		if g > r.gen {
-			r.gen, r.cur = g, i
+		if g > r.generation {
+			r.generation, r.current = g, i
 		}
 	}
 	var recs [][]byte
-	if r.cur >= 0 {
+	if r.current >= 0 {
 		var err error
-		if recs, r.off, err = scan(r.files[r.cur], size, r.gen, piece); err != nil {
-			return nil, nil, errors.Wrapf(err, "%s", r.files[r.cur].Name())
+		if recs, r.offset, err = scan(r.files[r.current], size, r.generation, piece); err != nil {
+			return nil, nil, errors.Wrapf(err, "%s", r.files[r.current].Name())
 		}
-		r.num = uint32(len(recs))
+		r.records = uint32(len(recs))
 	}
 	d, err := os.Open(dir)
 	if err != nil {
@@ -140,9 +146,9 @@
 
 func (fr *frame) parse(size, off int64) bool {
 	fr.kind = binary.LittleEndian.Uint32(fr.head[0:])
-	fr.gen = binary.LittleEndian.Uint64(fr.head[4:])
-	fr.num = binary.LittleEndian.Uint32(fr.head[12:])
-	fr.n = int64(binary.LittleEndian.Uint32(fr.head[16:]))
+	fr.gen = binary.LittleEndian.Uint64(fr.head[generationAt:])
+	fr.num = binary.LittleEndian.Uint32(fr.head[numberAt:])
+	fr.n = int64(binary.LittleEndian.Uint32(fr.head[lengthAt:]))
 	return (fr.kind == magic || fr.kind == again) && off+head+fr.n <= size
 }
 
@@ -152,8 +158,8 @@
 	if _, err := f.ReadAt(b, off+head); err != nil {
 		return nil, false, errors.Wrap(err, "read ring file")
 	}
-	sum := crc32.Update(crc32.Checksum(fr.head[:20], table), table, b)
-	return b, sum == binary.LittleEndian.Uint32(fr.head[20:]), nil
+	sum := crc32.Update(crc32.Checksum(fr.head[:checksumAt], table), table, b)
+	return b, sum == binary.LittleEndian.Uint32(fr.head[checksumAt:]), nil
 }
 
 // seek goes through every place from an offset on that may be a frame's, whatever lies between.
@@ -256,65 +262,67 @@
 	return recs, off, nil
 }
 
-// Append writes and syncs records as one; room false means that nothing was
-// written and Rotate is due.
+// Append writes records behind the last one and syncs them as one. It reports room false, with
+// nothing written, if they do not fit into the file: Rotate is due then. After an error of the
+// file system the ring must be opened again.
 func (r *Ring) Append(recs ...[]byte) (room bool, err error) {
 	n := int64(0)
 	for _, d := range recs {
 		n += head + int64(len(d))
 	}
-	if r.cur < 0 || r.off+2*n > r.size {
+	if r.current < 0 || r.offset+2*n > r.size {
 		return false, nil
 	}
-	r.buf = r.buf[:0]
+	r.buffer = r.buffer[:0]
 	for _, kind := range []uint32{magic, again} {
 		for i, d := range recs {
-			r.frame(kind, r.gen, r.num+uint32(i), d)
+			r.frame(kind, r.generation, r.records+uint32(i), d)
 		}
 	}
-	if err := r.put(r.files[r.cur], r.off); err != nil {
+	if err := r.put(r.files[r.current], r.offset); err != nil {
 		return true, err
 	}
-	r.off += n
-	r.num += uint32(len(recs))
+	r.offset += n
+	r.records += uint32(len(recs))
 	return true, nil
 }
 
-// Rotate starts the next file with a whole record.
+// Rotate starts the next file with a record that holds the whole state. It returns ErrFull if
+// that does not fit, with its echo, into a file.
 func (r *Ring) Rotate(whole []byte) error {
 	if int64(len(whole)+head) > r.size/2 {
 		return errors.Wrapf(ErrFull, "%d bytes, half a file is %d", len(whole), r.size/2)
 	}
-	next := (r.cur + 1) % len(r.files)
-	r.buf = r.buf[:0]
-	r.frame(magic, r.gen+1, 0, whole)
-	r.frame(again, r.gen+1, 0, whole)
+	next := (r.current + 1) % len(r.files)
+	r.buffer = r.buffer[:0]
+	r.frame(magic, r.generation+1, 0, whole)
+	r.frame(again, r.generation+1, 0, whole)
 	if err := r.put(r.files[next], 0); err != nil {
 		return err
 	}
-	r.cur, r.gen, r.num, r.off = next, r.gen+1, 1, int64(len(whole)+head)
+	r.current, r.generation, r.records, r.offset = next, r.generation+1, 1, int64(len(whole)+head)
 	return nil
 }
 
 func (r *Ring) frame(kind uint32, gen uint64, num uint32, d []byte) {
 	var h [head]byte
 	binary.LittleEndian.PutUint32(h[0:], kind)
-	binary.LittleEndian.PutUint64(h[4:], gen)
-	binary.LittleEndian.PutUint32(h[12:], num)
-	binary.LittleEndian.PutUint32(h[16:], uint32(len(d)))
-	sum := crc32.Update(crc32.Checksum(h[:20], table), table, d)
-	binary.LittleEndian.PutUint32(h[20:], sum)
-	r.buf = append(append(r.buf, h[:]...), d...)
+	binary.LittleEndian.PutUint64(h[generationAt:], gen)
+	binary.LittleEndian.PutUint32(h[numberAt:], num)
+	binary.LittleEndian.PutUint32(h[lengthAt:], uint32(len(d)))
+	sum := crc32.Update(crc32.Checksum(h[:checksumAt], table), table, d)
+	binary.LittleEndian.PutUint32(h[checksumAt:], sum)
+	r.buffer = append(append(r.buffer, h[:]...), d...)
 }
 
 func (r *Ring) put(f *os.File, off int64) error {
-	if _, err := f.WriteAt(r.buf, off); err != nil {
+	if _, err := f.WriteAt(r.buffer, off); err != nil {
 		return errors.Wrap(err, "write ring file")
 	}
 	return errors.Wrap(f.Sync(), "sync ring file")
 }
 
-// Close lets the files go.
+// Close closes the files. What was appended is synced already.
 func (r *Ring) Close() {
 	for _, f := range r.files {
 		f.Close()
--- a/ring/ring_test.go
+++ b/ring/ring_test.go
@@ -21,7 +21,7 @@
 		t.Fatal(err)
 	}
 	defer r.Close()
-	if r.cur < 0 {
+	if r.current < 0 {
 		if err := r.Rotate([]byte("whole")); err != nil {
 			t.Fatal(err)
 		}
@@ -91,7 +91,7 @@
 			if err := c.do(r); err != nil {
 				t.Fatal(err)
 			}
-			f := r.files[r.cur].Name()
+			f := r.files[r.current].Name()
 			r.Close()
 			b, _ := os.ReadFile(f)
 			find := bytes.Index
@@ -125,7 +125,7 @@
 	fill(t, dir, "one")
 	r, _, _ := Open(dir, 3, size)
 	r.Append([]byte("torn-a"), []byte("torn-b"))
-	f := r.files[r.cur].Name()
+	f := r.files[r.current].Name()
 	r.Close()
 	b, _ := os.ReadFile(f)
 	at := bytes.Index(b, []byte("torn-a")) - head
--- a/wire/squeeze_test.go
+++ b/wire/compress_test.go
@@ -10,8 +10,8 @@
 	"myrtlefold/limit"
 )
 
-// What is compressed opens to the same text, and is shorter where that can be.
-func TestSqueezedTextOpens(t *testing.T) {
+// What is compressed decompresses to the same text, and is shorter where that can be.
+func TestCompressedTextDecompresses(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(7, 7))
 	noise := make([]byte, 5*limit.CompressFrom)
 	for i := range noise {
@@ -30,7 +30,7 @@
 			t.Errorf("%d bytes opened to %d: %v", len(text), len(got), err)
 		}
 		if again := Compress(text); !bytes.Equal(again, b) {
-			t.Errorf("%d bytes are squeezed in two ways", len(text))
+			t.Errorf("%d bytes are compressed in two ways", len(text))
 		}
 	}
 	if b := Compress(routes.Bytes()); 2*len(b) > routes.Len() {
@@ -39,7 +39,7 @@
 }
 
 // A text that breaks off is an error, and so is one that grows without a bound.
-func TestOddSqueezedTextIsRefused(t *testing.T) {
+func TestUnsoundCompressedTextIsRefused(t *testing.T) {
 	whole := Compress(bytes.Repeat([]byte("one and another "), limit.CompressFrom))
 	for n := 1; n < len(whole); n++ {
 		if _, err := Decompress(whole[:n]); err == nil {
@@ -47,7 +47,7 @@
 		}
 	}
 	var b bytes.Buffer
-	b.WriteByte(squeezed)
+	b.WriteByte(compressedMark)
 	w, err := flate.NewWriter(&b, flate.BestCompression)
 	if err != nil {
 		t.Fatal(err)
--- a/wire/convert.go
+++ b/wire/convert.go
@@ -205,6 +205,7 @@
 	return buf[:header+n], nil
 }
 
+// Encode returns a message as unpacked Cap'n Proto bytes. Its errors are the library's.
 func Encode(m *Msg) ([]byte, error) {
 	buf, cm, seg, err := blank(m.size())
 	if err != nil {
@@ -217,6 +218,7 @@
 	return finish(buf, cm, seg, e.err)
 }
 
+// EncodeBatch returns a batch as unpacked Cap'n Proto bytes, the form of a record on disk.
 func EncodeBatch(b *Batch) ([]byte, error) {
 	buf, cm, seg, err := blank(b.size())
 	if err != nil {
@@ -573,6 +575,8 @@
 	return cm, p.Struct(), nil
 }
 
+// Decode reads what Encode made. It trusts nothing in b: any bytes give a message or an error. The
+// message holds no part of b.
 func Decode(b []byte) (*Msg, error) {
 	cm, c, err := open(b)
 	if err != nil {
@@ -587,6 +591,7 @@
 	return m, nil
 }
 
+// DecodeBatch reads what EncodeBatch made, under the same conditions as Decode.
 func DecodeBatch(b []byte) (*Batch, error) {
 	cm, c, err := open(b)
 	if err != nil {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -24,9 +24,10 @@
 	buf  []byte
 }
 
+// NewWriter returns a Writer to a connection. Nothing reaches it before Flush, or a full buffer.
 func NewWriter(w io.Writer) *Writer { return &Writer{w: bufio.NewWriterSize(w, limit.WireBuffer)} }
 
-// Put writes a message and says how many bytes it took.
+// Put writes a message to the buffer and returns how many bytes it takes on the connection.
 func (w *Writer) Put(m *Msg) (size int, err error) {
 	c := *m
 	if c.To = ""; c.From == w.from {
@@ -52,6 +53,7 @@
 	return size, err
 }
 
+// Flush sends what Put has written to the buffer.
 func (w *Writer) Flush() error { return w.w.Flush() }
 
 // Reader takes messages from one connection.
@@ -62,12 +64,13 @@
 	Size int
 }
 
+// NewReader returns a Reader of a connection.
 func NewReader(r io.Reader) *Reader {
 	return &Reader{r: bufio.NewReaderSize(r, limit.WireBuffer)}
 }
 
-// Next is the next message's bytes, which stand until the one after it; one over the limit is
-// an error, whatever it says of itself.
+// Next returns the next message's bytes for Decode; they are valid until the next call. A message
+// over limit.WireMax is an error, whatever lengths it claims, and ends the connection's use.
 func (r *Reader) Next() ([]byte, error) {
 	words, err := binary.ReadUvarint(r.r)
 	if err != nil {
@@ -107,11 +110,11 @@
 	return b, nil
 }
 
-// Pack appends whole words, packed.
+// Pack appends b, which is whole words of 8 bytes, to the slice to in Cap'n Proto's packed encoding.
 func Pack(to, b []byte) []byte { return packed.Pack(to, b) }
 
-// Unpack appends what was packed, which must come to exactly so many bytes: the library's own
-// would let a few bytes grow without a bound.
+// Unpack appends what b holds in packed encoding to the slice to. It must come to exactly size
+// bytes: the library's own function would let a few bytes grow without a bound.
 func Unpack(to, b []byte, size int) ([]byte, error) {
 	end := len(to) + size
 	for len(b) > 0 {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -6,26 +6,29 @@
 
 import "cmp"
 
+// Kind tells which part of a Msg is set.
 type Kind uint16
 
+// The kinds of messages.
 const (
-	KHello Kind = iota + 1
-	KVote
-	KAppend
-	KPull
-	KPush
-	KBeat
-	KAsk
+	KHello  Kind = iota + 1 // discovery: who is there and who leads
+	KVote                   // election: a request for a vote, or the answer
+	KAppend                 // replication: heartbeat and log entries, or the answer
+	KPull                   // a proxy asks for its table and lease
+	KPush                   // the answer to a pull
+	KBeat                   // a target's heartbeat, passed on by a proxy
+	KAsk                    // a call to the leader that another member passes on, or the answer
 )
 
+// Msg is one message between daemons. Exactly the part of its Kind is set.
 type Msg struct {
-	Kind   uint16
-	From   string
-	To     string
-	Disk   uint64
-	Epoch  uint64
-	Term   uint64
-	Stamp  int64
+	Kind   uint16 // a Kind
+	From   string // the sender's name
+	To     string // the receiver's name; not sent, since a connection has one receiver
+	Disk   uint64 // the sender's disk (a member), or the incarnation of the proxy that a pull or its answer is of
+	Epoch  uint64 // how often the core was founded, as the sender knows it
+	Term   uint64 // the sender's election term
+	Stamp  int64  // the sender's clock in ns, which an answer repeats
 	Hello  *Hello
 	Vote   *Vote
 	Append *Append
@@ -35,81 +38,90 @@
 	Ask    *Ask
 }
 
+// Daemon is what a control daemon or a proxy says of itself.
 type Daemon struct {
 	Name   string `json:"name"`
-	Kind   string `json:"kind"`
-	Domain string `json:"domain"`
-	Addr   string `json:"addr"`
-	Http   string `json:"http"`
+	Kind   string `json:"kind"`   // core or gate
+	Domain string `json:"domain"` // failure domain (zone)
+	Addr   string `json:"addr"`   // IP:port for messages between daemons
+	Http   string `json:"http"`   // IP:port of its HTTP API
 	Inc    uint64 `json:"incarnation"`
-	Disk   uint64 `json:"-"`
+	Disk   uint64 `json:"-"` // the number of its disk; 0 for a proxy
 	Epoch  uint64 `json:"epoch"`
-	Lock   uint64 `json:"-"`
+	Lock   uint64 `json:"-"` // the bootstrap offer that its disk is bound to, 0: none
 	Ready  bool   `json:"ready"`
 	State  string `json:"state"`
-	Offer  uint64 `json:"-"`
+	Offer  uint64 `json:"-"` // the bootstrap offer that it sees, a hash of the founders
 }
 
+// Hello is discovery: each daemon tells the others of itself and of whom it knows.
 type Hello struct {
 	Self   Daemon
 	Known  []Daemon
 	Reply  bool
-	Leader string
-	Term   uint64
-	Legacy []byte
-	// Members are the latest list that the sender knows, as of an epoch and a place in its log.
+	Leader string // the leader's name, "": none is known
+	Term   uint64 // the leader's term
+	Legacy []byte // state that is remembered for disaster recovery, compressed if it is long
+	// Members are the latest list that the sender knows, as of an epoch and an index in its log.
 	Members      []Member
 	MembersEpoch uint64
 	MembersIndex uint64
-	// Founding is the epoch that the sender's lock stands for; Gone and Refound are an operator's word.
+	// Founding is the epoch that the sender's lock stands for. Gone and Refound are an operator's
+	// consent to a disaster recovery: the members whose disks are lost, and that it may begin.
 	Founding uint64
 	Gone     []string
 	Refound  bool
 }
 
+// Vote is a request for a vote, or the answer to one.
 type Vote struct {
-	Pre       bool
+	Pre       bool // a pre-vote, which changes nobody's term
 	Reply     bool
 	Granted   bool
-	LastIndex uint64
+	LastIndex uint64 // of the candidate's last log entry
 	LastTerm  uint64
-	Transfer  bool
-	All       bool // who asks leads only with everybody's leave, and needs no patience then
-	Alone     bool // an answer: no leader is heard here
+	Transfer  bool // the leader has asked the candidate to take over, so members don't wait for it
+	All       bool // the candidate leads only with the votes of all members, and need not wait then
+	Alone     bool // in an answer: this member hears no leader
 }
 
+// Entry is one entry of the replicated log.
 type Entry struct {
 	Index uint64
 	Term  uint64
-	Kind  uint16
+	Kind  uint16 // what Data is, by package quorum
 	Data  []byte
 }
 
+// Member is a voting member or learner of the core. A daemon on a new disk is another member.
 type Member struct {
 	Name string `json:"name"`
 	Disk uint64 `json:"disk"`
 }
 
+// Snap is a snapshot: the state after the log's entry Index, in place of all entries up to it.
 type Snap struct {
 	Index   uint64
-	Term    uint64
+	Term    uint64 // of the entry Index
 	Members []Member
 	Data    []byte
 }
 
+// Append is a leader's heartbeat with the log entries or the snapshot that a member lacks, or the
+// answer to one.
 type Append struct {
 	Reply     bool
-	Ok        bool
-	PrevIndex uint64
+	Ok        bool   // in an answer: the entries were taken
+	PrevIndex uint64 // the entry before Entries, which the member must have
 	PrevTerm  uint64
-	Commit    uint64
-	Match     uint64
+	Commit    uint64 // up to which index entries are committed
+	Match     uint64 // in an answer: up to which index the member's log equals the leader's
 	Entries   []Entry
 	Snap      *Snap
 }
 
 // Target is a back end as the daemons know it; its identity is the first four
-// fields. Held, BarLeft and Pending are decisions and travel in tables only.
+// fields. Held (draining), BarLeft (ejection) and Pending are decisions and travel in tables only.
 type Target struct {
 	Service   string  `json:"service"`
 	Name      string  `json:"name"`
@@ -119,17 +131,18 @@
 	State     string  `json:"state"`
 	Demand    float64 `json:"demand,omitempty"`
 	HasDemand bool    `json:"-"`
-	Held      bool    `json:"held"`
-	BarLeft   int64   `json:"bar_left_ns,omitempty"`
-	BarWhy    string  `json:"bar_why,omitempty"`
-	Pending   bool    `json:"pending,omitempty"`
-	Beating   bool    `json:"beating"`
-	Turn      uint32  `json:"-"`                      // its place in the dealing of caps among proxies
-	Slots     uint32  `json:"slots,omitempty"`        // exchanges that it works on at once, 0: not said
+	Held      bool    `json:"held"`                   // gets no new requests until a policy clears it
+	BarLeft   int64   `json:"bar_left_ns,omitempty"`  // of its ejection
+	BarWhy    string  `json:"bar_why,omitempty"`      // the policy that ejected it
+	Pending   bool    `json:"pending,omitempty"`      // gets no requests until it is confirmed
+	Beating   bool    `json:"beating"`                // its heartbeats arrive
+	Turn      uint32  `json:"-"`                      // its place where caps are split among proxies
+	Slots     uint32  `json:"slots,omitempty"`        // requests that it works on at once, 0: not said
 	ColdLeft  int64   `json:"cold_left_ns,omitempty"` // how much longer it bears only its service's cold rate
-	Number    uint64  `json:"number,omitempty"`       // its word's number, which rises with each; 0: not numbered
+	Number    uint64  `json:"number,omitempty"`       // its heartbeat's number, which rises with each; 0: not numbered
 }
 
+// ID is a target's identity; a restarted target has a higher incarnation.
 type ID struct {
 	Service, Name string
 	Inc           uint64
@@ -140,20 +153,21 @@
 	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Inc, b.Inc))
 }
 
+// ID returns the target's identity.
 func (t *Target) ID() ID { return ID{t.Service, t.Name, t.Inc} }
 
-// Seen is what one proxy saw of one target since its last report.
+// Seen is what one proxy saw of one target since its last report: requests by outcome.
 type Seen struct {
 	Service   string
 	Name      string
 	Inc       uint64
 	Ok        uint32
 	Errors    uint32
-	SumMs     float64
+	SumMs     float64 // time of all its answers together, in ms
 	Demand    float64
 	HasDemand bool
 	Slow      uint32
-	NotRun    uint32 // turned away by the target itself, which says that it did not run them
+	NotRun    uint32 // rejected by the target itself, which says that it did not run them
 	Alive     bool   // it answered an indirect probe as itself
 }
 
@@ -161,9 +175,10 @@
 type Key struct {
 	Epoch uint64
 	Term  uint64
-	Ver   uint64
+	Ver   uint64 // the table's number within the term
 }
 
+// Less reports whether k stands for an earlier table than o.
 func (k Key) Less(o Key) bool {
 	if k.Epoch != o.Epoch {
 		return k.Epoch < o.Epoch
@@ -174,6 +189,7 @@
 	return k.Ver < o.Ver
 }
 
+// Gate is a proxy as a table names it. Live ones have their share of each target's cap.
 type Gate struct {
 	Name   string
 	Addr   string
@@ -181,14 +197,15 @@
 	Live   bool
 }
 
+// Table is all that a proxy chooses targets from, as the leader made it, whole or as changes.
 type Table struct {
 	Key      Key
-	Seq      uint64
-	Revision uint64
+	Seq      uint64 // of the durable state that it is made from
+	Revision uint64 // of the configuration
 	Doc      []byte // compressed, if it is long
 	State    []byte
 	Gates    []Gate
-	Emptied  []string
+	Emptied  []string // domains that get no new requests
 	Targets  []Target
 	Was      []string // proxies of the roster before, while this one is not in force everywhere
 	// Base makes it a change to any table of its term from that one on: Targets are those that are
@@ -197,6 +214,8 @@
 	Gone []ID
 }
 
+// Pull is a proxy's request for its table and lease, with what it has and what it saw of targets.
+// Proxies without a leader send it to each other for peer leases.
 type Pull struct {
 	Self  Daemon // without a name: as it was last said; Msg.Disk tells the process
 	Key   Key
@@ -209,41 +228,43 @@
 	Want bool
 }
 
+// Push is the answer to a Pull.
 type Push struct {
-	Grant bool
-	Want  bool
-	Key   Key
+	Grant bool // the proxy has its lease, counted from when it sent the pull
+	Want  bool // the sender wants the proxy's table in its next pull
+	Key   Key  // the sender's latest table
 	Table *Table
 	Probe []ID // targets that the proxy is to probe in the leader's place: indirect probes
 }
 
+// Ask is an operator's or a target's HTTP call that a member passes on to the leader, or the answer.
 type Ask struct {
-	Id      uint64
+	Id      uint64 // matches the answer to the call
 	Reply   bool
 	Method  string
 	Path    string
 	Query   string
 	Body    []byte
-	Status  uint16
-	RetryMs uint32
-	Token   string
+	Status  uint16 // in an answer: the HTTP status
+	RetryMs uint32 // in an answer: when to try again, 0: not said
+	Token   string // names the change, so that it is made once however often it is sent
 }
 
 // Batch is what a member's disk takes in one piece, synced as a whole before
-// anything that depends on it leaves the process. Fresh replaces all before it.
+// anything that depends on it leaves the process. Fields that are not set change nothing.
 type Batch struct {
 	Seq     uint64
-	Fresh   bool
+	Fresh   bool // it replaces all before it
 	Epoch   uint64
-	Disk    uint64
-	Hard    bool
+	Disk    uint64 // the disk's own number
+	Hard    bool   // Term and Vote are set
 	Term    uint64
-	Vote    string
-	Cut     uint64
+	Vote    string // for whom the member voted in Term
+	Cut     uint64 // log entries from this index on are dropped before Entries are added, 0: none
 	Entries []Entry
 	Snap    *Snap
-	Lock    uint64
-	Legacy  []byte
+	Lock    uint64 // the bootstrap offer that the disk is bound to
+	Legacy  []byte // state that is remembered for disaster recovery
 	// Founders and Founding are the members and the epoch that Lock stands for.
 	Founders []Member
 	Founding uint64
