--- /dev/null
+++ b/model/heartbeat.go
@@ -0,0 +1,114 @@
+// This file reads the heartbeats of back ends.
+
+package model
+
+import (
+	"encoding/json"
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"myrtlefold/limit"
+	"myrtlefold/wire"
+)
+
+// IdentityPath is where a back end says who it is, how it is and what it bears.
+const IdentityPath = "/.myrtlefold/identity"
+
+// States of a back end, in the only order in which they follow each other.
+const (
+	Warming = "warming"
+	Ready   = "ready"
+	Leaving = "leaving"
+	Gone    = "gone"
+)
+
+// Beat is what a back end says of itself, in beats and at IdentityPath.
+type Beat struct {
+	Service     string   `json:"service"`
+	Name        string   `json:"name"`
+	Incarnation uint64   `json:"incarnation"`
+	Address     string   `json:"address,omitempty"`
+	Domain      string   `json:"domain,omitempty"`
+	State       string   `json:"state"`
+	Demand      *float64 `json:"demand,omitempty"`
+	// Slots are the requests that it works on at once, 0: not said. ColdLeftMs is how much longer
+	// it bears only its service's cold rate. Number rises with each word, 0: not numbered.
+	Slots      int64  `json:"slots,omitempty"`
+	ColdLeftMs int64  `json:"cold_left_ms,omitempty"`
+	Number     uint64 `json:"number,omitempty"`
+}
+
+// ID is who speaks.
+func (b *Beat) ID() wire.ID {
+	return wire.ID{Service: b.Service, Name: b.Name, Inc: b.Incarnation}
+}
+
+// Target checks a beat and gives it the form that travels.
+func (b *Beat) Target() (wire.Target, []Fault) {
+	c := &checker{}
+	c.name("service", b.Service)
+	c.name("name", b.Name)
+	if b.Incarnation == 0 {
+		c.add("incarnation", "must be over 0 and grow with each start")
+	}
+	if ap, err := netip.ParseAddrPort(b.Address); err != nil || ap.Port() == 0 {
+		c.add("address", "must be IP:port")
+	}
+	if !slices.Contains([]string{Warming, Ready, Leaving, Gone}, b.State) {
+		c.add("state", "warming, ready, leaving or gone, not %q", b.State)
+	}
+	if len(b.Domain) > limit.NameMax {
+		c.add("domain", "at most %d bytes", limit.NameMax)
+	}
+	if b.Slots < 0 || b.Slots > limit.SlotsMax {
+		c.add("slots", "%d is not between 0 and %d", b.Slots, limit.SlotsMax)
+	}
+	if most := limit.ColdMax.Milliseconds(); b.ColdLeftMs < 0 || b.ColdLeftMs > most {
+		c.add("cold_left_ms", "%d is not between 0 and %d", b.ColdLeftMs, most)
+	}
+	t := wire.Target{Service: b.Service, Name: b.Name, Inc: b.Incarnation, Addr: b.Address, Domain: b.Domain, State: b.State,
+		Slots: uint32(b.Slots), ColdLeft: b.ColdLeftMs * int64(time.Millisecond), Number: b.Number}
+	if b.Demand != nil {
+		if *b.Demand < 0 || math.IsNaN(*b.Demand) || math.IsInf(*b.Demand, 0) {
+			c.add("demand", "must be 0 or more")
+		}
+		t.Demand, t.HasDemand = *b.Demand, true
+	}
+	return t, c.faults
+}
+
+// ParseBeat reads a beat's body; fields that it does not know may say more.
+func ParseBeat(body []byte) (wire.Target, []Fault) {
+	b, faults := readBeat(body, Beat{})
+	if len(faults) > 0 {
+		return wire.Target{}, faults
+	}
+	return b.Target()
+}
+
+// ParseNamedBeat reads a word whose name stands in the path of its call. Names in this
+// form are used once, so a word needs no incarnation.
+func ParseNamedBeat(name string, body []byte) (wire.Target, []Fault) {
+	b, faults := readBeat(body, Beat{Incarnation: 1})
+	if len(faults) > 0 {
+		return wire.Target{}, faults
+	}
+	b.Name = name
+	return b.Target()
+}
+
+func readBeat(body []byte, b Beat) (Beat, []Fault) {
+	if err := json.Unmarshal(body, &b); err != nil {
+		at := ""
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) {
+			at = te.Field
+		}
+		return b, []Fault{{at, err.Error()}}
+	}
+	return b, nil
+}
