Parse a configuration by a table of sections; document package model

Bounds that stood in the code as figures are constants of limit, in limit/config.go. Slices, decisions and modes of policies are constants. The checks of hosts and paths stood twice and are one. TtlMs and Tls are TTLMs and TLS; names in JSON are unchanged. Faults have the same paths and texts as before: model's tests are unchanged.

--- a/host/ctl_views.go
+++ b/host/ctl_views.go
@@ -180,7 +180,7 @@
 		if s.Score != nil {
 			x = *s.Score
 		}
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%s\t%s\n", n, s.Policy.Mode, s.Policy.Slice, s.Policy.Decide, s.Policy.TtlMs, s.Ran, s.Failed, s.Marks,
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%s\t%s\n", n, s.Policy.Mode, s.Policy.Slice, s.Policy.Decide, s.Policy.TTLMs, s.Ran, s.Failed, s.Marks,
 			x.Bars, x.Wrong, x.Errors, x.Missed, x.ToBarMs, s.Policy.When, s.Error)
 	}
 	tw.Flush()
--- /dev/null
+++ b/limit/config.go
@@ -0,0 +1,32 @@
+package limit
+
+// Bounds of the values that a configuration may hold. They are far over any real one, and refuse
+// what can only be a slip.
+const (
+	// CapMax bounds a service's caps, in requests, and InFlightMax those in flight at a proxy.
+	CapMax      = 100000
+	InFlightMax = 1000000
+	// TimeoutMinMs is a service's least deadline in ms: under it nothing is answered in time.
+	TimeoutMinMs = 10
+	// WaitMaxMs and WaitLenMax bound a service's queue: how long, in ms, and how many requests.
+	WaitMaxMs  = 60000
+	WaitLenMax = 10000
+	// ServiceBodyMax bounds a service's bound of bodies, LimitsBodyMax and LimitsHeaderMax those
+	// for all callers, in bytes.
+	ServiceBodyMax  = 1 << 30
+	LimitsBodyMax   = 1 << 40
+	LimitsHeaderMax = 1 << 20
+	// ServiceTriesMax and AttemptsMax bound how often a request may be sent, by services and routes.
+	ServiceTriesMax = 10
+	AttemptsMax     = 100
+	// PriorityMax is the lowest priority of a route; 0 is the highest.
+	PriorityMax = 1000
+	// ConnCapMax bounds the connections that a target takes.
+	ConnCapMax = 1000000
+	// ColdRateMax bounds a cold target's rate, in requests a second.
+	ColdRateMax = 1e6
+	// ItemNameMax bounds the name of a service, policy, aim or route, in bytes.
+	ItemNameMax = 64
+	// ExactMax is up to where JSON numbers are whole numbers without loss.
+	ExactMax = 1 << 53
+)
--- a/model/check.go
+++ b/model/check.go
@@ -15,9 +15,15 @@
 	kjson "github.com/knadh/koanf/parsers/json"
 	"github.com/knadh/koanf/providers/rawbytes"
 	"github.com/knadh/koanf/v2"
+
+	"myrtlefold/limit"
 )
 
-type checker struct{ faults []Fault }
+// checker collects the faults of a document.
+type checker struct {
+	faults      []Fault
+	checkPolicy func(Policy) []Fault // how package policy checks one; only Parse needs it
+}
 
 func (c *checker) add(path, format string, a ...any) {
 	if path == "" { // the name itself is empty
@@ -26,13 +32,15 @@
 	c.faults = append(c.faults, Fault{path, fmt.Sprintf(format, a...)})
 }
 
-func wholeNumbers(from, to reflect.Type, v any) (any, error) {
-	if f, ok := v.(float64); ok && to.Kind() == reflect.Int && (f != math.Trunc(f) || math.Abs(f) > 1<<53) {
+// wholeNumbers is a hook that refuses fractions where the field is an int.
+func wholeNumbers(_, to reflect.Type, v any) (any, error) {
+	if f, ok := v.(float64); ok && to.Kind() == reflect.Int && (f != math.Trunc(f) || math.Abs(f) > limit.ExactMax) {
 		return nil, errors.Newf("%v is not a whole number", f)
 	}
 	return v, nil
 }
 
+// decode reads a parsed value into the struct at out, and adds a fault for each unknown field.
 func (c *checker) decode(path string, in, out any) {
 	d, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{Result: out, TagName: "koanf",
 		DecodeHook: wholeNumbers, MatchName: func(a, b string) bool { return a == b }})
@@ -56,8 +64,9 @@
 	}
 }
 
-// Decode reads a JSON object into a struct with koanf tags, over what stands in
-// it already, and lists every fault by its path.
+// Decode reads a JSON object into the struct at out by its koanf tags; fields that the object does
+// not have keep their values. It returns every fault by its path. An error marked ErrNotJSON says
+// that the document cannot be read at all.
 func Decode(doc []byte, out any) ([]Fault, error) {
 	if _, err := object(doc); err != nil {
 		return nil, err
@@ -71,6 +80,7 @@
 	return c.faults, nil
 }
 
+// join puts together two parts of a path, either of which may be empty.
 func join(a, b string) string {
 	if a == "" || b == "" {
 		return a + b
@@ -78,6 +88,7 @@
 	return a + "." + b
 }
 
+// explain adds a fault for each of the errors that the decoder has joined.
 func (c *checker) explain(path string, err error) {
 	if err == nil {
 		return
@@ -99,45 +110,48 @@
 	}
 }
 
+// name checks the name of an item.
 func (c *checker) name(path, n string) {
-	if n == "" || len(n) > 64 || strings.ContainsFunc(n, func(r rune) bool {
+	if n == "" || len(n) > limit.ItemNameMax || strings.ContainsFunc(n, func(r rune) bool {
 		return !(r >= 'a' && r <= 'z' || r >= '0' && r <= '9' || r == '-' || r == '_')
 	}) {
-		c.add(path, "a name is 1 to 64 of a-z, 0-9, - and _")
+		c.add(path, "a name is 1 to %d of a-z, 0-9, - and _", limit.ItemNameMax)
 	}
 }
 
+// within checks that v is between lo and hi, both included.
 func (c *checker) within(path string, v, lo, hi int) {
 	if v < lo || v > hi {
 		c.add(path, "%d is not between %d and %d", v, lo, hi)
 	}
 }
 
+// service checks a service by itself.
 func (c *checker) service(path, n string, s Service) {
 	c.name(path, n)
-	c.within(path+".cap", s.Cap, 1, 100000)
-	c.within(path+".warm_cap", s.WarmCap, 1, 100000)
-	c.within(path+".in_flight", s.InFlight, 0, 1000000)
-	c.within(path+".timeout_ms", s.TimeoutMs, 10, 600000)
-	c.within(path+".wait_ms", s.WaitMs, 0, 60000)
-	c.within(path+".wait_len", s.WaitLen, 0, 10000)
-	c.within(path+".body_max", s.BodyMax, 0, 1<<30)
-	c.within(path+".tries", s.Tries, 1, 10)
-	c.within(path+".slow_ms", s.SlowMs, 0, 600000)
+	c.within(path+".cap", s.Cap, 1, limit.CapMax)
+	c.within(path+".warm_cap", s.WarmCap, 1, limit.CapMax)
+	c.within(path+".in_flight", s.InFlight, 0, limit.InFlightMax)
+	c.within(path+".timeout_ms", s.TimeoutMs, limit.TimeoutMinMs, limit.TimeoutMaxMs)
+	c.within(path+".wait_ms", s.WaitMs, 0, limit.WaitMaxMs)
+	c.within(path+".wait_len", s.WaitLen, 0, limit.WaitLenMax)
+	c.within(path+".body_max", s.BodyMax, 0, limit.ServiceBodyMax)
+	c.within(path+".tries", s.Tries, 1, limit.ServiceTriesMax)
+	c.within(path+".slow_ms", s.SlowMs, 0, limit.TimeoutMaxMs)
 	if s.WarmCap > s.Cap {
 		c.add(path+".warm_cap", "%d is over cap %d", s.WarmCap, s.Cap)
 	}
 	if s.HealthPath != "" && (!strings.HasPrefix(s.HealthPath, "/") || strings.ContainsAny(s.HealthPath, "?#* ")) {
 		c.add(path+".health_path", "must be a plain path")
 	}
-	c.within(path+".conn_cap", s.ConnCap, 0, 1000000)
-	if !(s.ColdS >= 0 && s.ColdS <= 3600) {
-		c.add(path+".cold_s", "%v is not between 0 and 3600", s.ColdS)
+	c.within(path+".conn_cap", s.ConnCap, 0, limit.ConnCapMax)
+	if !(s.ColdS >= 0 && s.ColdS <= limit.ColdMax.Seconds()) {
+		c.add(path+".cold_s", "%v is not between 0 and %v", s.ColdS, limit.ColdMax.Seconds())
 	}
-	if !(s.ColdPerS >= 0 && s.ColdPerS <= 1e6) {
-		c.add(path+".cold_per_s", "%v is not between 0 and 1000000", s.ColdPerS)
+	if !(s.ColdPerS >= 0 && s.ColdPerS <= limit.ColdRateMax) {
+		c.add(path+".cold_per_s", "%v is not between 0 and %d", s.ColdPerS, int(limit.ColdRateMax))
 	}
-	if s.Proto != "" && s.Proto != "h1" || s.Tls {
+	if s.Proto != "" && s.Proto != "h1" || s.TLS {
 		c.add(path+".proto", "targets are spoken to by h1 without TLS")
 	}
 	if (s.WaitMs > 0) != (s.WaitLen > 0) {
@@ -145,15 +159,32 @@
 	}
 }
 
+// Texts of faults that rules and routes have in common.
+const (
+	notPlainPath = "must be a plain path"
+	notHost      = "must be a lower-case host name without port, or empty for all"
+)
+
+// isPlainPath reports whether a path is without queries, wildcards, and parts that have other forms.
+func isPlainPath(path string) bool {
+	return !strings.ContainsAny(path, "?#* ") && !strings.Contains(path, "//") && !strings.Contains(path, "/.")
+}
+
+// isHost reports whether a rule or route may be for that host.
+func isHost(host string) bool {
+	return !strings.ContainsAny(host, "/:* ") && host == strings.ToLower(host)
+}
+
+// rule checks a rule; the services are known by then.
 func (c *checker) rule(path string, r Rule, cfg *Config) {
 	if !strings.HasPrefix(r.Path, "/") {
 		c.add(path+".path", "must start with /")
 	}
-	if strings.ContainsAny(r.Path, "?#* ") || strings.Contains(r.Path, "//") || strings.Contains(r.Path, "/.") {
-		c.add(path+".path", "must be a plain path")
+	if !isPlainPath(r.Path) {
+		c.add(path+".path", notPlainPath)
 	}
-	if strings.ContainsAny(r.Host, "/:* ") || r.Host != strings.ToLower(r.Host) {
-		c.add(path+".host", "must be a lower-case host name without port, or empty for all")
+	if !isHost(r.Host) {
+		c.add(path+".host", notHost)
 	}
 	if _, ok := cfg.Services[r.Service]; !ok {
 		c.add(path+".service", "no service %q", r.Service)
--- a/model/heartbeat.go
+++ b/model/heartbeat.go
@@ -15,7 +15,7 @@
 	"myrtlefold/wire"
 )
 
-// IdentityPath is where a back end says who it is, how it is and what it bears.
+// IdentityPath is the HTTP path at which a back end answers with its Beat.
 const IdentityPath = "/.myrtlefold/identity"
 
 // States of a back end, in the only order in which they follow each other.
@@ -26,7 +26,7 @@
 	Gone    = "gone"
 )
 
-// Beat is what a back end says of itself, in beats and at IdentityPath.
+// Beat is what a back end says of itself, in heartbeats and at IdentityPath.
 type Beat struct {
 	Service     string   `json:"service"`
 	Name        string   `json:"name"`
@@ -36,18 +36,18 @@
 	State       string   `json:"state"`
 	Demand      *float64 `json:"demand,omitempty"`
 	// Slots are the requests that it works on at once, 0: not said. ColdLeftMs is how much longer
-	// it bears only its service's cold rate. Number rises with each word, 0: not numbered.
+	// it takes only its service's cold rate. Number rises with each heartbeat, 0: not numbered.
 	Slots      int64  `json:"slots,omitempty"`
 	ColdLeftMs int64  `json:"cold_left_ms,omitempty"`
 	Number     uint64 `json:"number,omitempty"`
 }
 
-// ID is who speaks.
+// ID returns the identity of the back end.
 func (b *Beat) ID() wire.ID {
 	return wire.ID{Service: b.Service, Name: b.Name, Inc: b.Incarnation}
 }
 
-// Target checks a beat and gives it the form that travels.
+// Target checks a heartbeat and returns it in the form that daemons exchange, or its faults by field.
 func (b *Beat) Target() (wire.Target, []Fault) {
 	c := &checker{}
 	c.name("service", b.Service)
@@ -81,7 +81,7 @@
 	return t, c.faults
 }
 
-// ParseBeat reads a beat's body; fields that it does not know may say more.
+// ParseBeat reads a heartbeat's body and checks it; unknown fields are ignored.
 func ParseBeat(body []byte) (wire.Target, []Fault) {
 	b, faults := readBeat(body, Beat{})
 	if len(faults) > 0 {
@@ -90,8 +90,8 @@
 	return b.Target()
 }
 
-// ParseNamedBeat reads a word whose name stands in the path of its call. Names in this
-// form are used once, so a word needs no incarnation.
+// ParseNamedBeat reads the body of a heartbeat whose name stands in the path of its call. Names in
+// this form are used for one start only, so no incarnation is needed.
 func ParseNamedBeat(name string, body []byte) (wire.Target, []Fault) {
 	b, faults := readBeat(body, Beat{Incarnation: 1})
 	if len(faults) > 0 {
--- a/model/match.go
+++ b/model/match.go
@@ -7,9 +7,12 @@
 	"strings"
 )
 
-// Match finds the rule for a request: an exact host before any host, then the
-// longest path, whose end must fall on a segment. Allowed lists the methods
-// of that path when only the method is wrong.
+// hostRank puts a rule with a host before one for any host, whatever their paths: no path is longer.
+const hostRank = 1 << 20
+
+// Match finds the service that the rules choose for a request: an exact host before any host, then
+// the longest path, whose end must fall on a segment. allowed lists the methods of that path, for
+// the answer if ok is false because only the method is wrong.
 func (c *Config) Match(host, path, method string) (svc string, allowed []string, ok bool) {
 	host = bare(host)
 	best := -1
@@ -17,9 +20,9 @@
 		if r.Host != "" && r.Host != host || !under(r.Path, path) {
 			continue
 		}
-		rank := len(r.Path) * 2
+		rank := len(r.Path)
 		if r.Host != "" {
-			rank += 1 << 20
+			rank += hostRank
 		}
 		if rank < best {
 			continue
@@ -35,6 +38,7 @@
 	return svc, allowed, ok
 }
 
+// under reports whether path is rule or lies below it.
 func under(rule, path string) bool {
 	if !strings.HasPrefix(path, rule) {
 		return false
--- a/model/model.go
+++ b/model/model.go
@@ -1,6 +1,8 @@
 // Package model is the operator's configuration: services, routes, rules and
 // policies, read from JSON and checked as a whole. A check lists every fault by
 // its path, unknown fields included, so that nothing unread ever takes effect.
+// It also has the other texts that daemons take from and give to their users:
+// heartbeats of back ends and the body of an error answer.
 package model
 
 import (
@@ -15,16 +17,25 @@
 	"myrtlefold/limit"
 )
 
+// Service is what holds for a group of interchangeable targets. Fields that end in Ms are
+// milliseconds, those in S seconds.
 type Service struct {
-	Cap       int `koanf:"cap" json:"cap"`
-	WarmCap   int `koanf:"warm_cap" json:"warm_cap"`
-	InFlight  int `koanf:"in_flight" json:"in_flight,omitempty"`
+	// Cap is how many requests may be in flight to a target over all proxies, WarmCap the same for
+	// one that is warming up, InFlight the most in flight to the service at one proxy, 0: not bounded.
+	Cap      int `koanf:"cap" json:"cap"`
+	WarmCap  int `koanf:"warm_cap" json:"warm_cap"`
+	InFlight int `koanf:"in_flight" json:"in_flight,omitempty"`
+	// TimeoutMs is a request's deadline.
 	TimeoutMs int `koanf:"timeout_ms" json:"timeout_ms"`
-	WaitMs    int `koanf:"wait_ms" json:"wait_ms,omitempty"`
-	WaitLen   int `koanf:"wait_len" json:"wait_len,omitempty"`
-	BodyMax   int `koanf:"body_max" json:"body_max"`
-	Tries     int `koanf:"tries" json:"tries"`
-	SlowMs    int `koanf:"slow_ms" json:"slow_ms,omitempty"`
+	// WaitMs and WaitLen are how long, and how many, requests may wait for a target; 0: none waits.
+	WaitMs  int `koanf:"wait_ms" json:"wait_ms,omitempty"`
+	WaitLen int `koanf:"wait_len" json:"wait_len,omitempty"`
+	// BodyMax bounds a request's body in bytes.
+	BodyMax int `koanf:"body_max" json:"body_max"`
+	// Tries is how often a request that may be repeated is sent in all.
+	Tries int `koanf:"tries" json:"tries"`
+	// SlowMs is from when on an answer counts as slow for the policies; 0: none does.
+	SlowMs int `koanf:"slow_ms" json:"slow_ms,omitempty"`
 	// HealthPath is where targets are asked for their health; "": the identity request instead.
 	HealthPath string `koanf:"health_path" json:"health_path,omitempty"`
 	// ConnCap is how many connections a target takes from all callers together, 0: not said.
@@ -35,39 +46,64 @@
 	ColdPerS float64 `koanf:"cold_per_s" json:"cold_per_s,omitempty"`
 	// Proto and Tls are how targets are spoken to: h1 without TLS is what there is.
 	Proto string `koanf:"proto" json:"proto,omitempty"`
-	Tls   bool   `koanf:"tls" json:"tls,omitempty"`
+	TLS   bool   `koanf:"tls" json:"tls,omitempty"`
 }
 
+// Rule sends requests by host, path and method to one service. A path takes all paths below it.
 type Rule struct {
-	Host    string   `koanf:"host" json:"host,omitempty"`
+	Host    string   `koanf:"host" json:"host,omitempty"` // "": any
 	Path    string   `koanf:"path" json:"path"`
-	Methods []string `koanf:"methods" json:"methods,omitempty"`
+	Methods []string `koanf:"methods" json:"methods,omitempty"` // none: any
 	Service string   `koanf:"service" json:"service"`
 }
 
-// Policy is an operator's small judge over one slice of what is known.
+// Slices of what is known of a target, of which a policy sees one.
+const (
+	SliceProbe    = "probe"    // answers to health probes
+	SliceBeat     = "beat"     // the target's heartbeats
+	SliceExchange = "exchange" // outcomes of callers' requests
+	SliceDemand   = "demand"   // what the target says of its load
+)
+
+// Decisions that a policy may make.
+const (
+	DecideBar  = "bar"  // ejection: no requests, until a time to live has passed
+	DecideHold = "hold" // draining: no new requests, until a condition clears it
+)
+
+// Modes of a policy.
+const (
+	ModeLive   = "live"   // its decisions take effect
+	ModeShadow = "shadow" // it decides and is scored, without effect
+	ModeOff    = "off"    // it is not evaluated
+)
+
+// Policy is an operator's health policy: one condition over one slice of what is known of a
+// target, and one decision. Conditions are written in the language of package expr.
 type Policy struct {
 	Slice  string `koanf:"slice" json:"slice"`
 	When   string `koanf:"when" json:"when"`
-	Clear  string `koanf:"clear" json:"clear,omitempty"`
+	Clear  string `koanf:"clear" json:"clear,omitempty"` // ends the decision before its time
 	Decide string `koanf:"decide" json:"decide"`
-	TtlMs  int    `koanf:"ttl_ms" json:"ttl_ms,omitempty"`
+	TTLMs  int    `koanf:"ttl_ms" json:"ttl_ms,omitempty"` // of an ejection, in ms
 	Mode   string `koanf:"mode" json:"mode,omitempty"`
-	Note   string `koanf:"note" json:"note,omitempty"`
+	Note   string `koanf:"note" json:"note,omitempty"` // for people
 }
 
 // DefaultPolicy is the name of the policy that holds the given design; a
 // configuration that does not name it has it all the same.
 const DefaultPolicy = "default"
 
-// Default is the given design: two misses in a row ejection, an answer clears.
+// Default returns the policy of the given design: two missed probes in a row eject a target for
+// limit.EjectionTTL, an answer clears it.
 func Default() Policy {
-	return Policy{Slice: "probe", When: fmt.Sprintf("misses_in_row >= %d", limit.ProbeMisses), Clear: "ok_in_row >= 1",
-		Decide: "bar", TtlMs: int(limit.EjectionTTL.Milliseconds()), Mode: "live", Note: "two missed probes in a row"}
+	return Policy{Slice: SliceProbe, When: fmt.Sprintf("misses_in_row >= %d", limit.ProbeMisses), Clear: "ok_in_row >= 1",
+		Decide: DecideBar, TTLMs: int(limit.EjectionTTL.Milliseconds()), Mode: ModeLive, Note: "two missed probes in a row"}
 }
 
-// Aim is a service-level aim: of a service's requests in the window, this part
-// is to be answered below 500 within under_ms. Refusals count against it.
+// Aim is a service-level objective: of a service's requests in the window of WindowMin minutes, this
+// part (between 0 and 1) is to be answered with a status below 500 within UnderMs (0: in any time).
+// Refusals count against it.
 type Aim struct {
 	Service   string  `koanf:"service" json:"service"`
 	Part      float64 `koanf:"part" json:"part"`
@@ -75,8 +111,9 @@
 	WindowMin int     `koanf:"window_min" json:"window_min"`
 }
 
+// Config is a configuration that Parse has read. It is not changed afterwards.
 type Config struct {
-	// Revision is the operator's own number for the document, 0: the next one.
+	// Revision is the operator's own number for the document, 0: the one after the present one.
 	Revision uint64             `json:"revision,omitempty"`
 	Services map[string]Service `json:"services"`
 	Rules    []Rule             `json:"rules"`
@@ -87,12 +124,13 @@
 	byHost   hosts
 }
 
+// Fault is one thing wrong with a document, by its place, such as services.records.cap.
 type Fault struct {
 	Path string `json:"path"`
 	Text string `json:"text"`
 }
 
-// ErrNotJSON marks a document that cannot be read at all.
+// ErrNotJSON marks the error for a document that cannot be read at all.
 var ErrNotJSON = errors.New("not a JSON object")
 
 // All yields the policies in force by name, the default one included.
--- a/model/named.go
+++ b/model/named.go
@@ -11,21 +11,22 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Named is a partial change by names: items to add or replace whole, and names to remove.
+// Named is a partial change by names: items to add or replace whole, and names to remove, by the
+// kind of the item (services, routes, policies, aims).
 type Named struct {
 	Revision uint64                                `json:"revision,omitempty"`
 	Set      map[string]map[string]json.RawMessage `json:"set,omitempty"`
 	Drop     map[string][]string                   `json:"drop,omitempty"`
 }
 
-// IsNamed says whether a partial change is one by names.
+// IsNamed reports whether a partial change is one by names; others are merge patches.
 func IsNamed(patch []byte) bool {
 	var probe struct{ Set, Drop json.RawMessage }
 	return json.Unmarshal(patch, &probe) == nil && (probe.Set != nil || probe.Drop != nil)
 }
 
-// Apply makes the configuration that a partial change by names leads to. Names to
-// remove that are not there are no fault: what is asked for holds already.
+// Apply returns the document that the change makes of doc. It is not checked yet. Names to remove
+// that are not there are no fault: what is asked for holds already.
 func (n *Named) Apply(doc []byte) ([]byte, []Fault, error) {
 	parts := map[string]json.RawMessage{}
 	if err := json.Unmarshal(doc, &parts); err != nil {
@@ -67,7 +68,8 @@
 	return out, faults, err
 }
 
-// ParseNamed reads a partial change by names; anything that is not one is a fault.
+// ParseNamed reads a partial change by names. Anything in it that is not part of one is a fault; an
+// error, marked ErrNotJSON, says that it cannot be read at all.
 func ParseNamed(patch []byte) (*Named, []Fault, error) {
 	if _, err := object(patch); err != nil {
 		return nil, nil, err
@@ -113,12 +115,12 @@
 	return n, c.faults, nil
 }
 
-// Unnumbered is a document without its own revision, for one that is made from another.
+// Unnumbered returns a document without its own revision, to make another one of it.
 func Unnumbered(doc []byte) ([]byte, error) {
 	return renumber(doc, func(parts map[string]json.RawMessage) { delete(parts, "revision") })
 }
 
-// Numbered is a document with a revision inside: its own, or else rev.
+// Numbered returns a document with a revision inside: its own, or else rev.
 func Numbered(doc []byte, rev uint64) ([]byte, error) {
 	return renumber(doc, func(parts map[string]json.RawMessage) {
 		if parts["revision"] == nil {
@@ -127,6 +129,7 @@
 	})
 }
 
+// renumber returns doc as it is if change leaves its keys and revision as they are.
 func renumber(doc []byte, change func(map[string]json.RawMessage)) ([]byte, error) {
 	parts := map[string]json.RawMessage{}
 	if err := json.Unmarshal(doc, &parts); err != nil {
--- a/model/parse.go
+++ b/model/parse.go
@@ -12,108 +12,153 @@
 	"myrtlefold/limit"
 )
 
-// Parse reads and checks a document. Faults are outcomes: err is only for what
-// cannot be read at all. checkPolicy is the judge's own check.
+// sections are the keys of a configuration, each with what reads its value.
+var sections = map[string]func(*checker, *Config, any){
+	"revision": (*checker).readRevision,
+	"services": (*checker).readServices,
+	"rules":    (*checker).readRules,
+	"routes":   (*checker).routes,
+	"limits":   (*checker).readLimits,
+	"policies": (*checker).readPolicies,
+	"aims":     (*checker).readAims,
+}
+
+// Parse reads and checks a document. What is wrong with it is returned as faults by their paths,
+// beside the configuration; an error, marked ErrNotJSON, says that it cannot be read at all.
+// checkPolicy checks a policy, with paths inside it: package policy knows how.
 func Parse(doc []byte, checkPolicy func(Policy) []Fault) (*Config, []Fault, error) {
 	raw, err := object(doc)
 	if err != nil {
 		return nil, nil, err
 	}
-	c := &checker{}
+	c := &checker{checkPolicy: checkPolicy}
 	cfg := &Config{Services: map[string]Service{}, Routes: map[string]Route{}, Policies: map[string]Policy{}, Aims: map[string]Aim{}}
 	for _, key := range slices.Sorted(maps.Keys(raw)) {
-		switch v := raw[key]; key {
-		case "services":
-			m, ok := v.(map[string]any)
-			if !ok {
-				c.add(key, "must be an object")
-			}
-			for _, n := range slices.Sorted(maps.Keys(m)) {
-				s := Service{Cap: limit.CapDefault, WarmCap: limit.WarmDefault, TimeoutMs: limit.TimeoutMs, BodyMax: limit.BodyMax, Tries: limit.TriesMax}
-				c.decode(join(key, n), m[n], &s)
-				c.service(join(key, n), n, s)
-				cfg.Services[n] = s
-			}
-		case "revision":
-			if f, ok := v.(float64); !ok || f < 1 || f != math.Trunc(f) || f > 1<<53 {
-				c.add(key, "must be a whole number over 0")
-			} else {
-				cfg.Revision = uint64(f)
-			}
-		case "routes":
-			c.routes(cfg, v)
-		case "limits":
-			cfg.Limits = &Limits{}
-			c.limits(key, v, cfg.Limits)
-		case "rules":
-			l, ok := v.([]any)
-			if !ok {
-				c.add(key, "must be a list")
-			}
-			for i, e := range l {
-				var r Rule
-				c.decode(fmt.Sprintf("rules[%d]", i), e, &r)
-				cfg.Rules = append(cfg.Rules, r)
-			}
-		case "policies":
-			m, ok := v.(map[string]any)
-			if !ok {
-				c.add(key, "must be an object")
-			}
-			if len(m) > limit.PolicyMax {
-				c.add(key, "%d policies, at most %d", len(m), limit.PolicyMax)
-			}
-			for _, n := range slices.Sorted(maps.Keys(m)) {
-				p := Policy{Mode: "live"}
-				at := join(key, n)
-				was := len(c.faults)
-				c.decode(at, m[n], &p)
-				if len(c.faults) == was {
-					for _, f := range checkPolicy(p) {
-						c.add(join(at, f.Path), "%s", f.Text)
-					}
-				}
-				c.name(at, n)
-				cfg.Policies[n] = p
-			}
-		case "aims":
-			m, ok := v.(map[string]any)
-			if !ok {
-				c.add(key, "must be an object")
-			}
-			for _, n := range slices.Sorted(maps.Keys(m)) {
-				a := Aim{WindowMin: limit.AimMinutes}
-				c.decode(join(key, n), m[n], &a)
-				c.name(join(key, n), n)
-				cfg.Aims[n] = a
-			}
-		default:
+		read, known := sections[key]
+		if !known {
 			c.add(key, "unknown field")
+			continue
 		}
+		read(c, cfg, raw[key])
 	}
-	for _, n := range slices.Sorted(maps.Keys(cfg.Aims)) {
-		a, at := cfg.Aims[n], join("aims", n)
+	c.checkAims(cfg)
+	c.checkRules(cfg)
+	c.checkRoutes(cfg)
+	cfg.index()
+	return cfg, c.faults, nil
+}
+
+// items passes the items of a section to read, in order of their names.
+func (c *checker) items(section string, v any, read func(at, name string, item any)) {
+	m, ok := v.(map[string]any)
+	if !ok {
+		c.add(section, "must be an object")
+	}
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		read(join(section, name), name, m[name])
+	}
+}
+
+func (c *checker) readRevision(cfg *Config, v any) {
+	f, ok := v.(float64)
+	if !ok || f < 1 || f != math.Trunc(f) || f > limit.ExactMax {
+		c.add("revision", "must be a whole number over 0")
+		return
+	}
+	cfg.Revision = uint64(f)
+}
+
+func (c *checker) readServices(cfg *Config, v any) {
+	c.items("services", v, func(at, name string, item any) {
+		s := Service{Cap: limit.CapDefault, WarmCap: limit.WarmDefault, TimeoutMs: limit.TimeoutMs, BodyMax: limit.BodyMax, Tries: limit.TriesMax}
+		c.decode(at, item, &s)
+		c.service(at, name, s)
+		cfg.Services[name] = s
+	})
+}
+
+func (c *checker) readRules(cfg *Config, v any) {
+	l, ok := v.([]any)
+	if !ok {
+		c.add("rules", "must be a list")
+	}
+	for i, item := range l {
+		var r Rule
+		c.decode(rulePath(i), item, &r)
+		cfg.Rules = append(cfg.Rules, r)
+	}
+}
+
+func rulePath(i int) string { return fmt.Sprintf("rules[%d]", i) }
+
+func (c *checker) readLimits(cfg *Config, v any) {
+	cfg.Limits = &Limits{}
+	c.limits("limits", v, cfg.Limits)
+}
+
+func (c *checker) readPolicies(cfg *Config, v any) {
+	if m, ok := v.(map[string]any); ok && len(m) > limit.PolicyMax {
+		c.add("policies", "%d policies, at most %d", len(m), limit.PolicyMax)
+	}
+	c.items("policies", v, func(at, name string, item any) {
+		p := Policy{Mode: ModeLive}
+		before := len(c.faults)
+		c.decode(at, item, &p)
+		if len(c.faults) == before {
+			for _, f := range c.checkPolicy(p) {
+				c.add(join(at, f.Path), "%s", f.Text)
+			}
+		}
+		c.name(at, name)
+		cfg.Policies[name] = p
+	})
+}
+
+func (c *checker) readAims(cfg *Config, v any) {
+	c.items("aims", v, func(at, name string, item any) {
+		a := Aim{WindowMin: limit.AimMinutes}
+		c.decode(at, item, &a)
+		c.name(at, name)
+		cfg.Aims[name] = a
+	})
+}
+
+// checkAims checks the aims; the services are known by then.
+func (c *checker) checkAims(cfg *Config) {
+	for _, name := range slices.Sorted(maps.Keys(cfg.Aims)) {
+		a, at := cfg.Aims[name], join("aims", name)
 		if _, ok := cfg.Services[a.Service]; !ok {
 			c.add(at+".service", "no service %q", a.Service)
 		}
 		if !(a.Part > 0 && a.Part < 1) {
 			c.add(at+".part", "%v is not between 0 and 1", a.Part)
 		}
-		c.within(at+".under_ms", a.UnderMs, 0, 600000)
+		c.within(at+".under_ms", a.UnderMs, 0, limit.TimeoutMaxMs)
 		c.within(at+".window_min", a.WindowMin, 1, limit.AimMinutes)
 	}
+}
+
+// checkRules checks each rule, and that no two take the same requests.
+func (c *checker) checkRules(cfg *Config) {
 	for i, r := range cfg.Rules {
-		c.rule(fmt.Sprintf("rules[%d]", i), r, cfg)
+		c.rule(rulePath(i), r, cfg)
 	}
 	for i, r := range cfg.Rules {
-		for j, o := range cfg.Rules[:i] {
-			if r.Host == o.Host && r.Path == o.Path && (len(r.Methods) == 0 || len(o.Methods) == 0 ||
-				slices.ContainsFunc(r.Methods, func(m string) bool { return slices.Contains(o.Methods, m) })) {
-				c.add(fmt.Sprintf("rules[%d]", i), "same host, path and method as rules[%d]", j)
+		for j, earlier := range cfg.Rules[:i] {
+			if r.overlaps(earlier) {
+				c.add(rulePath(i), "same host, path and method as %s", rulePath(j))
 			}
 		}
 	}
-	c.checkRoutes(cfg)
-	cfg.index()
-	return cfg, c.faults, nil
+}
+
+// overlaps reports whether the rules have host, path and at least one method in common.
+func (r Rule) overlaps(o Rule) bool {
+	if r.Host != o.Host || r.Path != o.Path {
+		return false
+	}
+	if len(r.Methods) == 0 || len(o.Methods) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(r.Methods, func(m string) bool { return slices.Contains(o.Methods, m) })
 }
--- a/model/route.go
+++ b/model/route.go
@@ -1,6 +1,6 @@
 // This file is routes: requests chosen by host and longest prefix, each with what
 // holds for it (whether it may be repeated, tries, times, priority) and one service
-// or a weighted split over several. An index by host and prefix makes a choice cost
+// or a weighted split over several. An index by host and prefix makes a lookup cost
 // the path's depth, however many routes there are.
 
 package model
@@ -14,7 +14,7 @@
 // Kinds of routes: what a request on one may be subjected to.
 const (
 	Repeatable = "repeatable" // may run more than once
-	Once       = "once"       // may run at most once for each exchange
+	Once       = "once"       // may run at most once for each call
 	Download   = "download"   // as repeatable, with large answers
 )
 
@@ -30,9 +30,9 @@
 	Prefix    string  `json:"prefix"`
 	Kind      string  `json:"kind"`
 	TimeoutMs int     `json:"timeout_ms"`
-	AimMs     int     `json:"aim_ms,omitempty"`   // an answer within it has its full worth
+	AimMs     int     `json:"aim_ms,omitempty"`   // an answer within it is worth most to the caller; 0: none
 	Priority  int     `json:"priority,omitempty"` // 0 is the highest
-	Attempts  int     `json:"attempts"`           // targets that one exchange may be sent to
+	Attempts  int     `json:"attempts"`           // targets that one request may be sent to
 	Service   string  `json:"service,omitempty"`
 	Split     []Share `json:"split,omitempty"`
 }
@@ -45,14 +45,16 @@
 	IdleMs      int `json:"idle_ms,omitempty"`
 }
 
-// Repeats says whether a request of the route may run more than once.
+// Repeats reports whether a request of the route may run more than once.
 func (r *Route) Repeats() bool { return r.Kind != Once }
 
-// Timeout and Aim are the route's times.
+// Timeout is a request's deadline from when it came.
 func (r *Route) Timeout() time.Duration { return time.Duration(r.TimeoutMs) * time.Millisecond }
-func (r *Route) Aim() time.Duration     { return time.Duration(r.AimMs) * time.Millisecond }
 
-// Shares are the services that the route may go to, with weights over 0.
+// Aim is the time within which an answer is worth most, 0: none is set.
+func (r *Route) Aim() time.Duration { return time.Duration(r.AimMs) * time.Millisecond }
+
+// Shares returns the services that the route may go to, each with a weight over 0.
 func (r *Route) Shares() []Share {
 	if r.Service != "" {
 		return []Share{{r.Service, 1}}
@@ -60,17 +62,18 @@
 	return slices.DeleteFunc(slices.Clone(r.Split), func(s Share) bool { return s.Weight <= 0 })
 }
 
-// Cold is how long a target of the service counts as cold from its start.
+// Cold is how long after its start a target of the service counts as cold.
 func (s *Service) Cold() time.Duration { return time.Duration(s.ColdS * float64(time.Second)) }
 
-// Asked says that the service's targets are asked for their health and take the
-// identity that is expected of them with each request; others are asked for it on
-// each new connection.
+// Asked reports whether the service's targets are asked for their health, and take with each request
+// the identity that is expected of them; other targets are asked for their identity on each new
+// connection.
 func (s *Service) Asked() bool { return s.HealthPath != "" }
 
-// hosts is the index of a configuration's routes.
+// hosts is the index of a configuration's routes: names by host and prefix.
 type hosts map[string]map[string]string
 
+// index makes the index of routes.
 func (c *Config) index() {
 	c.byHost = hosts{}
 	for n, r := range c.Routes {
@@ -81,8 +84,8 @@
 	}
 }
 
-// Route finds the route for a host and path: the longest prefix among the host's
-// routes, then among those for any host.
+// Route finds the route for a request: the longest prefix of path among the routes of its host, and
+// without one among those for any host.
 func (c *Config) Route(host, path string) (name string, r Route, ok bool) {
 	host = bare(host)
 	for _, h := range []string{host, ""} {
@@ -105,6 +108,7 @@
 	return "", Route{}, false
 }
 
+// bare returns a host in lower case and without its port.
 func bare(host string) string {
 	host = strings.ToLower(host)
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
--- a/model/routeread.go
+++ b/model/routeread.go
@@ -29,6 +29,7 @@
 	return "object"
 }
 
+// text, number and whole read a field's value; one of another kind is a fault.
 func (c *checker) text(path, field string, v any, to *string) {
 	s, ok := v.(string)
 	if !ok {
@@ -50,15 +51,15 @@
 	switch {
 	case !ok:
 		c.add(join(path, field), "is a %s, wants int", kindOf(v))
-	case f != math.Trunc(f) || math.Abs(f) > 1<<53:
+	case f != math.Trunc(f) || math.Abs(f) > limit.ExactMax:
 		c.add(join(path, field), "%v is not a whole number", f)
 	default:
 		*to = int(f)
 	}
 }
 
-// members gives an object's fields to take, in no order; those that it refuses are
-// unknown. Faults come by place.
+// members passes an object's fields to take, in no order; those that it refuses are unknown
+// fields. The faults of all of them are sorted by path.
 func (c *checker) members(path string, v any, take func(field string, v any) bool) {
 	m, ok := v.(map[string]any)
 	if !ok {
@@ -74,6 +75,7 @@
 	slices.SortStableFunc(c.faults[was:], func(a, b Fault) int { return strings.Compare(a.Path, b.Path) })
 }
 
+// limits reads the bounds of what callers may send.
 func (c *checker) limits(at string, v any, l *Limits) {
 	c.members(at, v, func(k string, v any) bool {
 		switch k {
@@ -92,6 +94,7 @@
 	})
 }
 
+// routes reads all routes; those with faults are left out.
 func (c *checker) routes(cfg *Config, v any) {
 	m, ok := v.(map[string]any)
 	if !ok {
@@ -110,6 +113,7 @@
 	}
 }
 
+// readRoute reads one route.
 func (c *checker) readRoute(at string, v any, r *Route) {
 	c.members(at, v, func(k string, v any) bool {
 		switch k {
@@ -130,26 +134,7 @@
 		case "service":
 			c.text(at, k, v, &r.Service)
 		case "split":
-			l, ok := v.([]any)
-			if !ok {
-				c.add(join(at, k), "is a %s, wants array", kindOf(v))
-			}
-			for i, e := range l {
-				var s Share
-				part := fmt.Sprintf("%s.split[%d]", at, i)
-				c.members(part, e, func(k string, v any) bool {
-					switch k {
-					case "service":
-						c.text(part, k, v, &s.Service)
-					case "weight":
-						c.number(part, k, v, &s.Weight)
-					default:
-						return false
-					}
-					return true
-				})
-				r.Split = append(r.Split, s)
-			}
+			r.Split = c.readSplit(join(at, k), v)
 		default:
 			return false
 		}
@@ -157,7 +142,33 @@
 	})
 }
 
-// bound is within for a field, whose place is put together only if it is wrong.
+// readSplit reads the shares of a weighted split.
+func (c *checker) readSplit(at string, v any) []Share {
+	l, ok := v.([]any)
+	if !ok {
+		c.add(at, "is a %s, wants array", kindOf(v))
+	}
+	var shares []Share
+	for i, e := range l {
+		var s Share
+		part := fmt.Sprintf("%s[%d]", at, i)
+		c.members(part, e, func(k string, v any) bool {
+			switch k {
+			case "service":
+				c.text(part, k, v, &s.Service)
+			case "weight":
+				c.number(part, k, v, &s.Weight)
+			default:
+				return false
+			}
+			return true
+		})
+		shares = append(shares, s)
+	}
+	return shares
+}
+
+// bound is within for a field, whose path is put together only if it is wrong.
 func (c *checker) bound(at, field string, v, lo, hi int) {
 	if v < lo || v > hi {
 		c.within(join(at, field), v, lo, hi)
@@ -169,19 +180,19 @@
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		c.add(at+".prefix", "must begin and end with /")
 	}
-	if strings.ContainsAny(r.Prefix, "?#* ") || strings.Contains(r.Prefix, "//") || strings.Contains(r.Prefix, "/.") {
-		c.add(at+".prefix", "must be a plain path")
+	if !isPlainPath(r.Prefix) {
+		c.add(at+".prefix", notPlainPath)
 	}
-	if strings.ContainsAny(r.Host, "/:* ") || r.Host != strings.ToLower(r.Host) {
-		c.add(at+".host", "must be a lower-case host name without port, or empty for all")
+	if !isHost(r.Host) {
+		c.add(at+".host", notHost)
 	}
 	if !slices.Contains([]string{Repeatable, Once, Download}, r.Kind) {
 		c.add(at+".kind", "%s, %s or %s, not %q", Repeatable, Once, Download, r.Kind)
 	}
 	c.bound(at, "timeout_ms", r.TimeoutMs, 1, limit.TimeoutMaxMs)
 	c.bound(at, "aim_ms", r.AimMs, 0, limit.TimeoutMaxMs)
-	c.bound(at, "attempts", r.Attempts, 1, 100)
-	c.bound(at, "priority", r.Priority, 0, 1000)
+	c.bound(at, "attempts", r.Attempts, 1, limit.AttemptsMax)
+	c.bound(at, "priority", r.Priority, 0, limit.PriorityMax)
 	if (r.Service == "") == (len(r.Split) == 0) {
 		c.add(at, "wants either service or split")
 	}
@@ -205,6 +216,7 @@
 	}
 }
 
+// checkRoutes checks the routes against services and one another, and the limits.
 func (c *checker) checkRoutes(cfg *Config) {
 	type place struct{ host, prefix string }
 	at := make(map[place]string, len(cfg.Routes))
@@ -218,8 +230,8 @@
 		at[p] = n
 	}
 	if l := cfg.Limits; l != nil {
-		c.within("limits.header_bytes", l.HeaderBytes, 0, 1<<20)
-		c.within("limits.body_bytes", l.BodyBytes, 0, 1<<40)
+		c.within("limits.header_bytes", l.HeaderBytes, 0, limit.LimitsHeaderMax)
+		c.within("limits.body_bytes", l.BodyBytes, 0, limit.LimitsBodyMax)
 		c.within("limits.header_ms", l.HeaderMs, 0, limit.TimeoutMaxMs)
 		c.within("limits.idle_ms", l.IdleMs, 0, limit.TimeoutMaxMs)
 	}
--- a/model/tree.go
+++ b/model/tree.go
@@ -24,7 +24,7 @@
 	exact bool // numbers stay as they are written, as json.Number
 }
 
-// object reads a document that must be exactly one JSON object.
+// object reads a document that must be exactly one JSON object; its errors are marked ErrNotJSON.
 func object(doc []byte) (map[string]any, error) { return readObject(doc, false) }
 
 func readObject(doc []byte, exact bool) (map[string]any, error) {
@@ -43,6 +43,7 @@
 	return m, nil
 }
 
+// skip passes white space.
 func (t *tree) skip() {
 	for t.i < len(t.s) && (t.s[t.i] == ' ' || t.s[t.i] == '\n' || t.s[t.i] == '\t' || t.s[t.i] == '\r') {
 		t.i++
@@ -162,7 +163,8 @@
 	return u
 }
 
-// Canonical is one form for all documents that say the same.
+// Canonical returns one form for all documents that say the same, whatever their spacing and the
+// order of their keys. Its errors are marked ErrNotJSON.
 func Canonical(doc []byte) ([]byte, error) {
 	m, err := readObject(doc, true)
 	if err != nil {
--- a/model/trouble.go
+++ b/model/trouble.go
@@ -4,18 +4,17 @@
 
 import "encoding/json"
 
-// Trouble is the one shape of every error that a daemon answers with. Ran says
-// whether the request reached a back end: no, or unknown.
+// Trouble is the one shape of every error that a daemon answers with.
 type Trouble struct {
-	Code     string  `json:"code"`
-	Message  string  `json:"message"`
-	Ran      string  `json:"ran"`
-	Faults   []Fault `json:"faults,omitempty"`
-	Revision uint64  `json:"revision,omitempty"`
-	Id       string  `json:"id,omitempty"`
+	Code     string  `json:"code"`               // for programs, such as no_leader
+	Message  string  `json:"message"`            // for people
+	Ran      string  `json:"ran"`                // whether the request ran at a back end: no (if empty), or unknown
+	Faults   []Fault `json:"faults,omitempty"`   // of the document that was sent
+	Revision uint64  `json:"revision,omitempty"` // of the configuration in force
+	Id       string  `json:"id,omitempty"`       // of the change
 }
 
-// JSON wraps t as the body of an answer.
+// JSON returns the body of an answer: an object whose only field, error, is t.
 func (t Trouble) JSON() []byte {
 	if t.Ran == "" {
 		t.Ran = "no"
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -53,7 +53,7 @@
 	Service string        `json:"service"`
 	Name    string        `json:"name"`
 	Inc     uint64        `json:"incarnation"`
-	TtlMs   int64         `json:"ttl_ms,omitempty"`
+	TTLMs   int64         `json:"ttl_ms,omitempty"`
 	Shadow  bool          `json:"shadow,omitempty"`
 	Why     string        `json:"why,omitempty"`
 }
@@ -147,14 +147,14 @@
 			}
 		}
 	}
-	ttl := time.Duration(p.TtlMs) * time.Millisecond
+	ttl := time.Duration(p.TTLMs) * time.Millisecond
 	switch p.Decide {
 	case "bar":
 		if ttl <= 0 || ttl > limit.EjectionMaxTTL {
 			add("ttl_ms", "a bar needs a ttl_ms between 1 and %d", limit.EjectionMaxTTL.Milliseconds())
 		}
 	case "hold":
-		if p.TtlMs != 0 {
+		if p.TTLMs != 0 {
 			add("ttl_ms", "a hold has none: it ends with its condition")
 		}
 	default:
@@ -295,7 +295,7 @@
 func (p *policy) decision(now time.Duration, kind string, id wire.ID, why string) Decision {
 	d := Decision{At: now, Policy: p.name, Kind: kind, Service: id.Service, Name: id.Name, Inc: id.Inc, Shadow: p.p.Mode == "shadow", Why: why}
 	if kind == "bar" {
-		d.TtlMs = int64(p.p.TtlMs)
+		d.TTLMs = int64(p.p.TTLMs)
 	}
 	return d
 }
@@ -347,7 +347,7 @@
 				out = append(out, p.decision(e.At, "hold", id, p.p.When))
 			}
 		case hit:
-			j.mark(id, name, mark{until: e.At + time.Duration(p.p.TtlMs)*time.Millisecond})
+			j.mark(id, name, mark{until: e.At + time.Duration(p.p.TTLMs)*time.Millisecond})
 			if !was || m.until <= e.At {
 				out = append(out, p.decision(e.At, "bar", id, p.p.When))
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -66,7 +66,7 @@
 }
 
 func TestBadPolicies(t *testing.T) {
-	good := model.Policy{Slice: "probe", When: "missed > 3", Decide: "bar", TtlMs: 1000, Mode: "live"}
+	good := model.Policy{Slice: "probe", When: "missed > 3", Decide: "bar", TTLMs: 1000, Mode: "live"}
 	if fs := Check(good); len(fs) > 0 {
 		t.Fatal(fs)
 	}
@@ -82,8 +82,8 @@
 		{func(p *model.Policy) { p.When = "missed + 3" }, "when", "bool"},
 		{func(p *model.Policy) { p.When = "" }, "when", ""},
 		{func(p *model.Policy) { p.Clear = "missed >" }, "clear", "unexpected"},
-		{func(p *model.Policy) { p.TtlMs = 0 }, "ttl_ms", "a bar needs"},
-		{func(p *model.Policy) { p.TtlMs = 1 << 30 }, "ttl_ms", "a bar needs"},
+		{func(p *model.Policy) { p.TTLMs = 0 }, "ttl_ms", "a bar needs"},
+		{func(p *model.Policy) { p.TTLMs = 1 << 30 }, "ttl_ms", "a bar needs"},
 		{func(p *model.Policy) { p.Decide = "hold" }, "ttl_ms", "a hold has none"},
 		{func(p *model.Policy) { p.Decide = "ban" }, "decide", "bar or hold"},
 		{func(p *model.Policy) { p.Mode = "maybe" }, "mode", "live, shadow or off"},
@@ -103,7 +103,7 @@
 // A policy that fails while running decides nothing, is counted, and what it had
 // decided lapses.
 func TestFailingPolicy(t *testing.T) {
-	j := with(map[string]model.Policy{"odd": {Slice: "exchange", When: "count % errors == 0", Decide: "bar", TtlMs: 1000, Mode: "live"}})
+	j := with(map[string]model.Policy{"odd": {Slice: "exchange", When: "count % errors == 0", Decide: "bar", TTLMs: 1000, Mode: "live"}})
 	e := Event{At: time.Second, Slice: "exchange", Service: "s", Name: "a", Inc: 1, Count: 4, Errors: 2}
 	if got := kinds(j.Step(e)); got != "odd bar" {
 		t.Fatal(got)
@@ -123,7 +123,7 @@
 // Replacing policies keeps what a changed ejection policy had decided, drops what a
 // removed one had, and a shadow decides without effect.
 func TestReplace(t *testing.T) {
-	p := model.Policy{Slice: "probe", When: "missed >= 1", Decide: "bar", TtlMs: 60000, Mode: "live"}
+	p := model.Policy{Slice: "probe", When: "missed >= 1", Decide: "bar", TTLMs: 60000, Mode: "live"}
 	shadow := p
 	shadow.Mode = "shadow"
 	id := wire.ID{Service: "s", Name: "a", Inc: 1}
