Facts of a slice by a function each in policy; sessions in place of desks

Slices, decisions and modes are constants of model, times in ms go by one function. Two tests are renamed with what they test; nothing else in them is changed.

--- a/host/core.go
+++ b/host/core.go
@@ -55,7 +55,7 @@
 		})
 		hub.Serve(w, r, leads, addr)
 	})
-	mux.Handle("POST /v1/judge", NewDoor())
+	mux.Handle("POST /v1/judge", NewSessions())
 	mux.HandleFunc("/v1/", h.Call(func() uint64 { return ids.Add(1) }))
 	srv, err := h.Serve(h.Set.Http, mux)
 	if err != nil {
--- a/host/ctl_policy.go
+++ b/host/ctl_policy.go
@@ -86,7 +86,7 @@
 			return exitInvalid
 		}
 	}
-	d := policy.NewDesk(cfg)
+	d := policy.NewSession(cfg)
 	enc := json.NewEncoder(os.Stdout)
 	code := exitOK
 	sc := bufio.NewScanner(os.Stdin)
--- a/host/stream_test.go
+++ b/host/stream_test.go
@@ -63,8 +63,8 @@
 
 // The judge over HTTP: each line is answered while the stream is open, and one that
 // broke off goes on where it was.
-func TestDoor(t *testing.T) {
-	srv := httptest.NewServer(NewDoor())
+func TestSessions(t *testing.T) {
+	srv := httptest.NewServer(NewSessions())
 	defer srv.Close()
 	open := func(q string) (*io.PipeWriter, *json.Decoder, *http.Response) {
 		r, w := io.Pipe()
--- a/limit/process.go
+++ b/limit/process.go
@@ -31,12 +31,12 @@
 	GcPercent   = 60
 	// StreamBuffer is how many decisions wait for a slow reader before it is told what it missed.
 	StreamBuffer = 512
-	// LineMax bounds a line of the policies' stream in bytes, DeskTargets the targets of one stream,
-	// Desks the streams at once on one daemon, and DeskKept is how long one that broke off can be resumed.
-	LineMax     = 256 << 10
-	DeskTargets = 4096
-	Desks       = 16
-	DeskKept    = 2 * time.Minute
+	// LineMax bounds a line of a policy session in bytes, SessionTargets the targets of one session,
+	// Sessions those at once on one daemon, and SessionKept is how long one that broke off can be resumed.
+	LineMax        = 256 << 10
+	SessionTargets = 4096
+	Sessions       = 16
+	SessionKept    = 2 * time.Minute
 	// EventsKept is how many target events a leader keeps for readers that resume.
 	EventsKept = 4096
 )
--- a/policy/compare.go
+++ b/policy/compare.go
@@ -18,30 +18,38 @@
 	"myrtlefold/wire"
 )
 
-// Score is one policy's standing on a recording.
+// Score is how one policy did on a recording.
 type Score struct {
 	Policy     string  `json:"policy"`
 	Events     int     `json:"events"`
-	Bars       int     `json:"bars"`        // bars and holds begun
+	Bars       int     `json:"bars"`        // ejections and holds begun
 	Wrong      int     `json:"wrong_bars"`  // the target was serving well
-	Errors     int     `json:"errors"`      // failed exchanges in the recording
-	Missed     int     `json:"missed"`      // of them, at targets that it had not barred
-	Slow       int     `json:"slow"`        // slow exchanges in the recording
-	MissedSlow int     `json:"missed_slow"` // of them, at targets that it had not barred
-	ToBarMs    float64 `json:"to_bar_ms"`   // median from a trouble's first sign to its bar
+	Errors     int     `json:"errors"`      // failed requests in the recording
+	Missed     int     `json:"missed"`      // of them, at targets that it had not taken out
+	Slow       int     `json:"slow"`        // slow requests in the recording
+	MissedSlow int     `json:"missed_slow"` // of them, at targets that it had not taken out
+	ToBarMs    float64 `json:"to_bar_ms"`   // median from a trouble's first sign to the decision
 	BarredMs   float64 `json:"barred_ms"`   // all targets' time out together
 	Moves      int     `json:"moves"`       // times a target went out or came back
 	Failed     uint64  `json:"failed_evaluations"`
 }
 
+const (
+	trackEvents = 64  // events kept of each target
+	delaysKept  = 256 // of which ToBarMs is the median
+)
+
 // serveSpan is how far back a target's events say whether it was serving well.
 const serveSpan = 2 * time.Second
 
+// track is what the events show of a target.
 type track struct {
 	events  []Event
 	trouble time.Duration // first sign since all was well, 0: none
 }
 
+// serving reports whether the target has been answering well of late: no missed probe or heartbeat,
+// and under a tenth of its requests failed or slow.
 func (t *track) serving(now time.Duration) bool {
 	n, bad := 0, 0
 	for _, e := range t.events {
@@ -49,10 +57,10 @@
 			continue
 		}
 		switch e.Slice {
-		case "exchange":
+		case model.SliceExchange:
 			n += e.Count
 			bad += e.Errors + e.Slow
-		case "probe", "beat":
+		case model.SliceProbe, model.SliceBeat:
 			if !e.Ok {
 				return false
 			}
@@ -76,11 +84,12 @@
 	toBar []float64
 }
 
+// NewScorer returns a Scorer of a Judge, whose events and ticks must all go through it.
 func NewScorer(j *Judge) *Scorer {
 	return &Scorer{j: j, tracks: map[wire.ID]*track{}, scores: map[string]*tally{}}
 }
 
-// Step has the judge take an event and scores what came of it.
+// Step has the Judge take an event and scores what came of it; it returns the Judge's decisions.
 func (s *Scorer) Step(e Event) []Decision {
 	id := e.ID()
 	t := s.tracks[id]
@@ -89,14 +98,14 @@
 		s.tracks[id] = t
 	}
 	for _, name := range s.j.names() {
-		p := s.j.policies[name].p
+		p := s.j.policies[name].spec
 		y := s.scores[name]
 		if y == nil || y.of != p {
 			y = &tally{Score: Score{Policy: name}, of: p, out: map[wire.ID]time.Duration{}}
 			s.scores[name] = y
 		}
 		y.Events++
-		if e.Slice == "exchange" {
+		if e.Slice == model.SliceExchange {
 			_, out := y.out[id]
 			y.Errors += e.Errors
 			y.Slow += e.Slow
@@ -106,15 +115,15 @@
 			}
 		}
 	}
-	bad := (e.Slice == "probe" || e.Slice == "beat") && !e.Ok || e.Slice == "exchange" && (e.Errors+e.Slow)*2 > e.Count
-	good := e.Slice == "probe" && e.Ok && t.lastBad() == "probe" || e.Slice == "exchange" && t.lastBad() != "probe" && e.Count > 0 && (e.Errors+e.Slow)*10 < e.Count
+	bad := (e.Slice == model.SliceProbe || e.Slice == model.SliceBeat) && !e.Ok || e.Slice == model.SliceExchange && (e.Errors+e.Slow)*2 > e.Count
+	good := e.Slice == model.SliceProbe && e.Ok && t.lastBad() == model.SliceProbe || e.Slice == model.SliceExchange && t.lastBad() != model.SliceProbe && e.Count > 0 && (e.Errors+e.Slow)*10 < e.Count
 	if bad && t.trouble == 0 {
 		t.trouble = e.At
 	} else if good {
 		t.trouble = 0
 	}
 	t.events = append(t.events, e)
-	if len(t.events) > 64 {
+	if len(t.events) > trackEvents {
 		t.events = t.events[1:]
 	}
 	ds := s.j.Step(e)
@@ -128,7 +137,7 @@
 	return ds
 }
 
-// Tick lets ejections lapse.
+// Tick is Judge.Tick, scored.
 func (s *Scorer) Tick(now time.Duration) []Decision {
 	ds := s.j.Tick(now)
 	for _, d := range ds {
@@ -139,6 +148,7 @@
 	return ds
 }
 
+// turn scores a target's going out under a policy, or coming back.
 func (s *Scorer) turn(now time.Duration, y *tally, name string, id wire.ID) {
 	m, marked := s.j.marks[id][name]
 	out := marked && m.until > now
@@ -150,7 +160,7 @@
 	y.Moves++
 	if !out {
 		delete(y.out, id)
-		y.BarredMs += float64(now-at) / 1e6
+		y.BarredMs += milliseconds(now - at)
 		return
 	}
 	y.out[id] = now
@@ -159,8 +169,8 @@
 		y.Wrong++
 	}
 	if t.trouble > 0 {
-		y.toBar = append(y.toBar, float64(now-t.trouble)/1e6)
-		if len(y.toBar) > 256 {
+		y.toBar = append(y.toBar, milliseconds(now-t.trouble))
+		if len(y.toBar) > delaysKept {
 			y.toBar = y.toBar[1:]
 		}
 	}
@@ -170,7 +180,7 @@
 func (s *Scorer) Forget(now time.Duration, id wire.ID) {
 	for _, y := range s.scores {
 		if at, out := y.out[id]; out {
-			y.BarredMs += float64(now-at) / 1e6
+			y.BarredMs += milliseconds(now - at)
 			delete(y.out, id)
 		}
 	}
@@ -178,13 +188,13 @@
 	s.j.Forget(id)
 }
 
-// Scores are the policies' standings as of now, by name.
+// Scores returns the policies' scores as of now, by name.
 func (s *Scorer) Scores(now time.Duration) map[string]Score {
 	l := map[string]Score{}
 	for name, y := range s.scores {
 		x := y.Score
 		for _, at := range y.out {
-			x.BarredMs += float64(now-at) / 1e6
+			x.BarredMs += milliseconds(now - at)
 		}
 		if len(y.toBar) > 0 {
 			x.ToBarMs = slices.Sorted(slices.Values(y.toBar))[len(y.toBar)/2]
@@ -197,11 +207,12 @@
 	return l
 }
 
-// Compare scores each policy of the given ones on the events.
+// Compare scores each of the policies by itself on the events, and returns the scores in order of
+// their names.
 func Compare(events []Event, policies map[string]model.Policy) []Score {
 	cfg := &model.Config{Policies: map[string]model.Policy{}}
 	for name, p := range policies {
-		p.Mode = "shadow"
+		p.Mode = model.ModeShadow
 		cfg.Policies[name] = p
 	}
 	j := New()
@@ -224,15 +235,15 @@
 // lastBad is the slice of the latest bad event.
 func (t *track) lastBad() string {
 	for _, e := range slices.Backward(t.events) {
-		if e.Slice == "probe" && !e.Ok || e.Slice == "exchange" && e.Errors+e.Slow > 0 {
+		if e.Slice == model.SliceProbe && !e.Ok || e.Slice == model.SliceExchange && e.Errors+e.Slow > 0 {
 			return e.Slice
 		}
 	}
 	return ""
 }
 
-// ReadEvents reads JSON lines: bare events, or a stream's lines, of which only
-// those with an event count.
+// ReadEvents reads JSON lines and passes each event to each: bare events, or a stream's lines, of
+// which only those with an event count. It returns the first error, with the line's number.
 func ReadEvents(r io.Reader, each func(Event) error) error {
 	sc := bufio.NewScanner(r)
 	sc.Buffer(nil, limit.LineMax)
--- a/policy/condition.go
+++ b/policy/condition.go
@@ -18,9 +18,15 @@
 	"myrtlefold/model"
 )
 
-type looper struct{ found string }
+// allowed are the functions of the library that a condition may call. They take the same time
+// whatever they are given.
+var allowed = []string{"abs", "max", "min"}
 
-func (l *looper) Visit(n *ast.Node) {
+// costly finds operators and functions in a condition whose time is not bounded by its size.
+type costly struct{ found string }
+
+// Visit looks at one node of the condition's tree.
+func (l *costly) Visit(n *ast.Node) {
 	switch b := (*n).(type) {
 	case *ast.BinaryNode:
 		if b.Operator == ".." || b.Operator == "matches" || b.Operator == "**" || b.Operator == "^" {
@@ -31,57 +37,66 @@
 	}
 }
 
-func compile(slice, cond string) (*vm.Program, error) {
-	l := &looper{}
-	p, err := expr.Compile(cond, expr.Env(envs[slice]), expr.AsBool(), expr.MaxNodes(limit.PolicyNodes),
-		expr.DisableAllBuiltins(), expr.EnableBuiltin("abs"), expr.EnableBuiltin("max"), expr.EnableBuiltin("min"), expr.Patch(l))
-	if err == nil && l.found != "" && !slices.Contains([]string{"abs", "max", "min"}, l.found) {
+// compile checks a condition on a slice and compiles it.
+func compile(slice, condition string) (*vm.Program, error) {
+	l := &costly{}
+	options := []expr.Option{expr.Env(facts[slice]), expr.AsBool(), expr.MaxNodes(limit.PolicyNodes), expr.DisableAllBuiltins(), expr.Patch(l)}
+	for _, name := range allowed {
+		options = append(options, expr.EnableBuiltin(name))
+	}
+	p, err := expr.Compile(condition, options...)
+	if err == nil && l.found != "" && !slices.Contains(allowed, l.found) {
 		err = errors.Newf("%q costs too much to be used here", l.found)
 	}
 	return p, err
 }
 
-// Check lists a policy's faults by field.
+// Check returns a policy's faults by the names of its fields.
 func Check(p model.Policy) []model.Fault {
-	var fs []model.Fault
+	var faults []model.Fault
 	add := func(path, f string, a ...any) {
-		fs = append(fs, model.Fault{Path: path, Text: fmt.Sprintf(f, a...)})
+		faults = append(faults, model.Fault{Path: path, Text: fmt.Sprintf(f, a...)})
 	}
-	if _, ok := envs[p.Slice]; !ok {
-		add("slice", "no slice %q: probe, beat, exchange or demand", p.Slice)
+	if _, ok := facts[p.Slice]; !ok {
+		add("slice", unknownSlice, p.Slice)
 	} else {
-		for _, c := range []struct{ f, s string }{{"when", p.When}, {"clear", p.Clear}} {
-			if c.s == "" && c.f == "clear" {
-				continue
-			}
-			if _, err := compile(p.Slice, c.s); err != nil {
-				var fe *file.Error
-				if errors.As(err, &fe) {
-					add(c.f, "line %d, column %d: %s", fe.Line, fe.Column+1, fe.Message)
-				} else {
-					add(c.f, "%v", err)
-				}
-			}
+		faults = append(faults, checkCondition(p.Slice, "when", p.When)...)
+		if p.Clear != "" {
+			faults = append(faults, checkCondition(p.Slice, "clear", p.Clear)...)
 		}
 	}
 	ttl := time.Duration(p.TTLMs) * time.Millisecond
 	switch p.Decide {
-	case "bar":
+	case model.DecideBar:
 		if ttl <= 0 || ttl > limit.EjectionMaxTTL {
 			add("ttl_ms", "a bar needs a ttl_ms between 1 and %d", limit.EjectionMaxTTL.Milliseconds())
 		}
-	case "hold":
+	case model.DecideHold:
 		if p.TTLMs != 0 {
 			add("ttl_ms", "a hold has none: it ends with its condition")
 		}
 	default:
 		add("decide", "bar or hold, not %q", p.Decide)
 	}
-	if !slices.Contains([]string{"live", "shadow", "off"}, p.Mode) {
+	if !slices.Contains([]string{model.ModeLive, model.ModeShadow, model.ModeOff}, p.Mode) {
 		add("mode", "live, shadow or off, not %q", p.Mode)
 	}
-	return fs
+	return faults
+}
+
+// checkCondition returns the fault of the condition in a field, if it has one.
+func checkCondition(slice, field, condition string) []model.Fault {
+	_, err := compile(slice, condition)
+	if err == nil {
+		return nil
+	}
+	text := err.Error()
+	var at *file.Error
+	if errors.As(err, &at) {
+		text = fmt.Sprintf("line %d, column %d: %s", at.Line, at.Column+1, at.Message)
+	}
+	return []model.Fault{{Path: field, Text: text}}
 }
 
-// CheckConfig is model.Parse with the judge's check of policies.
+// CheckConfig is model.Parse with the check of policies, and returns the same.
 func CheckConfig(doc []byte) (*model.Config, []model.Fault, error) { return model.Parse(doc, Check) }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,8 @@
 // Package policy turns target events into decisions. A policy is one condition
-// over one slice of what is known of a target (probe, beat, request, demand)
-// and one decision: an ejection, which lapses by itself, or a hold, which lasts until its
-// clear condition holds, or while its condition does if it has none. A Judge is pure: events go in with their time, decisions
+// over one slice of what is known of a target (probes, heartbeats, requests, demand)
+// and one decision: an ejection, which lapses by itself, or a hold (draining), which
+// lasts until its clear condition is met, or while its condition is if it has none.
+// A Judge evaluates policies and is pure: events go in with their time, decisions
 // come out, and the same events always give the same decisions, which is what
 // shadow runs and comparisons rest on. A policy that fails to evaluate decides
 // nothing, is counted, and what it had decided runs out.
@@ -24,85 +25,96 @@
 
 // Event is one thing learnt about a target. Only the fields of its slice count.
 type Event struct {
-	At      time.Duration `json:"at_ns"`
-	Slice   string        `json:"slice"`
+	At      time.Duration `json:"at_ns"` // by the clock of whoever recorded it
+	Slice   string        `json:"slice"` // a slice's name, as package model has them
 	Service string        `json:"service"`
 	Name    string        `json:"name"`
 	Inc     uint64        `json:"incarnation"`
-	Ok      bool          `json:"ok,omitempty"`
-	Ms      float64       `json:"ms,omitempty"`
-	State   string        `json:"state,omitempty"`
-	Count   int           `json:"count,omitempty"`
-	Errors  int           `json:"errors,omitempty"`
-	Slow    int           `json:"slow,omitempty"`
-	Demand  float64       `json:"demand,omitempty"`
+	Ok      bool          `json:"ok,omitempty"`     // probe: it answered; beat: a heartbeat came, not silence
+	Ms      float64       `json:"ms,omitempty"`     // probe: answer time; beat: silence; exchange: time of all Count together
+	State   string        `json:"state,omitempty"`  // beat: the target's state
+	Count   int           `json:"count,omitempty"`  // exchange: requests that ended, and of them
+	Errors  int           `json:"errors,omitempty"` // failed ones
+	Slow    int           `json:"slow,omitempty"`   // slow ones
+	Demand  float64       `json:"demand,omitempty"` // demand: 0 and more, 1: as much as the target bears
 }
 
+// ID returns the identity of the target.
 func (e *Event) ID() wire.ID { return wire.ID{Service: e.Service, Name: e.Name, Inc: e.Inc} }
 
+// Kinds of decisions, besides model.DecideBar and model.DecideHold, which begin one.
+const (
+	KindClear = "clear" // the condition to clear it is met
+	KindLapse = "lapse" // the ejection's time to live is over
+)
+
 // Decision is one change of a target's standing under one policy.
 type Decision struct {
 	At      time.Duration `json:"at_ns"`
 	Policy  string        `json:"policy"`
-	Kind    string        `json:"kind"` // bar, hold, clear, lapse
+	Kind    string        `json:"kind"` // model.DecideBar, model.DecideHold, KindClear or KindLapse
 	Service string        `json:"service"`
 	Name    string        `json:"name"`
 	Inc     uint64        `json:"incarnation"`
 	TTLMs   int64         `json:"ttl_ms,omitempty"`
-	Shadow  bool          `json:"shadow,omitempty"`
+	Shadow  bool          `json:"shadow,omitempty"` // it has no effect
 	Why     string        `json:"why,omitempty"`
 }
 
+// policy is a policy in force.
 type policy struct {
-	name    string
-	p       model.Policy
-	when    *vm.Program
-	clear   *vm.Program
-	machine vm.VM
-	ran     uint64
-	failed  uint64
-	lastErr string
+	name      string
+	spec      model.Policy
+	when      *vm.Program
+	clear     *vm.Program // nil: none
+	machine   vm.VM
+	evaluated uint64
+	failed    uint64
+	lastError string
 }
 
-// mark is a policy's present word on a target.
+// mark is a policy's present decision on a target.
 type mark struct {
 	until time.Duration
 	hold  bool
 }
 
+// Stat describes a policy in force and what it has done since it came into force.
 type Stat struct {
 	Policy model.Policy `json:"policy"`
 	Ran    uint64       `json:"evaluated"`
 	Failed uint64       `json:"failed"`
 	Error  string       `json:"last_error,omitempty"`
-	Marks  int          `json:"targets_out"`
+	Marks  int          `json:"targets_out"` // targets that it keeps requests from now
 	Score  *Score       `json:"score,omitempty"`
 }
 
+// Judge evaluates the policies in force on events of any number of targets.
 type Judge struct {
-	policies map[string]*policy
-	windows  map[wire.ID]map[string]*window
-	marks    map[wire.ID]map[string]mark
+	policies map[string]*policy             // by name
+	windows  map[wire.ID]map[string]*window // by slice
+	marks    map[wire.ID]map[string]mark    // by policy
 }
 
+// New returns a Judge without policies; Replace puts them in force.
 func New() *Judge {
 	return &Judge{policies: map[string]*policy{}, windows: map[wire.ID]map[string]*window{}, marks: map[wire.ID]map[string]mark{}}
 }
 
-// Replace puts a configuration's policies in force. What a kept or changed ejection
+// Replace puts the policies of a configuration, which must have passed Check, in force. What a kept or changed ejection
 // policy had decided stays until it lapses; a policy's marks go at once when it
 // is removed, off, or goes between live and shadow.
 func (j *Judge) Replace(c *model.Config) {
 	next := map[string]*policy{}
 	for name, p := range c.All() {
-		if p.Mode == "off" {
+		if p.Mode == model.ModeOff {
 			continue
 		}
-		if old := j.policies[name]; old != nil && old.p == p {
+		if old := j.policies[name]; old != nil && old.spec == p {
 			next[name] = old
 			continue
 		}
-		n := &policy{name: name, p: p}
+		n := &policy{name: name, spec: p}
 		var err error
 		if n.when, err = compile(p.Slice, p.When); err == nil && p.Clear != "" {
 			n.clear, err = compile(p.Slice, p.Clear)
@@ -114,7 +126,7 @@
 	}
 	for _, ms := range j.marks {
 		for name := range ms {
-			if n, o := next[name], j.policies[name]; n == nil || o == nil || n.p.Mode != o.p.Mode || n.p.Decide != o.p.Decide {
+			if !next[name].continues(j.policies[name]) {
 				delete(ms, name)
 			}
 		}
@@ -122,30 +134,37 @@
 	j.policies = next
 }
 
+// continues reports whether what the old policy of that name decided stands under this one.
+func (p *policy) continues(old *policy) bool {
+	return p != nil && old != nil && p.spec.Mode == old.spec.Mode && p.spec.Decide == old.spec.Decide
+}
+
 // Forget drops a target that is gone for good.
 func (j *Judge) Forget(id wire.ID) {
 	delete(j.windows, id)
 	delete(j.marks, id)
 }
 
-// Barred says whether a live policy keeps a target out now, until when, and which.
+// Barred returns until when a live policy keeps requests from a target, and the policy's name; of
+// several the last one to end, and 0 if there is none.
 func (j *Judge) Barred(now time.Duration, id wire.ID) (until time.Duration, why string) {
 	for _, name := range slices.Sorted(maps.Keys(j.marks[id])) {
 		m, p := j.marks[id][name], j.policies[name]
-		if p != nil && p.p.Mode == "live" && m.until > now && m.until > until {
+		if p != nil && p.spec.Mode == model.ModeLive && m.until > now && m.until > until {
 			until, why = m.until, name
 		}
 	}
 	return until, why
 }
 
-// Adopt takes over an ejection that an earlier leader had decided.
+// Adopt takes over a decision of an earlier leader, which has left to run.
 func (j *Judge) Adopt(now time.Duration, id wire.ID, policy string, left time.Duration) {
-	if p := j.policies[policy]; p != nil && p.p.Mode == "live" && left > 0 {
-		j.mark(id, policy, mark{until: now + min(left, limit.EjectionMaxTTL), hold: p.p.Decide == "hold"})
+	if p := j.policies[policy]; p != nil && p.spec.Mode == model.ModeLive && left > 0 {
+		j.mark(id, policy, mark{until: now + min(left, limit.EjectionMaxTTL), hold: p.spec.Decide == model.DecideHold})
 	}
 }
 
+// mark sets a policy's decision on a target.
 func (j *Judge) mark(id wire.ID, policy string, m mark) {
 	if j.marks[id] == nil {
 		j.marks[id] = map[string]mark{}
@@ -153,14 +172,14 @@
 	j.marks[id][policy] = m
 }
 
-// Tick lets ejections lapse.
+// Tick ends the ejections whose time to live is over, and returns those decisions.
 func (j *Judge) Tick(now time.Duration) []Decision {
 	var out []Decision
 	for _, id := range slices.SortedFunc(maps.Keys(j.marks), wire.ID.Compare) {
 		for _, name := range slices.Sorted(maps.Keys(j.marks[id])) {
 			if p := j.policies[name]; j.marks[id][name].until <= now {
 				delete(j.marks[id], name)
-				out = append(out, p.decision(now, "lapse", id, "time to live is over"))
+				out = append(out, p.decision(now, KindLapse, id, "time to live is over"))
 			}
 		}
 		if len(j.marks[id]) == 0 {
@@ -171,9 +190,9 @@
 }
 
 func (p *policy) decision(now time.Duration, kind string, id wire.ID, why string) Decision {
-	d := Decision{At: now, Policy: p.name, Kind: kind, Service: id.Service, Name: id.Name, Inc: id.Inc, Shadow: p.p.Mode == "shadow", Why: why}
-	if kind == "bar" {
-		d.TTLMs = int64(p.p.TTLMs)
+	d := Decision{At: now, Policy: p.name, Kind: kind, Service: id.Service, Name: id.Name, Inc: id.Inc, Shadow: p.spec.Mode == model.ModeShadow, Why: why}
+	if kind == model.DecideBar {
+		d.TTLMs = int64(p.spec.TTLMs)
 	}
 	return d
 }
@@ -189,76 +208,71 @@
 		w = &window{}
 		j.windows[id][e.Slice] = w
 	}
-	good := e.Ok
-	if e.Slice == "exchange" {
-		good = e.Errors == 0
-	}
-	if w.ok != good {
-		w.row = 0
-	}
-	w.ok = good
-	w.row++
-	w.events = append(w.events, e)
-	if n := len(w.events) - limit.Window; n > 0 {
-		w.events = w.events[n:]
-	}
-	env := j.env(id, e, w)
+	w.add(e)
+	known := j.facts(id, e, w)
 	var out []Decision
 	for _, name := range j.names() {
-		p := j.policies[name]
-		if p.p.Slice != e.Slice {
-			continue
+		if p := j.policies[name]; p.spec.Slice == e.Slice {
+			out = append(out, j.apply(p, e.At, id, known)...)
 		}
-		hit, err := p.eval(p.when, env)
-		clear := false
-		if err == nil && !hit && p.clear != nil {
-			clear, err = p.eval(p.clear, env)
-		}
-		if err != nil {
-			continue
+	}
+	return out
+}
+
+// apply evaluates one policy on a target and changes its mark; it returns the decision, if that is
+// a new one.
+func (j *Judge) apply(p *policy, now time.Duration, id wire.ID, known any) []Decision {
+	hit, err := p.evaluate(p.when, known)
+	clear := false
+	if err == nil && !hit && p.clear != nil {
+		clear, err = p.evaluate(p.clear, known)
+	}
+	if err != nil {
+		return nil
+	}
+	m, marked := j.marks[id][p.name]
+	switch {
+	case hit && p.spec.Decide == model.DecideHold:
+		j.mark(id, p.name, mark{until: now + limit.EjectionTTL, hold: true})
+		if !marked {
+			return []Decision{p.decision(now, model.DecideHold, id, p.spec.When)}
 		}
-		m, was := j.marks[id][name]
-		switch {
-		case hit && p.p.Decide == "hold":
-			j.mark(id, name, mark{until: e.At + limit.EjectionTTL, hold: true})
-			if !was {
-				out = append(out, p.decision(e.At, "hold", id, p.p.When))
-			}
-		case hit:
-			j.mark(id, name, mark{until: e.At + time.Duration(p.p.TTLMs)*time.Millisecond})
-			if !was || m.until <= e.At {
-				out = append(out, p.decision(e.At, "bar", id, p.p.When))
-			}
-		case was && (clear || m.hold && p.clear == nil):
-			delete(j.marks[id], name)
-			out = append(out, p.decision(e.At, "clear", id, cmp.Or(p.p.Clear, "condition is over")))
+	case hit:
+		j.mark(id, p.name, mark{until: now + time.Duration(p.spec.TTLMs)*time.Millisecond})
+		if !marked || m.until <= now {
+			return []Decision{p.decision(now, model.DecideBar, id, p.spec.When)}
 		}
+	case marked && (clear || m.hold && p.clear == nil):
+		delete(j.marks[id], p.name)
+		return []Decision{p.decision(now, KindClear, id, cmp.Or(p.spec.Clear, "condition is over"))}
 	}
-	return out
+	return nil
 }
 
-func (p *policy) eval(prog *vm.Program, env any) (bool, error) {
-	p.ran++
+// evaluate runs a condition; a failure is counted.
+func (p *policy) evaluate(condition *vm.Program, known any) (bool, error) {
+	p.evaluated++
 	p.machine.MemoryBudget = limit.PolicyMemory
-	v, err := p.machine.Run(prog, env)
+	v, err := p.machine.Run(condition, known)
 	b, ok := v.(bool)
 	if err == nil && !ok {
 		err = errors.Newf("gave %T, not a bool", v)
 	}
 	if err != nil {
 		p.failed++
-		p.lastErr = err.Error()
+		p.lastError = err.Error()
 	}
 	return b, err
 }
 
+// names returns the policies' names in order.
 func (j *Judge) names() []string { return slices.Sorted(maps.Keys(j.policies)) }
 
-// Stats describes the policies in force by name.
+// Stats returns what there is to say of each policy in force, by name; without its score.
 func (j *Judge) Stats() map[string]Stat {
 	out := map[string]Stat{}
 	for name, p := range j.policies {
-		s := Stat{Policy: p.p, Ran: p.ran, Failed: p.failed, Error: p.lastErr}
+		s := Stat{Policy: p.spec, Ran: p.evaluated, Failed: p.failed, Error: p.lastError}
 		for _, ms := range j.marks {
 			if _, ok := ms[name]; ok {
 				s.Marks++
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -263,8 +263,8 @@
 
 // A stream of lines: events in, decisions out, a policy replaced in between, and
 // lines that can't be taken answered one by one.
-func TestDesk(t *testing.T) {
-	d := NewDesk(&model.Config{})
+func TestSession(t *testing.T) {
+	d := NewSession(&model.Config{})
 	ev := func(ms int, ok bool) string {
 		b, _ := json.Marshal(Event{At: time.Duration(ms) * time.Millisecond, Slice: "probe", Service: "s", Name: "a", Inc: 1, Ok: ok})
 		return string(b)
--- a/policy/session.go
+++ b/policy/session.go
@@ -1,6 +1,6 @@
-// This file is the judge as a stream: lines with target events go in, lines with
-// decisions come out, and a line may replace policies in between. A line that
-// can't be taken is answered by itself and changes nothing.
+// This file evaluates policies over a stream: lines with target events go in, lines with
+// decisions come out, and a line may replace policies in between. A line that can't be
+// taken is answered with an error and changes nothing.
 
 package policy
 
@@ -17,13 +17,14 @@
 	"myrtlefold/wire"
 )
 
-// event0 lets a line be an event itself.
-type event0 Event
+// bareEvent lets a line be an event itself.
+type bareEvent Event
 
+// inLine is a line of a stream.
 type inLine struct {
 	Event    *Event                     `json:"event"`
 	Policies map[string]json.RawMessage `json:"policies"`
-	event0
+	bareEvent
 }
 
 func parseLine(b []byte) (l inLine, err error) {
@@ -31,87 +32,87 @@
 		return l, err
 	}
 	if l.Event == nil && l.Slice != "" {
-		x := Event(l.event0)
+		x := Event(l.bareEvent)
 		l.Event = &x
 	}
 	return l, nil
 }
 
-// OutLine is what a line in was answered with: decisions one by one, or why it
-// was not taken.
+// OutLine is an answer to a line: one decision, the policies that it replaced, or why it was not taken.
 type OutLine struct {
-	Line     uint64        `json:"line"`
+	Line     uint64        `json:"line"` // the number of the line that it answers, from 1
 	Decision *Decision     `json:"decision,omitempty"`
 	Replaced []string      `json:"replaced,omitempty"`
 	Error    string        `json:"error,omitempty"`
 	Faults   []model.Fault `json:"faults,omitempty"`
 }
 
-// Desk judges one stream. It takes no part in what the fleet does.
-type Desk struct {
+// Session evaluates policies over one stream. It takes no part in what the fleet does.
+type Session struct {
 	Line    uint64 // lines taken so far
-	j       *Judge
+	judge   *Judge
 	cfg     model.Config
 	last    time.Duration
 	targets map[wire.ID]bool
 }
 
-func NewDesk(c *model.Config) *Desk {
-	d := &Desk{j: New(), cfg: *c, targets: map[wire.ID]bool{}}
-	d.j.Replace(&d.cfg)
-	return d
+// NewSession returns a Session that begins with the policies of a configuration.
+func NewSession(c *model.Config) *Session {
+	s := &Session{judge: New(), cfg: *c, targets: map[wire.ID]bool{}}
+	s.judge.Replace(&s.cfg)
+	return s
 }
 
-// Take judges one line and answers it.
-func (d *Desk) Take(b []byte) (out []OutLine) {
-	d.Line++
+// Take evaluates one line and returns the answers to it, in order.
+func (s *Session) Take(b []byte) (out []OutLine) {
+	s.Line++
 	no := func(f string, a ...any) []OutLine {
-		return []OutLine{{Line: d.Line, Error: fmt.Sprintf(f, a...)}}
+		return []OutLine{{Line: s.Line, Error: fmt.Sprintf(f, a...)}}
 	}
 	l, err := parseLine(b)
 	if err != nil {
 		return no("not a JSON object: %v", err)
 	}
 	if l.Policies != nil {
-		return d.replace(l.Policies)
+		return s.replace(l.Policies)
 	}
 	e := l.Event
 	if e == nil {
 		return nil // a stream's line without an event: a decision, or what was missed
 	}
-	switch _, known := envs[e.Slice]; {
+	switch _, known := facts[e.Slice]; {
 	case !known:
-		return no("no slice %q: probe, beat, exchange or demand", e.Slice)
+		return no(unknownSlice, e.Slice)
 	case e.Service == "" || e.Name == "" || e.Inc == 0:
 		return no("an event needs service, name and incarnation")
-	case e.At < d.last:
-		return no("at_ns goes back: %d after %d", e.At, d.last)
+	case e.At < s.last:
+		return no("at_ns goes back: %d after %d", e.At, s.last)
 	case e.Count < 0 || e.Errors < 0 || e.Slow < 0 || e.Errors > e.Count || e.Slow > e.Count:
 		return no("count, errors and slow don't fit together")
-	case !d.targets[e.ID()] && len(d.targets) >= limit.DeskTargets:
-		return no("more than %d targets in one stream", limit.DeskTargets)
+	case !s.targets[e.ID()] && len(s.targets) >= limit.SessionTargets:
+		return no("more than %d targets in one stream", limit.SessionTargets)
 	}
-	d.last = e.At
-	d.targets[e.ID()] = true
-	for _, x := range append(d.j.Tick(e.At), d.j.Step(*e)...) {
-		out = append(out, OutLine{Line: d.Line, Decision: &x})
+	s.last = e.At
+	s.targets[e.ID()] = true
+	for _, x := range append(s.judge.Tick(e.At), s.judge.Step(*e)...) {
+		out = append(out, OutLine{Line: s.Line, Decision: &x})
 	}
 	return out
 }
 
 // replace puts policies in the place of those of their names; null removes one.
-func (d *Desk) replace(ps map[string]json.RawMessage) []OutLine {
-	next := d.cfg
-	next.Policies = maps.Clone(d.cfg.Policies)
+func (s *Session) replace(ps map[string]json.RawMessage) []OutLine {
+	next := s.cfg
+	next.Policies = maps.Clone(s.cfg.Policies)
 	if next.Policies == nil {
 		next.Policies = map[string]model.Policy{}
 	}
-	out := OutLine{Line: d.Line}
+	out := OutLine{Line: s.Line}
 	for name, raw := range ps {
 		if string(raw) == "null" {
 			delete(next.Policies, name)
 		} else {
-			p := model.Policy{Mode: "live"}
+			p := model.Policy{Mode: model.ModeLive}
 			faults, err := model.Decode(raw, &p)
 			if err != nil {
 				faults = append(faults, model.Fault{Text: errors.UnwrapAll(err).Error()})
@@ -131,7 +132,7 @@
 		out.Replaced, out.Error = nil, "unsound policies; those before stay"
 		return []OutLine{out}
 	}
-	d.cfg = next
-	d.j.Replace(&d.cfg)
+	s.cfg = next
+	s.judge.Replace(&s.cfg)
 	return []OutLine{out}
 }
--- a/policy/slice.go
+++ b/policy/slice.go
@@ -9,158 +9,207 @@
 	"time"
 
 	"myrtlefold/limit"
+	"myrtlefold/model"
 	"myrtlefold/wire"
 )
 
-// The slices: what a condition may name, and nothing else.
-type (
-	Probe struct {
-		Misses  int     `expr:"misses_in_row"`
-		Oks     int     `expr:"ok_in_row"`
-		Missed  int     `expr:"missed"`
-		Samples int     `expr:"samples"`
-		LastMs  float64 `expr:"last_ms"`
-		MeanMs  float64 `expr:"mean_ms"`
-		Flaps   int     `expr:"flaps"`
-	}
-	Beat struct {
-		State   string  `expr:"state"`
-		Silent  float64 `expr:"silent_ms"`
-		GapMs   float64 `expr:"gap_ms"`
-		MaxGap  float64 `expr:"max_gap_ms"`
-		Changes int     `expr:"changes"`
-		Samples int     `expr:"samples"`
-	}
-	Exchange struct {
-		Count    int     `expr:"count"`
-		Errors   int     `expr:"errors"`
-		Ratio    float64 `expr:"error_ratio"`
-		SvcCount int     `expr:"service_count"`
-		SvcRatio float64 `expr:"service_error_ratio"`
-		MeanMs   float64 `expr:"mean_ms"`
-		SvcMs    float64 `expr:"service_mean_ms"`
-		Slow     int     `expr:"slow"`
-		LastErrs int     `expr:"errors_in_row"`
-	}
-	Demand struct {
-		Demand  float64 `expr:"demand"`
-		Mean    float64 `expr:"mean"`
-		SvcMean float64 `expr:"service_mean"`
-		Samples int     `expr:"samples"`
-	}
-)
+// probeFacts is what a condition on probes may name.
+type probeFacts struct {
+	Misses  int     `expr:"misses_in_row"`
+	Oks     int     `expr:"ok_in_row"`
+	Missed  int     `expr:"missed"` // among the samples
+	Samples int     `expr:"samples"`
+	LastMs  float64 `expr:"last_ms"`
+	MeanMs  float64 `expr:"mean_ms"`
+	Flaps   int     `expr:"flaps"` // changes between answer and miss among the samples
+}
+
+// beatFacts is what a condition on heartbeats may name.
+type beatFacts struct {
+	State    string  `expr:"state"`
+	SilentMs float64 `expr:"silent_ms"`
+	GapMs    float64 `expr:"gap_ms"` // between the last two heartbeats
+	MaxGapMs float64 `expr:"max_gap_ms"`
+	Changes  int     `expr:"changes"` // of state, among the samples
+	Samples  int     `expr:"samples"`
+}
+
+// exchangeFacts is what a condition on requests may name: the target's own in the last
+// exchangeWindow, and, with service_ before the name, those of the service's other targets.
+type exchangeFacts struct {
+	Count         int     `expr:"count"`
+	Errors        int     `expr:"errors"`
+	ErrorRatio    float64 `expr:"error_ratio"`
+	ServiceCount  int     `expr:"service_count"`
+	ServiceRatio  float64 `expr:"service_error_ratio"`
+	MeanMs        float64 `expr:"mean_ms"`
+	ServiceMeanMs float64 `expr:"service_mean_ms"`
+	Slow          int     `expr:"slow"`
+	ErrorsInRow   int     `expr:"errors_in_row"` // events with an error, one after another
+}
+
+// demandFacts is what a condition on demand may name.
+type demandFacts struct {
+	Demand      float64 `expr:"demand"`
+	Mean        float64 `expr:"mean"`
+	ServiceMean float64 `expr:"service_mean"` // of the service's other targets' latest ones
+	Samples     int     `expr:"samples"`
+}
+
+// facts has, for each slice, the type that conditions on it are compiled for.
+var facts = map[string]any{
+	model.SliceProbe:    probeFacts{},
+	model.SliceBeat:     beatFacts{},
+	model.SliceExchange: exchangeFacts{},
+	model.SliceDemand:   demandFacts{},
+}
 
-var envs = map[string]any{"probe": Probe{}, "beat": Beat{}, "exchange": Exchange{}, "demand": Demand{}}
+// unknownSlice is the text of a fault.
+const unknownSlice = "no slice %q: probe, beat, exchange or demand"
 
 // exchangeWindow is how far the request and demand slices look back.
 const exchangeWindow = limit.RetryWindow
 
+// window is the latest events of one slice of one target, limit.Window at most.
 type window struct {
 	events []Event
-	row    int // length of the present run of equal outcomes
+	run    int // length of the present run of equal outcomes
 	ok     bool
 }
 
-func (j *Judge) env(id wire.ID, e Event, w *window) any {
+// add takes an event in.
+func (w *window) add(e Event) {
+	good := e.Ok
+	if e.Slice == model.SliceExchange {
+		good = e.Errors == 0
+	}
+	if w.ok != good {
+		w.run = 0
+	}
+	w.ok = good
+	w.run++
+	w.events = append(w.events, e)
+	if n := len(w.events) - limit.Window; n > 0 {
+		w.events = w.events[n:]
+	}
+}
+
+// facts returns what a condition on the event's slice may name, right after the event.
+func (j *Judge) facts(id wire.ID, e Event, w *window) any {
 	switch e.Slice {
-	case "probe":
-		p := Probe{Samples: len(w.events), LastMs: e.Ms}
-		if e.Ok {
-			p.Oks = w.row
-		} else {
-			p.Misses = w.row
-		}
-		for i, x := range w.events {
-			if !x.Ok {
-				p.Missed++
-			}
-			p.MeanMs += x.Ms / float64(len(w.events))
-			if i > 0 && w.events[i-1].Ok != x.Ok {
-				p.Flaps++
-			}
-		}
-		return p
-	case "beat":
-		b := Beat{State: e.State}
-		if !e.Ok {
-			b.Silent = e.Ms
-		}
-		var last *Event
-		for i, x := range w.events {
-			if !x.Ok {
-				continue // silence, not a beat
-			}
-			if last != nil {
-				gap := float64(x.At-last.At) / 1e6
-				b.GapMs, b.MaxGap = gap, max(b.MaxGap, gap)
-				if last.State != x.State {
-					b.Changes++
-				}
-			}
-			last = &w.events[i]
-			b.Samples++
+	case model.SliceProbe:
+		return w.probeFacts(e)
+	case model.SliceBeat:
+		return w.beatFacts(e)
+	case model.SliceExchange:
+		return j.exchangeFacts(id, e.At, w)
+	}
+	return j.demandFacts(id, e, w)
+}
+
+func (w *window) probeFacts(e Event) probeFacts {
+	p := probeFacts{Samples: len(w.events), LastMs: e.Ms}
+	if e.Ok {
+		p.Oks = w.run
+	} else {
+		p.Misses = w.run
+	}
+	for i, x := range w.events {
+		if !x.Ok {
+			p.Missed++
 		}
-		return b
-	case "exchange":
-		x := Exchange{}
-		if !w.ok {
-			x.LastErrs = w.row
+		p.MeanMs += x.Ms / float64(len(w.events))
+		if i > 0 && w.events[i-1].Ok != x.Ok {
+			p.Flaps++
 		}
-		sum := w.total(e.At)
-		x.Count, x.Errors, x.Slow = sum.Count, sum.Errors, sum.Slow
-		if x.Count > 0 {
-			x.Ratio, x.MeanMs = float64(x.Errors)/float64(x.Count), sum.Ms/float64(x.Count)
+	}
+	return p
+}
+
+func (w *window) beatFacts(e Event) beatFacts {
+	b := beatFacts{State: e.State}
+	if !e.Ok {
+		b.SilentMs = e.Ms
+	}
+	var last *Event
+	for i, x := range w.events {
+		if !x.Ok {
+			continue // silence, not a heartbeat
 		}
-		rest := Event{}
-		for _, ws := range j.others(id) {
-			if ws["exchange"] != nil {
-				t := ws["exchange"].total(e.At)
-				rest.Count += t.Count
-				rest.Errors += t.Errors
-				rest.Ms += t.Ms
+		if last != nil {
+			b.GapMs = milliseconds(x.At - last.At)
+			b.MaxGapMs = max(b.MaxGapMs, b.GapMs)
+			if last.State != x.State {
+				b.Changes++
 			}
 		}
-		x.SvcCount = rest.Count
-		if rest.Count > 0 {
-			x.SvcRatio, x.SvcMs = float64(rest.Errors)/float64(rest.Count), rest.Ms/float64(rest.Count)
-		}
-		return x
+		last = &w.events[i]
+		b.Samples++
 	}
-	d := Demand{Demand: e.Demand, Samples: len(w.events)}
+	return b
+}
+
+func (j *Judge) exchangeFacts(id wire.ID, now time.Duration, w *window) exchangeFacts {
+	x := exchangeFacts{}
+	if !w.ok {
+		x.ErrorsInRow = w.run
+	}
+	own := w.total(now)
+	x.Count, x.Errors, x.Slow = own.Count, own.Errors, own.Slow
+	if own.Count > 0 {
+		x.ErrorRatio, x.MeanMs = float64(own.Errors)/float64(own.Count), own.Ms/float64(own.Count)
+	}
+	rest := Event{}
+	for _, other := range j.others(id, model.SliceExchange) {
+		t := other.total(now)
+		rest.Count += t.Count
+		rest.Errors += t.Errors
+		rest.Ms += t.Ms
+	}
+	x.ServiceCount = rest.Count
+	if rest.Count > 0 {
+		x.ServiceRatio, x.ServiceMeanMs = float64(rest.Errors)/float64(rest.Count), rest.Ms/float64(rest.Count)
+	}
+	return x
+}
+
+func (j *Judge) demandFacts(id wire.ID, e Event, w *window) demandFacts {
+	d := demandFacts{Demand: e.Demand, Samples: len(w.events)}
 	for _, x := range w.events {
 		d.Mean += x.Demand / float64(len(w.events))
 	}
 	n := 0.0
-	for _, ws := range j.others(id) {
-		if ws["demand"] == nil {
-			continue
-		}
-		if l := ws["demand"].events; e.At-l[len(l)-1].At < exchangeWindow {
-			d.SvcMean += l[len(l)-1].Demand
+	for _, other := range j.others(id, model.SliceDemand) {
+		if latest := other.events[len(other.events)-1]; e.At-latest.At < exchangeWindow {
+			d.ServiceMean += latest.Demand
 			n++
 		}
 	}
 	if n > 0 {
-		d.SvcMean /= n
+		d.ServiceMean /= n
 	}
 	return d
 }
 
-// others yields the windows of a service's other targets, in order so that sums
+// others yields the windows that a service's other targets have of a slice, in order so that sums
 // of floats come out the same in every run.
-func (j *Judge) others(id wire.ID) iter.Seq2[wire.ID, map[string]*window] {
-	return func(yield func(wire.ID, map[string]*window) bool) {
+func (j *Judge) others(id wire.ID, slice string) iter.Seq2[wire.ID, *window] {
+	return func(yield func(wire.ID, *window) bool) {
 		for _, o := range slices.SortedFunc(maps.Keys(j.windows), wire.ID.Compare) {
-			if o.Service == id.Service && o != id && !yield(o, j.windows[o]) {
+			if o.Service != id.Service || o == id {
+				continue
+			}
+			if w := j.windows[o][slice]; w != nil && !yield(o, w) {
 				return
 			}
 		}
 	}
 }
 
-func (w *window) total(at time.Duration) (t Event) {
+// total adds up the requests of the last exchangeWindow; only its counts and times are set.
+func (w *window) total(now time.Duration) (t Event) {
 	for _, x := range w.events {
-		if at-x.At <= exchangeWindow {
+		if now-x.At <= exchangeWindow {
 			t.Count += x.Count
 			t.Errors += x.Errors
 			t.Slow += x.Slow
@@ -169,3 +218,6 @@
 	}
 	return t
 }
+
+// milliseconds is d as a number that conditions and scores use.
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
