--- /dev/null
+++ b/sim/faults_core.go
@@ -0,0 +1,145 @@
+// This file holds the faults of core members: kills, losses of power, freezes, disks
+// and cuts.
+package sim
+
+import (
+	"time"
+)
+
+// coreFaults are the faults of core members.
+var coreFaults = []Fault{
+	{"core killed", func(w *World) {
+		if p := w.mayHurtCore(); p != nil {
+			w.Kill(p)
+			w.at(w.ms(200, 4000), func() { w.Restart(p) })
+		}
+	}},
+	{"core herd killed", func(w *World) {
+		if w.mayHurtCore() == nil {
+			return
+		}
+		if l := w.Leader(); l != nil && w.rnd.IntN(2) == 0 {
+			w.PutConfig(l, w.Revision(), w.rnd.IntN(1000))
+		}
+		w.at(w.ms(0, 20), func() {
+			for _, n := range w.all("core") {
+				p := w.procs[n]
+				w.Kill(p)
+				w.at(w.ms(200, 2000), func() { w.Restart(p) })
+			}
+		})
+	}},
+	{"core gone for long, service rolled", func(w *World) {
+		if w.mayHurtCore() == nil {
+			return
+		}
+		for _, n := range w.all("core") {
+			p := w.procs[n]
+			w.Kill(p)
+			w.at(w.ms(9000, 20000), func() { w.Restart(p) })
+		}
+		w.at(time.Second, w.roll)
+	}},
+	{"power fails everywhere", func(w *World) {
+		if w.mayHurtCore() == nil {
+			return
+		}
+		if l := w.Leader(); l != nil {
+			w.PutConfig(l, w.Revision(), w.rnd.IntN(1000))
+		}
+		w.at(w.ms(0, 20), func() {
+			w.log("power fails everywhere")
+			for _, n := range w.names {
+				p := w.procs[n]
+				w.Kill(p)
+				w.at(w.ms(200, 2000), func() { w.Restart(p) })
+			}
+		})
+	}},
+	{"leader killed", func(w *World) {
+		if p := w.Leader(); p != nil && w.mayHurtCore() != nil {
+			w.Kill(p)
+			w.at(w.ms(200, 4000), func() { w.Restart(p) })
+		}
+	}},
+	{"core loses disk", func(w *World) {
+		if p := w.mayHurtCore(); p != nil {
+			w.Kill(p)
+			w.WipeDisk(p)
+			w.at(w.ms(200, 3000), func() { w.Restart(p) })
+		}
+	}},
+	{"leader stopped", func(w *World) {
+		if p := w.Leader(); p != nil && w.mayHurtCore() != nil {
+			w.log("stop %s", p.name)
+			w.stop(p)
+			w.at(3*time.Second, func() { w.Kill(p); w.Restart(p) })
+		}
+	}},
+	{"leader frozen", func(w *World) {
+		if p := w.Leader(); p != nil && w.mayHurtCore() != nil {
+			w.Freeze(p, w.ms(300, 5000))
+		}
+	}},
+	{"leader's disk stalls", func(w *World) {
+		if p := w.Leader(); p != nil && w.mayHurtCore() != nil {
+			w.Stall(p, w.ms(300, 5000))
+		}
+	}},
+	{"follower's disk stalls", func(w *World) {
+		if p := w.mayHurtCore(); p != nil && p != w.Leader() {
+			w.Stall(p, w.ms(300, 5000))
+		}
+	}},
+	{"a majority's disks stall", func(w *World) {
+		if w.mayHurtCore() == nil {
+			return
+		}
+		for _, n := range w.all("core")[1:] {
+			w.Stall(w.procs[n], w.ms(300, 3000))
+		}
+	}},
+	{"core split", func(w *World) {
+		cs := w.all("core")
+		w.rnd.Shuffle(len(cs), func(i, j int) { cs[i], cs[j] = cs[j], cs[i] })
+		var ks [][2]string
+		for _, a := range cs[:len(cs)/2] {
+			for _, b := range cs[len(cs)/2:] {
+				ks = append(ks, both(a, b)...)
+			}
+		}
+		w.log("split core %v", cs[:len(cs)/2])
+		w.cutFor(ks, w.ms(500, 6000))
+	}},
+	{"leader isolated", func(w *World) {
+		if p := w.Leader(); p != nil {
+			w.isolate([]string{p.name}, w.ms(500, 5000), true, w.rnd.IntN(2) == 0)
+		}
+	}},
+	{"leader cut off from targets", func(w *World) {
+		if p := w.Leader(); p != nil {
+			w.log("cut %s off from targets", p.name)
+			var ks [][2]string
+			for _, t := range w.targets {
+				if w.rnd.IntN(2) == 0 {
+					ks = append(ks, both(p.name, t.name)...)
+				}
+			}
+			w.cutFor(ks, w.ms(1000, 6000))
+		}
+	}},
+	{"core cut off from proxies", func(w *World) {
+		some := w.rnd.IntN(2) == 0
+		w.log("cut core off from proxies, some %v", some)
+		var ks [][2]string
+		for _, g := range w.all("gate") {
+			if some && w.rnd.IntN(2) == 0 {
+				continue
+			}
+			for _, c := range w.all("core") {
+				ks = append(ks, both(c, g)...)
+			}
+		}
+		w.cutFor(ks, w.ms(1000, 6000))
+	}},
+}
--- /dev/null
+++ b/sim/faults_proxy.go
@@ -0,0 +1,85 @@
+// This file holds the faults of proxies.
+package sim
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"myrtlefold/core"
+)
+
+// proxyFaults are the faults of proxies: kills, freezes, cuts and planned stops.
+var proxyFaults = []Fault{
+	{"gate killed", func(w *World) {
+		if p := w.pick("gate", true); p != nil {
+			w.Kill(p)
+			w.at(w.ms(200, 6000), func() { w.Restart(p) })
+		}
+	}},
+	{"gate herd killed", func(w *World) {
+		d := w.ms(200, 3000)
+		for _, n := range w.all("gate") {
+			if p := w.procs[n]; p.alive && w.rnd.IntN(3) > 0 {
+				w.Kill(p)
+				w.at(d, func() { w.Restart(p) })
+			}
+		}
+	}},
+	{"gate added, another gone for good", func(w *World) {
+		if len(w.all("gate")) > w.Plan.Gates+2 {
+			return
+		}
+		w.log("a proxy is added")
+		w.addProc("gate", fmt.Sprintf("g%d", 10+len(w.names)), w.rnd.IntN(w.Plan.Domains))
+		w.start(w.procs[w.names[len(w.names)-1]])
+		p := w.pick("gate", false)
+		if p == nil {
+			p = w.pick("gate", true)
+		}
+		w.Kill(p)
+		var forget func()
+		forget = func() {
+			if l := w.Leader(); l != nil && !p.alive {
+				w.call(l, "POST", "/v1/gates/"+p.name+"/forget", "", nil, "", func(core.Reply) {})
+			}
+		}
+		w.at(3*time.Second, forget)
+	}},
+	{"gate frozen", func(w *World) {
+		if p := w.pick("gate", true); p != nil {
+			w.Freeze(p, w.ms(300, 5000))
+		}
+	}},
+	{"gate frozen with work in hand", func(w *World) {
+		p := w.pick("gate", true)
+		if p == nil || p.frozen {
+			return
+		}
+		for i := range 4 * len(w.Plan.Services) { // chosen, and not yet written
+			w.requestAt(p, slices.Sorted(maps.Keys(w.Plan.Services))[i%len(w.Plan.Services)], i%2 == 0, 9)
+		}
+		w.Freeze(p, w.ms(300, 8000))
+		if t := w.pickTarget(); t != nil && w.spare(t.service) > 2 {
+			w.Leave(t, func() { w.replace(t, w.ms(100, 3000), 0) })
+		}
+	}},
+	{"gate isolated", func(w *World) {
+		if p := w.pick("gate", true); p != nil {
+			w.isolate([]string{p.name}, w.ms(500, 6000), true, true)
+		}
+	}},
+	{"gate cut one way", func(w *World) {
+		if p := w.pick("gate", true); p != nil {
+			out := w.rnd.IntN(2) == 0
+			w.isolate([]string{p.name}, w.ms(500, 6000), out, !out)
+		}
+	}},
+	{"gate restarted", func(w *World) {
+		if p := w.pick("gate", true); p != nil {
+			w.log("stop %s", p.name)
+			w.bounce(p, 7*time.Second)
+		}
+	}},
+}
