--- /dev/null
+++ b/explore/action.go
@@ -0,0 +1,232 @@
+// This file lists what may happen next in a state and makes it happen.
+package explore
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"myrtlefold/quorum"
+	"myrtlefold/wire"
+)
+
+// Kind is what sort of action it is.
+type Kind uint8
+
+const (
+	Deliver    Kind = iota // a message arrives
+	Duplicate              // a message arrives and stays under way
+	Tick                   // a process looks at its clock
+	Sync                   // the disk has synced all Count batches
+	Advance                // true time passes for all machines
+	Restart                // a process ends and starts again; Count unsynced batches had been written
+	Wipe                   // the same with its disk lost
+	Propose                // a leader adds an entry
+	AddLearner             // a leader keeps Member up to date
+	AddMember              // a leader proposes the list with Member
+	DropMember             // a leader proposes the list without Member
+	Compact                // a process replaces its log by a snapshot
+	Transfer               // a leader hands over
+	kinds
+)
+
+func (k Kind) String() string {
+	return [...]string{"deliver", "deliver and keep", "tick", "sync", "advance", "restart", "wipe", "propose", "learn", "add", "drop", "compact", "transfer"}[k]
+}
+
+// Budget bounds how often each kind of action happens on a way from the start;
+// kinds that are bounded by what there is (messages, batches) have no budget.
+type Budget [kinds]uint8
+
+// free are the kinds that are not counted.
+var free = [kinds]bool{Deliver: true, Tick: true, Sync: true, AddLearner: true}
+
+// Action is one event.
+type Action struct {
+	Kind    Kind
+	Machine int
+	Count   int
+	Span    time.Duration
+	Member  wire.Member
+	Packet  packet
+}
+
+func (a Action) String() string {
+	switch a.Kind {
+	case Deliver, Duplicate:
+		return fmt.Sprintf("%v %s", a.Kind, describe(a.Packet.m))
+	case Advance:
+		return fmt.Sprintf("advance %v", a.Span)
+	case Sync, Restart:
+		return fmt.Sprintf("%s: %v, %d batches", machineName(a.Machine), a.Kind, a.Count)
+	case AddLearner, AddMember, DropMember:
+		return fmt.Sprintf("%s: %v %s/%d", machineName(a.Machine), a.Kind, a.Member.Name, a.Member.Disk)
+	}
+	return fmt.Sprintf("%s: %v", machineName(a.Machine), a.Kind)
+}
+
+func describe(m *wire.Msg) string {
+	s := fmt.Sprintf("%s/%d>%s term %d ", m.From, m.Disk, m.To, m.Term)
+	if v := m.Vote; v != nil {
+		return s + fmt.Sprintf("vote%+v", *v)
+	}
+	a := *m.Append
+	if a.Reply {
+		return s + fmt.Sprintf("append reply ok %v match %d", a.Ok, a.Match)
+	}
+	s += fmt.Sprintf("append after %d/%d commit %d entries", a.PrevIndex, a.PrevTerm, a.Commit)
+	for _, e := range a.Entries {
+		s += fmt.Sprintf(" %d/%d", e.Index, e.Term)
+	}
+	if a.Snap != nil {
+		s += fmt.Sprintf(" snapshot %d/%d", a.Snap.Index, a.Snap.Term)
+	}
+	return s
+}
+
+// actions lists what may happen next, in a fixed order.
+func (w *World) actions() []Action {
+	var as []Action
+	add := func(a Action) {
+		if free[a.Kind] || w.used[a.Kind] < w.scenario.Budget[a.Kind] {
+			as = append(as, a)
+		}
+	}
+	for _, p := range w.network {
+		add(Action{Kind: Deliver, Packet: p})
+		add(Action{Kind: Duplicate, Packet: p})
+	}
+	for i, m := range w.machines {
+		add(Action{Kind: Tick, Machine: i})
+		if k := len(m.pending); k > 0 {
+			add(Action{Kind: Sync, Machine: i, Count: k})
+		}
+		for k := 0; k <= len(m.pending); k++ {
+			add(Action{Kind: Restart, Machine: i, Count: k})
+		}
+		add(Action{Kind: Wipe, Machine: i})
+		if m.applied.index > m.node.Snap().Index {
+			add(Action{Kind: Compact, Machine: i})
+		}
+		if m.node.Role() == quorum.Leader {
+			add(Action{Kind: Transfer, Machine: i})
+		}
+		if m.node.HasLease(m.clock(w.now)) {
+			add(Action{Kind: Propose, Machine: i})
+			w.memberActions(i, m, add)
+		}
+	}
+	for _, d := range w.scenario.Steps {
+		add(Action{Kind: Advance, Span: d})
+	}
+	return as
+}
+
+// memberActions are the changes of members that a leader may propose: any one
+// change, more than the core would choose. As in the core, one learns first.
+func (w *World) memberActions(i int, m *machine, add func(Action)) {
+	if !m.node.CanChangeMembers() {
+		return
+	}
+	members := m.node.Members()
+	for _, member := range members {
+		add(Action{Kind: DropMember, Machine: i, Member: member})
+	}
+	for j, other := range w.machines {
+		member := wire.Member{Name: other.name, Disk: diskNumber(j, other.disks)}
+		if j == i || slices.ContainsFunc(members, func(k wire.Member) bool { return k.Name == member.Name }) {
+			continue
+		}
+		if w.scenario.Budget[AddMember] > 0 {
+			add(Action{Kind: AddLearner, Machine: i, Member: member})
+		}
+		if m.node.CaughtUp(member) {
+			add(Action{Kind: AddMember, Machine: i, Member: member})
+		}
+	}
+}
+
+// next is the state after an action, nil if the action is not possible here.
+func (w *World) next(a Action) *World {
+	if a.Kind != Deliver && a.Kind != Duplicate && a.Kind != Advance && !w.possible(a) {
+		return nil
+	}
+	c := w.clone()
+	if !free[a.Kind] {
+		c.used[a.Kind]++
+	}
+	step := func(f func(n *quorum.Node, now time.Duration)) { c.act(a.Machine, f) }
+	switch a.Kind {
+	case Deliver, Duplicate:
+		return c.deliver(a)
+	case Tick:
+		step(func(n *quorum.Node, now time.Duration) { n.Tick(now) })
+	case Sync:
+		step(func(_ *quorum.Node, now time.Duration) { c.sync(c.machines[a.Machine], a.Count, now) })
+	case Advance:
+		c.now += a.Span
+		c.checkLeases()
+	case Restart:
+		c.restart(a.Machine, a.Count)
+	case Wipe:
+		c.wipe(a.Machine)
+	case Propose:
+		step(func(n *quorum.Node, now time.Duration) { n.Propose(now, []byte{c.used[Propose]}) })
+	case AddLearner:
+		step(func(n *quorum.Node, _ time.Duration) { n.AddLearner(a.Member) })
+	case AddMember, DropMember:
+		step(func(n *quorum.Node, now time.Duration) { c.changeMembers(n, now, a) })
+	case Compact:
+		step(func(n *quorum.Node, now time.Duration) { n.Compact(now, c.machines[a.Machine].applied.encode()) })
+	case Transfer:
+		step(func(n *quorum.Node, now time.Duration) { n.TransferLeadership(now) })
+	}
+	return c
+}
+
+// possible says whether a machine can do what a trace, of which something may
+// have been left out, has it do here.
+func (w *World) possible(a Action) bool {
+	return slices.ContainsFunc(w.actions(), func(b Action) bool {
+		return a.Kind == b.Kind && a.Machine == b.Machine && a.Count == b.Count && a.Member == b.Member
+	})
+}
+
+func (w *World) deliver(a Action) *World {
+	i := slices.IndexFunc(w.network, func(p packet) bool { return p.id == a.Packet.id })
+	if i < 0 {
+		i = slices.IndexFunc(w.network, func(p packet) bool { return describe(p.m) == describe(a.Packet.m) })
+	}
+	if i < 0 {
+		return nil
+	}
+	c := w.clone()
+	if a.Kind == Duplicate {
+		c.used[Duplicate]++
+	} else {
+		c.network = slices.Delete(c.network, i, i+1)
+	}
+	msg := w.network[i].m
+	c.act(c.place(msg.To), func(n *quorum.Node, now time.Duration) {
+		if hook := w.scenario.Faults.Deliver; hook != nil {
+			copied := *msg
+			msg = hook(n, &copied)
+		}
+		n.Recv(now, msg)
+	})
+	return c
+}
+
+func (w *World) changeMembers(n *quorum.Node, now time.Duration, a Action) {
+	members := n.Members()
+	if a.Kind == AddMember {
+		members = append(members, a.Member)
+	} else {
+		members = slices.DeleteFunc(members, func(m wire.Member) bool { return m == a.Member })
+	}
+	if hook := w.scenario.Faults.ProposeMembers; hook != nil {
+		hook(n, now, members)
+		return
+	}
+	n.ProposeMembers(now, members)
+}
--- /dev/null
+++ b/explore/invariant.go
@@ -0,0 +1,277 @@
+// This file is what must hold in every state, and the history that it needs.
+package explore
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"myrtlefold/quorum"
+	"myrtlefold/wire"
+)
+
+// Names of the invariants, with which a violation begins.
+const (
+	OneLeaderPerTerm   = "one leader per term"
+	CommittedKept      = "committed entries are kept"
+	LogMatching        = "logs match"
+	StateMachineSafety = "state machines agree"
+	LeaderComplete     = "leaders hold what is committed"
+	MajoritiesMeet     = "majorities of successive lists meet"
+	OneLease           = "one lease at a time"
+	LeaseIsCurrent     = "a lease holder knows the latest commit"
+	VotersAreMembers   = "only members vote and are counted"
+	OneVotePerTerm     = "one vote per term"
+	PromisesAreSynced  = "what is promised is synced"
+)
+
+type (
+	leaderRecord struct {
+		term    uint64
+		machine string
+	}
+	voteRecord struct {
+		term      uint64
+		voter     wire.Member
+		candidate string
+	}
+	// commitRecord is an entry that some node held for committed, and the latest
+	// term of a node that did so first.
+	commitRecord struct {
+		progress
+		entryTerm uint64
+		byTerm    uint64
+	}
+)
+
+// history is what has happened and no node may go back on.
+type history struct {
+	leaders   []leaderRecord
+	votes     []voteRecord
+	committed []commitRecord // by index, from firstIndex on
+}
+
+// clone clips the lists, so that appending to one copies it.
+func (h history) clone() history {
+	return history{slices.Clip(h.leaders), slices.Clip(h.votes), slices.Clip(h.committed)}
+}
+
+func (w *World) fail(invariant, format string, args ...any) {
+	if w.broken == "" {
+		w.broken = invariant + ": " + fmt.Sprintf(format, args...)
+	}
+}
+
+// check looks at the machine that acted last, against all others.
+func (w *World) check(i int) {
+	m := w.machines[i]
+	w.checkLeader(m)
+	w.checkCommitted(m)
+	w.checkLists(m)
+	for j, other := range w.machines {
+		if j != i {
+			w.checkLogs(m, other)
+		}
+	}
+	w.checkLeases()
+}
+
+// checkLeader records who leads a term, and that a majority of members voted for it.
+func (w *World) checkLeader(m *machine) {
+	if m.node.Role() != quorum.Leader {
+		return
+	}
+	term := m.node.Term()
+	k := slices.IndexFunc(w.history.leaders, func(l leaderRecord) bool { return l.term == term })
+	switch {
+	case k < 0:
+		w.history.leaders = append(w.history.leaders, leaderRecord{term, m.name})
+		w.checkElection(m, term)
+	case w.history.leaders[k].machine != m.name:
+		w.fail(OneLeaderPerTerm, "%s and %s in term %d", w.history.leaders[k].machine, m.name, term)
+	}
+	w.checkComplete(m, term)
+}
+
+func (w *World) checkElection(m *machine, term uint64) {
+	members := m.node.Members()
+	self := wire.Member{Name: m.name, Disk: m.disk.Disk}
+	if !slices.Contains(members, self) {
+		w.fail(VotersAreMembers, "%s leads term %d and is no member of %v", m.name, term, members)
+	}
+	votes := 1
+	for _, v := range w.history.votes {
+		if v.term == term && v.candidate == m.name && v.voter != self && slices.Contains(members, v.voter) {
+			votes++
+		}
+	}
+	if 2*votes <= len(members) {
+		w.fail(VotersAreMembers, "%s leads term %d by %d votes of the members %v", m.name, term, votes, members)
+	}
+}
+
+// checkComplete wants a leader to hold all that was committed in earlier terms.
+func (w *World) checkComplete(m *machine, term uint64) {
+	log, snap := m.node.Log(), m.node.Snap()
+	for _, c := range w.history.committed {
+		if c.byTerm >= term || c.index <= snap.Index {
+			continue
+		}
+		k := c.index - snap.Index - 1
+		if k >= uint64(len(log)) || log[k].Term != c.entryTerm {
+			w.fail(LeaderComplete, "%s leads term %d without entry %d of term %d, committed in term %d", m.name, term, c.index, c.entryTerm, c.byTerm)
+		}
+	}
+}
+
+// checkCommitted follows what the node holds for committed and compares it with
+// what any node ever did.
+func (w *World) checkCommitted(m *machine) {
+	snap, log, commit := m.node.Snap(), m.node.Log(), min(m.node.Commit(), m.node.Last())
+	if snap.Index < firstIndex {
+		return
+	}
+	at := decodeProgress(snap.Data)
+	w.compareCommitted(m, at, snap.Term)
+	for _, e := range log {
+		if e.Index > commit {
+			break
+		}
+		at = at.then(e)
+		w.compareCommitted(m, at, e.Term)
+	}
+	if m.applied != at {
+		w.fail(StateMachineSafety, "%s has applied %+v and committed %+v", m.name, m.applied, at)
+	}
+}
+
+func (w *World) compareCommitted(m *machine, at progress, term uint64) {
+	k := int(at.index) - firstIndex
+	known := w.history.committed
+	switch {
+	case k < len(known) && known[k].progress != at:
+		w.fail(CommittedKept, "%s holds another entry %d than was committed", m.name, at.index)
+	case k == len(known):
+		w.history.committed = append(known, commitRecord{at, term, m.node.Term()})
+	case k > len(known):
+		w.fail(CommittedKept, "%s has a snapshot at %d beyond what was committed", m.name, at.index)
+	}
+}
+
+// checkLogs wants two logs that agree on the term of an entry to agree on all before it.
+func (w *World) checkLogs(a, b *machine) {
+	from := max(a.node.Snap().Index, b.node.Snap().Index) + 1
+	last := min(a.node.Last(), b.node.Last())
+	matched := false
+	for i := last; i >= from; i-- {
+		x, y := entryAt(a.node, i), entryAt(b.node, i)
+		same := x.Term == y.Term
+		if matched && !same || same && (x.Kind != y.Kind || string(x.Data) != string(y.Data)) {
+			w.fail(LogMatching, "entry %d of %s and %s", i, a.name, b.name)
+			return
+		}
+		matched = matched || same
+	}
+}
+
+func entryAt(n *quorum.Node, i uint64) wire.Entry { return n.Log()[i-n.Snap().Index-1] }
+
+// checkLists wants each list of members in a log to share a member between any
+// majority of it and any majority of the list before.
+func (w *World) checkLists(m *machine) {
+	list := m.node.Snap().Members
+	for _, e := range m.node.Log() {
+		if e.Kind != quorum.EntryMembers {
+			continue
+		}
+		var after []wire.Member
+		if err := json.Unmarshal(e.Data, &after); err != nil {
+			w.fail(MajoritiesMeet, "entry %d of %s: %v", e.Index, m.name, err)
+			return
+		}
+		if !majoritiesMeet(list, after) {
+			w.fail(MajoritiesMeet, "entry %d of %s: %v after %v", e.Index, m.name, after, list)
+		}
+		list = after
+	}
+}
+
+func majoritiesMeet(a, b []wire.Member) bool {
+	union := len(a)
+	for _, m := range b {
+		if !slices.Contains(a, m) {
+			union++
+		}
+	}
+	return len(a)/2+1+len(b)/2+1 > union
+}
+
+// checkLeases wants at most one machine to hold a lease at one true time, and
+// that one to know of every commit.
+func (w *World) checkLeases() {
+	holder := -1
+	for i, m := range w.machines {
+		if !m.node.HasLease(m.clock(w.now)) {
+			continue
+		}
+		if holder >= 0 {
+			w.fail(OneLease, "%s in term %d and %s in term %d", w.machines[holder].name, w.machines[holder].node.Term(), m.name, m.node.Term())
+		}
+		holder = i
+		latest := w.history.committed[len(w.history.committed)-1]
+		if latest.byTerm > m.node.Term() {
+			w.fail(LeaseIsCurrent, "%s holds a lease in term %d, entry %d was committed in term %d", m.name, m.node.Term(), latest.index, latest.byTerm)
+		}
+	}
+}
+
+// checkPromise looks at a message that leaves: votes and confirmations must be on
+// disk, unless the disk is in a later term already, when they count as sent late.
+func (w *World) checkPromise(m *machine, msg *wire.Msg) {
+	v, a := msg.Vote, msg.Append
+	switch {
+	case v != nil && !v.Pre && !v.Reply:
+		w.recordVote(m, msg.Term, m.name)
+		w.wantSyncedVote(m, msg, m.name)
+	case v != nil && !v.Pre && v.Granted:
+		w.recordVote(m, msg.Term, msg.To)
+		w.wantSyncedVote(m, msg, msg.To)
+	case v != nil && !v.Pre && v.Alone && m.disk.Term < msg.Term:
+		w.fail(PromisesAreSynced, "%s gave its consent to term %d and has term %d on disk", m.name, msg.Term, m.disk.Term)
+	case a != nil && !a.Reply && m.disk.Term < msg.Term:
+		w.fail(PromisesAreSynced, "%s leads in term %d and has term %d on disk", m.name, msg.Term, m.disk.Term)
+	case a != nil && a.Reply && a.Ok:
+		w.wantSyncedLog(m, msg)
+	}
+}
+
+func (w *World) wantSyncedVote(m *machine, msg *wire.Msg, candidate string) {
+	if m.disk.Term < msg.Term || m.disk.Term == msg.Term && m.disk.Vote != candidate {
+		w.fail(PromisesAreSynced, "%s voted for %s in term %d and has term %d, vote %q on disk", m.name, candidate, msg.Term, m.disk.Term, m.disk.Vote)
+	}
+}
+
+func (w *World) wantSyncedLog(m *machine, msg *wire.Msg) {
+	match := msg.Append.Match
+	last := m.disk.Snap.Index + uint64(len(m.disk.Log))
+	if m.disk.Term > msg.Term {
+		return
+	}
+	if m.disk.Term < msg.Term || last < match {
+		w.fail(PromisesAreSynced, "%s confirmed entry %d in term %d and has entry %d, term %d on disk", m.name, match, msg.Term, last, m.disk.Term)
+	}
+}
+
+// recordVote keeps who voted for whom, over restarts.
+func (w *World) recordVote(m *machine, term uint64, candidate string) {
+	voter := wire.Member{Name: m.name, Disk: m.disk.Disk}
+	for _, v := range w.history.votes {
+		if v.term == term && v.voter == voter {
+			if v.candidate != candidate {
+				w.fail(OneVotePerTerm, "%s voted for %s and %s in term %d", m.name, v.candidate, candidate, term)
+			}
+			return
+		}
+	}
+	w.history.votes = append(w.history.votes, voteRecord{term, voter, candidate})
+}
--- a/quorum/explore.go
+++ b/quorum/explore.go
@@ -47,6 +47,9 @@
 	Bytes []byte
 	Name  func(name string) byte   // the machine's new place
 	Disk  func(disk uint64) uint64 // the disk's new number
+	// DeadlineStep, if given, is the only span by which time passes: deadlines within
+	// the same step are equal then.
+	DeadlineStep time.Duration
 }
 
 // Uint appends a number.
@@ -202,7 +205,7 @@
 	c.Bool(n.unanimous)
 	c.Bool(n.outranked)
 	c.Age(now, n.leaderHeardAt, limit.ElectMin)
-	c.Age(now, n.deadline, 5*limit.ElectMin)
+	c.deadline(now, n.deadline)
 	c.Age(now, n.leaderSpokeAt, 5*limit.ElectMin)
 	c.Age(now, n.askedAt, limit.ElectAsk)
 	c.Age(now, n.votedAt, limit.ElectMin)
@@ -212,6 +215,14 @@
 	c.unsynced(n, now)
 }
 
+func (c *Canon) deadline(now, at time.Duration) {
+	if c.DeadlineStep > 0 {
+		steps := max(0, (at-now+c.DeadlineStep-1)/c.DeadlineStep)
+		at = now + steps*c.DeadlineStep
+	}
+	c.Age(now, at, 5*limit.ElectMin)
+}
+
 func (c *Canon) peers(n *Node, now time.Duration) {
 	ps := n.sorted()
 	slices.SortFunc(ps, func(a, b *peer) int { return c.compare(a.member, b.member) })
