Refusals say their kind: another version, invalid, cannot tell now, conflict, not found

An operator's program had to know each error code, and each status, to tell a lost race from a wrong document and from a daemon that can't judge now. Every refusal on the operators' interface now carries "refusal" beside its code, derived from the status in one place (model.RefusalOf, core.problem, host.refuse); mfctl prints it in words. Proxies' refusals to callers are as they were: their bytes are counted.

TestEveryRefusalSaysItsKind reads every reply path of core and host from the source, so a new code or a code under another kind of status fails until it is entered there.

--- /dev/null
+++ b/core/refusal_test.go
@@ -0,0 +1,189 @@
+package core
+
+import (
+	"encoding/json"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"myrtlefold/model"
+	"myrtlefold/quorum"
+	"myrtlefold/wire"
+)
+
+// refusals are all errors that the operators' interface answers with: the kind of
+// each code. A new code has to be entered here, with the kind that its readers see.
+var refusals = map[string][]model.Refusal{
+	"stale":        {model.RefusedVersion},
+	"invalid":      {model.RefusedInvalid},
+	"not_json":     {model.RefusedInvalid},
+	"too_large":    {model.RefusedInvalid},
+	"method":       {model.RefusedInvalid},
+	"base_missing": {model.RefusedInvalid},
+	"bad_request":  {model.RefusedInvalid},
+	"no_leader":    {model.RefusedCannotTell},
+	"leading":      {model.RefusedCannotTell},
+	"unheard":      {model.RefusedCannotTell},
+	"unknown":      {model.RefusedCannotTell},
+	"stream":       {model.RefusedCannotTell},
+	"busy":         {model.RefusedCannotTell, model.RefusedConflict},
+	"under_way":    {model.RefusedConflict},
+	"alive":        {model.RefusedConflict},
+	"member":       {model.RefusedConflict},
+	"living":       {model.RefusedConflict},
+	"may_live":     {model.RefusedConflict},
+	"not_found":    {model.RefusedNotFound},
+}
+
+// replyPath is one place in the source that answers with an error.
+type replyPath struct {
+	at     token.Position
+	status int // 0: not a literal
+	code   string
+}
+
+// replyPaths finds every Trouble literal of a package, and the status of the call that it
+// is an argument of.
+func replyPaths(t *testing.T, dir string) (l []replyPath) {
+	t.Helper()
+	names, err := filepath.Glob(filepath.Join(dir, "*.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	files := token.NewFileSet()
+	for _, name := range names {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		f, err := parser.ParseFile(files, name, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(f, func(n ast.Node) bool {
+			call, ok := n.(*ast.CallExpr)
+			if !ok {
+				return true
+			}
+			status := 0
+			for _, a := range call.Args {
+				if b, ok := a.(*ast.BasicLit); ok && b.Kind == token.INT && status == 0 {
+					status, _ = strconv.Atoi(b.Value)
+				}
+				if c, ok := troubleCode(a); ok {
+					l = append(l, replyPath{files.Position(a.Pos()), status, c})
+				}
+			}
+			return true
+		})
+	}
+	return l
+}
+
+// troubleCode is the code of a Trouble literal, "" if that is computed.
+func troubleCode(x ast.Expr) (code string, ok bool) {
+	lit, ok := x.(*ast.CompositeLit)
+	if !ok {
+		return "", false
+	}
+	if s, ok := lit.Type.(*ast.SelectorExpr); !ok || s.Sel.Name != "Trouble" {
+		return "", false
+	}
+	for _, e := range lit.Elts {
+		kv, ok := e.(*ast.KeyValueExpr)
+		if !ok || kv.Key.(*ast.Ident).Name != "Code" {
+			continue
+		}
+		if b, ok := kv.Value.(*ast.BasicLit); ok {
+			code, _ = strconv.Unquote(b.Value)
+		}
+	}
+	return code, true
+}
+
+// Every way to refuse a call says of which kind the refusal is, and always the same for a code.
+func TestEveryRefusalSaysItsKind(t *testing.T) {
+	seen := map[string]bool{}
+	for _, dir := range []string{".", "../host"} {
+		paths := replyPaths(t, dir)
+		if len(paths) < 3 {
+			t.Fatalf("%s: only %d reply paths found", dir, len(paths))
+		}
+		for _, p := range paths {
+			if p.code == "" {
+				continue // its codes are named where they are computed
+			}
+			seen[p.code] = true
+			kinds, known := refusals[p.code]
+			if !known {
+				t.Errorf("%v: code %q has no kind", p.at, p.code)
+			}
+			if p.status == 0 {
+				continue
+			}
+			kind, fits := model.RefusalOf(p.status), false
+			for _, k := range kinds {
+				fits = fits || k == kind
+			}
+			if !fits {
+				t.Errorf("%v: status %d of code %q is of kind %q, not of %v", p.at, p.status, p.code, kind, kinds)
+			}
+		}
+	}
+	for _, code := range []string{"stale", "invalid", "no_leader", "unknown", "not_found"} {
+		if !seen[code] {
+			t.Errorf("no reply path with code %q was found", code)
+		}
+	}
+}
+
+// refusal is what a refused call is answered with.
+type refusal struct {
+	status int
+	code   string
+	kind   model.Refusal
+}
+
+// ask makes a call of a core and reads the refusal.
+func ask(t *testing.T, c *Core, now time.Duration, method, path, query, body string) refusal {
+	t.Helper()
+	for _, cmd := range c.Step(now, Ask{ID: 1, Token: "t-" + query + body, Method: method, Path: path, Query: query, Body: []byte(body)}) {
+		r, ok := cmd.(Reply)
+		if !ok {
+			continue
+		}
+		var v struct{ Error model.Trouble }
+		if err := json.Unmarshal(r.Body, &v); err != nil {
+			t.Fatalf("%d %s: %v", r.Status, r.Body, err)
+		}
+		return refusal{r.Status, v.Error.Code, v.Error.Refusal}
+	}
+	t.Fatalf("%s %s?%s: not answered", method, path, query)
+	return refusal{}
+}
+
+// The three kinds that a change may meet, as a caller reads them.
+func TestRefusalsOfChanges(t *testing.T) {
+	r := atRest(1, 1)
+	alone := New(time.Second, Settings{Self: wire.Daemon{Name: "c1", Kind: "core", Addr: "c1", Inc: 1}, Size: 3}, quorum.Image{Disk: 7})
+	for _, x := range []struct {
+		name        string
+		c           *Core
+		query, body string
+		want        refusal
+	}{
+		{"built on another version", r.c, "base=9", `{"services":{}}`, refusal{412, "stale", model.RefusedVersion}},
+		{"invalid", r.c, "base=0", `{"services":{"a":{"cap":-1}}}`, refusal{422, "invalid", model.RefusedInvalid}},
+		{"not JSON", r.c, "base=0", `{`, refusal{400, "not_json", model.RefusedInvalid}},
+		{"no base", r.c, "", `{}`, refusal{428, "base_missing", model.RefusedInvalid}},
+		{"no leader", alone, "base=0", `{}`, refusal{503, "no_leader", model.RefusedCannotTell}},
+	} {
+		if got := ask(t, x.c, r.now, "PUT", "/v1/config", x.query, x.body); got != x.want {
+			t.Errorf("%s: %+v, want %+v", x.name, got, x.want)
+		}
+	}
+}
--- a/core/reply.go
+++ b/core/reply.go
@@ -18,7 +18,9 @@
 	return append(b, '\n')
 }
 
+// problem is a refusal, or an answer that promises nothing; its kind goes by the status.
 func problem(status int, t model.Trouble) Reply {
+	t.Refusal = model.RefusalOf(status)
 	r := Reply{Status: status, Body: t.JSON()}
 	if status == 503 {
 		r.Retry = limit.RetryAfterMin
--- a/host/ctl.go
+++ b/host/ctl.go
@@ -265,7 +265,7 @@
 	} else {
 		var e struct{ Error model.Trouble }
 		json.Unmarshal(out, &e)
-		fmt.Fprintf(os.Stderr, "mfctl: %s: %s\n", e.Error.Code, e.Error.Message)
+		fmt.Fprintf(os.Stderr, "mfctl: %s: %s\n", refusalText(e.Error), e.Error.Message)
 		for _, f := range e.Error.Faults {
 			fmt.Fprintf(os.Stderr, "  %s: %s\n", f.Path, f.Text)
 		}
@@ -286,6 +286,21 @@
 	return exitFailed
 }
 
+// refusalText is a refusal's kind and code for a reader: "cannot tell now (no_leader)".
+func refusalText(t model.Trouble) string {
+	kind := map[model.Refusal]string{
+		model.RefusedVersion:    "another version",
+		model.RefusedInvalid:    "invalid",
+		model.RefusedCannotTell: "cannot tell now",
+		model.RefusedConflict:   "conflict",
+		model.RefusedNotFound:   "not found",
+	}[t.Refusal]
+	if kind == "" {
+		return t.Code
+	}
+	return fmt.Sprintf("%s (%s)", kind, t.Code)
+}
+
 func (c *ctl) print(out []byte) {
 	var b bytes.Buffer
 	if c.json || json.Indent(&b, out, "", "  ") != nil {
--- a/host/ctl_test.go
+++ b/host/ctl_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 
+	"myrtlefold/model"
 	"myrtlefold/policy"
 )
 
@@ -203,3 +204,30 @@
 		t.Fatal(code, asked, out)
 	}
 }
+
+// A refusal is told by its kind, and its code names the cause; mfctl ends with the kind's code.
+func TestCtlSaysWhichRefusal(t *testing.T) {
+	for _, x := range []struct {
+		status int
+		t      model.Trouble
+		code   int
+		want   string
+	}{
+		{412, model.Trouble{Code: "stale", Refusal: model.RefusedVersion}, exitStale, "another version (stale)"},
+		{422, model.Trouble{Code: "invalid", Refusal: model.RefusedInvalid}, exitInvalid, "invalid (invalid)"},
+		{503, model.Trouble{Code: "no_leader", Refusal: model.RefusedCannotTell}, exitNoLeader, "cannot tell now (no_leader)"},
+		{504, model.Trouble{Code: "unknown", Refusal: model.RefusedCannotTell}, exitUnknown, "cannot tell now (unknown)"},
+		{409, model.Trouble{Code: "member", Refusal: model.RefusedConflict}, exitFailed, "conflict (member)"},
+		{404, model.Trouble{Code: "not_found", Refusal: model.RefusedNotFound}, exitFailed, "not found (not_found)"},
+	} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.WriteHeader(x.status)
+			w.Write(x.t.JSON())
+		}))
+		code, out := said(t, "--wait", "0s", "--at", strings.TrimPrefix(srv.URL, "http://"), "domain", "empty", "north")
+		srv.Close()
+		if code != x.code || !strings.Contains(out, "mfctl: "+x.want+": ") {
+			t.Errorf("%d: exit %d, %q; want %d, %q", x.status, code, out, x.code, x.want)
+		}
+	}
+}
--- a/host/door.go
+++ b/host/door.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"time"
 
-	"myrtlefold/forward"
 	"myrtlefold/limit"
 	"myrtlefold/model"
 	"myrtlefold/policy"
@@ -86,7 +85,7 @@
 			retry = limit.RetryAfterMin
 		}
 		w.Header().Set("Connection", "close")
-		forward.Error(w, got.status, retry, model.Trouble{Code: "stream", Message: got.why})
+		refuse(w, got.status, retry, model.Trouble{Code: "stream", Message: got.why})
 		return
 	}
 	defer func() { u.ask <- deskAsk{leave: got.d} }()
--- a/host/http.go
+++ b/host/http.go
@@ -41,6 +41,12 @@
 	json.NewEncoder(w).Encode(v)
 }
 
+// refuse answers an operator's call with an error of the kind that its status stands for.
+func refuse(w http.ResponseWriter, status int, retry time.Duration, t model.Trouble) {
+	t.Refusal = model.RefusalOf(status)
+	forward.Error(w, status, retry, t)
+}
+
 // Serve runs an HTTP server on addr.
 func (h *Host) Serve(addr string, hd http.Handler) (*http.Server, error) {
 	return h.serve(addr, hd, nil)
@@ -74,7 +80,7 @@
 		b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit.DocMax+1))
 		var mb *http.MaxBytesError
 		if errors.As(err, &mb) {
-			forward.Error(w, 413, 0, model.Trouble{Code: "too_large", Message: fmt.Sprintf("at most %d bytes", limit.DocMax)})
+			refuse(w, 413, 0, model.Trouble{Code: "too_large", Message: fmt.Sprintf("at most %d bytes", limit.DocMax)})
 			return
 		}
 		if err != nil {
--- a/host/stream.go
+++ b/host/stream.go
@@ -9,7 +9,6 @@
 	"net/http"
 
 	"myrtlefold/core"
-	"myrtlefold/forward"
 	"myrtlefold/limit"
 	"myrtlefold/model"
 )
@@ -109,7 +108,7 @@
 func (u *Hub) Serve(w http.ResponseWriter, r *http.Request, leads bool, leader string) {
 	if !leads {
 		if leader == "" {
-			forward.Error(w, 503, limit.RetryAfterMin, model.Trouble{Code: "no_leader", Message: "no leader is known"})
+			refuse(w, 503, limit.RetryAfterMin, model.Trouble{Code: "no_leader", Message: "no leader is known"})
 			return
 		}
 		http.Redirect(w, r, "http://"+leader+r.URL.RequestURI(), http.StatusTemporaryRedirect)
@@ -118,7 +117,7 @@
 	j := join{r: &reader{ch: make(chan line, 2*limit.EventsKept+limit.StreamBuffer)}}
 	if f := r.URL.Query().Get("from"); f != "" {
 		if _, err := fmt.Sscanf(f, "%d.%d", &j.term, &j.seq); err != nil {
-			forward.Error(w, 400, 0, model.Trouble{Code: "bad_request", Message: "from is term.seq of the last line read"})
+			refuse(w, 400, 0, model.Trouble{Code: "bad_request", Message: "from is term.seq of the last line read"})
 			return
 		}
 		j.resume = true
--- a/model/model.go
+++ b/model/model.go
@@ -524,6 +524,7 @@
 // whether the request reached a back end: no, or unknown.
 type Trouble struct {
 	Code     string  `json:"code"`
+	Refusal  Refusal `json:"refusal,omitempty"` // set on the operators' interface
 	Message  string  `json:"message"`
 	Ran      string  `json:"ran"`
 	Faults   []Fault `json:"faults,omitempty"`
