mfctl status shows the core: lease, silent and learning members, the next loss, counters

What operators could read was each member's role and the list of members. Who answers the leader, how far a learner has come, and whether another machine may go now could only be guessed from logs; with three machines, one of them lost for good and a spare just starting, that is the question to be answered before anything else is stopped.

core/corestatus.go: typed views, read from the node by quorum.Node.Progress. Only the leader claims to know; a follower says how long ago it heard it.

Answers that are only passed on are counted where they were made.

--- a/core/configcall.go
+++ b/core/configcall.go
@@ -59,6 +59,7 @@
 		return sum, true
 	}
 	if r := c.state.findAcceptedBySum(sum); r != nil {
+		c.counts.RepeatsAnswered++
 		c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, p: p, reply: accepted(p.token, r.Revision)})
 		return "", false
 	}
--- a/core/core.go
+++ b/core/core.go
@@ -177,6 +177,15 @@
 // Counts are the owner's counters.
 type Counts struct {
 	Rewrites, Same, Bars, Clears, Lapses, Holds, Overruled, Changes, Refused, Elections, Probes, Misses uint64
+	LeasesLost                                                                                          uint64 // leads that ended: the lease lapsed, the term passed, or leadership was handed over
+	MemberChanges                                                                                       uint64 // changes of the member list that were agreed, as this member applied them
+	SnapshotsSent                                                                                       uint64 // whole states sent to members that the log no longer reaches
+	RepeatsAnswered                                                                                     uint64 // orders that had been taken before and were acknowledged again
+	RefusedVersion                                                                                      uint64 // changes refused as built on another version
+	RefusedInvalid                                                                                      uint64 // changes refused as invalid in themselves
+	CannotTell                                                                                          uint64 // calls that could not be judged: no leader, or not now
+	AnsweredUnknown                                                                                     uint64 // calls of which it could not be told whether they took effect
+	LeavingsUnacknowledged                                                                              uint64 // targets' leavings and sign-offs that were not made known in time
 }
 
 // New starts a member from what its disk holds; a disk without a number yet is
@@ -254,6 +263,7 @@
 		if len(o.Batches)+len(o.Send)+len(o.Apply) == 0 && o.Restore == nil {
 			return
 		}
+		c.countOutput(&o)
 		for _, b := range o.Batches {
 			b.Seq += c.batchOffset
 			c.image.Fold(b)
--- /dev/null
+++ b/core/corestatus.go
@@ -0,0 +1,295 @@
+// This file is what operators may read of the core itself: who leads and by which
+// majority, who is silent, who is learning and how far, and whether the next loss of
+// a machine or of a failure domain can be borne now.
+package core
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"myrtlefold/limit"
+	"myrtlefold/quorum"
+)
+
+// MemberState is what a core daemon is to the core, as the leader sees it.
+type MemberState string
+
+const (
+	MemberLeads      MemberState = "leader"
+	MemberFollows    MemberState = "follower"    // answers, and lacks nothing that the leader's log does not hold
+	MemberCatchingUp MemberState = "catching_up" // a voter that answers and needs a snapshot first
+	MemberSilent     MemberState = "silent"      // a voter that has not answered within the lease
+	MemberStopping   MemberState = "stopping"    // it said that it stops, and is to come back
+	MemberPlace      MemberState = "place"       // a place kept for a machine that was not there at the founding
+	MemberLearns     MemberState = "learning"    // it receives the log and has no vote yet
+	MemberStandby    MemberState = "standby"     // it is there and may become a member
+)
+
+// MemberView is one core daemon.
+type MemberView struct {
+	Name   string      `json:"name"`
+	Domain string      `json:"domain,omitempty"`
+	State  MemberState `json:"state"`
+	Voter  bool        `json:"voter"`
+	// SilentMs is how long nothing has been heard of it, as far as this lead can tell.
+	SilentMs int64 `json:"silent_ms"`
+	// Match is the last log entry that it is known to hold, of CoreView.Commit.
+	Match uint64 `json:"match"`
+	// LearningMs is how long it has been learning, 0 if it does not.
+	LearningMs int64 `json:"learning_ms,omitempty"`
+}
+
+// ObstacleKind is why a member can't be counted on when another one is lost.
+type ObstacleKind string
+
+const (
+	ObstacleSilent     ObstacleKind = "silent"
+	ObstacleStopping   ObstacleKind = "stopping"
+	ObstacleCatchingUp ObstacleKind = "catching_up"
+	ObstaclePlace      ObstacleKind = "place"
+	ObstacleTooFew     ObstacleKind = "too_few_members" // all answer, and they are one or two
+)
+
+// Obstacle is one reason why the next loss can't be borne now.
+type Obstacle struct {
+	Kind   ObstacleKind `json:"kind"`
+	Member string       `json:"member,omitempty"`
+	// ReplaceableInMs is in how long the member may be replaced at the earliest, 0 if it may now;
+	// absent where nobody is there to replace it or an operator gave the core's size.
+	ReplaceableInMs *int64 `json:"replaceable_in_ms,omitempty"`
+	// By is who would replace it: who learns, else the standby that would.
+	By string `json:"by,omitempty"`
+}
+
+// LossView says whether the core outlives its next loss.
+type LossView struct {
+	// Known is false at a member that does not lead: it can't tell.
+	Known bool `json:"known"`
+	// Machines is how many of the machines that answer now may be lost, whichever they are.
+	Machines int `json:"machines"`
+	// Bearable says that Machines is at least 1.
+	Bearable bool `json:"bearable"`
+	// DomainsAtRisk are the failure domains that can't be lost as a whole now.
+	DomainsAtRisk []string `json:"domains_at_risk,omitempty"`
+	// Obstacles say why not, and until when, if the next loss can't be borne.
+	Obstacles []Obstacle `json:"obstacles,omitempty"`
+}
+
+// CoreView is the core as one member sees it. Only the leader's says how the others stand.
+type CoreView struct {
+	Leader string `json:"leader,omitempty"`
+	// Decides says that this member leads and holds the lease at this moment.
+	Decides bool `json:"decides"`
+	// LeadsMs is for how long this member has led.
+	LeadsMs int64 `json:"leads_ms,omitempty"`
+	// LeaderHeardMs is how long ago a follower last heard the leader.
+	LeaderHeardMs int64 `json:"leader_heard_ms,omitempty"`
+	// Commit is the last entry that is known to be agreed, Last the last one held here.
+	Commit uint64 `json:"commit"`
+	Last   uint64 `json:"last"`
+	// Voters is the size of the member list, Majority how many of them decide.
+	Voters   int `json:"voters"`
+	Majority int `json:"majority"`
+	// Lease are the voters whose answers the leader's lease stands on now.
+	Lease   []string     `json:"lease,omitempty"`
+	Members []MemberView `json:"members,omitempty"`
+	Loss    LossView     `json:"next_loss"`
+}
+
+// coreView is this member's view of the core.
+func (c *Core) coreView(now time.Duration) CoreView {
+	if c.node == nil {
+		return CoreView{Leader: c.leaderHint}
+	}
+	v := CoreView{Leader: c.leader(now), Commit: c.node.Commit(), Last: c.node.Last()}
+	v.Voters = len(c.node.Members())
+	v.Majority = v.Voters/2 + 1
+	if c.node.Role() != quorum.Leader {
+		v.LeaderHeardMs = (now - c.node.LeaderHeardAt()).Milliseconds()
+		return v
+	}
+	v.LeadsMs = (now - c.node.Since()).Milliseconds()
+	v.Decides = c.Deciding(now)
+	progress := c.node.Progress(now)
+	for _, p := range progress {
+		if p.Voter && p.Recent {
+			v.Lease = append(v.Lease, p.Member.Name)
+		}
+	}
+	slices.Sort(v.Lease)
+	v.Members = c.memberViews(now, progress)
+	v.Loss = c.lossView(now, v)
+	return v
+}
+
+// memberViews are the members, those that learn, and the standbys, in this order.
+func (c *Core) memberViews(now time.Duration, progress []quorum.Progress) []MemberView {
+	var l []MemberView
+	listed := map[string]bool{}
+	for _, m := range c.node.Members() {
+		i := slices.IndexFunc(progress, func(p quorum.Progress) bool { return p.Member == m })
+		p := quorum.Progress{Member: m, Voter: true}
+		if i >= 0 {
+			p = progress[i]
+		}
+		l = append(l, c.voterView(now, p))
+		listed[m.Name] = true
+	}
+	for _, p := range progress {
+		if !p.Voter && !listed[p.Member.Name] {
+			v := MemberView{Name: p.Member.Name, Domain: c.domainOf(p.Member.Name), State: MemberLearns, Match: p.Match,
+				SilentMs: c.unansweredFor(now, p).Milliseconds()}
+			if since, ok := c.learningSince[p.Member.Name]; ok {
+				v.LearningMs = (now - since).Milliseconds()
+			}
+			l = append(l, v)
+			listed[v.Name] = true
+		}
+	}
+	for _, d := range c.coreDaemons(now, true) {
+		if !listed[d.Name] && d.Disk != 0 && d.State != stoppingState && c.state.Out[d.Name] == 0 {
+			l = append(l, MemberView{Name: d.Name, Domain: d.Domain, State: MemberStandby, SilentMs: c.silentFor(now, d.Name).Milliseconds()})
+		}
+	}
+	return l
+}
+
+// voterView is one place of the member list.
+func (c *Core) voterView(now time.Duration, p quorum.Progress) MemberView {
+	name := p.Member.Name
+	v := MemberView{Name: name, Domain: c.domainOf(name), Voter: true, Match: p.Match}
+	switch {
+	case p.Member.Disk == 0:
+		v.State, v.Domain = MemberPlace, ""
+	case name == c.settings.Self.Name:
+		v.State = MemberLeads
+	case c.heard[name].stops:
+		v.State = MemberStopping
+	case !p.Recent:
+		v.State = MemberSilent
+	case p.NeedsSnapshot:
+		v.State = MemberCatchingUp
+	default:
+		v.State = MemberFollows
+	}
+	if v.State == MemberSilent || v.State == MemberStopping {
+		v.SilentMs = c.unansweredFor(now, p).Milliseconds()
+	}
+	return v
+}
+
+// unansweredFor is how long a daemon has neither answered the log nor said hello.
+func (c *Core) unansweredFor(now time.Duration, p quorum.Progress) time.Duration {
+	return min(c.silentFor(now, p.Member.Name), now-p.AckedAt)
+}
+
+// countsOn says that a voter would be part of the next majority: it answers, is not
+// about to stop, and needs no snapshot first.
+func (v MemberView) countsOn() bool {
+	return v.Voter && (v.State == MemberLeads || v.State == MemberFollows)
+}
+
+// lossView is the leader's: what may be lost now, and what stands against it.
+func (c *Core) lossView(now time.Duration, v CoreView) LossView {
+	l := LossView{Known: true}
+	there, byDomain := 0, map[string]int{}
+	for _, m := range v.Members {
+		if m.countsOn() {
+			there++
+			byDomain[m.Domain]++
+		}
+	}
+	l.Machines = max(0, there-v.Majority)
+	l.Bearable = l.Machines >= 1
+	for _, d := range slices.Sorted(maps.Keys(byDomain)) {
+		if there-byDomain[d] < v.Majority {
+			l.DomainsAtRisk = append(l.DomainsAtRisk, d)
+		}
+	}
+	if l.Bearable {
+		return l
+	}
+	for _, m := range v.Members {
+		if m.Voter && !m.countsOn() {
+			l.Obstacles = append(l.Obstacles, c.obstacle(m, v.Members))
+		}
+	}
+	if len(l.Obstacles) == 0 {
+		l.Obstacles = []Obstacle{{Kind: ObstacleTooFew, By: successor(v.Members)}}
+	}
+	return l
+}
+
+// obstacle says why a voter can't be counted on, and when it may be replaced and by whom.
+func (c *Core) obstacle(m MemberView, all []MemberView) Obstacle {
+	o := Obstacle{Member: m.Name, Kind: map[MemberState]ObstacleKind{
+		MemberSilent: ObstacleSilent, MemberStopping: ObstacleStopping, MemberCatchingUp: ObstacleCatchingUp, MemberPlace: ObstaclePlace}[m.State]}
+	o.By = successor(all)
+	if o.By == "" || c.settings.Size != 0 || o.Kind == ObstacleCatchingUp {
+		return o
+	}
+	left := max(0, (c.replaceDelay(m.State) - time.Duration(m.SilentMs)*time.Millisecond).Milliseconds())
+	o.ReplaceableInMs = &left
+	return o
+}
+
+// replaceDelay is after how long a silence reconcileMembers replaces a member.
+func (c *Core) replaceDelay(s MemberState) time.Duration {
+	switch s {
+	case MemberPlace:
+		return 0
+	case MemberStopping:
+		return limit.MemberForget
+	}
+	return limit.MemberReplaceAfter
+}
+
+// successor is who becomes a member next: who learns and is furthest, else the first
+// standby; "" if there is neither.
+func successor(all []MemberView) string {
+	var l []MemberView
+	for _, m := range all {
+		if m.State == MemberLearns || m.State == MemberStandby {
+			l = append(l, m)
+		}
+	}
+	if len(l) == 0 {
+		return ""
+	}
+	return slices.MinFunc(l, func(a, b MemberView) int {
+		return cmp.Or(-cmp.Compare(a.Match, b.Match), cmp.Compare(a.Name, b.Name))
+	}).Name
+}
+
+// countOutput counts what the node sends and agrees that operators look for.
+func (c *Core) countOutput(o *quorum.Out) {
+	for _, m := range o.Send {
+		if m.Append != nil && !m.Append.Reply && m.Append.Snap != nil {
+			c.counts.SnapshotsSent++
+		}
+	}
+	for _, e := range o.Apply {
+		if e.Kind == quorum.EntryMembers {
+			c.counts.MemberChanges++
+		}
+	}
+}
+
+// countAnswer counts an answer to a call by its kind; a target's by whether its leaving was acknowledged.
+func (c *Core) countAnswer(p *pending, status int) {
+	switch {
+	case p.targetReport && status == 503:
+		c.counts.LeavingsUnacknowledged++
+	case p.targetReport:
+	case status == 412:
+		c.counts.RefusedVersion++
+	case status == 503:
+		c.counts.CannotTell++
+	case status == 504:
+		c.counts.AnsweredUnknown++
+	case status == 400 || status == 413 || status == 422 || status == 428:
+		c.counts.RefusedInvalid++
+	}
+}
--- a/core/leadership.go
+++ b/core/leadership.go
@@ -60,6 +60,7 @@
 	c.lead, c.leadAt = l, now
 	switch l {
 	case Idle:
+		c.counts.LeasesLost++
 		for _, t := range slices.Sorted(maps.Keys(c.pendingChanges)) {
 			c.answerUnknown(c.pendingChanges[t])
 		}
--- a/core/message.go
+++ b/core/message.go
@@ -77,7 +77,7 @@
 					return
 				}
 				delete(c.relayedCalls, m.Ask.Id)
-				c.answer(p, Reply{p.ask, int(m.Ask.Status), time.Duration(m.Ask.RetryMs) * time.Millisecond, m.Ask.Body})
+				c.deliver(p, Reply{p.ask, int(m.Ask.Status), time.Duration(m.Ask.RetryMs) * time.Millisecond, m.Ask.Body})
 			}
 			return
 		}
--- a/core/operator.go
+++ b/core/operator.go
@@ -110,6 +110,7 @@
 			return
 		}
 		// The same change again: wait for it as for the first.
+		c.counts.RepeatsAnswered++
 		c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, p: p, reply: accepted(p.token, r.Revision)})
 		return
 	}
--- a/core/reply.go
+++ b/core/reply.go
@@ -42,6 +42,12 @@
 		c.answerUnknown(p) // not 'nothing was changed': an earlier leader had it too
 		return
 	}
+	c.countAnswer(p, r.Status)
+	c.deliver(p, r)
+}
+
+// deliver sends an answer to who asked, as it is: here or at the daemon that passed the call on.
+func (c *Core) deliver(p *pending, r Reply) {
 	if p.relay != "" {
 		c.send(p.relay, &wire.Msg{Kind: uint16(wire.KAsk), Ask: &wire.Ask{Id: p.relayID, Reply: true, Status: uint16(r.Status), RetryMs: uint32(r.Retry.Milliseconds()), Body: r.Body}})
 		return
--- a/host/ctl.go
+++ b/host/ctl.go
@@ -51,7 +51,7 @@
 	out := app.Flag("output", "text or json").Short('o').Default("text").Enum("text", "json")
 	app.Flag("wait", "how long to go on while there is no leader").Default("8s").DurationVar(&c.wait)
 
-	app.Command("status", "each member's own view")
+	app.Command("status", "each member's own view, and the core as its leader sees it: who leads and by whom, who is silent or learning, and whether the next loss can be borne")
 	app.Command("roster", "all daemons: kind, domain, address, readiness")
 	app.Command("targets", "back ends, with the reason for each bar or hold")
 	app.Command("aims", "service-level aims: what part of each service's exchanges met them, over all proxies")
--- /dev/null
+++ b/host/ctl_core.go
@@ -0,0 +1,140 @@
+// This file prints the core's own state for 'mfctl status'.
+package host
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"myrtlefold/core"
+)
+
+// coreText prints how the core stands as its leader sees it; without a leader's view it
+// says that nobody can tell.
+func coreText(w io.Writer, all []core.StatusView) {
+	leader := leadersView(all)
+	if leader == nil {
+		fmt.Fprintln(w, "\ncore: no member that answered leads; whether the next loss can be borne cannot be told")
+		for _, s := range all {
+			fmt.Fprintf(w, "  %s %s\n", s.Name, heardText(s.Core))
+		}
+		return
+	}
+	v := leader.Core
+	fmt.Fprintf(w, "\ncore: %s leads for %v in term %d, by the answers of %d of %d members (%s); %d make a majority\n",
+		leader.Name, seconds(v.LeadsMs), leader.Term, len(v.Lease), v.Voters, strings.Join(v.Lease, ", "), v.Majority)
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "MEMBER\tDOMAIN\tSTATE\tVOTE\tSILENT\tLOG")
+	for _, m := range v.Members {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, orDash(m.Domain), strings.ReplaceAll(string(m.State), "_", " "), yesOrDash(m.Voter), silenceText(m), logText(m, v.Commit))
+	}
+	tw.Flush()
+	fmt.Fprintf(w, "next loss: %s\n", lossText(v.Loss))
+	for _, o := range v.Loss.Obstacles {
+		fmt.Fprintf(w, "  %s\n", obstacleText(o, v))
+	}
+}
+
+// leadersView is the view of the member that decides in the latest term, nil if none does.
+func leadersView(all []core.StatusView) (best *core.StatusView) {
+	for i := range all {
+		s := &all[i]
+		if s.Core.Decides && (best == nil || s.Epoch > best.Epoch || s.Epoch == best.Epoch && s.Term > best.Term) {
+			best = s
+		}
+	}
+	return best
+}
+
+// heardText is what a member that does not lead says of its leader.
+func heardText(v core.CoreView) string {
+	if v.Leader == "" {
+		return fmt.Sprintf("hears no leader, for %v", seconds(v.LeaderHeardMs))
+	}
+	return fmt.Sprintf("last heard %s %v ago", v.Leader, seconds(v.LeaderHeardMs))
+}
+
+func lossText(l core.LossView) string {
+	switch {
+	case !l.Bearable:
+		return "cannot be borne now"
+	case len(l.DomainsAtRisk) > 0:
+		return fmt.Sprintf("%s can be borne now, but not the loss of domain %s", machines(l.Machines), strings.Join(l.DomainsAtRisk, " or "))
+	}
+	return fmt.Sprintf("%s can be borne now, and any one domain", machines(l.Machines))
+}
+
+func machines(n int) string {
+	if n == 1 {
+		return "any 1 machine"
+	}
+	return fmt.Sprintf("any %d machines", n)
+}
+
+// obstacleText says why a member does not count, and until when.
+func obstacleText(o core.Obstacle, v core.CoreView) string {
+	switch o.Kind {
+	case core.ObstacleTooFew:
+		if o.By == "" {
+			return fmt.Sprintf("%d of %d members are needed, until another core machine is there", v.Majority, v.Voters)
+		}
+		return fmt.Sprintf("%d of %d members are needed, until %s has come in", v.Majority, v.Voters, o.By)
+	case core.ObstacleCatchingUp:
+		return fmt.Sprintf("%s is catching up, until it has the leader's snapshot", o.Member)
+	}
+	why := map[core.ObstacleKind]string{
+		core.ObstacleSilent:   "is silent",
+		core.ObstacleStopping: "said that it stops",
+		core.ObstaclePlace:    "is a place that nobody has taken yet",
+	}[o.Kind]
+	return fmt.Sprintf("%s %s, until it is back%s", o.Member, why, replacementText(o))
+}
+
+// replacementText says who replaces a member, and when.
+func replacementText(o core.Obstacle) string {
+	switch {
+	case o.By == "":
+		return "; no other core machine is there to replace it"
+	case o.ReplaceableInMs == nil:
+		return fmt.Sprintf("; %s is there: 'mfctl core add %s', then 'mfctl core remove %s'", o.By, o.By, o.Member)
+	case *o.ReplaceableInMs > 0:
+		return fmt.Sprintf("; %s replaces it in %v at the earliest", o.By, seconds(*o.ReplaceableInMs))
+	}
+	return fmt.Sprintf("; %s replaces it as soon as it has caught up", o.By)
+}
+
+func silenceText(m core.MemberView) string {
+	if m.SilentMs < 1000 {
+		return "-"
+	}
+	return seconds(m.SilentMs).String()
+}
+
+// logText is how much of what is agreed a member holds.
+func logText(m core.MemberView, commit uint64) string {
+	if m.State == core.MemberStandby || m.State == core.MemberPlace {
+		return "-"
+	}
+	return fmt.Sprintf("%d of %d", min(m.Match, commit), commit)
+}
+
+// seconds is a time for a reader, to a tenth of a second.
+func seconds(ms int64) time.Duration {
+	return (time.Duration(ms) * time.Millisecond).Round(100 * time.Millisecond)
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+func yesOrDash(yes bool) string {
+	if yes {
+		return "yes"
+	}
+	return "-"
+}
--- a/host/ctl_views.go
+++ b/host/ctl_views.go
@@ -21,6 +21,7 @@
 func (c *ctl) status() int {
 	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	all := []json.RawMessage{}
+	views := []core.StatusView{}
 	if !c.json {
 		fmt.Fprintln(tw, "MEMBER\tROLE\tLEAD\tLEADER\tEPOCH\tTERM\tREVISION\tTABLE\tTARGETS\tPROXIES\tEMPTIED")
 	}
@@ -33,6 +34,7 @@
 		all = append(all, b)
 		var s core.StatusView
 		if !c.json && json.Unmarshal(b, &s) == nil {
+			views = append(views, s)
 			fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.Name, s.Role, s.Lead, s.Leader, s.Epoch, s.Term, s.Revision, s.Table.Ver, s.Targets, s.Proxies, strings.Join(s.Emptied, ","))
 		}
 		return true
@@ -60,6 +62,9 @@
 	if answers == "" {
 		return exitNoLeader
 	}
+	if !c.json {
+		coreText(os.Stdout, views)
+	}
 	return exitOK
 }
 
--- /dev/null
+++ b/quorum/progress.go
@@ -0,0 +1,41 @@
+// This file tells operators how the members stand, as their leader sees them.
+package quorum
+
+import (
+	"time"
+
+	"myrtlefold/limit"
+	"myrtlefold/wire"
+)
+
+// Progress is how far a member, or a daemon that learns to become one, has come.
+type Progress struct {
+	Member wire.Member
+	Voter  bool
+	// Match is the last entry that it is known to hold.
+	Match uint64
+	// AckedAt is when the leader sent the last message that it answered, by the leader's clock;
+	// 0 if it has answered none of this lead.
+	AckedAt time.Duration
+	// Recent says that it answered within the lease.
+	Recent bool
+	// NeedsSnapshot says that it lacks entries which the leader's log no longer holds.
+	NeedsSnapshot bool
+}
+
+// Progress lists the leader itself and all that it replicates to, by name; it is empty
+// at any other node.
+func (n *Node) Progress(now time.Duration) []Progress {
+	if n.role != Leader {
+		return nil
+	}
+	l := []Progress{{Member: n.self, Voter: n.isVoter(n.self.Name, n.self.Disk), Match: n.stable, AckedAt: now, Recent: true}}
+	for _, p := range n.sorted() {
+		l = append(l, Progress{Member: p.member, Voter: p.voter, Match: p.match, AckedAt: max(0, p.acked),
+			Recent: now-p.acked < limit.LeaderLease, NeedsSnapshot: p.match < n.snap.Index})
+	}
+	return l
+}
+
+// LeaderHeardAt is when a follower last accepted a message of the leader; booting counts as one.
+func (n *Node) LeaderHeardAt() time.Duration { return n.leaderHeardAt }
--- /dev/null
+++ b/sim/corestatus_test.go
@@ -0,0 +1,206 @@
+package sim
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"myrtlefold/core"
+)
+
+// coreView is the leader's own view of the core.
+func (w *World) coreView(t *testing.T) core.CoreView {
+	t.Helper()
+	l := w.Leader()
+	if l == nil {
+		t.Fatalf("seed %d: no leader\n%s", w.Seed, w.Trace(30))
+	}
+	return l.core.Status(l.local()).Core
+}
+
+func viewOf(v core.CoreView, name string) core.MemberView {
+	for _, m := range v.Members {
+		if m.Name == name {
+			return m
+		}
+	}
+	return core.MemberView{}
+}
+
+// follower is a member that does not lead.
+func (w *World) follower() *Proc {
+	for _, n := range w.memberNames() {
+		if p := w.procs[n]; p != w.Leader() && p.alive {
+			return p
+		}
+	}
+	return nil
+}
+
+// The leader says by which majority it leads, who is silent and for how long, that the next
+// loss can't be borne and until when, and that it can again once a standby has come in.
+func TestStatusOfALoss(t *testing.T) {
+	t.Parallel()
+	w := Start(7, open(4, 3))
+	w.until(10*time.Second, func() bool { return len(w.memberNames()) == 3 })
+	w.Run(w.now + 2*time.Second)
+	v := w.coreView(t)
+	if v.Voters != 3 || v.Majority != 2 || len(v.Lease) != 3 || !v.Decides || v.LeadsMs == 0 || v.Leader != w.Leader().name {
+		t.Fatalf("%+v", v)
+	}
+	if !v.Loss.Known || !v.Loss.Bearable || v.Loss.Machines != 1 || len(v.Loss.Obstacles) > 0 || len(v.Loss.DomainsAtRisk) > 0 {
+		t.Fatalf("%+v", v.Loss)
+	}
+	lost := w.follower()
+	w.Kill(lost)
+	w.Run(w.now + 2*time.Second)
+	v = w.coreView(t)
+	if m := viewOf(v, lost.name); m.State != core.MemberSilent || m.SilentMs < 1200 || m.SilentMs > 2500 {
+		t.Errorf("the silent member: %+v", m)
+	}
+	if len(v.Lease) != 2 || slices.Contains(v.Lease, lost.name) {
+		t.Errorf("the lease stands on %v", v.Lease)
+	}
+	if v.Loss.Bearable || v.Loss.Machines != 0 || len(v.Loss.DomainsAtRisk) != 2 {
+		t.Errorf("%+v", v.Loss)
+	}
+	if len(v.Loss.Obstacles) != 1 {
+		t.Fatalf("%+v", v.Loss.Obstacles)
+	}
+	o := v.Loss.Obstacles[0]
+	if o.Kind != core.ObstacleSilent || o.Member != lost.name || o.By == "" || o.ReplaceableInMs == nil || *o.ReplaceableInMs > 10_000 {
+		t.Errorf("%+v", o)
+	}
+	if !w.until(30*time.Second, func() bool { return w.Leader() != nil && w.coreView(t).Loss.Bearable }) {
+		t.Fatalf("never bearable again: %+v", w.coreView(t))
+	}
+	v = w.coreView(t)
+	if m := viewOf(v, o.By); m.State != core.MemberFollows || !m.Voter || m.Match < 1 {
+		t.Errorf("%s came in for it: %+v", o.By, m)
+	}
+	if n := w.Leader().core.Status(0).Counts.MemberChanges; n < 1 {
+		t.Errorf("%d changes of members are counted", n)
+	}
+	check(t, w)
+}
+
+// A follower says that it can't tell, and how long ago it heard its leader.
+func TestStatusOfAFollower(t *testing.T) {
+	t.Parallel()
+	w := Start(3, open(3, 3))
+	w.until(10*time.Second, func() bool { return len(w.memberNames()) == 3 })
+	f := w.follower()
+	w.Run(w.now + time.Second)
+	v := f.core.Status(f.local()).Core
+	if v.Loss.Known || v.Loss.Bearable || v.Decides || v.Leader != w.Leader().name || v.LeaderHeardMs > 1000 || len(v.Members) > 0 {
+		t.Errorf("%+v", v)
+	}
+	leader := w.Leader()
+	for _, n := range w.all("core") {
+		if w.procs[n] != f {
+			w.Kill(w.procs[n])
+		}
+	}
+	w.Run(w.now + 3*time.Second)
+	v = f.core.Status(f.local()).Core
+	if v.Decides || v.LeaderHeardMs < 2000 {
+		t.Errorf("3 s without %s: %+v", leader.name, v)
+	}
+}
+
+// One machine alone decides, and says that it is too few.
+func TestStatusOfOneMember(t *testing.T) {
+	t.Parallel()
+	w := Start(5, open(1, 1))
+	w.until(10*time.Second, func() bool { return w.Leader() != nil })
+	v := w.coreView(t)
+	if v.Loss.Bearable || len(v.Loss.Obstacles) != 1 || v.Loss.Obstacles[0].Kind != core.ObstacleTooFew || v.Loss.Obstacles[0].By != "" {
+		t.Errorf("%+v", v.Loss)
+	}
+}
+
+// A member that stops politely is told from one that fell silent.
+func TestStatusOfAPlannedStop(t *testing.T) {
+	t.Parallel()
+	w := Start(9, open(3, 3))
+	w.until(10*time.Second, func() bool { return len(w.memberNames()) == 3 })
+	f := w.follower()
+	w.stop(f)
+	w.Run(w.now + 2*time.Second)
+	v := w.coreView(t)
+	if m := viewOf(v, f.name); m.State != core.MemberStopping {
+		t.Errorf("%+v", m)
+	}
+	if len(v.Loss.Obstacles) != 1 || v.Loss.Obstacles[0].Kind != core.ObstacleStopping || v.Loss.Obstacles[0].ReplaceableInMs != nil {
+		t.Errorf("%+v", v.Loss.Obstacles)
+	}
+	w.Restart(f)
+	if !w.until(5*time.Second, func() bool { return w.Leader() != nil && w.coreView(t).Loss.Bearable }) {
+		t.Errorf("back, and the next loss can't be borne: %+v", w.coreView(t).Loss)
+	}
+}
+
+// Each counter grows when what it counts happens: a lost lease, a snapshot, a repeated
+// order, an answer that can't be told, another version, a wrong document.
+func TestCountersOfTheCore(t *testing.T) {
+	t.Parallel()
+	w := Start(11, Small)
+	w.Settle(10 * time.Second)
+	l := w.Leader()
+	base := w.Revision()
+	put := func(query, body, token string) int {
+		r, _ := w.inquire(t, w.Leader(), "PUT", "/v1/config", query, body, token)
+		return r.Status
+	}
+	doc := string(w.Doc(4))
+	on := "base=" + strconv.FormatUint(base, 10)
+	if s := put(on, doc, "once"); s != 200 {
+		t.Fatal(s)
+	}
+	for _, x := range []struct {
+		query, body string
+		want        int
+	}{{on, doc, 200}, {on, `{"services":{}}`, 412}, {on, "{", 400}} {
+		if s := put(x.query, x.body, ""); s != x.want {
+			t.Fatalf("%s: %d, want %d", x.body[:1], s, x.want)
+		}
+	}
+	n := l.core.Status(0).Counts
+	if n.RepeatsAnswered != 1 || n.RefusedVersion != 1 || n.RefusedInvalid != 1 || n.AnsweredUnknown != 0 {
+		t.Errorf("%+v", n)
+	}
+	f := w.follower()
+	w.isolate([]string{l.name}, 4*time.Second, true, true)
+	unknown := 0
+	w.call(l, "PUT", "/v1/config", "base="+strconv.FormatUint(w.Revision(), 10), w.Doc(5), "", func(r core.Reply) { unknown = r.Status })
+	w.Run(w.now + 2*time.Second)
+	if unknown != 504 {
+		t.Errorf("a change put to a leader that is cut off is answered %d", unknown)
+	}
+	if r, _ := w.inquire(t, l, "GET", "/v1/config", "", "", ""); r.Status != 503 {
+		t.Errorf("a leader cut off answers %d", r.Status)
+	}
+	n = l.core.Status(0).Counts
+	if n.LeasesLost != 1 || n.CannotTell != 1 || n.AnsweredUnknown != 1 {
+		t.Errorf("%+v", n)
+	}
+	w.Run(w.now + 5*time.Second)
+	w.Kill(f)
+	w.WipeDisk(f)
+	for i := range 300 {
+		w.PutConfig(w.Leader(), w.Revision(), i%7)
+		w.Run(w.now + 50*time.Millisecond)
+	}
+	w.Restart(f)
+	w.Run(w.now + 5*time.Second)
+	sent := uint64(0)
+	for _, name := range w.all("core") {
+		if p := w.procs[name]; p.alive {
+			sent += p.core.Status(0).Counts.SnapshotsSent
+		}
+	}
+	if sent < 1 {
+		t.Error("no snapshot is counted")
+	}
+}
