--- a/core/reply.go
+++ b/core/reply.go
@@ -19,7 +19,9 @@
 	return append(b, '\n')
 }
 
+// problem is a refusal, or an answer that promises nothing; its kind goes by the status.
 func problem(status int, t model.Trouble) Reply {
+	t.Refusal = model.RefusalOf(status)
 	r := Reply{Status: status, Body: t.JSON()}
 	if status == 503 {
 		r.Retry = limit.RetryAfterMin
@@ -41,6 +43,12 @@
 		c.answerUnknown(p) // not 'nothing was changed': an earlier leader had it too
 		return
 	}
+	c.countAnswer(p, r.Status)
+	c.deliver(p, r)
+}
+
+// deliver sends an answer to who asked, as it is: here or at the daemon that passed the call on.
+func (c *Core) deliver(p *pending, r Reply) {
 	if p.relay != "" {
 		c.send(p.relay, &wire.Msg{Kind: uint16(wire.KAsk), Ask: &wire.Ask{Id: p.relayID, Reply: true, Status: uint16(r.Status), RetryMs: uint32(r.Retry.Milliseconds()), Body: r.Body}})
 		return
--- a/host/session.go
+++ b/host/session.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"time"
 
-	"myrtlefold/forward"
 	"myrtlefold/limit"
 	"myrtlefold/model"
 	"myrtlefold/policy"
@@ -106,7 +105,7 @@
 			retry = limit.RetryAfterMin
 		}
 		w.Header().Set("Connection", "close")
-		forward.Error(w, got.status, retry, model.Trouble{Code: "stream", Message: got.why})
+		refuse(w, got.status, retry, model.Trouble{Code: "stream", Message: got.why})
 		return
 	}
 	defer func() { u.requests <- sessionRequest{leave: got.session} }()
--- a/model/trouble.go
+++ b/model/trouble.go
@@ -7,6 +7,7 @@
 // Trouble is the one shape of every error that a daemon answers with.
 type Trouble struct {
 	Code     string  `json:"code"`               // for programs, such as no_leader
+	Refusal  Refusal `json:"refusal,omitempty"`  // set on the operators' interface
 	Message  string  `json:"message"`            // for people
 	Ran      string  `json:"ran"`                // whether the request ran at a back end: no (if empty), or unknown
 	Faults   []Fault `json:"faults,omitempty"`   // of the document that was sent
