mfctl tells the answer it got, not which member is down; a lone leader's silence counts

Seen on three real members with two of them down: 'config put' ended with "connection refused" of whichever member was asked last, though the living one had answered 503 no_leader each time; and that member said that it heard no leader for 19.3 s, 2 s after it had led, since a leader hears nobody. call() keeps the last answer; the age counts from when the member led last. Both have a test that failed before (16.7 s told where 3 s had gone; exit 5 with "connection refused").

--- a/core/corestatus.go
+++ b/core/corestatus.go
@@ -84,7 +84,7 @@
 	Decides bool `json:"decides"`
 	// LeadsMs is for how long this member has led.
 	LeadsMs int64 `json:"leads_ms,omitempty"`
-	// LeaderHeardMs is how long ago a follower last heard the leader.
+	// LeaderHeardMs is how long ago a follower last heard a leader, or was one.
 	LeaderHeardMs int64 `json:"leader_heard_ms,omitempty"`
 	// Commit is the last entry that is known to be agreed, Last the last one held here.
 	Commit uint64 `json:"commit"`
@@ -107,7 +107,7 @@
 	v.Voters = len(c.node.Members())
 	v.Majority = v.Voters/2 + 1
 	if c.node.Role() != quorum.Leader {
-		v.LeaderHeardMs = (now - c.node.LeaderHeardAt()).Milliseconds()
+		v.LeaderHeardMs = (now - max(c.node.LeaderHeardAt(), c.leadAt)).Milliseconds() // leadAt: when it led last
 		return v
 	}
 	v.LeadsMs = (now - c.node.Since()).Milliseconds()
--- a/host/ctl.go
+++ b/host/ctl.go
@@ -218,35 +218,44 @@
 
 var ctlClient = &http.Client{Timeout: 10 * time.Second}
 
-// call asks one member after another until one answers with more than 'no leader'.
-// Going on is safe: a change carries its id, and 503 means that it was not applied.
-func (c *ctl) call(method, path string, q url.Values, body []byte) (int, []byte, error) {
+// call asks one member after another until one answers with more than 'no leader', and gives
+// the last answer that it got, or an error if it got none. Going on is safe: a change carries
+// its id, and 503 means that it was not applied.
+func (c *ctl) call(method, path string, q url.Values, body []byte) (status int, out []byte, err error) {
 	end := time.Now().Add(c.wait)
-	var status int
-	var out []byte
-	var err error
 	for i := 0; ; i++ {
 		u := "http://" + c.at[i%len(c.at)] + path
 		if len(q) > 0 {
 			u += "?" + q.Encode()
 		}
-		var req *http.Request
-		if req, err = http.NewRequest(method, u, bytes.NewReader(body)); err != nil {
-			return 0, nil, err
+		s, b, failed := callOnce(method, u, body)
+		if failed == nil {
+			status, out, err = s, b, nil
+		} else if status == 0 {
+			err = failed
 		}
-		var resp *http.Response
-		if resp, err = ctlClient.Do(req); err == nil {
-			status = resp.StatusCode
-			out, err = io.ReadAll(resp.Body)
-			resp.Body.Close()
-		}
-		if err == nil && status != 503 || time.Now().After(end) {
+		if failed == nil && s != 503 || time.Now().After(end) {
 			return status, out, err
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
 }
 
+// callOnce makes one call and reads the whole answer.
+func callOnce(method, u string, body []byte) (status int, out []byte, err error) {
+	req, err := http.NewRequest(method, u, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := ctlClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	out, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, out, err
+}
+
 func (c *ctl) end(status int, out []byte, err error, text func([]byte)) int {
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
--- a/host/ctl_test.go
+++ b/host/ctl_test.go
@@ -231,3 +231,19 @@
 		}
 	}
 }
+
+// While some members are down, what the others answer is told, not that those are down.
+func TestCtlTellsTheAnswerThatItGot(t *testing.T) {
+	down := httptest.NewServer(nil)
+	down.Close()
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(503)
+		w.Write(model.Trouble{Code: "no_leader", Refusal: model.RefusedCannotTell}.JSON())
+	}))
+	defer up.Close()
+	at := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	code, out := said(t, "--wait", "100ms", "--at", at(up), "--at", at(down), "domain", "empty", "north")
+	if code != exitNoLeader || !strings.Contains(out, "cannot tell now (no_leader)") {
+		t.Error(code, out)
+	}
+}
--- a/sim/corestatus_test.go
+++ b/sim/corestatus_test.go
@@ -109,6 +109,24 @@
 	}
 }
 
+// A leader that is left alone counts its silence from when it led last.
+func TestStatusOfALeaderLeftAlone(t *testing.T) {
+	t.Parallel()
+	w := Start(3, open(3, 3))
+	w.until(10*time.Second, func() bool { return len(w.memberNames()) == 3 })
+	w.Run(w.now + 10*time.Second)
+	leader := w.Leader()
+	for _, n := range w.all("core") {
+		if w.procs[n] != leader {
+			w.Kill(w.procs[n])
+		}
+	}
+	w.Run(w.now + 3*time.Second)
+	if v := leader.core.Status(leader.local()).Core; v.Decides || v.LeaderHeardMs < 1500 || v.LeaderHeardMs > 3500 {
+		t.Errorf("%+v", v)
+	}
+}
+
 // One machine alone decides, and says that it is too few.
 func TestStatusOfOneMember(t *testing.T) {
 	t.Parallel()
