mfctl ends a change with "unknown" if one member's answer was lost and another has no leader

A change that broke off at one member, which may have taken it, and met 503 at the next ended as exit 5, "nothing changed". 503 speaks only for who says it. A call that failed after its connection stood now leaves the end in doubt (exit 6, with the change's id) unless some member gives a final answer; one that could not connect leaves none, and reads are as they were. TestCtlLostAnswerIsUnknown failed before in both orders.

--- a/host/ctl.go
+++ b/host/ctl.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -17,6 +18,7 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
 
 	"myrtlefold/model"
 )
@@ -221,9 +223,11 @@
 
 // call asks one member after another until one answers with more than 'no leader', and gives
 // the last answer that it got, or an error if it got none. Going on is safe: a change carries
-// its id, and 503 means that it was not applied.
+// its id, and 503 means that it was not applied. That does not speak for another member
+// whose answer was lost: then the end is unknown.
 func (c *ctl) call(method, path string, q url.Values, body []byte) (status int, out []byte, err error) {
 	end := time.Now().Add(c.wait)
+	lost := false
 	for i := 0; ; i++ {
 		u := "http://" + c.at[i%len(c.at)] + path
 		if len(q) > 0 {
@@ -235,13 +239,31 @@
 		} else if status == 0 {
 			err = failed
 		}
-		if failed == nil && s != 503 || time.Now().After(end) {
+		lost = lost || failed != nil && method != http.MethodGet && !neverConnected(failed)
+		switch {
+		case failed == nil && s != 503:
+			return status, out, err
+		case time.Now().After(end) && lost:
+			return http.StatusGatewayTimeout, lostAnswer(q.Get("id")), nil
+		case time.Now().After(end):
 			return status, out, err
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
 }
 
+// neverConnected says that a call failed before anything of it was sent.
+func neverConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// lostAnswer is the end of a change that may have been taken by a member that did not answer.
+func lostAnswer(id string) []byte {
+	return model.Trouble{Code: "unknown", Refusal: model.RefusedCannotTell, Ran: "unknown", Id: id,
+		Message: "a member's answer was lost; the change may have been agreed: ask for it by its id"}.JSON()
+}
+
 // callOnce makes one call and reads the whole answer.
 func callOnce(method, u string, body []byte) (status int, out []byte, err error) {
 	req, err := http.NewRequest(method, u, bytes.NewReader(body))
--- a/host/ctl_test.go
+++ b/host/ctl_test.go
@@ -247,3 +247,28 @@
 		t.Error(code, out)
 	}
 }
+
+// A change whose answer was lost may have been taken: a later 'nothing was changed' of
+// another member does not say that it was not.
+func TestCtlLostAnswerIsUnknown(t *testing.T) {
+	broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	defer broken.Close()
+	idle := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(503)
+		w.Write(model.Trouble{Code: "no_leader", Refusal: model.RefusedCannotTell}.JSON())
+	}))
+	defer idle.Close()
+	at := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	for _, order := range [][]string{{at(broken), at(idle)}, {at(idle), at(broken)}} {
+		code, out := said(t, "--wait", "100ms", "--at", order[0], "--at", order[1], "domain", "empty", "north")
+		if code != exitUnknown || !strings.Contains(out, "cannot tell now (unknown)") || !strings.Contains(out, "  id 20") {
+			t.Error(code, out)
+		}
+	}
+	code, out := said(t, "--wait", "100ms", "--at", at(broken), "--at", at(idle), "targets")
+	if code != exitNoLeader || !strings.Contains(out, "no_leader") {
+		t.Error(code, out)
+	}
+}
