A SIGHUP that comes while a daemon starts no longer ends it

SIGHUP, by which a platform says that the settings file has changed, was caught only once the daemon listened and watched its settings; before that the default applied and ended the process, which counts as an end of its own. It is caught first thing now, and the change is seen when the watching begins. TestHangupWhileStarting ended the test process ("signal: hangup") before; it also holds that seeds which differ later are taken, and that unsound settings in between change nothing.

--- a/host/host.go
+++ b/host/host.go
@@ -43,6 +43,7 @@
 	load  func() (Settings, []byte, []model.Fault, error)
 	say   Dialect
 	raw   []byte
+	hup   chan os.Signal // SIGHUP, caught from the start on: by default it ends a process
 	start time.Time
 	out   map[string]chan queued
 	Quit  chan int
@@ -56,6 +57,8 @@
 
 // Start reads command line and settings; on any fault it says each and exits 2.
 func Start(kind string, args []string, say Dialect) *Host {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	app := kingpin.New("mf"+kind, map[string]string{
 		"core": "A control daemon: keeps the configuration, the roster and the judgement of targets.",
 		"gate": "A proxy daemon: carries callers' exchanges to back ends."}[kind])
@@ -93,7 +96,7 @@
 	lv, _ := logrus.ParseLevel(set.Log)
 	log.SetLevel(lv)
 	h := New(kind, set, log)
-	h.load, h.say, h.Headers, h.raw = load, say, say.Headers, raw
+	h.load, h.say, h.Headers, h.raw, h.hup = load, say, say.Headers, raw, hup
 	h.bound(set)
 	h.Reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return h
@@ -176,14 +179,12 @@
 // log level, seeds and memory take effect; others wait for the next start; unsound ones
 // are said once and the old ones kept.
 func (h *Host) Watch(seeds func([]string)) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	tick := time.NewTicker(limit.SettingsEvery)
 	go func() {
 		seen, cur := string(h.raw), h.Set
 		for {
 			select {
-			case <-hup:
+			case <-h.hup:
 			case <-tick.C:
 			}
 			s, b, faults, err := h.load()
