--- /dev/null
+++ b/core/targetcall_test.go
@@ -0,0 +1,28 @@
+package core
+
+import (
+	"encoding/json"
+	"testing"
+
+	"myrtlefold/model"
+	"myrtlefold/wire"
+)
+
+// acknowledgementMax is the largest answer that targets of the users' platform take as an
+// acknowledgement, in bytes.
+const acknowledgementMax = 4 << 10
+
+// What a target is acknowledged with is small, and names no address for later heartbeats:
+// each member takes them, so there is none to prefer.
+func TestAcknowledgementsAreSmall(t *testing.T) {
+	for _, state := range []string{model.Ready, model.Warming, model.Leaving, model.Gone} {
+		r := reportAccepted(wire.Target{State: state})
+		var fields map[string]any
+		if err := json.Unmarshal(r.Body, &fields); err != nil {
+			t.Fatal(err)
+		}
+		if len(r.Body) > acknowledgementMax || r.Status/100 != 2 || fields["beat_at"] != nil {
+			t.Errorf("%s: %d, %d bytes, %v", state, r.Status, len(r.Body), fields)
+		}
+	}
+}
--- /dev/null
+++ b/sim/operators_bounds_test.go
@@ -0,0 +1,128 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"myrtlefold/core"
+	"myrtlefold/wire"
+)
+
+// Bounds of the users' platform on operators' work in calm times.
+const (
+	calmEvacuation = time.Second            // an emptying or restoring is acknowledged within it
+	readyEighths   = 7                      // of eight looks, at which a proxy in touch says that it is ready
+	lookEvery      = 100 * time.Millisecond // between two looks
+)
+
+// calmSizes are fleets at rest, the small one and one of many proxies.
+func calmSizes() map[string]Plan {
+	many := Small
+	many.Gates, many.Rate = 69, 20
+	spares := open(11, 3)
+	spares.Gates = 24
+	return map[string]Plan{"small": Small, "69 proxies": many, "11 core machines": spares}
+}
+
+// In a calm fleet an emptied domain is acknowledged within a second by any core member,
+// and so is one that is restored, also while another is already empty.
+func TestCalmEvacuations(t *testing.T) {
+	t.Parallel()
+	for name, plan := range calmSizes() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := Start(5, plan)
+			w.Run(w.now + 6*time.Second)
+			cores := w.all("core")
+			slowest := time.Duration(0)
+			for i, call := range []string{"d1/empty", "d2/empty", "d1/restore", "d1/empty", "d2/restore", "d1/restore"} {
+				from, took := w.now, time.Duration(0)
+				w.call(w.procs[cores[i%len(cores)]], "POST", "/v1/domains/"+call, "", nil, fmt.Sprintf("calm-%d", i), func(r core.Reply) {
+					if r.Status == 200 {
+						took = w.now - from
+					}
+				})
+				w.Run(w.now + 2*time.Second)
+				if took == 0 || took > calmEvacuation {
+					t.Errorf("%s at %s: acknowledged after %v", call, cores[i%len(cores)], took)
+				}
+				slowest = max(slowest, took)
+			}
+			t.Logf("the slowest took %v", slowest)
+			check(t, w)
+		})
+	}
+}
+
+// In calm times proxies say that they are ready, whatever is configured meanwhile.
+func TestReadyInCalm(t *testing.T) {
+	t.Parallel()
+	for name, plan := range calmSizes() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := Start(6, plan)
+			w.Run(w.now + 6*time.Second)
+			ready, looks := map[string]int{}, 0
+			for ; looks < 200; looks++ {
+				if looks%40 == 0 {
+					w.PutConfig(w.Leader(), w.Revision(), 3+looks/40)
+				}
+				w.Run(w.now + lookEvery)
+				for _, g := range w.all("gate") {
+					if w.procs[g].gate.Ready() {
+						ready[g]++
+					}
+				}
+			}
+			for _, g := range w.all("gate") {
+				if 8*ready[g] < readyEighths*looks {
+					t.Errorf("%s was ready at %d of %d looks", g, ready[g], looks)
+				}
+			}
+			check(t, w)
+		})
+	}
+}
+
+// What was added later is served as what was there from the beginning: a service that a later
+// configuration adds gets as large a part of its requests served.
+func TestLaterServicesAreServedAlike(t *testing.T) {
+	t.Parallel()
+	w := Start(8, Small)
+	w.Run(w.now + 5*time.Second)
+	first := []string{"fares", "pay"}
+	without := first[:1]
+	r, _ := w.inquire(t, w.Leader(), "PUT", "/v1/config", fmt.Sprintf("base=%d", w.Revision()), string(w.DocOf(3, 40, without)), "")
+	if r.Status != 200 {
+		t.Fatalf("%d %s", r.Status, r.Body)
+	}
+	w.Run(w.now + 3*time.Second)
+	if r, _ = w.inquire(t, w.Leader(), "PUT", "/v1/config", fmt.Sprintf("base=%d", w.Revision()), string(w.DocOf(4, 40, first)), ""); r.Status != 200 {
+		t.Fatalf("%d %s", r.Status, r.Body)
+	}
+	w.Run(w.now + 2*time.Second)
+	served, asked := map[string]int{}, map[string]int{}
+	for range 20 {
+		w.Run(w.now + 500*time.Millisecond)
+		for _, g := range w.all("gate") {
+			table := w.procs[g].gate.Table()
+			if table == nil {
+				continue
+			}
+			for _, svc := range first {
+				asked[svc]++
+				if slices.ContainsFunc(table.Targets, func(x wire.Target) bool { return x.Service == svc && !x.Held && x.BarWhy == "" && !x.Pending }) {
+					served[svc]++
+				}
+			}
+		}
+	}
+	for _, svc := range first {
+		if asked[svc] == 0 || served[svc]*10 < asked[svc]*9 {
+			t.Errorf("%s could be served at %d of %d looks", svc, served[svc], asked[svc])
+		}
+	}
+	check(t, w)
+}
