--- a/host/ctl_core_test.go
+++ b/host/ctl_core_test.go
@@ -15,7 +15,7 @@
 	for _, v := range views {
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path != "/v1/status" {
-				http.Error(w, "{}", 503)
+				http.Error(w, "{}", http.StatusServiceUnavailable)
 				return
 			}
 			WriteJSON(w, 200, v)
