--- a/core/refusal_test.go
+++ b/core/refusal_test.go
@@ -5,7 +5,10 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"os"
 	"path/filepath"
+	"reflect"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -187,3 +190,27 @@
 		}
 	}
 }
+
+// The operators' page names every refusal and every counter of the core.
+func TestOperatorsPageNamesAll(t *testing.T) {
+	b, err := os.ReadFile("../docs/operate.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(b)
+	for code, kinds := range refusals {
+		for _, k := range kinds {
+			if !strings.Contains(page, "`"+code+"`") || !strings.Contains(page, "`"+string(k)+"`") {
+				t.Errorf("docs/operate.md does not name %s, %s", code, k)
+			}
+		}
+	}
+	counts := reflect.TypeFor[Counts]()
+	for i := range counts.NumField() {
+		name := counts.Field(i).Name
+		shown := strings.ToLower(regexp.MustCompile("(.)([A-Z])").ReplaceAllString(name, "${1}_${2}"))
+		if !strings.Contains(page, "`"+shown+"`") {
+			t.Errorf("docs/operate.md does not name the counter %s", shown)
+		}
+	}
+}
