Replace lost core members within the deployment's catch-up time, by plan before they go

Cause: a silent member was replaced 8 s after it was last heard or its leader began, whatever the deployment allows (4 s there from a successor's start to the next loss), and one that said that it stops kept its place for 60 s although its successor stood by.

Now: silence is half of the bound told by the settings (catch_up_ms, losses), counted before an election too; a member that stops waits until a standby has its place, at most 3 s; one that answers leaves after its successor is in, one that is silent before; as many standbys as may be lost learn all the time; a learner that does not come on is waited for by nothing; a lost zone's places are spread again at once. A lone member hands over to its successor.

TestPoliteStopKeepsPlace wanted a member that stops to keep its place although a standby is there, which is the fault; TestPoliteStop wants it handed over before the process ends, and kept if there is no standby. TestRepairInTime holds the sums.

--- a/core/core.go
+++ b/core/core.go
@@ -79,6 +79,12 @@
 	Found bool     // this is the fleet's first start
 	// Domains are known though nothing may stand in them yet.
 	Domains []string
+	// CatchUp is how long after a replacement's start the core has to bear the next loss, 0: not told.
+	CatchUp time.Duration
+	// Losses is how many core machines may be lost at once, 0: not told.
+	Losses int
+	// Grace is how long after Stop the process is ended by force, 0: not told.
+	Grace time.Duration
 }
 
 type pending struct {
@@ -101,29 +107,31 @@
 }
 
 type Core struct {
-	settings       Settings
-	image          quorum.Image
-	node           *quorum.Node
-	state          State
-	directory      Directory
-	bootAt         time.Duration
-	helloAt        time.Duration
-	offer          uint64
-	seenFounders   string // who could found, as last looked at, and since when
-	seenFoundersAt time.Duration
-	proxyMemories  map[string]proxyMemory // what proxies said that they remember
-	consent        consent
-	lockSeq        uint64 // batch that has the lock; it is told to nobody before that is synced
-	syncedSeq      uint64
-	leaderHint     string                   // who leads, as last heard of
-	bootstrapSize  int                      // of the first core, if this process may found it
-	heard          map[string]heard         // other core daemons, as last heard
-	changedAt      time.Duration            // when the members last changed
-	toldLists      map[string]toldList      // what daemons were last told of those known
-	learningSince  map[string]time.Duration // who learns, or has tried to in vain, since when
-	batchOffset    uint64                   // number of the last founding batch; a node's batches count on from it
-	stopping       bool
-	stopAt         time.Duration
+	settings        Settings
+	image           quorum.Image
+	node            *quorum.Node
+	state           State
+	directory       Directory
+	bootAt          time.Duration
+	helloAt         time.Duration
+	offer           uint64
+	seenFounders    string // who could found, as last looked at, and since when
+	seenFoundersAt  time.Duration
+	proxyMemories   map[string]proxyMemory // what proxies said that they remember
+	consent         consent
+	lockSeq         uint64 // batch that has the lock; it is told to nobody before that is synced
+	syncedSeq       uint64
+	leaderHint      string                   // who leads, as last heard of
+	bootstrapSize   int                      // of the first core, if this process may found it
+	heard           map[string]heard         // other core daemons, as last heard
+	membersAt       time.Duration            // when the members were last looked after
+	membersChanging bool                     // a change of members may be under way
+	toldLists       map[string]toldList      // what daemons were last told of those known
+	learning        map[string]learning      // how learners come on
+	standbySince    map[string]time.Duration // since when standbys are there
+	batchOffset     uint64                   // number of the last founding batch; a node's batches count on from it
+	stopping        bool
+	stopAt          time.Duration
 
 	lead                   Lead
 	leadAt                 time.Duration
@@ -183,7 +191,7 @@
 // given the shell's.
 func New(now time.Duration, set Settings, img quorum.Image) *Core {
 	c := &Core{settings: set, image: img, bootAt: now, directory: Directory{}, proxyMemories: map[string]proxyMemory{}, proxies: map[string]*proxyState{},
-		pendingChanges: map[string]*pending{}, relayedCalls: map[uint64]*pending{}, requestedMembers: map[string]bool{}, heard: map[string]heard{}, toldLists: map[string]toldList{}, learningSince: map[string]time.Duration{}, restored: map[string]time.Duration{}, state: newState(), relayID: set.Self.Inc << 20}
+		pendingChanges: map[string]*pending{}, relayedCalls: map[uint64]*pending{}, requestedMembers: map[string]bool{}, heard: map[string]heard{}, toldLists: map[string]toldList{}, learning: map[string]learning{}, restored: map[string]time.Duration{}, state: newState(), relayID: set.Self.Inc << 20}
 	c.settings.Self.Disk = img.Disk
 	switch {
 	case set.Size > 0:
@@ -228,13 +236,7 @@
 	case Ask:
 		c.handleCall(now, e)
 	case Stop:
-		if !c.stopping {
-			c.stopping, c.stopAt = true, now
-			c.hello(now)
-			if c.node != nil && c.node.TransferLeadership(now) {
-				c.emit(Change{"leadership", c.settings.Self.Name, "", "stopping"})
-			}
-		}
+		c.stop(now)
 	}
 	c.applyNodeOutput(now)
 	c.leadership(now)
@@ -333,9 +335,10 @@
 			c.relay(now, id, p, l) // under its id a change is made once, whoever hears it how often
 		}
 	}
-	if c.stopping && (now-c.stopAt > limit.ElectMin || c.node == nil || c.node.Role() != quorum.Leader && now-c.stopAt > limit.LeaderLease) {
-		c.emit(Exit{})
+	if c.stopping {
+		c.tickStop(now)
 	}
+	c.maintainMembers(now)
 	if c.lead >= Warming {
 		c.watch(now)
 	}
--- /dev/null
+++ b/core/shutdown.go
@@ -0,0 +1,65 @@
+// This file is how a control daemon stops: it hands leadership over, and its place to
+// a standby if there is one, before it goes.
+package core
+
+import (
+	"slices"
+	"time"
+
+	"myrtlefold/limit"
+	"myrtlefold/quorum"
+)
+
+// stop begins the end: everybody is told, and leadership goes to another member.
+func (c *Core) stop(now time.Duration) {
+	if c.stopping {
+		return
+	}
+	c.stopping, c.stopAt = true, now
+	c.hello(now)
+	c.handOver(now)
+}
+
+// handOver gives leadership to the best of the other members, if there is one.
+func (c *Core) handOver(now time.Duration) {
+	if c.node != nil && c.node.TransferLeadership(now) {
+		c.emit(Change{"leadership", c.settings.Self.Name, "", "stopping"})
+	}
+}
+
+// tickStop goes on with the end, and ends the process once nothing is left to hand over.
+func (c *Core) tickStop(now time.Duration) {
+	if c.node != nil && c.node.Role() == quorum.Leader && c.node.CanChangeMembers() {
+		c.handOver(now)
+	}
+	if c.mayExit(now) {
+		c.emit(Exit{})
+	}
+}
+
+func (c *Core) mayExit(now time.Duration) bool {
+	waited := now - c.stopAt
+	switch {
+	case c.node == nil || waited > c.handoverWait():
+		return true
+	case waited <= limit.LeaderLease:
+		return false // whoever leads next may be told first
+	case c.node.Removed() || c.isNonVoter() && !c.node.HearsLeader(now):
+		return true
+	case !c.isNonVoter() && c.hasStandby(now):
+		return false // the leader is about to replace this member
+	}
+	return waited > limit.ElectMin || c.node.Role() != quorum.Leader
+}
+
+// hasStandby says that a core daemon is there that could take this member's place.
+func (c *Core) hasStandby(now time.Duration) bool {
+	members := c.node.Members()
+	for _, d := range c.coreDaemons(now, true) {
+		if d.Name != c.settings.Self.Name && d.Disk != 0 && d.State != stoppingState && c.state.Out[d.Name] == 0 &&
+			!slices.Contains(namesOf(members), d.Name) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/watchdog.go
+++ b/core/watchdog.go
@@ -61,7 +61,6 @@
 		return
 	}
 	c.rebuild(now, now-c.rebuilt >= limit.ReconcileEvery)
-	c.maintainMembers(now)
 	c.roster(now)
 	c.persistRegistrations(now, limit.RegistryEvery)
 }
--- a/host/core.go
+++ b/host/core.go
@@ -17,7 +17,16 @@
 	if err != nil {
 		h.Fatal(err, "state on disk")
 	}
-	own := core.New(h.Now(), core.Settings{Self: h.Daemon(), Size: h.Set.Size, Seeds: h.Set.Seeds, Found: h.Set.Found, Domains: h.Set.Domains}, img)
+	own := core.New(h.Now(), core.Settings{
+		Self:    h.Daemon(),
+		Size:    h.Set.Size,
+		Seeds:   h.Set.Seeds,
+		Found:   h.Set.Found,
+		Domains: h.Set.Domains,
+		CatchUp: time.Duration(h.Set.CatchUpMs) * time.Millisecond,
+		Losses:  h.Set.Losses,
+		Grace:   time.Duration(h.Set.GraceMs) * time.Millisecond,
+	}, img)
 	hub := NewHub()
 	var term atomic.Uint64
 	exec := func(cmd any) {
--- a/host/settings.go
+++ b/host/settings.go
@@ -42,6 +42,10 @@
 	RetryRatio    float64 `koanf:"retry_ratio" json:"retry_ratio,omitempty"`
 	RetryWindowMs int     `koanf:"retry_window_ms" json:"retry_window_ms,omitempty"`
 	RetrySlack    int     `koanf:"retry_slack" json:"retry_slack,omitempty"`
+	// CatchUpMs is how long after the start of a replacement a core has to bear the next loss of a
+	// member, and Losses how many members may be lost at once; 0: the program's own.
+	CatchUpMs int `koanf:"catch_up_ms" json:"catch_up_ms,omitempty"`
+	Losses    int `koanf:"losses" json:"losses,omitempty"`
 	// ReadyWhenEmptied has a proxy go on asking for callers while its domain is emptied.
 	ReadyWhenEmptied bool `koanf:"ready_when_emptied" json:"ready_when_emptied,omitempty"`
 }
@@ -93,7 +97,7 @@
 	for _, n := range []struct {
 		path string
 		v    float64
-	}{{"memory_mb", float64(s.MemoryMb)}, {"grace_ms", float64(s.GraceMs)}, {"retry_ratio", s.RetryRatio}, {"retry_window_ms", float64(s.RetryWindowMs)}, {"retry_slack", float64(s.RetrySlack)}} {
+	}{{"memory_mb", float64(s.MemoryMb)}, {"grace_ms", float64(s.GraceMs)}, {"catch_up_ms", float64(s.CatchUpMs)}, {"losses", float64(s.Losses)}, {"retry_ratio", s.RetryRatio}, {"retry_window_ms", float64(s.RetryWindowMs)}, {"retry_slack", float64(s.RetrySlack)}} {
 		if !(n.v >= 0 && n.v <= 1<<31) {
 			add(n.path, "%v is below 0 or too large", n.v)
 		}
@@ -151,6 +155,8 @@
 	} else {
 		app.Flag("data", "folder for this member's state").StringVar(&f.set.Data)
 		app.Flag("size", "how many members found the core: 3 or 5 (1 for trials), 0 if the seeds found it and it grows (default 3)").IsSetByUser(&f.sized).IntVar(&f.set.Size)
+		app.Flag("catch-up-ms", "how long after a replacement's start the core has to bear the next loss of a member").IntVar(&f.set.CatchUpMs)
+		app.Flag("losses", "how many core members may be lost at once").IntVar(&f.set.Losses)
 		app.Flag("found", "this is the fleet's first start ever: without a size, the seeds found the core").BoolVar(&f.set.Found)
 	}
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -42,16 +42,32 @@
 	// VotersMax is how many members a core grows to if no size is given: any three machines may go,
 	// or a domain of three, and each entry is still synced by four only.
 	VotersMax = 7
-	// MemberGone is how long a member is silent before a standby daemon takes its place: longer than
-	// a process's restart. One that said that it stops has MemberForget.
-	MemberReplaceAfter = 8 * time.Second
+	// CatchUpDefault is how long after a replacement's start the core has to bear the next loss, where
+	// no deployment says so.
+	CatchUpDefault = 8 * time.Second
+	// ReplaceParts: a member is silent for this part of that time before a standby takes its place. The
+	// rest is for an election, LeadGrace and the two changes of the list (TestRepairInTime).
+	ReplaceParts = 2
+	// ReplaceAfterMin is the least such silence: five hellos, so that one that is late is not replaced.
+	ReplaceAfterMin = 5 * HelloEvery
+	// LeadGrace is how long a new leader listens before it calls a member silent: four hellos.
+	LeadGrace = 4 * HelloEvery
+	// MembersEvery is how often a leader looks after the members while none is changing.
+	MembersEvery = HeartbeatEvery
+	// GrowAfter is how long a standby is there before a core that bears enough losses takes it in beside
+	// the others: longer than both machines of a planned replacement are there.
+	GrowAfter = 5 * time.Second
+	// HandoverWait is how long a member that stops waits for a standby to take its place: longer than
+	// an election, a snapshot's way and two changes of the list take. At most half the grace that is told.
+	HandoverWait = 3 * time.Second
 	// MemberForget is how long a member is silent before it goes without a replacement: longer
 	// than a machine's restart.
 	MemberForget = 60 * time.Second
-	// LearnWait is how long a learner may take to catch up, and LearnAgain when one that did not
-	// is tried once more: others go first meanwhile.
-	LearnWait  = 3 * time.Second
-	LearnAgain = 15 * time.Second
+	// LearnWait is how long a learner may not come on before nothing waits for it: others go first.
+	LearnWait = 1500 * time.Millisecond
+	// LearnerLag is how many agreed entries a learner may lack when it becomes a member: what a
+	// tenth of a second of changes at full rate has on its way. They come before its first vote counts.
+	LearnerLag = 16
 	// VowLife is how long an operator's order to found again holds.
 	ConsentLife = time.Minute
 	// HelloEvery is how often daemons tell each other who is there.
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -42,6 +42,34 @@
 	}
 }
 
+// A lost member, the leader too, is replaced within the shortest time that deployments
+// give from the start of its successor, which may come at once: also after a split vote.
+// A member is not replaced before it has had several chances to be heard.
+func TestRepairInTime(t *testing.T) {
+	const (
+		shortest = 4 * time.Second
+		change   = 100 * time.Millisecond // two syncs and a round trip, with room
+	)
+	changes := 3*MembersEvery + 2*change
+	for _, c := range []struct {
+		what string
+		sum  time.Duration
+		max  time.Duration
+	}{
+		{"a follower lost", shortest/ReplaceParts + MembersEvery + changes, shortest},
+		{"the leader lost, the vote split", 2*(ElectMin+ElectSpread) + LeadGrace + changes, shortest},
+		{"everybody heard before anybody is silent for a new leader", 3*HelloEvery + TickEvery, LeadGrace},
+		{"three hellos lost and one late", 4*HelloEvery + TickEvery, ReplaceAfterMin},
+		{"the shortest silence, under what the shortest bound gives", ReplaceAfterMin, shortest / ReplaceParts},
+		{"a leader that stops: election, learning and both changes", ElectMin + ElectSpread + 10*HeartbeatEvery + changes, HandoverWait},
+		{"both machines of a planned replacement", HandoverWait + time.Second, GrowAfter},
+	} {
+		if c.sum > c.max {
+			t.Errorf("%s: %v is over %v", c.what, c.sum, c.max)
+		}
+	}
+}
+
 // Who says that it leaves goes to the next daemon after a second: the answer is there before.
 func TestWordIsAnsweredInTime(t *testing.T) {
 	if TargetReportWait+2*TickEvery >= 900*time.Millisecond || TargetReportRetry >= TargetReportWait/2 || TargetReportWait <= 2*PullEvery {
--- a/quorum/member.go
+++ b/quorum/member.go
@@ -79,24 +79,36 @@
 	return slices.ContainsFunc(n.members, func(m wire.Member) bool { return m.Name == name })
 }
 
-// CaughtUp says that a peer holds all that is agreed.
-func (n *Node) CaughtUp(m wire.Member) bool {
+// CaughtUp says that a peer answers and holds all that is agreed, but for what a
+// growing log always has on its way.
+func (n *Node) CaughtUp(now time.Duration, m wire.Member) bool {
+	match, ok := n.Match(m)
+	return ok && match > 0 && match+limit.LearnerLag >= n.commit && n.RecentlyActive(now, m)
+}
+
+// Match is the last entry that a peer is known to hold, if it is kept up to date.
+func (n *Node) Match(m wire.Member) (index uint64, ok bool) {
 	p := n.peers[m.Name]
-	return p != nil && p.member == m && p.match >= n.commit && p.match > 0
+	if p == nil || p.member != m {
+		return 0, false
+	}
+	return p.match, true
+}
+
+// Removed says that an agreed list of members does not have this node.
+func (n *Node) Removed() bool {
+	return !n.isVoter(n.self.Name, n.self.Disk) && !n.membersUncommitted()
+}
+
+// membersUncommitted says that a change of members is in the log and not known to be agreed.
+func (n *Node) membersUncommitted() bool {
+	return slices.ContainsFunc(n.log, func(e wire.Entry) bool { return e.Kind == EntryMembers && e.Index > n.commit })
 }
 
 // Settled says that no change of members is under way and that the leader has
 // agreed an entry of its own term, so that a change may be proposed.
 func (n *Node) CanChangeMembers() bool {
-	if n.role != Leader || n.commit < n.termStart {
-		return false
-	}
-	for _, e := range n.log {
-		if e.Kind == EntryMembers && e.Index > n.commit {
-			return false
-		}
-	}
-	return true
+	return n.role == Leader && n.commit >= n.termStart && !n.membersUncommitted()
 }
 
 // Change proposes a member list that differs from the present one by one.
--- a/sim/fleet_test.go
+++ b/sim/fleet_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"myrtlefold/core"
+	"myrtlefold/limit"
 	"myrtlefold/proxy"
 	"myrtlefold/wire"
 )
@@ -173,28 +174,39 @@
 	}
 }
 
-// Who stops politely keeps its place over a machine's restart; who just falls silent
-// is replaced by a spare.
-func TestPoliteStopKeepsPlace(t *testing.T) {
+// Who stops politely hands its place to a standby before it goes, and keeps it over a
+// machine's restart if there is none; who just falls silent is replaced by a standby. On
+// its return it is a member again, or a standby.
+func TestPoliteStop(t *testing.T) {
 	t.Parallel()
-	for _, polite := range []bool{true, false} {
-		w := Start(4, open(6, 3))
+	for _, c := range []struct {
+		polite bool
+		cores  int
+	}{{true, 6}, {true, 5}, {false, 6}, {false, 5}} {
+		w := Start(4, open(c.cores, 3))
 		w.until(10*time.Second, func() bool { return len(w.memberNames()) == 5 })
 		ms := w.memberNames()
 		p := w.procs[ms[0]]
 		if p == w.Leader() {
 			p = w.procs[ms[1]]
 		}
-		if polite {
+		if c.polite {
 			w.stop(p)
-			w.Run(w.now + time.Second)
+			w.until(limit.HandoverWait, func() bool { return !p.alive })
 		} else {
 			w.Kill(p)
+			w.Run(w.now + limit.CatchUpDefault/limit.ReplaceParts + time.Second)
+		}
+		if p.alive || w.Leader() == nil {
+			t.Fatalf("%+v: alive %v\n%s", c, p.alive, w.Trace(20))
+		}
+		if keeps := slices.Contains(w.memberNames(), p.name); keeps != (c.cores == 5) {
+			t.Errorf("%+v: %v without %s\n%s", c, w.memberNames(), p.name, w.Trace(20))
 		}
 		w.Run(w.now + 30*time.Second)
 		check(t, w)
-		if slices.Contains(w.memberNames(), p.name) != polite {
-			t.Errorf("polite %v: %v without %s\n%s", polite, w.memberNames(), p.name, w.Trace(20))
+		if keeps := slices.Contains(w.memberNames(), p.name); keeps != (c.cores == 5) {
+			t.Errorf("%+v: later %v without %s\n%s", c, w.memberNames(), p.name, w.Trace(20))
 		}
 		w.Restart(p)
 		w.Run(w.now + 5*time.Second)
--- a/sim/process.go
+++ b/sim/process.go
@@ -71,7 +71,7 @@
 	p.rate = w.rate()
 	p.pool, p.live, p.rev = map[wire.ID][]*Target{}, nil, 0
 	var seeds []string
-	set := core.Settings{Size: w.Plan.Cores}
+	set := core.Settings{Size: w.Plan.Cores, CatchUp: w.Plan.CatchUp, Losses: w.Plan.Losses, Grace: stopGrace}
 	if w.Plan.Seeds > 0 {
 		set.Size, set.Found = 0, w.now < foundingTime
 	}
--- /dev/null
+++ b/sim/replacement_test.go
@@ -0,0 +1,271 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"myrtlefold/limit"
+)
+
+const (
+	// testCatchUp is the platform's shortest bound from a successor's start to the next loss.
+	testCatchUp = 4 * time.Second
+	// testReceipt is how long after a loss a leader may take to decide again.
+	testReceipt = 4 * time.Second
+)
+
+// loss is a kind of loss of a core machine; it reports when the next may follow.
+type loss struct {
+	name string
+	do   func(w *World, p *Proc, over func(at time.Duration))
+}
+
+var losses = []loss{
+	{"replaced", func(w *World, p *Proc, over func(time.Duration)) {
+		w.ReplaceCore(p, false, w.ms(0, 1500), func(started time.Duration) { over(started + testCatchUp) })
+	}},
+	{"replaced by plan", func(w *World, p *Proc, over func(time.Duration)) {
+		w.ReplaceCore(p, true, w.ms(0, 1500), func(started time.Duration) { over(max(w.now, started+testCatchUp)) })
+	}},
+	{"restarted", func(w *World, p *Proc, over func(time.Duration)) {
+		w.Kill(p)
+		w.at(w.ms(100, 6000), func() { w.Restart(p); over(w.now + testCatchUp) })
+	}},
+	{"restarted by plan", func(w *World, p *Proc, over func(time.Duration)) {
+		w.stop(p)
+		w.at(w.ms(800, 3000), func() { w.Kill(p); w.Restart(p); over(w.now + testCatchUp) })
+	}},
+	{"disk lost", func(w *World, p *Proc, over func(time.Duration)) {
+		w.Kill(p)
+		w.WipeDisk(p)
+		w.at(w.ms(100, 3000), func() { w.Restart(p); over(w.now + testCatchUp) })
+	}},
+	{"cut off", func(w *World, p *Proc, over func(time.Duration)) {
+		d := w.ms(500, 9000)
+		w.isolate([]string{p.name}, d, true, true)
+		w.at(d, func() { over(w.now + testCatchUp) })
+	}},
+	{"frozen", func(w *World, p *Proc, over func(time.Duration)) {
+		d := w.ms(300, 6000)
+		w.Freeze(p, d)
+		w.at(d, func() { over(w.now + testCatchUp) })
+	}},
+}
+
+// victims are the machines that are lost next: the leader, other members, standbys.
+func (w *World) victims(t *testing.T, machines int) (l []*Proc) {
+	t.Helper()
+	if w.Leader() == nil {
+		t.Fatalf("seed %d: nobody leads before the next loss\n%s", w.Seed, w.Trace(60))
+	}
+	ms := w.memberNames()
+	for len(l) < machines {
+		p := w.procs[ms[w.rnd.IntN(len(ms))]]
+		switch w.rnd.IntN(6) {
+		case 0, 1:
+			p = w.Leader()
+		case 2:
+			p = w.pick("core", true)
+		}
+		if p.alive && !slices.Contains(l, p) {
+			l = append(l, p)
+		}
+	}
+	return l
+}
+
+// loseMachines loses so many machines at once and waits until the next loss is allowed. A
+// leader must decide again within the receipt.
+func (w *World) loseMachines(t *testing.T, round int, kinds []loss, machines int) {
+	t.Helper()
+	until, open := time.Duration(0), machines
+	over := func(at time.Duration) { until, open = max(until, at), open-1 }
+	for _, p := range w.victims(t, machines) {
+		k := kinds[w.rnd.IntN(len(kinds))]
+		w.log("round %d: %s is %s", round, p.name, k.name)
+		k.do(w, p, over)
+	}
+	w.leadsAgain(t, round)
+	w.until(time.Minute, func() bool { return open == 0 })
+	w.Run(max(w.now, until))
+	check(t, w)
+}
+
+// leadsAgain wants a leader that decides within the receipt.
+func (w *World) leadsAgain(t *testing.T, round int) {
+	t.Helper()
+	w.Run(w.now + 200*time.Millisecond)
+	if !w.until(testReceipt, func() bool { return w.Leader() != nil }) {
+		t.Fatalf("seed %d, round %d: nobody leads\n%s", w.Seed, round, w.Trace(60))
+	}
+}
+
+// storm has an operator change the configuration ten times a second.
+func (w *World) storm(d time.Duration) {
+	end := w.now + d
+	var next func()
+	next = func() {
+		if p := w.pick("core", true); p != nil && w.now < end {
+			w.PutConfig(p, w.Revision(), 1000+int(w.nextAsk))
+			w.at(100*time.Millisecond, next)
+		}
+	}
+	next()
+}
+
+// takesChange wants a change to be acknowledged within the receipt.
+func (w *World) takesChange(t *testing.T) {
+	t.Helper()
+	was := w.acked
+	if w.Leader() == nil {
+		t.Fatalf("seed %d: nobody leads\n%s", w.Seed, w.Trace(60))
+	}
+	w.PutConfig(w.Leader(), w.Revision(), 1000+int(w.nextAsk))
+	if !w.until(testReceipt, func() bool { return w.acked > was }) {
+		t.Fatalf("seed %d: a change was not acknowledged in %v\n%s", w.Seed, testReceipt, w.Trace(40))
+	}
+}
+
+func replacementPlan(cores, domains int) Plan {
+	p := open(cores, min(cores, 3))
+	p.Domains, p.CatchUp = domains, testCatchUp
+	p.Gates, p.Rate, p.Services = 2, 20, map[string]int{"fares": 2}
+	return p
+}
+
+// A loss follows the other as soon as the platform allows, on cores of every size: the
+// core leads again each time, takes changes, and forgets none.
+func TestLossAfterRepair(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ cores, domains, atOnce, want int }{
+		{3, 3, 1, 3}, {4, 3, 1, 3}, {4, 4, 1, 3}, {5, 3, 1, 5}, {7, 3, 1, 7}, {7, 4, 2, 7}, {11, 3, 2, 7}, {11, 4, 2, 7},
+	} {
+		for seed := range uint64(8) {
+			for _, storm := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%d cores in %d domains, %d at once, storm %v", c.cores, c.domains, c.atOnce, storm), func(t *testing.T) {
+					t.Parallel()
+					p := replacementPlan(c.cores, c.domains)
+					p.Losses = c.atOnce
+					w := Start(seed, p)
+					w.until(10*time.Second, func() bool { return len(w.memberNames()) == c.want })
+					check(t, w)
+					w.Run(w.now + testCatchUp)
+					kinds := losses
+					if seed%2 == 0 {
+						kinds = losses[:2]
+					}
+					for round := range 8 {
+						if storm {
+							w.storm(5 * time.Second)
+						}
+						w.loseMachines(t, round, kinds, 1+round%c.atOnce)
+					}
+					w.until(2*limit.GrowAfter, func() bool { return len(w.memberNames()) == c.want })
+					w.sane(t, c.want)
+					w.takesChange(t)
+					w.Back(15 * time.Second)
+					w.Finish()
+					check(t, w)
+					if e := w.Leader().core.Status(0).Epoch; e != 1 {
+						t.Errorf("seed %d: epoch %d", seed, e)
+					}
+				})
+			}
+		}
+	}
+}
+
+// A core of one machine is replaced by plan, again and again: the old one hands over
+// all that it acknowledged before it goes.
+func TestLoneMemberReplacedByPlan(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(12) {
+		w := Start(seed, replacementPlan(1, 3))
+		for round := range 5 {
+			if seed%2 == 1 {
+				w.storm(5 * time.Second)
+			}
+			w.loseMachines(t, round, losses[1:2], 1)
+			w.takesChange(t)
+			if n := len(w.memberNames()); n != 1 {
+				t.Fatalf("seed %d, round %d: members %v\n%s", seed, round, w.memberNames(), w.Trace(40))
+			}
+		}
+		w.Back(15 * time.Second)
+		w.Finish()
+		check(t, w)
+	}
+}
+
+// The day of the second incident: a storm of changes, a planned replacement meanwhile,
+// later a leader that is cut off, and a second replacement.
+func TestStormPlannedCutSecond(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(16) {
+		cores := []int{3, 4, 5, 7}[seed%4]
+		w := Start(seed, replacementPlan(cores, 3))
+		w.until(10*time.Second, func() bool { return len(w.memberNames()) == []int{3, 3, 5, 7}[seed%4] })
+		w.Run(w.now + testCatchUp)
+		w.storm(16 * time.Second)
+		w.Run(w.now + 2*time.Second)
+		w.loseMachines(t, 0, losses[1:2], 1)
+		w.Run(w.now + 10*time.Second)
+		l := w.Leader()
+		if l == nil {
+			t.Fatalf("seed %d: nobody leads after the storm\n%s", seed, w.Trace(60))
+		}
+		w.isolate([]string{l.name}, 4*time.Second, true, true)
+		w.leadsAgain(t, 1)
+		w.Run(w.now + 4*time.Second + testCatchUp)
+		w.loseMachines(t, 2, losses[:1], 1)
+		w.Run(w.now + 2*time.Second)
+		w.takesChange(t)
+		w.loseMachines(t, 3, losses[:1], 1)
+		w.Run(w.now + 2*time.Second)
+		w.takesChange(t)
+		w.Back(15 * time.Second)
+		w.Finish()
+		check(t, w)
+	}
+}
+
+// A domain is lost and comes back; testCatchUp later a machine or another domain is lost.
+func TestLossAfterDomainLoss(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(16) {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			cores := []int{3, 5, 7, 11}[seed%4]
+			w := Start(seed, replacementPlan(cores, 3+int(seed/4%2)))
+			w.until(10*time.Second, func() bool { return len(w.memberNames()) == min(cores, 7) })
+			w.Run(w.now + testCatchUp)
+			for round := range 6 {
+				if round%3 == 2 {
+					w.loseMachines(t, round, losses, 1)
+					continue
+				}
+				dom := w.domain()
+				w.log("round %d: domain %s is lost", round, dom)
+				d := w.ms(500, 8000)
+				for _, n := range w.all("core") {
+					if p := w.procs[n]; p.domain == dom {
+						w.Kill(p)
+						w.at(d, func() { w.Restart(p) })
+					}
+				}
+				from := w.now
+				w.leadsAgain(t, round)
+				w.Run(from + d + testCatchUp)
+				check(t, w)
+			}
+			w.until(2*limit.GrowAfter, func() bool { return len(w.memberNames()) == min(cores, 7) })
+			w.sane(t, min(cores, 7))
+			w.takesChange(t)
+			w.Back(15 * time.Second)
+			w.Finish()
+			check(t, w)
+		})
+	}
+}
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -35,6 +35,8 @@
 	Beats        time.Duration  // how far apart targets' words are, 0: limit.BeatEvery; each is said again after half a second
 	CoreOnly     bool           // targets speak to core daemons only
 	Scarce       *Scarce        // nil: processors and links take no time
+	CatchUp      time.Duration  // from a successor's start until the core bears the next loss, 0: not told
+	Losses       int            // core machines that may be lost at once, 0: not told
 }
 
 // Small is a fleet that shows all behaviour and still runs fast.
@@ -105,6 +107,7 @@
 	lostLead time.Duration
 	removing bool // one service at a time is taken away
 	swapping bool // one member at a time is swapped
+	replaced int  // core machines that were replaced for good
 	planned  bool // only planned work is done: nothing may be lost
 	sabotage string
 	lastOk   map[string]time.Duration
@@ -123,6 +126,7 @@
 	Back                                        time.Duration // from healing to full capacity
 	Lost, LostUnsafe, Foreign, NoAnswer         int           // answers lost, connections to another identity, callers whose proxy died
 	Leaves, Deaths, Empties, Slips, Stops       int
+	Replaced                                    int           // core machines gone for good, with a successor
 	Gap                                         time.Duration // longest time without a served request of some service
 }
 
