--- a/sim/fleet_test.go
+++ b/sim/fleet_test.go
@@ -272,6 +272,9 @@
 			t.Parallel()
 			p := Small
 			p.Cores, p.Seeds = []int{3, 5, 7, 9}[seed%4], 3
+			if seed%2 == 1 {
+				p.CatchUp = testCatchUp
+			}
 			check(t, Day(seed, p, nil, 12, 25*time.Second))
 		})
 	}
