Late appends of a leader's earlier process renew no lease

A follower answers an append of an earlier term in its present term and with the append's own stamp. If the leader of the present term is the restarted process that sent it, the stamp is by another clock, may lie in the future, and renewed the lease without end. The answer carries no stamp now, and a leader takes only stamps between its election and now.

--- a/quorum/replication.go
+++ b/quorum/replication.go
@@ -12,6 +12,10 @@
 	"myrtlefold/wire"
 )
 
+// noStamp is in the answer to an append of an earlier term, which proves nothing to the
+// leader of this one: the stamp may be by the clock of an earlier process of its name.
+const noStamp = -1 << 62
+
 type peer struct {
 	member wire.Member
 	voter  bool
@@ -137,6 +141,7 @@
 	r := &wire.Msg{Kind: uint16(wire.KAppend), To: m.From, Stamp: m.Stamp, Append: &wire.Append{Reply: true, Match: n.last()}}
 	n.leaderSpokeAt = now
 	if m.Term < n.term {
+		r.Stamp = noStamp
 		n.send(r, false)
 		return
 	}
@@ -215,7 +220,9 @@
 	if n.role != Leader || m.Term != n.term || p == nil || p.member.Disk != m.Disk {
 		return
 	}
-	p.acked = max(p.acked, time.Duration(m.Stamp))
+	if at := time.Duration(m.Stamp); at >= n.since && at <= now {
+		p.acked = max(p.acked, at)
+	}
 	if !m.Append.Ok {
 		p.next = max(p.match+1, min(p.next, m.Append.Match+1))
 		if p.next > n.snap.Index || now-p.snapAt > 5*limit.HeartbeatEvery {
--- /dev/null
+++ b/quorum/stamp_test.go
@@ -0,0 +1,56 @@
+package quorum
+
+import (
+	"testing"
+	"time"
+
+	"myrtlefold/limit"
+	"myrtlefold/wire"
+)
+
+// A late append of a leader's earlier process is answered in the present term. The
+// answer must not renew the lease of the leader that the restarted process is now: its
+// stamp is by another clock.
+func TestLateAppendRenewsNoLease(t *testing.T) {
+	const earlierClock = int64(time.Hour)
+	follower, _ := node("b")
+	follower.Recv(0, &wire.Msg{Kind: uint16(wire.KAppend), From: "a", Disk: 1, Epoch: 1, Term: 3, Append: &wire.Append{PrevIndex: 1}})
+	follower.Take()
+	follower.Recv(1, &wire.Msg{Kind: uint16(wire.KAppend), From: "a", Disk: 1, Epoch: 1, Term: 2, Stamp: earlierClock, Append: &wire.Append{PrevIndex: 1}})
+	late := follower.Take().Send[0]
+	if late.Term != 3 || late.Stamp == earlierClock {
+		t.Errorf("term %d, stamp %d", late.Term, late.Stamp)
+	}
+
+	// The leader does not believe in stamps that it can't have given in this lead either.
+	leader, _ := node("a")
+	start := limit.ElectMin + limit.ElectSpread
+	leader.Tick(start)
+	for leader.Role() != Leader {
+		o := leader.Take()
+		for _, b := range o.Batches {
+			leader.Synced(start, b.Seq)
+		}
+		pre := leader.Role() == PreCandidate
+		term := leader.Term()
+		if pre {
+			term++
+		}
+		leader.Recv(start, &wire.Msg{Kind: uint16(wire.KVote), From: "b", Disk: 2, Epoch: 1, Term: term, Vote: &wire.Vote{Pre: pre, Reply: true, Granted: true}})
+	}
+	for _, b := range leader.Take().Batches {
+		leader.Synced(start, b.Seq)
+	}
+	reply := func(stamp time.Duration) {
+		leader.Recv(start, &wire.Msg{Kind: uint16(wire.KAppend), From: "b", Disk: 2, Epoch: 1, Term: leader.Term(), Stamp: int64(stamp),
+			Append: &wire.Append{Reply: true, Ok: true, Match: leader.Last()}})
+	}
+	for _, stamp := range []time.Duration{time.Duration(earlierClock), start - 1, noStamp} {
+		if reply(stamp); leader.HasLease(start) {
+			t.Errorf("a stamp of %v renews the lease at %v", stamp, start)
+		}
+	}
+	if reply(start); !leader.HasLease(start) {
+		t.Error("no lease from a majority's answer")
+	}
+}
--- a/sim/replacement.go
+++ b/sim/replacement.go
@@ -82,6 +82,7 @@
 
 // forgetProc removes a machine that never comes back.
 func (w *World) forgetProc(old *Proc) {
+	old.gone = true
 	w.names = slices.DeleteFunc(w.names, func(n string) bool { return n == old.name })
 }
 
