--- a/sim/faults_operator.go
+++ b/sim/faults_operator.go
@@ -16,7 +16,7 @@
 var operatorFaults = []Fault{
 	{"config", func(w *World) {
 		if p := w.pick("core", true); p != nil {
-			w.PutConfig(p, w.Revision(), w.rnd.IntN(1000))
+			w.PutConfig(p, w.Revision(), w.docNumber())
 		}
 	}},
 	{"config patch", func(w *World) {
@@ -111,7 +111,7 @@
 		for i := range 4 {
 			w.at(time.Duration(i)*40*time.Millisecond, func() {
 				if p := w.pick("core", true); p != nil {
-					w.PutConfig(p, w.Revision(), w.rnd.IntN(1000))
+					w.PutConfig(p, w.Revision(), w.docNumber())
 				}
 			})
 		}
@@ -120,7 +120,7 @@
 		b := w.Revision()
 		for range 2 {
 			if p := w.pick("core", true); p != nil {
-				w.PutConfig(p, b, w.rnd.IntN(1000))
+				w.PutConfig(p, b, w.docNumber())
 			}
 		}
 	}},
@@ -134,7 +134,7 @@
 		if p == nil || w.mayHurtCore() == nil {
 			return
 		}
-		w.PutConfig(p, w.Revision(), w.rnd.IntN(1000))
+		w.PutConfig(p, w.Revision(), w.docNumber())
 		w.at(w.ms(0, 30), func() {
 			if w.mayHurtCore() != nil {
 				w.Kill(p)
--- a/sim/process.go
+++ b/sim/process.go
@@ -30,6 +30,7 @@
 	domain string
 	addr   string
 	alive  bool
+	gone   bool // its machine was replaced and never comes back
 	frozen bool
 	held   []any
 	thawed []func()
@@ -72,7 +73,7 @@
 	p.rate = w.rate()
 	p.pool, p.live, p.rev = map[wire.ID][]*Target{}, nil, 0
 	var seeds []string
-	set := core.Settings{Size: w.Plan.Cores}
+	set := core.Settings{Size: w.Plan.Cores, CatchUp: w.Plan.CatchUp, Losses: w.Plan.Losses, Grace: stopGrace}
 	if w.Plan.Seeds > 0 {
 		set.Size, set.Found = 0, w.now < foundingTime
 	}
@@ -143,7 +144,7 @@
 }
 
 func (w *World) Restart(p *Proc) {
-	if !p.alive {
+	if !p.alive && !p.gone {
 		w.log("start %s", p.name)
 		w.start(p)
 	}
