Forwarder: no once request begun ahead, no partly written connection used again

Found by reading the forwarder against answers to the wrong caller and requests run twice, each with a test that failed before: - A pipelined GET of a route whose requests may run once was begun ahead. If the answer before it was cut, its caller had to take it as not read, and sent it again. It now waits for its turn; the target chosen for it is given back (Counts.Deferred). - After a write that failed midway an early answer could bring the connection back to the pool; the target would read the next request as the rest of that one's body. - A 503, 429 or 408 longer than what is held was passed on for a once request though its target had not said that it did not run: a false promise. - A request without an id could take a used connection, where a surplus answer would be believed. It now gets one of its own. - A caller that left did not end an answer of a request begun ahead while it was on its way. - A leaving proxy gave a silent target up and could answer 502 in place of it (LOST). It now waits on. Ruled out: answers after 1xx, to HEAD, 204, 304, with trailers, without length; the retry after a failed write (only where not one byte was taken by the kernel); a second try at the same target (a request never goes to a target twice, so no id comes twice on a connection).

--- a/forward/ahead.go
+++ b/forward/ahead.go
@@ -248,6 +248,7 @@
 		c.serve(ender{w, p}, r)
 		return
 	}
+	defer context.AfterFunc(r.Context(), p.cancel)()
 	select {
 	case <-e.done:
 	case e.to <- ender{w, p}:
@@ -261,6 +262,11 @@
 	if e.failed != nil {
 		panic(e.failed)
 	}
+	if e.deferred {
+		c.Counts.Exchanges.Add(^uint64(0)) // it was counted when it was looked at
+		c.serve(ender{w, p}, r)
+		return
+	}
 	if e.w == nil {
 		e.hand(ender{w, p})
 	}
@@ -293,12 +299,17 @@
 	w      http.ResponseWriter
 	done   chan struct{}
 	failed any // what it panicked with
+	// deferred: nothing was sent, since it may run only once; it is served when its turn comes.
+	deferred bool
 }
 
 func (e *early) run(c *Forwarder) {
 	defer close(e.done)
 	defer func() { e.failed = recover() }()
 	c.serve(e, e.r)
+	if e.deferred {
+		c.Counts.Deferred.Add(1)
+	}
 }
 
 func (e *early) Header() http.Header { return e.header }
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -43,7 +43,7 @@
 				u.begun, u.bad = true, false // it was this side that broke it off; what the caller sends further is lost
 			}
 		}
-		if !stop() || !keep || p.r.Buffered() > 0 {
+		if !stop() || !keep || p.partial || p.r.Buffered() > 0 {
 			p.Close()
 			return
 		}
@@ -61,7 +61,7 @@
 		}
 		return t
 	}
-	if repeats && g.More && u.rest == nil && !p.await(r.Context(), till, func() bool { return c.pool.dark(g.Target.ID()) }) {
+	if repeats && g.More && u.rest == nil && !p.await(r.Context(), till, func() bool { return c.dark(g.Target.ID()) }) {
 		c.Counts.GivenUp.Add(1)
 		return lost("dark", "nothing reaches the target, which has not answered")
 	}
@@ -106,12 +106,13 @@
 	if resp.StatusCode >= 500 {
 		t.outcome = proxy.Broken
 	}
+	if asked && !repeats && promises(resp.StatusCode) {
+		// To a caller it would say that nothing ran, which its target has not said.
+		done(a.done && !resp.Close)
+		return tried{sent: true, ran: true, outcome: proxy.Broken, code: "unclear", msg: "the target failed", load: t.load}
+	}
 	if a.done {
 		done(!resp.Close)
-		if asked && !repeats && promises(resp.StatusCode) {
-			// To a caller it would say that nothing ran, which its target has not said.
-			return tried{sent: true, ran: true, outcome: proxy.Broken, code: "unclear", msg: "the target failed", load: t.load}
-		}
 		if t.outcome == proxy.Broken && repeats && g.Route.Kind != "" && resp.StatusCode != http.StatusGatewayTimeout && time.Until(till) > limit.TryLeast {
 			t.sent, t.ran, t.spare, t.code, t.msg = true, true, a, "failed", "the target failed"
 			return t
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -66,14 +66,15 @@
 
 // Pipe is a connection to a target.
 type Conn struct {
-	c     net.Conn
-	raw   syscall.RawConn
-	r     *bufio.Reader
-	out   []byte
-	room  int64        // bytes that may still come
-	fresh bool         // nothing has been written to it
-	till  time.Time    // not to be used after this
-	used  atomic.Int64 // when it was last put back; read by those who look for one
+	c       net.Conn
+	raw     syscall.RawConn
+	r       *bufio.Reader
+	out     []byte
+	room    int64        // bytes that may still come
+	fresh   bool         // nothing has been written to it
+	partial bool         // a request went out in part: what is written next would be its rest
+	till    time.Time    // not to be used after this
+	used    atomic.Int64 // when it was last put back; read by those who look for one
 }
 
 // Open opens a connection by ctx's end.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -27,6 +27,7 @@
 	"myrtlefold/limit"
 	"myrtlefold/model"
 	"myrtlefold/proxy"
+	"myrtlefold/wire"
 )
 
 // Headers of the project's own.
@@ -80,7 +81,7 @@
 
 // Counts are the forwarder's counters.
 type Counts struct {
-	Exchanges, Served, Unknown, NotRun, Cut, Gone, Opened, Reused, Foreign, TurnedAway, Strange, Ahead, GivenUp atomic.Uint64
+	Exchanges, Served, Unknown, NotRun, Cut, Gone, Opened, Reused, Foreign, TurnedAway, Strange, Ahead, Deferred, GivenUp atomic.Uint64
 }
 
 // Carrier is the handler of the callers' address.
@@ -169,7 +170,11 @@
 		c.Counts.Gone.Add(1)
 		panic(http.ErrAbortHandler)
 	}
-	defer func() { c.Observe(svc, status, time.Since(start).Seconds()) }()
+	defer func() {
+		if e, ok := w.(*early); !ok || !e.deferred {
+			c.Observe(svc, status, time.Since(start).Seconds())
+		}
+	}()
 	if headerSize(r.Header) > c.headerMost() {
 		fail(431, 0, model.Trouble{Code: "header", Message: "the header is too large"})
 		return
@@ -247,6 +252,11 @@
 		if g.Route.Kind == "" {
 			repeats = r.Method == "GET" || r.Method == "HEAD" || r.Method == "OPTIONS"
 		}
+		if e, ok := w.(*early); ok && !repeats {
+			c.owner.Tell(proxy.Done{ID: id, Outcome: proxy.Dropped, Last: true})
+			e.deferred = true
+			return
+		}
 		t := c.try(w, r, &g, body, repeats)
 		switch {
 		case t.status != 0:
@@ -445,6 +455,11 @@
 	return false
 }
 
+// dark says whether a request that may be repeated need not wait for a target any longer.
+// A proxy that is leaving waits: it may not find another one in the time it has left, and
+// planned work is no reason to end an answer sooner.
+func (c *Forwarder) dark(id wire.ID) bool { return !c.Leaving.Load() && c.pool.dark(id) }
+
 func (c *Forwarder) try(w http.ResponseWriter, r *http.Request, g *proxy.Give, u *upload, repeats bool) (t tried) {
 	start := time.Now()
 	told := false
@@ -457,7 +472,10 @@
 	defer func() { tell(&t, t.status != 0 || t.outcome == proxy.Dropped) }()
 	till := start.Add(g.Left)
 	idle := limit.ConnIdle
-	if !repeats {
+	switch {
+	case g.Set.Asked() && r.Header.Get(c.Headers.Attempt) == "":
+		idle = 0 // a surplus answer on a used connection could not be told from its own
+	case !repeats:
 		idle = limit.OnceIdle
 	}
 	for {
@@ -512,6 +530,7 @@
 				}
 			}()
 		}
+		p.partial = err != nil
 		t = c.readAnswer(w, r, g, p, u, repeats, till, sent, tell, stop)
 		return t
 	}
