Forwarder: a ledger of every run, held against every answer, before misbehaving targets

Twelve callers that keep connections, pipeline and leave, five targets that answer late, surplus, in halves, with garbage, close and reset by seed: 18 kinds, each counted. Held against it: a once request runs once at most; one told that it has not run did not run; an answer is whole, its caller's, and bears a proof only as its target sent it. Targets that repeat no id are a run of their own.

--- /dev/null
+++ b/forward/ledger_test.go
@@ -0,0 +1,503 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"myrtlefold/limit"
+	"myrtlefold/model"
+	"myrtlefold/proxy"
+	"myrtlefold/wire"
+)
+
+// misbehaviour is what a stand-in target does with a request besides answering it.
+type misbehaviour int
+
+const (
+	answers         misbehaviour = iota // a whole answer
+	answersInChunks                     // the same, without a length
+	answersAfter1xx                     // an interim answer first
+	surplusAtOnce                       // another answer follows in the same piece
+	surplusLater                        // another answer follows whenever the scheduler gets to it
+	surplusInPlace                      // the answer to an earlier request comes where this one's is due
+	closesAfter                         // closes without having said so
+	closesSilently                      // runs it, answers nothing and closes
+	resets                              // runs it and resets the connection
+	resetsUnread                        // resets before it has read the request
+	halfAnswer                          // breaks its answer off
+	halfHead                            // breaks its header off
+	garbage                             // sends what is no answer
+	turnsAway                           // does not run it and says so
+	failsWithStatus                     // runs it and answers 503 without saying whether it ran
+	anotherTarget                       // answers 421
+	largeAnswer                         // an answer that streams
+	largeAnswerCut                      // the same, broken off
+	misbehaviours
+)
+
+var misbehaviourNames = [misbehaviours]string{"answers", "chunks", "interim", "surplus at once", "surplus later", "surplus in place", "closes after",
+	"closes silently", "resets", "resets unread", "half an answer", "half a header", "garbage", "turns away", "fails", "421", "large", "large and cut"}
+
+// run is a line of the ledger: a request reached a target's code.
+type run struct{ id string }
+
+// ledgerTargets are targets that misbehave by seed and tell the ledger of each run.
+type ledgerTargets struct {
+	targets []wire.Target
+	kinds   []misbehaviour
+	runs    chan run
+	conns   sync.WaitGroup
+	done    [misbehaviours]atomic.Int64
+	lns     []net.Listener
+}
+
+// payload is the body that belongs to an id.
+func payload(id string, size int) string {
+	return strings.Repeat(id+".", 1+size/(len(id)+1))
+}
+
+func answerTo(id string, size int) string {
+	b := payload(id, size)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nA: %s\r\nP: yes\r\nContent-Length: %d\r\n\r\n%s", id, len(b), b)
+}
+
+func newLedgerTargets(t *testing.T, n int, seed uint64, kinds []misbehaviour) *ledgerTargets {
+	l := &ledgerTargets{kinds: kinds, runs: make(chan run, 1<<16)}
+	for i := range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.lns = append(l.lns, ln)
+		l.targets = append(l.targets, wire.Target{Service: "s", Name: fmt.Sprint("t", i), Inc: 7, Addr: ln.Addr().String()})
+		l.conns.Add(1)
+		go func() {
+			defer l.conns.Done()
+			for k := uint64(0); ; k++ {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				l.conns.Add(1)
+				go l.serve(c.(*net.TCPConn), rand.New(rand.NewPCG(seed, uint64(i)<<32|k)))
+			}
+		}()
+	}
+	return l
+}
+
+func (l *ledgerTargets) end() {
+	for _, ln := range l.lns {
+		ln.Close()
+	}
+	l.conns.Wait()
+	close(l.runs)
+}
+
+// serve answers a connection's requests until a misbehaviour ends it.
+func (l *ledgerTargets) serve(c *net.TCPConn, rnd *rand.Rand) {
+	defer l.conns.Done()
+	defer c.Close()
+	rd := bufio.NewReader(c)
+	before := "early"
+	for {
+		what := l.kinds[rnd.IntN(len(l.kinds))]
+		if rnd.IntN(2) == 0 {
+			what = answers
+		}
+		if what == resetsUnread {
+			if _, err := rd.Peek(1); err == nil {
+				l.done[what].Add(1)
+				c.SetLinger(0)
+			}
+			return
+		}
+		r, err := http.ReadRequest(rd)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if r.URL.Path == model.IdentityPath {
+			addr := c.LocalAddr().String()
+			i := slices.IndexFunc(l.targets, func(t wire.Target) bool { return t.Addr == addr })
+			b := fmt.Sprintf(`{"service":"s","name":"%s","incarnation":7}`, l.targets[i].Name)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(b), b)
+			continue
+		}
+		id := strings.TrimPrefix(r.URL.Path, "/")
+		if at := strings.IndexByte(id, '/'); at >= 0 {
+			id = id[at+1:]
+		}
+		l.done[what].Add(1)
+		if what != turnsAway && what != anotherTarget {
+			l.runs <- run{id}
+		}
+		if !l.answer(c, rnd, what, id, before) {
+			return
+		}
+		before = id
+	}
+}
+
+// answer carries a misbehaviour out and says whether the connection goes on.
+func (l *ledgerTargets) answer(c *net.TCPConn, rnd *rand.Rand, what misbehaviour, id, before string) bool {
+	whole := answerTo(id, rnd.IntN(300))
+	large := answerTo(id, limit.AnswerHeld+1000)
+	say := func(s string) bool {
+		_, err := io.WriteString(c, s)
+		return err == nil
+	}
+	switch what {
+	case answersInChunks:
+		b := payload(id, 50)
+		return say(fmt.Sprintf("HTTP/1.1 200 OK\r\nA: %s\r\nP: yes\r\nTransfer-Encoding: chunked\r\nTrailer: T\r\n\r\n%x\r\n%s\r\n0\r\nT: v\r\n\r\n", id, len(b), b))
+	case answersAfter1xx:
+		return say("HTTP/1.1 103 X\r\nLink: x\r\n\r\n" + whole)
+	case surplusAtOnce:
+		return say(whole + answerTo(before, 9))
+	case surplusLater:
+		if !say(whole) {
+			return false
+		}
+		l.conns.Add(1)
+		go func() {
+			defer l.conns.Done()
+			io.WriteString(c, answerTo(before, 9))
+		}()
+		return true
+	case surplusInPlace:
+		return say(answerTo(before, 9) + whole)
+	case closesAfter:
+		say(whole)
+		return false
+	case closesSilently:
+		return false
+	case resets:
+		c.SetLinger(0)
+		return false
+	case halfAnswer:
+		say(whole[:len(whole)-1-rnd.IntN(len(id))])
+		return false
+	case halfHead:
+		say(whole[:20+rnd.IntN(15)])
+		return false
+	case garbage:
+		say("\x00\x01 nothing that is HTTP\r\n\r\n" + whole)
+		return false
+	case turnsAway:
+		return say(fmt.Sprintf("HTTP/1.1 503 X\r\nA: %s\r\nN: 1\r\nContent-Length: 0\r\n\r\n", id))
+	case failsWithStatus:
+		return say(fmt.Sprintf("HTTP/1.1 503 X\r\nA: %s\r\nP: own\r\nContent-Length: 4\r\n\r\nfail", id))
+	case anotherTarget:
+		return say(fmt.Sprintf("HTTP/1.1 421 X\r\nA: %s\r\nContent-Length: 0\r\n\r\n", id))
+	case largeAnswer:
+		return say(large)
+	case largeAnswerCut:
+		say(large[:len(large)-5])
+		return false
+	}
+	return say(whole)
+}
+
+// ledgerFront is a forwarder before such targets, whose owner gives each request up to three
+// of them, each once.
+type ledgerFront struct {
+	car  *Forwarder
+	pool *Pool
+	srv  *httptest.Server
+}
+
+func newLedgerFront(l *ledgerTargets, seed uint64, asked bool) *ledgerFront {
+	f := &ledgerFront{pool: NewPool()}
+	live := map[wire.ID]string{}
+	for _, x := range l.targets {
+		live[x.ID()] = x.Addr
+	}
+	f.pool.Live(live)
+	type state struct {
+		kind  string
+		tried []int
+	}
+	states, turn := map[uint64]*state{}, make(chan *rand.Rand, 1)
+	turn <- rand.New(rand.NewPCG(seed, 99))
+	f.car = New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, ev any) any {
+		rnd := <-turn
+		defer func() { turn <- rnd }()
+		if a, ok := ev.(proxy.Admit); ok {
+			states[id] = &state{kind: model.Repeatable}
+			if strings.HasPrefix(a.Path, "/once/") {
+				states[id].kind = model.Once
+			}
+		}
+		s := states[id]
+		if len(s.tried) == 3 {
+			return proxy.Refuse{ID: id, Status: 503, Retry: time.Second, Code: "tries", Message: "no try is left"}
+		}
+		n := rnd.IntN(len(l.targets))
+		for slices.Contains(s.tried, n) {
+			n = (n + 1) % len(l.targets)
+		}
+		s.tried = append(s.tried, n)
+		set := model.Service{BodyMax: 1 << 20}
+		if asked {
+			set.HealthPath = "/h"
+		}
+		return proxy.Give{ID: id, Service: "s", Target: l.targets[n], Left: time.Minute, Till: time.Hour, Set: set, Route: model.Route{Kind: s.kind}}
+	}}, f.pool)
+	f.car.Headers = Headers{Deadline: "D", Ran: "R", Attempt: "A", Expect: "E", NotRun: "N", Load: "L", Identity: "I", Cold: "C", Proof: "P"}
+	f.srv = httptest.NewUnstartedServer(f.car)
+	f.srv.Listener, f.srv.Config.ConnContext = f.car.Listener(f.srv.Listener), f.car.Context
+	f.srv.Start()
+	return f
+}
+
+// caught is what callers hold against the answers that they got.
+type caught struct {
+	wrong   []string        // answers that are another's, cut or altered
+	refused map[string]bool // once requests that were told that they have not run
+	served  int
+	broken  int // ended with no whole answer
+}
+
+// look holds one answer against its request.
+func (c *caught) look(id string, once bool, resp *http.Response, ids bool) bool {
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.broken++
+		return false
+	}
+	got := string(b)
+	size, _ := strconv.Atoi(resp.Header.Get("Content-Length"))
+	switch {
+	case resp.StatusCode < 300:
+		c.served++
+		if got == "" || got != payload(id, len(got)-len(id)-1) || size > 0 && size != len(got) || ids && resp.Header.Get("A") != id || ids && resp.Header.Get("P") == "" {
+			c.wrong = append(c.wrong, fmt.Sprintf("%s got %d %.60q of %s", id, resp.StatusCode, got, resp.Header.Get("A")))
+		}
+	case resp.Header.Get("P") != "" && (resp.StatusCode != 503 || got != "fail"):
+		c.wrong = append(c.wrong, fmt.Sprintf("%s got a failure of the proxy's with a target's proof: %d %q", id, resp.StatusCode, got))
+	case once && (promises(resp.StatusCode) || resp.Header.Get("R") == "no"):
+		c.refused[id] = true
+	}
+	return !resp.Close
+}
+
+// call is one caller: connections that it keeps, pipelines and leaves as its luck has it.
+func (f *ledgerFront) call(name string, n int, rnd *rand.Rand, ids bool) (c caught) {
+	c.refused = map[string]bool{}
+	var conn net.Conn
+	var rd *bufio.Reader
+	leave := func() {
+		if conn != nil {
+			conn.Close()
+			conn = nil
+		}
+	}
+	defer leave()
+	head := func(id string, once, body bool) string {
+		path, hd := "/"+id, ""
+		if once {
+			path = "/once/" + id
+		}
+		if ids {
+			hd = "A: " + id + "\r\n"
+		}
+		if body {
+			return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%sContent-Length: 5\r\n\r\nhello", path, hd)
+		}
+		return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h\r\n%s\r\n", path, hd)
+	}
+	for i := 0; i < n; {
+		if conn == nil {
+			var err error
+			if conn, err = net.Dial("tcp", f.srv.Listener.Addr().String()); err != nil {
+				c.wrong = append(c.wrong, err.Error())
+				return c
+			}
+			rd = bufio.NewReader(conn)
+		}
+		many, out := 1, ""
+		if rnd.IntN(3) == 0 {
+			many = 2 + rnd.IntN(4)
+		}
+		var sent []string
+		var onces []bool
+		for range many {
+			id, once := fmt.Sprintf("%s-%d", name, i), rnd.IntN(2) == 0
+			sent, onces, i = append(sent, id), append(onces, once), i+1
+			out += head(id, once, once && many == 1)
+		}
+		io.WriteString(conn, out)
+		stays := len(sent)
+		if rnd.IntN(10) == 0 {
+			stays = rnd.IntN(len(sent)) // it goes away before it has all its answers
+		}
+		for k := range stays {
+			resp, err := http.ReadResponse(rd, nil)
+			if err != nil {
+				c.broken++
+				leave()
+				break
+			}
+			if !c.look(sent[k], onces[k], resp, ids) {
+				leave()
+				break
+			}
+		}
+		if stays < len(sent) {
+			leave()
+		}
+	}
+	return c
+}
+
+// ledgerRun is what a whole run came to.
+type ledgerRun struct {
+	caught
+	twice, ranRefused []string
+	ran               int
+}
+
+func runLedger(t *testing.T, seed uint64, asked, ids bool, kinds []misbehaviour) (res ledgerRun, l *ledgerTargets, f *ledgerFront) {
+	const callers, requests = 12, 120
+	l = newLedgerTargets(t, 5, seed, kinds)
+	f = newLedgerFront(l, seed, asked)
+	if !ids {
+		f.car.Headers.Attempt = ""
+	}
+	counted := make(chan map[string]int)
+	go func() {
+		runs := map[string]int{}
+		for r := range l.runs {
+			runs[r.id]++
+		}
+		counted <- runs
+	}()
+	ends := make(chan caught, callers)
+	for k := range callers {
+		go func() {
+			ends <- f.call(fmt.Sprint("c", k), requests, rand.New(rand.NewPCG(seed, 1000+uint64(k))), asked)
+		}()
+	}
+	refused := map[string]bool{}
+	for range callers {
+		c := <-ends
+		res.wrong, res.served, res.broken = append(res.wrong, c.wrong...), res.served+c.served, res.broken+c.broken
+		maps.Copy(refused, c.refused)
+	}
+	f.srv.Close()
+	f.pool.Close()
+	l.end()
+	runs := <-counted
+	for _, id := range slices.Sorted(maps.Keys(runs)) {
+		res.ran += runs[id]
+		if runs[id] > 0 && refused[id] {
+			res.ranRefused = append(res.ranRefused, id)
+		}
+	}
+	for k := range callers {
+		rnd := rand.New(rand.NewPCG(seed, 1000+uint64(k)))
+		for id := range onceIDs(fmt.Sprint("c", k), requests, rnd) {
+			if runs[id] > 1 {
+				res.twice = append(res.twice, fmt.Sprintf("%s ran %d times", id, runs[id]))
+			}
+		}
+	}
+	return res, l, f
+}
+
+// onceIDs draws a caller's luck again: which of its requests may run once only.
+func onceIDs(name string, n int, rnd *rand.Rand) map[string]bool {
+	ids := map[string]bool{}
+	for i := 0; i < n; {
+		many := 1
+		if rnd.IntN(3) == 0 {
+			many = 2 + rnd.IntN(4)
+		}
+		for range many {
+			if rnd.IntN(2) == 0 {
+				ids[fmt.Sprintf("%s-%d", name, i)] = true
+			}
+			i++
+		}
+		if rnd.IntN(10) == 0 {
+			rnd.IntN(many)
+		}
+	}
+	return ids
+}
+
+// Many callers, some of whom pipeline and leave, before targets that misbehave in every
+// way: nothing that may run once runs twice, nothing refused has run, and no caller gets
+// another's answer, a cut one or an altered one.
+func TestLedger(t *testing.T) {
+	var all []misbehaviour
+	for k := range misbehaviours {
+		all = append(all, k)
+	}
+	// Targets that are asked for their identity repeat no id: what comes at once or on an
+	// idle connection is all that can be told from an answer there.
+	framed := []misbehaviour{answersInChunks, answersAfter1xx, surplusAtOnce, closesAfter, closesSilently, resets, resetsUnread, halfAnswer, halfHead, garbage, largeAnswer, largeAnswerCut}
+	for _, c := range []struct {
+		name  string
+		asked bool
+		kinds []misbehaviour
+	}{{"ids", true, all}, {"identity", false, framed}} {
+		var caused [misbehaviours]int64
+		var strange, opened, reused, ahead, deferred uint64
+		for seed := range uint64(4) {
+			res, l, f := runLedger(t, seed, c.asked, true, c.kinds)
+			for _, s := range [][]string{res.wrong, res.twice, res.ranRefused} {
+				if len(s) > 0 {
+					t.Errorf("%s, seed %d: %d, e.g. %s", c.name, seed, len(s), s[0])
+				}
+			}
+			if res.served < 300 {
+				t.Errorf("%s, seed %d: %d served", c.name, seed, res.served)
+			}
+			for k := range misbehaviours {
+				caused[k] += l.done[k].Load()
+			}
+			n := &f.car.Counts
+			strange, opened, reused = strange+n.Strange.Load(), opened+n.Opened.Load(), reused+n.Reused.Load()
+			ahead, deferred = ahead+n.Ahead.Load(), deferred+n.Deferred.Load()
+		}
+		for _, k := range c.kinds {
+			if caused[k] < 10 {
+				t.Errorf("%s: %s came %d times", c.name, misbehaviourNames[k], caused[k])
+			}
+		}
+		if reused < 100 || ahead < 100 || deferred < 20 || c.asked && strange < 20 {
+			t.Errorf("%s: reused %d, ahead %d, deferred %d, strange %d", c.name, reused, ahead, deferred, strange)
+		}
+		t.Logf("%s: caused %v, strange %d, opened %d, reused %d, ahead %d, deferred %d", c.name, caused, strange, opened, reused, ahead, deferred)
+	}
+}
+
+// With the check of the id taken out, the ledger finds answers that belong to others.
+func TestLedgerCanFail(t *testing.T) {
+	wrong := 0
+	for seed := range uint64(3) {
+		res, _, _ := runLedger(t, seed, true, false, []misbehaviour{surplusLater, surplusInPlace})
+		wrong += len(res.wrong)
+	}
+	if wrong == 0 {
+		t.Fatal("no answer was another's")
+	}
+}
