--- a/host/door.go
+++ b/host/door.go
@@ -1,6 +1,7 @@
 // This file is the judge's stream over HTTP: POST /v1/judge takes lines as they come
 // and answers each at once. A desk that breaks off is kept for a while, so that its
 // reader goes on from the line it had got to. It judges beside the fleet, never in it.
+
 package host
 
 import (
@@ -11,7 +12,6 @@
 	"net/http"
 	"time"
 
-	"myrtlefold/forward"
 	"myrtlefold/limit"
 	"myrtlefold/model"
 	"myrtlefold/policy"
@@ -86,7 +86,7 @@
 			retry = limit.RetryAfterMin
 		}
 		w.Header().Set("Connection", "close")
-		forward.Error(w, got.status, retry, model.Trouble{Code: "stream", Message: got.why})
+		refuse(w, got.status, retry, model.Trouble{Code: "stream", Message: got.why})
 		return
 	}
 	defer func() { u.ask <- deskAsk{leave: got.d} }()
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -2,6 +2,7 @@
 // cuts of links, and the choice of whom to hurt. The faults themselves stand in
 // faults_target.go, faults_proxy.go, faults_core.go, faults_network.go and
 // faults_operator.go.
+
 package sim
 
 import (
--- a/sim/faults_core.go
+++ b/sim/faults_core.go
@@ -1,5 +1,6 @@
 // This file holds the faults of core members: kills, losses of power, freezes, disks
 // and cuts.
+
 package sim
 
 import (
--- a/sim/faults_network.go
+++ b/sim/faults_network.go
@@ -1,4 +1,5 @@
 // This file holds the faults of domains and of the network between them.
+
 package sim
 
 import (
--- a/sim/faults_operator.go
+++ b/sim/faults_operator.go
@@ -1,5 +1,6 @@
 // This file holds what operators do during a day: changes, races, members swapped,
 // machines restarted in turn, domains emptied and restored.
+
 package sim
 
 import (
--- a/sim/faults_proxy.go
+++ b/sim/faults_proxy.go
@@ -1,4 +1,5 @@
 // This file holds the faults of proxies.
+
 package sim
 
 import (
@@ -39,8 +40,7 @@
 			p = w.pick("gate", true)
 		}
 		w.Kill(p)
-		var forget func()
-		forget = func() {
+		forget := func() {
 			if l := w.Leader(); l != nil && !p.alive {
 				w.call(l, "POST", "/v1/gates/"+p.name+"/forget", "", nil, "", func(core.Reply) {})
 			}
--- a/sim/faults_target.go
+++ b/sim/faults_target.go
@@ -1,5 +1,6 @@
 // This file holds the faults of targets: crashes, hangs, lost answers, planned
 // leavings, and addresses that go to another service.
+
 package sim
 
 import (
