--- a/sim/backend.go
+++ b/sim/backend.go
@@ -19,6 +19,7 @@
 	alive                       bool
 	hang                        bool
 	lose                        bool
+	surplus                     bool // sends answers that nobody waits for
 	fail                        bool
 	deaf                        bool // misses probes, beats and serves
 	state                       string
--- a/sim/day.go
+++ b/sim/day.go
@@ -85,12 +85,15 @@
 	}
 	w.loss, w.delay, w.late = 0, time.Millisecond, 0
 	for _, n := range w.names {
-		if p := w.procs[n]; !p.alive {
+		p := w.procs[n]
+		p.slow, p.disk.slow, p.disk.full = 0, 0, false
+		if !p.alive {
 			w.Restart(p)
 		}
+		w.Thaw(p)
 	}
 	for _, t := range w.targets {
-		t.hang, t.lose, t.work = false, false, t.usual
+		t.hang, t.lose, t.surplus, t.work = false, false, false, t.usual
 	}
 }
 
--- a/sim/faults_core.go
+++ b/sim/faults_core.go
@@ -143,4 +143,86 @@
 		}
 		w.cutFor(ks, w.ms(1000, 6000))
 	}},
+	{"core connections reset", func(w *World) {
+		for range 3 {
+			w.at(w.ms(0, 1000), func() {
+				w.log("reset the connections of all core members")
+				for _, n := range w.all("core") {
+					w.resetLinks(w.procs[n])
+				}
+			})
+		}
+	}},
+	{"core machine slow", func(w *World) {
+		if p := w.pick("core", true); p != nil {
+			w.slowDown(p, 5, w.ms(2000, 10000))
+		}
+	}},
+	{"leader's machine slow", func(w *World) {
+		if p := w.Leader(); p != nil {
+			w.slowDown(p, 5, w.ms(2000, 10000))
+		}
+	}},
+	{"core disk slow", func(w *World) {
+		if p := w.pick("core", true); p != nil {
+			w.slowDisk(p, 30, w.ms(2000, 10000))
+		}
+	}},
+	{"leader's disk slow", func(w *World) {
+		if p := w.Leader(); p != nil {
+			w.slowDisk(p, 30, w.ms(2000, 10000))
+		}
+	}},
+	{"core disk full", func(w *World) {
+		if p := w.mayHurtCore(); p != nil {
+			w.fillDisk(p, w.ms(1000, 6000))
+		}
+	}},
+	{"core frozen by twos and threes", func(w *World) {
+		for _, p := range w.someCores() {
+			w.Freeze(p, w.ms(300, 20000))
+		}
+	}},
+	{"core hurt by twos and threes", func(w *World) {
+		for _, p := range w.someCores() {
+			w.at(w.ms(0, 1500), func() { w.hurtCore(p) })
+		}
+	}},
+}
+
+// someCores are two or three living core members.
+func (w *World) someCores() []*Proc {
+	var l []*Proc
+	for _, n := range w.all("core") {
+		if p := w.procs[n]; p.alive && !p.frozen {
+			l = append(l, p)
+		}
+	}
+	w.rnd.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	return l[:min(len(l), 2+w.rnd.IntN(2))]
+}
+
+// hurtCore brings one trouble about, of any kind that ends by itself.
+func (w *World) hurtCore(p *Proc) {
+	if !p.alive {
+		return
+	}
+	d := w.ms(500, 8000)
+	switch w.rnd.IntN(7) {
+	case 0:
+		w.Freeze(p, d)
+	case 1:
+		w.Stall(p, d)
+	case 2:
+		w.slowDisk(p, 30, d)
+	case 3:
+		w.slowDown(p, 5, d)
+	case 4:
+		w.resetLinks(p)
+	case 5:
+		w.isolate([]string{p.name}, d, true, w.rnd.IntN(2) == 0)
+	default:
+		w.Kill(p)
+		w.at(d/2, func() { w.Restart(p) })
+	}
 }
--- a/sim/faults_proxy.go
+++ b/sim/faults_proxy.go
@@ -82,4 +82,29 @@
 			w.bounce(p, 7*time.Second)
 		}
 	}},
+	{"connections reset", func(w *World) {
+		for range 1 + w.rnd.IntN(3) {
+			w.at(w.ms(0, 3000), func() {
+				for _, n := range w.all("gate") {
+					if p := w.procs[n]; p.alive && !p.frozen {
+						w.resetConnections(p, []float64{0.5, 1}[w.rnd.IntN(2)])
+					}
+				}
+			})
+		}
+	}},
+	{"callers leave", func(w *World) {
+		for i := range 10 {
+			w.at(time.Duration(i)*200*time.Millisecond, func() {
+				for _, n := range w.all("gate") {
+					w.callersLeave(w.procs[n], 0.3, &w.Stats.Left)
+				}
+			})
+		}
+	}},
+	{"gate slow", func(w *World) {
+		if p := w.pick("gate", true); p != nil {
+			w.slowDown(p, 5, w.ms(2000, 10000))
+		}
+	}},
 }
--- a/sim/faults_target.go
+++ b/sim/faults_target.go
@@ -160,6 +160,14 @@
 			w.at(time.Second, func() { put(svcs); w.removing = false })
 		})
 	}},
+	{"targets send surplus answers", func(w *World) {
+		d := w.ms(3000, 12000)
+		w.log("all targets send surplus answers for %v", d)
+		for _, t := range w.targets {
+			t.surplus = t.alive
+			w.at(d, func() { t.surplus = false })
+		}
+	}},
 }
 
 func (w *World) replace(t *Target, after time.Duration, warm time.Duration) {
--- a/sim/process.go
+++ b/sim/process.go
@@ -20,34 +20,40 @@
 	img     quorum.Image
 	open    []*wire.Batch
 	stalled bool
+	slow    int  // how many times longer a sync takes, 0: as usual
+	syncing bool // a slow sync is under way
+	full    bool // it takes no more bytes
 }
 
 // Proc is one daemon's process; gen counts its starts.
 type Proc struct {
-	w      *World
-	name   string
-	kind   string
-	domain string
-	addr   string
-	alive  bool
-	frozen bool
-	held   []any
-	thawed []func()
-	gen    int
-	boot   time.Duration
-	base   time.Duration
-	rate   float64
-	core   *core.Core
-	gate   *proxy.Proxy
-	disk   *disk
-	pool   map[wire.ID][]*Target
-	live   map[wire.ID]string
-	rev    uint64
-	ticks  bool          // a tick waits for its processor
-	busy   time.Duration // until when its processor is taken, its link out, and its link in
-	out    time.Duration
-	in     time.Duration
-	since  time.Duration // when it last was stopped or started
+	w        *World
+	name     string
+	kind     string
+	domain   string
+	addr     string
+	alive    bool
+	frozen   bool
+	held     []any
+	thawed   []func()
+	gen      int
+	boot     time.Duration
+	base     time.Duration
+	rate     float64
+	core     *core.Core
+	gate     *proxy.Proxy
+	disk     *disk
+	pool     map[wire.ID][]*connection
+	live     map[wire.ID]string
+	rev      uint64
+	ticks    bool          // a tick waits for its processor
+	busy     time.Duration // until when its processor is taken, its link out, and its link in
+	out      time.Duration
+	in       time.Duration
+	since    time.Duration // when it last was stopped or started
+	slow     float64       // how many times longer it takes for everything, 0: as usual
+	doneAt   time.Duration // when a slow process has done all that came
+	attempts []*attempt
 }
 
 func (w *World) addProc(kind, name string, domain int) {
@@ -70,7 +76,8 @@
 	p.boot, p.since = w.now, w.now
 	p.base = time.Duration(1 + w.rnd.Int64N(int64(time.Hour)))
 	p.rate = w.rate()
-	p.pool, p.live, p.rev = map[wire.ID][]*Target{}, nil, 0
+	p.pool, p.live, p.rev = map[wire.ID][]*connection{}, nil, 0
+	p.slow, p.doneAt, p.attempts, p.disk.syncing = 0, 0, nil, false
 	var seeds []string
 	set := core.Settings{Size: w.Plan.Cores}
 	if w.Plan.Seeds > 0 {
@@ -149,7 +156,7 @@
 	}
 }
 
-// Freeze stops a process where it is; Thaw lets it go on with all that came meanwhile.
+// Freeze stops a process where it is for a while.
 func (w *World) Freeze(p *Proc, d time.Duration) {
 	if !p.alive || p.frozen {
 		return
@@ -159,42 +166,35 @@
 	gen := p.gen
 	w.at(d, func() {
 		if p.gen == gen && p.alive {
-			w.log("thaw %s", p.name)
-			p.frozen = false
-			held := p.held
-			p.held = nil
-			for _, fn := range p.thawed { // traffic goes on at once, before the owner is told anything
-				fn()
-			}
-			p.thawed = nil
-			for _, ev := range held {
-				w.deliver(p, ev)
-			}
+			w.Thaw(p)
 		}
 	})
 }
 
-func (w *World) deliver(p *Proc, ev any) {
-	if !p.alive {
+// Thaw has a frozen process go on with all that came meanwhile.
+func (w *World) Thaw(p *Proc) {
+	if !p.frozen {
 		return
 	}
-	if p.frozen {
-		p.held = append(p.held, ev)
-		return
+	w.log("thaw %s", p.name)
+	p.frozen = false
+	held := p.held
+	p.held = nil
+	for _, fn := range p.thawed { // traffic goes on at once, before the owner is told anything
+		fn()
 	}
-	var cmds []any
-	if p.core != nil {
-		cmds = p.core.Step(p.local(), ev)
-	} else {
-		cmds = p.gate.Step(p.local(), ev)
+	p.thawed = nil
+	for _, ev := range held {
+		w.deliver(p, ev)
 	}
-	for _, c := range cmds {
-		w.exec(p, c)
+}
+
+func (w *World) deliver(p *Proc, ev any) {
+	if !p.alive {
+		return
 	}
-	if p.core != nil {
-		w.checkCores(p)
-	} else {
-		w.checkGate(p)
+	if !w.queued(p, ev) {
+		w.step(p, ev)
 	}
 }
 
@@ -208,7 +208,8 @@
 		}
 		d := w.delay/5 + time.Duration(w.rnd.Int64N(int64(w.delay)))
 		k := [2]string{p.name, to.name}
-		at := max(w.now+d, w.link[k]+1) // a connection keeps its order
+		sent, reset := w.now, w.resets[k]
+		at := max(w.now+d, w.link[k]+1, reset.until) // a connection keeps its order
 		m, tg := w.spoil(p, to, c.M), to.gen
 		if m == nil {
 			return
@@ -225,7 +226,7 @@
 			w.link[k] = at
 		}
 		w.at(at-w.now, func() {
-			if to.gen == tg && w.reach(p.name, to.name) {
+			if to.gen == tg && w.reach(p.name, to.name) && sent >= w.resets[k].at {
 				w.deliver(to, core.Recv{M: m})
 			}
 		})
@@ -236,7 +237,7 @@
 			w.at(0, func() { w.deliver(p, core.Synced{Seq: c.B.Seq}) })
 			return
 		}
-		w.at(w.ms(0, 4), func() { w.flush(p, gen, d) })
+		w.sync(p, gen, d)
 	case core.Probe:
 		if w.Plan.Scarce != nil { // the question, and the answer
 			w.work(p, 0)
@@ -273,7 +274,7 @@
 		}
 	case proxy.Targets:
 		p.live = c.Live
-		maps.DeleteFunc(p.pool, func(id wire.ID, _ []*Target) bool { _, ok := c.Live[id]; return !ok })
+		maps.DeleteFunc(p.pool, func(id wire.ID, _ []*connection) bool { _, ok := c.Live[id]; return !ok })
 	case proxy.Dark: // requests here wait for their deadlines
 	case proxy.Give:
 		w.give(p, c)
--- a/sim/request.go
+++ b/sim/request.go
@@ -132,18 +132,12 @@
 	}
 	w.checkGive(p, &c, x)
 	id := c.Target.ID()
-	var t *Target
-	pooled := false
-	for l := p.pool[id]; len(l) > 0 && t == nil; l = p.pool[id] {
-		t, p.pool[id] = l[len(l)-1], l[:len(l)-1]
-		if !t.alive {
-			t = nil
-		}
-		pooled = t != nil
-	}
-	if t == nil {
-		t = w.listen[c.Target.Addr]
+	conn := w.takeConnection(p, id)
+	pooled := conn != nil
+	if !pooled {
+		conn = &connection{target: w.listen[c.Target.Addr]}
 	}
+	t := conn.target
 	back := func(d time.Duration, fn func()) {
 		w.at(d, func() {
 			if p.alive && p.gen == x.gen && w.open[x.id] == x {
@@ -188,18 +182,18 @@
 		fail(w.ms(1, 3), proxy.Foreign, false, false)
 		return
 	}
-	w.at(w.ms(0, 2), func() { w.write(p, c, x, t, back, fail) })
+	w.at(w.ms(0, 2), func() { w.write(p, c, x, conn, back, fail) })
 }
 
 // write is the moment at which a request's first byte goes out; a process that
 // is frozen then goes on with it when it thaws.
-func (w *World) write(p *Proc, c proxy.Give, x *request, t *Target, back func(time.Duration, func()), fail func(time.Duration, proxy.Outcome, bool, bool)) {
-	id := c.Target.ID()
+func (w *World) write(p *Proc, c proxy.Give, x *request, conn *connection, back func(time.Duration, func()), fail func(time.Duration, proxy.Outcome, bool, bool)) {
+	id, t := c.Target.ID(), conn.target
 	if !p.alive || p.gen != x.gen {
 		return
 	}
 	if p.frozen {
-		p.thawed = append(p.thawed, func() { w.write(p, c, x, t, back, fail) })
+		p.thawed = append(p.thawed, func() { w.write(p, c, x, conn, back, fail) })
 		return
 	}
 	if p.local() > c.Till {
@@ -237,9 +231,11 @@
 		}
 		w.runs(t, x)
 		t.works = append(t.works, x)
+		try := w.beginAttempt(p, x, conn, func() { fail(0, proxy.Lost, true, false) })
 		w.at(t.work, func() {
 			t.works = slices.DeleteFunc(t.works, func(o *request) bool { return o == x })
 			switch {
+			case !w.endAttempt(p, try): // the proxy has given this connection up
 			case !t.alive || t.lose:
 				w.Stats.Lost++
 				if x.unsafe {
@@ -252,9 +248,7 @@
 					o = proxy.Broken
 				}
 				back(0, func() {
-					if _, ok := p.live[id]; ok {
-						p.pool[id] = append(p.pool[id], t)
-					}
+					w.keepConnection(p, id, conn)
 					w.deliver(p, proxy.Done{ID: x.id, Outcome: o, Ms: float64(t.work) / 1e6, Last: true})
 					w.end(x, "served")
 				})
--- a/sim/scarce.go
+++ b/sim/scarce.go
@@ -45,7 +45,7 @@
 // work has a process spend time on something, after all that it has to do before; what it
 // gives is when that is done.
 func (w *World) work(p *Proc, bytes int) time.Duration {
-	d := float64(costEvent+time.Duration(bytes)*costByte) / w.Plan.Scarce.share(p)
+	d := float64(costEvent+time.Duration(bytes)*costByte) / w.Plan.Scarce.share(p) * max(1, p.slow)
 	p.busy = max(p.busy, w.now) + time.Duration(d)
 	return p.busy
 }
@@ -74,13 +74,14 @@
 		}
 		at = w.pass(at, &to.in, n)
 	}
-	gen := to.gen
+	gen, sent, k := to.gen, w.now, [2]string{p.name, to.name}
+	at = max(at, w.resets[k].until)
 	w.at(at-w.now, func() {
 		if to.gen != gen || !to.alive {
 			return
 		}
 		w.at(w.work(to, n)-w.now, func() {
-			if to.gen == gen && w.reach(p.name, to.name) {
+			if to.gen == gen && w.reach(p.name, to.name) && sent >= w.resets[k].at {
 				w.deliver(to, core.Recv{M: m})
 			}
 		})
--- a/sim/scenes_test.go
+++ b/sim/scenes_test.go
@@ -62,6 +62,9 @@
 	// one before its lease is over: the answer may be late, or 'unknown'.
 	slow := []string{"power fails everywhere", "core herd killed", "gate herd killed", "core gone for long, service rolled", "core cut off from proxies",
 		"a majority's disks stall", "net loses and delays", "leader isolated", "core split", "domain cut off"}
+	// Most of the core stands still for up to 20 s, or is killed, cut off and stalled at once:
+	// nothing can be agreed meanwhile. Proxies serve on, so the bounds of the service stay.
+	slow = append(slow, "core frozen by twos and threes", "core hurt by twos and threes")
 	for _, f := range Faults {
 		t.Run(f.Name, func(t *testing.T) {
 			t.Parallel()
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -87,6 +87,7 @@
 	nextEx   uint64
 	open     map[uint64]*request
 	link     map[[2]string]time.Duration
+	resets   map[[2]string]linkReset
 	nextInc  uint64
 	asks     map[uint64]*ask
 	nextAsk  uint64
@@ -123,12 +124,14 @@
 	Back                                        time.Duration // from healing to full capacity
 	Lost, LostUnsafe, Foreign, NoAnswer         int           // answers lost, connections to another identity, callers whose proxy died
 	Leaves, Deaths, Empties, Slips, Stops       int
+	Surplus, Strange                            int           // surplus answers that came on idle connections, and in place of an answer
+	Resets, Left, DiskEnds                      int           // answers lost with their connections, callers that left, processes whose disk failed
 	Gap                                         time.Duration // longest time without a served request of some service
 }
 
 func New(seed uint64, p Plan) *World {
 	w := &World{Plan: p, Seed: seed, rnd: rand.New(rand.NewPCG(seed, 0x6d79727465)), procs: map[string]*Proc{}, byAddr: map[string]*Proc{},
-		listen: map[string]*Target{}, cut: map[[2]string]bool{}, open: map[uint64]*request{}, link: map[[2]string]time.Duration{},
+		listen: map[string]*Target{}, cut: map[[2]string]bool{}, open: map[uint64]*request{}, link: map[[2]string]time.Duration{}, resets: map[[2]string]linkReset{},
 		asks: map[uint64]*ask{}, ackedAt: map[uint64]time.Duration{}, emptied: map[string]time.Duration{}, sends: map[string][]tick{}, delay: time.Millisecond, lastOk: map[string]time.Duration{}}
 	for i := range p.Cores {
 		w.addProc("core", fmt.Sprintf("c%d", i+1), i%p.Domains)
--- /dev/null
+++ b/sim/slow.go
@@ -0,0 +1,124 @@
+// This file is what makes single processes and disks of the simulator slow, full or stuck.
+package sim
+
+import "time"
+
+// slowShare is the part of a processor that a machine has in the users' deployments: what a
+// slowed process takes for an event is costEvent over it, times its slowness.
+const slowShare = 0.32
+
+// restartAfter is when the platform starts a process again that ended by itself.
+const restartAfter = time.Second
+
+// slowDown has a process take x times as long for everything, for a while.
+func (w *World) slowDown(p *Proc, x float64, d time.Duration) {
+	w.log("%s is %v times slower for %v", p.name, x, d)
+	p.slow = x
+	gen := p.gen
+	w.at(d, func() {
+		if p.gen == gen {
+			p.slow = 0
+		}
+	})
+}
+
+// queued says whether a process still has to do what came before; the event then waits its
+// turn. Where processors are scarce for all, work counts a process's slowness instead.
+func (w *World) queued(p *Proc, ev any) bool {
+	if w.Plan.Scarce != nil || p.slow == 0 && p.doneAt <= w.now {
+		return false
+	}
+	p.doneAt = max(p.doneAt, w.now) + time.Duration(float64(costEvent)/slowShare*max(1, p.slow))
+	gen := p.gen
+	w.at(p.doneAt-w.now, func() {
+		if p.gen == gen {
+			w.step(p, ev)
+		}
+	})
+	return true
+}
+
+// slowDisk has a disk take x times as long for each sync, one at a time, for a while.
+func (w *World) slowDisk(p *Proc, x int, d time.Duration) {
+	w.log("disk of %s is %d times slower for %v", p.name, x, d)
+	dk := p.disk
+	dk.slow = x
+	w.at(d, func() { dk.slow = 0 })
+}
+
+// fillDisk has a disk take no more bytes for a while. A daemon whose disk fails ends.
+func (w *World) fillDisk(p *Proc, d time.Duration) {
+	w.log("disk of %s is full for %v", p.name, d)
+	dk := p.disk
+	dk.full = true
+	w.at(d, func() { dk.full = false })
+}
+
+// sync carries out what a process wants on its disk.
+func (w *World) sync(p *Proc, gen int, d *disk) {
+	switch {
+	case d.full:
+		w.at(w.ms(0, 4), func() { w.diskFails(p, gen) })
+	case d.slow > 0 || d.syncing:
+		w.syncSlowly(p, gen, d)
+	default:
+		w.at(w.ms(0, 4), func() { w.flush(p, gen, d) })
+	}
+}
+
+// syncSlowly syncs what is there now, and then what has come meanwhile.
+func (w *World) syncSlowly(p *Proc, gen int, d *disk) {
+	if d.syncing {
+		return
+	}
+	d.syncing = true
+	n := len(d.open)
+	w.at(w.ms(0, 4*max(1, d.slow)), func() {
+		d.syncing = false
+		if p.gen != gen || !p.alive || d != p.disk || d.stalled || len(d.open) == 0 {
+			return
+		}
+		rest := d.open[min(n, len(d.open)):]
+		d.open = d.open[:min(n, len(d.open))]
+		w.flush(p, gen, d)
+		if d.open = append(rest, d.open...); len(d.open) > 0 && p.gen == gen {
+			w.syncSlowly(p, gen, d)
+		}
+	})
+}
+
+// diskFails ends a process whose disk takes nothing; the platform starts it again.
+func (w *World) diskFails(p *Proc, gen int) {
+	if p.gen != gen || !p.alive {
+		return
+	}
+	w.log("%s ends: its disk is full", p.name)
+	w.Stats.DiskEnds++
+	w.Kill(p)
+	w.at(restartAfter, func() { w.Restart(p) })
+}
+
+// step has a process handle one event.
+func (w *World) step(p *Proc, ev any) {
+	if !p.alive {
+		return
+	}
+	if p.frozen {
+		p.held = append(p.held, ev)
+		return
+	}
+	var cmds []any
+	if p.core != nil {
+		cmds = p.core.Step(p.local(), ev)
+	} else {
+		cmds = p.gate.Step(p.local(), ev)
+	}
+	for _, c := range cmds {
+		w.exec(p, c)
+	}
+	if p.core != nil {
+		w.checkCores(p)
+	} else {
+		w.checkGate(p)
+	}
+}
