--- a/cmd/mflab/checks.go
+++ b/cmd/mflab/checks.go
@@ -89,7 +89,7 @@
 		return 1
 	}
 	num := func(k string) int { f, _ := rep[k].(float64); return int(f) }
-	for rule, k := range map[string]string{"runs twice": "ran_twice", "refused but ran": "ran_though_refused", "wrong answer": "wrong_answers",
+	for rule, k := range map[string]string{"runs twice": "ran_twice", "refused but ran": "ran_though_refused", "wrong answer": "wrong_answers", "another's answer": "answers_of_others",
 		"wrong service": "wrong_service", "leaving target": "to_leaving_after_2s", "come back when": "refused_without_retry_after"} {
 		if n := num(k); n > 0 {
 			l.note(rule, "%d", n)
@@ -104,7 +104,7 @@
 	for _, e := range rep["examples"].([]any) {
 		fmt.Println("  e.g.", e)
 	}
-	for _, r := range []string{"runs twice", "refused but ran", "wrong answer", "wrong service", "leaving target", "cold rate", "come back when", "emptied domain",
+	for _, r := range []string{"runs twice", "refused but ran", "wrong answer", "another's answer", "wrong service", "leaving target", "cold rate", "come back when", "emptied domain",
 		"in force everywhere", "one base", "invalid configuration", "planned restart", "settings changed", "capacity back", "back in 15 s"} {
 		if r == "cold rate" && !l.routes {
 			continue
--- a/cmd/mflab/faults.go
+++ b/cmd/mflab/faults.go
@@ -54,13 +54,27 @@
 	{"target frozen", frozen(stubs, 2000, 5000)},
 	{"target misbehaves", func(l *lab) {
 		if p := l.some(l.stubs); p != nil {
-			m := []string{"hang", "lose", "garbage", "half", "slow:700ms", "fail", "stuck"}[l.rnd.IntN(7)]
+			m := []string{"hang", "lose", "garbage", "half", "slow:700ms", "fail", "stuck", "reset"}[l.rnd.IntN(8)]
 			l.say("%s: %s", p.name, m)
 			l.mode(p, m)
 			l.pause(2000, 4000)
 			l.mode(p, "ok")
 		}
 	}},
+	{"targets send surplus answers", func(l *lab) {
+		l.say("all targets send surplus answers, at once and late")
+		for i, p := range l.stubs {
+			if !p.stopped {
+				l.mode(p, []string{"surplus", "surplus:20ms", "surplus:500ms"}[i%3])
+			}
+		}
+		l.pause(2000, 4000)
+		for _, p := range l.stubs {
+			if !p.stopped {
+				l.mode(p, "ok")
+			}
+		}
+	}},
 	{"service rolled in part", func(l *lab) {
 		s := l.dep.Services[l.rnd.IntN(len(l.dep.Services))]
 		n := 0
--- a/cmd/mfload/main.go
+++ b/cmd/mfload/main.go
@@ -69,6 +69,7 @@
 	ran    string // of an error: no, unknown; "" for an answer of a back end's
 	retry  string
 	wrong  string // what is wrong with the answer
+	others bool   // it is the answer to another request
 	err    string
 	name   string
 	hard   bool
@@ -105,6 +106,7 @@
 	NoAnswer   int                           `json:"no_answer"`
 	NoRetry    int                           `json:"refused_without_retry_after"`
 	Wrong      int                           `json:"wrong_answers"`
+	Others     int                           `json:"answers_of_others"`
 	Twice      int                           `json:"ran_twice"`
 	RanRefused int                           `json:"ran_though_refused"`
 	Misrouted  int                           `json:"wrong_service"`
@@ -311,7 +313,7 @@
 	case json.Unmarshal(b, &a) != nil:
 		o.wrong = fmt.Sprintf("not the back end's answer: %.80q", b)
 	case a.Id != id:
-		o.wrong = "the answer is to exchange " + a.Id
+		o.wrong, o.others = "the answer is to exchange "+a.Id, true
 	case a.Service != k.Service:
 		o.wrong = "the answer is from service " + a.Service
 	case a.Sum != hex.EncodeToString(sum[:]):
@@ -348,6 +350,9 @@
 		switch {
 		case o.wrong != "":
 			rep.Wrong++
+			if o.others {
+				rep.Others++
+			}
 			sort = "wrong"
 			rep.example("%s %s: %s", o.kind.Name, o.id, o.wrong)
 		case o.err != "":
--- a/cmd/mfstub/main.go
+++ b/cmd/mfstub/main.go
@@ -338,6 +338,22 @@
 	repeats(w, r)
 	s.load(w.Header())
 	switch mode {
+	case "surplus":
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		late, _ := time.ParseDuration(arg)
+		header := w.Header().Clone()
+		header.Set("Content-Type", "application/json")
+		header.Set("Content-Length", strconv.Itoa(len(b)))
+		go surplusAnswer(c, header, b, e.ID, names.Attempt, late)
+		return
+	case "reset":
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			reset(c)
+		}
+		return
 	case "lose", "half", "garbage":
 		c, buf, err := http.NewResponseController(w).Hijack()
 		if err != nil {
