--- a/explore/search.go
+++ b/explore/search.go
@@ -1,5 +1,6 @@
 // This file is the bounded search, breadth first, so that the first violation found
 // is one with the fewest actions.
+
 package explore
 
 import (
--- a/explore/world.go
+++ b/explore/world.go
@@ -181,7 +181,7 @@
 
 // carryOut takes the node's output until there is none: batches go to the disk,
 // messages to the network, agreed entries to the state machine.
-func (w *World) carryOut(i int, m *machine, now time.Duration) {
+func (w *World) carryOut(_ int, m *machine, now time.Duration) {
 	for {
 		out := m.node.Take()
 		if len(out.Batches)+len(out.Send)+len(out.Apply) == 0 && out.Restore == nil {
@@ -302,7 +302,7 @@
 		busy = false
 		for i, m := range w.machines {
 			if k := len(m.pending); k > 0 {
-				w.act(i, func(n *quorum.Node, now time.Duration) { w.sync(w.machines[i], k, now) })
+				w.act(i, func(_ *quorum.Node, now time.Duration) { w.sync(w.machines[i], k, now) })
 				busy = true
 			}
 		}
--- a/host/ctl_test.go
+++ b/host/ctl_test.go
@@ -220,7 +220,7 @@
 		{409, model.Trouble{Code: "member", Refusal: model.RefusedConflict}, exitFailed, "conflict (member)"},
 		{404, model.Trouble{Code: "not_found", Refusal: model.RefusedNotFound}, exitFailed, "not found (not_found)"},
 	} {
-		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(x.status)
 			w.Write(x.t.JSON())
 		}))
--- a/sim/day.go
+++ b/sim/day.go
@@ -1,6 +1,7 @@
 // This file holds the days that are made of faults: a day draws faults by its
 // seed, lets them overlap, heals all, and then wants service back and everything
 // acknowledged still in force.
+
 package sim
 
 import (
