Proxy: a pipelined once request is looked at without a target; attempts tested in all paths

Admit now says that a request comes ahead of its turn, and the owner refuses one that may run only once before anything is counted (CodeNotAhead). BUDGET by tries was looked through: every target goes through give, which counts it, and only choices of which nothing was written are taken back. A property test has up to 120 requests wait, change their split's part, be turned away, lost and closed at random: none is sent to more targets than its route's attempts, none twice to one.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -209,7 +209,12 @@
 		timeout = max(time.Millisecond, timeout-time.Since(start))
 	}
 	id := c.nextID.Add(1)
-	ans := c.owner.Ask(r.Context(), id, proxy.Admit{ID: id, Host: r.Host, Path: r.URL.Path, Method: r.Method, Timeout: timeout})
+	ahead, isAhead := w.(*early)
+	ans := c.owner.Ask(r.Context(), id, proxy.Admit{ID: id, Host: r.Host, Path: r.URL.Path, Method: r.Method, Timeout: timeout, Ahead: isAhead})
+	if no, ok := ans.(proxy.Refuse); ok && isAhead && no.Code == proxy.CodeNotAhead {
+		ahead.deferred = true
+		return
+	}
 	ran, last := "no", ""
 	lastStatus := 0
 	var spare *answer // a target's own failure, passed on if no other target does better
@@ -252,9 +257,9 @@
 		if g.Route.Kind == "" {
 			repeats = r.Method == "GET" || r.Method == "HEAD" || r.Method == "OPTIONS"
 		}
-		if e, ok := w.(*early); ok && !repeats {
+		if isAhead && !repeats { // the owner does not give these; nothing of it goes out in any case
 			c.owner.Tell(proxy.Done{ID: id, Outcome: proxy.Dropped, Last: true})
-			e.deferred = true
+			ahead.deferred = true
 			return
 		}
 		t := c.try(w, r, &g, body, repeats)
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -98,6 +98,10 @@
 		return
 	}
 	name, route, ok := g.cfg.Route(e.Host, e.Path)
+	if ok && e.Ahead && !route.Repeats() {
+		g.emit(Refuse{ID: e.ID, Code: CodeNotAhead})
+		return
+	}
 	if ok {
 		x.name, x.route, x.way = name, route, g.routeState(name, &route)
 		x.svc = x.way.next()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -28,6 +28,9 @@
 		ID                 uint64
 		Host, Path, Method string
 		Timeout            time.Duration // what the caller still gives, 0: not said
+		// Ahead: it comes behind another one on its connection. If it may run only once it
+		// gets no target now and is refused with CodeNotAhead, and comes again in its turn.
+		Ahead bool
 	}
 	// Again asks for another target after a try that may be repeated. Sent says
 	// that something of the request had been written.
@@ -102,6 +105,9 @@
 	}
 )
 
+// CodeNotAhead refuses a request that may run only once and was admitted ahead of its turn.
+const CodeNotAhead = "not_ahead"
+
 type State int
 
 const (
--- a/proxy/route_test.go
+++ b/proxy/route_test.go
@@ -863,3 +863,98 @@
 		}
 	}
 }
+
+// A request that comes behind another one on its connection gets no target if it may run
+// only once: it is looked at without a trace, and served when it comes in its turn.
+func TestNotAhead(t *testing.T) {
+	b := newBench("g1", 1, routed, to("a", slots(9)))
+	ahead := func(id uint64, path string) any {
+		return answer(id, b.step(Admit{ID: id, Host: "h", Path: path, Method: "GET", Timeout: time.Second, Ahead: true}))
+	}
+	if r, ok := ahead(1, "/once/").(Refuse); !ok || r.Code != CodeNotAhead {
+		t.Fatalf("%+v", r)
+	}
+	if n := b.g.Counts; n.Admitted != 0 || n.Refused != 0 || b.g.InFlight() != 0 || b.g.service("s").budget.credit != 0 {
+		t.Fatalf("%+v, %d in flight, credit %v", n, b.g.InFlight(), b.g.service("s").budget.credit)
+	}
+	if _, ok := b.call(1, "/once/", 0).(Give); !ok {
+		t.Fatal("not served in its turn")
+	}
+	if _, ok := ahead(2, "/a/").(Give); !ok {
+		t.Fatal("one that may be repeated is served ahead")
+	}
+}
+
+// Whatever ends a request's tries, wherever it waits and whichever part of a split it goes
+// to, it is sent to no more targets than its route's attempts, and to none twice.
+func TestAttemptsAreTargets(t *testing.T) {
+	second, repeats := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		var ts []wire.Target
+		for i := range rapid.IntRange(1, 6).Draw(t, "targets") {
+			x := to(fmt.Sprint("t", i), slots(uint32(rapid.IntRange(1, 2).Draw(t, "slots"))))
+			x.Service = []string{"s", "t"}[i%2]
+			ts = append(ts, x)
+		}
+		b := newBench("g1", 1, routed, ts...)
+		for id := uint64(100000); id < 100300; id++ { // what repeats may draw on
+			b.call(id, []string{"/a/", "/x/"}[id%2], 0)
+			b.step(Done{ID: id, Outcome: Served, Last: true})
+		}
+		b.pass(limit.RetryWindow / 2)
+		sentTo := map[uint64][]wire.ID{}
+		at := map[uint64]Give{}
+		see := func(cmds []any) {
+			for _, c := range cmds {
+				if g, ok := c.(Give); ok {
+					at[g.ID] = g
+				}
+			}
+		}
+		next := uint64(0)
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			if len(at) == 0 || rapid.IntRange(0, 2).Draw(t, "what") == 0 {
+				next++
+				path := rapid.SampledFrom([]string{"/a/", "/x/", "/once/", "/low/"}).Draw(t, "route")
+				see(b.step(Admit{ID: next, Host: "h", Path: path, Method: "GET", Timeout: time.Second}))
+				continue
+			}
+			if rapid.IntRange(0, 5).Draw(t, "time") == 0 {
+				see(b.pass(time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * time.Millisecond))
+			}
+			var ids []uint64
+			for id := uint64(1); id <= next; id++ {
+				if _, ok := at[id]; ok {
+					ids = append(ids, id)
+				}
+			}
+			id := rapid.SampledFrom(ids).Draw(t, "request")
+			g := at[id]
+			delete(at, id)
+			o := rapid.SampledFrom([]Outcome{Served, Broken, Lost, Lost, Closed, Foreign, Stale, NotRun, NotRun, Dropped}).Draw(t, "outcome")
+			sent := o != Closed && o != Stale && o != Dropped
+			if sent {
+				for _, x := range sentTo[id] {
+					if x == g.Target.ID() {
+						t.Fatalf("%d is sent to %s again", id, x.Name)
+					}
+				}
+				if sentTo[id] = append(sentTo[id], g.Target.ID()); len(sentTo[id]) > g.Route.Attempts {
+					t.Fatalf("%d on %s is sent to %d targets", id, g.Name, len(sentTo[id]))
+				}
+				if len(sentTo[id]) == 2 {
+					second++
+				}
+			}
+			last := o == Served || o == Dropped
+			see(b.step(Done{ID: id, Outcome: o, Ms: 5, Last: last}))
+			if !last {
+				repeats++
+				see(b.step(Again{ID: id, Sent: sent}))
+			}
+		}
+	})
+	if second < 50 {
+		t.Fatalf("%d second targets in %d repeats", second, repeats)
+	}
+}
