--- a/limit/limit.go
+++ b/limit/limit.go
@@ -32,8 +32,14 @@
 	OpenBytes = 512 << 10
 	// HistoryBytes bounds the texts of past configurations that are kept.
 	HistoryBytes = 512 << 10
-	// AppendMax bounds the bytes of entries in one message, to keep messages small beside WireMax.
-	AppendMax = 1 << 20
+	// AppendMax bounds what of the log, or of a snapshot, is under way to one member, in bytes: a
+	// heartbeat behind it on a link of SlowLink waits 0.25 s, and with its own interval comes within
+	// a LeaderLease. A tenth of a second's round trip still carries 320 KiB a second.
+	AppendMax = 32 << 10
+	// TailBytes is how much of the log that a snapshot has replaced is kept in memory for members a
+	// little behind: what is agreed while the largest state, compressed to 512 KiB, goes over SlowLink
+	// in 4 s, at a change of 128 KiB a second.
+	TailBytes = 512 << 10
 	// LegacyWait is how long a leader of a refounded core collects what proxies and survivors remember.
 	RecoveryWait = 1500 * time.Millisecond
 	// FoundWait is how long those who could found a core without one of its machines wait for it:
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -59,6 +59,8 @@
 	vote            string
 	snap            wire.Snap
 	log             []wire.Entry
+	tail            []wire.Entry // the last entries that the snapshot stands for, for peers a little behind; in memory only
+	incoming        *assembly    // a snapshot or large entry that arrives in pieces
 	members         []wire.Member
 	commit          uint64
 	applied         uint64
@@ -215,6 +217,9 @@
 func (n *Node) follow(now time.Duration, term uint64) {
 	if term > n.term {
 		n.term, n.vote, n.leader = term, "", ""
+		if n.incoming != nil && n.incoming.done {
+			n.incoming = nil // the new leader may have overwritten it
+		}
 		n.syncHardState(now)
 	}
 	if n.role != Follower {
--- a/quorum/replication.go
+++ b/quorum/replication.go
@@ -12,15 +12,34 @@
 	"myrtlefold/wire"
 )
 
+// peer is what a leader knows of another member, or of one that learns.
 type peer struct {
-	member wire.Member
-	voter  bool
-	next   uint64
-	match  uint64
-	acked  time.Duration
-	snapAt time.Duration
+	member    wire.Member
+	voter     bool
+	next      uint64
+	match     uint64
+	acked     time.Duration
+	inFlight  []sentEntries // sent and not acknowledged, in order
+	rewoundAt time.Duration // when entries were last begun again after a loss
+	transfer  *transfer     // what goes to it in pieces, if anything does
 }
 
+// sentEntries is one message's entries.
+type sentEntries struct {
+	last  uint64 // index
+	bytes int
+}
+
+func (p *peer) inFlightBytes() (b int) {
+	for _, s := range p.inFlight {
+		b += s.bytes
+	}
+	return b
+}
+
+// entryOverhead is what an entry takes in a message beside its data, in bytes, about.
+const entryOverhead = 64
+
 func (n *Node) add(now time.Duration, kind uint16, data []byte) uint64 {
 	e := wire.Entry{Index: n.last() + 1, Term: n.term, Kind: kind, Data: data}
 	n.log = append(n.log, e)
@@ -57,7 +76,7 @@
 			c := ix[(len(ix)-1)/2]
 			if t, ok := n.termAt(c); ok && t == n.term && c > n.commit {
 				n.commit = c
-				n.replicate(now, false)
+				n.announceCommit(now)
 			}
 		}
 	}
@@ -83,14 +102,21 @@
 // Open is how much has been proposed and is not agreed yet.
 func (n *Node) UncommittedBytes() int { return n.entryBytes(n.commit, n.last()) }
 
-func (n *Node) replicate(now time.Duration, beat bool) {
+// replicate sends each peer what it may be sent now; a heartbeat goes to all of them.
+func (n *Node) replicate(now time.Duration, heartbeat bool) {
 	if n.role != Leader {
 		return
 	}
 	for _, p := range n.sorted() {
-		if beat || p.next <= n.last() || p.match < n.commit {
-			n.sendAppend(now, p)
-		}
+		n.sendAppend(now, p, heartbeat)
+	}
+}
+
+// announceCommit tells those who have not acknowledged what is agreed now that it is; the
+// others learn it with the next heartbeat.
+func (n *Node) announceCommit(now time.Duration) {
+	for _, p := range n.sorted() {
+		n.sendAppend(now, p, p.transfer == nil && p.match < n.commit)
 	}
 }
 
@@ -108,30 +134,84 @@
 	return ps
 }
 
-func (n *Node) sendAppend(now time.Duration, p *peer) {
+// retained is an entry that is still in memory, and the term of the one before it.
+func (n *Node) retained(i uint64) (e wire.Entry, prevTerm uint64, ok bool) {
+	if i > n.last() {
+		return e, 0, false
+	}
+	if i > n.snap.Index {
+		prevTerm, _ = n.termAt(i - 1)
+		return n.log[i-n.snap.Index-1], prevTerm, true
+	}
+	first := n.snap.Index + 1 - uint64(len(n.tail))
+	if i <= first {
+		return e, 0, false
+	}
+	return n.tail[i-first], n.tail[i-first-1].Term, true
+}
+
+// startTransfer begins what has to go to a peer in pieces: a snapshot, if the entries that
+// it needs are gone, or an entry that is too large for one message.
+func (n *Node) startTransfer(p *peer) {
+	if p.next > n.last() {
+		return
+	}
+	e, prevTerm, ok := n.retained(p.next)
+	switch {
+	case !ok:
+		p.transfer = snapshotTransfer(n.snap)
+		p.next = n.snap.Index + 1
+		p.inFlight = nil
+	case len(e.Data) > limit.AppendMax && len(p.inFlight) == 0:
+		p.transfer = entryTransfer(e, prevTerm)
+	}
+}
+
+// sendAppend sends a peer what it needs next, as far as what is under way to it allows, or a
+// heartbeat.
+func (n *Node) sendAppend(now time.Duration, p *peer, heartbeat bool) {
 	a := &wire.Append{Commit: n.commit}
-	if p.next <= n.snap.Index {
-		a.PrevIndex, a.PrevTerm = n.snap.Index, n.snap.Term
-		if now-p.snapAt > 5*limit.HeartbeatEvery || p.snapAt == 0 {
-			p.snapAt = now
-			s := n.snap
-			a.Snap = &s
-			p.next = n.snap.Index + 1
+	if p.transfer == nil {
+		n.startTransfer(p)
+	}
+	if t := p.transfer; t != nil {
+		a.PrevIndex, a.PrevTerm = t.prev()
+		a.Piece = t.next(now)
+		if a.Piece == nil && !heartbeat {
+			return
 		}
 	} else {
 		a.PrevIndex = p.next - 1
 		a.PrevTerm, _ = n.termAt(a.PrevIndex)
-		size := 0
-		for i := p.next; i <= n.last() && size < limit.AppendMax; i++ {
-			e := n.log[i-n.snap.Index-1]
-			size += len(e.Data) + 64
-			a.Entries = append(a.Entries, e)
+		if _, t, ok := n.retained(p.next); ok {
+			a.PrevTerm = t
+		}
+		a.Entries = n.takeEntries(p)
+		if len(a.Entries) == 0 && !heartbeat {
+			return
 		}
-		p.next += uint64(len(a.Entries))
 	}
 	n.send(&wire.Msg{Kind: uint16(wire.KAppend), To: p.member.Name, Stamp: int64(now), Append: a}, false)
 }
 
+// takeEntries are the next entries for a peer: no more are under way than AppendMax.
+func (n *Node) takeEntries(p *peer) (entries []wire.Entry) {
+	size, room := 0, limit.AppendMax-p.inFlightBytes()
+	for {
+		e, _, ok := n.retained(p.next)
+		if !ok || size+len(e.Data) > room && (size > 0 || len(p.inFlight) > 0) || len(e.Data) > limit.AppendMax {
+			break
+		}
+		size += len(e.Data) + entryOverhead
+		entries = append(entries, e)
+		p.next++
+	}
+	if len(entries) > 0 {
+		p.inFlight = append(p.inFlight, sentEntries{p.next - 1, size})
+	}
+	return entries
+}
+
 func (n *Node) appendAsk(now time.Duration, m *wire.Msg) {
 	a := m.Append
 	r := &wire.Msg{Kind: uint16(wire.KAppend), To: m.From, Stamp: m.Stamp, Append: &wire.Append{Reply: true, Match: n.last()}}
@@ -144,20 +224,15 @@
 	n.leader = m.From
 	n.leaderHeardAt = now
 	n.deadline = now + limit.ElectMin + n.deadline%limit.ElectSpread
-	if a.Snap != nil && a.Snap.Index > n.commit {
-		n.snap = *a.Snap
-		n.log = nil
-		n.commit, n.applied = a.Snap.Index, a.Snap.Index
-		n.stable = 0
-		for i := range n.unsyncedBatches {
-			n.unsyncedBatches[i].last = 0
+	entries, installed := a.Entries, false
+	if a.Piece != nil {
+		if whole, complete := n.receivePiece(a.Piece); complete && whole.Entry {
+			entries = []wire.Entry{{Index: whole.Index, Term: whole.Term, Kind: whole.Kind, Data: whole.Data}}
+		} else if complete {
+			installed = n.install(now, wire.Snap{Index: whole.Index, Term: whole.Term, Members: whole.Members, Data: whole.Data})
 		}
-		n.readMembers()
-		s := n.snap
-		n.syncBatch(now, &wire.Batch{Snap: &s, Cut: 1})
-		n.out.Restore = &s
-		n.out.Apply = nil
 	}
+	r.Append.Piece, r.Append.Match = n.incoming.status(), n.last()
 	t, ok := n.termAt(a.PrevIndex)
 	if a.PrevIndex < n.snap.Index {
 		// All before the snapshot is agreed: answer for what it covers.
@@ -167,21 +242,21 @@
 	}
 	if !ok || t != a.PrevTerm {
 		if ok {
-			r.Append.Match = min(a.PrevIndex-1, n.last())
+			r.Append.Match = n.beforeTerm(a.PrevIndex, t)
 		}
 		n.send(r, false)
 		return
 	}
 	var fresh []wire.Entry
 	var cut uint64
-	for i, e := range a.Entries {
+	for i, e := range entries {
 		if t, ok := n.termAt(e.Index); ok && t == e.Term {
 			continue
 		}
 		if e.Index <= n.commit {
 			panic(errors.AssertionFailedf("%s: agreed entry %d would be overwritten", n.self.Name, e.Index))
 		}
-		fresh = a.Entries[i:]
+		fresh = entries[i:]
 		if e.Index <= n.last() {
 			cut = e.Index
 			n.log = slices.Clone(n.log[:e.Index-n.snap.Index-1])
@@ -197,15 +272,34 @@
 		n.readMembers()
 		n.syncBatch(now, &wire.Batch{Cut: cut, Entries: fresh})
 	}
-	match := a.PrevIndex + uint64(len(a.Entries))
+	match := a.PrevIndex + uint64(len(entries))
 	r.Append.Ok, r.Append.Match = true, match
-	n.send(r, match > n.stable || len(n.unsyncedBatches) > 0 && n.unsyncedBatches[0].seq <= n.hardSeq)
+	termUnsynced := len(n.unsyncedBatches) > 0 && n.unsyncedBatches[0].seq <= n.hardSeq
+	if len(entries) == 0 && !installed && !termUnsynced {
+		// A heartbeat is contact however slow the disk is; what is not on it yet is not acknowledged.
+		r.Append.Match = min(match, n.stable)
+		n.send(r, false)
+	} else {
+		n.send(r, match > n.stable || termUnsynced)
+	}
 	if c := min(a.Commit, match); c > n.commit {
 		n.commit = c
 		n.advance(now)
 	}
 }
 
+// beforeTerm is the last index before the entries of a term that end at i, so that a leader
+// goes back by a term, not by an entry, at a time; what is agreed is not in question.
+func (n *Node) beforeTerm(i, term uint64) uint64 {
+	for i > n.commit+1 {
+		if t, _ := n.termAt(i - 1); t != term {
+			break
+		}
+		i--
+	}
+	return i - 1
+}
+
 func (n *Node) appendReply(now time.Duration, m *wire.Msg) {
 	if m.Term > n.term {
 		n.follow(now, m.Term)
@@ -215,18 +309,38 @@
 	if n.role != Leader || m.Term != n.term || p == nil || p.member.Disk != m.Disk {
 		return
 	}
-	p.acked = max(p.acked, time.Duration(m.Stamp))
-	if !m.Append.Ok {
-		p.next = max(p.match+1, min(p.next, m.Append.Match+1))
-		if p.next > n.snap.Index || now-p.snapAt > 5*limit.HeartbeatEvery {
-			n.sendAppend(now, p)
-		}
-		return
+	stamp := time.Duration(m.Stamp)
+	p.acked = max(p.acked, stamp)
+	if p.transfer != nil {
+		p.transfer.answered(m.Append.Piece, stamp)
+	}
+	if m.Append.Ok {
+		n.acknowledged(now, p, min(m.Append.Match, n.last()))
+	} else {
+		n.rewind(now, p, m.Append.Match, stamp)
+	}
+	if n.role == Leader {
+		n.sendAppend(now, p, false)
 	}
-	p.match = max(p.match, min(m.Append.Match, n.last()))
+}
+
+// acknowledged takes that a peer has all up to an index on disk.
+func (n *Node) acknowledged(now time.Duration, p *peer, match uint64) {
+	p.match = max(p.match, match)
 	p.next = max(p.next, p.match+1)
+	p.inFlight = slices.DeleteFunc(p.inFlight, func(s sentEntries) bool { return s.last <= p.match })
+	if t := p.transfer; t != nil && p.match >= t.whole.Index {
+		p.transfer = nil
+	}
 	n.advance(now)
-	if p.next <= n.last() {
-		n.sendAppend(now, p)
+}
+
+// rewind begins entries again from where a peer says that its log ends. Answers to what was
+// sent before the last time tell of the same loss and change nothing.
+func (n *Node) rewind(now time.Duration, p *peer, last uint64, stamp time.Duration) {
+	if stamp < p.rewoundAt || p.transfer != nil && !p.transfer.whole.Entry {
+		return // a snapshot's receiver has no such entry until it is installed
 	}
+	p.rewoundAt, p.inFlight, p.transfer = now, nil, nil
+	p.next = max(p.match+1, min(p.next, last+1))
 }
--- a/quorum/snapshot.go
+++ b/quorum/snapshot.go
@@ -33,7 +33,24 @@
 		}
 	}
 	s := wire.Snap{Index: n.applied, Term: t, Members: ms, Data: data}
+	n.keepTail(n.log[:n.applied-n.snap.Index])
 	n.log = slices.Clone(n.log[n.applied-n.snap.Index:])
 	n.snap = s
 	n.syncBatch(now, &wire.Batch{Snap: &s})
 }
+
+// keepTail keeps the last of the entries that a snapshot replaces in memory, up to
+// limit.TailBytes: a peer that is a little behind, or was while a snapshot went to it,
+// goes on from them and needs no other snapshot.
+func (n *Node) keepTail(compacted []wire.Entry) {
+	n.tail = append(slices.Clone(n.tail), compacted...)
+	size, from := 0, len(n.tail)
+	for from > 0 {
+		size += len(n.tail[from-1].Data) + entryOverhead
+		if size > limit.TailBytes {
+			break
+		}
+		from--
+	}
+	n.tail = slices.Clone(n.tail[from:])
+}
--- /dev/null
+++ b/quorum/transfer.go
@@ -0,0 +1,149 @@
+// This file sends what is too large for one message, a snapshot or a large entry, in
+// pieces: one is under way to a peer at a time, the next follows its acknowledgement,
+// and after a loss the transfer goes on from what the receiver holds. Heartbeats go on
+// beside it and their answers say how much that is, so a lost piece is noticed by the
+// answer to any heartbeat that was sent after it, without a timer.
+package quorum
+
+import (
+	"hash/fnv"
+	"time"
+
+	"myrtlefold/limit"
+	"myrtlefold/wire"
+)
+
+// transfer is a snapshot or an entry on its way to a peer. It keeps what it began with:
+// a newer snapshot does not restart it.
+type transfer struct {
+	whole    wire.Piece // what is sent; its Data is all of it
+	prevTerm uint64     // of the entry before, for the receiver's check
+	held     uint64     // how many bytes the receiver is known to hold
+	underWay bool       // a piece was sent and not answered yet
+	sentAt   time.Duration
+}
+
+func sumOf(data []byte) uint64 {
+	h := fnv.New64a()
+	h.Write(data)
+	return h.Sum64()
+}
+
+func snapshotTransfer(s wire.Snap) *transfer {
+	return &transfer{whole: wire.Piece{Index: s.Index, Term: s.Term, Members: s.Members,
+		Size: uint64(len(s.Data)), Sum: sumOf(s.Data), Data: s.Data}}
+}
+
+func entryTransfer(e wire.Entry, prevTerm uint64) *transfer {
+	return &transfer{prevTerm: prevTerm, whole: wire.Piece{Entry: true, Index: e.Index, Term: e.Term, Kind: e.Kind,
+		Size: uint64(len(e.Data)), Sum: sumOf(e.Data), Data: e.Data}}
+}
+
+// prev is the log position that the receiver has once all has arrived, or for an entry,
+// before that, the one that it must have had before.
+func (t *transfer) prev() (index, term uint64) {
+	if t.whole.Entry && t.held < t.whole.Size {
+		return t.whole.Index - 1, t.prevTerm
+	}
+	return t.whole.Index, t.whole.Term
+}
+
+// next is the piece to send now, nil if one is under way or all has arrived.
+func (t *transfer) next(now time.Duration) *wire.Piece {
+	if t.underWay || t.held == t.whole.Size && t.whole.Size > 0 {
+		return nil
+	}
+	p := t.whole
+	p.Offset = t.held
+	p.Data = t.whole.Data[t.held:min(t.held+limit.AppendMax, t.whole.Size)]
+	t.underWay, t.sentAt = true, now
+	return &p
+}
+
+// answered takes what an answer says the receiver holds; stamp is when the message that
+// it answers was sent.
+func (t *transfer) answered(held *wire.Piece, stamp time.Duration) {
+	var n uint64
+	if held != nil && sameWhole(held, &t.whole) {
+		n = min(held.Offset, t.whole.Size)
+	}
+	// Progress, or the answer to a message behind the piece, which therefore was lost.
+	if n > t.held || stamp > t.sentAt {
+		t.held, t.underWay = n, false
+	}
+}
+
+func sameWhole(a, b *wire.Piece) bool {
+	return a.Entry == b.Entry && a.Index == b.Index && a.Term == b.Term && a.Size == b.Size && a.Sum == b.Sum
+}
+
+// assembly is what has arrived of a transfer. Once complete it keeps only what it was, so
+// that answers go on to say that all has arrived.
+type assembly struct {
+	whole wire.Piece
+	data  []byte
+	done  bool
+}
+
+// status is what an answer says of it.
+func (a *assembly) status() *wire.Piece {
+	if a == nil {
+		return nil
+	}
+	s := a.whole
+	s.Data, s.Members, s.Offset = nil, nil, uint64(len(a.data))
+	if a.done {
+		s.Offset = s.Size
+	}
+	return &s
+}
+
+// receivePiece takes a piece and says whether with it all has arrived whole.
+func (n *Node) receivePiece(p *wire.Piece) (whole wire.Piece, complete bool) {
+	if p.Size > limit.WireMax {
+		return wire.Piece{}, false
+	}
+	if n.incoming == nil || !sameWhole(&n.incoming.whole, p) {
+		if p.Offset != 0 {
+			return wire.Piece{}, false
+		}
+		n.incoming = &assembly{whole: *p}
+		n.incoming.whole.Data = nil
+	}
+	in := n.incoming
+	if in.done || p.Offset != uint64(len(in.data)) || p.Offset+uint64(len(p.Data)) > p.Size {
+		return wire.Piece{}, false // it came twice, or one before it is missing
+	}
+	in.data = append(in.data, p.Data...)
+	if uint64(len(in.data)) < p.Size {
+		return wire.Piece{}, false
+	}
+	if sumOf(in.data) != p.Sum {
+		n.incoming = nil // begun again from nothing
+		return wire.Piece{}, false
+	}
+	whole = in.whole
+	whole.Data, in.data, in.done = in.data, nil, true
+	return whole, true
+}
+
+// install makes a snapshot that has arrived whole this node's state and says whether it did. One that the log
+// covers already changes nothing: what follows it there may have been acknowledged.
+func (n *Node) install(now time.Duration, s wire.Snap) bool {
+	if s.Index <= n.commit {
+		return false
+	}
+	if t, ok := n.termAt(s.Index); ok && t == s.Term {
+		return false
+	}
+	n.snap, n.log, n.tail = s, nil, nil
+	n.commit, n.applied, n.stable = s.Index, s.Index, 0
+	for i := range n.unsyncedBatches {
+		n.unsyncedBatches[i].last = 0
+	}
+	n.readMembers()
+	n.syncBatch(now, &wire.Batch{Snap: &s, Cut: 1})
+	n.out.Restore = &s
+	n.out.Apply = nil
+	return true
+}
--- /dev/null
+++ b/quorum/transfer_test.go
@@ -0,0 +1,546 @@
+package quorum
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"myrtlefold/limit"
+	"myrtlefold/wire"
+)
+
+// linkedCluster plays members whose links carry so many bytes a second and whose syncs take
+// time. A message that would wait for its link for too long is dropped, as a shell does.
+type linkedCluster struct {
+	now      time.Duration
+	names    []string
+	nodes    map[string]*Node
+	images   map[string]*Image
+	linkRate map[string]float64 // bytes a second into a member, 0: no bound
+	linkFree map[string]time.Duration
+	syncTime map[string]time.Duration
+	lose     func(m *wire.Msg) bool
+	onSend   func(m *wire.Msg, bytes int)
+	onApply  func(name string, e wire.Entry)
+	state    func(name string) []byte // what a member compacts to
+	messages []flying
+	syncs    []dueSync
+	restored map[string]int
+	maxBytes int // of one message
+}
+
+type dueSync struct {
+	at      time.Duration
+	to      *Node
+	name    string
+	batches []*wire.Batch
+}
+
+func newLinkedCluster(members ...string) *linkedCluster {
+	c := &linkedCluster{nodes: map[string]*Node{}, images: map[string]*Image{}, linkRate: map[string]float64{}, linkFree: map[string]time.Duration{},
+		syncTime: map[string]time.Duration{}, restored: map[string]int{}, lose: func(*wire.Msg) bool { return false }, onSend: func(*wire.Msg, int) {},
+		onApply: func(string, wire.Entry) {}, state: func(string) []byte { return []byte("state") }}
+	var list []wire.Member
+	for i, name := range members {
+		list = append(list, wire.Member{Name: name, Disk: uint64(i) + 1})
+	}
+	for _, m := range list {
+		c.add(m, Image{Epoch: 1, Disk: m.Disk, Snap: wire.Snap{Index: 1, Members: list}})
+	}
+	return c
+}
+
+func (c *linkedCluster) add(m wire.Member, im Image) {
+	c.names = append(c.names, m.Name)
+	c.images[m.Name] = &im
+	c.restart(m.Name)
+}
+
+func (c *linkedCluster) restart(name string) {
+	im := *c.images[name]
+	im.Log = slices.Clone(im.Log)
+	c.nodes[name] = New(c.now, name, im)
+}
+
+func (c *linkedCluster) send(m *wire.Msg) {
+	bytes, err := wire.NewWriter(io.Discard).Put(m)
+	if err != nil {
+		panic(err)
+	}
+	c.maxBytes = max(c.maxBytes, bytes)
+	c.onSend(m, bytes)
+	to := c.nodes[m.To]
+	if to == nil || c.lose(m) {
+		return
+	}
+	at := c.now
+	if rate := c.linkRate[m.To]; rate > 0 {
+		free := max(c.linkFree[m.To], at)
+		if free-at > limit.SendLate {
+			return
+		}
+		at = free + time.Duration(float64(bytes)/rate*float64(time.Second))
+		c.linkFree[m.To] = at
+	}
+	c.messages = append(c.messages, flying{at + 2*time.Millisecond, to, m})
+}
+
+func (c *linkedCluster) collect(name string) {
+	n := c.nodes[name]
+	for o := n.Take(); len(o.Batches)+len(o.Send)+len(o.Apply) > 0 || o.Restore != nil; o = n.Take() {
+		for _, m := range o.Send {
+			c.send(m)
+		}
+		if o.Restore != nil {
+			c.restored[name]++
+		}
+		for _, e := range o.Apply {
+			c.onApply(name, e)
+		}
+		if len(o.Batches) > 0 {
+			c.syncs = append(c.syncs, dueSync{c.now + c.syncTime[name], n, name, o.Batches})
+		}
+		if n.SnapshotDue() {
+			n.Compact(c.now, c.state(name))
+		}
+	}
+}
+
+// step moves time on by a millisecond.
+func (c *linkedCluster) step() {
+	c.now += time.Millisecond
+	var due []flying
+	c.messages = slices.DeleteFunc(c.messages, func(f flying) bool {
+		if f.at <= c.now {
+			due = append(due, f)
+		}
+		return f.at <= c.now
+	})
+	for _, f := range due {
+		if c.nodes[f.m.To] == f.to {
+			f.to.Recv(c.now, f.m)
+			c.collect(f.m.To)
+		}
+	}
+	var done []dueSync
+	c.syncs = slices.DeleteFunc(c.syncs, func(s dueSync) bool {
+		if s.at <= c.now {
+			done = append(done, s)
+		}
+		return s.at <= c.now
+	})
+	for _, s := range done {
+		if c.nodes[s.name] == s.to {
+			for _, b := range s.batches {
+				c.images[s.name].Fold(b)
+			}
+			s.to.Synced(c.now, s.batches[len(s.batches)-1].Seq)
+			c.collect(s.name)
+		}
+	}
+	for _, name := range c.names {
+		c.nodes[name].Tick(c.now)
+		c.collect(name)
+	}
+}
+
+func (c *linkedCluster) run(d time.Duration, done func() bool) bool {
+	for end := c.now + d; c.now < end; {
+		c.step()
+		if done() {
+			return true
+		}
+	}
+	return false
+}
+
+func never() bool { return false }
+
+func (c *linkedCluster) leader(t *testing.T) (string, *Node) {
+	t.Helper()
+	for _, name := range c.names {
+		if c.nodes[name].HasLease(c.now) {
+			return name, c.nodes[name]
+		}
+	}
+	t.Fatalf("no leader at %v", c.now)
+	return "", nil
+}
+
+// configuration is a document of about so many bytes, as compressible as a real one: the same
+// fields in each route, names and figures that differ.
+func configuration(rnd *rand.Rand, bytes int) []byte {
+	var b []byte
+	for i := 0; len(b) < bytes; i++ {
+		b = fmt.Appendf(b, `{"id":"route-%d","host":"h%d.example","prefix":"/%x/%d","service":"service-%d","attempts":%d,"timeout_ms":%d,"priority":%d},`,
+			i, rnd.IntN(400), rnd.Uint32(), i, rnd.IntN(40), 1+rnd.IntN(3), 100+rnd.IntN(5000), rnd.IntN(4))
+	}
+	return b
+}
+
+func random(rnd *rand.Rand, bytes int) []byte {
+	b := make([]byte, 0, bytes+8)
+	for len(b) < bytes {
+		b = binary.LittleEndian.AppendUint64(b, rnd.Uint64())
+	}
+	return b[:bytes]
+}
+
+// changing proposes a change ten times a second, and has all members compact to the last
+// sixteen of them, as the core's state does.
+func (c *linkedCluster) changing(t *testing.T, change func() []byte) (tick func()) {
+	kept := map[string][][]byte{}
+	c.onApply = func(name string, e wire.Entry) {
+		if e.Kind == EntryData {
+			kept[name] = append(kept[name], e.Data)
+			kept[name] = kept[name][max(0, len(kept[name])-limit.ChangesKept):]
+		}
+	}
+	c.state = func(name string) []byte { return slices.Concat(kept[name]...) }
+	next := c.now
+	return func() {
+		if c.now >= next {
+			next = c.now + 100*time.Millisecond
+			name, n := c.leader(t)
+			n.Propose(c.now, change())
+			c.collect(name)
+		}
+	}
+}
+
+// A new member on a link of 128 KiB a second catches up while ten changes a second of 30 KB
+// go on, with one transfer that nothing restarts; heartbeats are contact all the while.
+func TestThinLinkMemberCatchesUp(t *testing.T) {
+	c := newLinkedCluster("a", "b", "c")
+	rnd := rand.New(rand.NewPCG(1, 2))
+	c.run(2*time.Second, never)
+	tick := c.changing(t, func() []byte { return wire.Compress(configuration(rnd, 30<<10)) })
+	c.run(10*time.Second, func() bool { tick(); return false })
+
+	learner := wire.Member{Name: "d", Disk: 9}
+	c.linkRate["d"] = limit.SlowLink
+	begun, sent, whole := 0, 0, 0
+	c.onSend = func(m *wire.Msg, bytes int) {
+		if m.Append == nil || m.Append.Reply || m.Append.Piece == nil || m.Append.Piece.Entry {
+			return
+		}
+		if m.Append.Piece.Offset == 0 {
+			begun++
+			whole += int(m.Append.Piece.Size)
+		}
+		sent += len(m.Append.Piece.Data)
+	}
+	c.add(learner, Image{Epoch: 1, Disk: 9})
+	from, compacted := c.now, false
+	first := uint64(0)
+	var contact time.Duration
+	caught := c.run(20*time.Second, func() bool {
+		tick()
+		_, n := c.leader(t)
+		n.AddLearner(learner)
+		if first == 0 {
+			first = n.snap.Index
+		}
+		compacted = compacted || n.snap.Index > first
+		if p := n.peers["d"]; p.acked > from {
+			contact = max(contact, c.now-p.acked)
+		}
+		return n.CaughtUp(learner)
+	})
+	t.Logf("caught up after %v: %d snapshot(s), %d of %d bytes sent, longest without contact %v, largest message %d bytes", c.now-from, begun, sent, whole, contact, c.maxBytes)
+	if !caught || c.now-from > 5*time.Second {
+		t.Fatalf("not caught up after %v", c.now-from)
+	}
+	if begun != 1 || sent != whole {
+		t.Errorf("%d snapshots begun, %d bytes sent for %d", begun, sent, whole)
+	}
+	if contact >= limit.LeaderLease {
+		t.Errorf("%v without contact", contact)
+	}
+	if c.maxBytes > limit.AppendMax+4<<10 {
+		t.Errorf("a message of %d bytes", c.maxBytes)
+	}
+	c.run(10*time.Second, func() bool { // and stays so
+		tick()
+		_, n := c.leader(t)
+		if lag := n.Last() - n.peers["d"].match; lag > 10 {
+			t.Fatalf("%d entries behind again at %v", lag, c.now)
+		}
+		return false
+	})
+}
+
+// Changes that are more than a link carries can't be followed; but what is under way to that
+// member stays bounded, it stays in contact, and it is there soon after they end.
+func TestMoreThanTheLinkCarries(t *testing.T) {
+	c := newLinkedCluster("a", "b", "c")
+	rnd := rand.New(rand.NewPCG(3, 4))
+	c.run(2*time.Second, never)
+	name, _ := c.leader(t)
+	slow := c.names[(slices.Index(c.names, name)+1)%3]
+	c.linkRate[slow] = limit.SlowLink
+	tick := c.changing(t, func() []byte { return random(rnd, 30<<10) })
+	var contact time.Duration
+	c.run(20*time.Second, func() bool {
+		tick()
+		_, n := c.leader(t)
+		contact = max(contact, c.now-n.peers[slow].acked)
+		if b := n.peers[slow].inFlightBytes(); b > limit.AppendMax {
+			t.Fatalf("%d bytes under way", b)
+		}
+		return false
+	})
+	if contact >= limit.LeaderLease {
+		t.Errorf("%v without contact", contact)
+	}
+	from := c.now
+	_, n := c.leader(t)
+	if !c.run(15*time.Second, func() bool { return n.peers[slow].match >= n.Commit() }) {
+		t.Fatalf("at %d of %d after the changes ended", n.peers[slow].match, n.Commit())
+	}
+	t.Logf("longest without contact %v; there %v after the changes ended", contact, c.now-from)
+}
+
+// Lost pieces are sent again from what has arrived, not from the beginning, and soon.
+func TestLostPieceIsResumed(t *testing.T) {
+	for _, kind := range []string{"snapshot", "entry"} {
+		c := newLinkedCluster("a", "b", "c")
+		rnd := rand.New(rand.NewPCG(5, 6))
+		c.run(2*time.Second, never)
+		name, n := c.leader(t)
+		const size = 400 << 10
+		c.state = func(string) []byte { return random(rnd, size) }
+		data := random(rnd, size)
+		if kind == "snapshot" { // larger than limit.LogBytes, so it is compacted at once
+			data = random(rnd, size/3)
+			for range 3 {
+				n.Propose(c.now, data)
+				c.collect(name)
+				c.run(time.Second, never)
+			}
+		}
+		sent, lost, once := 0, 0, map[string]int{} // once: bytes of each piece to each member
+		c.lose = func(m *wire.Msg) bool {
+			if m.Append == nil || m.Append.Piece == nil {
+				return false
+			}
+			sent += len(m.Append.Piece.Data)
+			if p := m.Append.Piece; !m.Append.Reply {
+				once[fmt.Sprint(m.To, p.Index, p.Offset)] = len(p.Data)
+			}
+			gone := rnd.IntN(3) == 0 // answers too
+			if gone {
+				lost++
+			}
+			return gone
+		}
+		c.add(wire.Member{Name: "d", Disk: 9}, Image{Epoch: 1, Disk: 9})
+		from := c.now
+		if kind == "entry" {
+			c.run(time.Second, func() bool { n.AddLearner(wire.Member{Name: "d", Disk: 9}); return false })
+			from, sent = c.now, 0
+			clear(once)
+			n.Propose(c.now, data)
+			c.collect(name)
+		}
+		if !c.run(20*time.Second, func() bool {
+			n.AddLearner(wire.Member{Name: "d", Disk: 9})
+			return n.peers["d"].match >= n.Last() && n.Commit() == n.Last()
+		}) {
+			t.Fatalf("%s: at %d of %d", kind, n.peers["d"].match, n.Last())
+		}
+		needed := 0
+		for _, bytes := range once {
+			needed += bytes
+		}
+		t.Logf("%s: %v, %d bytes sent for %d, %d messages lost", kind, c.now-from, sent, needed, lost)
+		if lost == 0 || needed < size || sent > 2*needed || c.now-from > 5*time.Second {
+			t.Errorf("%s: %d bytes sent for %d, %d lost, in %v", kind, sent, needed, lost, c.now-from)
+		}
+	}
+}
+
+func follower(log ...wire.Entry) *Node {
+	_, im := node("a")
+	im.Log = log
+	return New(0, "a", im)
+}
+
+func appendFrom(term uint64, a *wire.Append) *wire.Msg {
+	return &wire.Msg{Kind: uint16(wire.KAppend), From: "b", Disk: 2, Epoch: 1, Term: term, Append: a}
+}
+
+func pieceOf(s wire.Snap, from, to int) *wire.Append {
+	return &wire.Append{PrevIndex: s.Index, PrevTerm: s.Term, Piece: &wire.Piece{Index: s.Index, Term: s.Term, Members: s.Members,
+		Size: uint64(len(s.Data)), Sum: sumOf(s.Data), Offset: uint64(from), Data: s.Data[from:to]}}
+}
+
+// A snapshot is acknowledged only whole and synced; a damaged one is begun again; pieces that
+// come twice or out of order change nothing.
+func TestSnapshotIsWholeBeforeItCounts(t *testing.T) {
+	_, im := node("a")
+	s := wire.Snap{Index: 50, Term: 1, Members: im.Snap.Members, Data: []byte("the whole state")}
+	n := follower()
+	recv := func(a *wire.Append) (Out, *wire.Append) {
+		n.Recv(1, appendFrom(1, a))
+		o := n.Take()
+		for _, b := range o.Batches {
+			if b.Hard {
+				n.Synced(1, b.Seq)
+				o.Send = append(o.Send, n.Take().Send...)
+			}
+		}
+		if len(o.Send) == 0 {
+			return o, nil
+		}
+		return o, o.Send[len(o.Send)-1].Append
+	}
+	recv(&wire.Append{}) // the term
+	if _, r := recv(pieceOf(s, 5, 9)); r.Ok || r.Piece != nil {
+		t.Fatalf("a piece without those before it: %+v", r)
+	}
+	if _, r := recv(pieceOf(s, 0, 5)); r.Ok || r.Piece == nil || r.Piece.Offset != 5 {
+		t.Fatalf("%+v", r)
+	}
+	recv(pieceOf(s, 0, 5))
+	bad := pieceOf(s, 5, 15)
+	bad.Piece.Data = []byte("DAMAGED!!!")
+	if _, r := recv(bad); r.Ok || r.Piece != nil || n.Commit() != 1 {
+		t.Fatalf("damaged: %+v", r)
+	}
+	recv(pieceOf(s, 0, 5))
+	o, r := recv(pieceOf(s, 5, 15))
+	if r != nil || o.Restore == nil || string(o.Restore.Data) != string(s.Data) || len(o.Batches) != 1 {
+		t.Fatalf("acknowledged before it was synced: %+v, restore %v", r, o.Restore)
+	}
+	if _, r := recv(&wire.Append{PrevIndex: 50, PrevTerm: 1}); r == nil || !r.Ok || r.Match >= 50 {
+		t.Fatalf("a heartbeat before the sync: %+v", r)
+	}
+	n.Synced(1, o.Batches[0].Seq)
+	if a := n.Take().Send[0].Append; !a.Ok || a.Match != 50 {
+		t.Fatalf("%+v", a)
+	}
+}
+
+// A snapshot that comes late, to a member that has acknowledged entries past it since, takes
+// none of them away.
+func TestLateSnapshotKeepsAcknowledgedEntries(t *testing.T) {
+	n := follower(wire.Entry{Index: 2, Term: 1}, wire.Entry{Index: 3, Term: 1}, wire.Entry{Index: 4, Term: 1})
+	n.Recv(1, appendFrom(1, pieceOf(wire.Snap{Index: 3, Term: 1, Members: n.members, Data: []byte("s")}, 0, 1)))
+	if o := n.Take(); n.Last() != 4 || o.Restore != nil {
+		t.Fatalf("log ends at %d, restore %v", n.Last(), o.Restore)
+	}
+}
+
+// A heartbeat is answered at once however slow the disk is, and what is not on it yet is not
+// acknowledged.
+func TestHeartbeatOnSlowDisk(t *testing.T) {
+	n := follower()
+	n.Recv(1, appendFrom(1, &wire.Append{}))
+	for _, b := range n.Take().Batches {
+		n.Synced(1, b.Seq)
+	}
+	n.Take()
+	n.Recv(2, appendFrom(1, &wire.Append{PrevIndex: 1, Entries: []wire.Entry{{Index: 2, Term: 1}}}))
+	o := n.Take()
+	if len(o.Send) != 0 {
+		t.Fatal("acknowledged before the sync")
+	}
+	n.Recv(3, appendFrom(1, &wire.Append{PrevIndex: 2, PrevTerm: 1}))
+	if s := n.Take().Send; len(s) != 1 || !s[0].Append.Ok || s[0].Append.Match != 1 {
+		t.Fatalf("%+v", s)
+	}
+	n.Synced(4, o.Batches[0].Seq)
+	if s := n.Take().Send; len(s) != 1 || s[0].Append.Match != 2 {
+		t.Fatalf("%+v", s)
+	}
+}
+
+// An entry that arrived in pieces and was overwritten since is taken again.
+func TestOverwrittenEntryIsTakenAgain(t *testing.T) {
+	n := follower()
+	e := wire.Entry{Index: 2, Term: 1, Kind: EntryData, Data: []byte("large")}
+	piece := &wire.Append{PrevIndex: 1, Piece: &wire.Piece{Entry: true, Index: 2, Term: 1, Kind: EntryData, Size: 5, Sum: sumOf(e.Data), Data: e.Data}}
+	n.Recv(1, appendFrom(1, piece))
+	n.Recv(2, appendFrom(2, &wire.Append{PrevIndex: 1, Entries: []wire.Entry{{Index: 2, Term: 2}}}))
+	n.Recv(3, appendFrom(3, piece))
+	if got, _ := n.termAt(2); got != 1 || n.Last() != 2 {
+		t.Fatalf("entry 2 has term %d", got)
+	}
+}
+
+// A member that was away for less than what is kept in memory needs no snapshot.
+func TestTailServesWhoIsALittleBehind(t *testing.T) {
+	c := newLinkedCluster("a", "b", "c")
+	rnd := rand.New(rand.NewPCG(7, 8))
+	c.run(2*time.Second, never)
+	name, n := c.leader(t)
+	away := c.names[(slices.Index(c.names, name)+1)%3]
+	tick := c.changing(t, func() []byte { return random(rnd, 4<<10) })
+	c.run(time.Second, func() bool { tick(); return false })
+	c.lose = func(m *wire.Msg) bool { return m.To == away || m.From == away }
+	before := n.snap.Index
+	c.run(8*time.Second, func() bool { tick(); return false })
+	if n.snap.Index == before {
+		t.Fatal("nothing was compacted meanwhile")
+	}
+	c.restart(away)
+	c.lose = func(*wire.Msg) bool { return false }
+	from := c.now
+	if !c.run(5*time.Second, func() bool {
+		tick()
+		_, n = c.leader(t)
+		return n.peers[away] != nil && n.peers[away].match >= n.Commit()
+	}) {
+		t.Fatal("it never caught up")
+	}
+	t.Logf("caught up after %v", c.now-from)
+	if c.restored[away] != 0 {
+		t.Error("a snapshot was needed")
+	}
+}
+
+// After ten thousand changes log, tail, disk image and messages are what they were after a
+// few hundred.
+func TestBoundedAfterTenThousandChanges(t *testing.T) {
+	c := newLinkedCluster("a", "b", "c")
+	rnd := rand.New(rand.NewPCG(9, 10))
+	c.run(2*time.Second, never)
+	c.changing(t, nil)
+	doc := func() []byte { return random(rnd, 200+rnd.IntN(8<<10)) }
+	for i := range 10000 {
+		name, n := c.leader(t)
+		n.Propose(c.now, doc())
+		c.collect(name)
+		c.step()
+		if i%10 == 0 {
+			c.run(20*time.Millisecond, func() bool { return n.Commit() == n.Last() })
+		}
+	}
+	c.run(time.Second, never)
+	for _, name := range c.names {
+		n, im := c.nodes[name], c.images[name]
+		logBytes, tailBytes := n.entryBytes(0, n.last()), 0
+		for _, e := range n.tail {
+			tailBytes += len(e.Data)
+		}
+		whole, err := wire.EncodeBatch(im.Whole())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%s: commit %d, log %d entries, %d bytes; tail %d bytes; image %d bytes", name, n.Commit(), len(n.log), logBytes, tailBytes, len(whole))
+		if n.Commit() < 10000 || len(n.log) > limit.LogMax+2 || logBytes > limit.LogBytes+limit.AppendMax || tailBytes > limit.TailBytes || len(whole) > limit.RingFileSize/2 {
+			t.Errorf("%s holds too much", name)
+		}
+		if len(n.unsyncedBatches)+len(n.heldMessages) > 0 {
+			t.Errorf("%s: %d batches and %d messages left over", name, len(n.unsyncedBatches), len(n.heldMessages))
+		}
+	}
+	if c.maxBytes > limit.AppendMax+4<<10 {
+		t.Errorf("a message of %d bytes", c.maxBytes)
+	}
+}
--- a/wire/convert.go
+++ b/wire/convert.go
@@ -33,6 +33,7 @@
 	memberSize = fixed(NewMemberC)
 	snapSize   = fixed(NewSnapC)
 	appendSize = fixed(NewAppendC)
+	pieceSize  = fixed(NewPieceC)
 	targetSize = fixed(NewTargetC)
 	seenSize   = fixed(NewSeenC)
 	keySize    = fixed(NewKeyC)
@@ -96,7 +97,7 @@
 		n += voteSize
 	}
 	if a := m.Append; a != nil {
-		n += appendSize + entriesSize(a.Entries) + a.Snap.size()
+		n += appendSize + entriesSize(a.Entries) + a.Piece.size()
 	}
 	if p := m.Pull; p != nil {
 		n += pullSize + p.Self.size() + keySize + listSize(len(p.Seen), seenSize) + p.Table.size()
@@ -131,6 +132,13 @@
 		textSize(t.State) + textSize(t.BarWhy)
 }
 
+func (p *Piece) size() int {
+	if p == nil {
+		return 0
+	}
+	return pieceSize + membersSize(p.Members) + dataSize(p.Data)
+}
+
 func (s *Snap) size() int {
 	if s == nil {
 		return 0
@@ -411,13 +419,29 @@
 			e.entries(l, a.Entries)
 		}
 	}
-	if a.Snap != nil {
-		if c, err := c.NewSnap(); e.ok(err) {
-			e.snap(c, a.Snap)
+	if a.Piece != nil {
+		if c, err := c.NewPiece(); e.ok(err) {
+			e.piece(c, a.Piece)
 		}
 	}
 }
 
+func (e *encoder) piece(c PieceC, p *Piece) {
+	c.SetEntry(p.Entry)
+	c.SetIndex(p.Index)
+	c.SetTerm(p.Term)
+	c.SetKind(p.Kind)
+	if len(p.Members) > 0 {
+		if l, err := c.NewMembers(int32(len(p.Members))); e.ok(err) {
+			e.members(l, p.Members)
+		}
+	}
+	c.SetSize(p.Size)
+	c.SetSum(p.Sum)
+	c.SetOffset(p.Offset)
+	e.ok(c.SetData(p.Data))
+}
+
 func (e *encoder) target(c TargetC, t *Target) {
 	e.ok(c.SetService(t.Service))
 	e.ok(c.SetName(t.Name))
@@ -699,7 +723,17 @@
 	}
 	return &Append{
 		Reply: c.Reply(), Ok: c.Ok(), PrevIndex: c.PrevIndex(), PrevTerm: c.PrevTerm(), Commit: c.Commit(),
-		Match: c.Match(), Entries: d.entries(c.Entries()), Snap: d.snap(c.Snap()),
+		Match: c.Match(), Entries: d.entries(c.Entries()), Piece: d.piece(c.Piece()),
+	}
+}
+
+func (d *decoder) piece(c PieceC, err error) *Piece {
+	if !d.ok(err) || !c.IsValid() {
+		return nil
+	}
+	return &Piece{
+		Entry: c.Entry(), Index: c.Index(), Term: c.Term(), Kind: c.Kind(), Members: d.members(c.Members()),
+		Size: c.Size(), Sum: c.Sum(), Offset: c.Offset(), Data: d.data(c.Data()),
 	}
 }
 
--- a/wire/msg.capnp
+++ b/wire/msg.capnp
@@ -83,7 +83,21 @@
   commit @4 :UInt64;
   match @5 :UInt64;
   entries @6 :List(EntryC);
-  snap @7 :SnapC;
+  snap @7 :SnapC; # unused: snapshots go in pieces
+  piece @8 :PieceC;
+}
+# A part of a snapshot, or of one log entry that is too large for one message. In a reply: how
+# much of it the receiver holds, as offset, without data.
+struct PieceC {
+  entry @0 :Bool;
+  index @1 :UInt64;
+  term @2 :UInt64;
+  kind @3 :UInt16;
+  members @4 :List(MemberC);
+  size @5 :UInt64;
+  sum @6 :UInt64;
+  offset @7 :UInt64;
+  data @8 :Data;
 }
 struct TargetC {
   service @0 :Text;
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -105,7 +105,21 @@
 	Commit    uint64
 	Match     uint64
 	Entries   []Entry
-	Snap      *Snap
+	Piece     *Piece
+}
+
+// Piece is a part of a snapshot, or of one log entry that is too large for one message. In a
+// reply it says how much of it the receiver holds: Offset bytes, without Data.
+type Piece struct {
+	Entry   bool // of a log entry, else of a snapshot
+	Index   uint64
+	Term    uint64
+	Kind    uint16   // of the entry
+	Members []Member // of the snapshot
+	Size    uint64   // of the whole, in bytes
+	Sum     uint64   // of the whole: FNV-1a, 64 bits
+	Offset  uint64   // of Data in the whole, in bytes
+	Data    []byte
 }
 
 // Target is a back end as the daemons know it; its identity is the first four
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -19,7 +19,7 @@
 		Push: &Push{Grant: true, Key: Key{1, 2, 3}, Probe: []ID{{"s", "a", 1}, {"s", "b", 2}}, Table: &Table{Key: Key{1, 2, 3}, Doc: []byte("{}"),
 			State: []byte{1}, Gates: []Gate{{"g", "x", "d", true}}, Emptied: []string{"d1", "d2"},
 			Targets: []Target{{Service: "s", Name: "n", Inc: 9, Demand: 0.5, Held: true, BarLeft: 5}}}},
-		Append: &Append{Entries: []Entry{{1, 2, 3, []byte("x")}}, Snap: &Snap{Members: []Member{{"a", 1}}, Data: []byte("q")}}}
+		Append: &Append{Entries: []Entry{{1, 2, 3, []byte("x")}}, Piece: &Piece{Entry: true, Index: 4, Term: 3, Kind: 2, Members: []Member{{"a", 1}}, Size: 9, Sum: 8, Offset: 7, Data: []byte("q")}}}
 	var buf bytes.Buffer
 	w, r := NewWriter(&buf), NewReader(&buf)
 	for i, from := range []string{"a", "", "c"} { // whom it is for goes unsaid, who says it is said when that is new
@@ -336,7 +336,7 @@
 		m.Push.Table.Emptied = append(m.Push.Table.Emptied, name)
 		m.Push.Table.Was = append(m.Push.Table.Was, name)
 	}
-	p.Append = &Append{Entries: b.Entries}
+	p.Append = &Append{Entries: b.Entries, Piece: &Piece{Members: b.Snap.Members, Data: []byte(fmt.Sprint(n))}}
 	for _, m := range []*Msg{m, p, h} {
 		msgCarried(t, m)
 	}
