--- a/core/leadership.go
+++ b/core/leadership.go
@@ -1,5 +1,6 @@
 // This file decides whether this member leads, and what a new leader does before
 // it decides: it adopts the first state of an epoch, or gathers the proxies' tables.
+
 package core
 
 import (
@@ -60,6 +61,7 @@
 	c.lead, c.leadAt = l, now
 	switch l {
 	case Idle:
+		c.counts.LeasesLost++
 		for _, t := range slices.Sorted(maps.Keys(c.pendingChanges)) {
 			c.answerUnknown(c.pendingChanges[t])
 		}
--- a/host/ctl.go
+++ b/host/ctl.go
@@ -1,6 +1,7 @@
 // This file is mfctl, the operators' command: it asks any core member, tries the
 // next one where that is safe, names its changes itself so that asking again
 // can't apply one twice, and says by its exit code how a call ended.
+
 package host
 
 import (
@@ -51,7 +52,7 @@
 	out := app.Flag("output", "text or json").Short('o').Default("text").Enum("text", "json")
 	app.Flag("wait", "how long to go on while there is no leader").Default("8s").DurationVar(&c.wait)
 
-	app.Command("status", "each member's own view")
+	app.Command("status", "each member's own view, and the core as its leader sees it: who leads and by whom, who is silent or learning, and whether the next loss can be borne")
 	app.Command("roster", "all daemons: kind, domain, address, readiness")
 	app.Command("targets", "back ends, with the reason for each bar or hold")
 	app.Command("aims", "service-level aims: what part of each service's exchanges met them, over all proxies")
@@ -265,7 +266,7 @@
 	} else {
 		var e struct{ Error model.Trouble }
 		json.Unmarshal(out, &e)
-		fmt.Fprintf(os.Stderr, "mfctl: %s: %s\n", e.Error.Code, e.Error.Message)
+		fmt.Fprintf(os.Stderr, "mfctl: %s: %s\n", refusalText(e.Error), e.Error.Message)
 		for _, f := range e.Error.Faults {
 			fmt.Fprintf(os.Stderr, "  %s: %s\n", f.Path, f.Text)
 		}
@@ -286,6 +287,21 @@
 	return exitFailed
 }
 
+// refusalText is a refusal's kind and code for a reader: "cannot tell now (no_leader)".
+func refusalText(t model.Trouble) string {
+	kind := map[model.Refusal]string{
+		model.RefusedVersion:    "another version",
+		model.RefusedInvalid:    "invalid",
+		model.RefusedCannotTell: "cannot tell now",
+		model.RefusedConflict:   "conflict",
+		model.RefusedNotFound:   "not found",
+	}[t.Refusal]
+	if kind == "" {
+		return t.Code
+	}
+	return fmt.Sprintf("%s (%s)", kind, t.Code)
+}
+
 func (c *ctl) print(out []byte) {
 	var b bytes.Buffer
 	if c.json || json.Indent(&b, out, "", "  ") != nil {
--- a/quorum/image.go
+++ b/quorum/image.go
@@ -1,9 +1,13 @@
 // This file is what a member's disk holds: every synced batch folded in order.
+
 package quorum
 
 import (
+	"encoding/json"
 	"slices"
 
+	"github.com/cockroachdb/errors"
+
 	"myrtlefold/wire"
 )
 
@@ -58,3 +62,23 @@
 		Snap: &im.Snap, Entries: im.Log, Lock: im.Lock, Legacy: im.Legacy,
 		Founders: im.Founders, Founding: im.Founding}
 }
+
+// CheckImage says what in an image from disk can't be used: a gap in the log, entries that
+// do not follow the snapshot, or a list of members that does not decode.
+func CheckImage(im *Image) error {
+	next := im.Snap.Index + 1
+	for _, e := range im.Log {
+		if e.Index != next {
+			return errors.Newf("log entry %d where %d is due", e.Index, next)
+		}
+		next++
+		if e.Kind != EntryMembers {
+			continue
+		}
+		var ms []wire.Member
+		if err := json.Unmarshal(e.Data, &ms); err != nil {
+			return errors.Wrapf(err, "members entry %d", e.Index)
+		}
+	}
+	return nil
+}
--- a/quorum/snapshot.go
+++ b/quorum/snapshot.go
@@ -1,8 +1,8 @@
 // This file replaces the applied log by the state that it led to.
+
 package quorum
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -26,10 +26,7 @@
 	ms := n.snap.Members
 	for _, e := range n.log {
 		if e.Index <= n.applied && e.Kind == EntryMembers {
-			var l []wire.Member
-			if json.Unmarshal(e.Data, &l) == nil {
-				ms = l
-			}
+			ms = membersOf(e)
 		}
 	}
 	s := wire.Snap{Index: n.applied, Term: t, Members: ms, Data: data}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -122,6 +122,9 @@
 	Data    []byte
 }
 
+// BeginsSnapshot says that this is a snapshot's first piece.
+func (p *Piece) BeginsSnapshot() bool { return p != nil && !p.Entry && p.Offset == 0 }
+
 // Target is a back end as the daemons know it; its identity is the first four
 // fields. Held, BarLeft and Pending are decisions and travel in tables only.
 type Target struct {
