Report damage to the agreed state, never adopt or lead with what does not decode

CheckImage tells before a start whether a disk can be used whole. A new epoch takes the latest memory that can be read and put in force; while only unreadable ones are known it waits, and an operator's refound lets it begin empty. Each finding is logged, counted and shown in the status. Only the best memory is kept while adopting, where each repetition was kept before.

--- a/core/core.go
+++ b/core/core.go
@@ -9,12 +9,12 @@
 package core
 
 import (
-	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"myrtlefold/limit"
 	"myrtlefold/model"
 	"myrtlefold/policy"
@@ -160,7 +160,10 @@
 	relayedCalls           map[uint64]*pending
 	relayID                uint64
 	requestedMembers       map[string]bool // members that an operator asked to add
-	recovered              []RecoveredState
+	recovered              RecoveredState  // the latest that others remember of an earlier epoch and that can be read, while adopting
+	unreadableMemory       bool            // something else that they remember can't be read
+	adoptEmpty             bool            // an operator said that the epoch may begin with nothing then
+	damage                 []Damage
 	out                    []any
 	counts                 Counts
 	cleanAt                time.Duration
@@ -185,6 +188,7 @@
 	RefusedInvalid                                                                                      uint64 // changes refused as invalid in themselves
 	CannotTell                                                                                          uint64 // calls that could not be judged: no leader, or not now
 	AnsweredUnknown                                                                                     uint64 // calls of which it could not be told whether they took effect
+	Damaged                                                                                             uint64 // things held or offered that could not be read
 	LeavingsUnacknowledged                                                                              uint64 // targets' leavings and sign-offs that were not made known in time
 }
 
@@ -214,12 +218,11 @@
 }
 
 func (c *Core) restore(s *wire.Snap) {
-	c.state = newState()
-	if len(s.Data) > 0 {
-		if err := json.Unmarshal(s.Data, &c.state); err != nil {
-			panic(fmt.Sprintf("snapshot %d: %v", s.Index, err))
-		}
+	state, err := decodeState(s.Data)
+	if err != nil {
+		panic(errors.Wrapf(err, "snapshot %d", s.Index)) // from disk it was checked, see CheckImage
 	}
+	c.state = state
 }
 
 // Step is the owner: one event in, commands out.
@@ -279,8 +282,7 @@
 			c.apply(now, e)
 		}
 		if c.node.SnapshotDue() {
-			b, _ := json.Marshal(c.state)
-			c.node.Compact(now, b)
+			c.node.Compact(now, encodeState(&c.state))
 		}
 	}
 }
--- /dev/null
+++ b/core/damage.go
@@ -0,0 +1,53 @@
+// This file reports what was found damaged, in the log and in the status, and keeps an
+// epoch from beginning with nothing while something is remembered that can't be read.
+
+package core
+
+import (
+	"fmt"
+
+	"myrtlefold/limit"
+)
+
+// Damage is something that this member holds, or was offered, and could not read.
+type Damage struct {
+	What string `json:"what"`
+	Why  string `json:"why"`
+}
+
+// reportDamage says it once each, aloud, and keeps the last for the status.
+func (c *Core) reportDamage(what string, err error) {
+	d := Damage{what, err.Error()}
+	for _, known := range c.damage {
+		if known == d {
+			return
+		}
+	}
+	c.damage = append(c.damage, d)
+	c.damage = c.damage[max(0, len(c.damage)-limit.DamageKept):]
+	c.counts.Damaged++
+	c.emit(Change{"damage", d.What, "", d.Why})
+}
+
+// ReportDamage is for the shell, which reads the disk.
+func (c *Core) ReportDamage(what string, err error) { c.reportDamage(what, err) }
+
+// addRecovered takes what somebody remembers of an earlier epoch as the state to begin this
+// one with, if it is the latest so far that can be read whole.
+func (c *Core) addRecovered(l RecoveredState) {
+	if c.node == nil || c.state.Adopted || l.Epoch >= c.node.Epoch() || len(l.State) == 0 || !c.recovered.less(l) {
+		return
+	}
+	if _, err := decodeRecovered(l); err != nil {
+		c.unreadableMemory = true
+		c.reportDamage(fmt.Sprintf("memory of epoch %d, entry %d", l.Epoch, l.Seq), err)
+		return
+	}
+	c.recovered = l
+}
+
+// canAdopt says that an epoch may begin with what has been recovered: never with nothing
+// while somebody remembers something unreadable, unless an operator says so.
+func (c *Core) canAdopt() bool {
+	return len(c.recovered.State) > 0 || !c.unreadableMemory || c.adoptEmpty
+}
--- /dev/null
+++ b/core/damage_test.go
@@ -0,0 +1,158 @@
+package core
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"myrtlefold/limit"
+	"myrtlefold/quorum"
+	"myrtlefold/wire"
+)
+
+// refounded is a lone member at the beginning of epoch 2, told what proxies remember.
+type refounded struct {
+	rest
+	memories []RecoveredState
+}
+
+func newRefounded(memories ...RecoveredState) *refounded {
+	self := wire.Daemon{Name: "c1", Kind: "core", Addr: "c1", Inc: 1}
+	im := quorum.Image{Disk: 7, Epoch: 2, Snap: wire.Snap{Index: 1, Members: []wire.Member{{Name: "c1", Disk: 7}}}}
+	return &refounded{rest{now: time.Second, c: New(time.Second, Settings{Self: self, Size: 1}, im)}, memories}
+}
+
+func (r *refounded) seconds(n int) {
+	for range n {
+		for _, m := range r.memories {
+			b, _ := json.Marshal(m)
+			g := wire.Daemon{Name: "g" + string(m.State[:1]), Kind: "gate", Addr: "g"}
+			r.step(Recv{&wire.Msg{Kind: uint16(wire.KHello), From: g.Name, Hello: &wire.Hello{Self: g, Legacy: b}}})
+		}
+		r.second()
+	}
+}
+
+func memory(seq, revision uint64) RecoveredState {
+	s := newState()
+	s.Adopted, s.Revision, s.Seq = true, revision, seq
+	b, _ := json.Marshal(s)
+	return RecoveredState{Epoch: 1, Term: 3, Seq: seq, State: b}
+}
+
+// unreadable are memories that are JSON and no state, or one that can't be put in force.
+var unreadable = map[string]string{
+	"no state":             `{"seq":"ninety"}`,
+	"not an object":        `[1,2]`,
+	"a broken-off text":    `"{\"seq\":9"`,
+	"a document of wrongs": `{"adopted":true,"seq":90,"revision":7,"doc":[]}`,
+}
+
+// The latest memory that can be read whole is the epoch's first state, and what could not be
+// read is reported.
+func TestNextBestMemoryIsAdopted(t *testing.T) {
+	for name, text := range unreadable {
+		r := newRefounded(memory(40, 4), RecoveredState{Epoch: 1, Term: 3, Seq: 90, State: json.RawMessage(text)}, memory(50, 5))
+		r.seconds(6)
+		if !r.c.Leading() || r.c.state.Revision != 5 {
+			t.Errorf("%s: leads %v with revision %d", name, r.c.Leading(), r.c.state.Revision)
+		}
+		if d := r.c.Status(r.now).Damage; len(d) == 0 || len(d) > limit.DamageKept {
+			t.Errorf("%s: %d findings of damage", name, len(d))
+		}
+	}
+}
+
+// An epoch does not begin with nothing while something unreadable is remembered, until an
+// operator says so.
+func TestNothingIsNotAdoptedForTheUnreadable(t *testing.T) {
+	for name, text := range unreadable {
+		r := newRefounded(RecoveredState{Epoch: 1, Term: 3, Seq: 90, State: json.RawMessage(text)})
+		r.seconds(20)
+		if r.c.Leading() || r.c.state.Adopted || len(r.c.Status(r.now).Damage) == 0 {
+			t.Errorf("%s: leads %v, adopted %v, damage %v", name, r.c.Leading(), r.c.state.Adopted, r.c.damage)
+		}
+		r.step(Ask{ID: 1, Method: "POST", Path: "/v1/core/refound"})
+		if r.seconds(3); !r.c.Leading() || r.c.state.Revision != 0 {
+			t.Errorf("%s: an operator's word did not count", name)
+		}
+	}
+}
+
+// An agreed first state that does not decode is not adopted, and another is offered.
+func TestUndecodedAdoptionIsNone(t *testing.T) {
+	s := newState()
+	s.Apply(9, command{Op: "adopt", State: json.RawMessage(`{"seq":"ninety"}`)})
+	if s.Adopted {
+		t.Error("adopted")
+	}
+	r := newRefounded(memory(50, 5))
+	for r.c.lead != Adopting {
+		r.seconds(1)
+	}
+	r.c.propose(r.now, command{Op: "adopt", State: json.RawMessage(`{"seq":"ninety"}`)})
+	r.seconds(6)
+	if !r.c.Leading() || r.c.state.Revision != 5 || len(r.c.damage) == 0 {
+		t.Errorf("leads %v with revision %d, damage %v", r.c.Leading(), r.c.state.Revision, r.c.damage)
+	}
+}
+
+// What a disk holds is used whole or not at all.
+func TestCheckImage(t *testing.T) {
+	s := newState()
+	s.Adopted = true
+	entry := func(i uint64, kind uint16, data []byte) wire.Entry {
+		return wire.Entry{Index: i, Term: 1, Kind: kind, Data: data}
+	}
+	change := encodeCommand(command{Op: "empty", Name: "d1", Token: "x"})
+	long := encodeCommand(command{Op: "empty", Name: strings.Repeat("d", 2*limit.CompressFrom)})
+	image := func(snap []byte, log ...wire.Entry) *quorum.Image {
+		return &quorum.Image{Epoch: 1, Disk: 7, Snap: wire.Snap{Index: 1, Data: snap}, Log: log}
+	}
+	sound := encodeState(&s)
+	for name, im := range map[string]*quorum.Image{
+		"empty":   {Disk: 7},
+		"founded": image(nil),
+		"whole":   image(sound, entry(2, quorum.EntryNoop, nil), entry(3, quorum.EntryMembers, []byte("[]")), entry(4, quorum.EntryData, change), entry(5, quorum.EntryData, long)),
+	} {
+		if err := CheckImage(im); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for name, im := range map[string]*quorum.Image{
+		"snapshot":          image(sound[:len(sound)-1]),
+		"entry":             image(sound, entry(2, quorum.EntryData, change[:len(change)-1])),
+		"compressed entry":  image(sound, entry(2, quorum.EntryData, long[:len(long)-1])),
+		"members":           image(sound, entry(2, quorum.EntryMembers, []byte("["))),
+		"gap":               image(sound, entry(3, quorum.EntryData, change)),
+		"gap between":       image(sound, entry(2, quorum.EntryNoop, nil), entry(4, quorum.EntryNoop, nil)),
+		"undecoded epoch":   image(nil, entry(2, quorum.EntryData, encodeCommand(command{Op: "adopt", State: json.RawMessage(`7`)}))),
+		"snapshot no state": image([]byte(`{"seq":"x"}`)),
+	} {
+		if err := CheckImage(im); !errors.Is(err, ErrDamaged) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	got, _, err := stateFromDisk(image(sound, entry(2, quorum.EntryData, change), entry(3, quorum.EntryData, []byte("{"))))
+	if err == nil || got.Seq != 2 || len(got.Emptied) != 1 {
+		t.Errorf("before the damage there is %+v, %v", got, err)
+	}
+}
+
+// Long entries and states take a fraction in the log, and are read again as they were.
+func TestLongEntriesAreCompressed(t *testing.T) {
+	o := command{Op: "config", Doc: json.RawMessage(`{"services":{` + strings.Repeat(`"fares":{"attempts":3},`, 2000) + `"x":{}}}`)}
+	b := encodeCommand(o)
+	if got, err := decodeCommand(b); err != nil || string(got.Doc) != string(o.Doc) || 5*len(b) > len(o.Doc) {
+		t.Errorf("%v: %d bytes for %d", err, len(b), len(o.Doc))
+	}
+	s := newState()
+	s.Doc = o.Doc
+	b = encodeState(&s)
+	if got, err := decodeState(b); err != nil || string(got.Doc) != string(o.Doc) || 5*len(b) > len(o.Doc) {
+		t.Errorf("%v: %d bytes for %d", err, len(b), len(o.Doc))
+	}
+}
--- a/core/leadership.go
+++ b/core/leadership.go
@@ -125,10 +125,13 @@
 	switch c.lead {
 	case Idle:
 		if !c.state.Adopted {
-			c.recovered = nil
+			c.recovered, c.unreadableMemory = RecoveredState{}, false
 			if len(c.image.Legacy) > 0 {
 				var l RecoveredState
-				if json.Unmarshal(c.image.Legacy, &l) == nil {
+				if err := json.Unmarshal(c.image.Legacy, &l); err != nil {
+					c.unreadableMemory = true
+					c.reportDamage("memory of an earlier epoch on this disk", err)
+				} else {
 					c.addRecovered(l)
 				}
 			}
@@ -142,15 +145,9 @@
 	case Adopting:
 		if c.state.Adopted {
 			c.setLead(now, Warming, "epoch's first state agreed")
-		} else if now-c.leadAt > limit.RecoveryWait && !c.proposed {
-			best := RecoveredState{}
-			for _, l := range c.recovered {
-				if best.less(l) {
-					best = l
-				}
-			}
+		} else if now-c.leadAt > limit.RecoveryWait && !c.proposed && c.canAdopt() {
 			c.proposed = true
-			c.propose(now, command{Op: "adopt", State: best.State})
+			c.propose(now, command{Op: "adopt", State: c.recovered.State})
 		}
 	case Warming:
 		told, need := 0, 0
@@ -176,12 +173,6 @@
 	}
 }
 
-func (c *Core) addRecovered(l RecoveredState) {
-	if c.node != nil && !c.state.Adopted && l.Epoch < c.node.Epoch() && len(l.State) > 0 {
-		c.recovered = append(c.recovered, l)
-	}
-}
-
 func (c *Core) applyPolicies() {
 	if c.policyRevision == c.state.Revision && c.policyRevision != 0 {
 		return
--- a/core/recovery.go
+++ b/core/recovery.go
@@ -69,9 +69,10 @@
 	if m := c.proxyMemories[from]; m.Epoch == l.Epoch && m.Term == l.Term && m.Seq == l.Seq && bytes.Equal(m.State, l.State) {
 		return
 	}
-	var s State
 	m := proxyMemory{RecoveredState: l}
-	if json.Unmarshal(l.State, &s) == nil && len(s.Members) > 0 {
+	if s, err := decodeState(l.State); err != nil {
+		c.reportDamage("memory of proxy "+from, err)
+	} else if len(s.Members) > 0 {
 		m.members = membership{l.Epoch, l.Seq, s.Members}
 	}
 	c.proxyMemories[from] = m
@@ -296,7 +297,11 @@
 	img := quorum.Image{Epoch: epoch, Disk: c.image.Disk, Lock: c.image.Lock, Founders: c.image.Founders, Founding: epoch,
 		Snap: wire.Snap{Index: 1, Members: c.image.Founders}}
 	img.Legacy = c.image.Legacy
-	if s, term := stateFromDisk(&c.image); s.Adopted && !c.isNonVoter() {
+	s, term, err := stateFromDisk(&c.image)
+	if err != nil { // it goes on with what comes before the damage, which says of itself how old it is
+		c.reportDamage("state on this disk", err)
+	}
+	if s.Adopted && !c.isNonVoter() {
 		b, _ := json.Marshal(s)
 		img.Legacy, _ = json.Marshal(RecoveredState{c.node.Epoch(), term, s.Seq, b})
 	}
@@ -330,6 +335,10 @@
 	no := func(code, f string, a ...any) Reply {
 		return problem(409, model.Trouble{Code: code, Message: fmt.Sprintf(f, a...) + "; nothing was changed"})
 	}
+	if c.lead == Adopting && !c.canAdopt() {
+		c.adoptEmpty = true
+		return Reply{Status: 202, Body: body(map[string]any{"begins_empty": true})}
+	}
 	gone := strings.FieldsFunc(list, func(r rune) bool { return r == ',' })
 	all := c.coreDaemons(now, true)
 	if n := c.whoHearsLeader(now, all); n != "" {
--- a/core/state.go
+++ b/core/state.go
@@ -175,13 +175,12 @@
 		if s.Adopted {
 			return
 		}
-		if len(o.State) > 0 {
-			var t State
-			if err := json.Unmarshal(o.State, &t); err == nil {
-				*s = t
-				s.Members = nil
-			}
+		t, err := decodeState(o.State)
+		if err != nil {
+			return // not adopted: the leader goes on to what else is remembered
 		}
+		*s = t
+		s.Members = nil
 		if len(s.Doc) == 0 {
 			s.Doc = json.RawMessage(`{}`)
 		}
@@ -219,31 +218,31 @@
 }
 
 // survived is the state that a disk leads to when nobody can say any more what
-// of its log was agreed: all of it, since any of it may have been acknowledged.
-func stateFromDisk(im *quorum.Image) (s State, term uint64) {
-	s = newState()
-	if len(im.Snap.Data) > 0 {
-		if err := json.Unmarshal(im.Snap.Data, &s); err != nil {
-			panic(errors.Wrapf(err, "snapshot %d", im.Snap.Index))
-		}
+// of its log was agreed: all of it, since any of it may have been acknowledged. With
+// an error it is what comes before the damage.
+func stateFromDisk(im *quorum.Image) (s State, term uint64, err error) {
+	if s, err = decodeState(im.Snap.Data); err != nil {
+		return s, 0, errors.Wrapf(err, "snapshot %d", im.Snap.Index)
 	}
 	term = im.Snap.Term
 	for _, e := range im.Log {
-		term = e.Term
-		var o command
-		if e.Kind == quorum.EntryData && json.Unmarshal(e.Data, &o) == nil {
-			s.Apply(e.Index, o)
+		if e.Kind == quorum.EntryData {
+			o, err := decodeCommand(e.Data)
+			if err != nil {
+				return s, term, errors.Wrapf(err, "entry %d", e.Index)
+			}
+			adopted := s.Adopted
+			if s.Apply(e.Index, o); o.Op == "adopt" && !adopted && !s.Adopted {
+				return s, term, errors.Mark(errors.Newf("entry %d: the epoch's first state does not decode", e.Index), ErrDamaged)
+			}
 		}
+		term = e.Term
 	}
-	return s, term
+	return s, term, nil
 }
 
 func (c *Core) propose(now time.Duration, o command) uint64 {
-	b, err := json.Marshal(o)
-	if err != nil {
-		panic(errors.Wrap(err, "order"))
-	}
-	return c.node.Propose(now, b)
+	return c.node.Propose(now, encodeCommand(o))
 }
 
 func (c *Core) apply(now time.Duration, e wire.Entry) {
@@ -251,15 +250,20 @@
 		c.state.Seq = e.Index
 		return
 	}
-	var o command
-	if err := json.Unmarshal(e.Data, &o); err != nil {
-		panic(errors.Wrapf(err, "entry %d", e.Index))
+	o, err := decodeCommand(e.Data)
+	if err != nil {
+		panic(errors.Wrapf(err, "entry %d", e.Index)) // from disk it was checked, see CheckImage
 	}
 	was, emptied := c.state.Revision, slices.Contains(c.state.Emptied, o.Name)
 	c.state.Apply(e.Index, o)
 	if o.Op == "targets" {
 		return
 	}
+	if o.Op == "adopt" && !c.state.Adopted {
+		c.reportDamage("state offered for this epoch", errors.Newf("entry %d does not decode", e.Index))
+		c.proposed, c.recovered, c.unreadableMemory = false, RecoveredState{}, true
+		return
+	}
 	if c.state.Revision != was {
 		c.emit(Change{"revision", fmt.Sprint(was), fmt.Sprint(c.state.Revision), o.What})
 	}
--- a/limit/process.go
+++ b/limit/process.go
@@ -37,6 +37,8 @@
 	DeskTargets = 4096
 	Desks       = 16
 	DeskKept    = 2 * time.Minute
+	// DamageKept is how many findings of damage a status shows.
+	DamageKept = 8
 	// EventsKept is how many target events a leader keeps for readers that resume.
 	EventsKept = 4096
 )
