Ring: a piece is one frame, and a file that is missing beside records is damage

Cause, found with a stand-in that keeps each sector of an unsynced write old or new by itself: records that were synced as one had a checksum each, so a cut of power that tore the first and left a later one looked like damage to what had been promised, and the member refused its disk at every start. And a ring file that was gone or short was made anew in silence, so the member went on with an older file's state, votes included.

Several records of one piece now share a frame (a kind of its own; older files are read as before). Files are looked at before any is made, and Recreate begins a damaged ring anew; until its record is synced the ring stays damaged.

--- a/ring/ring.go
+++ b/ring/ring.go
@@ -2,7 +2,8 @@
 // folder. A file starts with a record that holds the whole state, then takes
 // records until it is full; then the next file takes over with a new whole
 // record, so the disk in use never grows. Every record carries its file's
-// generation, its number and a checksum. What is synced in one piece is written
+// generation, its number and a checksum. What is synced in one piece has one
+// checksum, so that a cut of power leaves all of it or nothing, and is written
 // twice: its echo stands behind it until the next piece is written there. So what
 // was cut short at the end of the newest file by a crash, and never promised, can
 // be told from damage to what was synced last: the one has no echo and is dropped,
@@ -23,9 +24,12 @@
 )
 
 const (
-	magic = 0x4d46524e
-	again = 0x4d45524e        // an echo's magic; its last byte is the same
-	head  = 4 + 8 + 4 + 4 + 4 // magic, generation, number, length, checksum
+	magic      = 0x4d46524e        // one record
+	again      = 0x4d45524e        // its echo; the low two bytes of all four are the same
+	group      = 0x4d47524e        // several records synced as one: they are read all or not at all
+	groupAgain = 0x4d48524e        // their echo
+	head       = 4 + 8 + 4 + 4 + 4 // magic, generation, number of the first record, length, checksum
+	lengthSize = 4                 // before each record of a group
 )
 
 // common is what a record's and an echo's magic begin with on disk.
@@ -54,67 +58,140 @@
 // newest file; the first of them, if any, is a whole record. No more of a file is in
 // memory at a time than a piece of it and one record.
 func Open(dir string, files int, size int64) (*Ring, [][]byte, error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, nil, errors.Wrap(err, "ring folder")
+	r, short, err := openFiles(dir, files, size)
+	if err != nil {
+		return nil, nil, err
+	}
+	recs, err := r.read(short)
+	if err == nil {
+		err = r.allocate()
+	}
+	if err != nil {
+		r.Close()
+		return nil, nil, err
+	}
+	return r, recs, nil
+}
+
+// Recreate begins a ring in dir anew with a whole record, whatever its files hold. Until
+// that record is synced the ring is as damaged as it was; the files that are not taken over
+// stay as they are until their turn comes.
+func Recreate(dir string, files int, size int64, whole []byte) (*Ring, error) {
+	r, _, err := openFiles(dir, files, size)
+	if err != nil {
+		return nil, err
+	}
+	if err = r.Rotate(whole); err == nil {
+		err = r.allocate()
+	}
+	if err != nil {
+		r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+// openFiles opens the ring's files and finds the newest generation; short is a file that
+// does not have its size, "" if all have.
+func openFiles(dir string, files int, size int64) (r *Ring, short string, err error) {
+	if err := makeFolder(dir); err != nil {
+		return nil, "", err
 	}
-	r := &Ring{dir: dir, size: size, cur: -1}
+	opened := &Ring{dir: dir, size: size, cur: -1}
+	defer func() {
+		if err != nil {
+			opened.Close()
+		}
+	}()
 	piece := make([]byte, min(size, limit.RingPiece))
 	for i := range files {
 		f, err := os.OpenFile(filepath.Join(dir, fmt.Sprintf("ring-%d", i)), os.O_RDWR|os.O_CREATE, 0o600)
 		if err != nil {
-			return nil, nil, errors.Wrap(err, "ring file")
+			return nil, "", errors.Wrap(err, "ring file")
 		}
-		r.files = append(r.files, f)
-		fresh, err := allocate(f, size, piece)
+		opened.files = append(opened.files, f)
+		st, err := f.Stat()
 		if err != nil {
-			return nil, nil, err
+			return nil, "", errors.Wrap(err, "stat ring file")
 		}
-		if fresh {
-			continue
+		if st.Size() < size {
+			short = f.Name()
 		}
-		g, err := newest(f, size, piece)
+		g, err := newest(f, min(size, st.Size()), piece)
 		if err != nil {
-			return nil, nil, err
+			return nil, "", err
 		}
-		if g > r.gen {
-			r.gen, r.cur = g, i
+		if g > opened.gen {
+			opened.gen, opened.cur = g, i
 		}
 	}
-	var recs [][]byte
-	if r.cur >= 0 {
-		var err error
-		if recs, r.off, err = scan(r.files[r.cur], size, r.gen, piece); err != nil {
-			return nil, nil, errors.Wrapf(err, "%s", r.files[r.cur].Name())
-		}
-		r.num = uint32(len(recs))
+	return opened, short, nil
+}
+
+// read takes the records of the newest generation. Files get their size and their places in
+// the folder synced before the first record is written, so one that is missing or short
+// beside records held the newest of them, or may have.
+func (r *Ring) read(short string) (recs [][]byte, err error) {
+	if r.cur < 0 {
+		return nil, nil
+	}
+	if short != "" {
+		return nil, errors.Wrapf(ErrDamaged, "%s is missing or short beside generation %d", short, r.gen)
+	}
+	piece := make([]byte, min(r.size, limit.RingPiece))
+	if recs, r.off, err = scan(r.files[r.cur], r.size, r.gen, piece); err != nil {
+		return nil, errors.Wrapf(err, "%s", r.files[r.cur].Name())
+	}
+	r.num = uint32(len(recs))
+	return recs, nil
+}
+
+// makeFolder makes a folder, and its place in the one above lasting.
+func makeFolder(dir string) error {
+	if _, err := os.Stat(dir); err == nil {
+		return nil
 	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return errors.Wrap(err, "ring folder")
+	}
+	return syncFolder(filepath.Dir(dir))
+}
+
+func syncFolder(dir string) error {
 	d, err := os.Open(dir)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "ring folder")
+		return errors.Wrap(err, "ring folder")
 	}
 	defer d.Close()
-	if err := d.Sync(); err != nil {
-		return nil, nil, errors.Wrap(err, "sync ring folder")
+	return errors.Wrap(d.Sync(), "sync ring folder")
+}
+
+// allocate fills the files with zeros up to their size and makes their places in the
+// folder lasting.
+func (r *Ring) allocate() error {
+	zeros := make([]byte, min(r.size, limit.RingPiece))
+	for _, f := range r.files {
+		if err := extend(f, r.size, zeros); err != nil {
+			return err
+		}
 	}
-	return r, recs, nil
+	return syncFolder(r.dir)
 }
 
-// allocate fills a file with zeros up to its size; fresh says that it was empty.
-func allocate(f *os.File, size int64, piece []byte) (fresh bool, err error) {
+func extend(f *os.File, size int64, zeros []byte) error {
 	st, err := f.Stat()
 	if err != nil {
-		return false, errors.Wrap(err, "stat ring file")
+		return errors.Wrap(err, "stat ring file")
 	}
 	if st.Size() >= size {
-		return false, nil
+		return nil
 	}
-	clear(piece)
-	for at := st.Size(); at < size; at += int64(len(piece)) {
-		if _, err := f.WriteAt(piece[:min(int64(len(piece)), size-at)], at); err != nil {
-			return false, errors.Wrap(err, "preallocate ring file")
+	for at := st.Size(); at < size; at += int64(len(zeros)) {
+		if _, err := f.WriteAt(zeros[:min(int64(len(zeros)), size-at)], at); err != nil {
+			return errors.Wrap(err, "preallocate ring file")
 		}
 	}
-	return st.Size() == 0, errors.Wrap(f.Sync(), "sync ring file")
+	return errors.Wrap(f.Sync(), "sync ring file")
 }
 
 // frame is a record or echo; its data is read only where it is wanted.
@@ -143,7 +220,27 @@
 	fr.gen = binary.LittleEndian.Uint64(fr.head[4:])
 	fr.num = binary.LittleEndian.Uint32(fr.head[12:])
 	fr.n = int64(binary.LittleEndian.Uint32(fr.head[16:]))
-	return (fr.kind == magic || fr.kind == again) && off+head+fr.n <= size
+	return (fr.isRecord() || fr.isEcho()) && off+head+fr.n <= size
+}
+
+func (fr *frame) isRecord() bool { return fr.kind == magic || fr.kind == group }
+
+func (fr *frame) isEcho() bool { return fr.kind == again || fr.kind == groupAgain }
+
+// records are those that a sound frame's data holds.
+func (fr *frame) records(data []byte) (recs [][]byte) {
+	if fr.kind == magic || fr.kind == again {
+		return [][]byte{data}
+	}
+	for len(data) >= lengthSize {
+		n := int64(binary.LittleEndian.Uint32(data))
+		if data = data[lengthSize:]; n > int64(len(data)) {
+			break
+		}
+		recs = append(recs, data[:n:n])
+		data = data[n:]
+	}
+	return recs
 }
 
 // data reads what a frame at off holds; sound says that its checksum is right.
@@ -215,7 +312,7 @@
 		if err != nil {
 			return nil, 0, err
 		}
-		if !ok || fr.kind != magic || fr.gen != gen || fr.num != uint32(len(recs)) {
+		if !ok || !fr.isRecord() || fr.gen != gen || fr.num != uint32(len(recs)) {
 			break
 		}
 		b, sound, err := fr.data(f, off)
@@ -225,24 +322,24 @@
 		if !sound {
 			break
 		}
-		recs = append(recs, b)
+		recs = append(recs, fr.records(b)...)
 		off += head + fr.n
 	}
 	behind, last := off, int64(-1)
 	err = seek(f, size, behind, piece, func(at int64, fr frame) error {
-		if fr.gen != gen || fr.num < uint32(len(recs)) && fr.kind == again {
+		if fr.gen != gen || fr.num < uint32(len(recs)) && fr.isEcho() {
 			return nil
 		}
 		b, sound, err := fr.data(f, at)
 		switch {
 		case err != nil || !sound:
 			return err
-		case fr.kind == magic:
+		case fr.isRecord():
 			last = max(last, int64(fr.num))
 		default:
 			off = size // also after an echo of what was never whole: it must not come back
 			if fr.num == uint32(len(recs)) {
-				recs = append(recs, b)
+				recs = append(recs, fr.records(b)...)
 			}
 		}
 		return nil
@@ -259,19 +356,17 @@
 // Append writes and syncs records as one; room false means that nothing was
 // written and Rotate is due.
 func (r *Ring) Append(recs ...[]byte) (room bool, err error) {
-	n := int64(0)
-	for _, d := range recs {
-		n += head + int64(len(d))
+	kind, echo, data := uint32(magic), uint32(again), recs[0]
+	if len(recs) > 1 {
+		kind, echo, data = group, groupAgain, join(recs)
 	}
+	n := head + int64(len(data))
 	if r.cur < 0 || r.off+2*n > r.size {
 		return false, nil
 	}
 	r.buf = r.buf[:0]
-	for _, kind := range []uint32{magic, again} {
-		for i, d := range recs {
-			r.frame(kind, r.gen, r.num+uint32(i), d)
-		}
-	}
+	r.frame(kind, r.gen, r.num, data)
+	r.frame(echo, r.gen, r.num, data)
 	if err := r.put(r.files[r.cur], r.off); err != nil {
 		return true, err
 	}
@@ -280,6 +375,15 @@
 	return true, nil
 }
 
+// join is a group's data.
+func join(recs [][]byte) (data []byte) {
+	for _, rec := range recs {
+		data = binary.LittleEndian.AppendUint32(data, uint32(len(rec)))
+		data = append(data, rec...)
+	}
+	return data
+}
+
 // Rotate starts the next file with a whole record.
 func (r *Ring) Rotate(whole []byte) error {
 	if int64(len(whole)+head) > r.size/2 {
@@ -307,7 +411,14 @@
 	r.buf = append(append(r.buf, h[:]...), d...)
 }
 
+// put writes and syncs what has been framed. After an error it may be there in part, and
+// is to be written again at the same place before anything else.
 func (r *Ring) put(f *os.File, off int64) error {
+	defer func() {
+		if cap(r.buf) > limit.RingPiece {
+			r.buf = nil
+		}
+	}()
 	if _, err := f.WriteAt(r.buf, off); err != nil {
 		return errors.Wrap(err, "write ring file")
 	}
