A disk that refuses writes or can't be read no longer ends the process

Cause: every error of the ring ended the daemon: ENOSPC and EIO at a write, a folder that could not be opened, and damage. It was started again at once and met the same, a loop.

A disk that can't be opened is tried again. One whose records, files or contents can't be read whole is begun anew under another number, so that to the core it is a lost disk: no vote, no memory offered, learnt again.

--- a/core/core.go
+++ b/core/core.go
@@ -27,7 +27,9 @@
 	Recv   struct{ M *wire.Msg }
 	Tick   struct{}
 	Synced struct{ Seq uint64 }
-	Probed struct {
+	// DiskRefuses says that the disk takes no writes now, and why; nil: it does again.
+	DiskRefuses struct{ Err error }
+	Probed      struct {
 		ID     wire.ID
 		SentAt time.Duration
 		Ms     float64
@@ -164,6 +166,7 @@
 	unreadableMemory       bool            // something else that they remember can't be read
 	adoptEmpty             bool            // an operator said that the epoch may begin with nothing then
 	damage                 []Damage
+	diskError              string // why the disk refuses writes now, "" if it takes them
 	out                    []any
 	counts                 Counts
 	cleanAt                time.Duration
@@ -235,6 +238,8 @@
 		c.tick(now)
 	case Synced:
 		c.synced(now, e.Seq)
+	case DiskRefuses:
+		c.diskRefuses(e.Err)
 	case Probed:
 		c.probed(now, e)
 	case Ask:
--- a/core/damage.go
+++ b/core/damage.go
@@ -51,3 +51,13 @@
 func (c *Core) canAdopt() bool {
 	return len(c.recovered.State) > 0 || !c.unreadableMemory || c.adoptEmpty
 }
+
+// diskRefuses notes that the disk takes no writes, or does again. What follows from that is
+// the node's: a leader whose sync hangs steps down, and nothing is acknowledged.
+func (c *Core) diskRefuses(err error) {
+	was := c.diskError
+	if c.diskError = ""; err != nil {
+		c.diskError = err.Error()
+	}
+	c.emit(Change{"disk", was, c.diskError, "writes refused"})
+}
--- a/core/status.go
+++ b/core/status.go
@@ -130,14 +130,15 @@
 	Targets  int           `json:"targets"`
 	Proxies  int           `json:"proxies"`
 	Core     CoreView      `json:"core"`
-	Damage   []Damage      `json:"damage,omitempty"` // what could not be read since the start, the last of it
+	Damage   []Damage      `json:"damage,omitempty"`       // what could not be read since the start, the last of it
+	Disk     string        `json:"disk_refuses,omitempty"` // why this member's disk takes no writes now
 	Counts   Counts        `json:"counts"`
 }
 
 // Status is this member's own view.
 func (c *Core) Status(now time.Duration) StatusView {
 	v := StatusView{Name: c.settings.Self.Name, Role: "empty", Lead: c.lead.String(), Revision: c.state.Revision, Seq: c.state.Seq,
-		Emptied: append([]string{}, c.state.Emptied...), Targets: len(c.targets), Proxies: len(c.state.Roster), Core: c.coreView(now), Damage: c.damage, Counts: c.counts}
+		Emptied: append([]string{}, c.state.Emptied...), Targets: len(c.targets), Proxies: len(c.state.Roster), Core: c.coreView(now), Damage: c.damage, Disk: c.diskError, Counts: c.counts}
 	if c.node != nil {
 		v.Role, v.Leader, v.Epoch, v.Term, v.Members = c.node.Role().String(), c.node.Leader(), c.node.Epoch(), c.node.Term(), c.node.Members()
 	}
--- a/host/core.go
+++ b/host/core.go
@@ -14,11 +14,11 @@
 // RunCore is mfcore.
 func RunCore(args []string, say Dialect) int {
 	h := Start("core", args, say)
-	disk, img, err := h.OpenDisk()
-	if err != nil {
-		h.Fatal(err, "state on disk")
-	}
+	disk, img, damage := h.openDiskInTime()
 	own := core.New(h.Now(), core.Settings{Self: h.Daemon(), Size: h.Set.Size, Seeds: h.Set.Seeds, Found: h.Set.Found, Domains: h.Set.Domains}, img)
+	if damage != nil {
+		own.ReportDamage("state on this disk", damage)
+	}
 	hub := NewHub()
 	var term atomic.Uint64
 	exec := func(cmd any) {
--- a/host/disk.go
+++ b/host/disk.go
@@ -1,10 +1,13 @@
-// This file is a member's disk: batches in, syncs out, on a goroutine of its own.
+// This file is a member's disk: batches in, syncs out, on a goroutine of its own. A disk
+// that refuses writes is tried again until it takes them, and nothing is acknowledged
+// meanwhile; one whose contents can't be read whole counts as lost.
 
 package host
 
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -15,37 +18,106 @@
 	"myrtlefold/wire"
 )
 
+// store is where a disk's records go: a *ring.Ring, or a stand-in that fails in tests.
+type store interface {
+	Append(recs ...[]byte) (room bool, err error)
+	Rotate(whole []byte) error
+}
+
 // Disk owns the ring: batches in, numbers of synced ones out.
 type Disk struct {
-	h    *Host
-	ring *ring.Ring
-	img  quorum.Image
-	in   chan *wire.Batch
+	h      *Host
+	ring   store
+	img    quorum.Image
+	in     chan *wire.Batch
+	retry  time.Duration // how long after a refused write the next is tried
+	failed error         // why writes are refused now
 }
 
-// OpenDisk reads what the folder holds; an empty one gets a number of its own.
+// OpenDisk reads what the folder holds; an empty one gets a number of its own. An error that
+// is marked ring.ErrDamaged or core.ErrDamaged says that it can't be read whole.
 func (h *Host) OpenDisk() (*Disk, quorum.Image, error) {
 	r, recs, err := ring.Open(h.Set.Data, limit.RingFiles, limit.RingFileSize)
 	if err != nil {
 		return nil, quorum.Image{}, err
 	}
-	d := &Disk{h: h, ring: r, in: make(chan *wire.Batch, limit.EventQueue)}
+	d := h.newDisk(r)
+	if err := d.load(recs); err != nil {
+		r.Close()
+		return nil, quorum.Image{}, err
+	}
+	return d, d.image(), nil
+}
+
+func (h *Host) newDisk(s store) *Disk {
+	return &Disk{h: h, ring: s, in: make(chan *wire.Batch, limit.EventQueue), retry: limit.DiskRetry}
+}
+
+func (d *Disk) load(recs [][]byte) error {
 	for _, rec := range recs {
 		b, err := wire.DecodeBatch(rec)
 		if err != nil {
-			return nil, quorum.Image{}, errors.Mark(errors.Wrap(err, "ring record"), ring.ErrDamaged)
+			return errors.Mark(errors.Wrap(err, "ring record"), ring.ErrDamaged)
 		}
 		d.img.Fold(b)
 	}
-	if d.img.Disk == 0 {
-		d.img.Disk = rand.Uint64() | 1
-		if err := d.rotate(); err != nil {
-			return nil, quorum.Image{}, err
-		}
+	if err := core.CheckImage(&d.img); err != nil {
+		return err
 	}
+	if d.img.Disk != 0 {
+		return nil
+	}
+	d.img.Disk = newDiskNumber()
+	return d.rotate()
+}
+
+// newDiskNumber is drawn so that no two disks have the same; 0 is none.
+func newDiskNumber() uint64 { return rand.Uint64() | 1 }
+
+func (d *Disk) image() quorum.Image {
 	img := d.img
 	img.Log = slices.Clone(img.Log)
-	return d, img, nil
+	return img
+}
+
+// recreateDisk begins a damaged disk anew under another number: to the core this member's
+// disk is lost, so it learns all again and votes once it has been added again.
+func (h *Host) recreateDisk() (*Disk, quorum.Image, error) {
+	img := quorum.Image{Disk: newDiskNumber()}
+	whole, err := wire.EncodeBatch(img.Whole())
+	if err != nil {
+		return nil, img, err
+	}
+	r, err := ring.Recreate(h.Set.Data, limit.RingFiles, limit.RingFileSize, whole)
+	if err != nil {
+		return nil, img, err
+	}
+	d := h.newDisk(r)
+	d.img = img
+	return d, d.image(), nil
+}
+
+// openDiskInTime opens the disk, however often that has to be tried; damage is what was
+// found if it had to be begun anew. A process that ended instead would be started again to
+// meet the same.
+func (h *Host) openDiskInTime() (d *Disk, img quorum.Image, damage error) {
+	said := ""
+	for {
+		d, img, err := h.OpenDisk()
+		if errors.IsAny(err, ring.ErrDamaged, core.ErrDamaged) {
+			h.Log.WithError(err).Error("state on disk can't be read whole; it counts as lost, and this member learns all again")
+			damage = err
+			d, img, err = h.recreateDisk()
+		}
+		if err == nil {
+			return d, img, damage
+		}
+		if said != err.Error() {
+			said = err.Error()
+			h.Log.WithError(err).Error("disk can't be opened; tried again")
+		}
+		time.Sleep(limit.DiskRetry)
+	}
 }
 
 func (d *Disk) rotate() error {
@@ -56,28 +128,58 @@
 	return d.ring.Rotate(b)
 }
 
+// Run syncs batches as they come, those that wait together in one piece.
 func (d *Disk) Run() {
 	for b := range d.in {
-		bs := []*wire.Batch{b}
-		for len(d.in) > 0 && len(bs) < 64 {
-			bs = append(bs, <-d.in)
-		}
-		var recs [][]byte
-		for _, b := range bs {
-			d.img.Fold(b)
-			rec, err := wire.EncodeBatch(b)
-			if err != nil {
-				d.h.Fatal(err, "batch not encoded")
-			}
-			recs = append(recs, rec)
-		}
-		room, err := d.ring.Append(recs...)
-		if err == nil && !room {
-			err = d.rotate()
+		batches := []*wire.Batch{b}
+		for len(d.in) > 0 && len(batches) < 64 {
+			batches = append(batches, <-d.in)
 		}
+		d.sync(batches)
+	}
+}
+
+// sync writes batches until the disk has taken them, and only then says so.
+func (d *Disk) sync(batches []*wire.Batch) {
+	var recs [][]byte
+	for _, b := range batches {
+		d.img.Fold(b)
+		rec, err := wire.EncodeBatch(b)
 		if err != nil {
-			d.h.Fatal(err, "disk")
+			d.h.Fatal(err, "batch not encoded")
 		}
-		d.h.Loop.Tell(core.Synced{Seq: bs[len(bs)-1].Seq})
+		recs = append(recs, rec)
+	}
+	for {
+		err := d.write(recs)
+		d.report(err)
+		if err == nil {
+			break
+		}
+		time.Sleep(d.retry)
+	}
+	d.h.Loop.Tell(core.Synced{Seq: batches[len(batches)-1].Seq})
+}
+
+func (d *Disk) write(recs [][]byte) error {
+	room, err := d.ring.Append(recs...)
+	if err == nil && !room {
+		err = d.rotate()
+	}
+	return err
+}
+
+// report says when writes begin to be refused, for another reason, or taken again.
+func (d *Disk) report(err error) {
+	was := d.failed
+	d.failed = err
+	switch {
+	case err == nil && was == nil, err != nil && was != nil && err.Error() == was.Error():
+		return
+	case err == nil:
+		d.h.Log.Info("disk takes writes again")
+	default:
+		d.h.Log.WithError(err).Error("disk refuses writes; nothing is acknowledged until it takes them")
 	}
+	d.h.Loop.Tell(core.DiskRefuses{Err: err})
 }
--- a/limit/process.go
+++ b/limit/process.go
@@ -18,6 +18,9 @@
 	// RingFiles and RingFileSize bound a member's disk: 3 files of 8 MiB.
 	RingFiles    = 3
 	RingFileSize = 8 << 20
+	// DiskRetry is how long after a write was refused, or a disk could not be opened, it is tried again:
+	// seldom enough to cost nothing, and a disk that is back is in use within a leader's lease.
+	DiskRetry = 250 * time.Millisecond
 	// RingPiece is how much of a file, in bytes, is in memory while it is looked through at a start.
 	RingPiece = 256 << 10
 	// Redial is how long after a connection to a daemon could not be opened the next is tried: daemons that
--- a/quorum/disk.go
+++ b/quorum/disk.go
@@ -58,6 +58,9 @@
 func (n *Node) send(m *wire.Msg, afterSync bool) {
 	m.From, m.Disk, m.Epoch, m.Term = n.self.Name, n.self.Disk, n.epoch, n.term
 	if afterSync && len(n.unsyncedBatches) > 0 {
+		if len(n.heldMessages) >= limit.SendQueue {
+			return // as if lost: it is asked again
+		}
 		n.heldMessages = append(n.heldMessages, heldMessage{n.seq, m})
 		return
 	}
--- a/quorum/transfer_test.go
+++ b/quorum/transfer_test.go
@@ -544,3 +544,53 @@
 		t.Errorf("a message of %d bytes", c.maxBytes)
 	}
 }
+
+// A follower whose disk takes 30 times as long stays in contact and keeps up; a leader whose
+// disk does not answer stops deciding, acknowledges nothing, and another goes on.
+func TestSlowAndStalledDisks(t *testing.T) {
+	c := newLinkedCluster("a", "b", "c")
+	rnd := rand.New(rand.NewPCG(11, 12))
+	c.run(2*time.Second, never)
+	name, n := c.leader(t)
+	slow := c.names[(slices.Index(c.names, name)+1)%3]
+	c.syncTime[slow] = 30 * 2 * time.Millisecond
+	tick := c.changing(t, func() []byte { return random(rnd, 4<<10) })
+	var contact time.Duration
+	c.run(10*time.Second, func() bool {
+		tick()
+		if _, leads := c.leader(t); leads != n {
+			t.Fatal("another leads")
+		}
+		contact = max(contact, c.now-n.peers[slow].acked)
+		return false
+	})
+	if lag := n.Last() - n.peers[slow].match; lag > 3 || contact > 2*limit.HeartbeatEvery {
+		t.Errorf("the slow one is %d entries behind, %v without contact", lag, contact)
+	}
+
+	c.syncTime[name] = 10 * time.Second
+	index := n.Propose(c.now, []byte("not on the leader's disk"))
+	c.collect(name)
+	from := c.now
+	if !c.run(limit.ElectMin, func() bool { return !n.HasLease(c.now) }) {
+		t.Fatal("it decides with a disk that does not answer")
+	}
+	t.Logf("it stopped deciding after %v", c.now-from)
+	if !c.run(5*time.Second, func() bool {
+		for _, other := range c.names {
+			if other != name && c.nodes[other].HasLease(c.now) {
+				return true
+			}
+		}
+		return false
+	}) {
+		t.Fatal("nobody else leads")
+	}
+	if n.stable >= index {
+		t.Error("it counts what its disk has not taken")
+	}
+	c.run(10*time.Second, never)
+	if held := len(n.heldMessages); held > limit.SendQueue {
+		t.Errorf("%d messages held", held)
+	}
+}
