--- a/core/corestatus.go
+++ b/core/corestatus.go
@@ -1,6 +1,7 @@
 // This file is what operators may read of the core itself: who leads and by which
 // majority, who is silent, who is learning and how far, and whether the next loss of
 // a machine or of a failure domain can be borne now.
+
 package core
 
 import (
@@ -16,6 +17,7 @@
 // MemberState is what a core daemon is to the core, as the leader sees it.
 type MemberState string
 
+// The states of a core daemon.
 const (
 	MemberLeads      MemberState = "leader"
 	MemberFollows    MemberState = "follower"    // answers, and lacks nothing that the leader's log does not hold
@@ -44,6 +46,7 @@
 // ObstacleKind is why a member can't be counted on when another one is lost.
 type ObstacleKind string
 
+// The kinds of obstacles.
 const (
 	ObstacleSilent     ObstacleKind = "silent"
 	ObstacleStopping   ObstacleKind = "stopping"
@@ -84,7 +87,7 @@
 	Decides bool `json:"decides"`
 	// LeadsMs is for how long this member has led.
 	LeadsMs int64 `json:"leads_ms,omitempty"`
-	// LeaderHeardMs is how long ago a follower last heard the leader.
+	// LeaderHeardMs is how long ago a follower last heard a leader, or was one.
 	LeaderHeardMs int64 `json:"leader_heard_ms,omitempty"`
 	// Commit is the last entry that is known to be agreed, Last the last one held here.
 	Commit uint64 `json:"commit"`
@@ -107,7 +110,7 @@
 	v.Voters = len(c.node.Members())
 	v.Majority = v.Voters/2 + 1
 	if c.node.Role() != quorum.Leader {
-		v.LeaderHeardMs = (now - c.node.LeaderHeardAt()).Milliseconds()
+		v.LeaderHeardMs = (now - max(c.node.LeaderHeardAt(), c.leadAt)).Milliseconds() // leadAt: when it led last
 		return v
 	}
 	v.LeadsMs = (now - c.node.Since()).Milliseconds()
@@ -192,7 +195,7 @@
 }
 
 // lossView is the leader's: what may be lost now, and what stands against it.
-func (c *Core) lossView(now time.Duration, v CoreView) LossView {
+func (c *Core) lossView(_ time.Duration, v CoreView) LossView {
 	l := LossView{Known: true}
 	there, byDomain := 0, map[string]int{}
 	for _, m := range v.Members {
--- a/host/ctl_test.go
+++ b/host/ctl_test.go
@@ -220,7 +220,7 @@
 		{409, model.Trouble{Code: "member", Refusal: model.RefusedConflict}, exitFailed, "conflict (member)"},
 		{404, model.Trouble{Code: "not_found", Refusal: model.RefusedNotFound}, exitFailed, "not found (not_found)"},
 	} {
-		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(x.status)
 			w.Write(x.t.JSON())
 		}))
@@ -231,3 +231,44 @@
 		}
 	}
 }
+
+// While some members are down, what the others answer is told, not that those are down.
+func TestCtlTellsTheAnswerThatItGot(t *testing.T) {
+	down := httptest.NewServer(nil)
+	down.Close()
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(503)
+		w.Write(model.Trouble{Code: "no_leader", Refusal: model.RefusedCannotTell}.JSON())
+	}))
+	defer up.Close()
+	at := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	code, out := said(t, "--wait", "100ms", "--at", at(up), "--at", at(down), "domain", "empty", "north")
+	if code != exitNoLeader || !strings.Contains(out, "cannot tell now (no_leader)") {
+		t.Error(code, out)
+	}
+}
+
+// A change whose answer was lost may have been taken: a later 'nothing was changed' of
+// another member does not say that it was not.
+func TestCtlLostAnswerIsUnknown(t *testing.T) {
+	broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	defer broken.Close()
+	idle := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(503)
+		w.Write(model.Trouble{Code: "no_leader", Refusal: model.RefusedCannotTell}.JSON())
+	}))
+	defer idle.Close()
+	at := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	for _, order := range [][]string{{at(broken), at(idle)}, {at(idle), at(broken)}} {
+		code, out := said(t, "--wait", "100ms", "--at", order[0], "--at", order[1], "domain", "empty", "north")
+		if code != exitUnknown || !strings.Contains(out, "cannot tell now (unknown)") || !strings.Contains(out, "  id 20") {
+			t.Error(code, out)
+		}
+	}
+	code, out := said(t, "--wait", "100ms", "--at", at(broken), "--at", at(idle), "targets")
+	if code != exitNoLeader || !strings.Contains(out, "no_leader") {
+		t.Error(code, out)
+	}
+}
--- a/quorum/explore.go
+++ b/quorum/explore.go
@@ -1,5 +1,6 @@
 // This file lets a node be copied and its state be written down in a canonical
 // form, for the systematic exploration in package explore. Nothing else uses it.
+
 package quorum
 
 import (
--- a/ring/powercut_test.go
+++ b/ring/powercut_test.go
@@ -175,7 +175,7 @@
 				t.Fatal(err)
 			}
 			cutPower(rnd, synced, readFolder(t, dir)).write(t, dir) // what the failed write left
-			r.cur, r.gen, r.num, r.off = state.cur, state.gen, state.num, state.off
+			r.current, r.generation, r.records, r.offset = state.current, state.generation, state.records, state.offset
 			l.items = kept
 			if err := l.write(r, append(first, someItems(rnd, step+100)...)...); err != nil {
 				t.Fatal(err)
@@ -231,7 +231,7 @@
 				t.Fatal(err)
 			}
 		}
-		gone := r.files[(r.cur+rnd.IntN(3))%3].Name()
+		gone := r.files[(r.current+rnd.IntN(3))%3].Name()
 		r.Close()
 		if rnd.IntN(2) == 0 {
 			err = os.Remove(gone)
