--- a/sim/process.go
+++ b/sim/process.go
@@ -213,6 +213,14 @@
 		if m == nil {
 			return
 		}
+		if l := w.thin[to.name]; l != nil {
+			passes, ok := l.pass(w.now, weigh(m))
+			if !ok {
+				return
+			}
+			d += passes
+			at = max(w.now+d, w.link[k]+1)
+		}
 		if w.Plan.Scarce != nil {
 			w.scarce(p, to, m, d)
 			return
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -82,6 +82,7 @@
 	targets  []*Target
 	listen   map[string]*Target
 	cut      map[[2]string]bool
+	thin     map[string]*thinLink
 	loss     float64
 	delay    time.Duration
 	nextEx   uint64
@@ -128,7 +129,7 @@
 
 func New(seed uint64, p Plan) *World {
 	w := &World{Plan: p, Seed: seed, rnd: rand.New(rand.NewPCG(seed, 0x6d79727465)), procs: map[string]*Proc{}, byAddr: map[string]*Proc{},
-		listen: map[string]*Target{}, cut: map[[2]string]bool{}, open: map[uint64]*request{}, link: map[[2]string]time.Duration{},
+		listen: map[string]*Target{}, cut: map[[2]string]bool{}, thin: map[string]*thinLink{}, open: map[uint64]*request{}, link: map[[2]string]time.Duration{},
 		asks: map[uint64]*ask{}, ackedAt: map[uint64]time.Duration{}, emptied: map[string]time.Duration{}, sends: map[string][]tick{}, delay: time.Millisecond, lastOk: map[string]time.Duration{}}
 	for i := range p.Cores {
 		w.addProc("core", fmt.Sprintf("c%d", i+1), i%p.Domains)
