Leader: probes begin at a bounded pace, those of targets that missed one first

A leader whose ticks come late so probes less.

TestProbesArePaced failed before (294 probes in one tick, now 16).

--- a/core/core.go
+++ b/core/core.go
@@ -139,6 +139,7 @@
 	rosterTableVersion     uint64                          // the table that first said the proxies as now
 	oldestDeltaBase        uint64                          // the earliest table of this lead that changes can still be told from
 	sortedIDs              []wire.ID                       // the targets' identities, as last sorted
+	nextProbe              wire.ID                         // whose turn to be probed is next, if due
 	decisions              uint64                          // how many there were, and how many when a table was last thought about
 	decidedAt              uint64
 	rebuilt                time.Duration
--- a/core/registry.go
+++ b/core/registry.go
@@ -93,11 +93,11 @@
 			c.leaving[m.ID()] = now
 		}
 	}
-	for i, p := range c.state.Registrations {
+	for _, p := range c.state.Registrations {
 		c.persistedRegistrations[p.ID()] = p
 		t := &target{Target: wire.Target{Service: p.Service, Name: p.Name, Inc: p.Inc, Addr: p.Addr, Domain: p.Domain, State: model.Warming, Slots: p.Slots, Turn: p.Turn},
 			unconfirmed: true, beatAt: now - limit.BeatLapse/2, aliveAt: now, seenAt: now,
-			probeAt: now - limit.ProbeEvery + time.Duration(i/limit.ProbeBurst)*limit.TickEvery}
+			probeAt: now - limit.ProbeEvery}
 		if p.Leaving {
 			t.Held, t.State = true, model.Leaving
 		}
--- a/core/watchdog.go
+++ b/core/watchdog.go
@@ -17,9 +17,9 @@
 
 // watch is the watchdog and what else recurs while deciding.
 func (c *Core) watch(now time.Duration) {
+	c.probeTargets(now)
 	for _, id := range c.sorted() {
 		t := c.targets[id]
-		c.probe(now, id, t)
 		if now-t.seenAt >= limit.SeenEvery {
 			t.seenAt = now
 			if s := t.seen; s.Ok+s.Errors > 0 {
@@ -40,8 +40,6 @@
 		t := c.claims[id]
 		if now-t.beatAt > limit.BeatLapse {
 			delete(c.claims, id)
-		} else {
-			c.probe(now, id, t)
 		}
 	}
 	if now-c.cleanAt > limit.ReconcileEvery {
@@ -66,21 +64,58 @@
 	c.persistRegistrations(now, limit.RegistryEvery)
 }
 
-func (c *Core) probe(now time.Duration, id wire.ID, t *target) {
+// probesPerTick is how many probes may begin in a tick: a little over what keeps each target to
+// its interval. So those that are due at once, as when a lead begins or after a pause, are probed
+// at that pace, and a leader whose ticks come late probes less.
+func probesPerTick(targets int) int {
+	return max(limit.ProbesLeast, int(limit.ProbePace*float64(targets)*float64(limit.TickEvery)/float64(limit.ProbeEvery)))
+}
+
+// probeTargets begins the probes that are due: first of those that missed the last one, for which
+// a time is promised, then of all in turn, from where the last tick left off.
+func (c *Core) probeTargets(now time.Duration) {
+	left := probesPerTick(len(c.targets) + len(c.claims))
+	begin := func(id wire.ID, t *target) {
+		if left > 0 && c.probeDue(now, id, t) {
+			left--
+			c.probe(now, id, t)
+		}
+	}
+	ids := c.sorted()
+	for _, id := range ids {
+		t := c.targets[id]
+		c.checkProbe(now, id, t)
+		if t.missed {
+			begin(id, t)
+		}
+	}
+	start, _ := slices.BinarySearchFunc(ids, c.nextProbe, wire.ID.Compare)
+	for i := range ids {
+		id := ids[(start+i)%len(ids)]
+		begin(id, c.targets[id])
+		if left == 0 {
+			c.nextProbe = id
+			break
+		}
+	}
+	for _, id := range slices.SortedFunc(maps.Keys(c.claims), wire.ID.Compare) {
+		c.checkProbe(now, id, c.claims[id])
+		begin(id, c.claims[id])
+	}
+}
+
+// checkProbe looks after a target's probe: one that the shell never answered is over, and where
+// one that follows a miss takes long some proxies probe too.
+func (c *Core) checkProbe(now time.Duration, id wire.ID, t *target) {
 	if t.sentAt != 0 && now-t.sentAt > 2*limit.ProbeCap {
-		t.sentAt = 0 // the shell never answered
+		t.sentAt = 0
 	}
-	svc, named := c.cfg.Services[id.Service]
-	if !named { // nothing is sent there; once it is, probes are spread, and who beat and fell silent must answer one
+	if _, named := c.cfg.Services[id.Service]; !named {
+		// Nothing is sent there; once it is, probes are spread, and who beat and fell silent must answer one.
 		t.probeAt = now - limit.ProbeEvery + time.Duration(t.Turn)*limit.TickEvery%limit.NamedSpread
 		t.unconfirmed = t.unconfirmed || t.streak.beats >= limit.ProofWords && now-t.beatAt > limit.NamedSilent
 		return
 	}
-	if t.sentAt == 0 && now-t.probeAt >= limit.ProbeEvery {
-		t.probeAt, t.sentAt = now, now
-		c.counts.Probes++
-		c.emit(Probe{id, t.Addr, svc.HealthPath})
-	}
 	if t.missed && t.misses < limit.ProbeMisses && t.sentAt != 0 && t.askedFor != t.sentAt && now-t.sentAt >= limit.IndirectAfter &&
 		t.okAt < t.sentAt+limit.IndirectAfter && !t.Held && t.State != model.Leaving {
 		t.askedFor = t.sentAt
@@ -88,6 +123,17 @@
 	}
 }
 
+func (c *Core) probeDue(now time.Duration, id wire.ID, t *target) bool {
+	_, named := c.cfg.Services[id.Service]
+	return named && t.sentAt == 0 && now-t.probeAt >= limit.ProbeEvery
+}
+
+func (c *Core) probe(now time.Duration, id wire.ID, t *target) {
+	t.probeAt, t.sentAt = now, now
+	c.counts.Probes++
+	c.emit(Probe{id, t.Addr, c.cfg.Services[id.Service].HealthPath})
+}
+
 // indirect has some proxies probe a target that the leader itself can't reach, so that a
 // trouble of the leader's own ejections nobody. They are drawn anew each time, from as many
 // domains as can be and the leader's own last: what troubles it may trouble its neighbours.
--- /dev/null
+++ b/core/watchdog_test.go
@@ -0,0 +1,94 @@
+package core
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"myrtlefold/limit"
+)
+
+// named puts a configuration in force that names all of the fleet's services.
+func (r *rest) named(t *testing.T) {
+	t.Helper()
+	services, rules := map[string]any{}, []any{}
+	for i := range r.target {
+		s := r.target[i].Service
+		if services[s] == nil {
+			services[s] = map[string]any{"cap": 40}
+			rules = append(rules, map[string]any{"path": "/" + s + "/", "service": s})
+		}
+	}
+	b, err := json.Marshal(map[string]any{"services": services, "rules": rules})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.step(Ask{ID: 1, Token: "first", Method: "PUT", Path: "/v1/config", Query: "base=0", Body: b})
+	if r.c.state.Revision == 0 {
+		t.Fatal("the configuration was not taken")
+	}
+}
+
+// Many targets that have to be probed at once, as when a configuration first names their
+// services, are probed at little more than the usual pace, and all of them in good time.
+func TestProbesArePaced(t *testing.T) {
+	const targets = 294
+	r := atRest(69, targets)
+	r.named(t)
+	for id := range r.c.targets {
+		r.c.targets[id].probeAt = 0 // all are due
+	}
+	most, first := uint64(0), r.c.counts.Probes
+	from := r.now
+	for r.now < from+limit.ProbeEvery {
+		was := r.c.counts.Probes
+		r.now += limit.TickEvery
+		r.step(Tick{})
+		most = max(most, r.c.counts.Probes-was)
+	}
+	if steady := uint64(targets * limit.TickEvery / limit.ProbeEvery); most > steady+steady/2 {
+		t.Errorf("%d probes began in a tick, %d are the usual", most, steady)
+	}
+	if n := r.c.counts.Probes - first; n < targets {
+		t.Errorf("%d of %d targets were probed in %v", n, targets, limit.ProbeEvery)
+	}
+}
+
+// Probes of those that missed one go out in time, however many others are due.
+func TestMissedAreProbedFirst(t *testing.T) {
+	r := atRest(69, 294)
+	r.named(t)
+	for range 2 {
+		r.second()
+	}
+	missed := r.c.targets[r.target[293].ID()]
+	for id := range r.c.targets {
+		r.c.targets[id].probeAt = 0
+	}
+	missed.missed, missed.misses = true, 1
+	r.now += limit.TickEvery
+	r.step(Tick{})
+	if missed.probeAt != r.now {
+		t.Error("the one that missed a probe waits behind others")
+	}
+}
+
+// At rest each target is probed at the usual interval and a tick or two.
+func TestProbesKeepTheirInterval(t *testing.T) {
+	r := atRest(69, 294)
+	r.named(t)
+	for range 2 {
+		r.second()
+	}
+	most := time.Duration(0)
+	for range 100 {
+		r.now += limit.TickEvery
+		r.step(Tick{})
+		for _, x := range r.c.targets {
+			most = max(most, r.now-x.probeAt)
+		}
+	}
+	if most > limit.ProbeEvery+2*limit.TickEvery {
+		t.Errorf("a target was not probed for %v", most)
+	}
+}
