Memories of proxies are told at a bounded rate and read only where no leader is heard

Cause: a proxy that loses its lease tells each core daemon all that it remembers, and again at once after each lease that it had meanwhile. With 64 proxies and 11 daemons these hellos took 60 to 100 ms of each 500 ms of every core daemon in a collapse, the leader too (10 to 20 ms at rest), to be decompressed and read, though nothing of it matters while a core stands.

--- a/core/core.go
+++ b/core/core.go
@@ -113,6 +113,7 @@
 	seenFounders   string   // who could found, as last looked at, and since when
 	seenFoundersAt time.Duration
 	proxyMemories  map[string]proxyMemory // what proxies said that they remember
+	unreadMemories map[string][]byte      // the same as they sent it, not looked at yet
 	consent        consent
 	lockSeq        uint64 // batch that has the lock; it is told to nobody before that is synced
 	syncedSeq      uint64
@@ -184,7 +185,7 @@
 // New starts a member from what its disk holds; a disk without a number yet is
 // given the shell's.
 func New(now time.Duration, set Settings, img quorum.Image) *Core {
-	c := &Core{settings: set, image: img, bootAt: now, directory: Directory{}, proxyMemories: map[string]proxyMemory{}, proxies: map[string]*proxyState{},
+	c := &Core{settings: set, image: img, bootAt: now, directory: Directory{}, proxyMemories: map[string]proxyMemory{}, unreadMemories: map[string][]byte{}, proxies: map[string]*proxyState{},
 		pendingChanges: map[string]*pending{}, relayedCalls: map[uint64]*pending{}, requestedMembers: map[string]bool{}, heard: map[string]heard{}, toldLists: map[string]toldList{}, learningSince: map[string]time.Duration{}, restored: map[string]time.Duration{}, state: newState(), relayID: set.Self.Inc << 20}
 	c.settings.Self.Disk = img.Disk
 	switch {
--- a/core/leadership.go
+++ b/core/leadership.go
@@ -130,6 +130,7 @@
 					c.addRecovered(l)
 				}
 			}
+			c.readMemories()
 			for _, n := range slices.Sorted(maps.Keys(c.proxyMemories)) {
 				c.addRecovered(c.proxyMemories[n].RecoveredState)
 			}
--- /dev/null
+++ b/core/memory_test.go
@@ -0,0 +1,54 @@
+package core
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"myrtlefold/limit"
+	"myrtlefold/quorum"
+	"myrtlefold/wire"
+)
+
+// remembering is the hello of a proxy that tells what it remembers of an epoch.
+func remembering(t *testing.T, proxy string, epoch uint64) Recv {
+	t.Helper()
+	state, err := json.Marshal(State{Members: []wire.Member{{Name: "c1", Disk: 7}, {Name: "c2", Disk: 8}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := json.Marshal(RecoveredState{Epoch: epoch, Term: 1, Seq: 5, State: state})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Recv{&wire.Msg{Kind: uint16(wire.KHello), From: proxy, Hello: &wire.Hello{Self: wire.Daemon{Name: proxy, Kind: "gate", Addr: proxy, Inc: 1}, Legacy: wire.Compress(b)}}}
+}
+
+// Where a leader is heard nobody reads what proxies remember, which all of them tell at once when
+// they lose their leases; one who has no leader to hear reads it before a core is founded.
+func TestMemoriesAreReadOnlyWithoutALeader(t *testing.T) {
+	r := atRest(3, 3)
+	r.step(remembering(t, "g1", 1))
+	r.second()
+	if len(r.c.proxyMemories) != 0 || len(r.c.unreadMemories) != 1 {
+		t.Errorf("a leader has read %d memories, %d lie unread", len(r.c.proxyMemories), len(r.c.unreadMemories))
+	}
+
+	now := time.Second
+	empty := New(now, Settings{Self: wire.Daemon{Name: "c9", Kind: "core", Addr: "c9", Inc: 1}}, quorum.Image{Disk: 9})
+	empty.Step(now, remembering(t, "g1", 1))
+	if len(empty.proxyMemories) != 1 {
+		t.Error("an empty member has not read what a proxy remembers")
+	}
+
+	member := New(now, Settings{Self: wire.Daemon{Name: "c1", Kind: "core", Addr: "c1", Inc: 1}}, quorum.Image{Disk: 7, Epoch: 1,
+		Snap: wire.Snap{Members: []wire.Member{{Name: "c1", Disk: 7}, {Name: "c2", Disk: 8}}}})
+	member.Step(now, remembering(t, "g1", 1))
+	for range 3 * limit.HelloEvery / limit.TickEvery {
+		now += limit.TickEvery
+		member.Step(now, Tick{})
+	}
+	if len(member.proxyMemories) != 1 {
+		t.Error("a member that hears no leader has not read what a proxy remembers")
+	}
+}
--- a/core/message.go
+++ b/core/message.go
@@ -3,7 +3,6 @@
 package core
 
 import (
-	"encoding/json"
 	"time"
 
 	"myrtlefold/wire"
@@ -30,15 +29,7 @@
 		if d := m.Hello.Self; d.Kind == "core" && d.Name != c.settings.Self.Name {
 			c.heard[d.Name] = heard{now, d.Domain, d.State == stoppingState}
 		}
-		if len(m.Hello.Legacy) > 0 {
-			var l RecoveredState
-			if b, err := wire.Decompress(m.Hello.Legacy); err == nil && json.Unmarshal(b, &l) == nil {
-				c.addRecovered(l)
-				if m.Hello.Self.Kind == "gate" {
-					c.rememberProxy(m.From, l)
-				}
-			}
-		}
+		c.hearMemory(m)
 		if !m.Hello.Reply {
 			c.send(m.From, c.helloMsg(now, m.From, true))
 		}
--- a/core/recovery.go
+++ b/core/recovery.go
@@ -62,8 +62,44 @@
 	members membership
 }
 
-// recall takes what a proxy says that it remembers. It says so with each hello while
-// it has no leader, so only what is new is read.
+// hearMemory takes what another daemon says that it remembers. A proxy's is long, and all proxies
+// tell theirs as soon as they lose a leader, so a member puts it by unread until nobody hears a
+// leader: it matters only where a core has to be founded.
+func (c *Core) hearMemory(m *wire.Msg) {
+	if len(m.Hello.Legacy) == 0 {
+		return
+	}
+	if m.Hello.Self.Kind == "gate" {
+		c.unreadMemories[m.From] = m.Hello.Legacy
+		if c.node == nil || c.lead == Adopting {
+			c.readMemories()
+		}
+		return
+	}
+	if l, ok := decodeMemory(m.Hello.Legacy); ok {
+		c.addRecovered(l)
+	}
+}
+
+// readMemories reads what proxies have told.
+func (c *Core) readMemories() {
+	for _, from := range slices.Sorted(maps.Keys(c.unreadMemories)) {
+		if l, ok := decodeMemory(c.unreadMemories[from]); ok {
+			c.addRecovered(l)
+			c.rememberProxy(from, l)
+		}
+	}
+	clear(c.unreadMemories)
+}
+
+// decodeMemory reads a state as hellos carry it.
+func decodeMemory(b []byte) (l RecoveredState, ok bool) {
+	plain, err := wire.Decompress(b)
+	return l, err == nil && json.Unmarshal(plain, &l) == nil
+}
+
+// rememberProxy keeps what a proxy remembers. It says so again and again while it has no leader,
+// so only what is new is read.
 func (c *Core) rememberProxy(from string, l RecoveredState) {
 	if m := c.proxyMemories[from]; m.Epoch == l.Epoch && m.Term == l.Term && m.Seq == l.Seq && bytes.Equal(m.State, l.State) {
 		return
@@ -181,6 +217,7 @@
 		c.seenFounders = ""
 		return
 	}
+	c.readMemories()
 	refound, gone := c.operatorConsent(all)
 	o := c.surveySurvivors(all, gone)
 	all = o.founders(all)
--- a/proxy/lease.go
+++ b/proxy/lease.go
@@ -64,9 +64,7 @@
 			g.emit(core.Send{Addr: k.Addr, M: &wire.Msg{Kind: uint16(wire.KHello), From: g.settings.Self.Name, Hello: h}})
 		}
 	}
-	if g.state == Granted {
-		clear(g.memoryToldAt)
-	}
+	maps.DeleteFunc(g.memoryToldAt, func(_ string, at time.Duration) bool { return now-at >= limit.MemoryEvery })
 	for _, a := range g.settings.Seeds {
 		if !sent[a] && a != g.settings.Self.Addr {
 			g.emit(core.Send{Addr: a, M: &wire.Msg{Kind: uint16(wire.KHello), From: g.settings.Self.Name, Hello: &wire.Hello{Self: self}}})
--- /dev/null
+++ b/proxy/lease_test.go
@@ -0,0 +1,42 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"myrtlefold/core"
+	"myrtlefold/limit"
+	"myrtlefold/wire"
+)
+
+// leased is a proxy that a leader gives a table with a state now and leases it.
+func (b *bench) leased() {
+	b.ver++
+	t := &wire.Table{Key: wire.Key{Epoch: 1, Term: 1, Ver: b.ver}, Revision: 1, Seq: b.ver, Doc: []byte(plain), State: []byte("{}"), Gates: []wire.Gate{{Name: "g1"}, {Name: "g2"}, {Name: "g3"}}}
+	b.step(core.Recv{M: &wire.Msg{Kind: uint16(wire.KPush), From: "c1", Epoch: 1, Term: 1, Stamp: int64(b.now), Disk: 9, Push: &wire.Push{Grant: true, Key: t.Key, Table: t}}})
+}
+
+// A proxy that loses its lease again and again tells a core process no more often what it
+// remembers than one that is without a lease all the time: it is long, and all proxies lose
+// theirs at once.
+func TestMemoryIsToldAtABoundedRate(t *testing.T) {
+	b := newBench("g1", 3, plain)
+	hello := &wire.Msg{Kind: uint16(wire.KHello), From: "c1", Hello: &wire.Hello{Self: wire.Daemon{Name: "c1", Kind: "core", Addr: "c1", Inc: 5}}}
+	told, from := 0, b.now
+	const span = 20 * time.Second
+	for b.now < from+span {
+		b.now += limit.TickEvery
+		if since := (b.now - from) % (limit.ProxyLease + limit.HelloEvery); since < limit.TickEvery {
+			b.leased()
+		}
+		b.step(core.Recv{M: hello})
+		for _, c := range b.step(core.Tick{}) {
+			if s, ok := c.(core.Send); ok && s.M.Hello != nil && len(s.M.Hello.Legacy) > 0 {
+				told++
+			}
+		}
+	}
+	if most := int(span/limit.MemoryEvery) + 1; told == 0 || told > most {
+		t.Errorf("told %d times in %v, at most %d are meant", told, span, most)
+	}
+}
