--- a/core/core.go
+++ b/core/core.go
@@ -117,9 +117,11 @@
 	bootAt          time.Duration
 	helloAt         time.Duration
 	offer           uint64
-	seenFounders    string // who could found, as last looked at, and since when
+	daemonNames     []string // those in the directory, as last sorted
+	seenFounders    string   // who could found, as last looked at, and since when
 	seenFoundersAt  time.Duration
 	proxyMemories   map[string]proxyMemory // what proxies said that they remember
+	unreadMemories  map[string][]byte      // the same as they sent it, not looked at yet
 	consent         consent
 	lockSeq         uint64 // batch that has the lock; it is told to nobody before that is synced
 	syncedSeq       uint64
@@ -148,6 +150,7 @@
 	rosterTableVersion     uint64                          // the table that first said the proxies as now
 	oldestDeltaBase        uint64                          // the earliest table of this lead that changes can still be told from
 	sortedIDs              []wire.ID                       // the targets' identities, as last sorted
+	nextProbe              wire.ID                         // whose turn to be probed is next, if due
 	decisions              uint64                          // how many there were, and how many when a table was last thought about
 	decidedAt              uint64
 	rebuilt                time.Duration
@@ -206,7 +209,7 @@
 // New starts a member from what its disk holds; a disk without a number yet is
 // given the shell's.
 func New(now time.Duration, set Settings, img quorum.Image) *Core {
-	c := &Core{settings: set, image: img, bootAt: now, directory: Directory{}, proxyMemories: map[string]proxyMemory{}, proxies: map[string]*proxyState{},
+	c := &Core{settings: set, image: img, bootAt: now, directory: Directory{}, proxyMemories: map[string]proxyMemory{}, unreadMemories: map[string][]byte{}, proxies: map[string]*proxyState{},
 		pendingChanges: map[string]*pending{}, relayedCalls: map[uint64]*pending{}, requestedMembers: map[string]bool{}, heard: map[string]heard{}, toldLists: map[string]toldList{}, learning: map[string]learning{}, restored: map[string]time.Duration{}, state: newState(), relayID: set.Self.Inc << 20}
 	c.settings.Self.Disk = img.Disk
 	switch {
