mfctl by a table of commands with a handler each

host.RunCtl (176 lines) defined all commands and then chose among them by name. host/ctl_commands.go is a table: name, help, arguments and handler of each; RunCtl parses and calls. Bodies and outputs that were map[string]any are structs, exit codes follow from HTTP statuses in one place, and printing of errors and faults stood in ten places and is in three functions. 24 calls (helps, offline commands, wrong usage) give the same output and exit code as before.

--- a/host/ctl_config.go
+++ b/host/ctl_config.go
@@ -8,16 +8,20 @@
 	"fmt"
 	"io"
 	"maps"
+	"net/http"
 	"net/url"
 	"os"
 	"slices"
 	"strings"
 	"text/tabwriter"
 
+	"github.com/cockroachdb/errors"
+
 	"myrtlefold/model"
 	"myrtlefold/policy"
 )
 
+// read reads a file, or standard input.
 func read(name string) ([]byte, error) {
 	if name == "-" || name == "" { // the command line library reads a lone dash as nothing
 		return io.ReadAll(os.Stdin)
@@ -25,11 +29,11 @@
 	return os.ReadFile(name)
 }
 
+// file makes a change whose body is a file.
 func (c *ctl) file(name, method, path string, q url.Values) int {
 	b, err := read(name)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
-		return exitUsage
+		return failed(err, exitUsage)
 	}
 	return c.change(method, path, q, b)
 }
@@ -38,8 +42,7 @@
 func (c *ctl) put(name string, own uint64, q url.Values) int {
 	b, err := read(name)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
-		return exitUsage
+		return failed(err, exitUsage)
 	}
 	if own > 0 {
 		if b, err = model.Unnumbered(b); err == nil {
@@ -50,43 +53,47 @@
 			return exitInvalid
 		}
 	}
-	return c.change("PUT", "/v1/config", q, b)
+	return c.change(http.MethodPut, "/v1/config", q, b)
 }
 
-// set and named send a partial change by names.
+// set sends the partial change that adds or replaces one item.
 func (c *ctl) set(kind, name, file string, own uint64, q url.Values) int {
 	b, err := read(file)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
-		return exitUsage
+		return failed(err, exitUsage)
 	}
 	if !json.Valid(b) {
 		fmt.Fprintf(os.Stderr, "mfctl: %s: not JSON\n", cmp.Or(file, "standard input"))
 		return exitInvalid
 	}
-	return c.named(map[string]any{"set": map[string]any{kind: map[string]any{name: json.RawMessage(b)}}}, own, q)
+	change := setOne(kind, name, b)
+	change.Revision = own
+	return c.named(change, q)
 }
 
-func (c *ctl) named(change map[string]any, own uint64, q url.Values) int {
-	if own > 0 {
-		change["revision"] = own
-	}
+// named sends a partial change by names.
+func (c *ctl) named(change model.Named, q url.Values) int {
 	b, err := json.Marshal(change)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
-		return exitUsage
+		return failed(err, exitUsage)
 	}
-	return c.change("PATCH", "/v1/config", q, b)
+	return c.change(http.MethodPatch, "/v1/config", q, b)
 }
 
-// check reads a configuration and then what each change makes of it.
+// checked is the result of checking one file, printed as JSON.
+type checked struct {
+	Faults []model.Fault `json:"faults"`
+	File   string        `json:"file"`
+	Sound  bool          `json:"sound"`
+}
+
+// check checks a configuration and then what each change makes of it.
 func (c *ctl) check(name string, changes []string) int {
 	var doc []byte
 	for i, f := range append([]string{name}, changes...) {
 		b, err := read(f)
 		if err != nil {
-			fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
-			return exitUsage
+			return failed(err, exitUsage)
 		}
 		var faults []model.Fault
 		if i == 0 {
@@ -97,17 +104,13 @@
 		if err == nil && len(faults) == 0 {
 			_, faults, err = policy.CheckConfig(doc)
 		}
-		if c.json && err == nil {
-			json.NewEncoder(os.Stdout).Encode(map[string]any{"file": f, "sound": len(faults) == 0, "faults": faults})
-		}
 		if err != nil {
-			fmt.Fprintf(os.Stderr, "mfctl: %s: %v\n", f, err)
-			return exitInvalid
+			return failed(errors.Wrap(err, f), exitInvalid)
 		}
-		for _, x := range faults {
-			if !c.json {
-				fmt.Fprintf(os.Stderr, "  %s: %s\n", x.Path, x.Text)
-			}
+		if c.json {
+			printJSON(checked{File: f, Sound: len(faults) == 0, Faults: faults})
+		} else {
+			printFaults(faults)
 		}
 		if len(faults) > 0 {
 			return exitInvalid
@@ -119,7 +122,23 @@
 	return exitOK
 }
 
-// changed is what a partial change of either form makes of a document.
+// failed prints an error and returns the exit code.
+func failed(err error, code int) int {
+	fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
+	return code
+}
+
+// printFaults prints the faults of a document for people.
+func printFaults(faults []model.Fault) {
+	for _, f := range faults {
+		fmt.Fprintf(os.Stderr, "  %s: %s\n", f.Path, f.Text)
+	}
+}
+
+// printJSON prints a value as a line of JSON.
+func printJSON(v any) { json.NewEncoder(os.Stdout).Encode(v) }
+
+// changed returns what a partial change of either form makes of a document.
 func changed(doc, change []byte) ([]byte, []model.Fault, error) {
 	if !model.IsNamed(change) {
 		out, err := model.Merge(doc, change)
@@ -132,30 +151,26 @@
 	return n.Apply(doc)
 }
 
-// routes shows a configuration's routes; show says whether there was what it looked for.
-func (c *ctl) routes(file string, show func(*model.Config) bool) int {
+// routes passes a configuration to show, which reports whether there was what it looked for.
+func (c *ctl) routes(show func(*model.Config) bool) int {
 	var b []byte
 	var err error
-	if file != "" {
-		b, err = read(file)
+	if c.routesFile != "" {
+		b, err = read(c.routesFile)
 	} else {
 		var status int
-		if status, b, err = c.call("GET", "/v1/config", url.Values{"plain": {""}}, nil); err != nil || status != 200 {
+		if status, b, err = c.call(http.MethodGet, "/v1/config", url.Values{"plain": {""}}, nil); err != nil || status != http.StatusOK {
 			return c.end(status, b, err, nil)
 		}
 	}
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
-		return exitUsage
+		return failed(err, exitUsage)
 	}
 	cfg, faults, err := policy.CheckConfig(b)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
-		return exitInvalid
-	}
-	for _, f := range faults {
-		fmt.Fprintf(os.Stderr, "  %s: %s\n", f.Path, f.Text)
+		return failed(err, exitInvalid)
 	}
+	printFaults(faults)
 	switch {
 	case len(faults) > 0:
 		return exitInvalid
@@ -165,7 +180,7 @@
 	return exitOK
 }
 
-// split says where a route's requests go, and in which parts.
+// split tells people where a route's requests go, and in which parts.
 func split(r model.Route) string {
 	sum := 0.0
 	for _, s := range r.Shares() {
@@ -181,9 +196,16 @@
 	return strings.Join(l, ", ")
 }
 
+// routeList is the routes and rules of a configuration, printed as JSON.
+type routeList struct {
+	Routes map[string]model.Route `json:"routes"`
+	Rules  []model.Rule           `json:"rules"`
+}
+
+// listRoutes prints all routes, sorted by host and prefix, and then the rules.
 func (c *ctl) listRoutes(cfg *model.Config) bool {
 	if c.json {
-		json.NewEncoder(os.Stdout).Encode(map[string]any{"routes": cfg.Routes, "rules": cfg.Rules})
+		printJSON(routeList{Routes: cfg.Routes, Rules: cfg.Rules})
 		return true
 	}
 	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
@@ -204,14 +226,27 @@
 	return true
 }
 
+// routeMatch and ruleMatch are what a request goes by, printed as JSON.
+type (
+	routeMatch struct {
+		Is    model.Route `json:"is"`
+		Route string      `json:"route"`
+	}
+	ruleMatch struct {
+		Allowed []string `json:"allowed"` // the methods that the rule takes
+		Service string   `json:"service"`
+	}
+)
+
+// match prints the route or rule that a request goes by, and reports whether there is one.
 func (c *ctl) match(cfg *model.Config, host, path, method string) bool {
 	n, r, isRoute := cfg.Route(host, path)
 	svc, allowed, isRule := cfg.Match(host, path, method)
 	switch {
 	case c.json && isRoute:
-		json.NewEncoder(os.Stdout).Encode(map[string]any{"route": n, "is": r})
+		printJSON(routeMatch{Route: n, Is: r})
 	case c.json:
-		json.NewEncoder(os.Stdout).Encode(map[string]any{"service": svc, "allowed": allowed})
+		printJSON(ruleMatch{Service: svc, Allowed: allowed})
 	case isRoute:
 		fmt.Printf("route %s: %s%s, %s, %d ms, %d attempts, priority %d, goes to %s\n", n, cmp.Or(r.Host, "*"), r.Prefix, r.Kind, r.TimeoutMs, r.Attempts, r.Priority, split(r))
 	case isRule:
--- a/host/ctl_policy.go
+++ b/host/ctl_policy.go
@@ -16,52 +16,39 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"myrtlefold/limit"
 	"myrtlefold/model"
 	"myrtlefold/policy"
 )
 
-// compare prints each policy's score; policies are files named for the policy.
-func (c *ctl) compare(events string, files []string) int {
-	ps := map[string]model.Policy{model.DefaultPolicy: model.Default()}
+// compare prints each policy's score on a recording; policies are files named for the policy.
+func (c *ctl) compare(recording string, files []string) int {
+	policies := map[string]model.Policy{model.DefaultPolicy: model.Default()}
 	for _, f := range files {
-		b, err := os.ReadFile(f)
-		p := model.Policy{Mode: "live"}
-		var faults []model.Fault
-		if err == nil {
-			faults, err = model.Decode(b, &p)
-		}
-		if err != nil {
-			fmt.Fprintf(os.Stderr, "mfctl: %s: %v\n", f, err)
-			return exitInvalid
-		}
-		for _, x := range append(faults, policy.Check(p)...) {
-			fmt.Fprintf(os.Stderr, "mfctl: %s: %s: %s\n", f, x.Path, x.Text)
-			err = errBadPolicy
-		}
-		if err != nil {
+		p, sound := readPolicy(f)
+		if !sound {
 			return exitInvalid
 		}
-		ps[strings.TrimSuffix(filepath.Base(f), ".json")] = p
+		policies[strings.TrimSuffix(filepath.Base(f), ".json")] = p
 	}
 	in := io.Reader(os.Stdin)
-	if events != "-" {
-		f, err := os.Open(events)
+	if recording != "-" {
+		f, err := os.Open(recording)
 		if err != nil {
-			fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
-			return exitUsage
+			return failed(err, exitUsage)
 		}
 		defer f.Close()
 		in = f
 	}
-	var l []policy.Event
-	if err := policy.ReadEvents(in, func(e policy.Event) error { l = append(l, e); return nil }); err != nil {
-		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
-		return exitInvalid
+	var events []policy.Event
+	if err := policy.ReadEvents(in, func(e policy.Event) error { events = append(events, e); return nil }); err != nil {
+		return failed(err, exitInvalid)
 	}
-	scores := policy.Compare(l, ps)
+	scores := policy.Compare(events, policies)
 	if c.json {
-		json.NewEncoder(os.Stdout).Encode(scores)
+		printJSON(scores)
 		return exitOK
 	}
 	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
@@ -73,6 +60,26 @@
 	return exitOK
 }
 
+// readPolicy reads a policy's file and prints what is wrong with it.
+func readPolicy(file string) (p model.Policy, sound bool) {
+	p.Mode = model.ModeLive
+	var faults []model.Fault
+	b, err := os.ReadFile(file)
+	if err == nil {
+		faults, err = model.Decode(b, &p)
+	}
+	if err != nil {
+		failed(errors.Wrap(err, file), exitInvalid)
+		return p, false
+	}
+	faults = append(faults, policy.Check(p)...)
+	for _, f := range faults {
+		fmt.Fprintf(os.Stderr, "mfctl: %s: %s: %s\n", file, f.Path, f.Text)
+	}
+	return p, len(faults) == 0
+}
+
+// judgeLines evaluates policies on standard input's events and prints each answer.
 func judgeLines(config string) int {
 	cfg := &model.Config{}
 	if config != "" {
@@ -86,13 +93,13 @@
 			return exitInvalid
 		}
 	}
-	d := policy.NewSession(cfg)
+	session := policy.NewSession(cfg)
 	enc := json.NewEncoder(os.Stdout)
 	code := exitOK
 	sc := bufio.NewScanner(os.Stdin)
 	sc.Buffer(nil, limit.LineMax)
 	for sc.Scan() {
-		for _, l := range d.Take(sc.Bytes()) {
+		for _, l := range session.Take(sc.Bytes()) {
 			if l.Error != "" {
 				code = exitInvalid // said at the end; the stream goes on
 			}
@@ -102,17 +109,18 @@
 		}
 	}
 	if err := sc.Err(); err != nil {
-		fmt.Fprintf(os.Stderr, "mfctl: line %d: %v\n", d.Line+1, err)
+		fmt.Fprintf(os.Stderr, "mfctl: line %d: %v\n", session.Line+1, err)
 		return exitInvalid
 	}
 	return code
 }
 
-func (c *ctl) stream(from string, d time.Duration) int {
+// stream prints the stream of a member, for span or (0) until it ends.
+func (c *ctl) stream(from string, span time.Duration) int {
 	ctx := context.Background()
-	if d > 0 {
+	if span > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, d)
+		ctx, cancel = context.WithTimeout(ctx, span)
 		defer cancel()
 	}
 	q := ""
@@ -120,12 +128,12 @@
 		q = "?from=" + url.QueryEscape(from)
 	}
 	for _, a := range c.at {
-		req, err := http.NewRequestWithContext(ctx, "GET", "http://"+a+"/v1/stream"+q, nil)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a+"/v1/stream"+q, nil)
 		if err != nil {
 			return exitUsage
 		}
 		resp, err := (&http.Client{}).Do(req)
-		if err != nil || resp.StatusCode != 200 {
+		if err != nil || resp.StatusCode != http.StatusOK {
 			if err == nil {
 				resp.Body.Close()
 			}
--- a/limit/process.go
+++ b/limit/process.go
@@ -37,6 +37,10 @@
 	SessionTargets = 4096
 	Sessions       = 16
 	SessionKept    = 2 * time.Minute
+	// CtlCall is how long the operators' command waits for one answer: over CallWait, so that a change
+	// ends with the member's own word. CtlRetry is when it asks the next member where none leads.
+	CtlCall  = 10 * time.Second
+	CtlRetry = 200 * time.Millisecond
 	// EventsKept is how many target events a leader keeps for readers that resume.
 	EventsKept = 4096
 )
