--- a/cmd/mflab/hollow.go
+++ b/cmd/mflab/hollow.go
@@ -278,7 +278,7 @@
 
 func gateSettings(net, i int, seeds []string) host.Settings {
 	ip := hollowIP(net, gateBlock, i)
-	return host.Settings{Name: fmt.Sprintf("gate-%04d", i), Domain: hollowDomain(i), Addr: ip + ":7001", Http: ip + ":7101", Listen: ip + ":7201", From: ip, Seeds: seeds, Log: "info"}
+	return host.Settings{Name: fmt.Sprintf("gate-%04d", i), Domain: hollowDomain(i), Addr: ip + ":7001", HTTP: ip + ":7101", Listen: ip + ":7201", From: ip, Seeds: seeds, Log: "info"}
 }
 
 // hollowBack is one hollow target.
@@ -643,7 +643,7 @@
 		}
 	}
 	core := func(p *proc) error {
-		return l.with(p, host.Settings{Name: p.name, Domain: p.domain, Addr: p.addr, Http: p.http, From: hostOf(p.addr), Seeds: seeds, Log: "info", Data: l.path("data", p.name), Size: l.f.cores})
+		return l.with(p, host.Settings{Name: p.name, Domain: p.domain, Addr: p.addr, HTTP: p.http, From: hostOf(p.addr), Seeds: seeds, Log: "info", Data: l.path("data", p.name), Size: l.f.cores})
 	}
 	for _, p := range l.cores {
 		if err := core(p); err != nil {
@@ -688,7 +688,7 @@
 	}
 	for i := hollow; i < l.size.Gates; i++ {
 		s := gateSettings(l.f.net, i, seeds)
-		p := &proc{name: s.Name, kind: "mfgate", domain: s.Domain, addr: s.Addr, http: s.Http, listen: s.Listen}
+		p := &proc{name: s.Name, kind: "mfgate", domain: s.Domain, addr: s.Addr, http: s.HTTP, listen: s.Listen}
 		l.gates = append(l.gates, p)
 		if err := l.with(p, s); err != nil {
 			return err
--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -211,7 +211,7 @@
 				return err
 			}
 		}
-		s := host.Settings{Name: p.name, Domain: p.domain, Addr: p.addr, Bind: p.bind, From: hostOf(p.bind), Http: p.http, Listen: p.listen, Seeds: seeds, Log: "info"}
+		s := host.Settings{Name: p.name, Domain: p.domain, Addr: p.addr, Bind: p.bind, From: hostOf(p.bind), HTTP: p.http, Listen: p.listen, Seeds: seeds, Log: "info"}
 		if p.kind == "mfcore" {
 			s.Data, s.Size = l.path("data", p.name), l.dep.Cores
 		}
--- a/cmd/mfload/main.go
+++ b/cmd/mfload/main.go
@@ -305,13 +305,13 @@
 	if o.status >= 500 {
 		return
 	}
-	var a struct{ Id, Service, Sum, Pad, Name string }
+	var a struct{ ID, Service, Sum, Pad, Name string }
 	sum := sha256.Sum256(body)
 	switch {
 	case json.Unmarshal(b, &a) != nil:
 		o.wrong = fmt.Sprintf("not the back end's answer: %.80q", b)
-	case a.Id != id:
-		o.wrong = "the answer is to exchange " + a.Id
+	case a.ID != id:
+		o.wrong = "the answer is to exchange " + a.ID
 	case a.Service != k.Service:
 		o.wrong = "the answer is from service " + a.Service
 	case a.Sum != hex.EncodeToString(sum[:]):
--- a/host/core.go
+++ b/host/core.go
@@ -1,5 +1,5 @@
-// This file is the control daemon's shell: it opens the disk, starts the core
-// owner, and carries out its commands.
+// This file is the control daemon's process: it opens the disk, starts the core's state
+// machine, and carries out its commands.
 
 package host
 
@@ -11,67 +11,86 @@
 	"myrtlefold/core"
 )
 
-// RunCore is mfcore.
-func RunCore(args []string, say Dialect) int {
-	h := Start("core", args, say)
-	disk, img, err := h.OpenDisk()
+// coreDaemon is a control daemon's parts.
+type coreDaemon struct {
+	*Host
+	owner *core.Core
+	disk  *Disk
+	hub   *Hub
+	term  atomic.Uint64 // the owner's, for the lines of the stream
+}
+
+// RunCore is mfcore: it runs a control daemon until it is stopped, and returns the exit code.
+func RunCore(args []string, dialect Dialect) int {
+	h := Start("core", args, dialect)
+	disk, image, err := h.OpenDisk()
 	if err != nil {
 		h.Fatal(err, "state on disk")
 	}
-	own := core.New(h.Now(), core.Settings{Self: h.Daemon(), Size: h.Set.Size, Seeds: h.Set.Seeds, Found: h.Set.Found, Domains: h.Set.Domains}, img)
-	hub := NewHub()
-	var term atomic.Uint64
-	exec := func(cmd any) {
-		switch c := cmd.(type) {
-		case core.Sync:
-			disk.in <- c.B
-		case core.Note:
-			hub.Put(term.Load(), c)
-		default:
-			h.Do(cmd)
-		}
-	}
-	if err := h.Listen(); err != nil {
-		h.Fatal(err, "start")
+	s := h.Settings
+	owner := core.New(h.Now(), core.Settings{Self: h.Daemon(), Size: s.Size, Seeds: s.Seeds, Found: s.Found, Domains: s.Domains}, image)
+	d := &coreDaemon{Host: h, owner: owner, disk: disk, hub: NewHub()}
+	if err := d.Listen(); err != nil {
+		d.Fatal(err, "start")
 	}
-	h.Counters("core", func() any {
+	d.Counters("core", func() any {
 		var n core.Counts
-		h.Loop.Look(func(now time.Duration) { n = own.Status(now).Counts })
+		d.Loop.Look(func(now time.Duration) { n = d.owner.Status(now).Counts })
 		return n
 	})
-	var ids atomic.Uint64
-	mux := h.Admin(func() (ok bool, why any) {
-		h.Loop.Look(func(now time.Duration) { ok, why = own.Ready(), own.Status(now).Role })
-		return
-	})
-	mux.HandleFunc("GET /v1/stream", func(w http.ResponseWriter, r *http.Request) {
-		var lead, addr string
-		var leads bool
-		h.Loop.Look(func(now time.Duration) {
-			s := own.Status(now)
-			lead, leads = s.Leader, own.Leading()
-			term.Store(s.Term)
-			addr = own.Http(lead)
-		})
-		hub.Serve(w, r, leads, addr)
-	})
-	mux.Handle("POST /v1/judge", NewSessions())
-	mux.HandleFunc("/v1/", h.Call(func() uint64 { return ids.Add(1) }))
-	srv, err := h.Serve(h.Set.Http, mux)
+	server, err := d.Serve(s.HTTP, d.handler())
 	if err != nil {
-		h.Fatal(err, "start")
+		d.Fatal(err, "start")
 	}
-	go disk.Run()
-	go h.Loop.Run(func(now time.Duration, ev any) []any {
-		out := own.Step(now, ev)
-		term.Store(own.Term())
-		return out
-	}, exec)
-	h.Signals()
-	h.Watch(func(s []string) { h.Loop.Look(func(time.Duration) { own.Seeds(s) }) })
-	h.Log.WithField("settings", h.Set).Info("started")
-	code := <-h.Quit
-	srv.Close()
-	h.Log.Info("stopped")
+	go d.disk.Run()
+	go d.Loop.Run(d.step, d.execute)
+	code := d.Wait(d.owner.Seeds)
+	server.Close()
+	d.Log.Info("stopped")
 	return code
 }
+
+// step steps the state machine; on the owner's goroutine.
+func (d *coreDaemon) step(now time.Duration, event any) []any {
+	commands := d.owner.Step(now, event)
+	d.term.Store(d.owner.Term())
+	return commands
+}
+
+// execute carries out a command of the state machine; on the owner's goroutine.
+func (d *coreDaemon) execute(cmd any) {
+	switch c := cmd.(type) {
+	case core.Sync:
+		d.disk.queue <- c.B
+	case core.Note:
+		d.hub.Put(d.term.Load(), c)
+	default:
+		d.Do(cmd)
+	}
+}
+
+// handler is the daemon's HTTP API: for operators, and for targets' heartbeats.
+func (d *coreDaemon) handler() http.Handler {
+	mux := d.Admin(func() (ready bool, role any) {
+		d.Loop.Look(func(now time.Duration) { ready, role = d.owner.Ready(), d.owner.Status(now).Role })
+		return ready, role
+	})
+	mux.HandleFunc("GET /v1/stream", d.stream)
+	mux.Handle("POST /v1/judge", NewSessions())
+	var ids atomic.Uint64
+	mux.HandleFunc("/v1/", d.Call(func() uint64 { return ids.Add(1) }))
+	return mux
+}
+
+// stream serves the stream of target events, or sends the reader to the leader.
+func (d *coreDaemon) stream(w http.ResponseWriter, r *http.Request) {
+	var leading bool
+	var leaderAddr string
+	d.Loop.Look(func(now time.Duration) {
+		status := d.owner.Status(now)
+		leading = d.owner.Leading()
+		d.term.Store(status.Term)
+		leaderAddr = d.owner.Http(status.Leader)
+	})
+	d.hub.Serve(w, r, leading, leaderAddr)
+}
--- a/host/ctl.go
+++ b/host/ctl.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"os"
@@ -189,7 +188,7 @@
 
 // change makes a change under an id of its own, so that it is made once however often it is sent.
 func (c *ctl) change(method, path string, q url.Values, body []byte) int {
-	q.Set("id", fmt.Sprintf("%s-%08x", time.Now().UTC().Format("20060102T150405Z"), rand.Uint32()))
+	q.Set("id", newChangeID())
 	status, out, err := c.call(method, path, q, body)
 	return c.end(status, out, err, func(b []byte) {
 		var done changeDone
--- a/host/disk.go
+++ b/host/disk.go
@@ -15,56 +15,60 @@
 	"myrtlefold/wire"
 )
 
-// Disk owns the ring: batches in, numbers of synced ones out.
+// Disk owns the ring of files. It takes batches from a queue and tells the owner which are synced.
 type Disk struct {
-	h    *Host
-	ring *ring.Ring
-	img  quorum.Image
-	in   chan *wire.Batch
+	h     *Host
+	ring  *ring.Ring
+	image quorum.Image
+	queue chan *wire.Batch
 }
 
-// OpenDisk reads what the folder holds; an empty one gets a number of its own.
+// OpenDisk opens the daemon's folder and returns the state that it holds; an empty folder gets a
+// number of its own. An error marked ring.ErrDamaged says that the state can't be trusted.
 func (h *Host) OpenDisk() (*Disk, quorum.Image, error) {
-	r, recs, err := ring.Open(h.Set.Data, limit.RingFiles, limit.RingFileSize)
+	r, recs, err := ring.Open(h.Settings.Data, limit.RingFiles, limit.RingFileSize)
 	if err != nil {
 		return nil, quorum.Image{}, err
 	}
-	d := &Disk{h: h, ring: r, in: make(chan *wire.Batch, limit.EventQueue)}
+	d := &Disk{h: h, ring: r, queue: make(chan *wire.Batch, limit.EventQueue)}
 	for _, rec := range recs {
 		b, err := wire.DecodeBatch(rec)
 		if err != nil {
 			return nil, quorum.Image{}, errors.Mark(errors.Wrap(err, "ring record"), ring.ErrDamaged)
 		}
-		d.img.Fold(b)
+		d.image.Fold(b)
 	}
-	if d.img.Disk == 0 {
-		d.img.Disk = rand.Uint64() | 1
+	if d.image.Disk == 0 {
+		d.image.Disk = rand.Uint64() | 1
 		if err := d.rotate(); err != nil {
 			return nil, quorum.Image{}, err
 		}
 	}
-	img := d.img
+	img := d.image
 	img.Log = slices.Clone(img.Log)
 	return d, img, nil
 }
 
+// rotate has the ring start its next file with the whole state.
 func (d *Disk) rotate() error {
-	b, err := wire.EncodeBatch(d.img.Whole())
+	b, err := wire.EncodeBatch(d.image.Whole())
 	if err != nil {
 		return err
 	}
 	return d.ring.Rotate(b)
 }
 
+// Run writes and syncs batches as they come, several at once where they have piled up. An error of
+// the disk ends the process: the owner must not go on without what it was told to keep.
 func (d *Disk) Run() {
-	for b := range d.in {
-		bs := []*wire.Batch{b}
-		for len(d.in) > 0 && len(bs) < 64 {
-			bs = append(bs, <-d.in)
+	for first := range d.queue {
+		batches := []*wire.Batch{first}
+		for len(d.queue) > 0 && len(batches) < limit.SyncBatches {
+			batches = append(batches, <-d.queue)
 		}
 		var recs [][]byte
-		for _, b := range bs {
-			d.img.Fold(b)
+		for _, b := range batches {
+			d.image.Fold(b)
 			rec, err := wire.EncodeBatch(b)
 			if err != nil {
 				d.h.Fatal(err, "batch not encoded")
@@ -78,6 +82,6 @@
 		if err != nil {
 			d.h.Fatal(err, "disk")
 		}
-		d.h.Loop.Tell(core.Synced{Seq: bs[len(bs)-1].Seq})
+		d.h.Loop.Tell(core.Synced{Seq: batches[len(batches)-1].Seq})
 	}
 }
--- a/host/gate.go
+++ b/host/gate.go
@@ -1,5 +1,5 @@
-// This file is the proxy daemon's shell: it starts the gate owner and the
-// forwarder, and carries out the owner's commands.
+// This file is the proxy daemon's process: it starts the proxy's state machine and the
+// forwarder, and carries out the state machine's commands.
 
 package host
 
@@ -18,89 +18,135 @@
 	"myrtlefold/proxy"
 )
 
-// RunGate is mfgate.
-func RunGate(args []string, say Dialect) int {
-	h := Start("gate", args, say)
-	own := proxy.New(proxy.Settings{Self: h.Daemon(), Seeds: h.Set.Seeds, Grace: time.Duration(h.Set.GraceMs) * time.Millisecond, ReadyWhenEmptied: h.Set.ReadyWhenEmptied,
-		Retry: proxy.Retry{Ratio: h.Set.RetryRatio, Window: time.Duration(h.Set.RetryWindowMs) * time.Millisecond, Slack: float64(h.Set.RetrySlack)}})
-	pool := forward.NewPool()
-	car := forward.New(forward.Owner{Now: h.Now, Tell: h.Loop.Tell, Ask: func(ctx context.Context, id uint64, ev any) any {
-		return h.Loop.Ask(ctx, id, ev, proxy.Cancel{ID: id})
-	}}, pool)
-	car.From, car.Headers, car.Forwarded = h.From(), h.say.Headers, h.say.Headers == forward.Defaults()
-	exec := func(cmd any) {
-		switch c := cmd.(type) {
-		case proxy.Give:
-			h.Loop.Answer(c.ID, c)
-		case proxy.Refuse:
-			h.Loop.Answer(c.ID, c)
-		case proxy.Dark:
-			pool.Dark(c.IDs)
-		case proxy.Targets:
-			pool.Live(c.Live)
-			car.Limits.Store(c.Limits)
-		case core.Change:
-			if c.What == "stop" {
-				car.Leaving.Store(true)
-			}
-			h.Do(c)
-		default:
-			h.Do(cmd)
-		}
+// firstCallID sets the ids of calls to the daemon's HTTP API apart from those of callers' requests.
+const firstCallID = 1 << 63
+
+// gateDaemon is a proxy daemon's parts.
+type gateDaemon struct {
+	*Host
+	owner     *proxy.Proxy
+	pool      *forward.Pool
+	forwarder *forward.Forwarder
+}
+
+// RunGate is mfgate: it runs a proxy daemon until it is stopped, and returns the exit code.
+func RunGate(args []string, dialect Dialect) int {
+	d := newGateDaemon(Start("gate", args, dialect))
+	if err := d.Listen(); err != nil {
+		d.Fatal(err, "start")
+	}
+	d.register()
+	admin, err := d.Serve(d.Settings.HTTP, d.handler())
+	if err != nil {
+		d.Fatal(err, "start")
+	}
+	callers, err := d.ServeCallers(d.Settings.Listen, d.forwarder)
+	if err != nil {
+		d.Fatal(err, "start")
+	}
+	go d.Loop.Run(d.owner.Step, d.execute)
+	code := d.Wait(d.owner.Seeds)
+	ctx, cancel := context.WithTimeout(context.Background(), d.closeWait())
+	defer cancel()
+	if callers.Shutdown(ctx) != nil {
+		code = 1
+	}
+	admin.Close()
+	d.Log.Info("stopped")
+	return code
+}
+
+func newGateDaemon(h *Host) *gateDaemon {
+	s := h.Settings
+	d := &gateDaemon{Host: h, pool: forward.NewPool()}
+	d.owner = proxy.New(proxy.Settings{
+		Self:             h.Daemon(),
+		Seeds:            s.Seeds,
+		Grace:            milliseconds(s.GraceMs),
+		ReadyWhenEmptied: s.ReadyWhenEmptied,
+		Retry:            proxy.Retry{Ratio: s.RetryRatio, Window: milliseconds(s.RetryWindowMs), Slack: float64(s.RetrySlack)},
+	})
+	ask := func(ctx context.Context, id uint64, event any) any {
+		return h.Loop.Ask(ctx, id, event, proxy.Cancel{ID: id})
 	}
-	if err := h.Listen(); err != nil {
-		h.Fatal(err, "start")
+	d.forwarder = forward.New(forward.Owner{Now: h.Now, Tell: h.Loop.Tell, Ask: ask}, d.pool)
+	d.forwarder.From = h.From()
+	d.forwarder.Headers = h.dialect.Headers
+	d.forwarder.Forwarded = h.dialect.Headers == forward.Defaults()
+	return d
+}
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// execute carries out a command of the state machine; on the owner's goroutine.
+func (d *gateDaemon) execute(cmd any) {
+	switch c := cmd.(type) {
+	case proxy.Give:
+		d.Loop.Answer(c.ID, c)
+	case proxy.Refuse:
+		d.Loop.Answer(c.ID, c)
+	case proxy.Dark:
+		d.pool.Dark(c.IDs)
+	case proxy.Targets:
+		d.pool.Live(c.Live)
+		d.forwarder.Limits.Store(c.Limits)
+	case core.Change:
+		if c.What == "stop" {
+			d.forwarder.Leaving.Store(true)
+		}
+		d.Do(c)
+	default:
+		d.Do(cmd)
 	}
-	took := prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "mf_exchange_seconds", Help: "Time of exchanges by service and status.",
-		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14)}, []string{"service", "status"})
-	h.Reg.MustRegister(took)
-	car.Observe = func(svc string, status int, sec float64) {
-		took.WithLabelValues(svc, strconv.Itoa(status)).Observe(sec)
+}
+
+// register puts the daemon's counters and times on /metrics.
+func (d *gateDaemon) register() {
+	seconds := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "mf_exchange_seconds",
+		Help:    "Time of exchanges by service and status.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+	}, []string{"service", "status"})
+	d.Metrics.MustRegister(seconds)
+	d.forwarder.Observe = func(service string, status int, sec float64) {
+		seconds.WithLabelValues(service, strconv.Itoa(status)).Observe(sec)
 	}
-	h.Counters("gate", func() any {
+	d.Counters("gate", func() any {
 		var n proxy.Counts
-		h.Loop.Look(func(time.Duration) { n = own.Counts })
+		d.Loop.Look(func(time.Duration) { n = d.owner.Counts })
 		return n
 	})
-	h.Counters("carry", func() any { return &car.Counts })
-	var ids atomic.Uint64
-	ids.Store(1 << 63) // apart from the requests' numbers
-	mux := h.Admin(func() (ok bool, why any) {
-		h.Loop.Look(func(now time.Duration) { v := own.View(now); ok, why = v.Ready, v.State })
-		return
+	d.Counters("carry", func() any { return &d.forwarder.Counts })
+}
+
+// view is the proxy's state as operators may read it.
+func (d *gateDaemon) view() (v proxy.View) {
+	d.Loop.Look(func(now time.Duration) { v = d.owner.View(now) })
+	return v
+}
+
+// handler is the daemon's HTTP API: for operators, and for targets' heartbeats.
+func (d *gateDaemon) handler() http.Handler {
+	mux := d.Admin(func() (bool, any) {
+		v := d.view()
+		return v.Ready, v.State
 	})
-	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
-		var v proxy.View
-		h.Loop.Look(func(now time.Duration) { v = own.View(now) })
-		WriteJSON(w, 200, v)
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		WriteJSON(w, http.StatusOK, d.view())
 	})
-	call := h.Call(func() uint64 { return ids.Add(1) })
+	var ids atomic.Uint64
+	ids.Store(firstCallID)
+	call := d.Call(func() uint64 { return ids.Add(1) })
 	mux.HandleFunc("POST /v1/targets", call)
 	mux.HandleFunc("PUT /v1/targets/", call)
 	mux.HandleFunc("DELETE /v1/targets/", call)
-	admin, err := h.Serve(h.Set.Http, mux)
-	if err != nil {
-		h.Fatal(err, "start")
-	}
-	srv, err := h.ServeCallers(h.Set.Listen, car)
-	if err != nil {
-		h.Fatal(err, "start")
-	}
-	go h.Loop.Run(own.Step, exec)
-	h.Signals()
-	h.Watch(func(s []string) { h.Loop.Look(func(time.Duration) { own.Seeds(s) }) })
-	h.Log.WithField("settings", h.Set).Info("started")
-	code := <-h.Quit
-	wait := limit.StopWait
-	if h.Set.GraceMs > 0 {
-		wait = limit.StopLast // the owner has used the rest of the grace
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
-	defer cancel()
-	if srv.Shutdown(ctx) != nil {
-		code = 1
+	return mux
+}
+
+// closeWait is how long callers' connections may take to close once the owner has stopped.
+func (d *gateDaemon) closeWait() time.Duration {
+	if d.Settings.GraceMs > 0 {
+		return limit.StopLast // the owner has used the rest of the grace
 	}
-	admin.Close()
-	h.Log.Info("stopped")
-	return code
+	return limit.StopWait
 }
--- a/host/host.go
+++ b/host/host.go
@@ -1,7 +1,7 @@
-// Package host is the shell around the owners: the clock, the loop that feeds an
-// owner on its one goroutine, messages between daemons over TCP, probes, the
-// disk, settings, logs and counters. Host is the one context that all of it
-// shares. Nothing here decides anything.
+// Package host is what is around the state machines of the daemons (their owners): the clock,
+// the loop that feeds an owner on its one goroutine, messages between daemons over TCP,
+// probes, the disk, settings, logs and counters. Host is the one context that all of it
+// shares. Nothing here decides anything. The package also holds mfctl, the operators' command.
 package host
 
 import (
@@ -10,9 +10,7 @@
 	"net"
 	"os"
 	"os/signal"
-	"reflect"
 	"runtime/debug"
-	"slices"
 	"syscall"
 	"time"
 
@@ -29,40 +27,43 @@
 	"myrtlefold/wire"
 )
 
-// Version is what the programs say they are.
+// Version is what the programs answer to --version.
 var Version = "0.1.0"
 
 // Host is the context that a daemon's parts share.
 type Host struct {
-	Kind  string
-	Set   Settings
-	Log   *logrus.Logger
-	Reg   *prometheus.Registry
-	Inc   uint64
-	Loop  *Loop
-	load  func() (Settings, []byte, []model.Fault, error)
-	say   Dialect
-	raw   []byte
-	start time.Time
-	out   map[string]chan queued
-	Quit  chan int
+	Kind        string // core or gate
+	Settings    Settings
+	Log         *logrus.Logger
+	Metrics     *prometheus.Registry
+	Incarnation uint64 // a random number of this start
+	Loop        *Loop
+	// Quit takes the exit code when the owner is done.
+	Quit chan int
 	// Traffic counts the messages between this daemon and others.
 	Traffic *Traffic
-	// Headers are the names that targets are asked with; none: the product's own.
-	Headers  forward.Headers
-	probes   map[wire.ID]*probed
-	probesAt time.Duration
+	// Headers are the names of the headers on probes; none: the product's own.
+	Headers forward.Headers
+
+	load        func() (Settings, []byte, []model.Fault, error)
+	dialect     Dialect
+	rawSettings []byte // the text that Settings were read from
+	start       time.Time
+	queues      map[string]chan queued // messages to be sent, by address
+	probes      map[wire.ID]*probed
+	probesAt    time.Duration // when idle connections were last closed
 }
 
-// Start reads command line and settings; on any fault it says each and exits 2.
-func Start(kind string, args []string, say Dialect) *Host {
+// Start reads command line and settings and returns the daemon's context. If anything is wrong it
+// prints each fault and ends the process with exit code 2.
+func Start(kind string, args []string, dialect Dialect) *Host {
 	app := kingpin.New("mf"+kind, map[string]string{
 		"core": "A control daemon: keeps the configuration, the roster and the judgement of targets.",
 		"gate": "A proxy daemon: carries callers' exchanges to back ends."}[kind])
 	app.Version(Version)
 	app.HelpFlag.Short('h')
 	f := &Flags{}
-	load := say.Load
+	load := dialect.Load
 	if load == nil {
 		f.Bind(app, kind)
 		load = func() (Settings, []byte, []model.Fault, error) { return f.Load(kind) }
@@ -93,23 +94,23 @@
 	lv, _ := logrus.ParseLevel(set.Log)
 	log.SetLevel(lv)
 	h := New(kind, set, log)
-	h.load, h.say, h.Headers, h.raw = load, say, say.Headers, raw
+	h.load, h.dialect, h.Headers, h.rawSettings = load, dialect, dialect.Headers, raw
 	h.bound(set)
-	h.Reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	h.Metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return h
 }
 
-// New is a daemon's context by itself: what the process has in common is Start's.
+// New returns a daemon's context without touching what a process has only one of.
 func New(kind string, set Settings, log *logrus.Logger) *Host {
-	h := &Host{Kind: kind, Set: set, Log: log, Reg: prometheus.NewRegistry(), Inc: rand.Uint64() | 1, Traffic: &Traffic{},
-		start: time.Now(), out: map[string]chan queued{}, Quit: make(chan int, 1)}
-	h.Reg.MustRegister(h.Traffic)
-	h.Loop = &Loop{in: make(chan item, limit.EventQueue), h: h, waits: map[uint64]chan any{}}
+	h := &Host{Kind: kind, Settings: set, Log: log, Metrics: prometheus.NewRegistry(), Incarnation: rand.Uint64() | 1, Traffic: &Traffic{},
+		start: time.Now(), queues: map[string]chan queued{}, Quit: make(chan int, 1)}
+	h.Metrics.MustRegister(h.Traffic)
+	h.Loop = &Loop{queue: make(chan item, limit.EventQueue), host: h, waiting: map[uint64]chan any{}}
 	return h
 }
 
-// bound tells the runtime how much memory there is: the most goes to what lives, and
-// a part stays for what the runtime does not count.
+// bound tells the runtime how much memory it may use: a part of the process's, since the rest goes
+// to what the runtime does not count.
 func (h *Host) bound(s Settings) {
 	if s.MemoryMb > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMb<<20) * limit.MemoryShare))
@@ -117,28 +118,29 @@
 	}
 }
 
-// Now is monotonic time since the process started, never 0.
+// Now returns the monotonic time since the process started; it is never 0.
 func (h *Host) Now() time.Duration { return time.Since(h.start) + time.Millisecond }
 
-// From is where connections leave from, nil for the system's choice.
+// From returns the address that connections leave from, nil for the system's choice.
 func (h *Host) From() net.Addr {
-	if h.Set.From == "" {
+	if h.Settings.From == "" {
 		return nil
 	}
-	return &net.TCPAddr{IP: net.ParseIP(h.Set.From)}
+	return &net.TCPAddr{IP: net.ParseIP(h.Settings.From)}
 }
 
+// Daemon returns what the daemon says of itself to others.
 func (h *Host) Daemon() wire.Daemon {
-	return wire.Daemon{Name: h.Set.Name, Kind: h.Kind, Domain: h.Set.Domain, Addr: h.Set.Addr, Http: h.Set.Http, Inc: h.Inc}
+	return wire.Daemon{Name: h.Settings.Name, Kind: h.Kind, Domain: h.Settings.Domain, Addr: h.Settings.Addr, Http: h.Settings.HTTP, Inc: h.Incarnation}
 }
 
-// Fatal ends the process on something that it can't go on without.
+// Fatal logs an error that the daemon can't go on with, and ends the process with exit code 1.
 func (h *Host) Fatal(err error, what string) {
 	h.Log.WithError(err).Error(what)
 	os.Exit(1)
 }
 
-// Do carries out the commands that both daemons' owners give; on the owner's goroutine.
+// Do carries out the commands that both kinds of owners give; on the owner's goroutine.
 func (h *Host) Do(cmd any) {
 	switch c := cmd.(type) {
 	case core.Send:
@@ -148,7 +150,7 @@
 	case core.Reply:
 		h.Loop.Answer(c.ID, c)
 	case core.Change:
-		h.Log.WithFields(logrus.Fields{"what": c.What, "from": c.From, "to": c.To, "why": c.Why, "daemon": h.Set.Name}).Info("change")
+		h.Log.WithFields(logrus.Fields{"what": c.What, "from": c.From, "to": c.To, "why": c.Why, "daemon": h.Settings.Name}).Info("change")
 	case core.Exit:
 		select {
 		case h.Quit <- 0:
@@ -159,7 +161,7 @@
 	}
 }
 
-// Signals passes the first polite signal to the owner; a second one ends the process.
+// Signals has the first SIGTERM or SIGINT stop the owner, and a second one end the process.
 func (h *Host) Signals() {
 	ch := make(chan os.Signal, 2)
 	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT)
@@ -172,46 +174,11 @@
 	}()
 }
 
-// Watch looks at the settings again and again, and at once on SIGHUP. Sound changes of
-// log level, seeds and memory take effect; others wait for the next start; unsound ones
-// are said once and the old ones kept.
-func (h *Host) Watch(seeds func([]string)) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	tick := time.NewTicker(limit.SettingsEvery)
-	go func() {
-		seen, cur := string(h.raw), h.Set
-		for {
-			select {
-			case <-hup:
-			case <-tick.C:
-			}
-			s, b, faults, err := h.load()
-			if string(b) == seen && err == nil {
-				continue
-			}
-			if err != nil || len(faults) > 0 {
-				if string(b) != seen || err != nil && seen != err.Error() {
-					h.Log.WithError(err).WithField("faults", faults).Warn("changed settings are unsound; the old ones stay")
-				}
-				if seen = string(b); err != nil {
-					seen = err.Error()
-				}
-				continue
-			}
-			seen = string(b)
-			if lv, _ := logrus.ParseLevel(s.Log); s.Log != cur.Log {
-				h.Log.SetLevel(lv)
-			}
-			if !slices.Equal(s.Seeds, cur.Seeds) {
-				seeds(s.Seeds)
-			}
-			h.bound(s)
-			rest := s
-			rest.Log, rest.Seeds, rest.MemoryMb = cur.Log, cur.Seeds, cur.MemoryMb
-			waits := !reflect.DeepEqual(rest, cur)
-			cur.Log, cur.Seeds, cur.MemoryMb = s.Log, s.Seeds, s.MemoryMb
-			h.Log.WithFields(logrus.Fields{"log": s.Log, "seeds": s.Seeds, "rest_at_next_start": waits}).Info("settings changed")
-		}
-	}()
+// Wait handles signals and changes of settings until the owner is done, and returns the exit code.
+// seeds takes new seeds, on the owner's goroutine.
+func (h *Host) Wait(seeds func([]string)) int {
+	h.Signals()
+	h.Watch(func(s []string) { h.Loop.Look(func(time.Duration) { seeds(s) }) })
+	h.Log.WithField("settings", h.Settings).Info("started")
+	return <-h.Quit
 }
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -74,8 +74,8 @@
 
 // A member finds on its disk again what was synced, over many turns of the ring.
 func TestDisk(t *testing.T) {
-	h := &Host{Set: Settings{Data: t.TempDir()}}
-	h.Loop = &Loop{in: make(chan item, limit.EventQueue), h: h}
+	h := &Host{Settings: Settings{Data: t.TempDir()}}
+	h.Loop = &Loop{queue: make(chan item, limit.EventQueue), host: h}
 	d, img, err := h.OpenDisk()
 	if err != nil || img.Disk == 0 {
 		t.Fatal(err, img)
@@ -88,11 +88,11 @@
 		if i%8 == 7 {
 			b.Snap = &wire.Snap{Index: i, Term: 1, Data: big}
 		}
-		d.in <- b
+		d.queue <- b
 		want.Fold(b)
 	}
 	for seq := uint64(0); seq < 200; {
-		it := <-h.Loop.in
+		it := <-h.Loop.queue
 		seq = it.ev.(core.Synced).Seq
 	}
 	_, got, err := h.OpenDisk()
--- a/host/http.go
+++ b/host/http.go
@@ -20,22 +20,36 @@
 	"myrtlefold/model"
 )
 
-// Admin is the mux that every daemon starts from.
+// liveAnswer and readyAnswer are the bodies of /live and /ready.
+type (
+	liveAnswer struct {
+		Live bool `json:"live"`
+	}
+	readyAnswer struct {
+		Ready bool `json:"ready"`
+		State any  `json:"state"` // why, in the owner's words
+	}
+)
+
+// Admin returns the mux that every daemon's HTTP API starts from: /live, /ready and /metrics.
 func (h *Host) Admin(ready func() (bool, any)) *http.ServeMux {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /live", func(w http.ResponseWriter, r *http.Request) { WriteJSON(w, 200, map[string]any{"live": true}) })
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
-		ok, why := ready()
-		status := 200
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) {
+		WriteJSON(w, http.StatusOK, liveAnswer{Live: true})
+	})
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		ok, state := ready()
+		status := http.StatusOK
 		if !ok {
-			status = 503
+			status = http.StatusServiceUnavailable
 		}
-		WriteJSON(w, status, map[string]any{"ready": ok, "state": why})
+		WriteJSON(w, status, readyAnswer{Ready: ok, State: state})
 	})
-	mux.Handle("GET /metrics", promhttp.HandlerFor(h.Reg, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(h.Metrics, promhttp.HandlerOpts{}))
 	return mux
 }
 
+// WriteJSON answers with a status and a JSON body.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -48,12 +62,17 @@
 	forward.Error(w, status, retry, t)
 }
 
-// Serve runs an HTTP server on addr.
+// newChangeID names a change whose caller has not named it: a time for people and a random number.
+func newChangeID() string {
+	return fmt.Sprintf("%s-%08x", time.Now().UTC().Format("20060102T150405Z"), rand.Uint32())
+}
+
+// Serve runs an HTTP server on addr until it is closed.
 func (h *Host) Serve(addr string, hd http.Handler) (*http.Server, error) {
 	return h.serve(addr, hd, nil)
 }
 
-// ServeCallers runs the forwarder's server on addr.
+// ServeCallers runs the forwarder's server for callers on addr until it is shut down.
 func (h *Host) ServeCallers(addr string, c *forward.Forwarder) (*http.Server, error) {
 	return h.serve(addr, c, c)
 }
@@ -63,7 +82,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for HTTP")
 	}
-	s := &http.Server{Handler: hd, ReadHeaderTimeout: limit.CallerHeader, IdleTimeout: limit.CallerIdle, MaxHeaderBytes: 4 * limit.HeaderMax}
+	s := &http.Server{Handler: hd, ReadHeaderTimeout: limit.CallerHeader, IdleTimeout: limit.CallerIdle, MaxHeaderBytes: limit.ServerHeaderMax}
 	if c != nil {
 		ln, s.ConnContext = c.Listener(ln), c.Context
 	}
@@ -75,13 +94,14 @@
 	return s, nil
 }
 
-// Call passes an operator's or back end's call to the owner.
+// Call returns the handler that passes operators' and back ends' calls to the owner; next gives each
+// an id of its own.
 func (h *Host) Call(next func() uint64) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit.DocMax+1))
 		var mb *http.MaxBytesError
 		if errors.As(err, &mb) {
-			refuse(w, 413, 0, model.Trouble{Code: "too_large", Message: fmt.Sprintf("at most %d bytes", limit.DocMax)})
+			refuse(w, http.StatusRequestEntityTooLarge, 0, model.Trouble{Code: "too_large", Message: fmt.Sprintf("at most %d bytes", limit.DocMax)})
 			return
 		}
 		if err != nil {
@@ -92,7 +112,7 @@
 		if v := strings.Trim(r.Header.Get("If-Match"), `"`); v != "" && !q.Has("base") {
 			q.Set("base", v)
 		}
-		token := fmt.Sprintf("%s-%08x", time.Now().UTC().Format("20060102T150405Z"), rand.Uint32())
+		token := newChangeID()
 		v := h.Loop.Ask(r.Context(), id, core.Ask{ID: id, Token: token, Method: r.Method, Path: r.URL.Path, Query: q.Encode(), Body: b}, nil)
 		a, ok := v.(core.Reply)
 		if !ok {
--- a/host/loop.go
+++ b/host/loop.go
@@ -13,6 +13,7 @@
 	"myrtlefold/limit"
 )
 
+// item is what the owner's goroutine takes: an event, a question, its cancellation, or a look.
 type item struct {
 	ev    any
 	id    uint64
@@ -20,25 +21,26 @@
 	look  func(now time.Duration)
 }
 
-// Loop feeds one owner from one goroutine.
+// Loop feeds one owner's state machine from one goroutine.
 type Loop struct {
-	in    chan item
-	h     *Host
-	waits map[uint64]chan any
+	queue   chan item
+	host    *Host
+	waiting map[uint64]chan any
 }
 
-func (l *Loop) Tell(ev any) { l.in <- item{ev: ev} }
+// Tell queues an event for the owner; it waits while the queue is full.
+func (l *Loop) Tell(ev any) { l.queue <- item{ev: ev} }
 
-// Ask tells the owner ev and waits for the command that answers id; cancel is
-// told instead if the context ends first.
+// Ask tells the owner the event ev, and returns the command that answers id. If the context ends
+// first it tells the owner cancel and returns nil.
 func (l *Loop) Ask(ctx context.Context, id uint64, ev, cancel any) any {
 	ch := make(chan any, 1)
-	l.in <- item{ev: ev, id: id, reply: ch}
+	l.queue <- item{ev: ev, id: id, reply: ch}
 	select {
 	case v := <-ch:
 		return v
 	case <-ctx.Done():
-		l.in <- item{ev: cancel, id: id}
+		l.queue <- item{ev: cancel, id: id}
 		return nil
 	}
 }
@@ -46,38 +48,39 @@
 // Look runs f on the owner's goroutine and waits for it.
 func (l *Loop) Look(f func(now time.Duration)) {
 	done := make(chan struct{})
-	l.in <- item{look: func(now time.Duration) { f(now); close(done) }}
+	l.queue <- item{look: func(now time.Duration) { f(now); close(done) }}
 	<-done
 }
 
-// Answer hands an answer to who waits for it.
+// Answer passes the answer to id to whoever waits in Ask; on the owner's goroutine.
 func (l *Loop) Answer(id uint64, v any) {
-	if ch := l.waits[id]; ch != nil {
-		delete(l.waits, id)
+	if ch := l.waiting[id]; ch != nil {
+		delete(l.waiting, id)
 		ch <- v
 	}
 }
 
-// Run is the owner's goroutine.
+// Run is the owner's goroutine: it steps the state machine for each event and each tick, and passes
+// the commands to exec. It does not return.
 func (l *Loop) Run(step func(time.Duration, any) []any, exec func(cmd any)) {
 	tick := time.NewTicker(limit.TickEvery)
 	defer tick.Stop()
 	do := func(ev any) {
-		for _, c := range step(l.h.Now(), ev) {
+		for _, c := range step(l.host.Now(), ev) {
 			exec(c)
 		}
 	}
 	for {
 		select {
-		case it := <-l.in:
+		case it := <-l.queue:
 			switch {
 			case it.look != nil:
-				it.look(l.h.Now())
+				it.look(l.host.Now())
 				continue
 			case it.reply != nil:
-				l.waits[it.id] = it.reply
+				l.waiting[it.id] = it.reply
 			case it.id != 0:
-				delete(l.waits, it.id)
+				delete(l.waiting, it.id)
 			}
 			if it.ev != nil {
 				do(it.ev)
@@ -88,7 +91,7 @@
 	}
 }
 
-// passes says that a listener's error ends by itself: descriptors come free, or one caller went.
+// passes reports whether a listener's error ends by itself: descriptors come free, or one caller went.
 func passes(err error) bool {
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
 }
--- a/host/metrics.go
+++ b/host/metrics.go
@@ -9,11 +9,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// Counters shows an owner's or forwarder's counts, whatever fields they have.
+// Counters puts the counts of an owner or forwarder on /metrics: each field of the struct that get
+// returns, if it is an unsigned integer or atomic, as mf_PREFIX_FIELD_total.
 func (h *Host) Counters(prefix string, get func() any) {
-	h.Reg.MustRegister(counts{prefix, get})
+	h.Metrics.MustRegister(counts{prefix, get})
 }
 
+// counts is a prometheus.Collector of a struct's fields.
 type counts struct {
 	prefix string
 	get    func() any
@@ -40,6 +42,7 @@
 	}
 }
 
+// snake returns a Go name in snake case.
 func snake(s string) string {
 	var b strings.Builder
 	for i, r := range s {
--- a/host/probe.go
+++ b/host/probe.go
@@ -1,11 +1,12 @@
 // This file is the probes: targets are asked on connections that stay open from one probe
-// to the next, either for their health or, where a service has no path for that, who
-// they are. What an answer means for a target is the owners' to say.
+// to the next, either for their health or, where a service has no path for that, for their
+// identity. What an answer means for a target is decided by the owners.
 
 package host
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -17,25 +18,27 @@
 	"myrtlefold/wire"
 )
 
-// probed is one target's place: its connection while no probe has it.
+// probed is one target's connection while no probe uses it.
 type probed struct {
-	pipe atomic.Pointer[forward.Conn]
-	at   time.Duration
-	gone atomic.Bool
+	conn atomic.Pointer[forward.Conn]
+	at   time.Duration // of the last probe
+	gone atomic.Bool   // no more probes go there
 }
 
+// put keeps a connection for the next probe, in place of the one kept before.
 func (s *probed) put(p *forward.Conn) {
-	if old := s.pipe.Swap(p); old != nil {
+	if old := s.conn.Swap(p); old != nil {
 		old.Close()
 	}
 	if s.gone.Load() {
-		if p = s.pipe.Swap(nil); p != nil {
+		if p = s.conn.Swap(nil); p != nil {
 			p.Close()
 		}
 	}
 }
 
-// Probe asks a target; called on the owner's goroutine.
+// Probe probes a target and tells the owner the outcome, a core.Probed; called on the owner's
+// goroutine, which it does not keep waiting.
 func (h *Host) Probe(p core.Probe) {
 	sent := h.Now()
 	if h.probes == nil {
@@ -44,16 +47,7 @@
 			h.Headers = forward.Defaults()
 		}
 	}
-	if sent-h.probesAt > limit.ProbeConnIdle/4 {
-		h.probesAt = sent
-		for id, s := range h.probes {
-			if sent-s.at > limit.ProbeConnIdle {
-				delete(h.probes, id)
-				s.gone.Store(true)
-				s.put(nil)
-			}
-		}
-	}
+	h.closeIdleProbes(sent)
 	s := h.probes[p.ID]
 	if s == nil {
 		s = &probed{}
@@ -68,48 +62,64 @@
 	}()
 }
 
+// closeIdleProbes closes, now and then, the connections to targets that are probed no more.
+func (h *Host) closeIdleProbes(now time.Duration) {
+	if now-h.probesAt <= limit.ProbeConnIdle/4 {
+		return
+	}
+	h.probesAt = now
+	for id, s := range h.probes {
+		if now-s.at > limit.ProbeConnIdle {
+			delete(h.probes, id)
+			s.gone.Store(true)
+			s.put(nil)
+		}
+	}
+}
+
+// ask probes a target on the kept connection, and once more on a new one if that fails.
 func ask(s *probed, p core.Probe, names *forward.Headers, h *Host) (*model.Beat, time.Duration) {
-	till := time.Now().Add(limit.ProbeCap)
-	pipe := s.pipe.Swap(nil)
-	for pipe != nil && pipe.Addr() != p.Addr {
-		pipe.Close()
-		pipe = nil
+	deadline := time.Now().Add(limit.ProbeCap)
+	conn := s.conn.Swap(nil)
+	for conn != nil && conn.Addr() != p.Addr {
+		conn.Close()
+		conn = nil
 	}
 	for {
-		kept := pipe != nil
+		kept := conn != nil
 		if !kept {
-			ctx, cancel := context.WithDeadline(context.Background(), till)
+			ctx, cancel := context.WithDeadline(context.Background(), deadline)
 			var err error
-			pipe, err = forward.Open(ctx, p.Addr, h.From())
+			conn, err = forward.Open(ctx, p.Addr, h.From())
 			cancel()
 			if err != nil {
 				return nil, 0
 			}
 		}
-		b, cold, again, err := look(pipe, p, names, till)
+		b, cold, again, err := look(conn, p, names, deadline)
 		if err == nil && again {
-			s.put(pipe)
+			s.put(conn)
 		} else {
-			pipe.Close()
+			conn.Close()
 		}
-		if err == nil || !kept || time.Now().After(till) {
+		if err == nil || !kept || time.Now().After(deadline) {
 			return b, cold
 		}
-		pipe = nil // the kept one was closed meanwhile; a new one tells more
+		conn = nil // the kept one was closed meanwhile; a new one tells more
 	}
 }
 
 // look asks on a connection and reads what the answer says of the target.
-func look(pipe *forward.Conn, p core.Probe, names *forward.Headers, till time.Time) (b *model.Beat, cold time.Duration, again bool, err error) {
+func look(conn *forward.Conn, p core.Probe, names *forward.Headers, deadline time.Time) (b *model.Beat, cold time.Duration, again bool, err error) {
 	if p.Path == "" {
-		b, again, err = pipe.Identify(till, p.Addr)
+		b, again, err = conn.Identify(deadline, p.Addr)
 		if err != nil {
 			b = nil
 		}
 		return b, 0, again, err
 	}
-	left := strconv.FormatInt(max(1, (time.Until(till)-limit.NetHop).Milliseconds()), 10)
-	resp, _, again, err := pipe.Get(till, p.Addr, p.Path, names.Deadline, left)
+	left := strconv.FormatInt(max(1, (time.Until(deadline)-limit.NetHop).Milliseconds()), 10)
+	resp, _, again, err := conn.Get(deadline, p.Addr, p.Path, names.Deadline, left)
 	if err != nil {
 		return nil, 0, false, err
 	}
@@ -118,9 +128,9 @@
 		b.Name = n
 	}
 	switch {
-	case resp.StatusCode == 200:
+	case resp.StatusCode == http.StatusOK:
 		b.State = model.Ready
-	case resp.Header.Get(names.NotRun) != "" || resp.StatusCode == 429:
+	case resp.Header.Get(names.NotRun) != "" || resp.StatusCode == http.StatusTooManyRequests:
 		// alive, and too busy to say more
 	default:
 		return nil, 0, again, nil
--- a/host/probe_test.go
+++ b/host/probe_test.go
@@ -21,13 +21,13 @@
 
 func prober() *Host {
 	h := &Host{start: time.Now(), Headers: forward.Headers{Deadline: "D", NotRun: "N", Load: "L", Identity: "I", Cold: "C"}}
-	h.Loop = &Loop{in: make(chan item, limit.EventQueue), h: h}
+	h.Loop = &Loop{queue: make(chan item, limit.EventQueue), host: h}
 	return h
 }
 
 func (h *Host) probeOnce(p core.Probe) core.Probed {
 	h.Probe(p)
-	return (<-h.Loop.in).ev.(core.Probed)
+	return (<-h.Loop.queue).ev.(core.Probed)
 }
 
 func counting(t *testing.T, hd http.HandlerFunc) (string, *atomic.Int64) {
@@ -117,7 +117,7 @@
 // A kept connection that its target closed is no miss, a target that moved is asked at its
 // new address, and connections of targets that are no longer probed go.
 func TestProbePipes(t *testing.T) {
-	addr, conns := counting(t, func(w http.ResponseWriter, r *http.Request) {
+	addr, conns := counting(t, func(w http.ResponseWriter, _ *http.Request) {
 		c, _, _ := http.NewResponseController(w).Hijack()
 		c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 		c.Close()
@@ -130,7 +130,7 @@
 		}
 	}
 	gone := make(chan bool, 8)
-	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {}))
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	s.Config.ConnState = func(_ net.Conn, st http.ConnState) {
 		if st == http.StateClosed {
 			gone <- true
--- a/host/settings.go
+++ b/host/settings.go
@@ -4,9 +4,11 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -14,127 +16,160 @@
 	"github.com/sirupsen/logrus"
 
 	"myrtlefold/forward"
+	"myrtlefold/limit"
 	"myrtlefold/model"
 )
 
-// Settings are a daemon's own: its place, not what it serves.
+// Settings are a daemon's own: its place in the fleet, not what the fleet serves.
 type Settings struct {
-	Name   string   `koanf:"name" json:"name"`
-	Domain string   `koanf:"domain" json:"domain"`
-	Addr   string   `koanf:"addr" json:"addr"`
-	Bind   string   `koanf:"bind" json:"bind,omitempty"`
-	From   string   `koanf:"from" json:"from,omitempty"`
-	Http   string   `koanf:"http" json:"http"`
-	Listen string   `koanf:"listen" json:"listen,omitempty"`
-	Seeds  []string `koanf:"seeds" json:"seeds"`
-	Data   string   `koanf:"data" json:"data,omitempty"`
-	Size   int      `koanf:"size" json:"size,omitempty"`
-	Log    string   `koanf:"log" json:"log,omitempty"`
-	// Found says that this is the fleet's first start ever: where no size is told, the seeds found the core then.
+	Name   string   `koanf:"name" json:"name"`               // unique in the fleet
+	Domain string   `koanf:"domain" json:"domain"`           // failure domain (zone)
+	Addr   string   `koanf:"addr" json:"addr"`               // IP:port at which other daemons reach it
+	Bind   string   `koanf:"bind" json:"bind,omitempty"`     // IP:port to listen on for them, "": Addr
+	From   string   `koanf:"from" json:"from,omitempty"`     // IP that connections leave from, "": the system's choice
+	HTTP   string   `koanf:"http" json:"http"`               // IP:port of its HTTP API
+	Listen string   `koanf:"listen" json:"listen,omitempty"` // IP:port for callers; proxies only
+	Seeds  []string `koanf:"seeds" json:"seeds"`             // addresses of some other daemons
+	Data   string   `koanf:"data" json:"data,omitempty"`     // folder of its state; core members only
+	Size   int      `koanf:"size" json:"size,omitempty"`     // members that found the core, 0: the seeds do
+	Log    string   `koanf:"log" json:"log,omitempty"`       // level: error, warn, info or debug
+	// Found says that this is the fleet's first start ever: without a size, the seeds found the core then.
 	Found bool `koanf:"found" json:"found,omitempty"`
 	// Domains are all domains of the fleet, if they are known beforehand.
 	Domains []string `koanf:"domains" json:"domains,omitempty"`
-	// MemoryMb is what the process may take, in MiB; the runtime is told. 0: not bounded.
+	// MemoryMb is how much memory the process may take, in MiB; 0: not bounded.
 	MemoryMb int `koanf:"memory_mb" json:"memory_mb,omitempty"`
-	// GraceMs is how long after the polite signal the process is ended by force, 0: not known.
+	// GraceMs is how long after SIGTERM the process is ended by force, in ms; 0: not known.
 	GraceMs int `koanf:"grace_ms" json:"grace_ms,omitempty"`
-	// RetryRatio, RetryWindowMs and RetrySlack bound what goes to a second target or a later
-	// one, per service and over all proxies; 0: the program's own.
+	// RetryRatio, RetryWindowMs and RetrySlack bound retries, per service and over all proxies: a
+	// part of the requests in a window, and how many beside it; 0: the program's own.
 	RetryRatio    float64 `koanf:"retry_ratio" json:"retry_ratio,omitempty"`
 	RetryWindowMs int     `koanf:"retry_window_ms" json:"retry_window_ms,omitempty"`
 	RetrySlack    int     `koanf:"retry_slack" json:"retry_slack,omitempty"`
-	// ReadyWhenEmptied has a proxy go on asking for callers while its domain is emptied.
+	// ReadyWhenEmptied has a proxy stay ready for callers while its domain is emptied.
 	ReadyWhenEmptied bool `koanf:"ready_when_emptied" json:"ready_when_emptied,omitempty"`
 }
 
-// Dialect is how a platform speaks where that is not the product's own way.
+// Dialect is what differs between platforms that the daemons run on.
 type Dialect struct {
-	// Load reads the settings and, for comparing, what they were read from; nil: flags and file.
+	// Load reads the settings, and returns with them the text that they were read from and their
+	// faults; nil: they come from flags and a file.
 	Load func() (Settings, []byte, []model.Fault, error)
 	// Headers are the names of the headers that requests carry.
 	Headers forward.Headers
 }
 
-// Own is the product's own way.
+// Own returns the product's own dialect.
 func Own() Dialect { return Dialect{Headers: forward.Defaults()} }
 
-// Check lists the faults of settings for a kind of daemon.
-func (s *Settings) Check(kind string) []model.Fault {
-	var fs []model.Fault
-	add := func(p, f string, a ...any) { fs = append(fs, model.Fault{Path: p, Text: fmt.Sprintf(f, a...)}) }
-	addr := func(p, v string) {
-		if ap, err := netip.ParseAddrPort(v); err != nil || ap.Port() == 0 || ap.Addr().IsUnspecified() {
-			add(p, "%q is not IP:port with an address that others can reach", v)
-		}
+// settingsCheck collects the faults of settings.
+type settingsCheck struct{ faults []model.Fault }
+
+func (c *settingsCheck) add(path, format string, a ...any) {
+	c.faults = append(c.faults, model.Fault{Path: path, Text: fmt.Sprintf(format, a...)})
+}
+
+// reachable checks an address that others connect to.
+func (c *settingsCheck) reachable(path, v string) {
+	if ap, err := netip.ParseAddrPort(v); err != nil || ap.Port() == 0 || ap.Addr().IsUnspecified() {
+		c.add(path, "%q is not IP:port with an address that others can reach", v)
 	}
-	if s.Name == "" || len(s.Name) > 64 || strings.ContainsAny(s.Name, " /\"") {
-		add("name", "must be 1 to 64 characters without spaces, quotes or /")
+}
+
+// Check returns the faults of settings for a kind of daemon, by the settings' names.
+func (s *Settings) Check(kind string) []model.Fault {
+	c := &settingsCheck{}
+	if s.Name == "" || len(s.Name) > limit.ItemNameMax || strings.ContainsAny(s.Name, " /\"") {
+		c.add("name", "must be 1 to %d characters without spaces, quotes or /", limit.ItemNameMax)
 	}
 	if s.Domain == "" {
-		add("domain", "is missing")
+		c.add("domain", "is missing")
+	}
+	s.checkAddresses(c)
+	if _, err := logrus.ParseLevel(s.Log); err != nil {
+		c.add("log", "%v", err)
 	}
-	addr("addr", s.Addr)
-	addr("http", s.Http)
+	s.checkNumbers(c)
+	switch kind {
+	case "core":
+		s.checkCore(c)
+	case "gate":
+		s.checkGate(c)
+	}
+	return c.faults
+}
+
+func (s *Settings) checkAddresses(c *settingsCheck) {
+	c.reachable("addr", s.Addr)
+	c.reachable("http", s.HTTP)
 	if s.Bind != "" {
 		if ap, err := netip.ParseAddrPort(s.Bind); err != nil || ap.Port() == 0 {
-			add("bind", "%q is not IP:port", s.Bind)
+			c.add("bind", "%q is not IP:port", s.Bind)
 		}
 	}
 	if s.From != "" {
 		if ip, err := netip.ParseAddr(s.From); err != nil || ip.IsUnspecified() {
-			add("from", "%q is not an IP of this machine", s.From)
+			c.add("from", "%q is not an IP of this machine", s.From)
 		}
 	}
 	for i, a := range s.Seeds {
-		addr(fmt.Sprintf("seeds[%d]", i), a)
-	}
-	if _, err := logrus.ParseLevel(s.Log); err != nil {
-		add("log", "%v", err)
+		c.reachable(fmt.Sprintf("seeds[%d]", i), a)
 	}
+}
+
+func (s *Settings) checkNumbers(c *settingsCheck) {
 	for _, n := range []struct {
-		path string
-		v    float64
-	}{{"memory_mb", float64(s.MemoryMb)}, {"grace_ms", float64(s.GraceMs)}, {"retry_ratio", s.RetryRatio}, {"retry_window_ms", float64(s.RetryWindowMs)}, {"retry_slack", float64(s.RetrySlack)}} {
-		if !(n.v >= 0 && n.v <= 1<<31) {
-			add(n.path, "%v is below 0 or too large", n.v)
+		path  string
+		value float64
+	}{
+		{"memory_mb", float64(s.MemoryMb)},
+		{"grace_ms", float64(s.GraceMs)},
+		{"retry_ratio", s.RetryRatio},
+		{"retry_window_ms", float64(s.RetryWindowMs)},
+		{"retry_slack", float64(s.RetrySlack)},
+	} {
+		if !(n.value >= 0 && n.value <= math.MaxInt32+1) {
+			c.add(n.path, "%v is below 0 or too large", n.value)
 		}
 	}
-	switch kind {
-	case "core":
-		if s.Data == "" {
-			add("data", "is missing: a core member needs a folder")
-		}
-		if s.Size != 0 && s.Size != 1 && s.Size != 3 && s.Size != 5 {
-			add("size", "a core has 3 or 5 members (1 for trials, 0 if the seeds found it), not %d", s.Size)
-		}
-		if s.Size == 0 && len(s.Seeds) == 0 {
-			add("seeds", "is empty, and no size is told")
-		}
-		if s.Size > 1 && len(s.Seeds) == 0 {
-			add("seeds", "is empty")
-		}
-		if s.Listen != "" {
-			add("listen", "is for proxies")
-		}
-	case "gate":
-		addr("listen", s.Listen)
-		if len(s.Seeds) == 0 {
-			add("seeds", "is empty")
-		}
-		if s.Size != 0 {
-			add("size", "is for core members")
-		}
+}
+
+func (s *Settings) checkCore(c *settingsCheck) {
+	if s.Data == "" {
+		c.add("data", "is missing: a core member needs a folder")
+	}
+	if !slices.Contains([]int{0, 1, 3, 5}, s.Size) {
+		c.add("size", "a core has 3 or 5 members (1 for trials, 0 if the seeds found it), not %d", s.Size)
+	}
+	if s.Size == 0 && len(s.Seeds) == 0 {
+		c.add("seeds", "is empty, and no size is told")
+	}
+	if s.Size > 1 && len(s.Seeds) == 0 {
+		c.add("seeds", "is empty")
+	}
+	if s.Listen != "" {
+		c.add("listen", "is for proxies")
+	}
+}
+
+func (s *Settings) checkGate(c *settingsCheck) {
+	c.reachable("listen", s.Listen)
+	if len(s.Seeds) == 0 {
+		c.add("seeds", "is empty")
+	}
+	if s.Size != 0 {
+		c.add("size", "is for core members")
 	}
-	return fs
 }
 
-// Flags puts the settings on a command line; what is given there goes before the file.
+// Flags are the settings as a command line has them; what is given there goes before the file.
 type Flags struct {
-	File  string
+	File  string // the settings file, "": none
 	set   Settings
 	sized bool // a size is given, which may be 0
 }
 
+// Bind puts the flags for a kind of daemon on a command line.
 func (f *Flags) Bind(app *kingpin.Application, kind string) {
 	app.Flag("settings", "settings file (JSON); looked at again while running").Short('s').StringVar(&f.File)
 	app.Flag("name", "this daemon's name, unique in the fleet").StringVar(&f.set.Name)
@@ -142,7 +177,7 @@
 	app.Flag("addr", "IP:port for the other daemons").StringVar(&f.set.Addr)
 	app.Flag("bind", "IP:port to listen on for the other daemons, if it is not addr itself").StringVar(&f.set.Bind)
 	app.Flag("from", "IP that pipes to daemons and back ends leave from (default: the system's choice)").StringVar(&f.set.From)
-	app.Flag("http", "IP:port for operators, back ends, /ready, /live and /metrics").StringVar(&f.set.Http)
+	app.Flag("http", "IP:port for operators, back ends, /ready, /live and /metrics").StringVar(&f.set.HTTP)
 	app.Flag("seed", "address of another daemon (repeat for up to three)").StringsVar(&f.set.Seeds)
 	app.Flag("memory-mb", "MiB that the process may take; the runtime is told").IntVar(&f.set.MemoryMb)
 	app.Flag("log", "log level: error, warn, info or debug").StringVar(&f.set.Log)
@@ -156,7 +191,8 @@
 	}
 }
 
-// Load reads the file, lays the flags over it and checks the whole.
+// Load reads the file, lays the flags over it and checks the whole. It returns the file's text, and
+// the faults of the settings by their names; errors are those of reading the file.
 func (f *Flags) Load(kind string) (Settings, []byte, []model.Fault, error) {
 	s := Settings{Log: "info"}
 	if kind == "core" {
--- a/host/stream.go
+++ b/host/stream.go
@@ -14,6 +14,7 @@
 	"myrtlefold/model"
 )
 
+// line is one line of the stream.
 type line struct {
 	Term uint64 `json:"term"`
 	Seq  uint64 `json:"seq"`
@@ -22,11 +23,13 @@
 	Why    string `json:"note,omitempty"`
 }
 
+// reader is a client of the stream.
 type reader struct {
-	ch   chan line
-	lost uint64
+	lines chan line
+	lost  uint64 // lines that it was too slow for and has not been told of
 }
 
+// join adds a reader, or removes it.
 type join struct {
 	r         *reader
 	term, seq uint64
@@ -34,12 +37,14 @@
 	leave     bool
 }
 
-// Hub is the stream's one owner.
+// Hub passes notes of target events to the readers of the stream, and keeps the last ones for those
+// that resume. One goroutine owns both.
 type Hub struct {
 	put  chan line
 	join chan join
 }
 
+// NewHub starts the goroutine that owns the stream, which runs as long as the process.
 func NewHub() *Hub {
 	u := &Hub{make(chan line, limit.EventQueue), make(chan join)}
 	go u.run()
@@ -49,16 +54,17 @@
 // Put adds a note; it never waits for readers.
 func (u *Hub) Put(term uint64, n core.Note) { u.put <- line{Term: term, Note: n} }
 
+// give passes a line to a reader, without waiting for it.
 func (r *reader) give(l line) {
 	if r.lost > 0 {
 		select {
-		case r.ch <- line{Term: l.Term, Seq: l.Seq, Missed: r.lost, Why: "the reader was too slow"}:
+		case r.lines <- line{Term: l.Term, Seq: l.Seq, Missed: r.lost, Why: "the reader was too slow"}:
 			r.lost = 0
 		default:
 		}
 	}
 	select {
-	case r.ch <- l:
+	case r.lines <- l:
 	default:
 		r.lost++
 	}
@@ -86,45 +92,51 @@
 				continue
 			}
 			readers[j.r] = true
-			if !j.resume {
-				continue
-			}
-			first := true
-			for _, l := range kept {
-				if l.Term < j.term || l.Term == j.term && l.Seq <= j.seq {
-					first = false
-					continue
-				}
-				if first {
-					j.r.give(line{Term: l.Term, Seq: l.Seq, Missed: max(1, l.Seq-min(l.Seq, j.seq+1)), Why: "lines before this one are no longer kept here, or stood with another leader"})
-					first = false
-				}
-				j.r.give(l)
+			if j.resume {
+				j.r.catchUp(kept, j.term, j.seq)
 			}
 		}
 	}
 }
 
-// Serve answers one reader until it goes.
+// catchUp gives a reader the kept lines behind the one that it read last, and tells it if there were
+// others between.
+func (r *reader) catchUp(kept []line, term, seq uint64) {
+	missing := true
+	for _, l := range kept {
+		if l.Term < term || l.Term == term && l.Seq <= seq {
+			missing = false
+			continue
+		}
+		if missing {
+			r.give(line{Term: l.Term, Seq: l.Seq, Missed: max(1, l.Seq-min(l.Seq, seq+1)), Why: "lines before this one are no longer kept here, or stood with another leader"})
+			missing = false
+		}
+		r.give(l)
+	}
+}
+
+// Serve answers one reader until it goes, if this daemon leads; else it sends the reader to the
+// leader's HTTP address.
 func (u *Hub) Serve(w http.ResponseWriter, r *http.Request, leads bool, leader string) {
 	if !leads {
 		if leader == "" {
-			refuse(w, 503, limit.RetryAfterMin, model.Trouble{Code: "no_leader", Message: "no leader is known"})
+			refuse(w, http.StatusServiceUnavailable, limit.RetryAfterMin, model.Trouble{Code: "no_leader", Message: "no leader is known"})
 			return
 		}
 		http.Redirect(w, r, "http://"+leader+r.URL.RequestURI(), http.StatusTemporaryRedirect)
 		return
 	}
-	j := join{r: &reader{ch: make(chan line, 2*limit.EventsKept+limit.StreamBuffer)}}
+	j := join{r: &reader{lines: make(chan line, 2*limit.EventsKept+limit.StreamBuffer)}}
 	if f := r.URL.Query().Get("from"); f != "" {
 		if _, err := fmt.Sscanf(f, "%d.%d", &j.term, &j.seq); err != nil {
-			refuse(w, 400, 0, model.Trouble{Code: "bad_request", Message: "from is term.seq of the last line read"})
+			refuse(w, http.StatusBadRequest, 0, model.Trouble{Code: "bad_request", Message: "from is term.seq of the last line read"})
 			return
 		}
 		j.resume = true
 	}
 	w.Header().Set("Content-Type", "application/jsonl")
-	w.WriteHeader(200)
+	w.WriteHeader(http.StatusOK)
 	rc := http.NewResponseController(w)
 	rc.Flush()
 	u.join <- j
@@ -132,8 +144,8 @@
 	enc := json.NewEncoder(w)
 	for {
 		select {
-		case l := <-j.r.ch:
-			if enc.Encode(l) != nil || len(j.r.ch) == 0 && rc.Flush() != nil {
+		case l := <-j.r.lines:
+			if enc.Encode(l) != nil || len(j.r.lines) == 0 && rc.Flush() != nil {
 				return
 			}
 		case <-r.Context().Done():
--- a/host/stream_test.go
+++ b/host/stream_test.go
@@ -22,8 +22,8 @@
 	for range 10 {
 		u.Put(3, note())
 	}
-	next := func(r *reader) line { return <-r.ch }
-	r := &reader{ch: make(chan line, 64)}
+	next := func(r *reader) line { return <-r.lines }
+	r := &reader{lines: make(chan line, 64)}
 	for len(u.put) > 0 {
 	}
 	u.join <- join{r: r, term: 3, seq: 4, resume: true}
@@ -36,12 +36,12 @@
 	if l := next(r); l.Seq != 11 || l.Term != 4 {
 		t.Fatalf("%+v", l)
 	}
-	other := &reader{ch: make(chan line, 64)}
+	other := &reader{lines: make(chan line, 64)}
 	u.join <- join{r: other, term: 2, seq: 900, resume: true} // from another leader
 	if l := next(other); l.Missed == 0 {
 		t.Fatalf("%+v", l)
 	}
-	slow := &reader{ch: make(chan line, 2)}
+	slow := &reader{lines: make(chan line, 2)}
 	u.join <- join{r: slow}
 	for range 5 {
 		u.Put(4, note())
--- a/host/traffic.go
+++ b/host/traffic.go
@@ -12,14 +12,14 @@
 // kinds are the messages' names, by wire.Kind.
 var kinds = [...]string{"unknown", "hello", "vote", "append", "pull", "push", "beat", "ask"}
 
-// Flow is what went one way in messages of one kind; bytes as packed.
+// Flow is what went one way in messages of one kind; bytes are as on the connection, packed.
 type Flow struct {
 	Sent        bool
 	Kind        string
 	Msgs, Bytes uint64
 }
 
-// Traffic counts a daemon's messages.
+// Traffic counts a daemon's messages to and from others. It is a prometheus.Collector.
 type Traffic struct {
 	counts [2][len(kinds)]struct{ msgs, bytes atomic.Uint64 }
 }
@@ -40,7 +40,7 @@
 	return 0
 }
 
-// Flows are the counts so far.
+// Flows returns the counts so far, without those that are 0.
 func (t *Traffic) Flows() (l []Flow) {
 	for _, sent := range []bool{false, true} {
 		for k := range kinds {
@@ -53,8 +53,10 @@
 	return l
 }
 
+// Describe says nothing, which makes the collector an unchecked one.
 func (t *Traffic) Describe(chan<- *prometheus.Desc) {}
 
+// Collect gives the counts to a registry.
 func (t *Traffic) Collect(ch chan<- prometheus.Metric) {
 	desc := func(what, help string) *prometheus.Desc {
 		return prometheus.NewDesc("mf_wire_"+what+"_total", help, []string{"direction", "kind"}, nil)
--- a/host/transport.go
+++ b/host/transport.go
@@ -16,61 +16,66 @@
 	"myrtlefold/wire"
 )
 
-// Listen takes messages from other daemons.
+// Listen opens the daemon's address and passes the messages of other daemons to the owner.
 func (h *Host) Listen() error {
-	ln, err := forward.Listen(cmp.Or(h.Set.Bind, h.Set.Addr), limit.Unacked)
+	ln, err := forward.Listen(cmp.Or(h.Settings.Bind, h.Settings.Addr), limit.Unacked)
 	if err != nil {
 		return errors.Wrap(err, "listen for daemons")
 	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if passes(err) {
-				time.Sleep(limit.Redial)
-				continue
-			}
-			if err != nil {
-				h.Fatal(err, "accept from daemons")
-			}
-			go func() {
-				defer c.Close()
-				r, from := wire.NewReader(c), ""
-				for {
-					b, err := r.Next()
-					if err != nil {
-						return
-					}
-					m, err := wire.Decode(b)
-					if err != nil {
-						h.Log.WithError(err).WithField("from", c.RemoteAddr().String()).Warn("message not understood")
-						return
-					}
-					if m.From == "" {
-						m.From = from // who speaks is said once
-					}
-					from = m.From
-					h.Traffic.add(false, m.Kind, r.Size)
-					h.Loop.Tell(core.Recv{M: m})
-				}
-			}()
-		}
-	}()
+	go h.accept(ln)
 	return nil
 }
 
-// queued is a message on its way and since when.
+func (h *Host) accept(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if passes(err) {
+			time.Sleep(limit.Redial)
+			continue
+		}
+		if err != nil {
+			h.Fatal(err, "accept from daemons")
+		}
+		go h.receive(c)
+	}
+}
+
+// receive reads the messages of one connection until it ends, or one of them is unsound.
+func (h *Host) receive(c net.Conn) {
+	defer c.Close()
+	r, from := wire.NewReader(c), ""
+	for {
+		b, err := r.Next()
+		if err != nil {
+			return
+		}
+		m, err := wire.Decode(b)
+		if err != nil {
+			h.Log.WithError(err).WithField("from", c.RemoteAddr().String()).Warn("message not understood")
+			return
+		}
+		if m.From == "" {
+			m.From = from // the sender is named once
+		}
+		from = m.From
+		h.Traffic.add(false, m.Kind, r.Size)
+		h.Loop.Tell(core.Recv{M: m})
+	}
+}
+
+// queued is a message that waits to be sent, and since when.
 type queued struct {
 	m  *wire.Msg
 	at time.Duration
 }
 
-// Send queues a message for an address; called on the owner's goroutine. What
-// can't be sent soon is dropped: every message is said again or made up for.
+// Send queues a message for an address; called on the owner's goroutine. Messages that can't be
+// sent soon are dropped: owners repeat them, or send later ones in their place.
 func (h *Host) Send(addr string, m *wire.Msg) {
-	ch := h.out[addr]
+	ch := h.queues[addr]
 	if ch == nil {
 		ch = make(chan queued, limit.SendQueue)
-		h.out[addr] = ch
+		h.queues[addr] = ch
 		go h.sender(addr, ch)
 	}
 	select {
@@ -79,6 +84,7 @@
 	}
 }
 
+// sender sends the messages of one queue, on a connection that is opened when there are any.
 func (h *Host) sender(addr string, ch chan queued) {
 	var c net.Conn
 	var w *wire.Writer
@@ -88,8 +94,7 @@
 		}
 		var err error
 		if c == nil {
-			d := forward.Dialer(h.From(), limit.ProbeCap)
-			if c, err = d.Dial("tcp", addr); err != nil {
+			if c, err = h.dial(addr); err != nil {
 				c = nil
 				time.Sleep(limit.Redial)
 				for len(ch) > 0 {
@@ -98,10 +103,6 @@
 				continue
 			}
 			w = wire.NewWriter(c)
-			go func(c net.Conn) { // the other side never speaks: its close is all that is read
-				io.Copy(io.Discard, c)
-				c.Close()
-			}(c)
 		}
 		c.SetWriteDeadline(time.Now().Add(limit.ProxyLease))
 		size := 0
@@ -118,3 +119,17 @@
 		}
 	}
 }
+
+// dial opens a connection for sending. The other side never sends: only its close is read.
+func (h *Host) dial(addr string) (net.Conn, error) {
+	d := forward.Dialer(h.From(), limit.ProbeCap)
+	c, err := d.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		io.Copy(io.Discard, c)
+		c.Close()
+	}()
+	return c, nil
+}
--- a/limit/forward.go
+++ b/limit/forward.go
@@ -108,6 +108,9 @@
 	AimMinutes = 60
 	// HeaderMax bounds a caller's header in bytes.
 	HeaderMax = 32 << 10
+	// ServerHeaderMax is where reading a header ends, in bytes: over HeaderMax, so that a header that is
+	// too large is still answered.
+	ServerHeaderMax = 4 * HeaderMax
 	// RetryEarn and RetrySave, parts of the retry ratio: what each request earns at once, and what of
 	// the window before may be saved up. Together with rounding they stay under the whole.
 	RetryEarn = 0.85
--- a/limit/process.go
+++ b/limit/process.go
@@ -15,6 +15,8 @@
 	WireBuffer = 4 << 10
 	// EventQueue is how many events may wait for an owner.
 	EventQueue = 4096
+	// SyncBatches is how many batches of a member's disk are synced as one at the most.
+	SyncBatches = 64
 	// RingFiles and RingFileSize bound a member's disk: 3 files of 8 MiB.
 	RingFiles    = 3
 	RingFileSize = 8 << 20
