--- a/host/host.go
+++ b/host/host.go
@@ -47,7 +47,8 @@
 
 	load        func() (Settings, []byte, []model.Fault, error)
 	dialect     Dialect
-	rawSettings []byte // the text that Settings were read from
+	rawSettings []byte         // the text that Settings were read from
+	hup         chan os.Signal // SIGHUP, caught from the start on: by default it ends a process
 	start       time.Time
 	queues      map[string]chan queued // messages to be sent, by address
 	probes      map[wire.ID]*probed
@@ -57,6 +58,8 @@
 // Start reads command line and settings and returns the daemon's context. If anything is wrong it
 // prints each fault and ends the process with exit code 2.
 func Start(kind string, args []string, dialect Dialect) *Host {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	app := kingpin.New("mf"+kind, map[string]string{
 		"core": "A control daemon: keeps the configuration, the roster and the judgement of targets.",
 		"gate": "A proxy daemon: carries callers' exchanges to back ends."}[kind])
@@ -94,7 +97,7 @@
 	lv, _ := logrus.ParseLevel(set.Log)
 	log.SetLevel(lv)
 	h := New(kind, set, log)
-	h.load, h.dialect, h.Headers, h.rawSettings = load, dialect, dialect.Headers, raw
+	h.load, h.dialect, h.Headers, h.rawSettings, h.hup = load, dialect, dialect.Headers, raw, hup
 	h.bound(set)
 	h.Metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return h
--- a/host/stream.go
+++ b/host/stream.go
@@ -93,15 +93,15 @@
 			}
 			readers[j.r] = true
 			if j.resume {
-				j.r.catchUp(kept, j.term, j.seq)
+				j.r.replay(kept, j.term, j.seq)
 			}
 		}
 	}
 }
 
-// catchUp gives a reader the kept lines behind the one that it read last, and tells it if there were
+// replay gives a reader the kept lines behind the one that it read last, and tells it if there were
 // others between.
-func (r *reader) catchUp(kept []line, term, seq uint64) {
+func (r *reader) replay(kept []line, term, seq uint64) {
 	missing := true
 	for _, l := range kept {
 		if l.Term < term || l.Term == term && l.Seq <= seq {
--- a/host/watch.go
+++ b/host/watch.go
@@ -3,11 +3,8 @@
 package host
 
 import (
-	"os"
-	"os/signal"
 	"reflect"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,14 +24,12 @@
 // level, seeds and memory take effect; others wait for the next start; unsound ones are logged once
 // and the old ones kept.
 func (h *Host) Watch(seeds func([]string)) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	tick := time.NewTicker(limit.SettingsEvery)
 	w := &watch{Host: h, seeds: seeds, seen: string(h.rawSettings), current: h.Settings}
 	go func() {
 		for {
 			select {
-			case <-hup:
+			case <-h.hup:
 			case <-tick.C:
 			}
 			w.look()
