--- a/cmd/mflab/hollow.go
+++ b/cmd/mflab/hollow.go
@@ -388,7 +388,7 @@
 		return ts[i-f.first]
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /report", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET /report", func(w http.ResponseWriter, _ *http.Request) {
 		host.WriteJSON(w, 200, hollowReport{Words: words.Load(), Failed: failed.Load(), In: in.Load(), Sent: sent.Load()})
 	})
 	mux.HandleFunc("POST /leave", func(w http.ResponseWriter, r *http.Request) {
@@ -621,6 +621,7 @@
 	}
 }
 
+// begin starts a fleet of the size and waits until its proxies are leased and its targets usable.
 func (l *hollowLab) begin() error {
 	for _, d := range []string{"set", "log", "data"} {
 		if err := os.MkdirAll(l.path(d), 0o755); err != nil {
@@ -628,7 +629,35 @@
 		}
 	}
 	l.cores, l.gates, l.stubs, l.parts, l.backs, l.spares, l.figures = nil, nil, nil, nil, nil, nil, nil
-	var seeds, https []string
+	seeds, https := l.placeCores()
+	for _, p := range l.cores {
+		if err := l.startCore(p, seeds); err != nil {
+			return err
+		}
+	}
+	if err := l.startTargets(https); err != nil {
+		return err
+	}
+	l.config = hollowConfig(l.size.Targets, l.size.Routes)
+	if err := l.configure(hollowUp); err != nil {
+		return err
+	}
+	for _, p := range l.spares { // the core is founded without them
+		l.stubs = append(l.stubs, p)
+		if err := l.startCore(p, seeds); err != nil {
+			return err
+		}
+	}
+	from := time.Now()
+	if err := l.startGates(seeds); err != nil {
+		return err
+	}
+	return l.awaitUp(from)
+}
+
+// placeCores makes the members and the spare ones, and returns the addresses of the seeds and of
+// the members' HTTP APIs.
+func (l *hollowLab) placeCores() (seeds, https []string) {
 	for i := range l.f.cores + l.f.spares {
 		ip := hollowIP(l.f.net, coreBlock, i)
 		p := &proc{name: fmt.Sprintf("core-%d", i+1), kind: "mfcore", domain: hollowDomain(i), addr: ip + ":7001", http: ip + ":7101"}
@@ -642,20 +671,18 @@
 			seeds = append(seeds, p.addr)
 		}
 	}
-	core := func(p *proc) error {
-		return l.with(p, host.Settings{Name: p.name, Domain: p.domain, Addr: p.addr, HTTP: p.http, From: hostOf(p.addr), Seeds: seeds, Log: "info", Data: l.path("data", p.name), Size: l.f.cores})
-	}
-	for _, p := range l.cores {
-		if err := core(p); err != nil {
-			return err
-		}
-	}
-	backs := func(k, n int) *proc {
-		a, b := l.size.Targets*k/n, l.size.Targets*(k+1)/n
-		return l.part("targets", l.f.gateProcs+k, a, b-a, strings.Join(https, ","))
-	}
+	return seeds, https
+}
+
+func (l *hollowLab) startCore(p *proc, seeds []string) error {
+	return l.with(p, host.Settings{Name: p.name, Domain: p.domain, Addr: p.addr, HTTP: p.http, From: hostOf(p.addr), Seeds: seeds, Log: "info", Data: l.path("data", p.name), Size: l.f.cores})
+}
+
+// startTargets starts the processes that stand for all targets.
+func (l *hollowLab) startTargets(https []string) error {
 	for k := range l.f.targetProcs {
-		l.backs = append(l.backs, backs(k, l.f.targetProcs))
+		first, end := l.size.Targets*k/l.f.targetProcs, l.size.Targets*(k+1)/l.f.targetProcs
+		l.backs = append(l.backs, l.part("targets", l.f.gateProcs+k, first, end-first, strings.Join(https, ",")))
 	}
 	l.stubs = slices.Clone(l.backs)
 	for _, p := range l.backs {
@@ -663,24 +690,21 @@
 			return err
 		}
 	}
-	l.config = hollowConfig(l.size.Targets, l.size.Routes)
-	if err := l.configure(hollowUp); err != nil {
-		return err
-	}
-	for _, p := range l.spares { // the core is founded without them
-		l.stubs = append(l.stubs, p)
-		if err := core(p); err != nil {
-			return err
-		}
-	}
-	hollow := l.size.Gates - l.f.real
-	from := time.Now()
+	return nil
+}
+
+// hollowGates is how many of the proxies share processes.
+func (l *hollowLab) hollowGates() int { return l.size.Gates - l.f.real }
+
+// startGates starts the processes that stand for the proxies, and the real proxies.
+func (l *hollowLab) startGates(seeds []string) error {
+	hollow := l.hollowGates()
 	for k := range l.f.gateProcs {
-		a, b := hollow*k/l.f.gateProcs, hollow*(k+1)/l.f.gateProcs
-		if b == a {
+		first, end := hollow*k/l.f.gateProcs, hollow*(k+1)/l.f.gateProcs
+		if end == first {
 			continue
 		}
-		p := l.part("gates", k, a, b-a, strings.Join(seeds, ","))
+		p := l.part("gates", k, first, end-first, strings.Join(seeds, ","))
 		l.parts, l.stubs = append(l.parts, p), append(l.stubs, p)
 		if err := l.spawn(p); err != nil {
 			return err
@@ -694,6 +718,12 @@
 			return err
 		}
 	}
+	return nil
+}
+
+// awaitUp waits until the proxies are leased and the targets usable, and notes how long that took.
+func (l *hollowLab) awaitUp(from time.Time) error {
+	hollow := l.hollowGates()
 	bound := hollowUp
 	if l.f.ramp > 0 {
 		bound += time.Duration(hollow) * time.Second / time.Duration(l.f.ramp)
--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -32,15 +32,16 @@
 	Cores, Gates int
 	Domains      []string
 	Services     []Service
-	Rate         float64
+	Rate         float64 // requests a second
 }
 
+// Service is a service of a deployment and how its stand-in back ends behave.
 type Service struct {
 	Name    string
 	Targets int
-	Work    string
-	Bears   int
-	Warm    string
+	Work    string // how long a request takes
+	Bears   int    // requests at once
+	Warm    string // how long a restarted one warms up
 }
 
 var deployments = map[string]Deployment{
@@ -53,6 +54,7 @@
 	"small": {3, 3, []string{"hill", "port", "coast"}, []Service{{"records", 4, "20ms", 24, "1s"}, {"monitoring", 3, "5ms", 48, "500ms"}}, 60},
 }
 
+// proc is a process of the fleet.
 type proc struct {
 	name, kind, domain string
 	args               []string
@@ -64,6 +66,7 @@
 	stopped            bool
 }
 
+// lab is a fleet and what was seen of it.
 type lab struct {
 	dep    Deployment
 	name   string
@@ -83,88 +86,72 @@
 	routes bool // by routes: targets have health paths, slots, cold times and names of one start
 }
 
-func main() {
-	app := kingpin.New("mflab", "Runs a whole fleet on loopback and breaks it by script.")
-	app.Version(host.Version)
-	app.HelpFlag.Short('h')
-	l := &lab{broken: map[string]int{}, start: time.Now()}
+// options are the flags and arguments that do not stand in the lab itself.
+type options struct {
+	config      string
+	seed        uint64
+	span        time.Duration
+	rate        float64
+	gap         time.Duration
+	only        []string
+	wipe        bool
+	rounds      int
+	phase       time.Duration
+	policyPhase time.Duration
+	hollow      hollowFlags
+}
+
+// define puts the commands and flags on the command line; it returns the command that only mflab itself uses.
+func (l *lab) define(app *kingpin.Application, o *options) (part string) {
 	app.Flag("deployment", "kelani, kiyihat, small or press").Short('d').Default("small").EnumVar(&l.name, "kelani", "kiyihat", "small", "press")
 	app.Flag("dir", "folder for settings, state, logs and ledgers (made anew)").Default("lab").StringVar(&l.dir)
 	app.Flag("bin", "folder of the programs").Default("bin").StringVar(&l.bin)
-	conf := app.Flag("config", "configuration (default: the deployment's sample)").String()
+	app.Flag("config", "configuration (default: the deployment's sample)").StringVar(&o.config)
 	app.Flag("routes", "configure by routes; back ends tell health, slots and how long they are cold, and take a new name at each start").BoolVar(&l.routes)
 	app.Command("up", "start the fleet and leave it running until interrupted")
 	run := app.Command("run", "start the fleet, load and break it, print a verdict per rule")
-	seed := run.Flag("seed", "seed of the script").Default("1").Uint64()
-	dur := run.Flag("for", "how long the load lasts").Default("40s").Duration()
-	rate := run.Flag("rate", "exchanges a second (default: the deployment's)").Float64()
-	gap := run.Flag("gap", "mean time between faults").Default("3s").Duration()
-	only := run.Flag("fault", "only these faults (repeat)").Strings()
-	last := run.Flag("wipe-at-end", "end with all core disks lost").Bool()
-	meas := app.Command("measure", "measure what the README states: death to last exchange, change to in force, cost of carrying")
-	rounds := meas.Flag("rounds", "how often").Default("9").Int()
-	over := app.Command("overload", "ask a fleet (-d press) for half, all, twice and half of what it bears, then restart its service under load")
-	phase := over.Flag("phase", "how long each part lasts").Default("12s").Duration()
-	pols := app.Command("policies", "one target fails, then one is slow: load without and with the shipped policy, put in force under load, and compare on the recording")
-	polPhase := pols.Flag("phase", "how long each load lasts").Default("12s").Duration()
-	hol := &hollowFlags{}
-	part := app.Command("hollow-part", "one process of a hollow fleet; hollow starts it").Hidden()
-	hol.bind(app.Command("hollow", "measure what control costs with many gates and targets that share processes"), part)
+	run.Flag("seed", "seed of the script").Default("1").Uint64Var(&o.seed)
+	run.Flag("for", "how long the load lasts").Default("40s").DurationVar(&o.span)
+	run.Flag("rate", "exchanges a second (default: the deployment's)").Float64Var(&o.rate)
+	run.Flag("gap", "mean time between faults").Default("3s").DurationVar(&o.gap)
+	run.Flag("fault", "only these faults (repeat)").StringsVar(&o.only)
+	run.Flag("wipe-at-end", "end with all core disks lost").BoolVar(&o.wipe)
+	measure := app.Command("measure", "measure what the README states: death to last exchange, change to in force, cost of carrying")
+	measure.Flag("rounds", "how often").Default("9").IntVar(&o.rounds)
+	overload := app.Command("overload", "ask a fleet (-d press) for half, all, twice and half of what it bears, then restart its service under load")
+	overload.Flag("phase", "how long each part lasts").Default("12s").DurationVar(&o.phase)
+	policies := app.Command("policies", "one target fails, then one is slow: load without and with the shipped policy, put in force under load, and compare on the recording")
+	policies.Flag("phase", "how long each load lasts").Default("12s").DurationVar(&o.policyPhase)
+	hidden := app.Command("hollow-part", "one process of a hollow fleet; hollow starts it").Hidden()
+	o.hollow.bind(app.Command("hollow", "measure what control costs with many gates and targets that share processes"), hidden)
+	return hidden.FullCommand()
+}
+
+func main() {
+	app := kingpin.New("mflab", "Runs a whole fleet on loopback and breaks it by script.")
+	app.Version(host.Version)
+	app.HelpFlag.Short('h')
+	l := &lab{broken: map[string]int{}, start: time.Now()}
+	o := &options{}
+	part := l.define(app, o)
 	cmd, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "mflab: %v, see --help\n", err)
 		os.Exit(2)
 	}
-	if cmd == part.FullCommand() {
-		os.Exit(runPart(hol))
+	if cmd == part {
+		os.Exit(runPart(&o.hollow))
 	}
 	l.dep = deployments[l.name]
-	file := *conf
-	if file == "" {
-		file = strings.Replace(l.name, "small", "kelani", 1)
-		if l.routes {
-			file += "-routes"
-		}
-		file = filepath.Join("sample", file+".json")
-	}
-	if l.config, err = os.ReadFile(file); err != nil {
+	if err := l.readConfig(o.config); err != nil {
 		fmt.Fprintln(os.Stderr, "mflab:", err)
 		os.Exit(2)
 	}
-	if l.config, err = model.Unnumbered(l.config); err != nil { // it is put again and again
-		fmt.Fprintf(os.Stderr, "mflab: %s: %v\n", file, err)
-		os.Exit(2)
-	}
 	sig := make(chan os.Signal, 1)
 	signal.Notify(sig, os.Interrupt, syscall.SIGTERM)
 	code := 0
 	done := make(chan int, 1)
-	go func() {
-		if cmd == "hollow" {
-			done <- l.hollow(hol)
-			return
-		}
-		if err := l.up(); err != nil {
-			fmt.Fprintln(os.Stderr, "mflab:", err)
-			done <- 1
-			return
-		}
-		switch cmd {
-		case "up":
-			l.describe()
-		case "run":
-			if *rate == 0 {
-				*rate = l.dep.Rate
-			}
-			done <- l.run(*seed, *dur, *rate, *gap, *only, *last)
-		case "policies":
-			done <- l.policies(*polPhase)
-		case "overload":
-			done <- l.overload(*phase)
-		case "measure":
-			done <- l.measure(*rounds)
-		}
-	}()
+	go l.perform(cmd, o, done)
 	select {
 	case <-sig:
 	case code = <-done:
@@ -173,6 +160,53 @@
 	os.Exit(code)
 }
 
+// readConfig reads the configuration from a file or (without a name) the deployment's sample.
+func (l *lab) readConfig(file string) error {
+	if file == "" {
+		file = strings.Replace(l.name, "small", "kelani", 1)
+		if l.routes {
+			file += "-routes"
+		}
+		file = filepath.Join("sample", file+".json")
+	}
+	doc, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	if l.config, err = model.Unnumbered(doc); err != nil { // it is put again and again
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	return nil
+}
+
+// perform carries out a command and sends the exit code; 'up' sends none, and lasts until a signal.
+func (l *lab) perform(cmd string, o *options, done chan<- int) {
+	if cmd == "hollow" {
+		done <- l.hollow(&o.hollow)
+		return
+	}
+	if err := l.up(); err != nil {
+		fmt.Fprintln(os.Stderr, "mflab:", err)
+		done <- 1
+		return
+	}
+	switch cmd {
+	case "up":
+		l.describe()
+	case "run":
+		if o.rate == 0 {
+			o.rate = l.dep.Rate
+		}
+		done <- l.run(o.seed, o.span, o.rate, o.gap, o.only, o.wipe)
+	case "policies":
+		done <- l.policies(o.policyPhase)
+	case "overload":
+		done <- l.overload(o.phase)
+	case "measure":
+		done <- l.measure(o.rounds)
+	}
+}
+
 func (l *lab) path(s ...string) string { return filepath.Join(append([]string{l.dir}, s...)...) }
 
 // machine gives each machine an address of its own on loopback, and one at which the
@@ -181,6 +215,7 @@
 
 func (l *lab) reached(block, i int) string { return fmt.Sprintf("127.21.%d.%d", block, i+1) }
 
+// up starts the fleet and waits until it serves.
 func (l *lab) up() error {
 	if err := os.RemoveAll(l.dir); err != nil {
 		return err
@@ -251,6 +286,7 @@
 	coldFor   = 6 * time.Second
 )
 
+// stub is a back end's process, not started yet.
 func (l *lab) stub(s Service, name, addr, domain, warm string) *proc {
 	bind := boundAt(addr)
 	p := &proc{name: name, kind: "mfstub", domain: domain, addr: addr, bind: bind, http: bind, service: s.Name}
@@ -270,6 +306,7 @@
 	return p
 }
 
+// spawn starts a process, which ends with this one.
 func (l *lab) spawn(p *proc) error {
 	f, err := os.OpenFile(l.path("log", p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
@@ -300,7 +337,7 @@
 	}
 }
 
-// stop is polite, and tells how the process ended.
+// stop ends a process by SIGTERM and returns how long that took and how it ended.
 func (p *proc) stop(bound time.Duration) (time.Duration, error) {
 	t := time.Now()
 	p.signal(syscall.SIGTERM)
@@ -318,6 +355,7 @@
 	}
 }
 
+// down kills all processes.
 func (l *lab) down() {
 	for _, p := range slices.Concat(l.gates, l.cores, l.stubs) {
 		if p.cmd != nil {
@@ -327,6 +365,7 @@
 	}
 }
 
+// at is the members' addresses for mfctl.
 func (l *lab) at() string {
 	var a []string
 	for _, c := range l.cores {
@@ -344,6 +383,7 @@
 	return string(out), c.ProcessState.ExitCode()
 }
 
+// revision is the configuration's in force, -1: not known.
 func (l *lab) revision() int {
 	out, code := l.ctl(nil, "-o", "json", "config", "get")
 	var v struct{ Revision int }
@@ -353,6 +393,7 @@
 	return v.Revision
 }
 
+// configure puts the configuration in force.
 func (l *lab) configure(within time.Duration) error {
 	end := time.Now().Add(within)
 	for {
@@ -369,6 +410,7 @@
 
 var client = &http.Client{Timeout: time.Second}
 
+// get returns the status and body at url, 0: no answer.
 func get(url string) (int, []byte) {
 	resp, err := client.Get(url)
 	if err != nil {
@@ -387,7 +429,7 @@
 		for _, g := range l.gates {
 			if !g.stopped && !g.frozen {
 				want++
-				if s, _ := get("http://" + g.http + "/ready"); s == 200 {
+				if s, _ := get("http://" + g.http + "/ready"); s == http.StatusOK {
 					ready++
 				}
 			}
@@ -434,6 +476,7 @@
 	fmt.Printf("%6.1f  %s\n", time.Since(l.start).Seconds(), fmt.Sprintf(f, a...))
 }
 
+// some is one of the processes that run, nil: none does.
 func (l *lab) some(ps []*proc) *proc {
 	var up []*proc
 	for _, p := range ps {
@@ -464,6 +507,7 @@
 	}
 }
 
+// leader is the member that leads now, nil: none does.
 func (l *lab) leader() *proc {
 	for _, c := range l.cores {
 		if c.stopped || c.frozen {
@@ -490,6 +534,7 @@
 	return a
 }
 
+// run loads and breaks the fleet and returns the exit code.
 func (l *lab) run(seed uint64, dur time.Duration, rate float64, gap time.Duration, only []string, wipe bool) int {
 	l.rnd = rand.New(rand.NewPCG(seed, 2))
 	l.say("fleet %s is up: %d cores, %d proxies, %d targets", l.name, len(l.cores), len(l.gates), len(l.stubs))
@@ -533,8 +578,9 @@
 	return l.verdict(seed)
 }
 
+// put puts the configuration once more by the API itself.
 func (l *lab) put(base int) (int, error) {
-	req, _ := http.NewRequest("PUT", fmt.Sprintf("http://%s/v1/config?base=%d", l.leader().http, base), bytes.NewReader(l.config))
+	req, _ := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s/v1/config?base=%d", l.leader().http, base), bytes.NewReader(l.config))
 	resp, err := (&http.Client{Timeout: 10 * time.Second}).Do(req)
 	if err != nil {
 		return 0, err
--- a/cmd/mfload/main.go
+++ b/cmd/mfload/main.go
@@ -31,6 +31,12 @@
 	"myrtlefold/host"
 )
 
+const (
+	examplesKept = 20   // in a report
+	retriesMost  = 5    // of a client that asks again at once
+	leaveMostMs  = 2000 // how long after it said so a leaving target may get requests
+)
+
 // Kind is one sort of request in a mix.
 type Kind struct {
 	Name    string  `json:"name"`
@@ -60,6 +66,7 @@
 	},
 }
 
+// outcome is what became of one request.
 type outcome struct {
 	kind   *Kind
 	id     string
@@ -83,15 +90,16 @@
 	Ms     map[string]float64 `json:"latency_ms"`
 }
 
+// load is a run.
 type load struct {
-	gates  []string
-	ready  atomic.Pointer[[]string]
+	gates  []string                 // proxies as the command line names them
+	ready  atomic.Pointer[[]string] // addresses of those that take callers
 	client *http.Client
 	out    chan outcome
-	live   atomic.Int64
-	prefix string
-	work   int
-	open   int64
+	live   atomic.Int64 // requests without an outcome
+	prefix string       // of all ids of this run
+	work   int          // ms asked of back ends, below 0: their own
+	open   int64        // the most requests at once
 	until  time.Time
 }
 
@@ -187,12 +195,12 @@
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 250*time.Millisecond)
 			defer cancel()
-			req, _ := http.NewRequestWithContext(ctx, "GET", "http://"+admin+"/ready", nil)
+			req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/ready", nil)
 			resp, err := l.client.Do(req)
 			if err == nil {
 				resp.Body.Close()
 			}
-			ch <- r{addr, err == nil && resp.StatusCode == 200}
+			ch <- r{addr, err == nil && resp.StatusCode == http.StatusOK}
 		}()
 	}
 	var ready, all []string
@@ -210,6 +218,7 @@
 	l.ready.Store(&ready)
 }
 
+// arrivals starts requests at random intervals, each drawn from the mix by weight.
 func (l *load) arrivals(kinds []Kind, rate float64, dur time.Duration, rnd *rand.Rand) {
 	total := 0.0
 	for _, k := range kinds {
@@ -239,6 +248,7 @@
 	close(l.out)
 }
 
+// start begins one request, unless there are too many.
 func (l *load) start(k *Kind, id string, due time.Time, hard bool, pick uint64, again int) {
 	if l.live.Load() >= l.open {
 		l.out <- outcome{kind: k, id: id, due: due, err: "too many open"}
@@ -251,12 +261,13 @@
 		o.hard, o.again = hard, again
 		l.out <- o
 		// A hard client asks again at once as long as it is refused, each time as a new request.
-		if hard && o.ran != "" && again < 5 && time.Now().Before(l.until) {
+		if hard && o.ran != "" && again < retriesMost && time.Now().Before(l.until) {
 			l.start(k, fmt.Sprintf("%s.%d", id, again+1), time.Now(), hard, pick*7919+1, again+1)
 		}
 	}()
 }
 
+// one sends a request and checks its answer.
 func (l *load) one(k *Kind, id string, due time.Time, pick uint64) (o outcome) {
 	o = outcome{kind: k, id: id, due: due}
 	defer func() { o.sec = time.Since(due).Seconds() }()
@@ -302,7 +313,7 @@
 		o.name = e.Error.Code
 		return
 	}
-	if o.status >= 500 {
+	if o.status >= http.StatusInternalServerError {
 		return
 	}
 	var a struct{ ID, Service, Sum, Pad, Name string }
@@ -322,94 +333,127 @@
 	return
 }
 
+// The two sorts of clients, by what they do when they are refused.
+const (
+	politeClients = "polite"  // they ask no more
+	hardClients   = "at_once" // they ask again at once
+)
+
+// tally is what a run saw so far, from which its report is made.
+type tally struct {
+	*Report
+	latencies []float64            // of answers, in ms
+	refusals  []float64            // the same of refusals
+	perKind   map[string][]float64 // latencies by kind of request
+	perGroup  map[string][]float64 // latencies by sort of client
+	refused   map[string]bool      // ids of requests that did not run
+	unsafe    map[string]bool      // ids of requests that must not run twice
+	seconds   map[int]map[string]int
+	begin     time.Time
+}
+
+func newTally() *tally {
+	report := &Report{
+		Ms:         map[string]float64{},
+		Kinds:      map[string]map[string]float64{},
+		RetryAfter: map[string]int{},
+		Groups:     map[string]*Group{politeClients: {}, hardClients: {}},
+	}
+	return &tally{Report: report, perKind: map[string][]float64{}, perGroup: map[string][]float64{},
+		refused: map[string]bool{}, unsafe: map[string]bool{}, seconds: map[int]map[string]int{}, begin: time.Now()}
+}
+
+// add counts one outcome.
+func (t *tally) add(o outcome) {
+	t.Offered++
+	if o.kind.Method == http.MethodPost {
+		t.unsafe[o.id] = true
+	}
+	who := politeClients
+	if o.hard {
+		who = hardClients
+	}
+	if t.Groups[who].Asked++; o.again == 0 {
+		t.Groups[who].Agents++
+	}
+	second := int(o.due.Sub(t.begin).Seconds())
+	if t.seconds[second] == nil {
+		t.seconds[second] = map[string]int{}
+	}
+	t.seconds[second]["offered"]++
+	t.seconds[second][t.class(o, who)]++
+}
+
+// class counts an outcome by what it was, and returns the name of that.
+func (t *tally) class(o outcome, who string) string {
+	ms := o.sec * 1000
+	switch {
+	case o.wrong != "":
+		t.Wrong++
+		t.example("%s %s: %s", o.kind.Name, o.id, o.wrong)
+		return "wrong"
+	case o.err != "":
+		t.NoAnswer++
+		t.example("%s %s: %s", o.kind.Name, o.id, o.err)
+		return "no_answer"
+	case o.ran == "no":
+		t.Refused++
+		t.refused[o.id] = true
+		t.refusals = append(t.refusals, ms)
+		if o.retry == "" && o.status == http.StatusServiceUnavailable {
+			t.NoRetry++
+		}
+		t.RetryAfter[o.retry]++
+		t.example("%s %s: %d %s", o.kind.Name, o.id, o.status, o.name)
+		return "refused"
+	case o.ran == "unknown" || o.status >= http.StatusInternalServerError:
+		t.Unknown++
+		t.example("%s %s: %d %s %s", o.kind.Name, o.id, o.status, o.ran, o.name)
+		return "unknown"
+	}
+	t.Served++
+	t.latencies = append(t.latencies, ms)
+	t.perKind[o.kind.Name] = append(t.perKind[o.kind.Name], ms)
+	t.Groups[who].Served++
+	t.perGroup[who] = append(t.perGroup[who], ms)
+	return "served"
+}
+
+// collect takes all outcomes and makes the report.
 func (l *load) collect(dur time.Duration, ledgers string, curve bool) *Report {
-	rep := &Report{Ms: map[string]float64{}, Kinds: map[string]map[string]float64{}, RetryAfter: map[string]int{}}
-	var lat, ref []float64
-	perKind := map[string][]float64{}
-	rep.Groups = map[string]*Group{"polite": {}, "at_once": {}}
-	perGroup := map[string][]float64{}
-	refused := map[string]bool{}
-	unsafe := map[string]bool{}
-	secs := map[int]map[string]int{}
-	begin := time.Now()
+	t := newTally()
 	for o := range l.out {
-		rep.Offered++
-		if o.kind.Method == "POST" {
-			unsafe[o.id] = true
-		}
-		sort := ""
-		who := "polite"
-		if o.hard {
-			who = "at_once"
-		}
-		if rep.Groups[who].Asked++; o.again == 0 {
-			rep.Groups[who].Agents++
-		}
-		switch {
-		case o.wrong != "":
-			rep.Wrong++
-			sort = "wrong"
-			rep.example("%s %s: %s", o.kind.Name, o.id, o.wrong)
-		case o.err != "":
-			rep.NoAnswer++
-			sort = "no_answer"
-			rep.example("%s %s: %s", o.kind.Name, o.id, o.err)
-		case o.ran == "no":
-			rep.Refused++
-			refused[o.id] = true
-			sort = "refused"
-			ref = append(ref, o.sec*1000)
-			if o.retry == "" && o.status == 503 {
-				rep.NoRetry++
-			}
-			rep.RetryAfter[o.retry]++
-			rep.example("%s %s: %d %s", o.kind.Name, o.id, o.status, o.name)
-		case o.ran == "unknown" || o.status >= 500:
-			rep.Unknown++
-			sort = "unknown"
-			rep.example("%s %s: %d %s %s", o.kind.Name, o.id, o.status, o.ran, o.name)
-		default:
-			rep.Served++
-			sort = "served"
-			lat = append(lat, o.sec*1000)
-			perKind[o.kind.Name] = append(perKind[o.kind.Name], o.sec*1000)
-			rep.Groups[who].Served++
-			perGroup[who] = append(perGroup[who], o.sec*1000)
-		}
-		s := int(o.due.Sub(begin).Seconds())
-		if secs[s] == nil {
-			secs[s] = map[string]int{}
-		}
-		secs[s]["offered"]++
-		secs[s][sort]++
+		t.add(o)
 	}
-	rep.Seconds = time.Since(begin).Seconds()
-	rep.Goodput = float64(rep.Served) / dur.Seconds()
-	rep.Ms = quantiles(lat)
-	for k, v := range perKind {
-		rep.Kinds[k] = quantiles(v)
+	t.Seconds = time.Since(t.begin).Seconds()
+	t.Goodput = float64(t.Served) / dur.Seconds()
+	t.Ms = quantiles(t.latencies)
+	for k, v := range t.perKind {
+		t.Kinds[k] = quantiles(v)
 	}
-	for k, v := range perGroup {
-		rep.Groups[k].Ms = quantiles(v)
+	for k, v := range t.perGroup {
+		t.Groups[k].Ms = quantiles(v)
 	}
-	rep.MedianRefl = quantiles(ref)["p50"]
+	t.MedianRefl = quantiles(t.refusals)["p50"]
 	if curve {
-		for _, s := range slices.Sorted(maps.Keys(secs)) {
-			rep.PerSecond = append(rep.PerSecond, secs[s])
+		for _, s := range slices.Sorted(maps.Keys(t.seconds)) {
+			t.PerSecond = append(t.PerSecond, t.seconds[s])
 		}
 	}
 	if ledgers != "" {
-		rep.check(ledgers, l.prefix, refused, unsafe)
+		t.check(ledgers, l.prefix, t.refused, t.unsafe)
 	}
-	return rep
+	return t.Report
 }
 
+// example keeps some of what was not as wanted, for people.
 func (r *Report) example(f string, a ...any) {
-	if len(r.Examples) < 20 {
+	if len(r.Examples) < examplesKept {
 		r.Examples = append(r.Examples, fmt.Sprintf(f, a...))
 	}
 }
 
+// quantiles returns some quantiles of l and how many there are; it sorts l.
 func quantiles(l []float64) map[string]float64 {
 	m := map[string]float64{}
 	if len(l) == 0 {
@@ -423,7 +467,7 @@
 	return m
 }
 
-// check reads what the back ends say that they ran.
+// check reads the back ends' ledgers of what they ran, and counts what should not have run.
 func (r *Report) check(dir, prefix string, refused, unsafe map[string]bool) {
 	files, _ := filepath.Glob(filepath.Join(dir, "*.ledger"))
 	ran := map[string]int{}
@@ -450,7 +494,7 @@
 				r.example("%s was meant for %s, ran at %s", e.ID, e.Wrong, e.Name)
 			}
 			r.MaxLeaveMs = max(r.MaxLeaveMs, e.LeaveMs)
-			if e.LeaveMs > 2000 {
+			if e.LeaveMs > leaveMostMs {
 				r.LateLeave++
 				r.example("%s ran at %s, leaving for %d ms", e.ID, e.Name, e.LeaveMs)
 			}
@@ -475,7 +519,7 @@
 	for _, k := range slices.Sorted(maps.Keys(r.Kinds)) {
 		fmt.Printf("  %-12s %6.0f  p50 %.1f p99 %.1f\n", k, r.Kinds[k]["count"], r.Kinds[k]["p50"], r.Kinds[k]["p99"])
 	}
-	for _, k := range []string{"polite", "at_once"} {
+	for _, k := range []string{politeClients, hardClients} {
 		g := r.Groups[k]
 		fmt.Printf("  %-12s %6d user agents asked %d times, %d were served  p50 %.1f p99 %.1f\n", k, g.Agents, g.Asked, g.Served, g.Ms["p50"], g.Ms["p99"])
 	}
--- a/cmd/mfsim/main.go
+++ b/cmd/mfsim/main.go
@@ -19,130 +19,191 @@
 	"myrtlefold/sim"
 )
 
-func main() {
-	debug.SetGCPercent(sim.GCPercent)
+// options are the command line.
+type options struct {
+	from, seeds  uint64
+	faults       int
+	span         time.Duration
+	kinds        []string
+	pairs        bool
+	listKinds    bool
+	rule         string
+	listRules    bool
+	withoutGuard bool
+	availability bool
+	trace        int
+	plan         string
+}
+
+func parse(args []string) options {
 	app := kingpin.New("mfsim", "Runs a simulated fleet by seed through the faults that it must bear.")
 	app.Version(host.Version)
 	app.HelpFlag.Short('h')
-	from := app.Flag("from", "first seed").Default("1").Uint64()
-	n := app.Flag("seeds", "how many seeds").Short('n').Default("100").Uint64()
-	faults := app.Flag("faults", "faults in a day").Default("12").Int()
-	span := app.Flag("span", "virtual time over which they begin").Default("25s").Duration()
-	kinds := app.Flag("kind", "only this kind of fault (repeat; see --kinds)").Strings()
-	each := app.Flag("pairs", "run every pair of kinds once per seed").Bool()
-	list := app.Flag("kinds", "list the kinds of faults").Bool()
-	rule := app.Flag("rule", "run this rule's own scene (see --rules)").String()
-	scenes := app.Flag("rules", "list the rules' scenes, what each causes and the guard that makes it fail").Bool()
-	broken := app.Flag("without-guard", "with --rule: take its guard out, to see the check fail").Bool()
-	avail := app.Flag("availability", "what each kind of fault leaves of the service (with --pairs: the worst pairs)").Bool()
-	trace := app.Flag("trace", "lines of trace for a failing seed").Default("40").Int()
-	plan := app.Flag("plan", "small, kelani or kiyihat").Default("small").Enum("small", "kelani", "kiyihat")
-	if _, err := app.Parse(os.Args[1:]); err != nil {
-		fmt.Fprintf(os.Stderr, "mfsim: %v, see --help\n", err)
-		os.Exit(2)
-	}
-	if *list {
+	var o options
+	app.Flag("from", "first seed").Default("1").Uint64Var(&o.from)
+	app.Flag("seeds", "how many seeds").Short('n').Default("100").Uint64Var(&o.seeds)
+	app.Flag("faults", "faults in a day").Default("12").IntVar(&o.faults)
+	app.Flag("span", "virtual time over which they begin").Default("25s").DurationVar(&o.span)
+	app.Flag("kind", "only this kind of fault (repeat; see --kinds)").StringsVar(&o.kinds)
+	app.Flag("pairs", "run every pair of kinds once per seed").BoolVar(&o.pairs)
+	app.Flag("kinds", "list the kinds of faults").BoolVar(&o.listKinds)
+	app.Flag("rule", "run this rule's own scene (see --rules)").StringVar(&o.rule)
+	app.Flag("rules", "list the rules' scenes, what each causes and the guard that makes it fail").BoolVar(&o.listRules)
+	app.Flag("without-guard", "with --rule: take its guard out, to see the check fail").BoolVar(&o.withoutGuard)
+	app.Flag("availability", "what each kind of fault leaves of the service (with --pairs: the worst pairs)").BoolVar(&o.availability)
+	app.Flag("trace", "lines of trace for a failing seed").Default("40").IntVar(&o.trace)
+	app.Flag("plan", "small, kelani or kiyihat").Default("small").EnumVar(&o.plan, "small", "kelani", "kiyihat")
+	if _, err := app.Parse(args); err != nil {
+		usage("%v, see --help", err)
+	}
+	return o
+}
+
+// usage ends the program for a wrong command line.
+func usage(format string, a ...any) {
+	fmt.Fprintf(os.Stderr, "mfsim: "+format+"\n", a...)
+	os.Exit(2)
+}
+
+func main() {
+	debug.SetGCPercent(sim.GCPercent)
+	o := parse(os.Args[1:])
+	switch {
+	case o.listKinds:
 		for _, f := range sim.Faults {
 			fmt.Println(f.Name)
 		}
-		return
-	}
-	if *scenes {
+	case o.listRules:
 		for _, s := range sim.Scenes {
 			fmt.Printf("%-14s %s; guard: %s\n", s.Name, s.Threat, s.Sabotage)
 		}
-		return
-	}
-	if *rule != "" {
-		i := slices.IndexFunc(sim.Scenes, func(s sim.Scene) bool { return s.Name == *rule })
+	case o.rule != "":
+		i := slices.IndexFunc(sim.Scenes, func(s sim.Scene) bool { return s.Name == o.rule })
 		if i < 0 {
-			fmt.Fprintf(os.Stderr, "mfsim: no rule %q, see --rules\n", *rule)
-			os.Exit(2)
+			usage("no rule %q, see --rules", o.rule)
 		}
-		os.Exit(stage(&sim.Scenes[i], *from, *n, sim.Plans[*plan], *broken, *trace))
-	}
-	if *avail {
-		os.Exit(availability(*from, *n, sim.Plans[*plan], *each))
-	}
-	var only []sim.Fault
-	for _, k := range *kinds {
-		f, ok := sim.ByName(k)
-		if !ok {
-			fmt.Fprintf(os.Stderr, "mfsim: no kind %q, see --kinds\n", k)
-			os.Exit(2)
-		}
-		only = append(only, f)
-	}
-	type job struct {
-		seed  uint64
-		kinds []sim.Fault
+		os.Exit(stage(&sim.Scenes[i], o.from, o.seeds, sim.Plans[o.plan], o.withoutGuard, o.trace))
+	case o.availability:
+		os.Exit(availability(o.from, o.seeds, sim.Plans[o.plan], o.pairs))
+	default:
+		os.Exit(days(o))
 	}
+}
+
+// job is a day to run, by its seed and the kinds of faults in it (none: all).
+type job struct {
+	seed  uint64
+	kinds []sim.Fault
+}
+
+// result is a day that was run.
+type result struct {
+	job
+	world *sim.World
+}
+
+// days runs days by seed, prints those that broke a rule and a summary, and returns the exit code.
+func days(o options) int {
 	jobs := make(chan job)
-	go func() {
-		for s := *from; s < *from+*n; s++ {
-			if !*each {
-				jobs <- job{s, only}
-				continue
-			}
-			for i, a := range sim.Faults {
-				for _, b := range sim.Faults[i:] {
-					jobs <- job{s, []sim.Fault{a, b}}
-				}
-			}
-		}
-		close(jobs)
-	}()
-	type result struct {
-		job
-		w *sim.World
-	}
+	go o.deal(jobs, o.only())
 	results := make(chan result)
 	start := time.Now()
 	for range runtime.GOMAXPROCS(0) {
 		go func() {
 			for j := range jobs {
-				count := *faults
-				if *each {
-					count = 2
-				}
-				results <- result{j, sim.Day(j.seed, sim.Plans[*plan], j.kinds, count, *span)}
+				results <- result{j, sim.Day(j.seed, sim.Plans[o.plan], j.kinds, o.count(), o.span)}
 			}
 			results <- result{}
 		}()
 	}
-	failed, ran, steps := 0, 0, 0
-	var leave, gone time.Duration
-	var served, total int
-	rules := map[string]int{}
+	sum := summary{rules: map[string]int{}}
 	for left := runtime.GOMAXPROCS(0); left > 0; {
 		r := <-results
-		if r.w == nil {
+		if r.world == nil {
 			left--
 			continue
 		}
-		ran++
-		steps += r.w.Stats.Steps
-		leave, gone = max(leave, r.w.Stats.MaxLeave), max(gone, r.w.Stats.MaxGone)
-		served, total = served+r.w.Stats.Served, total+r.w.Stats.Exchanges
-		if r.w.Fail != "" {
-			failed++
-			rule, _, _ := strings.Cut(r.w.Fail, ":")
-			rules[rule]++
-			if rules[rule] <= 2 {
-				var ks []string
-				for _, k := range r.kinds {
-					ks = append(ks, fmt.Sprintf("--kind %q", k.Name))
-				}
-				fmt.Printf("seed %d: %s\n%s\nreplay: mfsim --from %d -n 1 --faults %d --span %v --plan %s %s\n\n", r.seed, r.w.Fail, r.w.Trace(*trace), r.seed, *faults, *span, *plan, strings.Join(ks, " "))
+		sum.add(o, r)
+	}
+	fmt.Printf("%d days, %d steps, %d of %d exchanges served, latest exchange to a leaving target %v, to a gone one %v, broken rules %v, %.1f s\n",
+		sum.ran, sum.steps, sum.served, sum.total, sum.leave, sum.gone, sum.rules, time.Since(start).Seconds())
+	fmt.Printf("%d passed, %d failed\n", sum.ran-sum.failed, sum.failed)
+	if sum.failed > 0 {
+		return 1
+	}
+	return 0
+}
+
+// only returns the kinds of faults that the command line names.
+func (o options) only() []sim.Fault {
+	var only []sim.Fault
+	for _, name := range o.kinds {
+		f, ok := sim.ByName(name)
+		if !ok {
+			usage("no kind %q, see --kinds", name)
+		}
+		only = append(only, f)
+	}
+	return only
+}
+
+// count is how many faults a day has.
+func (o options) count() int {
+	if o.pairs {
+		return 2
+	}
+	return o.faults
+}
+
+// deal sends the days to run, and closes the channel.
+func (o options) deal(jobs chan<- job, only []sim.Fault) {
+	defer close(jobs)
+	for seed := o.from; seed < o.from+o.seeds; seed++ {
+		if !o.pairs {
+			jobs <- job{seed, only}
+			continue
+		}
+		for i, a := range sim.Faults {
+			for _, b := range sim.Faults[i:] {
+				jobs <- job{seed, []sim.Fault{a, b}}
 			}
 		}
 	}
-	fmt.Printf("%d days, %d steps, %d of %d exchanges served, latest exchange to a leaving target %v, to a gone one %v, broken rules %v, %.1f s\n",
-		ran, steps, served, total, leave, gone, rules, time.Since(start).Seconds())
-	fmt.Printf("%d passed, %d failed\n", ran-failed, failed)
-	if failed > 0 {
-		os.Exit(1)
+}
+
+// shownPerRule is how many days that broke a rule are printed.
+const shownPerRule = 2
+
+// summary adds up what days had.
+type summary struct {
+	failed, ran, steps int
+	served, total      int            // requests
+	leave, gone        time.Duration  // latest request to a leaving target and to a gone one
+	rules              map[string]int // days by the rule that they broke
+}
+
+// add takes in a day, and prints it if it broke a rule.
+func (s *summary) add(o options, r result) {
+	stats := &r.world.Stats
+	s.ran++
+	s.steps += stats.Steps
+	s.leave, s.gone = max(s.leave, stats.MaxLeave), max(s.gone, stats.MaxGone)
+	s.served, s.total = s.served+stats.Served, s.total+stats.Exchanges
+	if r.world.Fail == "" {
+		return
+	}
+	s.failed++
+	rule, _, _ := strings.Cut(r.world.Fail, ":")
+	s.rules[rule]++
+	if s.rules[rule] > shownPerRule {
+		return
 	}
+	var kinds []string
+	for _, k := range r.kinds {
+		kinds = append(kinds, fmt.Sprintf("--kind %q", k.Name))
+	}
+	fmt.Printf("seed %d: %s\n%s\nreplay: mfsim --from %d -n 1 --faults %d --span %v --plan %s %s\n\n",
+		r.seed, r.world.Fail, r.world.Trace(o.trace), r.seed, o.faults, o.span, o.plan, strings.Join(kinds, " "))
 }
 
 // stage runs one scene; without its guard it is the seeds that hold which fail.
@@ -171,9 +232,34 @@
 	return 0
 }
 
-// availability prints a row a kind: the worst seed of each figure, but sums for parts.
+// availability prints a row for each kind of fault, or pair of kinds: figures over all seeds, worst first.
 func availability(from, n uint64, p sim.Plan, pairs bool) int {
-	var sets [][]sim.Fault
+	var lines []line
+	code := 0
+	for _, rows := range measure(from, n, p, sets(pairs)) {
+		for _, r := range rows {
+			if r.Fail != "" {
+				fmt.Printf("%v: %s\n", r.Kinds, r.Fail)
+				code = 1
+			}
+		}
+		lines = append(lines, lineOf(rows))
+	}
+	slices.SortStableFunc(lines, func(a, b line) int { return cmp.Compare(b.bad, a.bad) })
+	fmt.Println("| kind | refused % | failed % | no answer % | longest gap s | whole again s | change in force s | other outcomes |\n|---|---|---|---|---|---|---|---|")
+	for i, l := range lines {
+		if !pairs || i < pairsShown {
+			fmt.Println(l.text)
+		}
+	}
+	return code
+}
+
+// pairsShown is how many of the pairs of kinds are printed.
+const pairsShown = 40
+
+// sets returns each kind of fault by itself, or each pair of two.
+func sets(pairs bool) (sets [][]sim.Fault) {
 	for i, a := range sim.Faults {
 		if !pairs {
 			sets = append(sets, []sim.Fault{a})
@@ -183,6 +269,11 @@
 			sets = append(sets, []sim.Fault{a, b})
 		}
 	}
+	return sets
+}
+
+// measure runs each set of faults with each seed, as many at once as there are processors.
+func measure(from, n uint64, p sim.Plan, sets [][]sim.Fault) [][]sim.Row {
 	rows := make([][]sim.Row, len(sets))
 	var wg sync.WaitGroup
 	turn := make(chan bool, runtime.GOMAXPROCS(0))
@@ -196,51 +287,49 @@
 		})
 	}
 	wg.Wait()
-	type line struct {
-		bad  float64
-		text string
-	}
-	var lines []line
-	code := 0
-	for _, rs := range rows {
-		var sum sim.Row
-		var gaps, wholes, forces []time.Duration
-		out := map[string]int{}
-		for _, r := range rs {
-			sum.Offered, sum.Refused, sum.Failed, sum.NoAnswer = sum.Offered+r.Offered, sum.Refused+r.Refused, sum.Failed+r.Failed, sum.NoAnswer+r.NoAnswer
-			gaps, wholes = append(gaps, r.Gap), append(wholes, r.Whole)
-			out[r.Outcome]++
-			if r.Outcome == "in force" {
-				forces = append(forces, r.Force)
-			}
-			if r.Fail != "" {
-				fmt.Printf("%v: %s\n", r.Kinds, r.Fail)
-				code = 1
-			}
-		}
-		span := func(l []time.Duration) string {
-			if len(l) == 0 {
-				return "-"
-			}
-			slices.Sort(l)
-			return fmt.Sprintf("%.1f (%.1f)", l[len(l)/2].Seconds(), l[len(l)-1].Seconds())
-		}
-		pc := func(x int) string { return fmt.Sprintf("%.2f", 100*float64(x)/float64(max(1, sum.Offered))) }
-		var odd []string
-		for _, o := range []string{"refused", "unknown", "no answer"} {
-			if out[o] > 0 {
-				odd = append(odd, fmt.Sprintf("%s %d", o, out[o]))
-			}
+	return rows
+}
+
+// line is a row of the table, with what it is sorted by.
+type line struct {
+	bad  float64
+	text string
+}
+
+// lineOf adds up the seeds of one set of faults.
+func lineOf(rows []sim.Row) line {
+	var sum sim.Row
+	var gaps, wholes, forces []time.Duration
+	outcomes := map[string]int{}
+	for _, r := range rows {
+		sum.Offered += r.Offered
+		sum.Refused += r.Refused
+		sum.Failed += r.Failed
+		sum.NoAnswer += r.NoAnswer
+		gaps, wholes = append(gaps, r.Gap), append(wholes, r.Whole)
+		outcomes[r.Outcome]++
+		if r.Outcome == "in force" {
+			forces = append(forces, r.Force)
 		}
-		lines = append(lines, line{sum.Bad(), fmt.Sprintf("| %s | %s | %s | %s | %s | %s | %s | %s |", strings.Join(rs[0].Kinds, " + "),
-			pc(sum.Refused), pc(sum.Failed), pc(sum.NoAnswer), span(gaps), span(wholes), span(forces), strings.Join(odd, ", "))})
 	}
-	slices.SortStableFunc(lines, func(a, b line) int { return cmp.Compare(b.bad, a.bad) })
-	fmt.Println("| kind | refused % | failed % | no answer % | longest gap s | whole again s | change in force s | other outcomes |\n|---|---|---|---|---|---|---|---|")
-	for i, l := range lines {
-		if !pairs || i < 40 {
-			fmt.Println(l.text)
+	percent := func(x int) string {
+		return fmt.Sprintf("%.2f", 100*float64(x)/float64(max(1, sum.Offered)))
+	}
+	var others []string
+	for _, o := range []string{"refused", "unknown", "no answer"} {
+		if outcomes[o] > 0 {
+			others = append(others, fmt.Sprintf("%s %d", o, outcomes[o]))
 		}
 	}
-	return code
+	return line{sum.Bad(), fmt.Sprintf("| %s | %s | %s | %s | %s | %s | %s | %s |", strings.Join(rows[0].Kinds, " + "),
+		percent(sum.Refused), percent(sum.Failed), percent(sum.NoAnswer), medianAndMost(gaps), medianAndMost(wholes), medianAndMost(forces), strings.Join(others, ", "))}
+}
+
+// medianAndMost prints both in seconds; it sorts l.
+func medianAndMost(l []time.Duration) string {
+	if len(l) == 0 {
+		return "-"
+	}
+	slices.Sort(l)
+	return fmt.Sprintf("%.1f (%.1f)", l[len(l)/2].Seconds(), l[len(l)-1].Seconds())
 }
--- a/cmd/mfstub/main.go
+++ b/cmd/mfstub/main.go
@@ -49,6 +49,26 @@
 	Cold    bool   `json:"cold,omitempty"`
 }
 
+// Modes, set by POST /.stub/mode?set=MODE, besides leave.
+const (
+	modeOK      = "ok"
+	modeHang    = "hang"    // answers nothing, sends no heartbeats
+	modeStuck   = "stuck"   // answers no requests
+	modeMute    = "mute"    // sends no heartbeats
+	modeSlow    = "slow"    // slow:DURATION, what each request takes at least
+	modeLose    = "lose"    // runs a request and loses the answer
+	modeHalf    = "half"    // sends half an answer
+	modeGarbage = "garbage" // sends what is no HTTP
+	modeFail    = "fail"    // answers 500 without running
+)
+
+const (
+	ledgerQueue = 4096            // lines that wait to be written
+	padMost     = 8 << 20         // bytes of padding in an answer
+	leaveFor    = 3 * time.Second // how long a leaving stub serves on at least
+)
+
+// stub is the back end.
 type stub struct {
 	service, name, addr, domain string
 	inc                         uint64
@@ -69,73 +89,112 @@
 	done                        chan struct{}
 }
 
-func main() {
-	app := kingpin.New("mfstub", "A stand-in back end that can fail on request and keeps a ledger of what it ran.")
-	app.Version(host.Version)
-	app.HelpFlag.Short('h')
-	s := &stub{ledger: make(chan Entry, 4096), done: make(chan struct{})}
+// options are the flags that do not stand in the stub itself.
+type options struct {
+	bind, from, ledger string
+	warm, cold         time.Duration
+}
+
+// define puts the flags on the command line.
+func (s *stub) define(app *kingpin.Application) *options {
+	o := &options{}
 	app.Flag("service", "service that it belongs to").Required().StringVar(&s.service)
 	app.Flag("name", "its name in the service").Required().StringVar(&s.name)
 	app.Flag("addr", "IP:port to serve on").Required().StringVar(&s.addr)
-	bind := app.Flag("bind", "IP:port to listen on, if it is not addr itself").String()
-	from := app.Flag("from", "IP that its words leave from").String()
+	app.Flag("bind", "IP:port to listen on, if it is not addr itself").StringVar(&o.bind)
+	app.Flag("from", "IP that its words leave from").StringVar(&o.from)
 	app.Flag("domain", "domain (zone)").Default("").StringVar(&s.domain)
 	app.Flag("daemon", "HTTP address of a daemon to beat to (repeat)").Required().StringsVar(&s.daemons)
 	app.Flag("work", "how long an exchange takes").Default("10ms").DurationVar(&s.work)
 	app.Flag("bears", "how many exchanges it works on at once; others wait").Default("64").Int64Var(&s.bears)
-	warm := app.Flag("warm", "how long it says that it is warming up").Default("0s").Duration()
+	app.Flag("warm", "how long it says that it is warming up").Default("0s").DurationVar(&o.warm)
 	app.Flag("health", "path where it tells its health; then it takes the identity that is expected with each exchange, and turns away what it has no room for").StringVar(&s.health)
 	app.Flag("named", "take a name of its own for this start, and send words of targets by name").BoolVar(&s.named)
-	cold := app.Flag("cold", "how long after its start it bears only its service's cold rate").Default("0s").Duration()
-	led := app.Flag("ledger", "file to append the ledger to").String()
+	app.Flag("cold", "how long after its start it bears only its service's cold rate").Default("0s").DurationVar(&o.cold)
+	app.Flag("ledger", "file to append the ledger to").StringVar(&o.ledger)
+	return o
+}
+
+func main() {
+	app := kingpin.New("mfstub", "A stand-in back end that can fail on request and keeps a ledger of what it ran.")
+	app.Version(host.Version)
+	app.HelpFlag.Short('h')
+	s := &stub{ledger: make(chan Entry, ledgerQueue), done: make(chan struct{})}
+	o := s.define(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintf(os.Stderr, "mfstub: %v, see --help\n", err)
 		os.Exit(2)
 	}
-	if *from != "" {
-		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(*from)}}
+	if o.from != "" {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(o.from)}}
 		client.Transport = &http.Transport{DialContext: d.DialContext}
 	}
+	s.begin(o)
+	ledger, err := openLedger(o.ledger)
+	if err != nil {
+		fail(err)
+	}
+	go s.write(ledger)
+	ln, err := net.Listen("tcp", cmp.Or(o.bind, s.addr))
+	if err != nil {
+		fail(err)
+	}
+	srv := &http.Server{Handler: s.handler()}
+	go srv.Serve(ln)
+	go s.beats()
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT)
+	<-ch
+	s.leave()
+	srv.Close()
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, "mfstub:", err)
+	os.Exit(1)
+}
+
+// begin sets what follows from the flags and the time of the start.
+func (s *stub) begin(o *options) {
 	s.inc = uint64(time.Now().UnixNano())
 	if s.named {
 		s.name = fmt.Sprintf("%s-%x", s.name, s.inc)
 		s.inc = 1
 	}
-	s.coldTill = time.Now().Add(*cold)
+	s.coldTill = time.Now().Add(o.cold)
 	s.state.Store(model.Ready)
-	if *warm > 0 {
+	if o.warm > 0 {
 		s.state.Store(model.Warming)
-		time.AfterFunc(*warm, func() { s.state.CompareAndSwap(model.Warming, model.Ready) })
+		time.AfterFunc(o.warm, func() { s.state.CompareAndSwap(model.Warming, model.Ready) })
 	}
-	s.mode.Store("ok")
+	s.mode.Store(modeOK)
 	s.slots = make(chan struct{}, s.bears)
-	var out io.Writer = io.Discard
-	if *led != "" {
-		f, err := os.OpenFile(*led, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-		if err != nil {
-			fmt.Fprintln(os.Stderr, "mfstub:", err)
-			os.Exit(1)
-		}
-		out = f
+}
+
+// openLedger opens the file to append to; without a name the ledger goes nowhere.
+func openLedger(name string) (io.Writer, error) {
+	if name == "" {
+		return io.Discard, nil
 	}
-	go func() {
-		for e := range s.ledger {
-			b, _ := json.Marshal(e)
-			out.Write(append(b, '\n'))
-		}
-		close(s.done)
-	}()
-	ln, err := net.Listen("tcp", cmp.Or(*bind, s.addr))
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "mfstub:", err)
-		os.Exit(1)
+	return os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+}
+
+// write writes the ledger until it is closed.
+func (s *stub) write(out io.Writer) {
+	for e := range s.ledger {
+		b, _ := json.Marshal(e)
+		out.Write(append(b, '\n'))
 	}
+	close(s.done)
+}
+
+func (s *stub) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+model.IdentityPath, s.identity)
 	if s.health != "" {
 		mux.HandleFunc("GET "+s.health, s.healthy)
 	}
-	mux.HandleFunc("POST /.stub/mode", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("POST /.stub/mode", func(_ http.ResponseWriter, r *http.Request) {
 		m := r.URL.Query().Get("set")
 		s.mode.Store(m)
 		if m == "leave" {
@@ -143,16 +202,10 @@
 		}
 	})
 	mux.HandleFunc("/", s.serve)
-	srv := &http.Server{Handler: mux}
-	go srv.Serve(ln)
-	go s.beats()
-	ch := make(chan os.Signal, 1)
-	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT)
-	<-ch
-	s.leave()
-	srv.Close()
+	return mux
 }
 
+// beat is what the stub says of itself now.
 func (s *stub) beat() model.Beat {
 	d := float64(s.inWork.Load()) / float64(s.bears)
 	b := model.Beat{Service: s.service, Name: s.name, Incarnation: s.inc, Address: s.addr, Domain: s.domain, State: s.state.Load().(string), Demand: &d}
@@ -165,19 +218,32 @@
 	return b
 }
 
+// coldLeft is how much longer it is cold, in ms.
 func (s *stub) coldLeft() int64 { return max(0, time.Until(s.coldTill).Milliseconds()) }
 
+// names are the headers that proxies use.
 var names = forward.Defaults()
 
-// load has an answer tell how much there is to do here.
+// load puts the present load in an answer's headers.
 func (s *stub) load(h http.Header) {
 	if s.health != "" {
 		h.Set(names.Load, fmt.Sprintf("%d,%d,%d", len(s.slots), s.waiting.Load(), s.bears))
 	}
 }
 
+// healthAnswer is the body of a health page, notRunAnswer that of a request that is not run.
+type (
+	healthAnswer struct {
+		State string `json:"state"`
+	}
+	notRunAnswer struct {
+		Error string `json:"error"`
+	}
+)
+
+// healthy answers at the health path.
 func (s *stub) healthy(w http.ResponseWriter, r *http.Request) {
-	if s.mode.Load() == "hang" {
+	if s.mode.Load() == modeHang {
 		<-r.Context().Done()
 		return
 	}
@@ -191,39 +257,41 @@
 		return
 	}
 	s.load(h)
-	host.WriteJSON(w, 200, map[string]any{"state": model.Ready})
+	host.WriteJSON(w, http.StatusOK, healthAnswer{State: model.Ready})
 }
 
-// repeats has an answer tell whose it is.
+// repeats puts the id of the request in an answer's headers.
 func repeats(w http.ResponseWriter, r *http.Request) {
 	if id := r.Header.Get(names.Attempt); id != "" {
 		w.Header().Set(names.Attempt, id)
 	}
 }
 
-// turned says that a request is not run here, and why.
+// turned answers that a request is not run here, and why.
 func (s *stub) turned(w http.ResponseWriter, r *http.Request, status int, why string) {
 	repeats(w, r)
 	w.Header().Set(names.NotRun, "1")
 	s.load(w.Header())
-	host.WriteJSON(w, status, map[string]any{"error": why})
+	host.WriteJSON(w, status, notRunAnswer{Error: why})
 }
 
+// identity answers at model.IdentityPath.
 func (s *stub) identity(w http.ResponseWriter, r *http.Request) {
-	if s.mode.Load() == "hang" {
+	if s.mode.Load() == modeHang {
 		<-r.Context().Done()
 		return
 	}
-	host.WriteJSON(w, 200, s.beat())
+	host.WriteJSON(w, http.StatusOK, s.beat())
 }
 
 var client = &http.Client{Timeout: limit.BeatEvery}
 
+// tell sends a heartbeat to a daemon and reports whether it was taken.
 func (s *stub) tell(addr string) bool {
 	b, _ := json.Marshal(s.beat())
-	method, path := "POST", "/v1/targets"
+	method, path := http.MethodPost, "/v1/targets"
 	if s.named {
-		method, path = "PUT", "/v1/targets/"+s.name
+		method, path = http.MethodPut, "/v1/targets/"+s.name
 	}
 	req, err := http.NewRequest(method, "http://"+addr+path, bytes.NewReader(b))
 	if err != nil {
@@ -234,12 +302,13 @@
 		return false
 	}
 	resp.Body.Close()
-	return resp.StatusCode < 300
+	return resp.StatusCode < http.StatusMultipleChoices
 }
 
+// beats sends heartbeats to one daemon after another.
 func (s *stub) beats() {
 	for i := 0; ; i++ {
-		if m := s.mode.Load(); m != "hang" && m != "mute" {
+		if m := s.mode.Load(); m != modeHang && m != modeMute {
 			for range s.daemons {
 				if s.tell(s.daemons[i%len(s.daemons)]) {
 					break
@@ -260,7 +329,7 @@
 	for _, d := range s.daemons {
 		s.tell(d)
 	}
-	for end := time.Now().Add(3 * time.Second); time.Now().Before(end) || s.inWork.Load() > 0; {
+	for end := time.Now().Add(leaveFor); time.Now().Before(end) || s.inWork.Load() > 0; {
 		time.Sleep(limit.TickEvery)
 	}
 	for _, d := range s.daemons {
@@ -268,7 +337,7 @@
 		if s.named {
 			path = s.name
 		}
-		req, _ := http.NewRequest("DELETE", fmt.Sprintf("http://%s/v1/targets/%s", d, path), nil)
+		req, _ := http.NewRequest(http.MethodDelete, fmt.Sprintf("http://%s/v1/targets/%s", d, path), nil)
 		if resp, err := client.Do(req); err == nil {
 			resp.Body.Close()
 		}
@@ -278,36 +347,23 @@
 	os.Exit(0)
 }
 
+// serve takes a request: it runs it, enters it in the ledger and answers, or does what its mode says.
 func (s *stub) serve(w http.ResponseWriter, r *http.Request) {
 	in, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	if s.health != "" {
-		if e := r.Header.Get(names.Expect); e != "" && e != s.name {
-			s.turned(w, r, http.StatusMisdirectedRequest, "this is "+s.name)
-			return
-		}
-		if s.waiting.Load() >= s.bears {
-			s.turned(w, r, http.StatusServiceUnavailable, "no room")
-			return
-		}
+	if s.health != "" && s.turnedAway(w, r) {
+		return
 	}
 	n := s.inWork.Add(1)
 	defer s.inWork.Add(-1)
 	mode, arg, _ := strings.Cut(s.mode.Load().(string), ":")
-	if mode == "hang" || mode == "stuck" {
+	if mode == modeHang || mode == modeStuck {
 		<-r.Context().Done()
 		return
 	}
-	work := s.work
-	if mode == "slow" {
-		d, _ := time.ParseDuration(arg)
-		work = max(work, d)
-	}
-	if ms, err := strconv.Atoi(r.Header.Get("Stub-Work-Ms")); err == nil {
-		work = time.Duration(ms) * time.Millisecond
-	}
+	work := s.workFor(r, mode, arg)
 	s.waiting.Add(1)
 	select {
 	case s.slots <- struct{}{}:
@@ -317,46 +373,101 @@
 		s.waiting.Add(-1)
 		return
 	}
+	e := s.entry(r, n)
+	if mode != modeFail {
+		s.ledger <- e
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), work)
+	<-ctx.Done()
+	cancel()
+	repeats(w, r)
+	s.load(w.Header())
+	s.answer(w, mode, s.answerTo(r, e, in))
+}
+
+// turnedAway refuses a request that is meant for another target or that there is no room for.
+func (s *stub) turnedAway(w http.ResponseWriter, r *http.Request) bool {
+	if e := r.Header.Get(names.Expect); e != "" && e != s.name {
+		s.turned(w, r, http.StatusMisdirectedRequest, "this is "+s.name)
+		return true
+	}
+	if s.waiting.Load() >= s.bears {
+		s.turned(w, r, http.StatusServiceUnavailable, "no room")
+		return true
+	}
+	return false
+}
+
+// workFor is how long a request takes.
+func (s *stub) workFor(r *http.Request, mode, arg string) time.Duration {
+	if ms, err := strconv.Atoi(r.Header.Get("Stub-Work-Ms")); err == nil {
+		return time.Duration(ms) * time.Millisecond
+	}
+	if mode == modeSlow {
+		d, _ := time.ParseDuration(arg)
+		return max(s.work, d)
+	}
+	return s.work
+}
+
+// entry is the ledger's line for a request.
+func (s *stub) entry(r *http.Request, inWork int64) Entry {
 	e := Entry{At: time.Now().UnixNano(), ID: r.Header.Get("Exchange-Id"), Service: s.service, Name: s.name, Inc: s.inc, Domain: s.domain,
-		Method: r.Method, State: s.state.Load().(string), InWork: n, Cold: s.coldLeft() > 0}
+		Method: r.Method, State: s.state.Load().(string), InWork: inWork, Cold: s.coldLeft() > 0}
 	if m := r.Header.Get("Exchange-Service"); m != "" && m != s.service {
 		e.Wrong = m
 	}
 	if at := s.leftAt.Load(); at > 0 {
-		e.LeaveMs = (e.At - at) / 1e6
+		e.LeaveMs = (e.At - at) / int64(time.Millisecond)
 	}
-	if mode != "fail" {
-		s.ledger <- e
+	return e
+}
+
+// answer is the body of an answer, and failure that of a request that was asked to fail.
+type (
+	answer struct {
+		ID      string `json:"id"`
+		Inc     uint64 `json:"incarnation"`
+		Name    string `json:"name"`
+		Pad     string `json:"pad"`
+		Service string `json:"service"`
+		Sum     string `json:"sum"` // of the request's body
+	}
+	failure struct {
+		Error   string `json:"error"`
+		ID      string `json:"id"`
+		Service string `json:"service"`
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), work)
-	<-ctx.Done()
-	cancel()
+)
+
+func (s *stub) answerTo(r *http.Request, e Entry, in []byte) answer {
 	sum := sha256.Sum256(in)
 	size, _ := strconv.Atoi(r.Header.Get("Stub-Size"))
-	b, _ := json.Marshal(map[string]any{"id": e.ID, "service": s.service, "name": s.name, "incarnation": s.inc,
-		"sum": hex.EncodeToString(sum[:]), "pad": strings.Repeat("x", min(size, 8<<20))})
-	repeats(w, r)
-	s.load(w.Header())
+	return answer{ID: e.ID, Inc: s.inc, Name: s.name, Pad: strings.Repeat("x", min(size, padMost)), Service: s.service, Sum: hex.EncodeToString(sum[:])}
+}
+
+// answer sends an answer, as far as the mode lets it.
+func (s *stub) answer(w http.ResponseWriter, mode string, a answer) {
+	b, _ := json.Marshal(a)
 	switch mode {
-	case "lose", "half", "garbage":
+	case modeLose, modeHalf, modeGarbage:
 		c, buf, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
 		}
 		defer c.Close()
 		switch mode {
-		case "half":
+		case modeHalf:
 			fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(b), b[:len(b)/2])
-		case "garbage":
+		case modeGarbage:
 			fmt.Fprintf(buf, "\x00\x01 nothing that HTTP knows\r\n\r\n%s", b)
 		}
 		buf.Flush()
-		return
-	case "fail":
-		host.WriteJSON(w, 500, map[string]any{"id": e.ID, "service": s.service, "error": "asked to fail"})
-		return
+	case modeFail:
+		host.WriteJSON(w, http.StatusInternalServerError, failure{Error: "asked to fail", ID: a.ID, Service: a.Service})
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+		w.Write(b)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
-	w.Write(b)
 }
