--- a/cmd/mfload/main.go
+++ b/cmd/mfload/main.go
@@ -76,6 +76,7 @@
 	ran    string // of an error: no, unknown; "" for an answer of a back end's
 	retry  string
 	wrong  string // what is wrong with the answer
+	others bool   // it is the answer to another request
 	err    string
 	name   string
 	hard   bool
@@ -113,6 +114,7 @@
 	NoAnswer   int                           `json:"no_answer"`
 	NoRetry    int                           `json:"refused_without_retry_after"`
 	Wrong      int                           `json:"wrong_answers"`
+	Others     int                           `json:"answers_of_others"`
 	Twice      int                           `json:"ran_twice"`
 	RanRefused int                           `json:"ran_though_refused"`
 	Misrouted  int                           `json:"wrong_service"`
@@ -322,7 +324,7 @@
 	case json.Unmarshal(b, &a) != nil:
 		o.wrong = fmt.Sprintf("not the back end's answer: %.80q", b)
 	case a.ID != id:
-		o.wrong = "the answer is to exchange " + a.ID
+		o.wrong, o.others = "the answer is to exchange "+a.ID, true
 	case a.Service != k.Service:
 		o.wrong = "the answer is from service " + a.Service
 	case a.Sum != hex.EncodeToString(sum[:]):
@@ -390,6 +392,9 @@
 	switch {
 	case o.wrong != "":
 		t.Wrong++
+		if o.others {
+			t.Others++
+		}
 		t.example("%s %s: %s", o.kind.Name, o.id, o.wrong)
 		return "wrong"
 	case o.err != "":
--- a/cmd/mfstub/main.go
+++ b/cmd/mfstub/main.go
@@ -59,6 +59,8 @@
 	modeLose    = "lose"    // runs a request and loses the answer
 	modeHalf    = "half"    // sends half an answer
 	modeGarbage = "garbage" // sends what is no HTTP
+	modeSurplus = "surplus" // surplus:DURATION, sends another answer that nobody asked for so much later
+	modeReset   = "reset"   // resets the connection in place of an answer
 	modeFail    = "fail"    // answers 500 without running
 )
 
@@ -382,7 +384,7 @@
 	cancel()
 	repeats(w, r)
 	s.load(w.Header())
-	s.answer(w, mode, s.answerTo(r, e, in))
+	s.answer(w, mode, arg, s.answerTo(r, e, in))
 }
 
 // turnedAway refuses a request that is meant for another target or that there is no room for.
@@ -447,9 +449,23 @@
 }
 
 // answer sends an answer, as far as the mode lets it.
-func (s *stub) answer(w http.ResponseWriter, mode string, a answer) {
+func (s *stub) answer(w http.ResponseWriter, mode, arg string, a answer) {
 	b, _ := json.Marshal(a)
 	switch mode {
+	case modeSurplus:
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		late, _ := time.ParseDuration(arg)
+		header := w.Header().Clone()
+		header.Set("Content-Type", "application/json")
+		header.Set("Content-Length", strconv.Itoa(len(b)))
+		go surplusAnswer(c, header, b, a.ID, names.Attempt, late)
+	case modeReset:
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			reset(c)
+		}
 	case modeLose, modeHalf, modeGarbage:
 		c, buf, err := http.NewResponseController(w).Hijack()
 		if err != nil {
--- a/host/core.go
+++ b/host/core.go
@@ -28,7 +28,16 @@
 		h.Fatal(err, "state on disk")
 	}
 	s := h.Settings
-	owner := core.New(h.Now(), core.Settings{Self: h.Daemon(), Size: s.Size, Seeds: s.Seeds, Found: s.Found, Domains: s.Domains}, image)
+	owner := core.New(h.Now(), core.Settings{
+		Self:    h.Daemon(),
+		Size:    s.Size,
+		Seeds:   s.Seeds,
+		Found:   s.Found,
+		Domains: s.Domains,
+		CatchUp: milliseconds(s.CatchUpMs),
+		Losses:  s.Losses,
+		Grace:   milliseconds(s.GraceMs),
+	}, image)
 	d := &coreDaemon{Host: h, owner: owner, disk: disk, hub: NewHub()}
 	if err := d.Listen(); err != nil {
 		d.Fatal(err, "start")
