--- a/cmd/mfstub/surplus.go
+++ b/cmd/mfstub/surplus.go
@@ -1,4 +1,5 @@
 // This file is a back end's connections that go wrong after a whole answer.
+
 package main
 
 import (
--- a/host/disk.go
+++ b/host/disk.go
@@ -29,7 +29,7 @@
 	h      *Host
 	ring   store
 	img    quorum.Image
-	in     chan *wire.Batch
+	queue  chan *wire.Batch
 	retry  time.Duration // how long after a refused write the next is tried
 	failed error         // why writes are refused now
 }
@@ -37,7 +37,7 @@
 // OpenDisk reads what the folder holds; an empty one gets a number of its own. An error that
 // is marked ring.ErrDamaged or core.ErrDamaged says that it can't be read whole.
 func (h *Host) OpenDisk() (*Disk, quorum.Image, error) {
-	r, recs, err := ring.Open(h.Set.Data, limit.RingFiles, limit.RingFileSize)
+	r, recs, err := ring.Open(h.Settings.Data, limit.RingFiles, limit.RingFileSize)
 	if err != nil {
 		return nil, quorum.Image{}, err
 	}
@@ -50,7 +50,7 @@
 }
 
 func (h *Host) newDisk(s store) *Disk {
-	return &Disk{h: h, ring: s, in: make(chan *wire.Batch, limit.EventQueue), retry: limit.DiskRetry}
+	return &Disk{h: h, ring: s, queue: make(chan *wire.Batch, limit.EventQueue), retry: limit.DiskRetry}
 }
 
 func (d *Disk) load(recs [][]byte) error {
@@ -88,7 +88,7 @@
 	if err != nil {
 		return nil, img, err
 	}
-	r, err := ring.Recreate(h.Set.Data, limit.RingFiles, limit.RingFileSize, whole)
+	r, err := ring.Recreate(h.Settings.Data, limit.RingFiles, limit.RingFileSize, whole)
 	if err != nil {
 		return nil, img, err
 	}
@@ -130,10 +130,10 @@
 
 // Run syncs batches as they come, those that wait together in one piece.
 func (d *Disk) Run() {
-	for b := range d.in {
+	for b := range d.queue {
 		batches := []*wire.Batch{b}
-		for len(d.in) > 0 && len(batches) < 64 {
-			batches = append(batches, <-d.in)
+		for len(d.queue) > 0 && len(batches) < 64 {
+			batches = append(batches, <-d.queue)
 		}
 		d.sync(batches)
 	}
--- a/sim/slow.go
+++ b/sim/slow.go
@@ -1,4 +1,5 @@
 // This file is what makes single processes and disks of the simulator slow, full or stuck.
+
 package sim
 
 import "time"
