The least urgent requests of a service no longer starve under lasting pressure

A service counts its requests by priority over the last two spans of 5 s; a priority that got under 0.4 of the average goes as the most urgent does until it has caught up. Weighed: reserved slots for each priority (idle when nobody of it comes), ageing in the queue (it is full of urgent ones: the least urgent are refused before they wait). The order of waiting is otherwise as it was, TestWaitingOrder unchanged.

--- a/limit/forward.go
+++ b/limit/forward.go
@@ -145,6 +145,12 @@
 	// to those before it while there is pressure.
 	Ranks    = 4
 	RankRoom = 0.1
+	// FairSpan is the span over which a service's requests are counted by priority, long beside a
+	// burst; FairPart the part of the average that each priority is kept at: over a quarter, under
+	// which it would count as starved; FairLeast how many must have come for it to count.
+	FairSpan  = 5 * time.Second
+	FairPart  = 0.4
+	FairLeast = 4
 	// WaitPart of a route's aim is how long a request may wait for a target: a refusal after that
 	// is a late one. A route without an aim has WaitAim of its timeout in its place.
 	WaitPart = 4
--- a/proxy/choice.go
+++ b/proxy/choice.go
@@ -550,7 +550,7 @@
 // service is under pressure and higher ones come, each leaves a part to those before
 // it, unless a target offers more.
 func (g *Proxy) ranked(now time.Duration, x *request, s *service) bool {
-	r := min(x.route.Priority, limit.Ranks-1)
+	r := rankOf(x.priority)
 	if r == 0 || !s.pressed(now) {
 		return true
 	}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -128,7 +128,7 @@
 	x.deadline = now + d
 	g.requests[x.id] = x
 	s := g.service(x.svc)
-	s.ranks[min(x.route.Priority, limit.Ranks-1)] = now
+	s.enroll(now, x)
 	g.place(now, x, true)
 }
 
@@ -180,6 +180,7 @@
 	x.tries++
 	if !x.earned {
 		x.earned = true // one that is refused brings its service no traffic
+		x.askedAt.fair.give(now, rankOf(x.route.Priority))
 		s.budget.earn(now, g.settings.Retry)
 	}
 	if x.repeat {
@@ -203,7 +204,7 @@
 
 // behind says that others of its rank or before it wait already.
 func (g *Proxy) behind(s *service, x *request) bool {
-	return len(s.queue) > 0 && g.requests[s.queue[0]].route.Priority <= x.route.Priority
+	return len(s.queue) > 0 && g.requests[s.queue[0]].priority <= x.priority
 }
 
 // mayWait puts the request among those that wait, by priority and then by when they
@@ -237,7 +238,7 @@
 			return false
 		}
 		o := g.requests[s.queue[n-1]]
-		if o.route.Priority <= x.route.Priority {
+		if o.priority <= x.priority {
 			return false
 		}
 		g.Counts.Overtaken++
@@ -245,8 +246,8 @@
 	}
 	x.waiting = true
 	x.waitTill = min(now+most, x.deadline)
-	at, _ := slices.BinarySearchFunc(s.queue, x.route.Priority, func(id uint64, p int) int {
-		if g.requests[id].route.Priority <= p {
+	at, _ := slices.BinarySearchFunc(s.queue, x.priority, func(id uint64, p int) int {
+		if g.requests[id].priority <= p {
 			return -1
 		}
 		return 1
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -184,6 +184,8 @@
 	svc      string
 	name     string
 	route    model.Route
+	priority int      // what it goes by: its route's, unless that starves
+	askedAt  *service // where it was counted when it came
 	way      *routeState
 	start    time.Duration
 	deadline time.Duration
@@ -217,6 +219,7 @@
 	pressAt  time.Duration
 	ranks    [limit.Ranks]time.Duration // when requests of each priority last came
 	mean     float64                    // ms that its requests take
+	fair     fairness
 }
 
 // Counts are the owner's counters.
