--- a/core/corestatus.go
+++ b/core/corestatus.go
@@ -1,6 +1,7 @@
 // This file is what operators may read of the core itself: who leads and by which
 // majority, who is silent, who is learning and how far, and whether the next loss of
 // a machine or of a failure domain can be borne now.
+
 package core
 
 import (
@@ -16,6 +17,7 @@
 // MemberState is what a core daemon is to the core, as the leader sees it.
 type MemberState string
 
+// The states of core daemons.
 const (
 	MemberLeads      MemberState = "leader"
 	MemberFollows    MemberState = "follower"    // answers, and lacks nothing that the leader's log does not hold
@@ -44,6 +46,7 @@
 // ObstacleKind is why a member can't be counted on when another one is lost.
 type ObstacleKind string
 
+// What stands against the next loss.
 const (
 	ObstacleSilent     ObstacleKind = "silent"
 	ObstacleStopping   ObstacleKind = "stopping"
@@ -120,7 +123,7 @@
 	}
 	slices.Sort(v.Lease)
 	v.Members = c.memberViews(now, progress)
-	v.Loss = c.lossView(now, v)
+	v.Loss = c.lossView(v)
 	return v
 }
 
@@ -192,7 +195,7 @@
 }
 
 // lossView is the leader's: what may be lost now, and what stands against it.
-func (c *Core) lossView(now time.Duration, v CoreView) LossView {
+func (c *Core) lossView(v CoreView) LossView {
 	l := LossView{Known: true}
 	there, byDomain := 0, map[string]int{}
 	for _, m := range v.Members {
--- a/host/ctl_core.go
+++ b/host/ctl_core.go
@@ -1,4 +1,5 @@
 // This file prints the core's own state for 'mfctl status'.
+
 package host
 
 import (
--- a/host/ctl_test.go
+++ b/host/ctl_test.go
@@ -220,7 +220,7 @@
 		{409, model.Trouble{Code: "member", Refusal: model.RefusedConflict}, exitFailed, "conflict (member)"},
 		{404, model.Trouble{Code: "not_found", Refusal: model.RefusedNotFound}, exitFailed, "not found (not_found)"},
 	} {
-		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(x.status)
 			w.Write(x.t.JSON())
 		}))
@@ -236,7 +236,7 @@
 func TestCtlTellsTheAnswerThatItGot(t *testing.T) {
 	down := httptest.NewServer(nil)
 	down.Close()
-	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(503)
 		w.Write(model.Trouble{Code: "no_leader", Refusal: model.RefusedCannotTell}.JSON())
 	}))
@@ -251,11 +251,11 @@
 // A change whose answer was lost may have been taken: a later 'nothing was changed' of
 // another member does not say that it was not.
 func TestCtlLostAnswerIsUnknown(t *testing.T) {
-	broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	broken := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		panic(http.ErrAbortHandler)
 	}))
 	defer broken.Close()
-	idle := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	idle := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(503)
 		w.Write(model.Trouble{Code: "no_leader", Refusal: model.RefusedCannotTell}.JSON())
 	}))
--- a/model/refusal.go
+++ b/model/refusal.go
@@ -1,4 +1,5 @@
 // This file classes refusals by what their reader can do about them.
+
 package model
 
 import "net/http"
@@ -9,17 +10,17 @@
 type Refusal string
 
 const (
-	// RefusedVersion: the change was built on another version than the present one.
+	// RefusedVersion says that the change was built on another version than the present one.
 	// Nothing of it is in force. Read the present one and build on that.
 	RefusedVersion Refusal = "another_version"
-	// RefusedInvalid: the call itself is wrong, and would be at any time and at any daemon.
+	// RefusedInvalid says that the call itself is wrong, and would be at any time and at any daemon.
 	RefusedInvalid Refusal = "invalid"
-	// RefusedCannotTell: this daemon can't judge the call now. "ran" says whether it may
+	// RefusedCannotTell says that this daemon can't judge the call now. "ran" says whether it may
 	// have taken effect. Send the same call again, with the same id, to any daemon.
 	RefusedCannotTell Refusal = "cannot_tell"
-	// RefusedConflict: the call is sound but does not fit what the fleet is doing now.
+	// RefusedConflict says that the call is sound but does not fit what the fleet is doing now.
 	RefusedConflict Refusal = "conflict"
-	// RefusedNotFound: what the call names does not exist.
+	// RefusedNotFound says that what the call names does not exist.
 	RefusedNotFound Refusal = "not_found"
 )
 
--- a/quorum/progress.go
+++ b/quorum/progress.go
@@ -1,4 +1,5 @@
 // This file tells operators how the members stand, as their leader sees them.
+
 package quorum
 
 import (
