--- a/core/corestatus.go
+++ b/core/corestatus.go
@@ -17,7 +17,7 @@
 // MemberState is what a core daemon is to the core, as the leader sees it.
 type MemberState string
 
-// The states of core daemons.
+// The states of a core daemon.
 const (
 	MemberLeads      MemberState = "leader"
 	MemberFollows    MemberState = "follower"    // answers, and lacks nothing that the leader's log does not hold
@@ -46,7 +46,7 @@
 // ObstacleKind is why a member can't be counted on when another one is lost.
 type ObstacleKind string
 
-// What stands against the next loss.
+// The kinds of obstacles.
 const (
 	ObstacleSilent     ObstacleKind = "silent"
 	ObstacleStopping   ObstacleKind = "stopping"
--- a/explore/action.go
+++ b/explore/action.go
@@ -1,4 +1,5 @@
 // This file lists what may happen next in a state and makes it happen.
+
 package explore
 
 import (
@@ -13,6 +14,7 @@
 // Kind is what sort of action it is.
 type Kind uint8
 
+// The kinds of actions.
 const (
 	Deliver    Kind = iota // a message arrives
 	Duplicate              // a message arrives and stays under way
--- a/explore/walk.go
+++ b/explore/walk.go
@@ -1,4 +1,5 @@
 // This file is the seeded random walk, for what lies deeper than a search gets.
+
 package explore
 
 import (
