--- a/explore/action.go
+++ b/explore/action.go
@@ -142,7 +142,7 @@
 		if w.scenario.Budget[AddMember] > 0 {
 			add(Action{Kind: AddLearner, Machine: i, Member: member})
 		}
-		if m.node.CaughtUp(member) {
+		if m.node.CaughtUp(m.clock(w.now), member) {
 			add(Action{Kind: AddMember, Machine: i, Member: member})
 		}
 	}
