mfctl status: silence and replacement by the new membership's own times

A new leader calls nobody silent for LeadGrace, so a member that was lost before it led showed no silence at all; it is counted from the last hello or answer now, and the earliest replacement is after what is left of both waits. The view's method is coreStatus, apart from replacement.go's type.

--- a/core/corestatus.go
+++ b/core/corestatus.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"myrtlefold/limit"
 	"myrtlefold/quorum"
 )
 
@@ -100,8 +101,8 @@
 	Loss    LossView     `json:"next_loss"`
 }
 
-// coreView is this member's view of the core.
-func (c *Core) coreView(now time.Duration) CoreView {
+// coreStatus is this member's view of the core.
+func (c *Core) coreStatus(now time.Duration) CoreView {
 	if c.node == nil {
 		return CoreView{Leader: c.leaderHint}
 	}
@@ -122,7 +123,7 @@
 	}
 	slices.Sort(v.Lease)
 	v.Members = c.memberViews(now, progress)
-	v.Loss = c.lossView(v)
+	v.Loss = c.lossView(now, v)
 	return v
 }
 
@@ -182,9 +183,10 @@
 	return v
 }
 
-// unansweredFor is how long a daemon has neither answered the log nor said hello.
+// unansweredFor is how long a daemon has neither answered the log nor said hello, as far
+// as this process and this lead have listened.
 func (c *Core) unansweredFor(now time.Duration, p quorum.Progress) time.Duration {
-	return min(c.silentFor(now, p.Member.Name), now-p.AckedAt)
+	return now - max(c.heard[p.Member.Name].at, p.AckedAt, c.bootAt)
 }
 
 // countsOn says that a voter would be part of the next majority: it answers, is not
@@ -194,7 +196,7 @@
 }
 
 // lossView is the leader's: what may be lost now, and what stands against it.
-func (c *Core) lossView(v CoreView) LossView {
+func (c *Core) lossView(now time.Duration, v CoreView) LossView {
 	l := LossView{Known: true}
 	there, byDomain := 0, map[string]int{}
 	for _, m := range v.Members {
@@ -215,7 +217,7 @@
 	}
 	for _, m := range v.Members {
 		if m.Voter && !m.countsOn() {
-			l.Obstacles = append(l.Obstacles, c.obstacle(m, v.Members))
+			l.Obstacles = append(l.Obstacles, c.obstacle(now, m, v.Members))
 		}
 	}
 	if len(l.Obstacles) == 0 {
@@ -225,25 +227,21 @@
 }
 
 // obstacle says why a voter can't be counted on, and when it may be replaced and by whom.
-func (c *Core) obstacle(m MemberView, all []MemberView) Obstacle {
+func (c *Core) obstacle(now time.Duration, m MemberView, all []MemberView) Obstacle {
 	o := Obstacle{Member: m.Name, Kind: map[MemberState]ObstacleKind{
 		MemberSilent: ObstacleSilent, MemberStopping: ObstacleStopping, MemberCatchingUp: ObstacleCatchingUp, MemberPlace: ObstaclePlace}[m.State]}
 	o.By = successor(all)
 	if o.By == "" || c.settings.Size != 0 || o.Kind == ObstacleCatchingUp {
 		return o
 	}
-	left := max(0, (c.replaceDelay(m.State) - time.Duration(m.SilentMs)*time.Millisecond).Milliseconds())
-	o.ReplaceableInMs = &left
-	return o
-}
-
-// replaceDelay is after how long a silence reconcileMembers replaces a member.
-func (c *Core) replaceDelay(s MemberState) time.Duration {
-	switch s {
-	case MemberPlace, MemberStopping:
-		return 0
+	left := time.Duration(0)
+	if m.State == MemberSilent {
+		listening := limit.LeadGrace - (now - c.node.Since())
+		left = max(0, listening, c.memberReplaceAfter()-time.Duration(m.SilentMs)*time.Millisecond)
 	}
-	return c.memberReplaceAfter()
+	ms := left.Milliseconds()
+	o.ReplaceableInMs = &ms
+	return o
 }
 
 // successor is who becomes a member next: who learns and is furthest, else the first
--- a/core/status.go
+++ b/core/status.go
@@ -136,7 +136,7 @@
 // Status is this member's own view.
 func (c *Core) Status(now time.Duration) StatusView {
 	v := StatusView{Name: c.settings.Self.Name, Role: "empty", Lead: c.lead.String(), Revision: c.state.Revision, Seq: c.state.Seq,
-		Emptied: append([]string{}, c.state.Emptied...), Targets: len(c.targets), Proxies: len(c.state.Roster), Core: c.coreView(now), Counts: c.counts}
+		Emptied: append([]string{}, c.state.Emptied...), Targets: len(c.targets), Proxies: len(c.state.Roster), Core: c.coreStatus(now), Counts: c.counts}
 	if c.node != nil {
 		v.Role, v.Leader, v.Epoch, v.Term, v.Members = c.node.Role().String(), c.node.Leader(), c.node.Epoch(), c.node.Term(), c.node.Members()
 	}
