--- a/host/ctl_core.go
+++ b/host/ctl_core.go
@@ -19,7 +19,7 @@
 	if leader == nil {
 		fmt.Fprintln(w, "\ncore: no member that answered leads; whether the next loss can be borne cannot be told")
 		for _, s := range all {
-			fmt.Fprintf(w, "  %s %s\n", s.Name, heardText(s.Core))
+			fmt.Fprintf(w, "  %s %s\n", s.Name, heardText(&s))
 		}
 		return
 	}
@@ -49,10 +49,14 @@
 	return best
 }
 
-// heardText is what a member that does not lead says of its leader.
-func heardText(v core.CoreView) string {
-	if v.Leader == "" {
+// heardText is what a member that does not decide says of its leader.
+func heardText(s *core.StatusView) string {
+	v := s.Core
+	switch v.Leader {
+	case "":
 		return fmt.Sprintf("hears no leader, for %v", seconds(v.LeaderHeardMs))
+	case s.Name:
+		return "is elected, and gathers what the proxies hold before it decides"
 	}
 	return fmt.Sprintf("last heard %s %v ago", v.Leader, seconds(v.LeaderHeardMs))
 }
--- a/host/ctl_core_test.go
+++ b/host/ctl_core_test.go
@@ -69,6 +69,10 @@
 	if code != exitOK || !strings.Contains(out, "cannot be told\n  core-2 last heard core-1 9.1s ago\n") {
 		t.Error(code, out)
 	}
+	warming := core.StatusView{Name: "core-3", Role: "leader", Lead: "warming", Core: core.CoreView{Leader: "core-3"}}
+	if _, out = said(t, append(statusServers(t, warming), "status")...); !strings.Contains(out, "  core-3 is elected, and gathers what the proxies hold") {
+		t.Error(out)
+	}
 	code, out = said(t, append(statusServers(t, leaderView(4790)), "-o", "json", "status")...)
 	if code != exitOK || !strings.Contains(out, `"next_loss":{"known":true,"machines":0,"bearable":false,"domains_at_risk":["north","west"],"obstacles":[{"kind":"silent","member":"core-2","replaceable_in_ms":4790,"by":"core-4"}]}`) {
 		t.Error(code, out)
