--- a/core/configcall.go
+++ b/core/configcall.go
@@ -1,4 +1,5 @@
 // This file takes operators' changes of the configuration.
+
 package core
 
 import (
@@ -70,6 +71,7 @@
 // answerWhenInForce acknowledges an order that was taken earlier, once the present table,
 // which holds it, is in force.
 func (c *Core) answerWhenInForce(now time.Duration, p *pending, revision uint64) {
+	c.counts.RepeatsAnswered++
 	c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, p: p, reply: accepted(p.token, revision)})
 }
 
--- a/core/core.go
+++ b/core/core.go
@@ -9,12 +9,12 @@
 package core
 
 import (
-	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"myrtlefold/limit"
 	"myrtlefold/model"
 	"myrtlefold/policy"
@@ -27,7 +27,9 @@
 	Recv   struct{ M *wire.Msg }
 	Tick   struct{}
 	Synced struct{ Seq uint64 }
-	Probed struct {
+	// DiskRefuses says that the disk takes no writes now, and why; nil: it does again.
+	DiskRefuses struct{ Err error }
+	Probed      struct {
 		ID     wire.ID
 		SentAt time.Duration
 		Ms     float64
@@ -79,6 +81,12 @@
 	Found bool     // this is the fleet's first start
 	// Domains are known though nothing may stand in them yet.
 	Domains []string
+	// CatchUp is how long after a replacement's start the core has to bear the next loss, 0: not told.
+	CatchUp time.Duration
+	// Losses is how many core machines may be lost at once, 0: not told.
+	Losses int
+	// Grace is how long after Stop the process is ended by force, 0: not told.
+	Grace time.Duration
 }
 
 type pending struct {
@@ -103,29 +111,33 @@
 }
 
 type Core struct {
-	settings       Settings
-	image          quorum.Image
-	node           *quorum.Node
-	state          State
-	directory      Directory
-	bootAt         time.Duration
-	helloAt        time.Duration
-	offer          uint64
-	seenFounders   string // who could found, as last looked at, and since when
-	seenFoundersAt time.Duration
-	proxyMemories  map[string]proxyMemory // what proxies said that they remember
-	consent        consent
-	lockSeq        uint64 // batch that has the lock; it is told to nobody before that is synced
-	syncedSeq      uint64
-	leaderHint     string                   // who leads, as last heard of
-	bootstrapSize  int                      // of the first core, if this process may found it
-	heard          map[string]heard         // other core daemons, as last heard
-	changedAt      time.Duration            // when the members last changed
-	toldLists      map[string]toldList      // what daemons were last told of those known
-	learningSince  map[string]time.Duration // who learns, or has tried to in vain, since when
-	batchOffset    uint64                   // number of the last founding batch; a node's batches count on from it
-	stopping       bool
-	stopAt         time.Duration
+	settings        Settings
+	image           quorum.Image
+	node            *quorum.Node
+	state           State
+	directory       Directory
+	bootAt          time.Duration
+	helloAt         time.Duration
+	offer           uint64
+	daemonNames     []string // those in the directory, as last sorted
+	seenFounders    string   // who could found, as last looked at, and since when
+	seenFoundersAt  time.Duration
+	proxyMemories   map[string]proxyMemory // what proxies said that they remember
+	unreadMemories  map[string][]byte      // the same as they sent it, not looked at yet
+	consent         consent
+	lockSeq         uint64 // batch that has the lock; it is told to nobody before that is synced
+	syncedSeq       uint64
+	leaderHint      string                   // who leads, as last heard of
+	bootstrapSize   int                      // of the first core, if this process may found it
+	heard           map[string]heard         // other core daemons, as last heard
+	membersAt       time.Duration            // when the members were last looked after
+	membersChanging bool                     // a change of members may be under way
+	toldLists       map[string]toldList      // what daemons were last told of those known
+	learning        map[string]learning      // how learners come on
+	standbySince    map[string]time.Duration // since when standbys are there
+	batchOffset     uint64                   // number of the last founding batch; a node's batches count on from it
+	stopping        bool
+	stopAt          time.Duration
 
 	lead                   Lead
 	leadAt                 time.Duration
@@ -140,6 +152,7 @@
 	rosterTableVersion     uint64                          // the table that first said the proxies as now
 	oldestDeltaBase        uint64                          // the earliest table of this lead that changes can still be told from
 	sortedIDs              []wire.ID                       // the targets' identities, as last sorted
+	nextProbe              wire.ID                         // whose turn to be probed is next, if due
 	decisions              uint64                          // how many there were, and how many when a table was last thought about
 	decidedAt              uint64
 	rebuilt                time.Duration
@@ -162,7 +175,11 @@
 	relayedCalls           map[uint64]*pending
 	relayID                uint64
 	requestedMembers       map[string]bool // members that an operator asked to add
-	recovered              []RecoveredState
+	recovered              RecoveredState  // the latest that others remember of an earlier epoch and that can be read, while adopting
+	unreadableMemory       bool            // something else that they remember can't be read
+	adoptEmpty             bool            // an operator said that the epoch may begin with nothing then
+	damage                 []Damage
+	diskError              string // why the disk refuses writes now, "" if it takes them
 	out                    []any
 	counts                 Counts
 	cleanAt                time.Duration
@@ -179,13 +196,23 @@
 // Counts are the owner's counters.
 type Counts struct {
 	Rewrites, Same, Bars, Clears, Lapses, Holds, Overruled, Changes, Refused, Elections, Probes, Misses uint64
+	LeasesLost                                                                                          uint64 // leads that ended: the lease lapsed, the term passed, or leadership was handed over
+	MemberChanges                                                                                       uint64 // changes of the member list that were agreed, as this member applied them
+	SnapshotsSent                                                                                       uint64 // whole states sent to members that the log no longer reaches
+	RepeatsAnswered                                                                                     uint64 // orders that had been taken before and were acknowledged again
+	RefusedVersion                                                                                      uint64 // changes refused as built on another version
+	RefusedInvalid                                                                                      uint64 // changes refused as invalid in themselves
+	CannotTell                                                                                          uint64 // calls that could not be judged: no leader, or not now
+	AnsweredUnknown                                                                                     uint64 // calls of which it could not be told whether they took effect
+	Damaged                                                                                             uint64 // things held or offered that could not be read
+	LeavingsUnacknowledged                                                                              uint64 // targets' leavings and sign-offs that were not made known in time
 }
 
 // New starts a member from what its disk holds; a disk without a number yet is
 // given the shell's.
 func New(now time.Duration, set Settings, img quorum.Image) *Core {
-	c := &Core{settings: set, image: img, bootAt: now, directory: Directory{}, proxyMemories: map[string]proxyMemory{}, proxies: map[string]*proxyState{},
-		pendingChanges: map[string]*pending{}, relayedCalls: map[uint64]*pending{}, requestedMembers: map[string]bool{}, heard: map[string]heard{}, toldLists: map[string]toldList{}, learningSince: map[string]time.Duration{}, restored: map[string]time.Duration{}, state: newState(), relayID: set.Self.Inc << 20}
+	c := &Core{settings: set, image: img, bootAt: now, directory: Directory{}, proxyMemories: map[string]proxyMemory{}, unreadMemories: map[string][]byte{}, proxies: map[string]*proxyState{},
+		pendingChanges: map[string]*pending{}, relayedCalls: map[uint64]*pending{}, requestedMembers: map[string]bool{}, heard: map[string]heard{}, toldLists: map[string]toldList{}, learning: map[string]learning{}, restored: map[string]time.Duration{}, state: newState(), relayID: set.Self.Inc << 20}
 	c.settings.Self.Disk = img.Disk
 	switch {
 	case set.Size > 0:
@@ -207,13 +234,11 @@
 }
 
 func (c *Core) restore(s *wire.Snap) {
-	c.state = newState()
-	if len(s.Data) > 0 {
-		if err := json.Unmarshal(s.Data, &c.state); err != nil {
-			panic(fmt.Sprintf("snapshot %d: %v", s.Index, err))
-		}
-		c.state.completeOrders()
+	state, err := decodeState(s.Data)
+	if err != nil {
+		panic(errors.Wrapf(err, "snapshot %d", s.Index)) // from disk it was checked, see CheckImage
 	}
+	c.state = state
 }
 
 // Step is the owner: one event in, commands out.
@@ -226,18 +251,14 @@
 		c.tick(now)
 	case Synced:
 		c.synced(now, e.Seq)
+	case DiskRefuses:
+		c.diskRefuses(e.Err)
 	case Probed:
 		c.probed(now, e)
 	case Ask:
 		c.handleCall(now, e)
 	case Stop:
-		if !c.stopping {
-			c.stopping, c.stopAt = true, now
-			c.hello(now)
-			if c.node != nil && c.node.TransferLeadership(now) {
-				c.emit(Change{"leadership", c.settings.Self.Name, "", "stopping"})
-			}
-		}
+		c.stop(now)
 	}
 	c.applyNodeOutput(now)
 	c.leadership(now)
@@ -257,6 +278,7 @@
 		if len(o.Batches)+len(o.Send)+len(o.Apply) == 0 && o.Restore == nil {
 			return
 		}
+		c.countOutput(&o)
 		for _, b := range o.Batches {
 			b.Seq += c.batchOffset
 			c.image.Fold(b)
@@ -272,8 +294,7 @@
 			c.apply(now, e)
 		}
 		if c.node.SnapshotDue() {
-			b, _ := json.Marshal(c.state)
-			c.node.Compact(now, b)
+			c.node.Compact(now, encodeState(&c.state))
 		}
 	}
 }
@@ -336,9 +357,10 @@
 			c.relay(now, id, p, l) // under its id a change is made once, whoever hears it how often
 		}
 	}
-	if c.stopping && (now-c.stopAt > limit.ElectMin || c.node == nil || c.node.Role() != quorum.Leader && now-c.stopAt > limit.LeaderLease) {
-		c.emit(Exit{})
+	if c.stopping {
+		c.tickStop(now)
 	}
+	c.maintainMembers(now)
 	if c.lead >= Warming {
 		c.watch(now)
 	}
--- a/proxy/choice.go
+++ b/proxy/choice.go
@@ -4,6 +4,7 @@
 // them a proxy borrows where little load is known, within a window that shrinks when
 // a target says that it is full. Where they do not, a configured cap is shared out.
 // A cold target's rate is dealt as well, over the whole roster.
+
 package proxy
 
 import (
@@ -549,7 +550,7 @@
 // service is under pressure and higher ones come, each leaves a part to those before
 // it, unless a target offers more.
 func (g *Proxy) ranked(now time.Duration, x *request, s *service) bool {
-	r := min(x.route.Priority, limit.Ranks-1)
+	r := rankOf(x.priority)
 	if r == 0 || !s.pressed(now) {
 		return true
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -28,6 +28,9 @@
 		ID                 uint64
 		Host, Path, Method string
 		Timeout            time.Duration // what the caller still gives, 0: not said
+		// Ahead: it comes behind another one on its connection. If it may run only once it
+		// gets no target now and is refused with CodeNotAhead, and comes again in its turn.
+		Ahead bool
 	}
 	// Again asks for another target after a try that may be repeated. Sent says
 	// that something of the request had been written.
@@ -102,6 +105,9 @@
 	}
 )
 
+// CodeNotAhead refuses a request that may run only once and was admitted ahead of its turn.
+const CodeNotAhead = "not_ahead"
+
 type State int
 
 const (
@@ -184,6 +190,8 @@
 	svc      string
 	name     string
 	route    model.Route
+	priority int      // what it goes by: its route's, unless that starves
+	askedAt  *service // where it was counted when it came
 	way      *routeState
 	start    time.Duration
 	deadline time.Duration
@@ -217,6 +225,7 @@
 	pressAt  time.Duration
 	ranks    [limit.Ranks]time.Duration // when requests of each priority last came
 	mean     float64                    // ms that its requests take
+	fair     fairness
 }
 
 // Counts are the owner's counters.
