--- a/core/core.go
+++ b/core/core.go
@@ -9,12 +9,12 @@
 package core
 
 import (
-	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"myrtlefold/limit"
 	"myrtlefold/model"
 	"myrtlefold/policy"
@@ -27,7 +27,9 @@
 	Recv   struct{ M *wire.Msg }
 	Tick   struct{}
 	Synced struct{ Seq uint64 }
-	Probed struct {
+	// DiskRefuses says that the disk takes no writes now, and why; nil: it does again.
+	DiskRefuses struct{ Err error }
+	Probed      struct {
 		ID     wire.ID
 		SentAt time.Duration
 		Ms     float64
@@ -115,9 +117,11 @@
 	bootAt          time.Duration
 	helloAt         time.Duration
 	offer           uint64
-	seenFounders    string // who could found, as last looked at, and since when
+	daemonNames     []string // those in the directory, as last sorted
+	seenFounders    string   // who could found, as last looked at, and since when
 	seenFoundersAt  time.Duration
 	proxyMemories   map[string]proxyMemory // what proxies said that they remember
+	unreadMemories  map[string][]byte      // the same as they sent it, not looked at yet
 	consent         consent
 	lockSeq         uint64 // batch that has the lock; it is told to nobody before that is synced
 	syncedSeq       uint64
@@ -146,6 +150,7 @@
 	rosterTableVersion     uint64                          // the table that first said the proxies as now
 	oldestDeltaBase        uint64                          // the earliest table of this lead that changes can still be told from
 	sortedIDs              []wire.ID                       // the targets' identities, as last sorted
+	nextProbe              wire.ID                         // whose turn to be probed is next, if due
 	decisions              uint64                          // how many there were, and how many when a table was last thought about
 	decidedAt              uint64
 	rebuilt                time.Duration
@@ -168,7 +173,11 @@
 	relayedCalls           map[uint64]*pending
 	relayID                uint64
 	requestedMembers       map[string]bool // members that an operator asked to add
-	recovered              []RecoveredState
+	recovered              RecoveredState  // the latest that others remember of an earlier epoch and that can be read, while adopting
+	unreadableMemory       bool            // something else that they remember can't be read
+	adoptEmpty             bool            // an operator said that the epoch may begin with nothing then
+	damage                 []Damage
+	diskError              string // why the disk refuses writes now, "" if it takes them
 	out                    []any
 	counts                 Counts
 	cleanAt                time.Duration
@@ -193,13 +202,14 @@
 	RefusedInvalid                                                                                      uint64 // changes refused as invalid in themselves
 	CannotTell                                                                                          uint64 // calls that could not be judged: no leader, or not now
 	AnsweredUnknown                                                                                     uint64 // calls of which it could not be told whether they took effect
+	Damaged                                                                                             uint64 // things held or offered that could not be read
 	LeavingsUnacknowledged                                                                              uint64 // targets' leavings and sign-offs that were not made known in time
 }
 
 // New starts a member from what its disk holds; a disk without a number yet is
 // given the shell's.
 func New(now time.Duration, set Settings, img quorum.Image) *Core {
-	c := &Core{settings: set, image: img, bootAt: now, directory: Directory{}, proxyMemories: map[string]proxyMemory{}, proxies: map[string]*proxyState{},
+	c := &Core{settings: set, image: img, bootAt: now, directory: Directory{}, proxyMemories: map[string]proxyMemory{}, unreadMemories: map[string][]byte{}, proxies: map[string]*proxyState{},
 		pendingChanges: map[string]*pending{}, relayedCalls: map[uint64]*pending{}, requestedMembers: map[string]bool{}, heard: map[string]heard{}, toldLists: map[string]toldList{}, learning: map[string]learning{}, restored: map[string]time.Duration{}, state: newState(), relayID: set.Self.Inc << 20}
 	c.settings.Self.Disk = img.Disk
 	switch {
@@ -222,12 +232,11 @@
 }
 
 func (c *Core) restore(s *wire.Snap) {
-	c.state = newState()
-	if len(s.Data) > 0 {
-		if err := json.Unmarshal(s.Data, &c.state); err != nil {
-			panic(fmt.Sprintf("snapshot %d: %v", s.Index, err))
-		}
+	state, err := decodeState(s.Data)
+	if err != nil {
+		panic(errors.Wrapf(err, "snapshot %d", s.Index)) // from disk it was checked, see CheckImage
 	}
+	c.state = state
 }
 
 // Step is the owner: one event in, commands out.
@@ -240,6 +249,8 @@
 		c.tick(now)
 	case Synced:
 		c.synced(now, e.Seq)
+	case DiskRefuses:
+		c.diskRefuses(e.Err)
 	case Probed:
 		c.probed(now, e)
 	case Ask:
@@ -281,8 +292,7 @@
 			c.apply(now, e)
 		}
 		if c.node.SnapshotDue() {
-			b, _ := json.Marshal(c.state)
-			c.node.Compact(now, b)
+			c.node.Compact(now, encodeState(&c.state))
 		}
 	}
 }
--- a/explore/action.go
+++ b/explore/action.go
@@ -80,8 +80,8 @@
 	for _, e := range a.Entries {
 		s += fmt.Sprintf(" %d/%d", e.Index, e.Term)
 	}
-	if a.Snap != nil {
-		s += fmt.Sprintf(" snapshot %d/%d", a.Snap.Index, a.Snap.Term)
+	if a.Piece != nil {
+		s += fmt.Sprintf(" piece of %d/%d at %d", a.Piece.Index, a.Piece.Term, a.Piece.Offset)
 	}
 	return s
 }
--- a/quorum/explore_test.go
+++ b/quorum/explore_test.go
@@ -17,15 +17,19 @@
 		value  any
 		fields []string
 	}{
-		{Node{}, []string{"self", "epoch", "role", "term", "vote", "snap", "log", "members", "commit", "applied", "stable", "leader",
+		{Node{}, []string{"self", "epoch", "role", "term", "vote", "snap", "log", "tail", "incoming", "members", "commit", "applied", "stable", "leader",
 			"leaderHeardAt", "deadline", "votes", "unanimous", "consents", "outranked", "leaderSpokeAt", "askedAt", "votedAt", "electorate",
 			"peers", "beatAt", "since", "seq", "hardSeq", "unsyncedBatches", "heldMessages", "termStart", "out"}},
-		{peer{}, []string{"member", "voter", "next", "match", "acked", "snapAt"}},
+		{peer{}, []string{"member", "voter", "next", "match", "acked", "inFlight", "rewoundAt", "transfer"}},
+		{sentEntries{}, []string{"last", "bytes"}},
+		{transfer{}, []string{"whole", "prevTerm", "held", "underWay", "sentAt"}},
+		{assembly{}, []string{"whole", "data", "done"}},
 		{unsyncedBatch{}, []string{"seq", "at", "last"}},
 		{heldMessage{}, []string{"seq", "m"}},
 		{Out{}, []string{"Batches", "Send", "Apply", "Restore"}},
 		{wire.Vote{}, []string{"Pre", "Reply", "Granted", "LastIndex", "LastTerm", "Transfer", "All", "Alone"}},
-		{wire.Append{}, []string{"Reply", "Ok", "PrevIndex", "PrevTerm", "Commit", "Match", "Entries", "Snap"}},
+		{wire.Append{}, []string{"Reply", "Ok", "PrevIndex", "PrevTerm", "Commit", "Match", "Entries", "Piece"}},
+		{wire.Piece{}, []string{"Entry", "Index", "Term", "Kind", "Members", "Size", "Sum", "Offset", "Data"}},
 		{wire.Snap{}, []string{"Index", "Term", "Members", "Data"}},
 		{wire.Entry{}, []string{"Index", "Term", "Kind", "Data"}},
 	} {
