--- a/core/replacement.go
+++ b/core/replacement.go
@@ -1,5 +1,6 @@
 // This file grows and mends a core whose size nobody has given: each look takes at
 // most one step towards the members that outlive most, and keeps learners ready.
+
 package core
 
 import (
@@ -215,7 +216,7 @@
 
 // rebalance is a standby that makes the core outlive more in the place of a healthy
 // member.
-func (c *Core) rebalance(now time.Duration, v *coreView) (next wire.Daemon, ok bool) {
+func (c *Core) rebalance(_ time.Duration, v *coreView) (next wire.Daemon, ok bool) {
 	if len(v.healthy) < len(v.members) {
 		return next, false
 	}
--- a/core/shutdown.go
+++ b/core/shutdown.go
@@ -1,5 +1,6 @@
 // This file is how a control daemon stops: it hands leadership over, and its place to
 // a standby if there is one, before it goes.
+
 package core
 
 import (
