--- a/host/ctl_core.go
+++ b/host/ctl_core.go
@@ -15,6 +15,9 @@
 // coreText prints how the core stands as its leader sees it; without a leader's view it
 // says that nobody can tell.
 func coreText(w io.Writer, all []core.StatusView) {
+	for _, s := range all {
+		troubleText(w, &s)
+	}
 	leader := leadersView(all)
 	if leader == nil {
 		fmt.Fprintln(w, "\ncore: no member that answered leads; whether the next loss can be borne cannot be told")
@@ -38,6 +41,16 @@
 	}
 }
 
+// troubleText says aloud what a member could not read, and that its disk takes no writes.
+func troubleText(w io.Writer, s *core.StatusView) {
+	for _, d := range s.Damage {
+		fmt.Fprintf(w, "\nDAMAGE at %s: %s: %s\n", s.Name, d.What, d.Why)
+	}
+	if s.Disk != "" {
+		fmt.Fprintf(w, "\nDISK of %s takes no writes: %s\n", s.Name, s.Disk)
+	}
+}
+
 // leadersView is the view of the member that decides in the latest term, nil if none does.
 func leadersView(all []core.StatusView) (best *core.StatusView) {
 	for i := range all {
--- a/host/ctl_core_test.go
+++ b/host/ctl_core_test.go
@@ -69,6 +69,11 @@
 	if code != exitOK || !strings.Contains(out, "cannot be told\n  core-2 last heard core-1 9.1s ago\n") {
 		t.Error(code, out)
 	}
+	hurt := leaderView(0)
+	hurt.Damage, hurt.Disk = []core.Damage{{What: "snapshot", Why: "does not decode"}}, "no space left on device"
+	if _, out = said(t, append(statusServers(t, hurt), "status")...); !strings.Contains(out, "\nDAMAGE at core-1: snapshot: does not decode\n") || !strings.Contains(out, "\nDISK of core-1 takes no writes: no space left on device\n") {
+		t.Error(out)
+	}
 	warming := core.StatusView{Name: "core-3", Role: "leader", Lead: "warming", Core: core.CoreView{Leader: "core-3"}}
 	if _, out = said(t, append(statusServers(t, warming), "status")...); !strings.Contains(out, "  core-3 is elected, and gathers what the proxies hold") {
 		t.Error(out)
