--- a/host/disk_test.go
+++ b/host/disk_test.go
@@ -17,7 +17,7 @@
 	"myrtlefold/wire"
 )
 
-func diskHost(t *testing.T) *Host {
+func diskHost(t testing.TB) *Host {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
