--- a/host/disk_test.go
+++ b/host/disk_test.go
@@ -21,8 +21,8 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	h := &Host{Set: Settings{Data: t.TempDir()}, Log: log}
-	h.Loop = &Loop{in: make(chan item, limit.EventQueue), h: h}
+	h := &Host{Settings: Settings{Data: t.TempDir()}, Log: log}
+	h.Loop = &Loop{queue: make(chan item, limit.EventQueue), host: h}
 	return h
 }
 
@@ -80,8 +80,8 @@
 		}
 		d.sync(batches)
 		var told []any
-		for len(h.Loop.in) > 0 {
-			told = append(told, (<-h.Loop.in).ev)
+		for len(h.Loop.queue) > 0 {
+			told = append(told, (<-h.Loop.queue).ev)
 		}
 		if last, ok := told[len(told)-1].(core.Synced); !ok || last.Seq != 3 {
 			t.Fatalf("%s: %v", name, told)
@@ -136,7 +136,7 @@
 			e := wire.Entry{Index: uint64(i) + 1, Term: 1, Kind: quorum.EntryData, Data: data(text)}
 			d.sync([]*wire.Batch{{Seq: uint64(i) + 1, Hard: true, Term: 1, Vote: "b", Entries: []wire.Entry{e}}})
 		}
-		damage(t, h.Set.Data)
+		damage(t, h.Settings.Data)
 		_, im, found := h.openDiskInTime()
 		if found == nil || im.Disk == before.Disk || im.Disk == 0 || im.Term != 0 || len(im.Log) != 0 {
 			t.Errorf("%s: damage %v, disk %d after %d, term %d, %d entries", name, found, im.Disk, before.Disk, im.Term, len(im.Log))
@@ -150,11 +150,11 @@
 // A disk that can't be opened is tried again and ends no process.
 func TestDiskThatCantBeOpened(t *testing.T) {
 	h := diskHost(t)
-	parent := filepath.Join(h.Set.Data, "disk")
+	parent := filepath.Join(h.Settings.Data, "disk")
 	if err := os.WriteFile(parent, nil, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	h.Set.Data = filepath.Join(parent, "ring")
+	h.Settings.Data = filepath.Join(parent, "ring")
 	if _, _, err := h.OpenDisk(); err == nil {
 		t.Fatal("opened")
 	}
--- a/host/restart_test.go
+++ b/host/restart_test.go
@@ -47,8 +47,8 @@
 	}
 	if len(batches) > 0 {
 		l.disk.sync(batches)
-		for len(l.disk.h.Loop.in) > 0 {
-			l.step(tb, (<-l.disk.h.Loop.in).ev)
+		for len(l.disk.h.Loop.queue) > 0 {
+			l.step(tb, (<-l.disk.h.Loop.queue).ev)
 		}
 	}
 }
