--- a/host/restart_test.go
+++ b/host/restart_test.go
@@ -14,11 +14,10 @@
 
 // loneCore is a core of one member on a real ring, whose clock the test moves.
 type loneCore struct {
-	disk   *Disk
-	core   *core.Core
-	now    time.Duration
-	synced uint64
-	taken  int
+	disk  *Disk
+	core  *core.Core
+	now   time.Duration
+	taken int
 }
 
 func newLoneCore(tb testing.TB, h *Host) *loneCore {
