--- a/quorum/replication.go
+++ b/quorum/replication.go
@@ -316,9 +316,10 @@
 		return
 	}
 	stamp := time.Duration(m.Stamp)
-	if stamp >= n.since && stamp <= now {
-		p.acked = max(p.acked, stamp)
+	if stamp < n.since || stamp > now {
+		stamp = noStamp // it tells nothing of when
 	}
+	p.acked = max(p.acked, stamp)
 	if p.transfer != nil {
 		p.transfer.answered(m.Append.Piece, stamp)
 	}
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -84,8 +84,8 @@
 	seeds        []string // whom a process that starts is told of
 	targets      []*Target
 	listen       map[string]*Target
-	cut          map[[2]string]bool
 	thin         map[string]*thinLink
+	cut          map[[2]string]bool
 	loss         float64
 	delay        time.Duration
 	nextEx       uint64
