--- a/cmd/mflab/hollow.go
+++ b/cmd/mflab/hollow.go
@@ -743,12 +743,9 @@
 
 // with writes a daemon's settings and starts it.
 func (l *hollowLab) with(p *proc, s host.Settings) error {
-	b, _ := json.MarshalIndent(s, "", "  ")
-	f := l.path("set", p.name+".json")
-	if err := os.WriteFile(f, b, 0o644); err != nil {
+	if err := l.settle(p, s); err != nil {
 		return err
 	}
-	p.args = []string{"--settings", f}
 	return l.spawn(p)
 }
 
--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -250,12 +250,9 @@
 		if p.kind == "mfcore" {
 			s.Data, s.Size = l.path("data", p.name), l.dep.Cores
 		}
-		b, _ := json.MarshalIndent(s, "", "  ")
-		f := l.path("set", p.name+".json")
-		if err := os.WriteFile(f, b, 0o644); err != nil {
+		if err := l.settle(p, s); err != nil {
 			return err
 		}
-		p.args = []string{"--settings", f}
 	}
 	k := 0
 	for si, s := range l.dep.Services {
@@ -280,6 +277,17 @@
 	return l.serving(10 * time.Second)
 }
 
+// settle writes a daemon's settings to its file and has it start with them.
+func (l *lab) settle(p *proc, s host.Settings) error {
+	b, _ := json.MarshalIndent(s, "", "  ")
+	f := l.path("set", p.name+".json")
+	if err := os.WriteFile(f, b, 0o644); err != nil {
+		return err
+	}
+	p.args = []string{"--settings", f}
+	return nil
+}
+
 // healthURL is the samples' by routes, and coldFor is how long a back end stays cold there.
 const (
 	healthURL = "/health"
--- a/host/ctl.go
+++ b/host/ctl.go
@@ -14,6 +14,7 @@
 	"net/url"
 	"os"
 	"strings"
+	"text/tabwriter"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -205,6 +206,9 @@
 	fmt.Println(strings.TrimSpace(b.String()))
 }
 
+// newTable aligns the columns, separated by tabs, of what is written to it; Flush prints them.
+func newTable() *tabwriter.Writer { return tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0) }
+
 // show prints what a member answers to a GET.
 func (c *ctl) show(path string, text func([]byte)) int {
 	status, out, err := c.call(http.MethodGet, path, nil, nil)
--- a/host/ctl_config.go
+++ b/host/ctl_config.go
@@ -13,7 +13,6 @@
 	"os"
 	"slices"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/cockroachdb/errors"
 
@@ -208,7 +207,7 @@
 		printJSON(routeList{Routes: cfg.Routes, Rules: cfg.Rules})
 		return true
 	}
-	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	tw := newTable()
 	fmt.Fprintln(tw, "ROUTE\tHOST\tPREFIX\tKIND\tTIMEOUT MS\tAIM MS\tPRIORITY\tATTEMPTS\tGOES TO")
 	names := slices.SortedFunc(maps.Keys(cfg.Routes), func(a, b string) int {
 		x, y := cfg.Routes[a], cfg.Routes[b]
--- a/host/ctl_policy.go
+++ b/host/ctl_policy.go
@@ -13,7 +13,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,7 +50,7 @@
 		printJSON(scores)
 		return exitOK
 	}
-	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	tw := newTable()
 	fmt.Fprintln(tw, "POLICY\tBARS\tWRONG\tERRORS\tMISSED\tSLOW\tMISSED SLOW\tTO BAR MS\tBARRED MS\tMOVES\tFAILED")
 	for _, s := range scores {
 		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%d\t%d\n", s.Policy, s.Bars, s.Wrong, s.Errors, s.Missed, s.Slow, s.MissedSlow, s.ToBarMs, s.BarredMs, s.Moves, s.Failed)
--- a/host/ctl_views.go
+++ b/host/ctl_views.go
@@ -10,7 +10,6 @@
 	"os"
 	"slices"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"myrtlefold/core"
@@ -20,7 +19,7 @@
 
 // status asks the members that are named and then those that the roster tells of.
 func (c *ctl) status() int {
-	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	tw := newTable()
 	all := []json.RawMessage{}
 	views := []core.StatusView{}
 	if !c.json {
@@ -116,7 +115,7 @@
 		json.NewEncoder(os.Stdout).Encode(sums)
 		return exitOK
 	}
-	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	tw := newTable()
 	fmt.Fprintln(tw, "AIM\tSERVICE\tWINDOW MIN\tUNDER MS\tAIM\tMET\tEXCHANGES\tLEFT OF WHAT MAY MISS")
 	for _, n := range slices.Sorted(maps.Keys(sums)) {
 		s := sums[n]
@@ -134,7 +133,7 @@
 func rosterText(b []byte) {
 	var v struct{ Daemons []core.DaemonView }
 	json.Unmarshal(b, &v)
-	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	tw := newTable()
 	fmt.Fprintln(tw, "NAME\tKIND\tDOMAIN\tADDRESS\tHTTP\tREADY\tSTATE\tPLACE\tHEARD MS\tTABLE\tINCARNATION")
 	for _, d := range v.Daemons {
 		place := "-"
@@ -151,7 +150,7 @@
 func targetsText(b []byte) {
 	var v struct{ Targets []core.TargetView }
 	json.Unmarshal(b, &v)
-	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	tw := newTable()
 	fmt.Fprintln(tw, "SERVICE\tNAME\tADDRESS\tDOMAIN\tSTATE\tDEMAND\tSLOTS\tCOLD LEFT\tBEAT MS\tBAR LEFT\tWHY")
 	for _, t := range v.Targets {
 		bar := "-"
@@ -177,7 +176,7 @@
 		Policies map[string]policy.Stat
 	}
 	json.Unmarshal(b, &v)
-	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	tw := newTable()
 	fmt.Fprintf(tw, "revision %d, scores of the last %.0f s\nNAME\tMODE\tSLICE\tDECIDES\tTTL MS\tEVALUATED\tFAILED\tOUT\tBARS\tWRONG\tERRORS\tMISSED\tTO BAR MS\tWHEN\tLAST ERROR\n", v.Revision, v.Since/1000)
 	for _, n := range slices.Sorted(maps.Keys(v.Policies)) {
 		s := v.Policies[n]
