--- a/host/core.go
+++ b/host/core.go
@@ -23,10 +23,7 @@
 // RunCore is mfcore: it runs a control daemon until it is stopped, and returns the exit code.
 func RunCore(args []string, dialect Dialect) int {
 	h := Start("core", args, dialect)
-	disk, image, err := h.OpenDisk()
-	if err != nil {
-		h.Fatal(err, "state on disk")
-	}
+	disk, image, damage := h.openDiskInTime()
 	s := h.Settings
 	owner := core.New(h.Now(), core.Settings{
 		Self:    h.Daemon(),
@@ -38,6 +35,9 @@
 		Losses:  s.Losses,
 		Grace:   milliseconds(s.GraceMs),
 	}, image)
+	if damage != nil {
+		owner.ReportDamage("state on this disk", damage)
+	}
 	d := &coreDaemon{Host: h, owner: owner, disk: disk, hub: NewHub()}
 	if err := d.Listen(); err != nil {
 		d.Fatal(err, "start")
--- a/host/host.go
+++ b/host/host.go
@@ -51,6 +51,7 @@
 	hup         chan os.Signal // SIGHUP, caught from the start on: by default it ends a process
 	start       time.Time
 	queues      map[string]chan queued // messages to be sent, by address
+	tables      packedTables           // those that are sent to many
 	probes      map[wire.ID]*probed
 	probesAt    time.Duration // when idle connections were last closed
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -92,6 +92,7 @@
 // Judge evaluates the policies in force on events of any number of targets.
 type Judge struct {
 	policies map[string]*policy             // by name
+	sorted   []string                       // the policies' names
 	windows  map[wire.ID]map[string]*window // by slice
 	marks    map[wire.ID]map[string]mark    // by policy
 }
@@ -131,7 +132,7 @@
 			}
 		}
 	}
-	j.policies = next
+	j.policies, j.sorted = next, slices.Sorted(maps.Keys(next))
 }
 
 // continues reports whether what the old policy of that name decided stands under this one.
@@ -148,6 +149,9 @@
 // Barred returns until when a live policy keeps requests from a target, and the policy's name; of
 // several the last one to end, and 0 if there is none.
 func (j *Judge) Barred(now time.Duration, id wire.ID) (until time.Duration, why string) {
+	if len(j.marks[id]) == 0 {
+		return 0, ""
+	}
 	for _, name := range slices.Sorted(maps.Keys(j.marks[id])) {
 		m, p := j.marks[id][name], j.policies[name]
 		if p != nil && p.spec.Mode == model.ModeLive && m.until > now && m.until > until {
@@ -266,7 +270,8 @@
 }
 
 // names returns the policies' names in order.
-func (j *Judge) names() []string { return slices.Sorted(maps.Keys(j.policies)) }
+// names are the policies in force, in order.
+func (j *Judge) names() []string { return j.sorted }
 
 // Stats returns what there is to say of each policy in force, by name; without its score.
 func (j *Judge) Stats() map[string]Stat {
--- a/quorum/explore.go
+++ b/quorum/explore.go
@@ -27,8 +27,18 @@
 	c.peers = make(map[string]*peer, len(n.peers))
 	for name, p := range n.peers {
 		copied := *p
+		copied.inFlight = slices.Clone(p.inFlight)
+		if p.transfer != nil {
+			t := *p.transfer
+			copied.transfer = &t
+		}
 		c.peers[name] = &copied
 	}
+	if n.incoming != nil {
+		in := *n.incoming
+		in.data = slices.Clone(in.data)
+		c.incoming = &in
+	}
 	c.unsyncedBatches = slices.Clone(n.unsyncedBatches)
 	c.heldMessages = slices.Clone(n.heldMessages)
 	c.out = Out{Batches: slices.Clone(n.out.Batches), Send: slices.Clone(n.out.Send), Apply: slices.Clone(n.out.Apply), Restore: n.out.Restore}
@@ -139,6 +149,20 @@
 	c.Bytes = append(c.Bytes, s.Data...)
 }
 
+// Piece appends a part of a snapshot or of a large entry.
+func (c *Canon) Piece(p *wire.Piece) {
+	c.Bool(p != nil)
+	if p == nil {
+		return
+	}
+	c.Bool(p.Entry)
+	c.Members(p.Members)
+	for _, v := range []uint64{p.Index, p.Term, uint64(p.Kind), p.Size, p.Sum, p.Offset, uint64(len(p.Data))} {
+		c.Uint(v)
+	}
+	c.Bytes = append(c.Bytes, p.Data...)
+}
+
 // Message appends a vote or append message; now is the present by the clock that
 // its stamp is of, or zero if the message has none.
 func (c *Canon) Message(m *wire.Msg, now time.Duration) {
@@ -162,7 +186,7 @@
 			c.Uint(v)
 		}
 		c.Entries(a.Entries)
-		c.Snap(a.Snap)
+		c.Piece(a.Piece)
 	}
 }
 
@@ -195,6 +219,8 @@
 	c.Machine(n.vote)
 	c.Snap(&n.snap)
 	c.Entries(n.log)
+	c.Entries(n.tail)
+	c.assembly(n.incoming)
 	c.Members(n.members)
 	c.Members(n.electorate)
 	for _, v := range []uint64{n.commit, n.applied, n.stable, n.termStart} {
@@ -216,6 +242,29 @@
 	c.unsynced(n, now)
 }
 
+func (c *Canon) transfer(t *transfer, now time.Duration) {
+	c.Bool(t != nil)
+	if t == nil {
+		return
+	}
+	c.Piece(&t.whole)
+	c.Uint(t.prevTerm)
+	c.Uint(t.held)
+	c.Bool(t.underWay)
+	c.Age(now, t.sentAt, limit.ElectMin)
+}
+
+func (c *Canon) assembly(a *assembly) {
+	c.Bool(a != nil)
+	if a == nil {
+		return
+	}
+	c.Piece(&a.whole)
+	c.Uint(uint64(len(a.data)))
+	c.Bytes = append(c.Bytes, a.data...)
+	c.Bool(a.done)
+}
+
 func (c *Canon) deadline(now, at time.Duration) {
 	if c.DeadlineStep > 0 {
 		steps := max(0, (at-now+c.DeadlineStep-1)/c.DeadlineStep)
@@ -234,7 +283,13 @@
 		c.Uint(p.next)
 		c.Uint(p.match)
 		c.Age(now, p.acked, limit.ElectMin)
-		c.Age(now, p.snapAt, 6*limit.HeartbeatEvery)
+		c.Age(now, p.rewoundAt, limit.ElectMin)
+		c.Uint(uint64(len(p.inFlight)))
+		for _, s := range p.inFlight {
+			c.Uint(s.last)
+			c.Uint(uint64(s.bytes))
+		}
+		c.transfer(p.transfer, now)
 	}
 }
 
--- a/quorum/progress.go
+++ b/quorum/progress.go
@@ -20,7 +20,7 @@
 	AckedAt time.Duration
 	// Recent says that it answered within the lease.
 	Recent bool
-	// NeedsSnapshot says that it lacks entries which the leader's log no longer holds.
+	// NeedsSnapshot says that it lacks entries which the leader no longer holds.
 	NeedsSnapshot bool
 }
 
@@ -33,10 +33,15 @@
 	l := []Progress{{Member: n.self, Voter: n.isVoter(n.self.Name, n.self.Disk), Match: n.stable, AckedAt: now, Recent: true}}
 	for _, p := range n.sorted() {
 		l = append(l, Progress{Member: p.member, Voter: p.voter, Match: p.match, AckedAt: max(0, p.acked),
-			Recent: now-p.acked < limit.LeaderLease, NeedsSnapshot: p.match < n.snap.Index})
+			Recent: now-p.acked < limit.LeaderLease, NeedsSnapshot: n.needsSnapshot(p)})
 	}
 	return l
 }
 
+func (n *Node) needsSnapshot(p *peer) bool {
+	_, _, ok := n.retained(p.match + 1)
+	return !ok && p.match < n.last()
+}
+
 // LeaderHeardAt is when a follower last accepted a message of the leader; booting counts as one.
 func (n *Node) LeaderHeardAt() time.Duration { return n.leaderHeardAt }
--- a/quorum/snapshot.go
+++ b/quorum/snapshot.go
@@ -3,7 +3,6 @@
 package quorum
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -27,14 +26,28 @@
 	ms := n.snap.Members
 	for _, e := range n.log {
 		if e.Index <= n.applied && e.Kind == EntryMembers {
-			var l []wire.Member
-			if json.Unmarshal(e.Data, &l) == nil {
-				ms = l
-			}
+			ms = membersOf(e)
 		}
 	}
 	s := wire.Snap{Index: n.applied, Term: t, Members: ms, Data: data}
+	n.keepTail(n.log[:n.applied-n.snap.Index])
 	n.log = slices.Clone(n.log[n.applied-n.snap.Index:])
 	n.snap = s
 	n.syncBatch(now, &wire.Batch{Snap: &s})
 }
+
+// keepTail keeps the last of the entries that a snapshot replaces in memory, up to
+// limit.TailBytes: a peer that is a little behind, or was while a snapshot went to it,
+// goes on from them and needs no other snapshot.
+func (n *Node) keepTail(compacted []wire.Entry) {
+	n.tail = append(slices.Clone(n.tail), compacted...)
+	size, from := 0, len(n.tail)
+	for from > 0 {
+		size += len(n.tail[from-1].Data) + entryOverhead
+		if size > limit.TailBytes {
+			break
+		}
+		from--
+	}
+	n.tail = slices.Clone(n.tail[from:])
+}
