--- a/host/disk_test.go
+++ b/host/disk_test.go
@@ -55,7 +55,7 @@
 	return true, nil
 }
 
-func (s *faultyStore) Rotate(whole []byte) error {
+func (s *faultyStore) Rotate(_ []byte) error {
 	if err := s.refuse(); err != nil {
 		return err
 	}
@@ -119,7 +119,7 @@
 				t.Fatal(err)
 			}
 		},
-		"an entry that does not decode": func(t *testing.T, dir string) {},
+		"an entry that does not decode": func(_ *testing.T, _ string) {},
 	} {
 		h := diskHost(t)
 		d, before, err := h.OpenDisk()
--- a/quorum/transfer.go
+++ b/quorum/transfer.go
@@ -3,6 +3,7 @@
 // and after a loss the transfer goes on from what the receiver holds. Heartbeats go on
 // beside it and their answers say how much that is, so a lost piece is noticed by the
 // answer to any heartbeat that was sent after it, without a timer.
+
 package quorum
 
 import (
--- a/quorum/transfer_test.go
+++ b/quorum/transfer_test.go
@@ -224,7 +224,7 @@
 	learner := wire.Member{Name: "d", Disk: 9}
 	c.linkRate["d"] = limit.SlowLink
 	begun, sent, whole := 0, 0, 0
-	c.onSend = func(m *wire.Msg, bytes int) {
+	c.onSend = func(m *wire.Msg, _ int) {
 		if m.Append == nil || m.Append.Reply || m.Append.Piece == nil || m.Append.Piece.Entry {
 			return
 		}
