--- a/core/membership.go
+++ b/core/membership.go
@@ -70,12 +70,10 @@
 		if d.Name == c.settings.Self.Name || d.Disk == 0 || i < 0 || members[i].Disk == d.Disk || d.Epoch != 0 && d.Epoch != c.node.Epoch() {
 			continue
 		}
-		left := slices.Delete(slices.Clone(members), i, i+1)
-		if !c.hasResponsiveMajority(now, left) {
-			continue
+		if c.settings.Size > 0 {
+			c.requestedMembers[d.Name] = true
 		}
-		c.requestedMembers[d.Name] = c.settings.Size > 0
-		c.proposeMembers(now, left, d.Name, "out", "it lost its disk")
+		c.proposeMembers(now, slices.Delete(slices.Clone(members), i, i+1), d.Name, "out", "it lost its disk")
 		return true
 	}
 	return false
--- a/core/replacement.go
+++ b/core/replacement.go
@@ -184,9 +184,6 @@
 func (c *Core) nextMember(now time.Duration, v *coreView) (next wire.Daemon, ok bool) {
 	list, free := namesOf(v.healthy), slices.Clone(v.standbys)
 	best, first := c.resilience(list), wire.Daemon{}
-	if len(v.members) >= limit.VotersMax {
-		return next, false
-	}
 	if best[0] == 1 && best[1] >= c.losses() {
 		free = slices.DeleteFunc(free, func(d wire.Daemon) bool { return now-c.standbySince[d.Name] < limit.GrowAfter })
 	}
--- a/core/shutdown.go
+++ b/core/shutdown.go
@@ -46,8 +46,8 @@
 		return false // whoever leads next may be told first
 	case c.node.Removed() || c.isNonVoter() && !c.node.HearsLeader(now):
 		return true
-	case !c.isNonVoter() && c.hasStandby(now):
-		return false // the leader is about to replace this member
+	case !c.isNonVoter() && (c.hasStandby(now) || len(c.node.Members())%2 == 0):
+		return false // its successor is to come, or is in and it is to be removed: its vote may be needed for that
 	}
 	return waited > limit.ElectMin || c.node.Role() != quorum.Leader
 }
--- /dev/null
+++ b/sim/handover_test.go
@@ -0,0 +1,184 @@
+package sim
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"myrtlefold/limit"
+)
+
+// threeMembers is a core of three in three domains, one each, after its first change.
+func threeMembers(t *testing.T, seed uint64) *World {
+	t.Helper()
+	w := Start(seed, replacementPlan(3, 3))
+	w.Run(w.now + testCatchUp)
+	check(t, w)
+	w.sane(t, 3)
+	return w
+}
+
+func (w *World) isMember(p *Proc) bool { return slices.Contains(w.memberNames(), p.name) }
+
+func (w *World) followersOf(l *Proc) (fs []*Proc) {
+	for _, n := range w.memberNames() {
+		if n != l.name {
+			fs = append(fs, w.procs[n])
+		}
+	}
+	return fs
+}
+
+// addStandby starts an empty core daemon in a domain.
+func (w *World) addStandby(name string, domain int) *Proc {
+	w.addProc("core", name, domain-1)
+	w.start(w.procs[name])
+	return w.procs[name]
+}
+
+// step runs in small steps until ok.
+func (w *World) step(t *testing.T, within time.Duration, what string, ok func() bool) time.Duration {
+	t.Helper()
+	from := w.now
+	for !ok() {
+		if w.now-from > within || w.Fail != "" {
+			t.Fatalf("seed %d: %s not in %v\n%s", w.Seed, what, within, w.Trace(40))
+		}
+		w.Run(w.now + 2*time.Millisecond)
+	}
+	return w.now - from
+}
+
+// A silent member goes before its successor is in: a successor that dies as soon as it
+// is a member takes no majority with it.
+func TestNewcomerDiesAtOnce(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		w := threeMembers(t, seed)
+		old := w.followersOf(w.Leader())[seed%2]
+		w.ReplaceCore(old, false, 0, func(time.Duration) {})
+		w.Run(w.now + time.Millisecond)
+		w.step(t, testCatchUp, "a successor", func() bool { return w.isMember(w.procs["r1"]) })
+		w.Kill(w.procs["r1"])
+		w.Run(w.now + 20*time.Millisecond)
+		w.takesChange(t)
+		check(t, w)
+	}
+}
+
+// A member that answers goes after its successor is in: a member that dies at the
+// first change of the list takes no majority with it.
+func TestMemberDiesDuringPlannedReplacement(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		w := threeMembers(t, seed)
+		fs := w.followersOf(w.Leader())
+		w.ReplaceCore(fs[0], true, 100*time.Millisecond, func(time.Duration) {})
+		before := w.memberNames()
+		w.step(t, testCatchUp, "a change of members", func() bool { l := w.memberNames(); return l != nil && !slices.Equal(l, before) })
+		w.Kill(fs[1])
+		w.Run(w.now + 20*time.Millisecond)
+		w.takesChange(t)
+		check(t, w)
+	}
+}
+
+// Who is told to stop as its successor starts is a member until the successor is one,
+// over a network that is slow and loses messages too.
+func TestPlannedSuccessorIsInBeforeTheEnd(t *testing.T) {
+	t.Parallel()
+	for _, cores := range []int{1, 3, 4, 5, 7, 11} {
+		for seed := range uint64(6) {
+			w := Start(seed, replacementPlan(cores, 3))
+			w.until(10*time.Second, func() bool { return len(w.memberNames()) == []int{0, 1, 0, 3, 3, 5, 0, 7, 0, 0, 0, 7}[cores] })
+			w.Run(w.now + testCatchUp)
+			w.delay, w.loss = 60*time.Millisecond, 0.02
+			old := w.Leader()
+			if fs := w.followersOf(old); seed%2 == 1 && len(fs) > 0 {
+				old = fs[0]
+			}
+			n := len(w.memberNames())
+			w.ReplaceCore(old, true, 0, func(time.Duration) {})
+			w.step(t, stopGrace, "the end", func() bool { return !old.alive })
+			w.step(t, testReceipt, "a leader", func() bool { return w.Leader() != nil })
+			if w.isMember(old) || len(w.memberNames()) < n {
+				t.Errorf("seed %d: of %d, %s ended with members %v\n%s", seed, cores, old.name, w.memberNames(), w.Trace(20))
+			}
+			check(t, w)
+		}
+	}
+}
+
+// A lost leader is replaced in the same time as another member, an election aside: what
+// its followers did not hear before they led counts.
+func TestLostLeaderIsReplacedInTime(t *testing.T) {
+	t.Parallel()
+	const bound = 6 * time.Second
+	most := max(bound/limit.ReplaceParts, limit.ElectMin+limit.ElectSpread+limit.LeadGrace) + 500*time.Millisecond
+	for seed := range uint64(8) {
+		p := replacementPlan(3, 3)
+		p.CatchUp = bound
+		w := Start(seed, p)
+		w.Run(w.now + bound)
+		old := w.Leader()
+		w.ReplaceCore(old, false, 0, func(time.Duration) {})
+		w.Run(w.now + time.Millisecond)
+		d := w.step(t, bound, "the repair", func() bool { return w.isMember(w.procs["r1"]) && !w.isMember(old) })
+		if d > most {
+			t.Errorf("seed %d: repaired after %v, wanted %v", seed, d, most)
+		}
+		check(t, w)
+	}
+}
+
+// A standby has all that is agreed before anybody is lost.
+func TestStandbyIsReady(t *testing.T) {
+	t.Parallel()
+	w := threeMembers(t, 1)
+	s := w.addStandby("s1", 1)
+	w.Run(w.now + time.Second)
+	w.takesChange(t)
+	w.Run(w.now + 300*time.Millisecond)
+	if s.core.Revision() != w.Leader().core.Revision() || w.isMember(s) {
+		t.Errorf("the standby has %d, the leader %d; members %v", s.core.Revision(), w.Leader().core.Revision(), w.memberNames())
+	}
+}
+
+// A standby that can't learn, its disk hangs, is not waited for: another comes instead,
+// though it is of the wrong domain.
+func TestStandbyThatCannotLearn(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		w := threeMembers(t, seed)
+		old := w.followersOf(w.Leader())[0]
+		dom := int(old.domain[1] - '0')
+		bad := w.addStandby("s1", dom)
+		w.Stall(bad, time.Minute)
+		good := w.addStandby("s2", dom%3+1)
+		w.Run(w.now + 500*time.Millisecond)
+		w.Kill(old)
+		w.forgetProc(old)
+		w.step(t, limit.LearnWait+testCatchUp, "the other standby", func() bool { return w.isMember(good) && !w.isMember(old) })
+		check(t, w)
+	}
+}
+
+// A member that is away for a while is not given up for a standby that can't learn.
+func TestMemberStaysIfNobodyCanReplaceIt(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		w := threeMembers(t, seed)
+		old := w.followersOf(w.Leader())[0]
+		w.Stall(w.addStandby("s1", int(old.domain[1]-'0')), time.Minute)
+		w.Run(w.now + 500*time.Millisecond)
+		w.Kill(old)
+		w.Run(w.now + testCatchUp)
+		if !w.isMember(old) {
+			t.Errorf("seed %d: %v", seed, w.memberNames())
+		}
+		w.Restart(old)
+		w.Run(w.now + time.Second)
+		w.sane(t, 3)
+		check(t, w)
+	}
+}
