--- a/core/membership.go
+++ b/core/membership.go
@@ -1,6 +1,7 @@
 // This file decides who is a member of the core: who learns, who joins, who is
 // replaced and who is removed, one change at a time. Why it is done in this way
 // stands in docs/control/membership.md.
+
 package core
 
 import (
@@ -15,6 +16,7 @@
 
 // learning is a learner's progress.
 type learning struct {
+	since time.Duration // when it began to learn
 	match uint64
 	at    time.Duration // when it last came on
 }
--- a/core/message.go
+++ b/core/message.go
@@ -1,9 +1,9 @@
 // This file takes in messages from other daemons and hands each to the part of
 // the core that it concerns.
+
 package core
 
 import (
-	"encoding/json"
 	"time"
 
 	"myrtlefold/wire"
@@ -30,15 +30,7 @@
 		if d := m.Hello.Self; d.Kind == "core" && d.Name != c.settings.Self.Name {
 			c.heard[d.Name] = heard{now, d.Domain, d.State == stoppingState}
 		}
-		if len(m.Hello.Legacy) > 0 {
-			var l RecoveredState
-			if b, err := wire.Decompress(m.Hello.Legacy); err == nil && json.Unmarshal(b, &l) == nil {
-				c.addRecovered(l)
-				if m.Hello.Self.Kind == "gate" {
-					c.rememberProxy(m.From, l)
-				}
-			}
-		}
+		c.hearMemory(m)
 		if !m.Hello.Reply {
 			c.send(m.From, c.helloMsg(now, m.From, true))
 		}
@@ -77,7 +69,7 @@
 					return
 				}
 				delete(c.relayedCalls, m.Ask.Id)
-				c.answer(p, Reply{p.ask, int(m.Ask.Status), time.Duration(m.Ask.RetryMs) * time.Millisecond, m.Ask.Body})
+				c.deliver(p, Reply{p.ask, int(m.Ask.Status), time.Duration(m.Ask.RetryMs) * time.Millisecond, m.Ask.Body})
 			}
 			return
 		}
--- a/core/recovery.go
+++ b/core/recovery.go
@@ -7,6 +7,7 @@
 // are no majority. Places of machines that were not there are kept by names without
 // a disk, so that any two foundings share a machine that locked both, one after the
 // other. docs/design.md goes through the cases.
+
 package core
 
 import (
@@ -62,15 +63,52 @@
 	members membership
 }
 
-// recall takes what a proxy says that it remembers. It says so with each hello while
-// it has no leader, so only what is new is read.
+// hearMemory takes what another daemon says that it remembers. A proxy's is long, and all proxies
+// tell theirs as soon as they lose a leader, so a member puts it by unread until nobody hears a
+// leader: it matters only where a core has to be founded.
+func (c *Core) hearMemory(m *wire.Msg) {
+	if len(m.Hello.Legacy) == 0 {
+		return
+	}
+	if m.Hello.Self.Kind == "gate" {
+		c.unreadMemories[m.From] = m.Hello.Legacy
+		if c.node == nil || c.lead == Adopting {
+			c.readMemories()
+		}
+		return
+	}
+	if l, ok := decodeMemory(m.Hello.Legacy); ok {
+		c.addRecovered(l)
+	}
+}
+
+// readMemories reads what proxies have told.
+func (c *Core) readMemories() {
+	for _, from := range slices.Sorted(maps.Keys(c.unreadMemories)) {
+		if l, ok := decodeMemory(c.unreadMemories[from]); ok {
+			c.addRecovered(l)
+			c.rememberProxy(from, l)
+		}
+	}
+	clear(c.unreadMemories)
+}
+
+// decodeMemory reads a state as hellos carry it.
+func decodeMemory(b []byte) (l RecoveredState, ok bool) {
+	plain, err := wire.Decompress(b)
+	return l, err == nil && json.Unmarshal(plain, &l) == nil
+}
+
+// rememberProxy keeps what a proxy remembers. It says so again and again while it has no leader,
+// so only what is new is read.
 func (c *Core) rememberProxy(from string, l RecoveredState) {
 	if m := c.proxyMemories[from]; m.Epoch == l.Epoch && m.Term == l.Term && m.Seq == l.Seq && bytes.Equal(m.State, l.State) {
 		return
 	}
-	var s State
 	m := proxyMemory{RecoveredState: l}
-	if json.Unmarshal(l.State, &s) == nil && len(s.Members) > 0 {
+	if s, err := decodeState(l.State); err != nil {
+		c.reportDamage("memory of proxy "+from, err)
+	} else if len(s.Members) > 0 {
 		m.members = membership{l.Epoch, l.Seq, s.Members}
 	}
 	c.proxyMemories[from] = m
@@ -181,6 +219,7 @@
 		c.seenFounders = ""
 		return
 	}
+	c.readMemories()
 	refound, gone := c.operatorConsent(all)
 	o := c.surveySurvivors(all, gone)
 	all = o.founders(all)
@@ -295,7 +334,11 @@
 	img := quorum.Image{Epoch: epoch, Disk: c.image.Disk, Lock: c.image.Lock, Founders: c.image.Founders, Founding: epoch,
 		Snap: wire.Snap{Index: 1, Members: c.image.Founders}}
 	img.Legacy = c.image.Legacy
-	if s, term := stateFromDisk(&c.image); s.Adopted && !c.isNonVoter() {
+	s, term, err := stateFromDisk(&c.image)
+	if err != nil { // it goes on with what comes before the damage, which says of itself how old it is
+		c.reportDamage("state on this disk", err)
+	}
+	if s.Adopted && !c.isNonVoter() {
 		b, _ := json.Marshal(s)
 		img.Legacy, _ = json.Marshal(RecoveredState{c.node.Epoch(), term, s.Seq, b})
 	}
@@ -329,6 +372,10 @@
 	no := func(code, f string, a ...any) Reply {
 		return problem(409, model.Trouble{Code: code, Message: fmt.Sprintf(f, a...) + "; nothing was changed"})
 	}
+	if c.lead == Adopting && !c.canAdopt() {
+		c.adoptEmpty = true
+		return Reply{Status: 202, Body: body(map[string]any{"begins_empty": true})}
+	}
 	gone := strings.FieldsFunc(list, func(r rune) bool { return r == ',' })
 	all := c.coreDaemons(now, true)
 	if n := c.whoHearsLeader(now, all); n != "" {
--- a/core/replacement.go
+++ b/core/replacement.go
@@ -1,5 +1,6 @@
 // This file grows and mends a core whose size nobody has given: each look takes at
 // most one step towards the members that outlive most, and keeps learners ready.
+
 package core
 
 import (
@@ -79,8 +80,11 @@
 		return false
 	}
 	l, known := c.learning[d.Name]
+	if !known {
+		l.since = now
+	}
 	if !known || l.match != match || c.node.CaughtUp(now, m) {
-		c.learning[d.Name] = learning{match, now}
+		c.learning[d.Name] = learning{l.since, match, now}
 		return false
 	}
 	return now-l.at > limit.LearnWait
@@ -209,7 +213,7 @@
 
 // rebalance is a standby that makes the core outlive more in the place of a healthy
 // member.
-func (c *Core) rebalance(now time.Duration, v *coreView) (next wire.Daemon, ok bool) {
+func (c *Core) rebalance(_ time.Duration, v *coreView) (next wire.Daemon, ok bool) {
 	if len(v.healthy) < len(v.members) {
 		return next, false
 	}
--- a/forward/ahead.go
+++ b/forward/ahead.go
@@ -4,6 +4,7 @@
 // is under way, a further one that is complete, plain and bodiless is begun aside, and its
 // answer kept until the server comes to it in the usual way. So bytes, order and framing
 // stay the server's; whatever is not plain in every byte ends the looking ahead for good.
+
 package forward
 
 import (
@@ -248,6 +249,7 @@
 		c.serve(ender{w, p}, r)
 		return
 	}
+	defer context.AfterFunc(r.Context(), p.cancel)()
 	select {
 	case <-e.done:
 	case e.to <- ender{w, p}:
@@ -261,6 +263,11 @@
 	if e.failed != nil {
 		panic(e.failed)
 	}
+	if e.deferred {
+		c.Counts.Exchanges.Add(^uint64(0)) // it was counted when it was looked at
+		c.serve(ender{w, p}, r)
+		return
+	}
 	if e.w == nil {
 		e.hand(ender{w, p})
 	}
@@ -293,12 +300,17 @@
 	w      http.ResponseWriter
 	done   chan struct{}
 	failed any // what it panicked with
+	// deferred: nothing was sent, since it may run only once; it is served when its turn comes.
+	deferred bool
 }
 
 func (e *early) run(c *Forwarder) {
 	defer close(e.done)
 	defer func() { e.failed = recover() }()
 	c.serve(e, e.r)
+	if e.deferred {
+		c.Counts.Deferred.Add(1)
+	}
 }
 
 func (e *early) Header() http.Header { return e.header }
--- a/quorum/member.go
+++ b/quorum/member.go
@@ -1,4 +1,5 @@
 // This file is the list of members: who votes, who learns, and changes by one.
+
 package quorum
 
 import (
@@ -15,16 +16,21 @@
 
 func (n *Node) Members() []wire.Member { return slices.Clone(n.members) }
 
+// membersOf reads an entry of kind EntryMembers. One from disk has been checked before, see
+// CheckImage; the others come from a leader that made them.
+func membersOf(e wire.Entry) (ms []wire.Member) {
+	if err := json.Unmarshal(e.Data, &ms); err != nil {
+		panic(errors.Wrapf(err, "members entry %d", e.Index))
+	}
+	return ms
+}
+
 func (n *Node) readMembers() {
 	n.members, n.electorate = n.snap.Members, nil
 	for _, e := range n.log {
 		if e.Kind == EntryMembers {
-			var ms []wire.Member
-			if err := json.Unmarshal(e.Data, &ms); err != nil {
-				panic(errors.Wrapf(err, "members entry %d", e.Index))
-			}
 			n.electorate = n.members
-			n.members = ms
+			n.members = membersOf(e)
 		}
 	}
 	n.electorate = slices.Clone(n.electorate)
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -24,34 +24,53 @@
 	buf  []byte
 }
 
+// NewWriter returns a Writer to a connection. Nothing reaches it before Flush, or a full buffer.
 func NewWriter(w io.Writer) *Writer { return &Writer{w: bufio.NewWriterSize(w, limit.WireBuffer)} }
 
-// Put writes a message and says how many bytes it took.
+// Put writes a message to the buffer and returns how many bytes it takes on the connection.
 func (w *Writer) Put(m *Msg) (size int, err error) {
+	c := w.addressed(m)
+	b, err := Encode(&c)
+	if err != nil {
+		return 0, err
+	}
+	w.buf = Pack(w.buf[:0], b)
+	return w.frame(len(b)/word, w.buf)
+}
+
+// addressed is a message as it goes on this connection: who speaks is said once, and whom it is
+// for not at all.
+func (w *Writer) addressed(m *Msg) Msg {
 	c := *m
 	if c.To = ""; c.From == w.from {
 		c.From = ""
 	} else {
 		w.from = c.From
 	}
-	b, err := Encode(&c)
-	if err != nil {
-		return 0, err
+	return c
+}
+
+// frame writes a message of so many words, which is packed in pieces.
+func (w *Writer) frame(words int, pieces ...[]byte) (size int, err error) {
+	for _, p := range pieces {
+		size += len(p)
 	}
-	w.buf = Pack(w.buf[:0], b)
 	var h [2 * binary.MaxVarintLen32]byte
-	n := binary.PutUvarint(h[:], uint64(len(b)/word))
-	n += binary.PutUvarint(h[n:], uint64(len(w.buf)))
-	if _, err = w.w.Write(h[:n]); err == nil {
-		_, err = w.w.Write(w.buf)
+	n := binary.PutUvarint(h[:], uint64(words))
+	n += binary.PutUvarint(h[n:], uint64(size))
+	_, err = w.w.Write(h[:n])
+	for _, p := range pieces {
+		if err == nil {
+			_, err = w.w.Write(p)
+		}
 	}
-	size = n + len(w.buf)
 	if cap(w.buf) > limit.WireBuffer {
 		w.buf = nil
 	}
-	return size, err
+	return n + size, err
 }
 
+// Flush sends what Put has written to the buffer.
 func (w *Writer) Flush() error { return w.w.Flush() }
 
 // Reader takes messages from one connection.
@@ -62,12 +81,13 @@
 	Size int
 }
 
+// NewReader returns a Reader of a connection.
 func NewReader(r io.Reader) *Reader {
 	return &Reader{r: bufio.NewReaderSize(r, limit.WireBuffer)}
 }
 
-// Next is the next message's bytes, which stand until the one after it; one over the limit is
-// an error, whatever it says of itself.
+// Next returns the next message's bytes for Decode; they are valid until the next call. A message
+// over limit.WireMax is an error, whatever lengths it claims, and ends the connection's use.
 func (r *Reader) Next() ([]byte, error) {
 	words, err := binary.ReadUvarint(r.r)
 	if err != nil {
@@ -107,11 +127,11 @@
 	return b, nil
 }
 
-// Pack appends whole words, packed.
+// Pack appends b, which is whole words of 8 bytes, to the slice to in Cap'n Proto's packed encoding.
 func Pack(to, b []byte) []byte { return packed.Pack(to, b) }
 
-// Unpack appends what was packed, which must come to exactly so many bytes: the library's own
-// would let a few bytes grow without a bound.
+// Unpack appends what b holds in packed encoding to the slice to. It must come to exactly size
+// bytes: the library's own function would let a few bytes grow without a bound.
 func Unpack(to, b []byte, size int) ([]byte, error) {
 	end := len(to) + size
 	for len(b) > 0 {
