Two members that stop keep leadership from each other; a freed place is its successor's

Leadership goes to members that do not stop. And a lost leader of five or seven was repaired after 7.46 s where 4 s are given: the place that its removal freed was held back from its successor as growth that may wait.

--- a/core/replacement.go
+++ b/core/replacement.go
@@ -172,7 +172,9 @@
 	switch {
 	case !c.caughtUp(now, standby):
 	case len(v.members) > 2 && !c.node.RecentlyActive(now, old):
-		c.removeMember(now, v.members, old, c.lostReason(now, old))
+		if c.removeMember(now, v.members, old, c.lostReason(now, old)) {
+			c.standbySince[standby.Name] = now - limit.GrowAfter // the place that is free now is its own
+		}
 	default:
 		c.admit(now, v.members, standby)
 	}
--- a/core/shutdown.go
+++ b/core/shutdown.go
@@ -9,6 +9,7 @@
 
 	"myrtlefold/limit"
 	"myrtlefold/quorum"
+	"myrtlefold/wire"
 )
 
 // stop begins the end: everybody is told, and leadership goes to another member.
@@ -21,9 +22,11 @@
 	c.handOver(now)
 }
 
-// handOver gives leadership to the best of the other members, if there is one.
+// handOver gives leadership to the best of the other members that do not stop too, if
+// there is one: two that stop would hand it to each other until both are gone.
 func (c *Core) handOver(now time.Duration) {
-	if c.node != nil && c.node.TransferLeadership(now) {
+	stays := func(m wire.Member) bool { return !c.isStopping(m.Name) }
+	if c.node != nil && c.node.TransferLeadershipTo(now, stays) {
 		c.emit(Change{"leadership", c.settings.Self.Name, "", "stopping"})
 	}
 }
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -74,9 +74,14 @@
 
 // Yield gives leadership up and asks the best peer to stand at once.
 func (n *Node) TransferLeadership(now time.Duration) bool {
+	return n.TransferLeadershipTo(now, func(wire.Member) bool { return true })
+}
+
+// TransferLeadershipTo is the same among those peers that may lead.
+func (n *Node) TransferLeadershipTo(now time.Duration, may func(wire.Member) bool) bool {
 	var best *peer
 	for _, p := range n.sorted() {
-		if p.voter && now-p.acked < limit.LeaderLease && (best == nil || p.match > best.match) {
+		if p.voter && may(p.member) && now-p.acked < limit.LeaderLease && (best == nil || p.match > best.match) {
 			best = p
 		}
 	}
--- a/sim/handover_test.go
+++ b/sim/handover_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"cmp"
 	"slices"
 	"testing"
 	"time"
@@ -18,7 +19,7 @@
 	return w
 }
 
-func (w *World) isMember(p *Proc) bool { return slices.Contains(w.memberNames(), p.name) }
+func (w *World) listsMember(p *Proc) bool { return slices.Contains(w.memberNames(), p.name) }
 
 func (w *World) followersOf(l *Proc) (fs []*Proc) {
 	for _, n := range w.memberNames() {
@@ -36,8 +37,8 @@
 	return w.procs[name]
 }
 
-// step runs in small steps until ok.
-func (w *World) step(t *testing.T, within time.Duration, what string, ok func() bool) time.Duration {
+// awaitStep runs in small steps until ok.
+func (w *World) awaitStep(t *testing.T, within time.Duration, what string, ok func() bool) time.Duration {
 	t.Helper()
 	from := w.now
 	for !ok() {
@@ -58,7 +59,7 @@
 		old := w.followersOf(w.Leader())[seed%2]
 		w.ReplaceCore(old, false, 0, func(time.Duration) {})
 		w.Run(w.now + time.Millisecond)
-		w.step(t, testCatchUp, "a successor", func() bool { return w.isMember(w.procs["r1"]) })
+		w.awaitStep(t, testCatchUp, "a successor", func() bool { return w.listsMember(w.procs["r1"]) })
 		w.Kill(w.procs["r1"])
 		w.Run(w.now + 20*time.Millisecond)
 		w.takesChange(t)
@@ -75,7 +76,7 @@
 		fs := w.followersOf(w.Leader())
 		w.ReplaceCore(fs[0], true, 100*time.Millisecond, func(time.Duration) {})
 		before := w.memberNames()
-		w.step(t, testCatchUp, "a change of members", func() bool { l := w.memberNames(); return l != nil && !slices.Equal(l, before) })
+		w.awaitStep(t, testCatchUp, "a change of members", func() bool { l := w.memberNames(); return l != nil && !slices.Equal(l, before) })
 		w.Kill(fs[1])
 		w.Run(w.now + 20*time.Millisecond)
 		w.takesChange(t)
@@ -99,9 +100,9 @@
 			}
 			n := len(w.memberNames())
 			w.ReplaceCore(old, true, 0, func(time.Duration) {})
-			w.step(t, stopGrace, "the end", func() bool { return !old.alive })
-			w.step(t, testReceipt, "a leader", func() bool { return w.Leader() != nil })
-			if w.isMember(old) || len(w.memberNames()) < n {
+			w.awaitStep(t, stopGrace, "the end", func() bool { return !old.alive })
+			w.awaitStep(t, testReceipt, "a leader", func() bool { return w.Leader() != nil })
+			if w.listsMember(old) || len(w.memberNames()) < n {
 				t.Errorf("seed %d: of %d, %s ended with members %v\n%s", seed, cores, old.name, w.memberNames(), w.Trace(20))
 			}
 			check(t, w)
@@ -115,15 +116,17 @@
 	t.Parallel()
 	const bound = 6 * time.Second
 	most := max(bound/limit.ReplaceParts, limit.ElectMin+limit.ElectSpread+limit.LeadGrace) + 500*time.Millisecond
-	for seed := range uint64(8) {
-		p := replacementPlan(3, 3)
+	for seed := range uint64(9) {
+		cores := []int{3, 5, 7}[seed%3]
+		p := replacementPlan(cores, 3)
 		p.CatchUp = bound
 		w := Start(seed, p)
+		w.until(2*limit.GrowAfter, func() bool { return len(w.memberNames()) == cores })
 		w.Run(w.now + bound)
 		old := w.Leader()
 		w.ReplaceCore(old, false, 0, func(time.Duration) {})
 		w.Run(w.now + time.Millisecond)
-		d := w.step(t, bound, "the repair", func() bool { return w.isMember(w.procs["r1"]) && !w.isMember(old) })
+		d := w.awaitStep(t, bound, "the repair", func() bool { return w.listsMember(w.procs["r1"]) && !w.listsMember(old) })
 		if d > most {
 			t.Errorf("seed %d: repaired after %v, wanted %v", seed, d, most)
 		}
@@ -139,7 +142,7 @@
 	w.Run(w.now + time.Second)
 	w.takesChange(t)
 	w.Run(w.now + 300*time.Millisecond)
-	if s.core.Revision() != w.Leader().core.Revision() || w.isMember(s) {
+	if s.core.Revision() != w.Leader().core.Revision() || w.listsMember(s) {
 		t.Errorf("the standby has %d, the leader %d; members %v", s.core.Revision(), w.Leader().core.Revision(), w.memberNames())
 	}
 }
@@ -158,7 +161,7 @@
 		w.Run(w.now + 500*time.Millisecond)
 		w.Kill(old)
 		w.forgetProc(old)
-		w.step(t, limit.LearnWait+testCatchUp, "the other standby", func() bool { return w.isMember(good) && !w.isMember(old) })
+		w.awaitStep(t, limit.LearnWait+testCatchUp, "the other standby", func() bool { return w.listsMember(good) && !w.listsMember(old) })
 		check(t, w)
 	}
 }
@@ -173,7 +176,7 @@
 		w.Run(w.now + 500*time.Millisecond)
 		w.Kill(old)
 		w.Run(w.now + testCatchUp)
-		if !w.isMember(old) {
+		if !w.listsMember(old) {
 			t.Errorf("seed %d: %v", seed, w.memberNames())
 		}
 		w.Restart(old)
@@ -182,3 +185,27 @@
 		check(t, w)
 	}
 }
+
+// Two members that stop at once do not hand leadership to each other until both are
+// gone: the others lead, and both are replaced before they end.
+func TestTwoStopAtOnce(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(8) {
+		p := replacementPlan(11, 3)
+		p.Losses = 2
+		w := Start(seed, p)
+		w.until(2*limit.GrowAfter, func() bool { return len(w.memberNames()) == 7 })
+		w.Run(w.now + testCatchUp)
+		first := w.Leader()
+		second := slices.MinFunc(w.followersOf(first), func(a, b *Proc) int { return cmp.Compare(a.name, b.name) }) // leadership would go there
+		for _, old := range []*Proc{first, second} {
+			w.ReplaceCore(old, true, time.Millisecond, func(time.Duration) {})
+		}
+		w.awaitStep(t, stopGrace, "the end", func() bool { return !first.alive && !second.alive })
+		w.awaitStep(t, testReceipt, "a leader", func() bool { return w.Leader() != nil })
+		if w.listsMember(first) || w.listsMember(second) || len(w.memberNames()) != 7 {
+			t.Errorf("seed %d: %s and %s ended with members %v\n%s", seed, first.name, second.name, w.memberNames(), w.Trace(20))
+		}
+		check(t, w)
+	}
+}
