--- a/sim/connection.go
+++ b/sim/connection.go
@@ -98,7 +98,7 @@
 }
 
 // resetConnections breaks a part of a proxy's connections to targets and callers. What a
-// target was at work on goes on there, and may run to its end.
+// target was at work on has run, and is dropped there.
 func (w *World) resetConnections(p *Proc, part float64) {
 	w.log("reset %.2f of the connections of %s", part, p.name)
 	for id, l := range p.pool {
--- a/sim/request.go
+++ b/sim/request.go
@@ -231,9 +231,13 @@
 		}
 		w.runs(t, x)
 		t.works = append(t.works, x)
-		try := w.beginAttempt(p, x, conn, func() { fail(0, proxy.Lost, true, false) })
+		leave := func() { t.works = slices.DeleteFunc(t.works, func(o *request) bool { return o == x }) }
+		try := w.beginAttempt(p, x, conn, func() {
+			leave() // its connection is closed: the target drops what has run so far
+			fail(0, proxy.Lost, true, false)
+		})
 		w.at(t.work, func() {
-			t.works = slices.DeleteFunc(t.works, func(o *request) bool { return o == x })
+			leave()
 			switch {
 			case !w.endAttempt(p, try): // the proxy has given this connection up
 			case !t.alive || t.lose:
