--- a/sim/faults_core.go
+++ b/sim/faults_core.go
@@ -20,7 +20,7 @@
 			return
 		}
 		if l := w.Leader(); l != nil && w.rnd.IntN(2) == 0 {
-			w.PutConfig(l, w.Revision(), w.rnd.IntN(1000))
+			w.PutConfig(l, w.Revision(), w.docNumber())
 		}
 		w.at(w.ms(0, 20), func() {
 			for _, n := range w.all("core") {
@@ -46,7 +46,7 @@
 			return
 		}
 		if l := w.Leader(); l != nil {
-			w.PutConfig(l, w.Revision(), w.rnd.IntN(1000))
+			w.PutConfig(l, w.Revision(), w.docNumber())
 		}
 		w.at(w.ms(0, 20), func() {
 			w.log("power fails everywhere")
@@ -179,19 +179,21 @@
 		}
 	}},
 	{"core frozen by twos and threes", func(w *World) {
-		for _, p := range w.someCores() {
+		for _, p := range w.twoOrThreeCores() {
 			w.Freeze(p, w.ms(300, 20000))
 		}
 	}},
 	{"core hurt by twos and threes", func(w *World) {
-		for _, p := range w.someCores() {
+		for _, p := range w.twoOrThreeCores() {
 			w.at(w.ms(0, 1500), func() { w.hurtCore(p) })
 		}
 	}},
+	{"core machine replaced for good", func(w *World) { w.replaceOne(false) }},
+	{"core machine replaced by plan", func(w *World) { w.replaceOne(true) }},
 }
 
-// someCores are two or three living core members.
-func (w *World) someCores() []*Proc {
+// twoOrThreeCores are two or three living core members.
+func (w *World) twoOrThreeCores() []*Proc {
 	var l []*Proc
 	for _, n := range w.all("core") {
 		if p := w.procs[n]; p.alive && !p.frozen {
--- a/sim/process.go
+++ b/sim/process.go
@@ -33,6 +33,7 @@
 	domain   string
 	addr     string
 	alive    bool
+	gone     bool // its machine was replaced and never comes back
 	frozen   bool
 	held     []any
 	thawed   []func()
@@ -79,7 +80,7 @@
 	p.pool, p.live, p.rev = map[wire.ID][]*connection{}, nil, 0
 	p.slow, p.doneAt, p.attempts, p.disk.syncing = 0, 0, nil, false
 	var seeds []string
-	set := core.Settings{Size: w.Plan.Cores}
+	set := core.Settings{Size: w.Plan.Cores, CatchUp: w.Plan.CatchUp, Losses: w.Plan.Losses, Grace: stopGrace}
 	if w.Plan.Seeds > 0 {
 		set.Size, set.Found = 0, w.now < foundingTime
 	}
@@ -150,7 +151,7 @@
 }
 
 func (w *World) Restart(p *Proc) {
-	if !p.alive {
+	if !p.alive && !p.gone {
 		w.log("start %s", p.name)
 		w.start(p)
 	}
