--- a/forward/answer.go
+++ b/forward/answer.go
@@ -21,7 +21,7 @@
 	done bool
 }
 
-// hear reads the answer to what was written on p and says what it means.
+// readAnswer reads the answer to what was written on p and says what it means.
 func (c *Forwarder) readAnswer(w http.ResponseWriter, r *http.Request, g *proxy.Give, p *Conn, u *upload, repeats bool, till time.Time, sent chan error, tell func(*tried, bool), stop func() bool) (t tried) {
 	// done ends the connection's part: it is kept if all of the request is over on it.
 	ended := false
@@ -141,7 +141,7 @@
 	return status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 }
 
-// pass hands an answer to the caller. One that is not held whole streams: what has
+// passAnswer hands an answer to the caller. One that is not held whole streams: what has
 // come goes on before more is waited for.
 func (c *Forwarder) passAnswer(w http.ResponseWriter, r *http.Request, a *answer) error {
 	resp, h := a.resp, w.Header()
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -65,7 +65,7 @@
 	return lc.Listen(context.Background(), "tcp", addr)
 }
 
-// Pipe is a connection to a target.
+// Conn is a connection to a target.
 type Conn struct {
 	c       net.Conn
 	raw     syscall.RawConn
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -1,5 +1,5 @@
 // Package forward takes callers' HTTP requests to back ends, on connections of its own (see
-// pipe.go), because the library's transport sends some requests again by itself. Who
+// conn.go), because the library's transport sends some requests again by itself. Who
 // answers on a connection is checked: targets that are asked for their health are told with
 // each request who is expected, others are asked for their identity on each new connection.
 //
@@ -84,7 +84,7 @@
 	Exchanges, Served, Unknown, NotRun, Cut, Gone, Opened, Reused, Foreign, TurnedAway, Strange, Ahead, Deferred, GivenUp atomic.Uint64
 }
 
-// Carrier is the handler of the callers' address.
+// Forwarder is the handler of the callers' address.
 type Forwarder struct {
 	owner  Owner
 	pool   *Pool
@@ -342,7 +342,7 @@
 	outcome proxy.Outcome
 }
 
-// connection is an idle connection to the target or a new one; its deadline is set.
+// conn is an idle connection to the target or a new one; its deadline is set.
 func (c *Forwarder) conn(ctx context.Context, g *proxy.Give, idle time.Duration, till time.Time) (*Conn, error) {
 	if idle > 0 {
 		if p := c.pool.take(g.Target.ID(), idle, till); p != nil {
@@ -362,7 +362,7 @@
 			err = errors.Wrapf(errForeign, "%s/%s/%d", b.Service, b.Name, b.Incarnation)
 		}
 		if err == nil && !again {
-			err = errors.New("the target closes its pipes")
+			err = errors.New("the target closes its connections")
 		}
 		if err != nil {
 			p.Close()
@@ -494,9 +494,9 @@
 				return tried{outcome: proxy.Foreign, code: "foreign", msg: "the target's address answers for another"}
 			}
 			if !time.Now().Before(till) {
-				return tried{outcome: proxy.Stale, code: "late", msg: "the deadline came before a pipe to the target", late: true}
+				return tried{outcome: proxy.Stale, code: "late", msg: "the deadline came before a connection to the target", late: true}
 			}
-			return tried{outcome: proxy.Closed, code: "closed", msg: "no pipe to the target"}
+			return tried{outcome: proxy.Closed, code: "closed", msg: "no connection to the target"}
 		}
 		p.out = c.compose(p.out, r, g, u, time.Until(till))
 		if c.owner.Now() > g.Till {
@@ -521,7 +521,7 @@
 			if r.Context().Err() != nil {
 				return tried{outcome: proxy.Dropped}
 			}
-			return tried{outcome: proxy.Closed, code: "closed", msg: "the pipe to the target was closed", late: !time.Now().Before(till)}
+			return tried{outcome: proxy.Closed, code: "closed", msg: "the connection to the target was closed", late: !time.Now().Before(till)}
 		}
 		var sent chan error
 		if u.rest != nil {
