--- a/limit/process.go
+++ b/limit/process.go
@@ -10,14 +10,22 @@
 	// comes later is of no use, and old messages would keep new ones waiting.
 	SendQueue = 64
 	SendLate  = 500 * time.Millisecond
+	// PackedTables is how many of the tables last sent are kept in the form in which they are sent: the
+	// whole one, the one without document, and changes to the latest few.
+	PackedTables = 8
 	// WireBuffer is what a connection between daemons has for reading and for writing, in bytes: some
 	// small messages, since a member has such connections to all proxies.
 	WireBuffer = 4 << 10
 	// EventQueue is how many events may wait for an owner.
 	EventQueue = 4096
+	// SyncBatches is how many batches of a member's disk are synced as one at the most.
+	SyncBatches = 64
 	// RingFiles and RingFileSize bound a member's disk: 3 files of 8 MiB.
 	RingFiles    = 3
 	RingFileSize = 8 << 20
+	// DiskRetry is how long after a write was refused, or a disk could not be opened, it is tried again:
+	// seldom enough to cost nothing, and a disk that is back is in use within a leader's lease.
+	DiskRetry = 250 * time.Millisecond
 	// RingPiece is how much of a file, in bytes, is in memory while it is looked through at a start.
 	RingPiece = 256 << 10
 	// Redial is how long after a connection to a daemon could not be opened the next is tried: daemons that
@@ -37,6 +45,11 @@
 	SessionTargets = 4096
 	Sessions       = 16
 	SessionKept    = 2 * time.Minute
+	// CtlCall is how long the operators' command waits for one answer: over CallWait, so that a change
+	DamageKept = 8
+	// ends with the member's own word. CtlRetry is when it asks the next member where none leads.
+	CtlCall  = 10 * time.Second
+	CtlRetry = 200 * time.Millisecond
 	// EventsKept is how many target events a leader keeps for readers that resume.
 	EventsKept = 4096
 )
--- a/sim/connection.go
+++ b/sim/connection.go
@@ -1,6 +1,7 @@
 // This file is the simulated connections: those of proxies to targets, on which surplus
 // answers come and which are reset, and those between daemons, whose messages in flight a
 // reset loses.
+
 package sim
 
 import (
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -117,9 +117,26 @@
 	Commit    uint64 // up to which index entries are committed
 	Match     uint64 // in an answer: up to which index the member's log equals the leader's
 	Entries   []Entry
-	Snap      *Snap
+	Piece     *Piece
 }
 
+// Piece is a part of a snapshot, or of one log entry that is too large for one message. In a
+// reply it says how much of it the receiver holds: Offset bytes, without Data.
+type Piece struct {
+	Entry   bool // of a log entry, else of a snapshot
+	Index   uint64
+	Term    uint64
+	Kind    uint16   // of the entry
+	Members []Member // of the snapshot
+	Size    uint64   // of the whole, in bytes
+	Sum     uint64   // of the whole: FNV-1a, 64 bits
+	Offset  uint64   // of Data in the whole, in bytes
+	Data    []byte
+}
+
+// BeginsSnapshot says that this is a snapshot's first piece.
+func (p *Piece) BeginsSnapshot() bool { return p != nil && !p.Entry && p.Offset == 0 }
+
 // Target is a back end as the daemons know it; its identity is the first four
 // fields. Held (draining), BarLeft (ejection) and Pending are decisions and travel in tables only.
 type Target struct {
