--- a/core/operator.go
+++ b/core/operator.go
@@ -2,6 +2,7 @@
 // agreed log changes it, and the calls that read or change it. A change is
 // answered only once it is in force; when that cannot be told any more, the
 // answer is 'unknown' with the change's id, which can be asked about.
+
 package core
 
 import (
@@ -110,6 +111,7 @@
 			return
 		}
 		// The same change again: wait for it as for the first.
+		c.counts.RepeatsAnswered++
 		c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, p: p, reply: accepted(p.token, r.Revision)})
 		return
 	}
--- a/explore/invariant.go
+++ b/explore/invariant.go
@@ -1,4 +1,5 @@
 // This file is what must hold in every state, and the history that it needs.
+
 package explore
 
 import (
--- a/explore/scenario.go
+++ b/explore/scenario.go
@@ -1,4 +1,5 @@
 // This file is the scenarios: where an exploration starts and what may happen in it.
+
 package explore
 
 import (
--- a/host/ctl.go
+++ b/host/ctl.go
@@ -1,6 +1,7 @@
 // This file is mfctl, the operators' command: it asks any core member, tries the
 // next one where that is safe, names its changes itself so that asking again
 // can't apply one twice, and says by its exit code how a call ended.
+
 package host
 
 import (
@@ -9,6 +10,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -16,6 +18,7 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
 
 	"myrtlefold/model"
 )
@@ -51,7 +54,7 @@
 	out := app.Flag("output", "text or json").Short('o').Default("text").Enum("text", "json")
 	app.Flag("wait", "how long to go on while there is no leader").Default("8s").DurationVar(&c.wait)
 
-	app.Command("status", "each member's own view")
+	app.Command("status", "each member's own view, and the core as its leader sees it: who leads and by whom, who is silent or learning, and whether the next loss can be borne")
 	app.Command("roster", "all daemons: kind, domain, address, readiness")
 	app.Command("targets", "back ends, with the reason for each bar or hold")
 	app.Command("aims", "service-level aims: what part of each service's exchanges met them, over all proxies")
@@ -218,35 +221,64 @@
 
 var ctlClient = &http.Client{Timeout: 10 * time.Second}
 
-// call asks one member after another until one answers with more than 'no leader'.
-// Going on is safe: a change carries its id, and 503 means that it was not applied.
-func (c *ctl) call(method, path string, q url.Values, body []byte) (int, []byte, error) {
+// call asks one member after another until one answers with more than 'no leader', and gives
+// the last answer that it got, or an error if it got none. Going on is safe: a change carries
+// its id, and 503 means that it was not applied. That does not speak for another member
+// whose answer was lost: then the end is unknown.
+func (c *ctl) call(method, path string, q url.Values, body []byte) (status int, out []byte, err error) {
 	end := time.Now().Add(c.wait)
-	var status int
-	var out []byte
-	var err error
+	lost := false
 	for i := 0; ; i++ {
 		u := "http://" + c.at[i%len(c.at)] + path
 		if len(q) > 0 {
 			u += "?" + q.Encode()
 		}
-		var req *http.Request
-		if req, err = http.NewRequest(method, u, bytes.NewReader(body)); err != nil {
-			return 0, nil, err
-		}
-		var resp *http.Response
-		if resp, err = ctlClient.Do(req); err == nil {
-			status = resp.StatusCode
-			out, err = io.ReadAll(resp.Body)
-			resp.Body.Close()
+		s, b, failed := callOnce(method, u, body)
+		if failed == nil {
+			status, out, err = s, b, nil
+		} else if status == 0 {
+			err = failed
 		}
-		if err == nil && status != 503 || time.Now().After(end) {
+		lost = lost || failed != nil && method != http.MethodGet && !neverConnected(failed)
+		switch {
+		case failed == nil && s != 503:
+			return status, out, err
+		case time.Now().After(end) && lost:
+			return http.StatusGatewayTimeout, lostAnswer(q.Get("id")), nil
+		case time.Now().After(end):
 			return status, out, err
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
 }
 
+// neverConnected says that a call failed before anything of it was sent.
+func neverConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// lostAnswer is the end of a change that may have been taken by a member that did not answer.
+func lostAnswer(id string) []byte {
+	return model.Trouble{Code: "unknown", Refusal: model.RefusedCannotTell, Ran: "unknown", Id: id,
+		Message: "a member's answer was lost; the change may have been agreed: ask for it by its id"}.JSON()
+}
+
+// callOnce makes one call and reads the whole answer.
+func callOnce(method, u string, body []byte) (status int, out []byte, err error) {
+	req, err := http.NewRequest(method, u, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := ctlClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	out, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, out, err
+}
+
 func (c *ctl) end(status int, out []byte, err error, text func([]byte)) int {
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "mfctl: %v\n", err)
@@ -265,7 +297,7 @@
 	} else {
 		var e struct{ Error model.Trouble }
 		json.Unmarshal(out, &e)
-		fmt.Fprintf(os.Stderr, "mfctl: %s: %s\n", e.Error.Code, e.Error.Message)
+		fmt.Fprintf(os.Stderr, "mfctl: %s: %s\n", refusalText(e.Error), e.Error.Message)
 		for _, f := range e.Error.Faults {
 			fmt.Fprintf(os.Stderr, "  %s: %s\n", f.Path, f.Text)
 		}
@@ -286,6 +318,21 @@
 	return exitFailed
 }
 
+// refusalText is a refusal's kind and code for a reader: "cannot tell now (no_leader)".
+func refusalText(t model.Trouble) string {
+	kind := map[model.Refusal]string{
+		model.RefusedVersion:    "another version",
+		model.RefusedInvalid:    "invalid",
+		model.RefusedCannotTell: "cannot tell now",
+		model.RefusedConflict:   "conflict",
+		model.RefusedNotFound:   "not found",
+	}[t.Refusal]
+	if kind == "" {
+		return t.Code
+	}
+	return fmt.Sprintf("%s (%s)", kind, t.Code)
+}
+
 func (c *ctl) print(out []byte) {
 	var b bytes.Buffer
 	if c.json || json.Indent(&b, out, "", "  ") != nil {
--- a/model/tree.go
+++ b/model/tree.go
@@ -1,6 +1,7 @@
 // This file reads JSON into plain values in one pass. A key given twice, of which
 // common readers silently keep the last, is refused with its place; and a canonical
 // form tells whether two documents say the same, whatever their spacing and order.
+
 package model
 
 import (
@@ -23,7 +24,7 @@
 	exact bool // numbers stay as they are written, as json.Number
 }
 
-// object reads a document that must be exactly one JSON object.
+// object reads a document that must be exactly one JSON object; its errors are marked ErrNotJSON.
 func object(doc []byte) (map[string]any, error) { return readObject(doc, false) }
 
 func readObject(doc []byte, exact bool) (map[string]any, error) {
@@ -42,6 +43,7 @@
 	return m, nil
 }
 
+// skip passes white space.
 func (t *tree) skip() {
 	for t.i < len(t.s) && (t.s[t.i] == ' ' || t.s[t.i] == '\n' || t.s[t.i] == '\t' || t.s[t.i] == '\r') {
 		t.i++
@@ -161,7 +163,8 @@
 	return u
 }
 
-// Canonical is one form for all documents that say the same.
+// Canonical returns one form for all documents that say the same, whatever their spacing and the
+// order of their keys. Its errors are marked ErrNotJSON.
 func Canonical(doc []byte) ([]byte, error) {
 	m, err := readObject(doc, true)
 	if err != nil {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -1,5 +1,6 @@
 // This file is a request's way through the proxy: which route it takes, whether it
 // gets a target, waits for one or is refused, what follows a try, and its end.
+
 package proxy
 
 import (
@@ -97,6 +98,10 @@
 		return
 	}
 	name, route, ok := g.cfg.Route(e.Host, e.Path)
+	if ok && e.Ahead && !route.Repeats() {
+		g.emit(Refuse{ID: e.ID, Code: CodeNotAhead})
+		return
+	}
 	if ok {
 		x.name, x.route, x.way = name, route, g.routeState(name, &route)
 		x.svc = x.way.next()
--- a/sim/scenes.go
+++ b/sim/scenes.go
@@ -2,6 +2,7 @@
 // counts how often it did, and names a guard which, taken out of the simulated
 // shell, makes the rule's check fail. It also measures what is left of the service
 // under each kind of fault, since a system that refuses everything breaks no rule.
+
 package sim
 
 import (
@@ -36,6 +37,12 @@
 	{Name: "twice", Rule: "ran twice", Threat: "back ends run an exchange and lose its answer, proxies die with it",
 		Kinds: []string{"service loses answers", "target loses answers", "gate killed"}, Times: 2,
 		Caused: func(s *Stats) int { return s.LostUnsafe }, Sabotage: "resend"},
+	{Name: "surplus", Rule: "another's answer", Threat: "targets send answers that nobody waits for, connections are reset and callers leave",
+		Kinds: []string{"targets send surplus answers", "connections reset", "callers leave", "service loses answers"}, Times: 2, Plan: func(p *Plan) { p.Rate = 250 },
+		Caused: func(s *Stats) int { return min(s.Surplus, s.Strange, s.Resets, s.Left) }, Sabotage: "ids"},
+	{Name: "reset", Rule: "ran twice", Threat: "connections are reset and surplus answers come while requests that may run once are at their targets",
+		Kinds: []string{"connections reset", "targets send surplus answers"}, Times: 3, Plan: func(p *Plan) { p.Rate, p.Unsafe = 250, 0.7 },
+		Caused: func(s *Stats) int { return min(s.Resets, s.Strange) }, Sabotage: "resend"},
 	{Name: "refused", Rule: "refused but ran", Threat: "refusals after a try, when answers are lost and targets hang",
 		Kinds: []string{"service loses answers", "target hangs", "service slow"}, Times: 2, Plan: func(p *Plan) { p.Rate = 700 },
 		Caused: func(s *Stats) int { return min(s.NotRun, s.Lost) }, Sabotage: "say no"},
