--- a/core/core.go
+++ b/core/core.go
@@ -262,6 +262,9 @@
 func (c *Core) applyNodeOutput(now time.Duration) {
 	for c.node != nil {
 		o := c.node.Take()
+		for _, r := range o.Refused {
+			c.emit(Change{"message", r.From, "refused", r.Err.Error()})
+		}
 		if len(o.Batches)+len(o.Send)+len(o.Apply) == 0 && o.Restore == nil {
 			return
 		}
--- a/quorum/explore.go
+++ b/quorum/explore.go
@@ -31,7 +31,8 @@
 	}
 	c.unsyncedBatches = slices.Clone(n.unsyncedBatches)
 	c.heldMessages = slices.Clone(n.heldMessages)
-	c.out = Out{Batches: slices.Clone(n.out.Batches), Send: slices.Clone(n.out.Send), Apply: slices.Clone(n.out.Apply), Restore: n.out.Restore}
+	c.out = Out{Batches: slices.Clone(n.out.Batches), Send: slices.Clone(n.out.Send), Apply: slices.Clone(n.out.Apply), Restore: n.out.Restore,
+		Refused: slices.Clone(n.out.Refused)}
 	return &c
 }
 
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -49,6 +49,7 @@
 	Send    []*wire.Msg
 	Apply   []wire.Entry
 	Restore *wire.Snap
+	Refused []Refusal
 }
 
 type Node struct {
@@ -222,11 +223,16 @@
 	}
 }
 
-// Recv takes a message of kind KVote or KAppend of this node's epoch.
+// Recv takes a message of kind KVote or KAppend of this node's epoch. One that no sound
+// member can have sent is dropped and told of in Out.Refused.
 func (n *Node) Recv(now time.Duration, m *wire.Msg) {
 	if m.Epoch != n.epoch {
 		return
 	}
+	if err := n.acceptable(m); err != nil {
+		n.out.Refused = append(n.out.Refused, Refusal{m.From, err})
+		return
+	}
 	switch {
 	case m.Vote != nil && m.Vote.Transfer && m.Vote.Reply:
 		if m.Term == n.term && n.role == Follower && n.isVoter(n.self.Name, n.self.Disk) {
