--- a/core/corestatus.go
+++ b/core/corestatus.go
@@ -266,7 +266,7 @@
 // countOutput counts what the node sends and agrees that operators look for.
 func (c *Core) countOutput(o *quorum.Out) {
 	for _, m := range o.Send {
-		if m.Append != nil && !m.Append.Reply && m.Append.Snap != nil {
+		if m.Append != nil && !m.Append.Reply && m.Append.Piece.BeginsSnapshot() {
 			c.counts.SnapshotsSent++
 		}
 	}
--- a/explore/scenario.go
+++ b/explore/scenario.go
@@ -137,8 +137,13 @@
 		w.drainExcept(late)
 	}
 	w.act(i, func(n *quorum.Node, now time.Duration) { n.Compact(now, w.machines[i].applied.encode()) })
-	w.drain()
-	for !slices.ContainsFunc(w.network, func(p packet) bool { return p.m.Append != nil && p.m.Append.Snap != nil }) {
+	w.drainExcept(late)
+	w.restart(i, 0) // what a leader keeps of the compacted log in memory is gone
+	electWith(w, i, (i+2)%len(w.machines))
+	for range 20 {
+		if slices.ContainsFunc(w.network, func(p packet) bool { return p.m.Append != nil && p.m.Append.Piece != nil }) {
+			return
+		}
 		if len(w.network) == 0 {
 			w.now += heartbeat
 			w.act(i, func(n *quorum.Node, now time.Duration) { n.Tick(now) })
@@ -148,6 +153,7 @@
 		w.network = w.network[1:]
 		w.act(w.place(p.m.To), func(n *quorum.Node, now time.Duration) { n.Recv(now, p.m) })
 	}
+	panic("no snapshot is under way")
 }
 
 // Scenarios are all explorations, in the order in which they run.
--- a/quorum/fuzz_test.go
+++ b/quorum/fuzz_test.go
@@ -65,6 +65,15 @@
 	return es
 }
 
+func (s *script) piece() *wire.Piece {
+	p := &wire.Piece{Entry: s.bit(), Index: s.number(), Term: s.number(), Kind: uint16(s.next() % 4), Members: s.members(), Offset: s.number(), Data: []byte{s.next()}}
+	p.Size, p.Sum = uint64(len(p.Data)), sumOf(p.Data)
+	if s.next() == 0 {
+		p.Size = s.number()
+	}
+	return p
+}
+
 func (s *script) message(now time.Duration) *wire.Msg {
 	m := &wire.Msg{From: s.name(), Disk: s.number(), Epoch: 1, Term: s.number(), Stamp: int64(now)}
 	if s.next() == 0 {
@@ -77,7 +86,7 @@
 	a := &wire.Append{Reply: s.bit(), Ok: s.bit(), PrevIndex: s.number(), PrevTerm: s.number(), Commit: s.number(), Match: s.number()}
 	a.Entries = s.entries(a.PrevIndex)
 	if s.next()%4 == 0 {
-		a.Snap = &wire.Snap{Index: s.number(), Term: s.number(), Members: s.members()}
+		a.Piece = s.piece()
 	}
 	m.Append = a
 	return m
@@ -155,7 +164,7 @@
 			}
 			im.Fold(batch)
 		}
-		if im.Check() != nil {
+		if CheckImage(&im) != nil {
 			return
 		}
 		n := New(0, "a", im)
@@ -183,7 +192,10 @@
 		"entries whose terms go back":    {2, wire.Append{PrevIndex: 1, Entries: []wire.Entry{{Index: 2, Term: 2}, {Index: 3, Term: 1}}}, ErrMalformed},
 		"members that can't be read":     {2, wire.Append{PrevIndex: 1, Entries: []wire.Entry{{Index: 2, Term: 1, Kind: EntryMembers, Data: []byte("{")}}}, ErrMalformed},
 		"no members":                     {2, wire.Append{PrevIndex: 1, Entries: []wire.Entry{{Index: 2, Term: 1, Kind: EntryMembers, Data: []byte("[]")}}}, ErrMalformed},
-		"a snapshot without members":     {2, wire.Append{PrevIndex: 9, Snap: &wire.Snap{Index: 9, Term: 1}}, ErrMalformed},
+		"a snapshot without members":     {2, wire.Append{PrevIndex: 9, Piece: &wire.Piece{Index: 9, Term: 1}}, ErrMalformed},
+		"a piece of a later term":        {2, wire.Append{PrevIndex: 1, Piece: &wire.Piece{Entry: true, Index: 2, Term: 3}}, ErrMalformed},
+		"an entry in pieces with a gap":  {2, wire.Append{PrevIndex: 1, Piece: &wire.Piece{Entry: true, Index: 9, Term: 1}}, ErrMalformed},
+		"another entry in pieces":        {2, wire.Append{PrevIndex: 1, Piece: &wire.Piece{Entry: true, Index: 2, Term: 2}}, ErrContradiction},
 		"another entry than that agreed": {2, wire.Append{PrevIndex: 1, Entries: []wire.Entry{{Index: 2, Term: 2}}}, ErrContradiction},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/quorum/refusal.go
+++ b/quorum/refusal.go
@@ -45,8 +45,8 @@
 	if a.PrevIndex >= numberMax || a.Match >= numberMax || a.Commit >= numberMax {
 		return malformed("log position %d, %d or %d", a.PrevIndex, a.Match, a.Commit)
 	}
-	if a.Snap != nil {
-		if err := acceptableSnap(a.Snap, m.Term); err != nil {
+	if a.Piece != nil && !a.Reply {
+		if err := n.acceptablePiece(a, m.Term); err != nil {
 			return err
 		}
 	}
@@ -56,11 +56,20 @@
 	return n.keepsAgreed(a.Entries)
 }
 
-func acceptableSnap(s *wire.Snap, term uint64) error {
-	if s.Index == 0 || s.Index >= numberMax || s.Term > term {
-		return malformed("snapshot at %d of term %d in term %d", s.Index, s.Term, term)
+// acceptablePiece wants a piece of what a leader of the term can hold. An entry in pieces
+// is the one after PrevIndex; no list of members is so long.
+func (n *Node) acceptablePiece(a *wire.Append, term uint64) error {
+	p := a.Piece
+	if p.Index == 0 || p.Index >= numberMax || p.Term > term {
+		return malformed("piece of %d of term %d in term %d", p.Index, p.Term, term)
 	}
-	return acceptableMembers(s.Members)
+	if !p.Entry {
+		return acceptableMembers(p.Members)
+	}
+	if p.Index != a.PrevIndex+1 || p.Term < a.PrevTerm || p.Kind == EntryMembers || len(a.Entries) > 0 {
+		return malformed("piece of entry %d of kind %d after %d with %d others", p.Index, p.Kind, a.PrevIndex, len(a.Entries))
+	}
+	return n.keepsAgreed([]wire.Entry{{Index: p.Index, Term: p.Term}})
 }
 
 // keepsAgreed wants entries to leave alone what is agreed.
@@ -110,16 +119,3 @@
 	}
 	return nil
 }
-
-// Check says whether a node can start from an image: one that no node wrote is damage.
-func (im *Image) Check() error {
-	if im.Term >= numberMax || im.Snap.Index >= numberMax || im.Snap.Term > im.Term {
-		return malformed("image with term %d and a snapshot at %d of term %d", im.Term, im.Snap.Index, im.Snap.Term)
-	}
-	if im.Snap.Index > 0 {
-		if err := acceptableMembers(im.Snap.Members); err != nil {
-			return err
-		}
-	}
-	return acceptableEntries(im.Log, im.Snap.Index, im.Snap.Term, im.Term)
-}
