--- a/cmd/mfsim/main.go
+++ b/cmd/mfsim/main.go
@@ -33,6 +33,7 @@
 	availability bool
 	trace        int
 	plan         string
+	check        *check // nil: days are run
 }
 
 func parse(args []string) options {
@@ -53,9 +54,15 @@
 	app.Flag("availability", "what each kind of fault leaves of the service (with --pairs: the worst pairs)").BoolVar(&o.availability)
 	app.Flag("trace", "lines of trace for a failing seed").Default("40").IntVar(&o.trace)
 	app.Flag("plan", "small, kelani or kiyihat").Default("small").EnumVar(&o.plan, "small", "kelani", "kiyihat")
-	if _, err := app.Parse(args); err != nil {
+	app.Command("days", "Runs seeds through days of faults, or a rule's scene (the default).").Default()
+	check := checkCommand(app)
+	command, err := app.Parse(args)
+	if err != nil {
 		usage("%v, see --help", err)
 	}
+	if command == check.command.FullCommand() {
+		o.check = check
+	}
 	return o
 }
 
@@ -69,6 +76,8 @@
 	debug.SetGCPercent(sim.GCPercent)
 	o := parse(os.Args[1:])
 	switch {
+	case o.check != nil:
+		os.Exit(o.check.run())
 	case o.listKinds:
 		for _, f := range sim.Faults {
 			fmt.Println(f.Name)
--- a/quorum/explore_test.go
+++ b/quorum/explore_test.go
@@ -26,7 +26,7 @@
 		{assembly{}, []string{"whole", "data", "done"}},
 		{unsyncedBatch{}, []string{"seq", "at", "last"}},
 		{heldMessage{}, []string{"seq", "m"}},
-		{Out{}, []string{"Batches", "Send", "Apply", "Restore"}},
+		{Out{}, []string{"Batches", "Send", "Apply", "Restore", "Refused"}},
 		{wire.Vote{}, []string{"Pre", "Reply", "Granted", "LastIndex", "LastTerm", "Transfer", "All", "Alone"}},
 		{wire.Append{}, []string{"Reply", "Ok", "PrevIndex", "PrevTerm", "Commit", "Match", "Entries", "Piece"}},
 		{wire.Piece{}, []string{"Entry", "Index", "Term", "Kind", "Members", "Size", "Sum", "Offset", "Data"}},
--- /dev/null
+++ b/quorum/refusal.go
@@ -0,0 +1,121 @@
+// This file refuses messages that no sound member can have sent, before any of what
+// they say is taken in: from outside nothing may make a node panic, believe in a list
+// of members that can't be read, or go back on what is agreed.
+
+package quorum
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"myrtlefold/wire"
+)
+
+// ErrMalformed marks a message that contradicts itself, ErrContradiction one that
+// contradicts what is agreed here: two leaders, or damage somewhere.
+var (
+	ErrMalformed     = errors.New("malformed message")
+	ErrContradiction = errors.New("message contradicts what is agreed")
+)
+
+// Refusal is a message that was dropped whole, and why. It belongs in the log.
+type Refusal struct {
+	From string
+	Err  error
+}
+
+// numberMax bounds terms and indexes, so that what is counted on from them stays a number:
+// at a million a second they take 146,000 years.
+const numberMax = 1 << 62
+
+func malformed(format string, args ...any) error {
+	return errors.Mark(errors.Newf(format, args...), ErrMalformed)
+}
+
+// acceptable says whether a vote or append message may be looked at, and why not.
+func (n *Node) acceptable(m *wire.Msg) error {
+	if m.Term >= numberMax {
+		return malformed("term %d", m.Term)
+	}
+	a := m.Append
+	if a == nil {
+		return nil
+	}
+	if a.PrevIndex >= numberMax || a.Match >= numberMax || a.Commit >= numberMax {
+		return malformed("log position %d, %d or %d", a.PrevIndex, a.Match, a.Commit)
+	}
+	if a.Piece != nil && !a.Reply {
+		if err := n.acceptablePiece(a, m.Term); err != nil {
+			return err
+		}
+	}
+	if err := acceptableEntries(a.Entries, a.PrevIndex, a.PrevTerm, m.Term); err != nil {
+		return err
+	}
+	return n.keepsAgreed(a.Entries)
+}
+
+// acceptablePiece wants a piece of what a leader of the term can hold. An entry in pieces
+// is the one after PrevIndex; no list of members is so long.
+func (n *Node) acceptablePiece(a *wire.Append, term uint64) error {
+	p := a.Piece
+	if p.Index == 0 || p.Index >= numberMax || p.Term > term {
+		return malformed("piece of %d of term %d in term %d", p.Index, p.Term, term)
+	}
+	if !p.Entry {
+		return acceptableMembers(p.Members)
+	}
+	if p.Index != a.PrevIndex+1 || p.Term < a.PrevTerm || p.Kind == EntryMembers || len(a.Entries) > 0 {
+		return malformed("piece of entry %d of kind %d after %d with %d others", p.Index, p.Kind, a.PrevIndex, len(a.Entries))
+	}
+	return n.keepsAgreed([]wire.Entry{{Index: p.Index, Term: p.Term}})
+}
+
+// keepsAgreed wants entries to leave alone what is agreed.
+func (n *Node) keepsAgreed(entries []wire.Entry) error {
+	for _, e := range entries {
+		if t, ok := n.termAt(e.Index); ok && e.Index <= n.commit && t != e.Term {
+			return errors.Mark(errors.Newf("agreed entry %d of term %d would be overwritten by one of term %d", e.Index, t, e.Term), ErrContradiction)
+		}
+	}
+	return nil
+}
+
+// acceptableEntries wants entries that follow each other and the one before them, of
+// terms up to the present one.
+func acceptableEntries(entries []wire.Entry, prevIndex, prevTerm, term uint64) error {
+	before := prevTerm
+	for i, e := range entries {
+		if e.Index != prevIndex+1+uint64(i) || e.Term < before || e.Term > term {
+			return malformed("entry %d of term %d at place %d after %d of term %d", e.Index, e.Term, i, prevIndex, prevTerm)
+		}
+		before = e.Term
+		if e.Kind != EntryMembers {
+			continue
+		}
+		var ms []wire.Member
+		if err := json.Unmarshal(e.Data, &ms); err != nil {
+			return errors.Mark(errors.Wrapf(err, "members entry %d", e.Index), ErrMalformed)
+		}
+		if err := acceptableMembers(ms); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// acceptableMembers wants a list with somebody in it and nobody twice.
+func acceptableMembers(ms []wire.Member) error {
+	seen := map[string]bool{}
+	for _, m := range ms {
+		if m.Name == "" || seen[m.Name] {
+			return malformed("member %q is listed without a name or twice", m.Name)
+		}
+		seen[m.Name] = true
+	}
+	if len(ms) == 0 {
+		return malformed("a list of no members")
+	}
+	return nil
+}
