A leader that was late keeps what it knows, if nobody else has led meanwhile

Cause: each loss of the lease, however short, had a leader discard all targets, ejections and probes and gather the proxies' tables anew: 307 targets to prove themselves, 64 whole tables to decode (0.54 ms each) and merge. On 0.24 of a core that made it late again; in a collapse it led for 0.1 to 0.6 s at a time.

A leader that has its lease back in the same term goes on deciding: a majority has answered in that term after the loss, so no later term's leader can have been elected before. One that is elected again keeps its targets and still gathers the proxies' tables, for the holds and ejections that they saw. It knows that nobody else has decided from its log: who decides has had its term's first entry agreed, so it would stand before the new term's own. Both only within 3 s; all targets are probed anew at the usual pace, and missed beats are no silence. Any other leader begins from what is agreed, as before.

--- a/core/core.go
+++ b/core/core.go
@@ -4,8 +4,9 @@
 // the simulator runs this same code.
 //
 // While a member leads, everything that is not durable (targets, ejections, holds,
-// probes, who holds which lease) lives in its lead, which is made anew with
-// each term: holds and ejections come back from the proxies' tables and the beats.
+// probes, who holds which lease) lives in its lead. A member that leads again soon, with nobody
+// in between, goes on with it; any other makes it anew, and holds and ejections come back from
+// the proxies' tables and the beats.
 package core
 
 import (
@@ -130,6 +131,7 @@
 	lead                   Lead
 	leadAt                 time.Duration
 	leadTerm               uint64
+	kept                   keptLead // the lead that was lost last
 	tableVersion           uint64
 	table                  *wire.Table
 	latestMergedKey        wire.Key                        // latest proxies' table merged while warming
--- a/core/leadership.go
+++ b/core/leadership.go
@@ -57,9 +57,11 @@
 		return
 	}
 	c.emit(Change{"lead", c.lead.String(), l.String(), why})
+	was := c.lead
 	c.lead, c.leadAt = l, now
 	switch l {
 	case Idle:
+		c.keepLead(now, was)
 		for _, t := range slices.Sorted(maps.Keys(c.pendingChanges)) {
 			c.answerUnknown(c.pendingChanges[t])
 		}
@@ -73,15 +75,12 @@
 	case Adopting:
 		c.proposed = false
 	case Warming:
-		c.targets, c.claims, c.judge, c.policyRevision = map[wire.ID]*target{}, map[wire.ID]*target{}, policy.New(), 0
-		c.scorer = policy.NewScorer(c.judge)
-		c.lastTurn, c.turnByName = map[string]uint32{}, map[[2]string]uint32{}
-		c.tombstones, c.leaving = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
-		c.withdrawnAt = map[wire.ID]uint64{}
-		c.table, c.tableWithoutDocument, c.sortedIDs, c.latestMergedKey, c.rosterPendingAt = nil, nil, nil, wire.Key{}, 0
-		c.changes, c.withdrawnTargets, c.rosterTableVersion, c.oldestDeltaBase = nil, nil, c.tableVersion+1, c.tableVersion+1
-		c.applyPolicies()
-		c.loadRegistrations(now)
+		if c.keepsLead(now) {
+			c.resumeLead(now)
+		} else {
+			c.forgetLead(now)
+		}
+		c.kept.epoch, c.kept.term = c.node.Epoch(), c.node.Term()
 		// Whatever an earlier leader granted may still run.
 		for _, g := range c.proxies {
 			g.grantAt, g.tableMerged, g.key, g.revision, g.seq = now, false, wire.Key{}, 0, 0
@@ -135,6 +134,9 @@
 				c.addRecovered(c.proxyMemories[n].RecoveredState)
 			}
 			c.setLead(now, Adopting, "elected in a new epoch")
+		} else if c.regained(now) {
+			c.recheck(now)
+			c.decide(now, "a majority answers again in the same term", false)
 		} else {
 			c.setLead(now, Warming, "elected")
 		}
@@ -161,16 +163,7 @@
 		}
 		if told == need && (need > 0 || now-c.leadAt > limit.FirstRoster) || now-c.leadAt > limit.WarmLeader ||
 			2*told > need && now-c.leadAt > limit.WarmLeader/3 {
-			c.setLead(now, Deciding, fmt.Sprintf("heard %d of %d proxies", told, need))
-			c.rebuild(now, true)
-			if len(c.state.PreviousRoster) > 0 {
-				c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, rosterChange: true})
-			}
-			for _, id := range slices.SortedFunc(maps.Keys(c.targets), wire.ID.Compare) {
-				if c.targets[id].Pending {
-					c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, clearPending: id})
-				}
-			}
+			c.decide(now, fmt.Sprintf("heard %d of %d proxies", told, need), true)
 		}
 	}
 }
--- /dev/null
+++ b/core/resume.go
@@ -0,0 +1,94 @@
+// This file has a leader that was late keep what it knows: one that loses its lease for a moment
+// and leads again, with nobody in between, goes on from the targets, ejections and holds that it
+// had, where learning all of them anew would make it late again.
+package core
+
+import (
+	"time"
+
+	"myrtlefold/limit"
+	"myrtlefold/policy"
+	"myrtlefold/wire"
+)
+
+// keptLead is what tells whether a lead that was lost can be gone on with.
+type keptLead struct {
+	epoch, term uint64        // of the lead, 0 if there is none to go on with
+	lostAt      time.Duration // when this member last stopped deciding
+}
+
+// keepLead notes a lead that is lost.
+func (c *Core) keepLead(now time.Duration, was Lead) {
+	if was == Deciding {
+		c.kept = keptLead{c.table.Key.Epoch, c.leadTerm, now}
+	}
+}
+
+// keepsLead says that what was known when the lead was lost still holds: it is not long ago, and
+// nobody else has decided since. Another leader would have had to agree on the entry that begins
+// its term, which then stood in the log between this member's last lead and this one.
+func (c *Core) keepsLead(now time.Duration) bool {
+	return c.kept.term != 0 && c.kept.epoch == c.node.Epoch() && now-c.kept.lostAt < limit.LeadKept &&
+		c.node.NobodyLedSince(c.kept.term)
+}
+
+// regained says that the lead itself was kept, not only what it knew: the term is the same, so the
+// tables and leases of before are this lead's own.
+func (c *Core) regained(now time.Duration) bool {
+	return c.keepsLead(now) && c.kept.term == c.node.Term() && c.table != nil && c.table.Key.Term == c.node.Term()
+}
+
+// recheck goes on with the targets that are known. Words that were missed meanwhile are no sign of
+// silence, and each is probed anew, at the usual pace.
+func (c *Core) recheck(now time.Duration) {
+	for _, t := range c.targets {
+		t.heardAtLeast(now - limit.BeatLapse/2)
+		t.probeAt, t.sentAt = now-limit.ProbeEvery, 0
+	}
+	for _, t := range c.claims {
+		t.heardAtLeast(now - limit.BeatLapse/2)
+	}
+}
+
+func (t *target) heardAtLeast(at time.Duration) {
+	t.beatAt, t.aliveAt = max(t.beatAt, at), max(t.aliveAt, at)
+}
+
+// decide begins to decide, or goes on to.
+func (c *Core) decide(now time.Duration, why string, refresh bool) {
+	c.setLead(now, Deciding, why)
+	c.rebuild(now, refresh)
+	if len(c.state.PreviousRoster) > 0 {
+		c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, rosterChange: true})
+	}
+	for _, id := range c.sorted() {
+		if c.targets[id].Pending {
+			c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, clearPending: id})
+		}
+	}
+}
+
+// forgetLead begins a lead with the targets that are agreed, and nothing else.
+func (c *Core) forgetLead(now time.Duration) {
+	c.targets, c.claims, c.judge, c.policyRevision = map[wire.ID]*target{}, map[wire.ID]*target{}, policy.New(), 0
+	c.scorer = policy.NewScorer(c.judge)
+	c.lastTurn, c.turnByName = map[string]uint32{}, map[[2]string]uint32{}
+	c.tombstones, c.leaving = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
+	c.withdrawnAt = map[wire.ID]uint64{}
+	c.table, c.tableWithoutDocument, c.sortedIDs, c.latestMergedKey, c.rosterPendingAt = nil, nil, nil, wire.Key{}, 0
+	c.changes, c.withdrawnTargets, c.rosterTableVersion, c.oldestDeltaBase = nil, nil, c.tableVersion+1, c.tableVersion+1
+	c.applyPolicies()
+	c.loadRegistrations(now)
+}
+
+// resumeLead begins a lead with what this member knew in its last one. Tables of before are of
+// another term, so they serve to tell what is new to nobody but this member.
+func (c *Core) resumeLead(now time.Duration) {
+	if c.table != nil {
+		c.latestMergedKey = c.table.Key // none is later: who made one would have led
+	}
+	c.table, c.tableWithoutDocument, c.changes = nil, nil, nil
+	c.withdrawnTargets, c.rosterTableVersion, c.oldestDeltaBase = nil, c.tableVersion+1, c.tableVersion+1
+	c.applyPolicies()
+	c.recheck(now)
+}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -118,6 +118,10 @@
 	DemandEvery = time.Second
 	// DemandStep is how far a target's demand must move for that.
 	DemandStep = 0.125
+	// LeadKept is how long after it lost its lease a leader goes on with what it knew, if nobody else
+	// led meanwhile: ElectMin + ElectSpread and an election of its own, twice. What it missed by then
+	// are a few beats.
+	LeadKept = 3 * time.Second
 	// WarmLeader is how long a new leader waits for tables from a majority of proxies.
 	WarmLeader = 1500 * time.Millisecond
 	// AskWait bounds an operator's change: past it the answer is 'unknown'.
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -111,6 +111,17 @@
 
 func (n *Node) Since() time.Duration { return n.since }
 
+// NobodyLedSince says, of a leader, that nobody else has decided since a term in which it led. Who
+// decides in a term has had its first entry there agreed, and later leaders have what is agreed:
+// so it would stand in the log before the entry that began this leader's term.
+func (n *Node) NobodyLedSince(term uint64) bool {
+	if n.role != Leader || term == n.term {
+		return n.role == Leader
+	}
+	t, ok := n.termAt(n.termStart - 1)
+	return ok && t == term
+}
+
 // Take hands over what there is to do and empties it.
 func (n *Node) Take() Out {
 	o := n.out
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -294,3 +294,59 @@
 		t.Fatalf("it is a %v though everybody has taken its term", n.Role())
 	}
 }
+
+// cutOff cuts a member from the others, or joins it again.
+func (w *trio) cutOff(name string, cut bool) {
+	for _, n := range []string{"a", "b", "c"} {
+		w.cut[name+n], w.cut[n+name] = cut, cut
+	}
+}
+
+// A leader knows from its log whether another has decided since a term in which it led: not if it
+// was only without a majority for a while, and for certain if another was elected meanwhile.
+func TestNobodyLedSince(t *testing.T) {
+	leads := func(w *trio, name string) func() bool { return func() bool { return w.leader() == name } }
+	for _, another := range []bool{false, true} {
+		w := newTrio()
+		if !w.run(t, 5*time.Second, func() bool { return w.leader() != "" }) {
+			t.Fatal("nobody leads")
+		}
+		first := w.leader()
+		n, term := w.nodes[first], w.nodes[first].Term()
+		if !n.NobodyLedSince(term) {
+			t.Error("in its own term nobody else has led")
+		}
+		w.cutOff(first, true)
+		if another && !w.run(t, 5*time.Second, func() bool { return w.leader() != "" && w.leader() != first }) {
+			t.Fatal("no other member was elected")
+		}
+		if !another {
+			// Nobody reaches anybody until the leader has given up, and then only it may stand.
+			for _, name := range []string{"a", "b", "c"} {
+				w.cutOff(name, true)
+			}
+			w.run(t, limit.ElectMin+limit.HeartbeatEvery, func() bool { return n.Role() != Leader })
+		}
+		for _, name := range []string{"a", "b", "c"} {
+			w.cutOff(name, false)
+		}
+		// What the others ask for is lost until the first leads again.
+		w.run(t, 300*time.Millisecond, func() bool { return false })
+		for i := 0; i < 20 && w.leader() != first; i++ {
+			if l := w.leader(); l != "" {
+				w.nodes[l].TransferLeadership(w.now)
+			}
+			w.run(t, 2*time.Second, leads(w, first))
+		}
+		if w.leader() != first {
+			t.Fatalf("another %v: %s does not lead again", another, first)
+		}
+		led := false
+		for _, e := range n.log {
+			led = led || e.Term > term && e.Term < n.Term()
+		}
+		if got := n.NobodyLedSince(term); got == led || another && got {
+			t.Errorf("another %v: says that nobody led since term %d is %v, entries of another's term in the log %v", another, term, got, led)
+		}
+	}
+}
--- /dev/null
+++ b/sim/resume_test.go
@@ -0,0 +1,105 @@
+package sim
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"myrtlefold/limit"
+)
+
+// known is how many targets a leader knows, and hearsay how many of them have to prove themselves
+// before they are served.
+func (w *World) known(p *Proc) (n, hearsay int) {
+	all := p.core.Targets(w.now)
+	for _, t := range all {
+		if strings.HasPrefix(t.Why, "known by hearsay") {
+			hearsay++
+		}
+	}
+	return len(all), hearsay
+}
+
+// cutOff cuts a core member from the other core daemons, both ways, for a time.
+func (w *World) cutOff(p *Proc, d time.Duration) {
+	var ks [][2]string
+	for _, n := range w.all("core") {
+		if n != p.name {
+			ks = append(ks, [2]string{n, p.name}, [2]string{p.name, n})
+		}
+	}
+	w.cutFor(ks, d)
+}
+
+// A leader that loses its lease for a moment, and nobody else leads meanwhile, goes on with all
+// that it knew, in the same term or in another: no target has to prove itself anew.
+func TestLateLeaderKeepsWhatItKnows(t *testing.T) {
+	t.Parallel()
+	same, later := 0, 0
+	for seed := range uint64(12) {
+		w := Start(seed, Small)
+		w.Run(w.now + 3*time.Second)
+		l := w.Leader()
+		if l == nil {
+			t.Fatalf("seed %d: nobody leads", seed)
+		}
+		had, _ := w.known(l)
+		before := l.core.Status(w.now)
+		w.cutOff(l, limit.LeaderLease+time.Duration(seed%2)*limit.HeartbeatEvery)
+		w.until(time.Second, func() bool { return !l.core.Leading() })
+		fewest, unproved := had, 0
+		for end := w.now + 2*time.Second; w.now < end && w.Leader() == nil; {
+			w.Run(w.now + limit.TickEvery)
+			n, hearsay := w.known(l)
+			fewest, unproved = min(fewest, n), max(unproved, hearsay)
+		}
+		if w.Leader() != l {
+			continue // another was elected, which is as good
+		}
+		after := l.core.Status(w.now)
+		if after.Term > before.Term {
+			later++
+		} else if same++; after.Counts.Elections != before.Counts.Elections {
+			t.Errorf("seed %d: it began a new lead in the same term", seed)
+		}
+		if fewest < had || unproved > 0 {
+			t.Errorf("seed %d: it knew %d targets, then %d, and %d of them by hearsay\n%s", seed, had, fewest, unproved, w.Trace(20))
+		}
+		w.Run(w.now + 2*time.Second)
+		check(t, w)
+	}
+	if same == 0 || later == 0 {
+		t.Errorf("%d leaders led again in the same term, %d in a later one", same, later)
+	}
+}
+
+// Where another led meanwhile, or it can't be told, a leader begins from what is agreed and what
+// the proxies tell.
+func TestLeaderForgetsWhereAnotherLed(t *testing.T) {
+	t.Parallel()
+	forgot := 0
+	for seed := range uint64(6) {
+		w := Start(seed, Small)
+		w.Run(w.now + 3*time.Second)
+		first := w.Leader()
+		w.cutOff(first, limit.LeadKept/2)
+		w.until(2*time.Second, func() bool { return w.Leader() != nil && w.Leader() != first })
+		second := w.Leader()
+		if second == nil || second == first {
+			continue
+		}
+		w.Crash(w.targets[0])
+		w.Run(w.now + limit.LeadKept/2)
+		w.Kill(second)
+		elections := first.core.Status(w.now).Counts.Elections
+		if !w.until(3*time.Second, func() bool { return w.Leader() != nil }) || w.Leader() != first {
+			continue
+		}
+		if first.core.Status(w.now).Counts.Elections > elections {
+			forgot++
+		}
+		w.Run(w.now + 3*time.Second)
+		check(t, w)
+	}
+	t.Logf("%d leaders led again after another", forgot)
+}
