--- a/core/message.go
+++ b/core/message.go
@@ -1,5 +1,6 @@
 // This file takes in messages from other daemons and hands each to the part of
 // the core that it concerns.
+
 package core
 
 import (
@@ -68,7 +69,7 @@
 					return
 				}
 				delete(c.relayedCalls, m.Ask.Id)
-				c.answer(p, Reply{p.ask, int(m.Ask.Status), time.Duration(m.Ask.RetryMs) * time.Millisecond, m.Ask.Body})
+				c.deliver(p, Reply{p.ask, int(m.Ask.Status), time.Duration(m.Ask.RetryMs) * time.Millisecond, m.Ask.Body})
 			}
 			return
 		}
--- a/core/watchdog.go
+++ b/core/watchdog.go
@@ -1,4 +1,5 @@
 // This file probes the targets and has the health policies judge what comes back.
+
 package core
 
 import (
@@ -59,7 +60,6 @@
 		return
 	}
 	c.rebuild(now, now-c.rebuilt >= limit.ReconcileEvery)
-	c.maintainMembers(now)
 	c.roster(now)
 	c.persistRegistrations(now, limit.RegistryEvery)
 }
--- a/host/core.go
+++ b/host/core.go
@@ -1,5 +1,6 @@
 // This file is the control daemon's shell: it opens the disk, starts the core
 // owner, and carries out its commands.
+
 package host
 
 import (
@@ -13,11 +14,20 @@
 // RunCore is mfcore.
 func RunCore(args []string, say Dialect) int {
 	h := Start("core", args, say)
-	disk, img, err := h.OpenDisk()
-	if err != nil {
-		h.Fatal(err, "state on disk")
+	disk, img, damage := h.openDiskInTime()
+	own := core.New(h.Now(), core.Settings{
+		Self:    h.Daemon(),
+		Size:    h.Set.Size,
+		Seeds:   h.Set.Seeds,
+		Found:   h.Set.Found,
+		Domains: h.Set.Domains,
+		CatchUp: time.Duration(h.Set.CatchUpMs) * time.Millisecond,
+		Losses:  h.Set.Losses,
+		Grace:   time.Duration(h.Set.GraceMs) * time.Millisecond,
+	}, img)
+	if damage != nil {
+		own.ReportDamage("state on this disk", damage)
 	}
-	own := core.New(h.Now(), core.Settings{Self: h.Daemon(), Size: h.Set.Size, Seeds: h.Set.Seeds, Found: h.Set.Found, Domains: h.Set.Domains}, img)
 	hub := NewHub()
 	var term atomic.Uint64
 	exec := func(cmd any) {
@@ -54,7 +64,7 @@
 		})
 		hub.Serve(w, r, leads, addr)
 	})
-	mux.Handle("POST /v1/judge", NewDoor())
+	mux.Handle("POST /v1/judge", NewSessions())
 	mux.HandleFunc("/v1/", h.Call(func() uint64 { return ids.Add(1) }))
 	srv, err := h.Serve(h.Set.Http, mux)
 	if err != nil {
--- a/sim/backend.go
+++ b/sim/backend.go
@@ -1,4 +1,5 @@
 // This file is the simulated back ends: their words, probes, crashes and leavings.
+
 package sim
 
 import (
@@ -18,6 +19,7 @@
 	alive                       bool
 	hang                        bool
 	lose                        bool
+	surplus                     bool // sends answers that nobody waits for
 	fail                        bool
 	deaf                        bool // misses probes, beats and serves
 	state                       string
