--- a/core/resume.go
+++ b/core/resume.go
@@ -1,6 +1,7 @@
 // This file has a leader that was late keep what it knows: one that loses its lease for a moment
 // and leads again, with nobody in between, goes on from the targets, ejections and holds that it
 // had, where learning all of them anew would make it late again.
+
 package core
 
 import (
