--- a/limit/probe.go
+++ b/limit/probe.go
@@ -27,9 +27,9 @@
 	// one miss short of an ejection. At the worst 0.45 + 0.45 + 0.4 s went by there and 0.33 + 0.4 + 0.4 go by here.
 	DoubtEvery = 200 * time.Millisecond
 	// ProbePace is by how much more often than at rest probes may begin, and ProbesLeast how many may
-	// in a tick in any case, so that small fleets are all probed in two ticks. Where all targets are
-	// due at once the last waits for ProbeEvery / ProbePace = 0.36 s: 300 connections opened in a
-	// tick take a small machine longer than LeaderLease. A target that missed a probe waits for no other.
+	// in a tick in any case, so that small fleets are all probed in two ticks. Where all targets are due at once the last waits for
+	// ProbeEvery / ProbePace = 0.36 s: 300 connections opened in a tick take a small machine longer
+	// than LeaderLease. A target that missed a probe waits for no other.
 	ProbePace   = 1.25
 	ProbesLeast = 16
 	// RegistryEvery is how often the agreed registry of targets is written, if something in it changed;
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -270,6 +270,7 @@
 }
 
 // names returns the policies' names in order.
+// names are the policies in force, in order.
 func (j *Judge) names() []string { return j.sorted }
 
 // Stats returns what there is to say of each policy in force, by name; without its score.
