A lead that was lost for a moment has no target probed anew

Each time all 307 targets became due for a probe again, though their probes were still out, so that the leader probed at its full pace all the time, which kept it late.

Targets are probed anew only after a loss of ProbeEvery or longer. TestLeadLostForAMomentProbesNoMore failed before.

--- a/core/resume.go
+++ b/core/resume.go
@@ -40,11 +40,15 @@
 }
 
 // recheck goes on with the targets that are known. Words that were missed meanwhile are no sign of
-// silence, and each is probed anew, at the usual pace.
+// silence. Each is probed anew, at the usual pace, unless the lead was lost for so short a time that
+// its probe may still be out: a lead that is lost again and again must not probe the more for it.
 func (c *Core) recheck(now time.Duration) {
+	probeAnew := now-c.kept.lostAt >= limit.ProbeEvery
 	for _, t := range c.targets {
 		t.heardAtLeast(now - limit.BeatLapse/2)
-		t.probeAt, t.sentAt = now-limit.ProbeEvery, 0
+		if probeAnew {
+			t.probeAt, t.sentAt = now-limit.ProbeEvery, 0
+		}
 	}
 	for _, t := range c.claims {
 		t.heardAtLeast(now - limit.BeatLapse/2)
--- /dev/null
+++ b/core/resume_test.go
@@ -0,0 +1,35 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"myrtlefold/limit"
+	"myrtlefold/wire"
+)
+
+// A lead that is lost for a moment, and again and again, has no target probed more often.
+func TestLeadLostForAMomentProbesNoMore(t *testing.T) {
+	r := atRest(69, 294)
+	r.named(t)
+	for range 2 {
+		r.second()
+	}
+	last := map[wire.ID]time.Duration{}
+	for range 50 {
+		for id, x := range r.c.targets {
+			last[id] = x.probeAt
+		}
+		r.c.setLead(r.now, Idle, "late")
+		r.now += limit.TickEvery
+		r.step(Tick{})
+		if !r.c.Leading() {
+			t.Fatal("it does not lead again")
+		}
+		for id, x := range r.c.targets {
+			if x.probeAt != last[id] && x.probeAt-last[id] < limit.ProbeEvery {
+				t.Fatalf("%v was probed again after %v", id, x.probeAt-last[id])
+			}
+		}
+	}
+}
