--- a/core/encoding.go
+++ b/core/encoding.go
@@ -54,6 +54,7 @@
 	if err != nil {
 		return newState(), errors.Mark(err, ErrDamaged)
 	}
+	s.completeOrders()
 	return s, nil
 }
 
--- a/core/operator.go
+++ b/core/operator.go
@@ -54,6 +54,10 @@
 	}
 	if p.targetReport && !isLeaving(word) && l != "" {
 		c.heartbeat(now, word, true)
+		if !c.reaches(now, l) {
+			c.answer(p, notPropagated()) // the leader may be heard and not hear: another daemon is to be told too
+			return
+		}
 		c.answer(p, reportAccepted(word))
 		return
 	}
@@ -75,7 +79,7 @@
 
 // pass hands a call to the leader.
 func (c *Core) relay(now time.Duration, id uint64, p *pending, leader string) {
-	p.relayedTo, p.relayedAt = leader, now
+	p.relayedTo, p.relayedAt, p.relayedTerm = leader, now, c.Term()
 	p.relayCount++
 	c.send(leader, &wire.Msg{Kind: uint16(wire.KAsk), Ask: p.call})
 }
@@ -106,17 +110,20 @@
 		return
 	}
 	if r := c.state.findByID(p.token); r != nil && a.Method != "GET" {
-		if r.Outcome == "stale" {
-			c.answer(p, c.staleBase(p.token))
+		if r.Outcome != outcomeAccepted {
+			c.answerNotAccepted(p, r)
 			return
 		}
 		// The same change again: wait for it as for the first.
-		c.counts.RepeatsAnswered++
-		c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, p: p, reply: accepted(p.token, r.Revision)})
+		c.answerWhenInForce(now, p, r.Revision)
+		return
+	}
+	if revision, taken := c.state.tokenTaken(p.token); taken && a.Method != "GET" {
+		c.answerWhenInForce(now, p, revision)
 		return
 	}
-	if c.pendingChanges[p.token] != nil && a.Method != "GET" {
-		c.answer(p, problem(409, model.Trouble{Code: "under_way", Message: "a change with this id is under way", Id: p.token}))
+	if first := c.pendingChanges[p.token]; first != nil && a.Method != "GET" {
+		first.repetitions = append(first.repetitions, p)
 		return
 	}
 	seg := strings.Split(strings.Trim(a.Path, "/"), "/")
--- a/core/replacement.go
+++ b/core/replacement.go
@@ -1,5 +1,6 @@
 // This file grows and mends a core whose size nobody has given: each look takes at
 // most one step towards the members that outlive most, and keeps learners ready.
+
 package core
 
 import (
@@ -171,7 +172,9 @@
 	switch {
 	case !c.caughtUp(now, standby):
 	case len(v.members) > 2 && !c.node.RecentlyActive(now, old):
-		c.removeMember(now, v.members, old, c.lostReason(now, old))
+		if c.removeMember(now, v.members, old, c.lostReason(now, old)) {
+			c.standbySince[standby.Name] = now - limit.GrowAfter // the place that is free now is its own
+		}
 	default:
 		c.admit(now, v.members, standby)
 	}
@@ -187,9 +190,6 @@
 func (c *Core) nextMember(now time.Duration, v *coreView) (next wire.Daemon, ok bool) {
 	list, free := namesOf(v.healthy), slices.Clone(v.standbys)
 	best, first := c.resilience(list), wire.Daemon{}
-	if len(v.members) >= limit.VotersMax {
-		return next, false
-	}
 	if best[0] == 1 && best[1] >= c.losses() {
 		free = slices.DeleteFunc(free, func(d wire.Daemon) bool { return now-c.standbySince[d.Name] < limit.GrowAfter })
 	}
@@ -215,7 +215,7 @@
 
 // rebalance is a standby that makes the core outlive more in the place of a healthy
 // member.
-func (c *Core) rebalance(now time.Duration, v *coreView) (next wire.Daemon, ok bool) {
+func (c *Core) rebalance(_ time.Duration, v *coreView) (next wire.Daemon, ok bool) {
 	if len(v.healthy) < len(v.members) {
 		return next, false
 	}
--- a/core/shutdown.go
+++ b/core/shutdown.go
@@ -1,5 +1,6 @@
 // This file is how a control daemon stops: it hands leadership over, and its place to
 // a standby if there is one, before it goes.
+
 package core
 
 import (
@@ -8,6 +9,7 @@
 
 	"myrtlefold/limit"
 	"myrtlefold/quorum"
+	"myrtlefold/wire"
 )
 
 // stop begins the end: everybody is told, and leadership goes to another member.
@@ -20,9 +22,11 @@
 	c.handOver(now)
 }
 
-// handOver gives leadership to the best of the other members, if there is one.
+// handOver gives leadership to the best of the other members that do not stop too, if
+// there is one: two that stop would hand it to each other until both are gone.
 func (c *Core) handOver(now time.Duration) {
-	if c.node != nil && c.node.TransferLeadership(now) {
+	stays := func(m wire.Member) bool { return !c.isStopping(m.Name) }
+	if c.node != nil && c.node.TransferLeadershipTo(now, stays) {
 		c.emit(Change{"leadership", c.settings.Self.Name, "", "stopping"})
 	}
 }
@@ -46,8 +50,8 @@
 		return false // whoever leads next may be told first
 	case c.node.Removed() || c.isNonVoter() && !c.node.HearsLeader(now):
 		return true
-	case !c.isNonVoter() && c.hasStandby(now):
-		return false // the leader is about to replace this member
+	case !c.isNonVoter() && (c.hasStandby(now) || len(c.node.Members())%2 == 0):
+		return false // its successor is to come, or is in and it is to be removed: its vote may be needed for that
 	}
 	return waited > limit.ElectMin || c.node.Role() != quorum.Leader
 }
--- a/limit/forward.go
+++ b/limit/forward.go
@@ -108,6 +108,9 @@
 	AimMinutes = 60
 	// HeaderMax bounds a caller's header in bytes.
 	HeaderMax = 32 << 10
+	// ServerHeaderMax is where reading a header ends, in bytes: over HeaderMax, so that a header that is
+	// too large is still answered.
+	ServerHeaderMax = 4 * HeaderMax
 	// RetryEarn and RetrySave, parts of the retry ratio: what each request earns at once, and what of
 	// the window before may be saved up. Together with rounding they stay under the whole.
 	RetryEarn = 0.85
@@ -145,6 +148,12 @@
 	// to those before it while there is pressure.
 	Ranks    = 4
 	RankRoom = 0.1
+	// FairSpan is the span over which a service's requests are counted by priority, long beside a
+	// burst; FairPart the part of the average that each priority is kept at: over a quarter, under
+	// which it would count as starved; FairLeast how many must have come for it to count.
+	FairSpan  = 5 * time.Second
+	FairPart  = 0.4
+	FairLeast = 4
 	// WaitPart of a route's aim is how long a request may wait for a target: a refusal after that
 	// is a late one. A route without an aim has WaitAim of its timeout in its place.
 	WaitPart = 4
--- a/limit/process.go
+++ b/limit/process.go
@@ -18,6 +18,8 @@
 	WireBuffer = 4 << 10
 	// EventQueue is how many events may wait for an owner.
 	EventQueue = 4096
+	// SyncBatches is how many batches of a member's disk are synced as one at the most.
+	SyncBatches = 64
 	// RingFiles and RingFileSize bound a member's disk: 3 files of 8 MiB.
 	RingFiles    = 3
 	RingFileSize = 8 << 20
@@ -43,8 +45,11 @@
 	SessionTargets = 4096
 	Sessions       = 16
 	SessionKept    = 2 * time.Minute
-	// DamageKept is how many findings of damage a status shows.
+	// CtlCall is how long the operators' command waits for one answer: over CallWait, so that a change
 	DamageKept = 8
+	// ends with the member's own word. CtlRetry is when it asks the next member where none leads.
+	CtlCall  = 10 * time.Second
+	CtlRetry = 200 * time.Millisecond
 	// EventsKept is how many target events a leader keeps for readers that resume.
 	EventsKept = 4096
 )
--- a/sim/process.go
+++ b/sim/process.go
@@ -55,6 +55,11 @@
 	slow     float64       // how many times longer it takes for everything, 0: as usual
 	doneAt   time.Duration // when a slow process has done all that came
 	attempts []*attempt
+	// pauseAfterStep is for how long the process is to stand still between the next step
+	// that tells others something and the telling, 0: not.
+	pauseAfterStep time.Duration
+	stoodAt        time.Duration // its own time when it was last frozen
+	wipedAt        time.Duration // when its disk was last lost, 0: never
 }
 
 func (w *World) addProc(kind, name string, domain int) {
@@ -147,6 +152,7 @@
 // WipeDisk loses a dead member's disk.
 func (w *World) WipeDisk(p *Proc) {
 	w.log("wipe disk of %s", p.name)
+	w.loseMajority(p)
 	p.disk = &disk{img: quorum.Image{Disk: w.rnd.Uint64() | 1}}
 }
 
@@ -163,7 +169,7 @@
 		return
 	}
 	w.log("freeze %s for %v", p.name, d)
-	p.frozen = true
+	p.frozen, p.stoodAt = true, p.local()
 	gen := p.gen
 	w.at(d, func() {
 		if p.gen == gen && p.alive {
@@ -186,6 +192,10 @@
 	}
 	p.thawed = nil
 	for _, ev := range held {
+		if w.sabotage == clockOfTheCall {
+			w.stepAt(p, ev, p.stoodAt)
+			continue
+		}
 		w.deliver(p, ev)
 	}
 }
@@ -199,6 +209,32 @@
 	}
 }
 
+// tellsOthers says whether a command tells anybody what was decided: an operator's answer,
+// or a table or lease for a proxy.
+func tellsOthers(cmd any) bool {
+	switch c := cmd.(type) {
+	case core.Reply:
+		return true
+	case core.Send:
+		return c.M.Push != nil
+	}
+	return false
+}
+
+// pauseBeforeCommands stops a process between a step and what the step says: all of it is
+// carried out when the process goes on, however late.
+func (w *World) pauseBeforeCommands(p *Proc, cmds []any) {
+	d := p.pauseAfterStep
+	p.pauseAfterStep = 0
+	w.Freeze(p, d)
+	w.Stats.LateCommands++
+	p.thawed = append(p.thawed, func() {
+		for _, c := range cmds {
+			w.exec(p, c)
+		}
+	})
+}
+
 func (w *World) exec(p *Proc, cmd any) {
 	gen := p.gen
 	switch c := cmd.(type) {
--- a/sim/scenes.go
+++ b/sim/scenes.go
@@ -32,7 +32,7 @@
 }
 
 // Scenes are all of them; what only HTTP can show (altered, foreign and cut answers)
-// is caused in package carry.
+// is caused in package forward.
 var Scenes = []Scene{
 	{Name: "twice", Rule: "ran twice", Threat: "back ends run an exchange and lose its answer, proxies die with it",
 		Kinds: []string{"service loses answers", "target loses answers", "gate killed"}, Times: 2,
@@ -102,6 +102,7 @@
 			}
 			w.acked, w.changes = 0, nil
 			clear(w.ackedAt)
+			w.history.Reset()
 			end := w.now + 15*time.Second
 			for w.Leader() == nil && w.now < end {
 				w.Run(w.now + 100*time.Millisecond)
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"myrtlefold/core"
+	"myrtlefold/history"
 	"myrtlefold/proxy"
 	"myrtlefold/wire"
 )
@@ -83,8 +84,8 @@
 	seeds        []string // whom a process that starts is told of
 	targets      []*Target
 	listen       map[string]*Target
-	cut          map[[2]string]bool
 	thin         map[string]*thinLink
+	cut          map[[2]string]bool
 	loss         float64
 	delay        time.Duration
 	nextEx       uint64
@@ -95,6 +96,7 @@
 	asks         map[uint64]*ask
 	nextAsk      uint64
 	changes      []*change
+	history      history.Log
 	acked        uint64
 	ackedAt      map[uint64]time.Duration
 	emptied      map[string]time.Duration
@@ -130,6 +132,7 @@
 	Back                                        time.Duration // from healing to full capacity
 	Lost, LostUnsafe, Foreign, NoAnswer         int           // answers lost, connections to another identity, callers whose proxy died
 	Leaves, Deaths, Empties, Slips, Stops       int
+	LateCommands                                int           // steps whose commands were carried out after a pause
 	Surplus, Strange                            int           // surplus answers that came on idle connections, and in place of an answer
 	Resets, Left, DiskEnds                      int           // answers lost with their connections, callers that left, processes whose disk failed
 	Replaced                                    int           // core machines gone for good, with a successor
