--- a/core/orders.go
+++ b/core/orders.go
@@ -1,5 +1,6 @@
 // This file keeps which orders have been taken, apart from their texts, so that an
 // order that is sent again long after it was taken is known.
+
 package core
 
 import (
--- a/quorum/fuzz_test.go
+++ b/quorum/fuzz_test.go
@@ -154,7 +154,7 @@
 func FuzzImage(f *testing.F) {
 	f.Add([]byte{}, uint8(0))
 	f.Add([]byte{1, 1, 2, 2, 3, 0, 1, 1}, uint8(2))
-	f.Fuzz(func(t *testing.T, b []byte, batches uint8) {
+	f.Fuzz(func(_ *testing.T, b []byte, batches uint8) {
 		s := &script{b}
 		im := Image{Epoch: 1, Disk: 1}
 		for range batches % 8 {
--- a/quorum/mutation_test.go
+++ b/quorum/mutation_test.go
@@ -52,7 +52,7 @@
 	{name: "commit before a majority", seed: 2, scenario: "diverged", walks: 3000, breaks: []string{explore.LeaderComplete, explore.CommittedKept},
 		faults: explore.Faults{AfterStep: (*quorum.Node).CommitOwn}},
 	{name: "votes for whoever lacks entries", seed: 8, scenario: "diverged", walks: 3000, breaks: []string{explore.LeaderComplete},
-		faults: explore.Faults{Deliver: func(n *quorum.Node, m *wire.Msg) {
+		faults: explore.Faults{Deliver: func(_ *quorum.Node, m *wire.Msg) {
 			if m.Vote != nil && !m.Vote.Reply {
 				m.Vote.LastTerm, m.Vote.LastIndex = m.Term, 1<<40
 			}
--- a/sim/history.go
+++ b/sim/history.go
@@ -1,5 +1,6 @@
 // This file records the operators' calls for the configuration and checks at a day's end
 // that they are linearizable; see package history.
+
 package sim
 
 import (
@@ -104,7 +105,7 @@
 	}
 }
 
-// CheckHistory: all that operators were told fits one order of events.
+// CheckHistory breaks a rule unless all that operators were told fits one order of events.
 func (w *World) CheckHistory() {
 	if err := w.history.Check(); err != nil && w.Fail == "" {
 		w.broken("history", "%v", err)
