mflab: a report without examples is a clean run, not a panic

Cause: the load generator's typed report leaves empty examples out, and the lab asserted that the field is there.

--- a/cmd/mflab/checks.go
+++ b/cmd/mflab/checks.go
@@ -101,7 +101,7 @@
 	fmt.Printf("\nseed %d, %s, faults: %s\n", seed, l.name, strings.Join(l.faults, ", "))
 	fmt.Printf("offered %d, served %d, refused %d, unknown %d, no answer %d, latency ms %v, latest to a leaving target %d ms\n",
 		num("offered"), num("served"), num("refused"), num("unknown"), num("no_answer"), rep["latency_ms"], num("latest_to_leaving_ms"))
-	for _, e := range rep["examples"].([]any) {
+	for _, e := range examplesOf(rep) {
 		fmt.Println("  e.g.", e)
 	}
 	for _, r := range []string{"runs twice", "refused but ran", "wrong answer", "another's answer", "wrong service", "leaving target", "cold rate", "come back when", "emptied domain",
@@ -120,3 +120,10 @@
 	}
 	return 0
 }
+
+// examplesOf are what the load generator noted for people; it leaves the field out if
+// there is nothing.
+func examplesOf(report map[string]any) []any {
+	examples, _ := report["examples"].([]any)
+	return examples
+}
