--- a/core/core.go
+++ b/core/core.go
@@ -25,12 +25,16 @@
 
 // Events.
 type (
-	Recv   struct{ M *wire.Msg }
-	Tick   struct{}
+	// Recv is a message from another daemon.
+	Recv struct{ M *wire.Msg }
+	// Tick says that time has moved on.
+	Tick struct{}
+	// Synced says that the batch of that number is on disk.
 	Synced struct{ Seq uint64 }
 	// DiskRefuses says that the disk takes no writes now, and why; nil: it does again.
 	DiskRefuses struct{ Err error }
-	Probed      struct {
+	// Probed is the outcome of a Probe.
+	Probed struct {
 		ID     wire.ID
 		SentAt time.Duration
 		Ms     float64
@@ -44,21 +48,26 @@
 		Method, Path, Query string
 		Body                []byte
 	}
+	// Stop asks the process to hand over what it has and to end.
 	Stop struct{}
 )
 
 // Commands.
 type (
+	// Send asks for a message to be sent to a daemon.
 	Send struct {
 		Addr string
 		M    *wire.Msg
 	}
-	Sync  struct{ B *wire.Batch }
+	// Sync asks for a batch to be written and synced, which Synced answers.
+	Sync struct{ B *wire.Batch }
+	// Probe asks a target for its health or identity, which Probed answers.
 	Probe struct {
 		ID   wire.ID
 		Addr string
 		Path string // of the service's health answer, "": the identity request
 	}
+	// Reply is the answer to the Ask of the same ID.
 	Reply struct {
 		ID     uint64
 		Status int
@@ -72,9 +81,11 @@
 	}
 	// Change is a change of state worth a line in the log.
 	Change struct{ What, From, To, Why string }
-	Exit   struct{}
+	// Exit says that the process may end.
+	Exit struct{}
 )
 
+// Settings are what a core daemon is told at its start.
 type Settings struct {
 	Self  wire.Daemon
 	Size  int      // how many members found the first core; 0: those that the seeds name
@@ -111,6 +122,7 @@
 	cfg *model.Config
 }
 
+// Core is the owner of a core daemon's state: a member or a standby of the core.
 type Core struct {
 	settings        Settings
 	image           quorum.Image
--- a/core/discovery.go
+++ b/core/discovery.go
@@ -43,7 +43,7 @@
 	stoppingState = "stopping" // it goes, and is to come back
 )
 
-// Book is a daemon's list of the others, by name.
+// Directory is a daemon's list of the others, by name.
 type Directory map[string]*Known
 
 // Meet merges what a hello says of the daemons: its sender is taken at its word,
--- a/core/leadership.go
+++ b/core/leadership.go
@@ -20,6 +20,7 @@
 // Lead is a member's standing as the one who decides.
 type Lead int
 
+// What a member may be doing as the one who decides.
 const (
 	Idle     Lead = iota
 	Adopting      // a refounded core gathers what others remember
@@ -29,7 +30,7 @@
 
 func (l Lead) String() string { return [...]string{"idle", "adopting", "warming", "deciding"}[l] }
 
-// Legacy is what someone remembers of an earlier epoch.
+// RecoveredState is what someone remembers of an earlier epoch.
 type RecoveredState struct {
 	Epoch uint64          `json:"epoch"`
 	Term  uint64          `json:"term"`
--- a/core/registry.go
+++ b/core/registry.go
@@ -16,7 +16,7 @@
 	"myrtlefold/wire"
 )
 
-// Place is a target in the agreed registry.
+// Registration is a target in the agreed registry.
 type Registration struct {
 	Service string `json:"s"`
 	Name    string `json:"n"`
@@ -29,9 +29,10 @@
 	Leaving bool   `json:"l,omitempty"`
 }
 
+// ID names the target's start.
 func (p Registration) ID() wire.ID { return wire.ID{Service: p.Service, Name: p.Name, Inc: p.Inc} }
 
-// Mark is what is remembered of a target without a place: that it was leaving when it
+// Tombstone is what is remembered of a target without a registration: that it was leaving when it
 // fell silent, or, Gone, that it signed off or was superseded.
 type Tombstone struct {
 	Service string `json:"s"`
@@ -40,6 +41,7 @@
 	Gone    bool   `json:"g,omitempty"`
 }
 
+// ID names the target's start.
 func (m Tombstone) ID() wire.ID { return wire.ID{Service: m.Service, Name: m.Name, Inc: m.Inc} }
 
 // registry is a batch of changes.
--- a/core/state.go
+++ b/core/state.go
@@ -17,7 +17,7 @@
 	"myrtlefold/wire"
 )
 
-// Gate is a proxy's place in the durable roster.
+// RosterEntry is a proxy's place in the durable roster.
 type RosterEntry struct {
 	Name   string `json:"name"`
 	Addr   string `json:"addr"`
--- a/core/status.go
+++ b/core/status.go
@@ -29,6 +29,7 @@
 	return slices.Sorted(maps.Keys(m))
 }
 
+// TargetView is what operators read of a target.
 type TargetView struct {
 	wire.Target
 	Bar    string  `json:"bar,omitempty"`
@@ -80,6 +81,7 @@
 	return l
 }
 
+// DaemonView is what operators read of a daemon.
 type DaemonView struct {
 	wire.Daemon
 	Roster  bool    `json:"in_roster"`
@@ -115,6 +117,7 @@
 	return l
 }
 
+// StatusView is what operators read of a core daemon and of the core as it knows it.
 type StatusView struct {
 	// Current says that this member decides at this moment, so that the agreed part of the
 	// view is the latest there is. Any other member's view may be old.
--- a/core/target.go
+++ b/core/target.go
@@ -15,12 +15,13 @@
 	"myrtlefold/wire"
 )
 
-// Voice is how a target's words come: its beats without a gap.
+// HeartbeatStreak is how a target's heartbeats come: how many there were without a gap, and since when.
 type HeartbeatStreak struct {
 	beats       int
 	first, last time.Duration
 }
 
+// Hear counts a heartbeat; one that comes after a gap begins a new streak.
 func (v *HeartbeatStreak) Hear(now time.Duration) {
 	if v.beats == 0 || now-v.last > limit.BeatLapse {
 		v.beats, v.first = 0, now
--- a/quorum/disk.go
+++ b/quorum/disk.go
@@ -50,7 +50,7 @@
 	n.advance(now)
 }
 
-// Stalled says that the disk has kept a sync waiting for too long.
+// DiskStalled says that the disk has kept a sync waiting for too long.
 func (n *Node) DiskStalled(now time.Duration) bool {
 	return len(n.unsyncedBatches) > 0 && now-n.unsyncedBatches[0].at > limit.SyncStall
 }
@@ -67,7 +67,7 @@
 	n.out.Send = append(n.out.Send, m)
 }
 
-// Keep syncs a batch that changes nothing for the node itself, and numbers it.
+// SyncBatch syncs a batch that changes nothing for the node itself, and numbers it.
 func (n *Node) SyncBatch(now time.Duration, b *wire.Batch) (seq uint64) {
 	n.syncBatch(now, b)
 	return n.seq
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -67,12 +67,12 @@
 	}
 }
 
-// leave says that every member has given leave to stand at once.
+// unanimousConsent says that every member has given leave to stand at once.
 func (n *Node) unanimousConsent() bool {
 	return !slices.ContainsFunc(n.electorate, func(m wire.Member) bool { return !n.consents[m.Name] })
 }
 
-// Yield gives leadership up and asks the best peer to stand at once.
+// TransferLeadership gives leadership up and asks the best peer to stand at once.
 func (n *Node) TransferLeadership(now time.Duration) bool {
 	return n.TransferLeadershipTo(now, func(wire.Member) bool { return true })
 }
--- a/quorum/member.go
+++ b/quorum/member.go
@@ -14,6 +14,7 @@
 	"myrtlefold/wire"
 )
 
+// Members is the latest list in the log, agreed or not, with the places that nobody has taken.
 func (n *Node) Members() []wire.Member { return slices.Clone(n.members) }
 
 // membersOf reads an entry of kind EntryMembers. One from disk has been checked before, see
@@ -63,19 +64,19 @@
 	}
 }
 
-// Learn has the leader keep m up to date without a vote.
+// AddLearner has the leader keep m up to date without a vote.
 func (n *Node) AddLearner(m wire.Member) {
 	if p := n.peers[m.Name]; n.role == Leader && (p == nil || p.member != m) && !n.isVoterName(m.Name) {
 		n.peers[m.Name] = &peer{member: m, next: n.last() + 1, acked: -1 << 62}
 	}
 }
 
-// Release stops keeping those without a vote up to date that are not to be kept.
+// RetainLearners stops keeping those without a vote up to date that are not to be kept.
 func (n *Node) RetainLearners(keep func(wire.Member) bool) {
 	maps.DeleteFunc(n.peers, func(_ string, p *peer) bool { return !p.voter && !keep(p.member) })
 }
 
-// Answers says that a member, or one that learns, has answered lately.
+// RecentlyActive says that a member, or one that learns, has answered lately.
 func (n *Node) RecentlyActive(now time.Duration, m wire.Member) bool {
 	p := n.peers[m.Name]
 	return m == n.self || p != nil && p.member == m && now-p.acked < limit.LeaderLease
@@ -111,13 +112,13 @@
 	return slices.ContainsFunc(n.log, func(e wire.Entry) bool { return e.Kind == EntryMembers && e.Index > n.commit })
 }
 
-// Settled says that no change of members is under way and that the leader has
+// CanChangeMembers says that no change of members is under way and that the leader has
 // agreed an entry of its own term, so that a change may be proposed.
 func (n *Node) CanChangeMembers() bool {
 	return n.role == Leader && n.commit >= n.termStart && !n.membersUncommitted()
 }
 
-// Change proposes a member list that differs from the present one by one.
+// ProposeMembers proposes a member list that differs from the present one by one.
 func (n *Node) ProposeMembers(now time.Duration, ms []wire.Member) {
 	d := 0
 	for _, m := range ms {
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -25,8 +25,10 @@
 	"myrtlefold/wire"
 )
 
+// Role is what a node is in its term.
 type Role int
 
+// The roles of a node.
 const (
 	Follower     Role = iota
 	PreCandidate      // a pre-vote is out
@@ -52,6 +54,8 @@
 	Refused []Refusal
 }
 
+// Node is one member of the agreement, or one that learns. It has no clock and does no I/O: what
+// a step left to do is in its Out.
 type Node struct {
 	self            wire.Member
 	epoch           uint64
@@ -100,18 +104,25 @@
 	return n
 }
 
+// Epoch is the core's epoch: one from each bootstrap on.
 func (n *Node) Epoch() uint64 { return n.epoch }
 
+// Term is the latest term that the node knows.
 func (n *Node) Term() uint64 { return n.term }
 
+// Role is the node's role in that term.
 func (n *Node) Role() Role { return n.role }
 
+// Leader names the leader that the node follows or is, "" if it knows none.
 func (n *Node) Leader() string { return n.leader }
 
+// Commit is the index of the last entry that the node knows to be agreed.
 func (n *Node) Commit() uint64 { return n.commit }
 
+// Last is the index of the last entry of the node's log.
 func (n *Node) Last() uint64 { return n.last() }
 
+// Since is when the node last took a role, by its own clock.
 func (n *Node) Since() time.Duration { return n.since }
 
 // NobodyLedSince says, of a leader, that nobody else has decided since a term in which it led. Who
@@ -165,12 +176,12 @@
 	}
 }
 
-// Led says whether a leader is heard, or is this node.
+// HearsLeader says whether a leader is heard, or is this node.
 func (n *Node) HearsLeader(now time.Duration) bool {
 	return n.role == Leader || n.leader != "" && now-n.leaderHeardAt < 3*limit.ElectMin
 }
 
-// Leads says whether this node may decide now.
+// HasLease says whether this node may decide now.
 func (n *Node) HasLease(now time.Duration) bool {
 	return n.role == Leader && n.commit >= n.termStart && !n.DiskStalled(now) && n.majorityAckedAt(now) > now-limit.LeaderLease
 }
--- a/quorum/replication.go
+++ b/quorum/replication.go
@@ -104,7 +104,7 @@
 	return b
 }
 
-// Open is how much has been proposed and is not agreed yet.
+// UncommittedBytes is how much has been proposed and is not agreed yet.
 func (n *Node) UncommittedBytes() int { return n.entryBytes(n.commit, n.last()) }
 
 // replicate sends each peer what it may be sent now; a heartbeat goes to all of them.
--- a/quorum/snapshot.go
+++ b/quorum/snapshot.go
@@ -10,9 +10,10 @@
 	"myrtlefold/wire"
 )
 
+// Snap is the latest snapshot, which the log goes on from. It must not be changed.
 func (n *Node) Snap() *wire.Snap { return &n.snap }
 
-// Full says that a snapshot is due.
+// SnapshotDue says that a snapshot is due.
 func (n *Node) SnapshotDue() bool {
 	return n.applied > n.snap.Index && (len(n.log) > limit.LogMax || n.entryBytes(n.snap.Index, n.applied) > limit.LogBytes)
 }
