Simulated full disks refuse writes and are retried, as host.Disk does

Cause: the simulator still ended a core daemon whose disk was full and started it again after a second.

A full disk now refuses what waits for it, the core gets core.DiskRefuses, and the write is tried every limit.DiskRetry until there is room; what comes meanwhile waits behind it. A write under way when the disk becomes full, and one that follows a stall, are refused as well; before, they still got through. Stats.DiskEnds becomes Stats.DiskRefusals. mayHurtCore counts a member whose disk refuses as lost, as it counts a stalled one and counted an ended one.

TestFullDisk as strict as before (refusals seen, three revisions acknowledged, the member has them afterwards), and more: the process must not end, nothing may reach its disk meanwhile, and writes are tried no more often than DiskRetry.

Ruled out: dropping on a kill what waits for a full disk. Part of a refused write may be on the disk, so Kill goes on to draw how much of it is there.

--- a/sim/faults.go
+++ b/sim/faults.go
@@ -51,7 +51,7 @@
 		if p.kind != "core" {
 			continue
 		}
-		if !p.alive || p.frozen || p.disk.stalled || w.now-p.since < w.lossPause() {
+		if !p.alive || p.frozen || p.disk.stalled || p.disk.full || p.disk.refusing || w.now-p.since < w.lossPause() {
 			return nil // one at a time: the others are the majority
 		}
 		up = append(up, p)
--- a/sim/process.go
+++ b/sim/process.go
@@ -17,12 +17,13 @@
 )
 
 type disk struct {
-	img     quorum.Image
-	open    []*wire.Batch
-	stalled bool
-	slow    int  // how many times longer a sync takes, 0: as usual
-	syncing bool // a slow sync is under way
-	full    bool // it takes no more bytes
+	img      quorum.Image
+	open     []*wire.Batch
+	stalled  bool
+	slow     int  // how many times longer a sync takes, 0: as usual
+	syncing  bool // a slow sync is under way
+	full     bool // it takes no more bytes
+	refusing bool // a write was refused and is tried again
 }
 
 // Proc is one daemon's process; gen counts its starts.
@@ -84,6 +85,7 @@
 	p.rate = w.rate()
 	p.pool, p.live, p.rev = map[wire.ID][]*connection{}, nil, 0
 	p.slow, p.doneAt, p.attempts, p.disk.syncing = 0, 0, nil, false
+	p.disk.refusing = false
 	var seeds []string
 	set := core.Settings{Size: w.Plan.Cores, CatchUp: w.Plan.CatchUp, Losses: w.Plan.Losses, Grace: stopGrace}
 	if w.Plan.Seeds > 0 {
@@ -331,7 +333,11 @@
 }
 
 func (w *World) flush(p *Proc, gen int, d *disk) {
-	if p.gen != gen || !p.alive || d != p.disk || d.stalled || len(d.open) == 0 {
+	if p.gen != gen || !p.alive || d != p.disk || d.stalled || d.refusing || len(d.open) == 0 {
+		return
+	}
+	if d.full {
+		w.refuseWrite(p, gen, d)
 		return
 	}
 	var seq uint64
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -134,7 +134,7 @@
 	Leaves, Deaths, Empties, Slips, Stops       int
 	LateCommands                                int           // steps whose commands were carried out after a pause
 	Surplus, Strange                            int           // surplus answers that came on idle connections, and in place of an answer
-	Resets, Left, DiskEnds                      int           // answers lost with their connections, callers that left, processes whose disk failed
+	Resets, Left, DiskRefusals                  int           // answers lost with their connections, callers that left, writes that a full disk refused
 	Replaced                                    int           // core machines gone for good, with a successor
 	Gap                                         time.Duration // longest time without a served request of some service
 }
--- a/sim/slow.go
+++ b/sim/slow.go
@@ -5,14 +5,19 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"myrtlefold/core"
+	"myrtlefold/limit"
 )
 
 // slowShare is the part of a processor that a machine has in the users' deployments: what a
 // slowed process takes for an event is costEvent over it, times its slowness.
 const slowShare = 0.32
 
-// restartAfter is when the platform starts a process again that ended by itself.
-const restartAfter = time.Second
+// errDiskFull is why a full disk refuses a write.
+var errDiskFull = errors.New("no space left on device")
 
 // slowDown has a process take x times as long for everything, for a while.
 func (w *World) slowDown(p *Proc, x float64, d time.Duration) {
@@ -50,7 +55,7 @@
 	w.at(d, func() { dk.slow = 0 })
 }
 
-// fillDisk has a disk take no more bytes for a while. A daemon whose disk fails ends.
+// fillDisk has a disk refuse all writes for a while.
 func (w *World) fillDisk(p *Proc, d time.Duration) {
 	w.log("disk of %s is full for %v", p.name, d)
 	dk := p.disk
@@ -58,11 +63,11 @@
 	w.at(d, func() { dk.full = false })
 }
 
-// sync carries out what a process wants on its disk.
+// sync carries out what a process wants on its disk. What comes while a write is refused
+// waits behind it.
 func (w *World) sync(p *Proc, gen int, d *disk) {
 	switch {
-	case d.full:
-		w.at(w.ms(0, 4), func() { w.diskFails(p, gen) })
+	case d.refusing:
 	case d.slow > 0 || d.syncing:
 		w.syncSlowly(p, gen, d)
 	default:
@@ -79,7 +84,11 @@
 	n := len(d.open)
 	w.at(w.ms(0, 4*max(1, d.slow)), func() {
 		d.syncing = false
-		if p.gen != gen || !p.alive || d != p.disk || d.stalled || len(d.open) == 0 {
+		if p.gen != gen || !p.alive || d != p.disk || d.stalled || d.refusing || len(d.open) == 0 {
+			return
+		}
+		if d.full {
+			w.refuseWrite(p, gen, d)
 			return
 		}
 		rest := d.open[min(n, len(d.open)):]
@@ -91,15 +100,32 @@
 	})
 }
 
-// diskFails ends a process whose disk takes nothing; the platform starts it again.
-func (w *World) diskFails(p *Proc, gen int) {
-	if p.gen != gen || !p.alive {
-		return
+// refuseWrite refuses what waits for a disk. As host.Disk does, the process learns why,
+// acknowledges nothing meanwhile and tries again every limit.DiskRetry.
+func (w *World) refuseWrite(p *Proc, gen int, d *disk) {
+	w.Stats.DiskRefusals++
+	w.at(limit.DiskRetry, func() { w.retryWrite(p, gen, d) })
+	if !d.refusing {
+		d.refusing = true
+		w.log("disk of %s refuses writes", p.name)
+		w.deliver(p, core.DiskRefuses{Err: errDiskFull})
+	}
+}
+
+// retryWrite tries a refused write again; a process that stands still tries when it goes on.
+func (w *World) retryWrite(p *Proc, gen int, d *disk) {
+	switch {
+	case p.gen != gen || !p.alive || d != p.disk:
+	case p.frozen || d.stalled:
+		w.at(limit.DiskRetry, func() { w.retryWrite(p, gen, d) })
+	case d.full:
+		w.refuseWrite(p, gen, d)
+	default:
+		w.log("disk of %s takes writes again", p.name)
+		d.refusing = false
+		w.deliver(p, core.DiskRefuses{})
+		w.sync(p, gen, d)
 	}
-	w.log("%s ends: its disk is full", p.name)
-	w.Stats.DiskEnds++
-	w.Kill(p)
-	w.at(restartAfter, func() { w.Restart(p) })
 }
 
 // step has a process handle one event.
--- a/sim/trouble_test.go
+++ b/sim/trouble_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"myrtlefold/limit"
 )
 
 // Random days hold at any size of the core, also where it bears no loss.
@@ -18,13 +20,14 @@
 	}
 }
 
-// A member whose disk is full ends and is started again until there is room; a change is
-// acknowledged meanwhile, and it has it when it is back.
+// A member whose disk is full does not end and tries its writes again until there is room;
+// changes are acknowledged meanwhile, nothing is written there, and it has them soon after.
 func TestFullDisk(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(4) {
 		w := Start(seed+1, Small)
 		p := w.procs[w.all("core")[seed%3]] // the leader among them
+		started, written := p.gen, len(p.disk.img.Log)
 		w.fillDisk(p, 6*time.Second)
 		for n := range 3 {
 			if l := w.Leader(); l != nil {
@@ -33,11 +36,20 @@
 			w.Run(w.now + 1500*time.Millisecond)
 		}
 		check(t, w)
-		if w.Stats.DiskEnds == 0 || w.acked < 3 {
-			t.Fatalf("seed %d: its disk failed %d times, revision %d acknowledged\n%s", w.Seed, w.Stats.DiskEnds, w.acked, w.Trace(30))
+		if w.Stats.DiskRefusals == 0 || w.acked < 3 {
+			t.Fatalf("seed %d: its disk refused %d writes, revision %d acknowledged\n%s", w.Seed, w.Stats.DiskRefusals, w.acked, w.Trace(30))
+		}
+		if most := int(6*time.Second/limit.DiskRetry) + 1; w.Stats.DiskRefusals > most {
+			t.Errorf("seed %d: %d writes were refused, one each %v makes %d", w.Seed, w.Stats.DiskRefusals, limit.DiskRetry, most)
+		}
+		if len(p.disk.img.Log) != written {
+			t.Errorf("seed %d: the full disk of %s took writes", w.Seed, p.name)
 		}
 		w.Run(w.now + 6*time.Second)
 		check(t, w)
+		if p.gen != started {
+			t.Errorf("seed %d: %s ended\n%s", w.Seed, p.name, w.Trace(30))
+		}
 		if !p.alive || p.core.Revision() < w.acked {
 			t.Errorf("seed %d: %s is not back\n%s", w.Seed, p.name, w.Trace(30))
 		}
