--- /dev/null
+++ b/sim/bulk_orders_test.go
@@ -0,0 +1,90 @@
+package sim
+
+import (
+	"testing"
+	"time"
+
+	"myrtlefold/core"
+)
+
+// Days of orders in bulk hold: their history is one that a register could have, the faults
+// happen, and the number of orders stays within the bound that keeps the check fast.
+func TestDaysOfBulkOrders(t *testing.T) {
+	t.Parallel()
+	var kinds []Fault
+	for _, name := range []string{"storm of changes", "answers to changes lost", "eight orders at once", "leader killed", "leader frozen"} {
+		f, found := ByName(name)
+		if !found {
+			t.Fatalf("no fault %q", name)
+		}
+		kinds = append(kinds, f)
+	}
+	lost := 0
+	for seed := range uint64(6) {
+		w := Day(500+seed, Small, kinds, 12, 25*time.Second)
+		check(t, w)
+		lost += w.Stats.LostAnswers
+		if w.bulkOrders == 0 || w.bulkOrders > mostBulkOrders {
+			t.Errorf("seed %d: %d orders in bulk, of at most %d", w.Seed, w.bulkOrders, mostBulkOrders)
+		}
+		began := time.Now()
+		w.CheckHistory()
+		if took := time.Since(began); took > 5*time.Second {
+			t.Errorf("seed %d: the check of %d calls took %v", w.Seed, w.history.Len(), took)
+		}
+	}
+	if lost == 0 {
+		t.Error("no answer was lost")
+	}
+}
+
+// An order whose answers are lost is acknowledged once one gets through, as one change.
+func TestLostAnswersAreSentAgain(t *testing.T) {
+	t.Parallel()
+	w := Start(41, Small)
+	before := w.Revision()
+	w.loseAnswers(4 * time.Second)
+	w.Run(w.now + 8*time.Second)
+	check(t, w)
+	if w.Stats.LostAnswers < w.bulkOrders {
+		t.Errorf("%d answers of %d orders were lost", w.Stats.LostAnswers, w.bulkOrders)
+	}
+	for _, c := range w.changes {
+		if c.state == "open" {
+			t.Errorf("%s on %d was never answered", c.token, c.base)
+		}
+	}
+	if w.Stats.Accepted-1 != int(w.Revision()-before) {
+		t.Errorf("%d orders were accepted, and the revision went from %d to %d", w.Stats.Accepted-1, before, w.Revision())
+	}
+	w.Finish()
+	check(t, w)
+}
+
+// Lost answers show a core that refuses an order which it has taken when it is sent again.
+func TestLostAnswersShowRefusedRepetition(t *testing.T) {
+	t.Parallel()
+	w := Start(42, Small)
+	w.sabotage = repetitionRefused
+	w.loseAnswers(4 * time.Second)
+	w.Run(w.now + 8*time.Second)
+	w.CheckHistory()
+	if w.Fail == "" {
+		t.Error("no rule was broken")
+	}
+	t.Log(w.Fail)
+}
+
+// A refusal is clear, but for 'not now' in answer to a repetition.
+func TestRefusalOfRepetition(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		repetitions, status int
+		open                bool
+	}{{0, 503, false}, {1, 503, true}, {1, 412, false}, {1, 409, false}, {0, 412, false}} {
+		order := &operatorOrder{repetitions: c.repetitions}
+		if order.leavesOpen(core.Reply{Status: c.status}) != c.open {
+			t.Errorf("%d after %d repetitions: open %v, want %v", c.status, c.repetitions, !c.open, c.open)
+		}
+	}
+}
--- a/sim/day.go
+++ b/sim/day.go
@@ -85,6 +85,7 @@
 			}
 		})
 	}
+	w.answersLostUntil = 0
 	w.loss, w.delay, w.late = 0, time.Millisecond, 0
 	for _, n := range w.names {
 		p := w.procs[n]
--- a/sim/faults_operator.go
+++ b/sim/faults_operator.go
@@ -154,6 +154,9 @@
 		w.Change(p, "POST", "/v1/domains/"+dom+"/empty", "", nil, &change{what: "empty " + dom, empty: dom})
 		w.at(w.ms(3000, 8000), func() { w.restore(dom) })
 	}},
+	{"storm of changes", func(w *World) { w.ordersInARow(stormEvery, w.ms(2000, 6000)) }},
+	{"answers to changes lost", func(w *World) { w.loseAnswers(w.ms(2000, 6000)) }},
+	{"eight orders at once", func(w *World) { w.ordersTogether() }},
 }
 
 // restore is asked for until it is granted.
--- a/sim/history.go
+++ b/sim/history.go
@@ -128,13 +128,13 @@
 		return
 	}
 	p.wipedAt = w.now
-	wiped, cores := 0, w.all("core")
-	for _, n := range cores {
-		if o := w.procs[n]; o.wipedAt > 0 && w.now-o.wipedAt < wipeSpan {
+	wiped, cores := 0, len(w.all("core"))
+	for _, o := range w.procs { // those that were replaced are not among the names any more
+		if o.kind == "core" && o.wipedAt > 0 && w.now-o.wipedAt < wipeSpan {
 			wiped++
 		}
 	}
-	if 2*wiped >= len(cores) {
+	if 2*wiped >= cores {
 		w.history.Lose(w.acked)
 	}
 }
--- a/sim/operator.go
+++ b/sim/operator.go
@@ -30,7 +30,8 @@
 	fn func(core.Reply)
 }
 
-func (w *World) call(p *Proc, method, path, query string, body []byte, token string, fn func(core.Reply)) {
+// call sends a call to a member; the answer goes to fn, and its arrival is the ask's.
+func (w *World) call(p *Proc, method, path, query string, body []byte, token string, fn func(core.Reply)) *ask {
 	w.nextAsk++
 	id := w.nextAsk
 	recorded := w.record(method, path, query, body, token)
@@ -41,7 +42,8 @@
 		recorded(r)
 		fn(r)
 	}
-	w.asks[id] = &ask{answered}
+	sent := &ask{answered}
+	w.asks[id] = sent
 	late := 2
 	if w.sabotage == "base" {
 		late = 60
@@ -57,6 +59,7 @@
 		}
 		w.deliver(p, call)
 	})
+	return sent
 }
 
 // Doc is a configuration that tells its revisions apart by n.
@@ -104,7 +107,8 @@
 	if strings.HasSuffix(path, "/restore") {
 		delete(w.emptied, c.empty) // from the asking on, requests may go there again
 	}
-	w.call(p, method, path, query, body, c.token, func(r core.Reply) {
+	order := &operatorOrder{method: method, path: path, query: query, body: body, token: c.token}
+	w.sendOrder(p, order, func(r core.Reply) {
 		switch {
 		case r.Status == 200:
 			var v struct {
@@ -130,7 +134,7 @@
 				w.emptied[c.empty] = w.now
 				w.Stats.Empties++
 			}
-		case r.Status == 504:
+		case r.Status == 504 || order.leavesOpen(r):
 			c.state = "unknown"
 			w.Stats.UnknownChanges++
 		default:
--- a/sim/replacement.go
+++ b/sim/replacement.go
@@ -81,8 +81,9 @@
 	then()
 }
 
-// forgetProc removes a machine that never comes back.
+// forgetProc removes a machine that never comes back; to the history its disk is lost.
 func (w *World) forgetProc(old *Proc) {
+	w.loseMajority(old)
 	old.gone = true
 	w.names = slices.DeleteFunc(w.names, func(n string) bool { return n == old.name })
 }
--- a/sim/replacement_test.go
+++ b/sim/replacement_test.go
@@ -296,3 +296,22 @@
 	}
 	t.Logf("%d machines were replaced", replaced)
 }
+
+// A machine that is replaced for good takes its disk along: to the history, two of three
+// within wipeSpan are a majority's disks lost, and one is not.
+func TestReplacementLosesDisk(t *testing.T) {
+	t.Parallel()
+	w := Start(31, open(3, 3))
+	unacknowledged := w.acked + 1
+	w.history.Reset()
+	w.history.Read(w.now).Return(w.now, unacknowledged, "")
+	for i, left := range []int{1, 0} {
+		w.ReplaceCore(w.procs[w.all("core")[0]], false, time.Second, func(time.Duration) {})
+		if w.history.Len() != left {
+			t.Errorf("after %d replaced machines the history holds %d reads of what may be lost, not %d", i+1, w.history.Len(), left)
+		}
+		w.Run(w.now + 10*time.Second)
+		w.history.Reset()
+		w.history.Read(w.now).Return(w.now, w.acked+1, "")
+	}
+}
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -72,51 +72,53 @@
 
 // World is one run.
 type World struct {
-	Plan         Plan
-	Seed         uint64
-	rnd          *rand.Rand
-	now          time.Duration
-	seq          uint64
-	q            events
-	procs        map[string]*Proc
-	byAddr       map[string]*Proc
-	names        []string
-	seeds        []string // whom a process that starts is told of
-	targets      []*Target
-	listen       map[string]*Target
-	thin         map[string]*thinLink
-	cut          map[[2]string]bool
-	loss         float64
-	delay        time.Duration
-	nextEx       uint64
-	open         map[uint64]*request
-	link         map[[2]string]time.Duration
-	resets       map[[2]string]linkReset
-	nextInc      uint64
-	asks         map[uint64]*ask
-	nextAsk      uint64
-	changes      []*change
-	history      history.Log
-	acked        uint64
-	ackedAt      map[uint64]time.Duration
-	emptied      map[string]time.Duration
-	sends        map[string][]tick
-	trace        []string
-	Fail         string
-	Stats        Stats
-	quiet        bool // no more callers
-	okAt         []time.Duration
-	hashed       uint64
-	late         float64 // part of messages that come seconds late and out of order
-	lostLead     time.Duration
-	removing     bool          // one service at a time is taken away
-	swapping     bool          // one member at a time is swapped
-	replaced     int           // core machines that were replaced for good
-	replacing    int           // of these, whose successor has not started, or who has not stopped
-	coreCutUntil time.Duration // until when core machines are cut off from each other
-	planned      bool          // only planned work is done: nothing may be lost
-	sabotage     string
-	lastOk       map[string]time.Duration
+	Plan             Plan
+	Seed             uint64
+	rnd              *rand.Rand
+	now              time.Duration
+	seq              uint64
+	q                events
+	procs            map[string]*Proc
+	byAddr           map[string]*Proc
+	names            []string
+	seeds            []string // whom a process that starts is told of
+	targets          []*Target
+	listen           map[string]*Target
+	thin             map[string]*thinLink
+	cut              map[[2]string]bool
+	loss             float64
+	delay            time.Duration
+	nextEx           uint64
+	open             map[uint64]*request
+	link             map[[2]string]time.Duration
+	resets           map[[2]string]linkReset
+	nextInc          uint64
+	asks             map[uint64]*ask
+	nextAsk          uint64
+	changes          []*change
+	history          history.Log
+	bulkOrders       int           // operators' orders in bulk so far
+	answersLostUntil time.Duration // until when most answers to operators' changes are lost
+	acked            uint64
+	ackedAt          map[uint64]time.Duration
+	emptied          map[string]time.Duration
+	sends            map[string][]tick
+	trace            []string
+	Fail             string
+	Stats            Stats
+	quiet            bool // no more callers
+	okAt             []time.Duration
+	hashed           uint64
+	late             float64 // part of messages that come seconds late and out of order
+	lostLead         time.Duration
+	removing         bool          // one service at a time is taken away
+	swapping         bool          // one member at a time is swapped
+	replaced         int           // core machines that were replaced for good
+	replacing        int           // of these, whose successor has not started, or who has not stopped
+	coreCutUntil     time.Duration // until when core machines are cut off from each other
+	planned          bool          // only planned work is done: nothing may be lost
+	sabotage         string
+	lastOk           map[string]time.Duration
 }
 
 // Stats are what a run saw, for reports.
@@ -135,6 +137,7 @@
 	LateCommands                                int           // steps whose commands were carried out after a pause
 	Surplus, Strange                            int           // surplus answers that came on idle connections, and in place of an answer
 	Resets, Left, DiskRefusals                  int           // answers lost with their connections, callers that left, writes that a full disk refused
+	LostAnswers                                 int           // answers to operators' changes that were lost, each sent again
 	Replaced                                    int           // core machines gone for good, with a successor
 	Gap                                         time.Duration // longest time without a served request of some service
 }
