A proxy refuses an unsound table and keeps the one it has

Cause: Proxy.take panicked when the configuration in a table did not decompress, decode or validate. A proxy that is restarted gets the same table again and ends again, so one unsound document would have taken down every proxy that a leader told of it.

Ruled out: serving on under a lease for the refused table. The pull goes on naming the earlier table, so nothing is confirmed, and the lease test compares the leader's key with the one held here. A proxy whose peers have the later table finds them ahead and is isolated, as before. Taking the targets without the configuration was ruled out too: a table is used whole.

Conclusion: an unsound document is loud and stops the change, not the proxy.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -231,6 +231,7 @@
 // Counts are the owner's counters.
 type Counts struct {
 	Admitted, Refused, Busy, NoTarget, NotServing, Retries, RetriesDenied, Waited, Tables, StaleTables, StaleChoices, OwnBars, Shunned uint64
+	UnsoundTables                                                                                                                      uint64 // tables refused because their configuration could not be read
 	NoRoute, Dealt, Borrowed, ToCold, ColdWaits, Full, TooLate, Overtaken, LowRank, OnceKept, OtherShare                               uint64
 }
 
@@ -257,6 +258,7 @@
 	memoryToldAt map[string]time.Duration // when core daemons were last told what is remembered here, by name and process
 	cfg          *model.Config
 	revision     uint64
+	unsound      unsoundDocument // the one reported last
 	targets      map[wire.ID]*target
 	alive        []string // proxies that share caps, and all of the roster
 	listed       []string
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -11,7 +11,6 @@
 	"myrtlefold/core"
 	"myrtlefold/limit"
 	"myrtlefold/model"
-	"myrtlefold/policy"
 	"myrtlefold/wire"
 )
 
@@ -110,15 +109,10 @@
 		return false // said to an earlier process of this name, or long ago: the next pull asks for all
 	}
 	if g.table == nil || g.table.Key.Epoch != t.Key.Epoch || t.Revision != g.revision || len(g.cfg.Services) == 0 {
-		var cfg *model.Config
-		var faults []model.Fault
-		doc, err := wire.Decompress(t.Doc)
-		if err == nil {
-			cfg, faults, err = policy.CheckConfig(doc)
-		}
-		if err != nil || len(faults) > 0 {
-			// Only a checked document is ever agreed; a proxy that can't read one must not serve on.
-			panic(fmt.Sprintf("table %v holds an unsound configuration: %v %v", t.Key, err, faults))
+		cfg, err := readConfig(t)
+		if err != nil {
+			g.refuseTable(t, err)
+			return false
 		}
 		if t.Revision != g.revision {
 			g.emit(core.Change{What: "revision", From: fmt.Sprint(g.revision), To: fmt.Sprint(t.Revision), Why: fmt.Sprintf("table %v", t.Key)})
--- /dev/null
+++ b/proxy/unsound.go
@@ -0,0 +1,47 @@
+// This file refuses a table whose configuration can't be read. The proxy goes on with the table
+// that it has: it neither confirms the unsound one nor gets a lease for it, so a leader can't
+// call that configuration in force here.
+
+package proxy
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"myrtlefold/core"
+	"myrtlefold/model"
+	"myrtlefold/policy"
+	"myrtlefold/wire"
+)
+
+// unsoundDocument identifies a configuration that was refused.
+type unsoundDocument struct{ epoch, revision uint64 }
+
+// readConfig reads the configuration of a whole table. The error says why it can't be put in force.
+func readConfig(t *wire.Table) (*model.Config, error) {
+	doc, err := wire.Decompress(t.Doc)
+	if err != nil {
+		return nil, errors.Wrap(err, "configuration not decompressed")
+	}
+	cfg, faults, err := policy.CheckConfig(doc)
+	if err != nil {
+		return nil, errors.Wrap(err, "configuration not decoded")
+	}
+	if len(faults) > 0 {
+		return nil, errors.Newf("configuration invalid: %v", faults)
+	}
+	return cfg, nil
+}
+
+// refuseTable counts an unsound table and reports its configuration once, however often the
+// leader sends it.
+func (g *Proxy) refuseTable(t *wire.Table, err error) {
+	g.Counts.UnsoundTables++
+	document := unsoundDocument{t.Key.Epoch, t.Revision}
+	if document == g.unsound {
+		return
+	}
+	g.unsound = document
+	g.emit(core.Change{What: "damage", From: fmt.Sprintf("table %v, revision %d", t.Key, t.Revision), Why: err.Error()})
+}
