A core that can't decode agreed data abstains and does not end

All members get the same data, and a restarted one gets it again, so the core would have ended again and again.

A leader hands over. A request to stand at once is declined. At the next start CheckImage finds the disk damaged and the present mechanism begins it anew under another number.

Ruled out: abstaining without handing over (with one of three members down nobody led, since a leader that is not ticked still refuses pre-votes); handing over without declining (three members that all can't decode passed leadership around: term 2999, 20 s after 999); learning again within the running process, which needs a new disk number from the shell.

Before: TestUndecodableEndsLeading ended in a panic. After: it, TestUndecodableLeaderHandsOver and TestUndecodableByAll pass; each fails with its part of the mechanism taken out.

Conclusion: no panic loop. Not solved: if no member can decode, each one's disk counts as lost at its next start, as CheckImage already had it, and the epoch is recovered from proxies.

--- a/core/core.go
+++ b/core/core.go
@@ -10,12 +10,11 @@
 package core
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"myrtlefold/limit"
 	"myrtlefold/model"
 	"myrtlefold/policy"
@@ -181,6 +180,7 @@
 	unreadableMemory       bool            // something else that they remember can't be read
 	adoptEmpty             bool            // an operator said that the epoch may begin with nothing then
 	damage                 []Damage
+	undecodable            error  // why agreed data of this epoch could not be decoded, nil: it could
 	diskError              string // why the disk refuses writes now, "" if it takes them
 	out                    []any
 	counts                 Counts
@@ -232,13 +232,15 @@
 
 func (c *Core) start(now time.Duration) {
 	c.node = quorum.New(now, c.settings.Self.Name, c.image)
+	c.undecodable = nil
 	c.restore(&c.image.Snap)
 }
 
 func (c *Core) restore(s *wire.Snap) {
 	state, err := decodeState(s.Data)
 	if err != nil {
-		panic(errors.Wrapf(err, "snapshot %d", s.Index)) // from disk it was checked, see CheckImage
+		c.cannotDecode(fmt.Sprintf("snapshot %d", s.Index), err)
+		return
 	}
 	c.state = state
 }
@@ -298,7 +300,7 @@
 		for _, e := range o.Apply {
 			c.apply(now, e)
 		}
-		if c.node.SnapshotDue() {
+		if c.undecodable == nil && c.node.SnapshotDue() {
 			c.node.Compact(now, encodeState(&c.state))
 		}
 	}
@@ -339,7 +341,11 @@
 		c.bootstrap(now)
 		c.leaderHint = c.leader(now)
 	}
-	if c.node != nil && !c.superseded() {
+	switch {
+	case c.node == nil || c.superseded():
+	case c.undecodable != nil:
+		c.resign(now)
+	default:
 		c.node.Tick(now)
 	}
 	for _, t := range slices.Sorted(maps.Keys(c.pendingChanges)) {
--- a/core/discovery.go
+++ b/core/discovery.go
@@ -93,7 +93,7 @@
 
 // led is the leader that this member hears or is, "" if there is none.
 func (c *Core) heardLeader(now time.Duration) string {
-	if c.node == nil || c.superseded() || !c.node.HearsLeader(now) {
+	if c.node == nil || c.abstains() || !c.node.HearsLeader(now) {
 		return ""
 	}
 	return c.node.Leader()
--- a/core/leadership.go
+++ b/core/leadership.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"myrtlefold/limit"
+	"myrtlefold/model"
 	"myrtlefold/policy"
 	"myrtlefold/wire"
 )
@@ -112,7 +113,7 @@
 }
 
 func (c *Core) leadership(now time.Duration) {
-	leads := c.node != nil && !c.stopping && !c.superseded() && c.node.HasLease(now)
+	leads := c.node != nil && !c.stopping && !c.abstains() && c.node.HasLease(now)
 	if !leads {
 		c.setLead(now, Idle, "no grant from a majority")
 		return
@@ -175,7 +176,11 @@
 	if cfg == nil || !bytes.Equal(c.checked.doc, c.state.Doc) {
 		var err error
 		if cfg, _, err = policy.CheckConfig(c.state.Doc); err != nil {
-			panic(fmt.Sprintf("agreed configuration %d: %v", c.state.Revision, err))
+			c.cannotDecode(fmt.Sprintf("configuration %d", c.state.Revision), err)
+			if c.cfg == nil {
+				c.cfg = &model.Config{} // for the rest of this step, in which the lead ends
+			}
+			return
 		}
 	}
 	c.cfg = cfg
--- a/core/message.go
+++ b/core/message.go
@@ -50,7 +50,7 @@
 				c.join(now, m.Epoch)
 			}
 		}
-		if c.node != nil {
+		if c.node != nil && !c.declines(m) {
 			c.node.Recv(now, m)
 		}
 	case wire.KPull:
--- a/core/state.go
+++ b/core/state.go
@@ -268,13 +268,17 @@
 }
 
 func (c *Core) apply(now time.Duration, e wire.Entry) {
+	if c.undecodable != nil {
+		return // the state before the damage is no base for what comes after it
+	}
 	if e.Kind != quorum.EntryData {
 		c.state.Seq = e.Index
 		return
 	}
 	o, err := decodeCommand(e.Data)
 	if err != nil {
-		panic(errors.Wrapf(err, "entry %d", e.Index)) // from disk it was checked, see CheckImage
+		c.cannotDecode(fmt.Sprintf("entry %d", e.Index), err)
+		return
 	}
 	was, emptied := c.state.Revision, slices.Contains(c.state.Emptied, o.Name)
 	c.state.Apply(e.Index, o)
@@ -303,6 +307,9 @@
 		return
 	}
 	c.applyPolicies()
+	if c.undecodable != nil {
+		return // no table is made of it
+	}
 	if o.Op == "restore" && emptied {
 		for _, t := range c.targets {
 			c.markCold(t)
--- /dev/null
+++ b/core/undecodable_test.go
@@ -0,0 +1,173 @@
+package core
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"myrtlefold/limit"
+	"myrtlefold/quorum"
+	"myrtlefold/wire"
+)
+
+// undecodableCases are agreed data that this member can't decode.
+var undecodableCases = map[string]func(r *rest){
+	"entry no JSON":    func(r *rest) { r.c.node.Propose(r.now, []byte("{")) },
+	"entry wrong type": func(r *rest) { r.c.node.Propose(r.now, []byte(`{"op":7}`)) },
+	"entry compressed": func(r *rest) { r.c.node.Propose(r.now, []byte("\x28\xb5\x2f\xfd broken off")) },
+	"snapshot":         func(r *rest) { r.c.restore(&wire.Snap{Index: 900, Data: []byte(`{"seq":"x"}`)}) },
+	"configuration": func(r *rest) {
+		r.c.propose(r.now, command{Op: "config", Base: r.c.state.Revision, Doc: json.RawMessage(`[]`)})
+	},
+}
+
+// A leader that can't decode what was agreed reports damage and neither decides nor leads
+// again in this epoch; it doesn't end, and its state remains the one before.
+func TestUndecodableEndsLeading(t *testing.T) {
+	for name, inject := range undecodableCases {
+		t.Run(name, func(t *testing.T) {
+			r := atRest(1, 1)
+			table := r.c.Table().Revision
+			inject(r)
+			for range 30 {
+				r.second()
+			}
+			status := r.c.Status(r.now)
+			if r.c.Leading() || r.c.Deciding(r.now) || status.Current || len(status.Damage) != 1 || r.c.counts.Damaged != 1 {
+				t.Fatalf("leads %v, damage %v", r.c.Leading(), status.Damage)
+			}
+			if !errors.Is(r.c.undecodable, ErrDamaged) {
+				t.Errorf("cause %v", r.c.undecodable)
+			}
+			for i, a := range []Ask{{Method: "GET", Path: "/v1/config"}, {Method: "PUT", Path: "/v1/config", Body: []byte(`{}`)}} {
+				a.ID, a.Token = uint64(i+1), fmt.Sprint("t", i)
+				for _, cmd := range r.c.Step(r.now, a) {
+					if reply, ok := cmd.(Reply); ok && reply.Status != 503 {
+						t.Errorf("%s %s: %d %s", a.Method, a.Path, reply.Status, reply.Body)
+					}
+				}
+			}
+			if got := r.c.Table().Revision; got != table {
+				t.Errorf("a table of revision %d was made", got)
+			}
+			snap := r.c.node.Snap().Index
+			for i := range 10 {
+				r.c.apply(r.now, wire.Entry{Index: 1000 + uint64(i), Kind: quorum.EntryData, Data: encodeCommand(command{Op: "empty", Name: "d"})})
+			}
+			if len(r.c.state.Emptied) > 0 || r.c.node.Snap().Index != snap {
+				t.Error("entries after the one that did not decode are applied")
+			}
+		})
+	}
+}
+
+// In a later epoch the member takes part again.
+func TestUndecodableEndsWithItsEpoch(t *testing.T) {
+	r := atRest(1, 1)
+	undecodableCases["snapshot"](r)
+	r.c.join(r.now, r.c.node.Epoch()+1)
+	if r.c.undecodable != nil || r.c.abstains() {
+		t.Errorf("still refuses: %v", r.c.undecodable)
+	}
+}
+
+// cluster is a core of three members whose messages arrive at once.
+type cluster struct {
+	now     time.Duration
+	members map[string]*Core
+	names   []string
+	down    string // the member that is neither ticked nor reached
+}
+
+func newCluster() *cluster {
+	k := &cluster{now: time.Second, members: map[string]*Core{}, names: []string{"c1", "c2", "c3"}}
+	for i, n := range k.names {
+		self := wire.Daemon{Name: n, Kind: "core", Addr: n, Inc: 1}
+		k.members[n] = New(k.now, Settings{Self: self, Size: 3, Seeds: k.names}, quorum.Image{Disk: uint64(i + 7)})
+	}
+	return k
+}
+
+func (k *cluster) step(name string, ev any) {
+	if name == k.down {
+		return
+	}
+	for _, cmd := range k.members[name].Step(k.now, ev) {
+		switch c := cmd.(type) {
+		case Sync:
+			k.step(name, Synced{Seq: c.B.Seq})
+		case Send:
+			if k.members[c.Addr] != nil {
+				k.step(c.Addr, Recv{c.M})
+			}
+		}
+	}
+}
+
+func (k *cluster) seconds(n int) {
+	for range n * int(time.Second/limit.TickEvery) {
+		k.now += limit.TickEvery
+		for _, n := range k.names {
+			k.step(n, Tick{})
+		}
+	}
+}
+
+func (k *cluster) leader() string {
+	for _, n := range k.names {
+		if n != k.down && k.members[n].Deciding(k.now) {
+			return n
+		}
+	}
+	return ""
+}
+
+// A leader that alone can't decode an entry hands over to a member that can, also when the
+// third is down and its vote is needed.
+func TestUndecodableLeaderHandsOver(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		k := newCluster()
+		k.seconds(15)
+		was := k.leader()
+		if was == "" {
+			t.Fatal("no leader")
+		}
+		if down {
+			k.down = k.names[0]
+			if was == k.down {
+				k.down = k.names[1]
+			}
+			k.seconds(1)
+		}
+		k.members[was].cannotDecode("entry 9", errors.New("damaged in memory"))
+		k.seconds(10)
+		if l := k.leader(); l == "" || l == was {
+			t.Errorf("one down %v: %q leads after %s", down, l, was)
+		}
+	}
+}
+
+// Members none of which can decode an entry all go on running, without a leader that decides
+// and without passing leadership around.
+func TestUndecodableByAll(t *testing.T) {
+	for name, data := range map[string][]byte{
+		"entry":         []byte("{"),
+		"configuration": encodeCommand(command{Op: "config", Rev: 9, Doc: json.RawMessage(`[]`)}),
+	} {
+		k := newCluster()
+		k.seconds(15)
+		k.members[k.leader()].node.Propose(k.now, data)
+		k.seconds(10)
+		term := k.members["c1"].Term()
+		k.seconds(20)
+		for _, n := range k.names {
+			c := k.members[n]
+			if c.Leading() || len(c.damage) != 1 || c.Term() != term {
+				t.Errorf("%s: %s leads %v, damage %v, term %d after %d", name, n, c.Leading(), c.damage, c.Term(), term)
+			}
+		}
+	}
+}
