Fuzz the steps of core and proxy; discard demands that are no finite numbers

Cause: package fuzz fills every field of messages, calls, and probe answers from fuzzed bytes, encodes and decodes messages with package wire, and gives them to a deciding core and a serving proxy. It found one panic: a demand of +Inf in a message is kept by the leader, and GET /v1/targets then ends it, since JSON has no such number ("unsupported value: +Inf").

Both owners now discard numbers that are not finite when a message is received: a demand counts as not said, a sum of times as 0. Ruled out: refusing them in package wire, which carries every number as it is by its own tests; checking where views are encoded, since loads and means computed from such a demand would be lost all the same. JSON reports can't carry one.

Members entries that can't be read are refused by package quorum already (its own tests have them).

Conclusion: short runs; a core as follower, elections among several and a founding core are not reached by these targets.

--- a/core/message.go
+++ b/core/message.go
@@ -21,6 +21,7 @@
 }
 
 func (c *Core) recv(now time.Duration, m *wire.Msg) {
+	DiscardUnsoundNumbers(m)
 	switch wire.Kind(m.Kind) {
 	case wire.KHello:
 		if m.Hello == nil {
--- /dev/null
+++ b/core/numbers.go
@@ -0,0 +1,49 @@
+// This file discards numbers that no sound daemon sends: they can't be told to operators in
+// JSON, and whatever is computed from them is lost too.
+
+package core
+
+import (
+	"math"
+
+	"myrtlefold/wire"
+)
+
+// DiscardUnsoundNumbers takes infinite and undefined numbers out of a message that was received:
+// a demand then counts as not said, and times as 0.
+func DiscardUnsoundNumbers(m *wire.Msg) {
+	if m.Beat != nil {
+		discardUnsoundDemand(&m.Beat.Demand, &m.Beat.HasDemand)
+	}
+	if m.Push != nil {
+		discardFromTable(m.Push.Table)
+	}
+	if m.Pull == nil {
+		return
+	}
+	discardFromTable(m.Pull.Table)
+	for i := range m.Pull.Seen {
+		seen := &m.Pull.Seen[i]
+		discardUnsoundDemand(&seen.Demand, &seen.HasDemand)
+		if !isFinite(seen.SumMs) {
+			seen.SumMs = 0
+		}
+	}
+}
+
+func discardFromTable(t *wire.Table) {
+	if t == nil {
+		return
+	}
+	for i := range t.Targets {
+		discardUnsoundDemand(&t.Targets[i].Demand, &t.Targets[i].HasDemand)
+	}
+}
+
+func discardUnsoundDemand(demand *float64, has *bool) {
+	if !isFinite(*demand) {
+		*demand, *has = 0, false
+	}
+}
+
+func isFinite(x float64) bool { return !math.IsInf(x, 0) && !math.IsNaN(x) }
--- /dev/null
+++ b/fuzz/step_test.go
@@ -0,0 +1,129 @@
+package fuzz
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"myrtlefold/core"
+	"myrtlefold/limit"
+	"myrtlefold/model"
+	"myrtlefold/proxy"
+	"myrtlefold/quorum"
+	"myrtlefold/wire"
+)
+
+// mostEvents are given to an owner in one run.
+const mostEvents = 20
+
+// addSeeds adds bytes of every kind of event, and each call with each method.
+func addSeeds(f *testing.F) {
+	f.Add([]byte{})
+	for kind := range byte(8) {
+		var seed []byte
+		for i := range 400 {
+			seed = append(seed, byte(i*37)^kind*29+byte(i/7))
+		}
+		f.Add(seed)
+	}
+	for path := range byte(len(fuzzPaths)) {
+		for method := range byte(6) {
+			f.Add([]byte{0, 1, method, path, path % 10, (path + method) % 9, 0, 2, method, path, method, 4 + path%5})
+		}
+	}
+}
+
+// leader is a lone member of the core with one proxy, founded and deciding.
+type leader struct {
+	core *core.Core
+	now  time.Duration
+}
+
+func (l *leader) step(ev any) {
+	for _, cmd := range l.core.Step(l.now, ev) {
+		if sync, ok := cmd.(core.Sync); ok {
+			l.step(core.Synced{Seq: sync.B.Seq})
+		}
+	}
+}
+
+func (l *leader) second() {
+	gate := wire.Daemon{Name: "g1", Kind: "gate", Addr: "g1", Inc: 1, Domain: "d0"}
+	beat := wire.Target{Service: "s0", Name: "t0", Inc: 9, Addr: "10.0.0.1:1", State: model.Ready}
+	l.step(core.Recv{M: &wire.Msg{Kind: uint16(wire.KHello), From: "g1", Hello: &wire.Hello{Self: gate}}})
+	for range int(time.Second / limit.PullEvery) {
+		for range int(limit.PullEvery / limit.TickEvery) {
+			l.now += limit.TickEvery
+			l.step(core.Tick{})
+		}
+		pull := &wire.Pull{Self: gate}
+		if table := l.core.Table(); table != nil {
+			pull.Key, pull.Revision, pull.Seq = table.Key, table.Revision, table.Seq
+		}
+		l.step(core.Recv{M: &wire.Msg{Kind: uint16(wire.KPull), From: "g1", Stamp: int64(l.now), Pull: pull}})
+		l.step(core.Recv{M: &wire.Msg{Kind: uint16(wire.KBeat), Stamp: 1, Beat: &beat}})
+	}
+}
+
+func newLeader(t *testing.T) *leader {
+	self := wire.Daemon{Name: "c1", Kind: "core", Addr: "c1", Inc: 1}
+	l := &leader{now: time.Second}
+	l.core = core.New(l.now, core.Settings{Self: self, Size: 1}, quorum.Image{Disk: 7})
+	for range 12 {
+		l.second()
+	}
+	if !l.core.Leading() {
+		t.Fatal("does not lead")
+	}
+	return l
+}
+
+// FuzzCoreStep gives a deciding leader events from outside, with time between them.
+func FuzzCoreStep(f *testing.F) {
+	addSeeds(f)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		l := newLeader(t)
+		s := &fuzzSource{data}
+		for id := uint64(1); len(s.data) > 0 && id <= mostEvents; id++ {
+			l.step(s.event(t, id))
+			l.now += limit.TickEvery
+			l.step(core.Tick{})
+		}
+		l.second()
+	})
+}
+
+// newProxy is a proxy that serves two targets under a lease.
+func newProxy(t *testing.T, now time.Duration) *proxy.Proxy {
+	p := proxy.New(proxy.Settings{Self: wire.Daemon{Name: "g1", Kind: "gate", Addr: "g1", Inc: 9, Domain: "d0"}})
+	table := &wire.Table{Key: wire.Key{Epoch: 1, Term: 1, Ver: 1}, Revision: 1,
+		Doc:   []byte(`{"services":{"s0":{"cap":8,"warm_cap":3},"s1":{"cap":4,"warm_cap":2}},"rules":[{"path":"/s","service":"s0"}]}`),
+		Gates: []wire.Gate{{Name: "g1", Addr: "g1", Live: true}, {Name: "g2", Addr: "g2", Live: true}}}
+	for i := range 2 {
+		table.Targets = append(table.Targets, wire.Target{Service: "s0", Name: fmt.Sprint("t", i), Inc: 9, Addr: fmt.Sprint("10.0.0.1:", i+1), State: model.Ready, Beating: true})
+	}
+	p.Step(now, core.Recv{M: &wire.Msg{Kind: uint16(wire.KPush), From: "c1", Epoch: 1, Term: 1, Stamp: int64(now), Disk: 9,
+		Push: &wire.Push{Grant: true, Key: table.Key, Table: table}}})
+	if !p.Serving() {
+		t.Fatal("does not serve")
+	}
+	return p
+}
+
+// FuzzProxyStep gives a serving proxy events from outside, with requests and time between them.
+func FuzzProxyStep(f *testing.F) {
+	addSeeds(f)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		now := time.Second
+		p := newProxy(t, now)
+		s := &fuzzSource{data}
+		for id := uint64(1); len(s.data) > 0 && id <= mostEvents; id++ {
+			p.Step(now, s.event(t, id))
+			p.Step(now, proxy.Admit{ID: id, Path: "/s", Method: "GET"})
+			now += limit.TickEvery << (s.byte() % 8)
+			p.Step(now, core.Tick{})
+			p.Step(now, proxy.Done{ID: id, Outcome: proxy.Outcome(s.byte() % 8), Ms: 1, Last: true})
+			p.View(now)
+		}
+	})
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -383,6 +383,7 @@
 }
 
 func (g *Proxy) recv(now time.Duration, m *wire.Msg) {
+	core.DiscardUnsoundNumbers(m)
 	switch wire.Kind(m.Kind) {
 	case wire.KHello:
 		if m.Hello == nil {
