--- a/core/message.go
+++ b/core/message.go
@@ -21,6 +21,7 @@
 }
 
 func (c *Core) recv(now time.Duration, m *wire.Msg) {
+	DiscardUnsoundNumbers(m)
 	switch wire.Kind(m.Kind) {
 	case wire.KHello:
 		if m.Hello == nil {
@@ -50,7 +51,7 @@
 				c.join(now, m.Epoch)
 			}
 		}
-		if c.node != nil {
+		if c.node != nil && !c.declines(m) {
 			c.node.Recv(now, m)
 		}
 	case wire.KPull:
