--- a/sim/cutoff_test.go
+++ b/sim/cutoff_test.go
@@ -12,8 +12,8 @@
 // cutOffSpan is for how long a member is cut off.
 const cutOffSpan = 20 * time.Second
 
-// A core member that is cut off for twenty seconds, either way or one way, stands still or
-// has a disk that stalls, leader or not: whoever asks it meanwhile is told neither an old
+// A core member that is cut off for twenty seconds, either way or one way, stands still, is
+// slow or has a disk that stalls, leader or not: whoever asks it meanwhile is told neither an old
 // configuration nor that anything was agreed or refused, only that it can't tell. When it
 // is back, it takes part again and the leader of the time goes on leading.
 func TestCutOffForTwentySeconds(t *testing.T) {
@@ -27,14 +27,16 @@
 		{"deaf", func(w *World, p *Proc) { w.isolate([]string{p.name}, cutOffSpan, false, true) }},
 		{"frozen", func(w *World, p *Proc) { w.Freeze(p, cutOffSpan) }},
 		{"disk stalls", func(w *World, p *Proc) { w.Stall(p, cutOffSpan) }},
+		{"slow", func(w *World, p *Proc) { w.slowDown(p, 5, cutOffSpan) }},
 	}
+	may := map[string]allowance{"disk stalls": {passOn: true}, "slow": {passOn: true, lead: true}}
 	for _, trouble := range troubles {
 		for _, leads := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, leads %v", trouble.name, leads), func(t *testing.T) {
 				t.Parallel()
 				for seed := range uint64(3) {
 					w := Start(seed, Small)
-					for _, fault := range w.cutOffOnce(t, leads, trouble.do, trouble.name == "disk stalls") {
+					for _, fault := range w.cutOffOnce(t, leads, trouble.do, may[trouble.name]) {
 						t.Errorf("seed %d: %s", seed, fault)
 					}
 					check(t, w)
@@ -49,15 +51,20 @@
 	t.Parallel()
 	w := Start(1, Small)
 	w.sabotage = followersAnswer
-	faults := w.cutOffOnce(t, false, func(w *World, p *Proc) { w.isolate([]string{p.name}, cutOffSpan, true, true) }, false)
+	faults := w.cutOffOnce(t, false, func(w *World, p *Proc) { w.isolate([]string{p.name}, cutOffSpan, true, true) }, allowance{})
 	if len(faults) == 0 {
 		t.Error("a member that is cut off answered reads, and nothing was seen")
 	}
 }
 
-// cutOffOnce brings a trouble about once and lists what was wrong. A member whose disk
-// stalls may pass calls on to the leader.
-func (w *World) cutOffOnce(t *testing.T, leads bool, trouble func(*World, *Proc), passesOn bool) (faults []string) {
+// allowance is what a member in trouble may go on with, since it still hears the others.
+type allowance struct {
+	passOn bool // calls to the leader
+	lead   bool
+}
+
+// cutOffOnce brings a trouble about once and lists what was wrong.
+func (w *World) cutOffOnce(t *testing.T, leads bool, trouble func(*World, *Proc), may allowance) (faults []string) {
 	wrong := func(f string, a ...any) { faults = append(faults, fmt.Sprintf(f, a...)) }
 	w.Readers(100 * time.Millisecond)
 	p := w.Leader()
@@ -88,12 +95,12 @@
 	}
 	w.Run(begin + cutOffSpan - time.Millisecond)
 	l := w.Leader()
-	if l == nil || l == p && leads {
+	if l == nil || l == p && leads && !may.lead {
 		return append(faults, "no other leader")
 	}
 	term := l.core.Term()
 	for status, n := range told {
-		if status != 503 && status != 504 && !passesOn {
+		if status != 503 && status != 504 && !may.passOn {
 			wrong("it answered %d %d times", status, n)
 		}
 	}
