One start for the ring's power-cut tests; the disk's batch bound by its constant

The merge that joined the disk's retries had put the number 64 back in place of limit.SyncBatches, which then had no use; the value is the same, so is the program's behaviour. The power-cut tests opened and began a ring in the same eight lines twice.

--- a/host/disk.go
+++ b/host/disk.go
@@ -132,7 +132,7 @@
 func (d *Disk) Run() {
 	for b := range d.queue {
 		batches := []*wire.Batch{b}
-		for len(d.queue) > 0 && len(batches) < 64 {
+		for len(d.queue) > 0 && len(batches) < limit.SyncBatches {
 			batches = append(batches, <-d.queue)
 		}
 		d.sync(batches)
--- a/ring/powercut_test.go
+++ b/ring/powercut_test.go
@@ -112,20 +112,27 @@
 	return items
 }
 
+// startLedger is a new ring in a folder of its own that holds a ledger's first item.
+func startLedger(t *testing.T) (dir string, r *Ring, l *ledger) {
+	t.Helper()
+	dir = t.TempDir()
+	r, _, err := Open(dir, 3, size)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l = &ledger{items: []string{"start"}}
+	if err := r.Rotate(l.whole()); err != nil {
+		t.Fatal(err)
+	}
+	return dir, r, l
+}
+
 // A cut of power in the middle of any write leaves what was synced before it, and of what
 // was being written all or nothing; never an error, and never anything older.
 func TestPowerCut(t *testing.T) {
 	for seed := range uint64(60) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
-		dir := t.TempDir()
-		r, _, err := Open(dir, 3, size)
-		if err != nil {
-			t.Fatal(err)
-		}
-		l := &ledger{items: []string{"start"}}
-		if err := r.Rotate(l.whole()); err != nil {
-			t.Fatal(err)
-		}
+		dir, r, l := startLedger(t)
 		for step := range 12 {
 			for range rnd.IntN(6) {
 				if err := l.write(r, someItems(rnd, step)...); err != nil {
@@ -140,6 +147,7 @@
 			r.Close()
 			left.write(t, dir)
 			var recs [][]byte
+			var err error
 			if r, recs, err = Open(dir, 3, size); err != nil {
 				t.Fatalf("seed %d, step %d: %v", seed, step, err)
 			}
@@ -158,15 +166,7 @@
 func TestFailedWriteIsRepeated(t *testing.T) {
 	for seed := range uint64(40) {
 		rnd := rand.New(rand.NewPCG(seed, 2))
-		dir := t.TempDir()
-		r, _, err := Open(dir, 3, size)
-		if err != nil {
-			t.Fatal(err)
-		}
-		l := &ledger{items: []string{"start"}}
-		if err := r.Rotate(l.whole()); err != nil {
-			t.Fatal(err)
-		}
+		dir, r, l := startLedger(t)
 		for step := range 10 {
 			synced, state := readFolder(t, dir), *r
 			kept := slices.Clone(l.items)
