Tables that take something from requests keep a distance too, by the fleet's size

Cause: each leaving, sign-off and claim made a table at once, however many came. One table costs the leader a message to each proxy, its confirmation and the answer to that. In a release of three fifths of 307 targets 28 tables a second went to 64 proxies: heartbeat answers stood behind them, the lease lapsed before any fault, and each new term sent whole tables, which lost the next lease. Ruled out: probes (a fifth of the leader's time then), the agreed registry in tables (it isn't in them). The simulator now accounts for what processor time goes to, and charges calls and new connections for probes.

--- a/core/table.go
+++ b/core/table.go
@@ -27,14 +27,13 @@
 		return
 	}
 	if !refresh {
-		switch c.pendingNews(now) {
-		case unchanged:
+		news := c.pendingNews(now)
+		if news == unchanged {
 			c.counts.Same++
 			return
-		case deferrable:
-			if now-c.madeAt[c.tableVersion%limit.TablesKept] < limit.TableEvery+time.Duration(len(c.targets)*len(c.state.Roster))*limit.TableRow {
-				return // the next tick sees it again
-			}
+		}
+		if now-c.madeAt[c.tableVersion%limit.TablesKept] < c.tableSpacing(news) {
+			return // the next tick sees it again
 		}
 	}
 	t := &wire.Table{Was: c.state.PreviousRoster, Seq: c.state.Seq, Revision: c.state.Revision, Doc: c.compressedDocument(), State: c.state.forProxies(c.node.Members()), Emptied: c.state.Emptied}
@@ -88,6 +87,17 @@
 	}
 }
 
+// tableSpacing is the least time between two tables. What is urgent has one at once after a pause, and
+// where it comes again and again, as in a release, one table tells of all that came meanwhile: a table
+// costs the leader messages to and from every proxy, and may not take more of it the more there is to say.
+func (c *Core) tableSpacing(news urgency) time.Duration {
+	proxies := len(c.state.Roster)
+	if news == urgent {
+		return min(time.Duration(proxies)*limit.UrgentTableRow, limit.UrgentTableMost)
+	}
+	return limit.TableEvery + time.Duration(len(c.targets)*proxies)*limit.TableRow
+}
+
 // compressed is the document as tables carry it.
 func (c *Core) compressedDocument() []byte {
 	if !bytes.Equal(c.compressed.plain, c.state.Doc) {
--- a/limit/lease.go
+++ b/limit/lease.go
@@ -35,6 +35,12 @@
 	// TableRow is how much longer that is for each target and proxy, since every proxy deals every
 	// target among all: 0.1 s for 300 targets and 70 proxies.
 	TableRow = 5 * time.Microsecond
+	// UrgentTableRow is, for each proxy, how far apart tables are that take something away from requests:
+	// sent, taken and confirmed, one costs the leader about 0.2 ms of processor for each proxy, and on a quarter of
+	// a processor four times that. So such tables take at most two fifths of a small machine, however
+	// many targets leave at once. UrgentTableMost bounds it: with it an ejection still comes everywhere within 2 s.
+	UrgentTableRow  = 2 * time.Millisecond
+	UrgentTableMost = 200 * time.Millisecond
 	// TablesKept is of how many past tables a leader knows when it made them: more than ProxyDeaf has.
 	TablesKept = 64
 	// GonesKept is how many removed targets a leader remembers, so that a table can be sent as changes.
--- a/sim/operator.go
+++ b/sim/operator.go
@@ -57,7 +57,16 @@
 			w.exec(p, r)
 			return
 		}
-		w.deliver(p, call)
+		if w.Plan.Scarce == nil {
+			w.deliver(p, call)
+			return
+		}
+		gen := p.gen
+		w.at(w.work(p, "call", costCall)-w.now, func() {
+			if p.gen == gen {
+				w.deliver(p, call)
+			}
+		})
 	})
 	return sent
 }
--- /dev/null
+++ b/sim/overload_test.go
@@ -0,0 +1,102 @@
+package sim
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"myrtlefold/model"
+)
+
+// busyFerry is the ferry fleet under so much traffic that every target is heard of all the time.
+func busyFerry() Plan {
+	p := ferry()
+	p.Rate = 300
+	return p
+}
+
+// release replaces a part of all targets by later starts of them, so many at once and so far apart.
+func (w *World) release(share float64, atOnce int, gap time.Duration) {
+	var all []*Target
+	for _, t := range w.targets {
+		if t.alive && t.state != model.Leaving {
+			all = append(all, t)
+		}
+	}
+	w.rnd.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	wait := time.Duration(0)
+	for batch := range slices.Chunk(all[:int(share*float64(len(all)))], atOnce) {
+		w.at(wait, func() {
+			for _, t := range batch {
+				w.Leave(t, func() { w.replace(t, w.ms(300, 900), 0) })
+			}
+		})
+		wait += gap
+	}
+}
+
+// leadsLost is how often a core daemon that runs has lost the lead.
+func (w *World) leadsLost() (n uint64) {
+	for _, c := range w.all("core") {
+		if p := w.procs[c]; p.alive {
+			n += p.core.Status(p.local()).Counts.LeasesLost
+		}
+	}
+	return n
+}
+
+// spentOn tells what a process's processor time since an earlier moment went to, the most first.
+func (p *Proc) spentOn(before map[string]time.Duration) string {
+	on := slices.SortedFunc(maps.Keys(p.spent), func(a, b string) int { return int(p.spent[b] - before[b] - p.spent[a] + before[a]) })
+	var lines []string
+	for _, k := range on {
+		lines = append(lines, fmt.Sprintf("%s %v", k, (p.spent[k]-before[k]).Round(time.Millisecond)))
+	}
+	return strings.Join(lines, ", ")
+}
+
+// busyShare is the part of its processor that a process used since an earlier moment.
+func (w *World) busyShare(p *Proc, before map[string]time.Duration, since time.Duration) float64 {
+	total := time.Duration(0)
+	for k, d := range p.spent {
+		total += d - before[k]
+	}
+	return float64(total) / float64(w.now-since) / w.Plan.Scarce.share(p)
+}
+
+// busyInRelease is the most of its processor that a leader may use while targets are released.
+const busyInRelease = 0.85
+
+// A release of three fifths of a large fleet's targets, six at a time, costs the leader no lead: what
+// it has to tell the proxies grows with time and not with how much there is to tell.
+func TestReleaseKeepsTheLead(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := Start(seed, busyFerry())
+			if !w.until(10*time.Second, func() bool { return len(w.memberNames()) == 7 && granted(w) == 64 }) {
+				t.Fatalf("members %v, %d proxies leased", w.memberNames(), granted(w))
+			}
+			leader, lost, since := w.Leader(), w.leadsLost(), w.now
+			before := maps.Clone(leader.spent)
+			w.release(0.6, 6, 600*time.Millisecond)
+			w.Run(w.now + 9*time.Second)
+			if n := w.leadsLost() - lost; n > 0 {
+				t.Errorf("the lead was lost %d times in a release; the leader's time went to: %s", n, leader.spentOn(before))
+			}
+			if busy := w.busyShare(leader, before, since); busy > busyInRelease {
+				t.Errorf("the leader used %.2f of its processor: %s", busy, leader.spentOn(before))
+			} else {
+				t.Logf("the leader used %.2f of its processor: %s", busy, leader.spentOn(before))
+			}
+			if n := granted(w); n < 64 {
+				t.Errorf("%d of 64 proxies hold a lease after the release", n)
+			}
+			check(t, w)
+		})
+	}
+}
--- a/sim/scarce.go
+++ b/sim/scarce.go
@@ -23,6 +23,10 @@
 const (
 	costEvent = 60 * time.Microsecond
 	costByte  = 10 * time.Nanosecond
+	// costCall is an HTTP call of a target or an operator, with its answer; costDial a new connection
+	// to a target, with its end.
+	costCall = 3 * costEvent
+	costDial = 3 * costEvent
 )
 
 // share is the part of a processor that a process has.
@@ -42,14 +46,39 @@
 	return n
 }
 
-// work has a process spend time on something, after all that it has to do before; what it
-// gives is when that is done.
-func (w *World) work(p *Proc, bytes int) time.Duration {
-	d := float64(costEvent+time.Duration(bytes)*costByte) / w.Plan.Scarce.share(p) * max(1, p.slow)
-	p.busy = max(p.busy, w.now) + time.Duration(d)
+// work has a process spend processor time on something, after all that it has to do before; what
+// it gives is when that is done. The time is accounted for by what it was spent on.
+func (w *World) work(p *Proc, on string, cost time.Duration) time.Duration {
+	d := time.Duration(float64(cost) / w.Plan.Scarce.share(p) * max(1, p.slow))
+	if p.spent == nil {
+		p.spent = map[string]time.Duration{}
+	}
+	p.spent[on] += cost
+	p.busy = max(p.busy, w.now) + d
 	return p.busy
 }
 
+// probeCost is what a probe takes: the question and the answer, and a new connection unless there is one.
+func (w *World) probeCost(p *Proc, c core.Probe) time.Duration {
+	if p.probed == nil {
+		p.probed = map[wire.ID]bool{}
+	}
+	t := w.listen[c.Addr]
+	answers := t != nil && !t.hang && !t.deaf && t.inc == c.ID.Inc
+	kept := p.probed[c.ID]
+	p.probed[c.ID] = answers
+	if kept && answers {
+		return 2 * costEvent
+	}
+	return 2*costEvent + costDial
+}
+
+// messageCost is what sending or receiving so many bytes takes.
+func messageCost(bytes int) time.Duration { return costEvent + time.Duration(bytes)*costByte }
+
+// workOnMessage is what the time for a message is accounted under.
+func workOnMessage(m *wire.Msg, way string) string { return way + " " + wire.Kind(m.Kind).String() }
+
 // pass is when so many bytes that are ready at a moment have gone over a proxy's link.
 func (w *World) pass(at time.Duration, link *time.Duration, bytes int) time.Duration {
 	*link = max(*link, at) + time.Duration(float64(bytes)*float64(time.Second)/w.Plan.Scarce.GateLink)
@@ -60,7 +89,7 @@
 // long is dropped, as a shell does.
 func (w *World) scarce(p, to *Proc, m *wire.Msg, d time.Duration) {
 	n := weigh(m)
-	at := w.work(p, n)
+	at := w.work(p, workOnMessage(m, "send"), messageCost(n))
 	if p.kind == "gate" {
 		if p.out-w.now > limit.SendLate {
 			return
@@ -80,7 +109,7 @@
 		if to.gen != gen || !to.alive {
 			return
 		}
-		w.at(w.work(to, n)-w.now, func() {
+		w.at(w.work(to, workOnMessage(m, "receive"), messageCost(n))-w.now, func() {
 			if to.gen == gen && w.reach(p.name, to.name) && sent >= w.resets[k].at {
 				w.deliver(to, core.Recv{M: m})
 			}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -20,6 +20,11 @@
 	KAsk                    // a call to the leader that another member passes on, or the answer
 )
 
+// kindNames are the names of the kinds of messages, for reports.
+var kindNames = map[Kind]string{KHello: "hello", KVote: "vote", KAppend: "append", KPull: "pull", KPush: "push", KBeat: "beat", KAsk: "ask"}
+
+func (k Kind) String() string { return kindNames[k] }
+
 // Msg is one message between daemons. Exactly the part of its Kind is set.
 type Msg struct {
 	Kind   uint16 // a Kind
