A lead lost for a moment goes on where it stopped, and who waits goes on waiting

Cause: a leader that lost its lease and was elected again 0.3 s later, with nobody in between, gathered tables for half a second, granted no lease meanwhile, and then sent every proxy a whole table, since tables of its earlier term were no base for changes. Each loss cost the load that took the next lease. Orders under way were answered that it can't be told, which is how a valid configuration has no acknowledgement in calm. Now: within 0.6 s, before any proxy's lease has lapsed for want of a leader, it decides at once; tables keep their numbers over its terms and go as changes; orders wait 1.3 s for it. Configurations agreed while the lead was lost are taken into what the leader goes by (cfg and cold targets were left as before them).

--- a/core/core.go
+++ b/core/core.go
@@ -157,6 +157,7 @@
 	kept                   keptLead // the lead that was lost last
 	tableVersion           uint64
 	table                  *wire.Table
+	leadTerms              []uint64                        // the terms of this lead: it may have been lost and won back
 	latestMergedKey        wire.Key                        // latest proxies' table merged while warming
 	tableWithoutDocument   *wire.Table                     // the same without document and state, for those who have them
 	changes                map[change]*wire.Table          // the same as changes to earlier ones of this lead
@@ -380,6 +381,7 @@
 			c.relay(now, id, p, l) // under its id a change is made once, whoever hears it how often
 		}
 	}
+	c.tickWaiters(now)
 	if c.stopping {
 		c.tickStop(now)
 	}
--- a/core/inforce.go
+++ b/core/inforce.go
@@ -3,6 +3,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -74,12 +75,7 @@
 			done = append(done, f)
 			return true
 		}
-		if f.p != nil && (now-f.since > limit.CallWait || f.p.targetReport && now-f.p.at > limit.TargetReportWait) {
-			c.answerUnknown(f.p)
-			f.p = nil
-			return !f.rosterChange
-		}
-		return false
+		return c.waitedTooLong(now, f)
 	})
 	for _, f := range done {
 		if f.p != nil {
@@ -94,3 +90,59 @@
 		}
 	}
 }
+
+// waitedTooLong answers who has waited long enough, and says whether nothing waits any more.
+func (c *Core) waitedTooLong(now time.Duration, f *commitWaiter) bool {
+	if f.p == nil || now-f.since <= limit.CallWait && !(f.p.targetReport && now-f.p.at > limit.TargetReportWait) {
+		return false
+	}
+	c.answerUnknown(f.p)
+	f.p = nil
+	return !f.rosterChange
+}
+
+// keepWaiters has those who wait go on waiting when the lead is lost: mostly it is had back in a moment,
+// and they get the answer that they wait for in place of none. What most proxies confirmed counts anew then.
+func (c *Core) keepWaiters(now time.Duration) {
+	if c.stopping || !c.mayLeadAgain(now) {
+		c.abandonWaiters()
+		return
+	}
+	for _, f := range c.waiters {
+		f.majorityAt = 0
+	}
+}
+
+// mayLeadAgain says that this member may soon go on with the lead that it lost: it is not longer ago than
+// an election takes, and no other leader has been heard since.
+func (c *Core) mayLeadAgain(now time.Duration) bool {
+	l := c.node.Leader()
+	return c.kept.term != 0 && c.kept.epoch == c.node.Epoch() && now-c.kept.lostAt < limit.WaitersKept && (l == "" || l == c.settings.Self.Name) &&
+		!c.abstains()
+}
+
+// abandonWaiters answers all who wait that it can't be told.
+func (c *Core) abandonWaiters() {
+	for _, t := range slices.Sorted(maps.Keys(c.pendingChanges)) {
+		c.answerUnknown(c.pendingChanges[t])
+	}
+	for _, f := range c.waiters {
+		if f.p != nil {
+			c.answerUnknown(f.p)
+		}
+	}
+	c.waiters = nil
+	clear(c.pendingChanges)
+}
+
+// tickWaiters looks after those who wait while this member does not decide.
+func (c *Core) tickWaiters(now time.Duration) {
+	if c.lead == Deciding || len(c.waiters)+len(c.pendingChanges) == 0 {
+		return
+	}
+	if c.lead == Idle && !c.mayLeadAgain(now) {
+		c.abandonWaiters()
+		return
+	}
+	c.waiters = slices.DeleteFunc(c.waiters, func(f *commitWaiter) bool { return c.waitedTooLong(now, f) })
+}
--- a/core/leadership.go
+++ b/core/leadership.go
@@ -66,28 +66,23 @@
 	case Idle:
 		c.keepLead(now, was)
 		c.counts.LeasesLost++
-		for _, t := range slices.Sorted(maps.Keys(c.pendingChanges)) {
-			c.answerUnknown(c.pendingChanges[t])
-		}
-		for _, f := range c.waiters {
-			if f.p != nil {
-				c.answerUnknown(f.p)
-			}
-		}
-		c.waiters = nil
-		clear(c.pendingChanges)
+		c.keepWaiters(now)
 	case Adopting:
 		c.proposed = false
 	case Warming:
-		if c.keepsLead(now) {
+		kept := c.keepsLead(now) && c.table != nil
+		if kept {
 			c.resumeLead(now)
 		} else {
 			c.forgetLead(now)
 		}
-		c.kept.epoch, c.kept.term = c.node.Epoch(), c.node.Term()
+		c.beginTerm()
 		// Whatever an earlier leader granted may still run.
 		for _, g := range c.proxies {
-			g.grantAt, g.tableMerged, g.key, g.revision, g.seq = now, false, wire.Key{}, 0, 0
+			g.grantAt, g.tableMerged = now, false
+			if !kept {
+				g.key, g.revision, g.seq = wire.Key{}, 0, 0
+			}
 			g.sentKey, g.bytesInFlight = wire.Key{}, 0
 		}
 		for _, n := range append(c.state.names(), c.state.PreviousRoster...) {
@@ -95,7 +90,6 @@
 				c.proxies[n] = &proxyState{grantAt: now}
 			}
 		}
-		c.counts.Elections++
 		c.announce(now)
 	}
 }
@@ -141,9 +135,8 @@
 				c.addRecovered(c.proxyMemories[n].RecoveredState)
 			}
 			c.setLead(now, Adopting, "elected in a new epoch")
-		} else if c.regained(now) {
-			c.recheck(now)
-			c.decide(now, "a majority answers again in the same term", false)
+		} else if c.resumesAtOnce(now) {
+			c.resumeAtOnce(now)
 		} else {
 			c.setLead(now, Warming, "elected")
 		}
--- a/core/lease.go
+++ b/core/lease.go
@@ -28,7 +28,7 @@
 
 // change tells which change to a table is meant, and whether it needs the state or the document too.
 type change struct {
-	base       uint64
+	term, base uint64
 	state, doc bool
 }
 
@@ -122,9 +122,9 @@
 	return c.tableVersion-k.Ver >= limit.TablesKept || now-c.madeAt[(k.Ver+1)%limit.TablesKept] >= limit.ProxyDeaf
 }
 
-// ours says that a key is one of this lead's tables.
+// isOwnTable says that a key is one of this lead's tables, of its present term or of an earlier one.
 func (c *Core) isOwnTable(k wire.Key) bool {
-	return c.table != nil && k.Epoch == c.table.Key.Epoch && k.Term == c.table.Key.Term && k.Ver != 0
+	return c.table != nil && k.Epoch == c.table.Key.Epoch && k.Ver != 0 && slices.Contains(c.leadTerms, k.Term)
 }
 
 // flight is how long tables of so many bytes may be under way.
@@ -169,7 +169,7 @@
 func (c *Core) tableFor(g *proxyState) *wire.Table {
 	doc, state := g.revision != c.table.Revision, g.seq != c.table.Seq
 	if c.isOwnTable(g.key) && g.key.Ver >= c.oldestDeltaBase && g.seq != 0 {
-		k := change{g.key.Ver, state, doc}
+		k := change{g.key.Term, g.key.Ver, state, doc}
 		if c.changes[k] == nil {
 			if c.changes == nil {
 				c.changes = map[change]*wire.Table{}
@@ -192,7 +192,7 @@
 // since is the table as a change to an earlier one.
 func (c *Core) tableSince(k change) *wire.Table {
 	t := *c.table
-	t.Base, t.Targets, t.Gone = wire.Key{Epoch: t.Key.Epoch, Term: t.Key.Term, Ver: k.base}, nil, nil
+	t.Base, t.Targets, t.Gone = wire.Key{Epoch: t.Key.Epoch, Term: k.term, Ver: k.base}, nil, nil
 	if !k.doc {
 		t.Doc = nil
 	}
--- a/core/resume.go
+++ b/core/resume.go
@@ -5,6 +5,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"myrtlefold/limit"
@@ -33,10 +34,45 @@
 		c.node.NobodyLedSince(c.kept.term)
 }
 
-// regained says that the lead itself was kept, not only what it knew: the term is the same, so the
-// tables and leases of before are this lead's own.
-func (c *Core) regained(now time.Duration) bool {
-	return c.keepsLead(now) && c.kept.term == c.node.Term() && c.table != nil && c.table.Key.Term == c.node.Term()
+// resumesAtOnce says that this member goes on deciding where it stopped: nobody else led, and no proxy's
+// lease has lapsed for want of a leader, so none has anything to tell that this member does not know.
+func (c *Core) resumesAtOnce(now time.Duration) bool {
+	return c.keepsLead(now) && c.table != nil && (c.kept.term == c.node.Term() || now-c.kept.lostAt < limit.ResumeAtOnce)
+}
+
+// resumeAtOnce goes on with a lead that was lost for a moment, in the same term or in a later one. It costs
+// as little as can be, since what costs the leader much costs it the next lease as well.
+func (c *Core) resumeAtOnce(now time.Duration) {
+	c.applyPolicies()
+	c.recheck(now)
+	if c.kept.term == c.node.Term() {
+		c.decide(now, "a majority answers again in the same term", false)
+		return
+	}
+	c.beginTerm()
+	for _, g := range c.proxies {
+		if now-g.grantAt > limit.ProxyLease {
+			g.tableMerged = false // it may have served on its peers
+		}
+	}
+	c.announce(now)
+	c.decide(now, "elected again, and nobody led in between", true)
+}
+
+// resumeLead begins a lead with what this member knew in its last one, and has the proxies tell what
+// they decided for themselves meanwhile.
+func (c *Core) resumeLead(now time.Duration) {
+	c.latestMergedKey = c.table.Key // none is later: who made one would have led
+	c.applyPolicies()
+	c.recheck(now)
+}
+
+// beginTerm notes the term of a lead. One that goes on in a later term keeps numbering its tables, and
+// tells them as changes to those of its earlier terms, which proxies hold.
+func (c *Core) beginTerm() {
+	c.kept.epoch, c.kept.term = c.node.Epoch(), c.node.Term()
+	c.leadTerms = append(c.leadTerms, c.node.Term())
+	c.counts.Elections++
 }
 
 // recheck goes on with the targets that are known. Words that were missed meanwhile are no sign of
@@ -63,6 +99,7 @@
 func (c *Core) decide(now time.Duration, why string, refresh bool) {
 	c.setLead(now, Deciding, why)
 	c.rebuild(now, refresh)
+	c.waiters = slices.DeleteFunc(c.waiters, func(f *commitWaiter) bool { return f.p == nil && f.member == "" }) // made again below
 	if len(c.state.PreviousRoster) > 0 {
 		c.waiters = append(c.waiters, &commitWaiter{version: c.tableVersion, since: now, rosterChange: true})
 	}
@@ -75,25 +112,15 @@
 
 // forgetLead begins a lead with the targets that are agreed, and nothing else.
 func (c *Core) forgetLead(now time.Duration) {
+	c.abandonWaiters()
 	c.targets, c.claims, c.judge, c.policyRevision = map[wire.ID]*target{}, map[wire.ID]*target{}, policy.New(), 0
 	c.scorer = policy.NewScorer(c.judge)
 	c.lastTurn, c.turnByName = map[string]uint32{}, map[[2]string]uint32{}
 	c.tombstones, c.leaving = map[wire.ID]time.Duration{}, map[wire.ID]time.Duration{}
 	c.withdrawnAt = map[wire.ID]uint64{}
 	c.table, c.tableWithoutDocument, c.sortedIDs, c.latestMergedKey, c.rosterPendingAt = nil, nil, nil, wire.Key{}, 0
+	c.leadTerms = nil
 	c.changes, c.withdrawnTargets, c.rosterTableVersion, c.oldestDeltaBase = nil, nil, c.tableVersion+1, c.tableVersion+1
 	c.applyPolicies()
 	c.loadRegistrations(now)
 }
-
-// resumeLead begins a lead with what this member knew in its last one. Tables of before are of
-// another term, so they serve to tell what is new to nobody but this member.
-func (c *Core) resumeLead(now time.Duration) {
-	if c.table != nil {
-		c.latestMergedKey = c.table.Key // none is later: who made one would have led
-	}
-	c.table, c.tableWithoutDocument, c.changes = nil, nil, nil
-	c.withdrawnTargets, c.rosterTableVersion, c.oldestDeltaBase = nil, c.tableVersion+1, c.tableVersion+1
-	c.applyPolicies()
-	c.recheck(now)
-}
--- a/core/state.go
+++ b/core/state.go
@@ -303,7 +303,7 @@
 			c.restored[o.Name] = now
 		}
 	}
-	if c.lead == Idle || c.lead == Adopting {
+	if c.lead == Adopting || c.lead == Idle && c.kept.term == 0 {
 		return
 	}
 	c.applyPolicies()
@@ -330,7 +330,11 @@
 		return
 	}
 	c.rebuild(now, true)
-	f := &commitWaiter{version: c.tableVersion, since: now, rosterChange: o.Op == "roster" || o.Op == "forget"}
+	version := c.tableVersion
+	if c.lead != Deciding {
+		version++ // the first table of a lead that goes on has it
+	}
+	f := &commitWaiter{version: version, since: now, rosterChange: o.Op == "roster" || o.Op == "forget"}
 	if o.Op == "in" || o.Op == "out" {
 		f.member, f.joining = o.Name, o.Op == "in"
 	}
--- a/limit/lease.go
+++ b/limit/lease.go
@@ -60,6 +60,13 @@
 	// led meanwhile: ElectMin + ElectSpread and an election of its own, twice. What it missed by then
 	// are a few beats.
 	LeadKept = 3 * time.Second
+	// ResumeAtOnce is for how long a lead may have been lost so that its leader, elected again with nobody in
+	// between, goes on at once: shorter than the lease that a proxy got with its last pull, so that none has
+	// decided anything by itself meanwhile.
+	ResumeAtOnce = ProxyLease - 2*PullEvery
+	// WaitersKept is for how long after a lead was lost those who wait for a change go on waiting for its
+	// leader: an election with a lost vote message. Past it they are told that it can't be told.
+	WaitersKept = ElectMin + ElectSpread + 2*HeartbeatEvery
 	// WarmLeader is how long a new leader waits for tables from a majority of proxies.
 	WarmLeader = 1500 * time.Millisecond
 	// CallWait bounds an operator's change: past it the answer is 'unknown'.
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -39,7 +39,9 @@
 	if t.Base == (wire.Key{}) {
 		return &w
 	}
-	if old == nil || old.Key.Epoch != t.Base.Epoch || old.Key.Term != t.Base.Term || old.Key.Ver < t.Base.Ver || t.Base.Term != t.Key.Term {
+	// A leader that won its lead back goes on numbering, so what it says changed since a table of its
+	// earlier term also changed since a later table of this one.
+	if old == nil || old.Key.Epoch != t.Base.Epoch || old.Key.Ver < t.Base.Ver || old.Key.Term != t.Base.Term && old.Key.Term != t.Key.Term {
 		return nil
 	}
 	w.Base, w.Gone = wire.Key{}, nil
--- a/sim/overload_test.go
+++ b/sim/overload_test.go
@@ -100,3 +100,37 @@
 		})
 	}
 }
+
+// A leader whose machine is three times slower for a while loses the lead no more once it is over, and
+// what it loses meanwhile is won back without a flood: the proxies hold their leases again soon after.
+func TestSlowLeaderRecovers(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := Start(seed, busyFerry())
+			if !w.until(10*time.Second, func() bool { return len(w.memberNames()) == 7 && granted(w) == 64 }) {
+				t.Fatalf("members %v, %d proxies leased", w.memberNames(), granted(w))
+			}
+			leader, lost := w.Leader(), w.leadsLost()
+			before := maps.Clone(leader.spent)
+			w.release(0.3, 4, 900*time.Millisecond)
+			w.Run(w.now + time.Second)
+			w.slowDown(leader, 3, 4*time.Second)
+			for range 4 {
+				w.Run(w.now + time.Second)
+				t.Logf("%v: lead lost %d times, %d of 64 proxies hold a lease", w.now, w.leadsLost()-lost, granted(w))
+			}
+			w.until(3*time.Second, func() bool { return granted(w) == 64 })
+			if n := granted(w); n < 64 {
+				t.Errorf("%d of 64 proxies hold a lease 3 s after the machine is as before", n)
+			}
+			slowed := w.leadsLost()
+			w.Run(w.now + 3*time.Second)
+			if n := w.leadsLost() - slowed; n > 0 {
+				t.Errorf("the lead was lost %d times more; the leader's time went to: %s", n, leader.spentOn(before))
+			}
+			check(t, w)
+		})
+	}
+}
--- /dev/null
+++ b/sim/waiters_test.go
@@ -0,0 +1,64 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"myrtlefold/core"
+	"myrtlefold/limit"
+)
+
+// An order that is under way when its leader loses the lead for a moment is answered with what became of
+// it, in the same term or after an election that the same member wins, and not that it can't be told.
+func TestOrderOutlivesALeadLostForAMoment(t *testing.T) {
+	t.Parallel()
+	kept, resumed := 0, 0
+	for seed := range uint64(16) {
+		w := Start(seed, Small)
+		w.Run(w.now + 3*time.Second)
+		l, before := w.Leader(), w.leadsLost()
+		if l == nil {
+			t.Fatalf("seed %d: nobody leads", seed)
+		}
+		term, status := l.core.Status(w.now).Term, -1
+		w.cutOff(l, limit.LeaderLease+time.Duration(seed%2)*limit.HeartbeatEvery)
+		w.Run(w.now + limit.LeaderLease/2)
+		w.call(l, "PUT", "/v1/config", fmt.Sprintf("base=%d", w.Revision()), w.Doc(5), "", func(r core.Reply) { status = r.Status })
+		w.until(4*time.Second, func() bool { return status >= 0 })
+		if w.until(2*time.Second, func() bool { return w.Leader() != nil }); w.Leader() != l || w.leadsLost() == before {
+			continue // another leads, or the lead was not lost
+		}
+		kept++
+		if l.core.Status(w.now).Term > term {
+			resumed++
+		}
+		if status != 200 {
+			t.Errorf("seed %d: answered %d\n%s", seed, status, w.Trace(20))
+		}
+		w.Run(w.now + 2*time.Second)
+		check(t, w)
+	}
+	if kept == 0 || resumed == 0 {
+		t.Errorf("%d leads were lost for a moment, %d of them went on in a later term", kept, resumed)
+	}
+	t.Logf("%d leads were lost for a moment, %d of them went on in a later term", kept, resumed)
+}
+
+// An order whose leader is cut off for good is told in time that its fate can't be told.
+func TestOrderEndsWithALeadLostForGood(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		w := Start(seed, Small)
+		w.Run(w.now + 3*time.Second)
+		l, status, asked := w.Leader(), -1, w.now
+		w.cutOff(l, 10*time.Second)
+		w.call(l, "PUT", "/v1/config", fmt.Sprintf("base=%d", w.Revision()), w.Doc(5), "", func(r core.Reply) { status = r.Status })
+		w.until(10*time.Second, func() bool { return status >= 0 })
+		if status != 504 || w.now-asked > limit.LeaderLease+limit.WaitersKept+100*time.Millisecond {
+			t.Errorf("seed %d: answered %d after %v", seed, status, w.now-asked)
+		}
+		w.Run(w.now + 12*time.Second)
+		check(t, w)
+	}
+}
