A leader of many targets sends no probe where requests have just shown a target alive

A target counts as answered at its report less a pull, so its death is noticed as early as before; each is still probed in one of three intervals, since only health answers tell of coldness. Fleets of at most 40 targets: unchanged.

--- a/core/watchdog.go
+++ b/core/watchdog.go
@@ -125,7 +125,17 @@
 
 func (c *Core) probeDue(now time.Duration, id wire.ID, t *target) bool {
 	_, named := c.cfg.Services[id.Service]
-	return named && t.sentAt == 0 && now-t.probeAt >= limit.ProbeEvery
+	return named && t.sentAt == 0 && now-t.probeAt >= limit.ProbeEvery && !c.spared(now, t)
+}
+
+// spared says that a target needs no probe yet, since requests show that it lives: a proxy had an answer
+// from it later than a probe that is due now would have gone out before. So its death is noticed as
+// early as with probes alone. Only health answers tell of coldness, so each is probed now and then.
+func (c *Core) spared(now time.Duration, t *target) bool {
+	if len(c.targets) <= limit.WatchMost || t.missed || t.unconfirmed || t.coldTill > now {
+		return false
+	}
+	return now-(t.okAt-limit.PullEvery) < limit.ProbeEvery && now-t.probeAt < limit.SparedProbes*limit.ProbeEvery
 }
 
 func (c *Core) probe(now time.Duration, id wire.ID, t *target) {
--- a/limit/probe.go
+++ b/limit/probe.go
@@ -23,6 +23,10 @@
 	// DoubtAfter is how long after its last granted pull a proxy begins to probe and to touch its
 	// peers: two pulls and a little, so that a healthy leader is seldom doubted.
 	DoubtAfter = 330 * time.Millisecond
+	// DoubtAfterMany is the same in a fleet of more than TouchMost proxies: a leader that is a little late must
+	// not be doubted by all of them, whose questions and probes are most of what makes a fleet slow then. Half the
+	// lease is left to ask peers in.
+	DoubtAfterMany = ProxyLease / 2
 	// DoubtEvery is a doubting proxy's own probe interval: the leader, if it is lost, may have been
 	// one miss short of an ejection. At the worst 0.45 + 0.45 + 0.4 s went by there and 0.33 + 0.4 + 0.4 go by here.
 	DoubtEvery = 200 * time.Millisecond
@@ -32,6 +36,9 @@
 	// than LeaderLease. A target that missed a probe waits for no other.
 	ProbePace   = 1.25
 	ProbesLeast = 16
+	// SparedProbes is the most probe intervals in which one probe goes out to a target whose answers to requests
+	// show that it lives. Fleets of at most WatchMost targets are probed at each.
+	SparedProbes = 3
 	// RegistryEvery is how often the agreed registry of targets is written, if something in it changed;
 	// a report of leaving or gone is written at the next tick after another write.
 	RegistryEvery = 250 * time.Millisecond
@@ -39,10 +46,11 @@
 	// that are gone, the registry: at 300 bytes each 2.4 MB, and with all else under half a ring file.
 	RegistryBatch = 256
 	RegistryMax   = 4096
-	// WatchMost is how many targets a doubting proxy probes, about: 40 each 200 ms. Of more each is
-	// watched by a part of the proxies, of WatchMost targets by all.
+	// WatchMost is how many targets a proxy without a leader probes each DoubtEvery, all of them. Where there are
+	// more, each is probed by Watchers of the proxies each ProbeEvery: 9 probes a second for each target from
+	// the fleet, four times the leader's at rest, and fewer the more requests tell.
 	WatchMost = 40
-	Watchers  = 8
+	Watchers  = 4
 	// ProbeMisses in a row make an ejection; the source's two.
 	ProbeMisses = 2
 	// EjectionTTL is the source's 30 s, after which an ejection lapses by itself.
