Without a leader a large fleet probes by its targets, not by its proxies

Cause: each proxy that doubted its leader probed 40 targets each 0.2 s, 12,800 probes a second from 64 proxies, 19 times the leader's, and each needed one of a target's few connections; they began to doubt when the leader was 0.33 s late. So a late leader made its fleet and its targets slow, and itself with them. Now a target of many is probed by four of the proxies, at the leader's interval, unless it answered a request; a fleet of over 16 proxies doubts after half a lease. Few targets, few proxies: unchanged.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -362,6 +362,7 @@
 		}
 		switch e.Outcome {
 		case Served:
+			t.answeredAt = now
 			t.seen.Ok++
 			t.seen.SumMs += e.Ms
 			if x.set.SlowMs > 0 && e.Ms > float64(x.set.SlowMs) {
--- a/proxy/lease.go
+++ b/proxy/lease.go
@@ -128,7 +128,11 @@
 // doubts says that the leader has been silent for over two pulls: peers are
 // touched and targets probed from then on, so that both are known when the lease lapses.
 func (g *Proxy) doubts(now time.Duration) bool {
-	return now > g.leaseUntil-limit.ProxyLease+limit.DoubtAfter
+	after := limit.DoubtAfter
+	if g.table != nil && len(g.table.Gates) > limit.TouchMost {
+		after = limit.DoubtAfterMany
+	}
+	return now > g.leaseUntil-limit.ProxyLease+after
 }
 
 func (g *Proxy) pull(now time.Duration) {
--- a/proxy/probe.go
+++ b/proxy/probe.go
@@ -103,24 +103,30 @@
 	for _, id := range slices.SortedFunc(maps.Keys(g.targets), wire.ID.Compare) {
 		t := g.targets[id]
 		if few || g.watches(id) {
-			g.probe(now, t)
+			g.probe(now, t, few)
 		}
 		if t.successor != nil {
-			g.probe(now, t.successor)
+			g.probe(now, t.successor, few)
 		}
 	}
 }
 
-// watches deals many targets among the roster, so that neither a proxy nor a target has
-// more to do with probes the more there are of the other. Who watches one by a probe is
+// watches deals many targets among the roster: each is probed by Watchers of the proxies, however many
+// there are, so the probes of a fleet without a leader grow with its targets alone. Who watches one is
 // drawn; the others see for themselves what connections to it tell.
 func (g *Proxy) watches(id wire.ID) bool {
-	parts := uint64(max(1, len(g.targets)*limit.Watchers/limit.WatchMost))
+	parts := uint64(max(1, len(g.table.Gates)))
 	return hash(id.Service+" "+id.Name+" "+g.settings.Self.Name)%parts < limit.Watchers
 }
 
-func (g *Proxy) probe(now time.Duration, t *target) {
-	if t.probeAt == 0 || now-t.probeAt >= limit.DoubtEvery {
+// probe probes a target that is due: of few targets each soon, of many at the leader's own interval and
+// only those of which no answer to a request has told.
+func (g *Proxy) probe(now time.Duration, t *target, few bool) {
+	every, heard := limit.DoubtEvery, time.Duration(0)
+	if !few {
+		every, heard = limit.ProbeEvery, t.answeredAt
+	}
+	if last := max(t.probeAt, heard); last == 0 || now-last >= every {
 		g.ping(now, t)
 	}
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -166,7 +166,8 @@
 	misses       int
 	probeAt      time.Duration
 	sentAt       time.Duration
-	indirect     bool // the leader has asked for a probe and not heard of an answer
+	answeredAt   time.Duration // when it last answered a request of this proxy
+	indirect     bool          // the leader has asked for a probe and not heard of an answer
 	seen         wire.Seen
 
 	slots     int  // requests at once, as told
--- a/sim/process.go
+++ b/sim/process.go
@@ -288,6 +288,9 @@
 		}
 		w.sync(p, gen, d)
 	case core.Probe:
+		if p.kind == "gate" {
+			w.Stats.ProxyProbes++
+		}
 		if w.Plan.Scarce != nil { // the question, and the answer
 			w.work(p, "probe", w.probeCost(p, c))
 		}
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -138,6 +138,7 @@
 	Surplus, Strange                            int           // surplus answers that came on idle connections, and in place of an answer
 	Resets, Left, DiskRefusals                  int           // answers lost with their connections, callers that left, writes that a full disk refused
 	LostAnswers                                 int           // answers to operators' changes that were lost, each sent again
+	ProxyProbes                                 int           // probes of targets by proxies
 	Replaced                                    int           // core machines gone for good, with a successor
 	Gap                                         time.Duration // longest time without a served request of some service
 }
