Unused connections to a target are dealt among all proxies; the last used are kept

Cause: each proxy kept a sixteenth of the connections that a target takes, two of 32, whatever the number of proxies: 64 proxies up to 128. In a release slots change hands at each change of the targets (21 of 660 move for one target), so ever more proxies kept some, and those that were kept were the first ones: too old for requests that may not run twice, which opened a new one each time and closed it again.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -278,10 +278,24 @@
 	dark  atomic.Bool // nothing reaches the target
 }
 
-// put keeps a connection in one of the first n places, or closes it.
+// put keeps a connection, and closes the longest unused ones so that n are left: one that was used
+// just now serves every request, an old one only those that may be repeated.
 func (s *shelf) put(p *Conn, n int) {
 	p.used.Store(int64(time.Since(born)))
-	for i := range s.slots[:n] {
+	if n <= 0 {
+		p.Close()
+		return
+	}
+	kept := 0
+	for i := range s.slots {
+		if s.slots[i].Load() != nil {
+			kept++
+		}
+	}
+	for ; kept >= n; kept-- {
+		s.dropOldest()
+	}
+	for i := range s.slots {
 		if s.slots[i].CompareAndSwap(nil, p) {
 			if s.gone.Load() {
 				s.close()
@@ -292,6 +306,20 @@
 	p.Close()
 }
 
+// dropOldest closes the connection that has been unused for longest, if there is one.
+func (s *shelf) dropOldest() {
+	var oldest *Conn
+	at := 0
+	for i := range s.slots {
+		if p := s.slots[i].Load(); p != nil && (oldest == nil || p.used.Load() < oldest.used.Load()) {
+			oldest, at = p, i
+		}
+	}
+	if oldest != nil && s.slots[at].CompareAndSwap(oldest, nil) {
+		oldest.Close()
+	}
+}
+
 // take takes the connection that was used last, if that was less than idle ago. Its deadline is set.
 func (s *shelf) take(idle time.Duration, till time.Time) *Conn {
 	for {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -385,14 +385,8 @@
 	return a
 }
 
-// give keeps a connection for later; a target that bounds its connections is left some for other proxies.
-func (c *Forwarder) give(g *proxy.Give, p *Conn) {
-	n := limit.IdleConnsMax
-	if g.Set.ConnCap > 0 {
-		n = min(n, max(1, g.Set.ConnCap/limit.ConnParts))
-	}
-	c.pool.give(g.Target.ID(), p, n)
-}
+// give keeps a connection for later, as far as the owner lets this proxy keep any.
+func (c *Forwarder) give(g *proxy.Give, p *Conn) { c.pool.give(g.Target.ID(), p, g.Idle) }
 
 // compose writes the request's head, and its body as far as it is kept.
 func (c *Forwarder) compose(out []byte, r *http.Request, g *proxy.Give, u *upload, left time.Duration) []byte {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -100,7 +100,7 @@
 		if n >= len(targets) {
 			return proxy.Refuse{ID: id, Status: 503, Retry: 2 * time.Second, Code: "busy", Message: "none left"}
 		}
-		return proxy.Give{ID: id, Service: "s", Target: targets[n], Left: f.left, Till: limit.ChoiceLife, Set: f.set, Route: f.route, More: f.more}
+		return proxy.Give{ID: id, Service: "s", Target: targets[n], Left: f.left, Till: limit.ChoiceLife, Set: f.set, Route: f.route, More: f.more, Idle: limit.IdleConnsMax}
 	}}, f.pool)
 	f.car = c
 	srv := httptest.NewUnstartedServer(c)
@@ -801,23 +801,36 @@
 	}
 }
 
-// A target that bounds its connections is left most of them.
-func TestPipesLeft(t *testing.T) {
+// As many unused connections are kept as the owner says, those that were used last.
+func TestIdleConnectionsKept(t *testing.T) {
 	a := bytesOf(t, "a", says(200, "ok"))
 	f := carrier(t, a.Target)
+	var opened []*Conn
 	for range 5 {
 		p, err := Open(t.Context(), a.Addr, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.car.give(&proxy.Give{Target: a.Target, Set: model.Service{ConnCap: 2 * limit.ConnParts}}, p)
+		opened = append(opened, p)
+		f.car.give(&proxy.Give{Target: a.Target, Idle: 2}, p)
 	}
-	n := 0
-	for f.pool.take(a.Target.ID(), time.Hour, time.Now().Add(time.Hour)) != nil {
-		n++
+	take := func() *Conn { return f.pool.take(a.Target.ID(), time.Hour, time.Now().Add(time.Hour)) }
+	for _, want := range []*Conn{opened[4], opened[3], nil} {
+		if got := take(); got != want {
+			t.Fatalf("got %p of %p", got, opened)
+		}
 	}
-	if n != 2 {
-		t.Fatal(n, "kept")
+	for _, p := range opened[:3] {
+		if p.c.SetDeadline(time.Now().Add(time.Hour)) == nil {
+			t.Error("one that is not kept is still open")
+		}
+	}
+	p, err := Open(t.Context(), a.Addr, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.car.give(&proxy.Give{Target: a.Target}, p); take() != nil {
+		t.Fatal("one is kept where none may be")
 	}
 }
 
@@ -860,7 +873,7 @@
 	defer pool.Close()
 	pool.Live(map[wire.ID]string{a.ID(): a.Addr})
 	car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, ev any) any {
-		return proxy.Give{ID: id, Service: "s", Target: a.Target, Left: time.Minute, Till: time.Hour, Set: model.Service{BodyMax: 1 << 20, HealthPath: "/h"}, Route: model.Route{Kind: model.Repeatable}}
+		return proxy.Give{ID: id, Service: "s", Target: a.Target, Left: time.Minute, Till: time.Hour, Set: model.Service{BodyMax: 1 << 20, HealthPath: "/h"}, Route: model.Route{Kind: model.Repeatable}, Idle: limit.IdleConnsMax}
 	}}, pool)
 	car.Headers.Attempt = "A"
 	srv := httptest.NewServer(car)
@@ -1083,7 +1096,7 @@
 	defer pool.Close()
 	pool.Live(map[wire.ID]string{tg.ID(): tg.Addr})
 	car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, _ any) any {
-		return proxy.Give{ID: id, Service: "s", Target: tg, Left: 5 * time.Second, Till: time.Hour, Set: model.Service{BodyMax: 1 << 20}}
+		return proxy.Give{ID: id, Service: "s", Target: tg, Left: 5 * time.Second, Till: time.Hour, Set: model.Service{BodyMax: 1 << 20}, Idle: limit.IdleConnsMax}
 	}}, pool)
 	srv := httptest.NewServer(car)
 	defer srv.Close()
--- a/limit/forward.go
+++ b/limit/forward.go
@@ -69,9 +69,9 @@
 	// IdleConnsMax is how many unused connections are kept per target: targets bound the connections from all
 	// proxies together, and some hold a slot for each.
 	IdleConnsMax = 8
-	// ConnParts: a proxy keeps at most this part of the connections that a target takes from all, so that
-	// idle ones of many proxies leave room for new ones.
-	ConnParts = 16
+	// IdleConnParts: all proxies together keep at most one in so many of the connections that a target takes, so that
+	// unused ones leave room for those in use and for probes.
+	IdleConnParts = 2
 	// TryLeast is the time that another try after a target's own failure needs: a few hops and a short answer.
 	TryLeast = 25 * time.Millisecond
 	// OnceIdle is how long a connection may have been unused for a request that must not run twice: a
--- /dev/null
+++ b/proxy/connections_test.go
@@ -0,0 +1,32 @@
+package proxy
+
+import (
+	"fmt"
+	"testing"
+
+	"myrtlefold/limit"
+	"myrtlefold/model"
+	"myrtlefold/wire"
+)
+
+// All proxies of a fleet together keep no more than half of the connections that a target takes.
+func TestIdleConnectionsOfAFleet(t *testing.T) {
+	for _, x := range []struct{ proxies, cap, slots int }{{8, 96, 6}, {12, 130, 3}, {64, 32, 6}, {69, 53, 3}, {281, 84, 6}, {285, 210, 3}, {3, 2, 1}, {64, 4, 6}} {
+		var names []string
+		for i := range x.proxies {
+			names = append(names, fmt.Sprintf("g%d", i))
+		}
+		kept := 0
+		for i := range x.proxies {
+			g := &Proxy{alive: names}
+			at := &target{Target: wire.Target{Slots: uint32(x.slots)}, slots: x.slots, part: deal(x.slots, 5, names[i], names)}
+			kept += g.idleConns(at, model.Service{ConnCap: x.cap})
+		}
+		if most := x.cap / limit.IdleConnParts; kept > most && kept > x.slots || kept == 0 {
+			t.Errorf("%+v: %d connections are kept, at most %d are wanted", x, kept, most)
+		}
+	}
+	if n := (&Proxy{}).idleConns(&target{}, model.Service{}); n != limit.IdleConnsMax {
+		t.Errorf("%d are kept where the target names no bound", n)
+	}
+}
--- a/sim/connection.go
+++ b/sim/connection.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"myrtlefold/limit"
 	"myrtlefold/proxy"
 	"myrtlefold/wire"
 )
@@ -15,6 +16,7 @@
 // connection leads from a proxy to a target; the proxy keeps it between requests.
 type connection struct {
 	target    *Target
+	usedAt    time.Duration // when it was last put back
 	surplusAt time.Duration // when an answer comes on it that no request waits for, 0: none does
 }
 
@@ -34,11 +36,14 @@
 	surplusLate  = 60
 )
 
-// takeConnection is the connection of a proxy to a target that was used last, nil if none
-// can be used: the forwarder closes those that are closed or on which something came.
-func (w *World) takeConnection(p *Proc, id wire.ID) *connection {
+// takeConnection is the connection of a proxy to a target that was used last, less than idle ago, nil if
+// none can be used: the forwarder closes those that are closed or on which something came.
+func (w *World) takeConnection(p *Proc, id wire.ID, idle time.Duration) *connection {
 	for l := p.pool[id]; len(l) > 0; l = p.pool[id] {
 		c := l[len(l)-1]
+		if w.now-c.usedAt >= idle {
+			return nil
+		}
 		p.pool[id] = l[:len(l)-1]
 		if !c.target.alive {
 			continue
@@ -52,14 +57,49 @@
 	return nil
 }
 
-// keepConnection puts a connection back after a whole answer.
-func (w *World) keepConnection(p *Proc, id wire.ID, c *connection) {
+// keepConnection puts a connection back after a whole answer; the n that were used last are kept.
+func (w *World) keepConnection(p *Proc, id wire.ID, c *connection, n int) {
 	if c.target.surplus && w.rnd.Float64() < surplusShare {
 		c.surplusAt = w.now + w.ms(0, surplusLate)
 	}
-	if _, ok := p.live[id]; ok {
-		p.pool[id] = append(p.pool[id], c)
+	c.usedAt = w.now
+	if _, ok := p.live[id]; !ok {
+		return
+	}
+	if w.sabotage == "idle connections" { // a part of the cap for each proxy, and what is there stays
+		p.pool[id] = slices.DeleteFunc(p.pool[id], func(o *connection) bool { return w.now-o.usedAt >= limit.ConnIdle })
+		if len(p.pool[id]) < max(1, w.Plan.ConnCap/16) {
+			p.pool[id] = append(p.pool[id], c)
+		}
+		return
+	}
+	l := append(p.pool[id], c)
+	p.pool[id] = l[max(0, len(l)-n):]
+}
+
+// overCap says that a target has as many connections as it takes, in use or not; it resets the next.
+func (w *World) overCap(t *Target, id wire.ID) bool {
+	if w.Plan.ConnCap == 0 {
+		return false
+	}
+	n := 0
+	for _, p := range w.procs {
+		if p.gate == nil || !p.alive {
+			continue
+		}
+		for _, c := range p.pool[id] {
+			if c.target == t && w.now-c.usedAt < limit.ConnIdle {
+				n++
+			}
+		}
+		for _, a := range p.attempts {
+			if a.conn.target == t {
+				n++
+			}
+		}
 	}
+	w.Stats.MostConnections = max(w.Stats.MostConnections, n+1)
+	return n >= w.Plan.ConnCap
 }
 
 // beginAttempt notes a request as written; a surplus answer that is still to come on the
--- /dev/null
+++ b/sim/connection_test.go
@@ -0,0 +1,61 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// narrow is a fleet with more proxies than connections that a target takes, at work on long requests of
+// which most may not run twice, so that connections soon grow too old for them.
+func narrow() Plan {
+	p := ferry()
+	p.Scarce = nil
+	p.Services = map[string]int{"fares": 181, "pay": 111}
+	p.Rate, p.Unsafe, p.ConnCap = 1200, 0.8, 32
+	return p
+}
+
+// overCapIn has a fleet release a third of its targets, and tells which part of the connections opened
+// meanwhile were over their target's cap, and how many there were for each request.
+func overCapIn(seed uint64, sabotage string) (over, opened float64, w *World) {
+	w = Start(seed, narrow())
+	w.sabotage = sabotage
+	for _, t := range w.targets {
+		t.usual = w.ms(200, 600)
+		t.work = t.usual
+	}
+	w.Run(w.now + 2*time.Second)
+	before := w.Stats
+	w.release(0.6, 8, 300*time.Millisecond)
+	w.Run(w.now + 6*time.Second)
+	n := float64(w.Stats.Opened - before.Opened)
+	return float64(w.Stats.OverCap-before.OverCap) / n, n / float64(w.Stats.Exchanges-before.Exchanges), w
+}
+
+// Targets that take fewer connections than there are proxies are never sent more, also while a release
+// has slots change hands all the time: what each proxy keeps unused follows from what all may keep.
+func TestConnectionsStayUnderTheirCap(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			over, opened, w := overCapIn(seed, "")
+			if over > 0 {
+				t.Errorf("%.4f of the connections were over the cap", over)
+			}
+			t.Logf("%.4f over the cap, %.2f connections opened for each request, %d at once", over, opened, w.Stats.MostConnections)
+			check(t, w)
+		})
+	}
+}
+
+// The check can fail: with a part of each target's connections for every proxy, whatever their number.
+func TestConnectionsStayUnderTheirCapCanFail(t *testing.T) {
+	t.Parallel()
+	over, opened, w := overCapIn(0, "idle connections")
+	if over == 0 {
+		t.Error("no connection was over the cap")
+	}
+	t.Logf("%.4f over the cap, %.2f connections opened for each request, %d at once", over, opened, w.Stats.MostConnections)
+}
--- a/sim/operator.go
+++ b/sim/operator.go
@@ -90,6 +90,9 @@
 		if w.Plan.ColdPerS > 0 {
 			svc["cold_per_s"], svc["cold_s"] = w.Plan.ColdPerS, coldSpan.Seconds()
 		}
+		if w.Plan.ConnCap > 0 {
+			svc["conn_cap"] = w.Plan.ConnCap
+		}
 		svcs[s] = svc
 		for kind, prefix := range map[string]string{model.Repeatable: "/" + s + "/", model.Once: "/" + s + "/once/"} {
 			routes[s+"-"+kind] = model.Route{Prefix: prefix, Kind: kind, TimeoutMs: 1000 + n, AimMs: 400, Attempts: 3, Service: s}
--- a/sim/request.go
+++ b/sim/request.go
@@ -132,10 +132,15 @@
 	}
 	w.checkGive(p, &c, x)
 	id := c.Target.ID()
-	conn := w.takeConnection(p, id)
+	idle := limit.ConnIdle
+	if x.unsafe && w.Plan.ConnCap > 0 {
+		idle = limit.OnceIdle
+	}
+	conn := w.takeConnection(p, id, idle)
 	pooled := conn != nil
 	if !pooled {
 		conn = &connection{target: w.listen[c.Target.Addr]}
+		w.Stats.Opened++
 	}
 	t := conn.target
 	back := func(d time.Duration, fn func()) {
@@ -182,18 +187,18 @@
 		fail(w.ms(1, 3), proxy.Foreign, false, false)
 		return
 	}
-	w.at(w.ms(0, 2), func() { w.write(p, c, x, conn, back, fail) })
+	w.at(w.ms(0, 2), func() { w.write(p, c, x, conn, pooled, back, fail) })
 }
 
 // write is the moment at which a request's first byte goes out; a process that
 // is frozen then goes on with it when it thaws.
-func (w *World) write(p *Proc, c proxy.Give, x *request, conn *connection, back func(time.Duration, func()), fail func(time.Duration, proxy.Outcome, bool, bool)) {
+func (w *World) write(p *Proc, c proxy.Give, x *request, conn *connection, pooled bool, back func(time.Duration, func()), fail func(time.Duration, proxy.Outcome, bool, bool)) {
 	id, t := c.Target.ID(), conn.target
 	if !p.alive || p.gen != x.gen {
 		return
 	}
 	if p.frozen {
-		p.thawed = append(p.thawed, func() { w.write(p, c, x, conn, back, fail) })
+		p.thawed = append(p.thawed, func() { w.write(p, c, x, conn, pooled, back, fail) })
 		return
 	}
 	if p.local() > c.Till {
@@ -220,6 +225,12 @@
 			return
 		}
 		w.checkCold(t)
+		if !pooled && w.overCap(t, id) {
+			w.Stats.OverCap++
+			x.sent = true
+			fail(0, proxy.Lost, true, false)
+			return
+		}
 		if w.Plan.Slots > 0 && len(t.works) >= w.Plan.Slots+queued {
 			w.Stats.TurnedAway++
 			if t.resets {
@@ -252,7 +263,7 @@
 					o = proxy.Broken
 				}
 				back(0, func() {
-					w.keepConnection(p, id, conn)
+					w.keepConnection(p, id, conn, c.Idle)
 					w.deliver(p, proxy.Done{ID: x.id, Outcome: o, Ms: float64(t.work) / 1e6, Last: true})
 					w.end(x, "served")
 				})
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -31,6 +31,7 @@
 	Unsafe       float64        // part of them that must not run twice
 	Hard         float64        // part of refusals that are sent again at once
 	Slots        int            // requests at once that targets tell, and routes in rules' place; 0: neither
+	ConnCap      int            // connections that a target takes from all proxies together, and resets any more, 0: no such bound
 	ColdPerS     float64        // requests a second that a cold target bears, 0: no such bound
 	Known        []string       // domains that the core's settings name
 	Beats        time.Duration  // how far apart targets' words are, 0: limit.BeatEvery; each is said again after half a second
@@ -138,6 +139,9 @@
 	Surplus, Strange                            int           // surplus answers that came on idle connections, and in place of an answer
 	Resets, Left, DiskRefusals                  int           // answers lost with their connections, callers that left, writes that a full disk refused
 	LostAnswers                                 int           // answers to operators' changes that were lost, each sent again
+	OverCap                                     int           // connections that a target reset since it had too many
+	MostConnections                             int           // of one target at once, counted as one more is opened
+	Opened                                      int           // connections to targets for requests
 	ProxyProbes                                 int           // probes of targets by proxies
 	Replaced                                    int           // core machines gone for good, with a successor
 	Gap                                         time.Duration // longest time without a served request of some service
