A connection may take a quarter of the route's aim to open, 0.1 s at least

Cause: a target whose slots are all taken takes up a new connection once one of its requests ends. Two in a row left such a target out for 3 s, four ended the request. The owner now says how long, from the aim: 0.375 s for an aim of 1.5 s; unchanged for aims up to 0.4 s. TestConnectTime.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -350,7 +350,7 @@
 			return p, nil
 		}
 	}
-	open, cancel := context.WithDeadline(ctx, earlier(till, time.Now().Add(limit.ConnectCap)))
+	open, cancel := context.WithDeadline(ctx, earlier(till, time.Now().Add(g.Connect)))
 	defer cancel()
 	p, err := Open(open, g.Target.Addr, c.From)
 	if err != nil {
--- a/limit/forward.go
+++ b/limit/forward.go
@@ -23,6 +23,9 @@
 	// ConnectCap is how long a connection to a target may take to open: over any round trip between
 	// domains, under what a lost first packet costs anyway. Nothing was sent, so another is chosen.
 	ConnectCap = 100 * time.Millisecond
+	// ConnectParts: where a route's aim is long, a connection may take this part of it instead, up to DialCap. A target whose
+	// slots are all taken lets a new one wait for the end of a request, and requests last longer where aims are.
+	ConnectParts = 4
 	// DarkAfter is after what time without an answer it is looked, each DarkEvery, whether the target
 	// is known to be out of reach: two missed probes take longer.
 	DarkAfter = 300 * time.Millisecond
--- a/proxy/connections.go
+++ b/proxy/connections.go
@@ -1,8 +1,11 @@
-// This file deals the connections that a target takes among the proxies.
+// This file deals the connections that a target takes among the proxies, and says how long one may
+// take to open.
 
 package proxy
 
 import (
+	"time"
+
 	"myrtlefold/limit"
 	"myrtlefold/model"
 )
@@ -19,3 +22,9 @@
 	spare := max(0, room-t.slots) / max(1, len(g.alive))
 	return min(limit.IdleConnsMax, room, t.part+spare)
 }
+
+// connectTime is how long a connection for a request of a route may take to open: a target that is full
+// takes it up once one of its requests ends, which is soon by the measure of the route's own aim.
+func connectTime(route *model.Route) time.Duration {
+	return min(max(limit.ConnectCap, route.Aim()/limit.ConnectParts), limit.DialCap)
+}
--- a/proxy/connections_test.go
+++ b/proxy/connections_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"myrtlefold/limit"
 	"myrtlefold/model"
@@ -30,3 +31,13 @@
 		t.Errorf("%d are kept where the target names no bound", n)
 	}
 }
+
+// A connection may take a quarter of the route's aim to open, and never less than it takes anywhere; a
+// choice still lives when it opens last.
+func TestConnectTime(t *testing.T) {
+	for aim, want := range map[int]time.Duration{0: limit.ConnectCap, 300: limit.ConnectCap, 600: 150 * time.Millisecond, 1500: 375 * time.Millisecond, 60000: limit.DialCap} {
+		if got := connectTime(&model.Route{AimMs: aim}); got != want || got >= limit.ChoiceLife {
+			t.Errorf("aim %d ms: %v", aim, got)
+		}
+	}
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -198,7 +198,7 @@
 	t.usedAt = now
 	s.inflight++
 	g.Counts.Admitted++
-	g.emit(Give{ID: x.id, Service: x.svc, Set: x.set, Name: x.name, Route: x.route, Target: t.Target, Left: x.deadline - now, Till: now + limit.ChoiceLife, More: x.tries < x.route.Attempts, Idle: g.idleConns(t, x.set)})
+	g.emit(Give{ID: x.id, Service: x.svc, Set: x.set, Name: x.name, Route: x.route, Target: t.Target, Left: x.deadline - now, Till: now + limit.ChoiceLife, More: x.tries < x.route.Attempts, Connect: connectTime(&x.route), Idle: g.idleConns(t, x.set)})
 }
 
 // tooLate says that a service under pressure better spends its time on others.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -83,6 +83,7 @@
 		Left    time.Duration // until the request's deadline
 		Till    time.Duration // nothing of it may be written to this target later than this
 		More    bool          // it has attempts left after this one
+		Connect time.Duration // how long a connection to the target may take to open
 		Idle    int           // how many unused connections to the target may be kept after it
 	}
 	// Refuse is a request's final answer, given before anything was sent on its behalf
