A leader that loses its lease three times in two seconds hands leadership over

Cause: a leader on a machine that has become slow won its own lease back each 0.1 s, too seldom to lease its proxies and too often for anybody else to stand: in TestSlowLeaderRecovers no proxy held a lease for three seconds, until another was elected by itself. Now it asks the best of the others to stand, at most once in 10 s, so that members which are all late don't pass leadership around.

--- a/core/core.go
+++ b/core/core.go
@@ -154,7 +154,9 @@
 	lead                   Lead
 	leadAt                 time.Duration
 	leadTerm               uint64
-	kept                   keptLead // the lead that was lost last
+	kept                   keptLead        // the lead that was lost last
+	leadsLostAt            []time.Duration // when the lead was lost lately
+	handedOverAt           time.Duration   // when it was last given to another member for that, 0: never
 	tableVersion           uint64
 	table                  *wire.Table
 	leadTerms              []uint64                        // the terms of this lead: it may have been lost and won back
--- a/core/leadership.go
+++ b/core/leadership.go
@@ -111,6 +111,7 @@
 	leads := c.node != nil && !c.stopping && !c.abstains() && c.node.HasLease(now)
 	if !leads {
 		c.setLead(now, Idle, "no grant from a majority")
+		c.handOverIfLate(now)
 		return
 	}
 	if c.leadTerm != c.node.Term() {
--- a/core/resume.go
+++ b/core/resume.go
@@ -10,6 +10,7 @@
 
 	"myrtlefold/limit"
 	"myrtlefold/policy"
+	"myrtlefold/quorum"
 	"myrtlefold/wire"
 )
 
@@ -23,6 +24,24 @@
 func (c *Core) keepLead(now time.Duration, was Lead) {
 	if was == Deciding {
 		c.kept = keptLead{c.table.Key.Epoch, c.leadTerm, now}
+		c.leadsLostAt = append(c.leadsLostAt, now)
+	}
+}
+
+// handOverIfLate gives leadership to another member after the lead was lost several times in a short while:
+// a machine that can't keep it is slow or carries too much, and while it tries proxies get no leases. At most once
+// in a while, so that members which are all late don't pass it around.
+func (c *Core) handOverIfLate(now time.Duration) {
+	recent := func(at time.Duration) bool { return now-at < limit.LateLeadSpan }
+	c.leadsLostAt = slices.DeleteFunc(c.leadsLostAt, func(at time.Duration) bool { return !recent(at) })
+	if c.lead != Idle || c.stopping || len(c.leadsLostAt) < limit.LateLeads || c.node == nil || c.node.Role() != quorum.Leader ||
+		c.handedOverAt > 0 && now-c.handedOverAt < limit.HandOverEvery {
+		return
+	}
+	// A late leader hears late, so that one which answered a while ago may well be there.
+	if c.node.TransferLeadershipTo(now, limit.LeaderLease+limit.ElectMin, func(m wire.Member) bool { return !c.isStopping(m.Name) }) {
+		c.handedOverAt = now
+		c.emit(Change{"leadership", c.settings.Self.Name, "", "the lease was lost again and again"})
 	}
 }
 
--- a/core/shutdown.go
+++ b/core/shutdown.go
@@ -26,7 +26,7 @@
 // there is one: two that stop would hand it to each other until both are gone.
 func (c *Core) handOver(now time.Duration) {
 	stays := func(m wire.Member) bool { return !c.isStopping(m.Name) }
-	if c.node != nil && c.node.TransferLeadershipTo(now, stays) {
+	if c.node != nil && c.node.TransferLeadershipTo(now, limit.LeaderLease, stays) {
 		c.emit(Change{"leadership", c.settings.Self.Name, "", "stopping"})
 	}
 }
--- a/limit/lease.go
+++ b/limit/lease.go
@@ -64,6 +64,12 @@
 	// between, goes on at once: shorter than the lease that a proxy got with its last pull, so that none has
 	// decided anything by itself meanwhile.
 	ResumeAtOnce = ProxyLease - 2*PullEvery
+	// LateLeads is how many times within LateLeadSpan a leader loses its lease before it hands leadership to
+	// another member, and HandOverEvery how often at the most it does: longer than a new leader takes to gather tables and to
+	// show whether it keeps up.
+	LateLeads     = 3
+	LateLeadSpan  = 2 * time.Second
+	HandOverEvery = 10 * time.Second
 	// WaitersKept is for how long after a lead was lost those who wait for a change go on waiting for its
 	// leader: an election with a lost vote message. Past it they are told that it can't be told.
 	WaitersKept = ElectMin + ElectSpread + 2*HeartbeatEvery
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -74,14 +74,15 @@
 
 // TransferLeadership gives leadership up and asks the best peer to stand at once.
 func (n *Node) TransferLeadership(now time.Duration) bool {
-	return n.TransferLeadershipTo(now, func(wire.Member) bool { return true })
+	return n.TransferLeadershipTo(now, limit.LeaderLease, func(wire.Member) bool { return true })
 }
 
-// TransferLeadershipTo is the same among those peers that may lead.
-func (n *Node) TransferLeadershipTo(now time.Duration, may func(wire.Member) bool) bool {
+// TransferLeadershipTo is the same among those peers that may lead and acknowledged something that was sent
+// no longer than a time ago.
+func (n *Node) TransferLeadershipTo(now, acked time.Duration, may func(wire.Member) bool) bool {
 	var best *peer
 	for _, p := range n.sorted() {
-		if p.voter && may(p.member) && now-p.acked < limit.LeaderLease && (best == nil || p.match > best.match) {
+		if p.voter && may(p.member) && now-p.acked < acked && (best == nil || p.match > best.match) {
 			best = p
 		}
 	}
--- a/sim/overload_test.go
+++ b/sim/overload_test.go
@@ -102,8 +102,8 @@
 	}
 }
 
-// A leader whose machine is three times slower for a while loses the lead no more once it is over, and
-// what it loses meanwhile is won back without a flood: the proxies hold their leases again soon after.
+// A leader whose machine is three times slower loses its lease again and again, and hands leadership to a
+// member that is not: three seconds later all proxies hold leases, while the machine is as slow as before.
 func TestSlowLeaderRecovers(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(3) {
@@ -118,14 +118,11 @@
 			w.release(0.3, 4, 900*time.Millisecond)
 			w.Run(w.now + time.Second)
 			w.slowDown(leader, 3, 4*time.Second)
-			for range 4 {
-				w.Run(w.now + time.Second)
-				t.Logf("%v: lead lost %d times, %d of 64 proxies hold a lease", w.now, w.leadsLost()-lost, granted(w))
-			}
-			w.until(3*time.Second, func() bool { return granted(w) == 64 })
+			w.Run(w.now + 3*time.Second)
 			if n := granted(w); n < 64 {
-				t.Errorf("%d of 64 proxies hold a lease 3 s after the machine is as before", n)
+				t.Errorf("%d of 64 proxies hold a lease 3 s after the leader's machine became slow; the lead was lost %d times\n%s", n, w.leadsLost()-lost, w.Trace(30))
 			}
+			w.Run(w.now + time.Second)
 			slowed := w.leadsLost()
 			w.Run(w.now + 3*time.Second)
 			if n := w.leadsLost() - slowed; n > 0 {
