Those who wait for a table cost a leader no lists; no look at the news between two tables

Cause sought elsewhere: work that grows with trouble. TestManyWaitersCostLittle fails without it. And each event of a target that decided something looked through all targets for news though no table could be made yet.

--- a/core/inforce.go
+++ b/core/inforce.go
@@ -33,23 +33,10 @@
 	if f.member != "" && (!c.node.CanChangeMembers() || f.joining != slices.ContainsFunc(c.node.Members(), func(m wire.Member) bool { return m.Name == f.member })) {
 		return false
 	}
-	var rest []*proxyState
-	confirmed := func(names []string) bool {
-		conf := 0
-		for _, n := range names {
-			g := c.proxies[n]
-			if g != nil && g.key.Epoch == c.node.Epoch() && g.key.Term == c.node.Term() && g.key.Ver >= f.version {
-				conf++
-			} else if g != nil {
-				rest = append(rest, g)
-			}
-		}
-		return 2*conf > len(names) || len(names) == 0
-	}
 	if slices.ContainsFunc(f.agreed, func(id wire.ID) bool { return !c.agreed(id) }) {
 		return false
 	}
-	if now, was := confirmed(c.state.names()), confirmed(c.state.PreviousRoster); !now || !was {
+	if !c.majorityConfirmed(f.version) {
 		f.majorityAt = 0
 		return false
 	}
@@ -59,15 +46,58 @@
 	if f.majorityAt == 0 {
 		f.majorityAt = now
 	}
-	for _, g := range rest {
-		if now-g.grantAt <= limit.ProxyLease+limit.LeaseMargin || now-f.majorityAt <= limit.PeerLease+limit.LeaseMargin {
+	for i := range c.state.Roster {
+		if c.mayBePast(now, c.state.Roster[i].Name, f) {
+			return false
+		}
+	}
+	for _, n := range c.state.PreviousRoster {
+		if c.mayBePast(now, n, f) {
 			return false
 		}
 	}
 	return true
 }
 
-// settle answers for what has come into force.
+// hasConfirmed says that a proxy stands on a table or a later one.
+func (c *Core) hasConfirmed(name string, version uint64) bool {
+	g := c.proxies[name]
+	return g != nil && g.key.Epoch == c.node.Epoch() && g.key.Term == c.node.Term() && g.key.Ver >= version
+}
+
+// majorityConfirmed says that a majority of the roster, and of the one before while that counts, does.
+func (c *Core) majorityConfirmed(version uint64) bool {
+	confirmed := 0
+	for i := range c.state.Roster {
+		if c.hasConfirmed(c.state.Roster[i].Name, version) {
+			confirmed++
+		}
+	}
+	if n := len(c.state.Roster); n > 0 && 2*confirmed <= n {
+		return false
+	}
+	confirmed = 0
+	for _, name := range c.state.PreviousRoster {
+		if c.hasConfirmed(name, version) {
+			confirmed++
+		}
+	}
+	n := len(c.state.PreviousRoster)
+	return n == 0 || 2*confirmed > n
+}
+
+// mayBePast says that a proxy may still serve by an earlier table than one that waits to be in force:
+// on a lease of this leader's, or of a peer's that had not confirmed it either.
+func (c *Core) mayBePast(now time.Duration, name string, f *commitWaiter) bool {
+	g := c.proxies[name]
+	if g == nil || c.hasConfirmed(name, f.version) {
+		return false
+	}
+	return now-g.grantAt <= limit.ProxyLease+limit.LeaseMargin || now-f.majorityAt <= limit.PeerLease+limit.LeaseMargin
+}
+
+// answerWaiters answers for what has come into force. It is called after each event, so what it does for
+// one who still waits has to be little.
 func (c *Core) answerWaiters(now time.Duration) {
 	var done []*commitWaiter
 	c.waiters = slices.DeleteFunc(c.waiters, func(f *commitWaiter) bool {
--- a/core/rest_test.go
+++ b/core/rest_test.go
@@ -154,3 +154,40 @@
 		})
 	}
 }
+
+// allocationsPerPull is the mean number of allocations of the answer to a pull that tells nothing new.
+func (r *rest) allocationsPerPull() float64 {
+	m := &wire.Msg{Kind: uint16(wire.KPull), From: r.gates[0].Name, Stamp: int64(r.now),
+		Pull: &wire.Pull{Self: r.gates[0], Key: r.keys[0].Key, Revision: r.keys[0].Revision, Seq: r.keys[0].Seq}}
+	return testing.AllocsPerRun(200, func() { r.c.Step(r.now, Recv{m}) })
+}
+
+// waitFor has so many wait for a table that is not made yet, as in a release.
+func (r *rest) waitFor(n int) {
+	for range n {
+		r.c.waiters = append(r.c.waiters, &commitWaiter{version: r.c.tableVersion + 1, since: r.now, majorityOnly: true})
+	}
+}
+
+// An event costs a leader no lists for those who wait for a table to be in force, of whom there may be many.
+func TestManyWaitersCostLittle(t *testing.T) {
+	r := atRest(69, 294)
+	alone := r.allocationsPerPull()
+	r.waitFor(40)
+	if n := r.allocationsPerPull(); n > alone+5 {
+		t.Errorf("%v allocations a pull, %v with nobody waiting", n, alone)
+	}
+	if n := r.allocationsPerTick(); n > 100 {
+		t.Errorf("%v allocations a tick", n)
+	}
+}
+
+// One virtual second of a leader for whose tables many wait.
+func BenchmarkManyWaiters(b *testing.B) {
+	r := atRest(69, 294)
+	r.waitFor(40)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.second()
+	}
+}
--- a/core/table.go
+++ b/core/table.go
@@ -27,13 +27,17 @@
 		return
 	}
 	if !refresh {
+		age := now - c.madeAt[c.tableVersion%limit.TablesKept]
+		if age < c.tableSpacing(urgent) {
+			return // the next tick sees whatever it is
+		}
 		news := c.pendingNews(now)
 		if news == unchanged {
 			c.counts.Same++
 			return
 		}
-		if now-c.madeAt[c.tableVersion%limit.TablesKept] < c.tableSpacing(news) {
-			return // the next tick sees it again
+		if age < c.tableSpacing(news) {
+			return
 		}
 	}
 	t := &wire.Table{Was: c.state.PreviousRoster, Seq: c.state.Seq, Revision: c.state.Revision, Doc: c.compressedDocument(), State: c.state.forProxies(c.node.Members()), Emptied: c.state.Emptied}
