--- a/core/state.go
+++ b/core/state.go
@@ -330,6 +330,12 @@
 		return
 	}
 	c.rebuild(now, true)
+	c.awaitForce(now, o, p, rev)
+}
+
+// awaitForce has who asked for a change that is agreed wait until it is in force, and a change of the
+// roster until it is, whoever asked.
+func (c *Core) awaitForce(now time.Duration, o command, p *pending, revision uint64) {
 	version := c.tableVersion
 	if c.lead != Deciding {
 		version++ // the first table of a lead that goes on has it
@@ -340,7 +346,7 @@
 	}
 	if p != nil {
 		c.counts.Changes++
-		f.p, f.reply = p, accepted(p.token, rev)
+		f.p, f.reply = p, accepted(p.token, revision)
 	}
 	if f.rosterChange || p != nil {
 		c.waiters = append(c.waiters, f)
--- a/sim/connection.go
+++ b/sim/connection.go
@@ -99,7 +99,11 @@
 		}
 	}
 	w.Stats.MostConnections = max(w.Stats.MostConnections, n+1)
-	return n >= w.Plan.ConnCap
+	if n < w.Plan.ConnCap {
+		return false
+	}
+	w.Stats.OverCap++
+	return true
 }
 
 // beginAttempt notes a request as written; a surplus answer that is still to come on the
--- a/sim/request.go
+++ b/sim/request.go
@@ -226,18 +226,16 @@
 		}
 		w.checkCold(t)
 		if !pooled && w.overCap(t, id) {
-			w.Stats.OverCap++
 			x.sent = true
 			fail(0, proxy.Lost, true, false)
 			return
 		}
-		if w.Plan.Slots > 0 && len(t.works) >= w.Plan.Slots+queued {
-			w.Stats.TurnedAway++
+		if w.turnsAway(t) {
+			how := proxy.NotRun
 			if t.resets {
-				fail(0, proxy.Lost, true, false)
-			} else {
-				fail(0, proxy.NotRun, true, false)
+				how = proxy.Lost
 			}
+			fail(0, how, true, false)
 			return
 		}
 		w.runs(t, x)
@@ -271,3 +269,12 @@
 		})
 	})
 }
+
+// turnsAway says that a target is full: it has as many requests at work and waiting as it takes.
+func (w *World) turnsAway(t *Target) bool {
+	if w.Plan.Slots == 0 || len(t.works) < w.Plan.Slots+queued {
+		return false
+	}
+	w.Stats.TurnedAway++
+	return true
+}
--- /dev/null
+++ b/wire/size.go
@@ -0,0 +1,175 @@
+// This file tells how many bytes a message takes before it is written: sizes follow from the structs,
+// so that one slice is made, written in place and handed on.
+
+package wire
+
+import (
+	capnp "capnproto.org/go/capnp/v3"
+)
+
+const (
+	word   = 8    // bytes, the unit that Cap'n Proto counts in
+	header = 8    // bytes before the one segment: how many more there are and its words
+	tag    = word // before the elements of a list of structs
+	root   = word // the pointer that a segment begins with
+)
+
+// Bytes of each struct without what it points to, as the schema has them.
+var (
+	msgSize    = fixed(NewMsgC)
+	daemonSize = fixed(NewDaemonC)
+	helloSize  = fixed(NewHelloC)
+	voteSize   = fixed(NewVoteC)
+	entrySize  = fixed(NewEntryC)
+	memberSize = fixed(NewMemberC)
+	snapSize   = fixed(NewSnapC)
+	appendSize = fixed(NewAppendC)
+	pieceSize  = fixed(NewPieceC)
+	targetSize = fixed(NewTargetC)
+	seenSize   = fixed(NewSeenC)
+	keySize    = fixed(NewKeyC)
+	gateSize   = fixed(NewGateC)
+	tableSize  = fixed(NewTableC)
+	idSize     = fixed(NewIdC)
+	pullSize   = fixed(NewPullC)
+	pushSize   = fixed(NewPushC)
+	askSize    = fixed(NewAskC)
+	batchSize  = fixed(NewBatchC)
+)
+
+func fixed[T ~capnp.StructKind](create func(*capnp.Segment) (T, error)) int {
+	_, seg := capnp.NewSingleSegmentMessage(nil)
+	c, err := create(seg)
+	if err != nil {
+		panic(err)
+	}
+	size := capnp.Struct(c).Size()
+	return int(size.DataSize) + word*int(size.PointerCount)
+}
+
+func padded(n int) int { return (n + word - 1) / word * word }
+
+func textSize(s string) int {
+	if s == "" {
+		return 0
+	}
+	return padded(len(s) + 1) // its end is marked by a zero
+}
+
+func textsSize(ss []string) int {
+	n := word * len(ss)
+	for _, s := range ss {
+		n += textSize(s)
+	}
+	return n
+}
+
+func dataSize(b []byte) int { return padded(len(b)) }
+
+func listSize(n, each int) int {
+	if n == 0 {
+		return 0
+	}
+	return tag + n*each
+}
+
+func (m *Msg) size() int {
+	n := msgSize + textSize(m.From) + textSize(m.To)
+	if h := m.Hello; h != nil {
+		n += helloSize + h.Self.size() + listSize(len(h.Known), 0) + textSize(h.Leader) + dataSize(h.Legacy) +
+			membersSize(h.Members) + textsSize(h.Gone)
+		for i := range h.Known {
+			n += h.Known[i].size()
+		}
+	}
+	if m.Vote != nil {
+		n += voteSize
+	}
+	if a := m.Append; a != nil {
+		n += appendSize + entriesSize(a.Entries) + a.Piece.size()
+	}
+	if p := m.Pull; p != nil {
+		n += pullSize + p.Self.size() + keySize + listSize(len(p.Seen), seenSize) + p.Table.size()
+		for i := range p.Seen {
+			n += textSize(p.Seen[i].Service) + textSize(p.Seen[i].Name)
+		}
+	}
+	if p := m.Push; p != nil {
+		n += pushSize + keySize + p.Table.size() + idsSize(p.Probe)
+	}
+	if m.Beat != nil {
+		n += m.Beat.size()
+	}
+	if a := m.Ask; a != nil {
+		n += askSize + textSize(a.Method) + textSize(a.Path) + textSize(a.Query) + dataSize(a.Body) + textSize(a.Token)
+	}
+	return n
+}
+
+func (b *Batch) size() int {
+	return batchSize + textSize(b.Vote) + entriesSize(b.Entries) + b.Snap.size() + dataSize(b.Legacy) +
+		membersSize(b.Founders)
+}
+
+func (d *Daemon) size() int {
+	return daemonSize + textSize(d.Name) + textSize(d.Kind) + textSize(d.Domain) + textSize(d.Addr) +
+		textSize(d.Http) + textSize(d.State)
+}
+
+func (t *Target) size() int {
+	return targetSize + textSize(t.Service) + textSize(t.Name) + textSize(t.Addr) + textSize(t.Domain) +
+		textSize(t.State) + textSize(t.BarWhy)
+}
+
+func (p *Piece) size() int {
+	if p == nil {
+		return 0
+	}
+	return pieceSize + membersSize(p.Members) + dataSize(p.Data)
+}
+
+func (s *Snap) size() int {
+	if s == nil {
+		return 0
+	}
+	return snapSize + membersSize(s.Members) + dataSize(s.Data)
+}
+
+func idsSize(ids []ID) int {
+	n := listSize(len(ids), idSize)
+	for i := range ids {
+		n += textSize(ids[i].Service) + textSize(ids[i].Name)
+	}
+	return n
+}
+
+func (t *Table) size() int {
+	if t == nil {
+		return 0
+	}
+	n := tableSize + keySize + dataSize(t.Doc) + dataSize(t.State) + listSize(len(t.Gates), gateSize) +
+		textsSize(t.Emptied) + listSize(len(t.Targets), 0) + textsSize(t.Was) + keySize + idsSize(t.Gone)
+	for i := range t.Gates {
+		n += textSize(t.Gates[i].Name) + textSize(t.Gates[i].Addr) + textSize(t.Gates[i].Domain)
+	}
+	for i := range t.Targets {
+		n += t.Targets[i].size()
+	}
+	return n
+}
+
+func membersSize(ms []Member) int {
+	n := listSize(len(ms), memberSize)
+	for i := range ms {
+		n += textSize(ms[i].Name)
+	}
+	return n
+}
+
+func entriesSize(es []Entry) int {
+	n := listSize(len(es), entrySize)
+	for i := range es {
+		n += dataSize(es[i].Data)
+	}
+	return n
+}
