A proxy without a leader fetches peers' tables at a pace; a new leader sends no document twice

Cause: a proxy that is cut off from the core, but not from its peers, fetched a whole table from them each 0.3 s while the leader made ever new ones in a release, with the document of 1,400 routes that it had: its link of 2 Mbit/s was full for 0.87 of the time of the cut, requests and peers' answers with it. Now a peer is asked without what the proxy has, and so seldom that rows take a quarter of a slow link; and a leader's first table of a term goes without the document to those who have it, also where the state has moved on.

--- a/core/core.go
+++ b/core/core.go
@@ -161,7 +161,6 @@
 	table                  *wire.Table
 	leadTerms              []uint64                        // the terms of this lead: it may have been lost and won back
 	latestMergedKey        wire.Key                        // latest proxies' table merged while warming
-	tableWithoutDocument   *wire.Table                     // the same without document and state, for those who have them
 	changes                map[change]*wire.Table          // the same as changes to earlier ones of this lead
 	madeAt                 [limit.TablesKept]time.Duration // when each of the last tables was made
 	withdrawnTargets       []withdrawnTarget               // targets that are in no table any more, and since which one
--- a/core/lease.go
+++ b/core/lease.go
@@ -26,7 +26,8 @@
 	bytesInFlight    int // bytes of tables sent and not confirmed, about
 }
 
-// change tells which change to a table is meant, and whether it needs the state or the document too.
+// change tells which change to a table is meant, and whether it needs the state or the document too; with
+// no base all rows of the table.
 type change struct {
 	term, base uint64
 	state, doc bool
@@ -164,32 +165,40 @@
 	c.send(name, &wire.Msg{Kind: uint16(wire.KPush), Epoch: c.node.Epoch(), Term: c.node.Term(), Stamp: g.stamp, Disk: g.incarnation, Push: p})
 }
 
-// lacking is the table for a proxy: only what changed since the one that it holds, if that
+// tableFor is the table for a proxy: only what changed since the one that it holds, if that
 // is of this lead; else all, but for a document and state that it has.
 func (c *Core) tableFor(g *proxyState) *wire.Table {
 	doc, state := g.revision != c.table.Revision, g.seq != c.table.Seq
 	if c.isOwnTable(g.key) && g.key.Ver >= c.oldestDeltaBase && g.seq != 0 {
 		k := change{g.key.Term, g.key.Ver, state, doc}
 		if c.changes[k] == nil {
-			if c.changes == nil {
-				c.changes = map[change]*wire.Table{}
-			}
-			c.changes[k] = c.tableSince(k)
+			c.keepChange(k, c.tableSince(k))
 		}
 		return c.changes[k]
 	}
-	if g.key.Epoch == c.table.Key.Epoch && !doc && !state && g.seq != 0 {
-		if c.tableWithoutDocument == nil {
+	if g.key.Epoch == c.table.Key.Epoch && !doc && g.seq != 0 {
+		k := change{state: state}
+		if c.changes[k] == nil {
 			t := *c.table
-			t.Doc, t.State = nil, nil
-			c.tableWithoutDocument = &t
+			if t.Doc = nil; !state {
+				t.State = nil
+			}
+			c.keepChange(k, &t)
 		}
-		return c.tableWithoutDocument
+		return c.changes[k]
 	}
 	return c.table
 }
 
-// since is the table as a change to an earlier one.
+// keepChange keeps a form of the present table for all who need that.
+func (c *Core) keepChange(k change, t *wire.Table) {
+	if c.changes == nil {
+		c.changes = map[change]*wire.Table{}
+	}
+	c.changes[k] = t
+}
+
+// tableSince is the table as a change to an earlier one.
 func (c *Core) tableSince(k change) *wire.Table {
 	t := *c.table
 	t.Base, t.Targets, t.Gone = wire.Key{Epoch: t.Key.Epoch, Term: k.term, Ver: k.base}, nil, nil
--- a/core/table.go
+++ b/core/table.go
@@ -77,7 +77,7 @@
 		c.rebuilt = now
 	}
 	t.Key = wire.Key{Epoch: c.node.Epoch(), Term: c.node.Term(), Ver: c.tableVersion}
-	c.table, c.tableWithoutDocument, c.changes = t, nil, nil
+	c.table, c.changes = t, nil
 	for _, n := range slices.Sorted(maps.Keys(c.proxies)) {
 		if g := c.proxies[n]; c.inRoster(n) && now-g.pullAt < limit.ProxyLive {
 			if now-g.sentAt > flightTime(g.bytesInFlight) {
--- a/limit/lease.go
+++ b/limit/lease.go
@@ -52,6 +52,9 @@
 	FlightBytes = 12 << 10
 	SlowLink    = 128 << 10
 	RowBytes    = 120
+	// PeerTableParts: the tables that a proxy without a leader fetches from its peers take at most one in so many
+	// of the bytes that a slow link carries beside traffic.
+	PeerTableParts = 4
 	// DemandEvery is how often tables are sent anew only because demand changed.
 	DemandEvery = time.Second
 	// DemandStep is how far a target's demand must move for that.
--- a/proxy/lease.go
+++ b/proxy/lease.go
@@ -192,9 +192,10 @@
 		if p.Grant && mine && g.table != nil && !g.table.Key.Less(p.Key) {
 			g.peerAnswers[m.From] = max(g.peerAnswers[m.From], time.Duration(m.Stamp))
 		}
-		if p.Grant && g.table != nil && g.table.Key.Less(p.Key) && now-g.wantAt >= 2*limit.PullEvery {
-			g.wantAt = now // one at a time sends all of its table
-			g.send(m.From, &wire.Msg{Kind: uint16(wire.KPull), Stamp: int64(now), Disk: g.settings.Self.Inc, Pull: &wire.Pull{Self: g.self()}})
+		if p.Grant && g.table != nil && g.table.Key.Less(p.Key) && now-g.wantAt >= g.peerTableEvery() {
+			g.wantAt = now // one at a time sends its table, without what this proxy has
+			g.send(m.From, &wire.Msg{Kind: uint16(wire.KPull), Stamp: int64(now), Disk: g.settings.Self.Inc,
+				Pull: &wire.Pull{Self: g.self(), Revision: g.table.Revision, Seq: g.table.Seq}})
 		}
 		return
 	}
@@ -226,7 +227,15 @@
 	}
 }
 
-// peer answers another proxy's touch.
+// peerTableEvery is how often a proxy fetches a later table from a peer, which sends all of its rows: so
+// seldom that, whatever the fleet's size, tables take no more than a part of a slow link. A proxy that is cut off
+// from a leader which makes ever new tables would else fill its link, and its peers' links, with them.
+func (g *Proxy) peerTableEvery() time.Duration {
+	bytes := limit.RowBytes * (len(g.table.Targets) + len(g.table.Gates))
+	return max(2*limit.PullEvery, time.Duration(bytes)*time.Second*limit.PeerTableParts/limit.SlowLink)
+}
+
+// peerAnswer answers another proxy's question.
 func (g *Proxy) peerAnswer(now time.Duration, m *wire.Msg) {
 	if m.Pull == nil {
 		return
@@ -241,6 +250,12 @@
 		case !p.Grant:
 		case m.Pull.Key == wire.Key{}:
 			p.Table = g.export(now)
+			if m.Pull.Revision == p.Table.Revision && m.Pull.Seq != 0 {
+				p.Table.Doc = nil
+				if m.Pull.Seq == p.Table.Seq {
+					p.Table.State = nil
+				}
+			}
 		case m.Pull.Want && m.Pull.Key == p.Key:
 			p.Table = g.ejectionsAndDrains(now)
 		}
--- a/sim/overload_test.go
+++ b/sim/overload_test.go
@@ -162,3 +162,52 @@
 		})
 	}
 }
+
+// Proxies that are cut off from the core while a release has its leader make ever new tables don't fill their thin
+// links with their peers' tables: requests go over the same links.
+func TestCutOffProxiesKeepTheirLinksFree(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			p := grown()
+			p.Rate, p.Slots, p.CoreOnly, p.Beats = 200, 3, true, 1500*time.Millisecond
+			w := Start(seed, p)
+			w.Run(w.now + 3*time.Second)
+			w.Change(w.Leader(), "PUT", "/v1/config", fmt.Sprintf("base=%d", w.Revision()), w.bulk(3, 1400), &change{what: "config", base: w.Revision()})
+			w.Run(w.now + 3*time.Second)
+			w.release(0.3, 4, 500*time.Millisecond)
+			var cut []*Proc
+			var links [][2]string
+			for i, g := range w.all("gate") {
+				if i%4 > 0 {
+					continue
+				}
+				cut = append(cut, w.procs[g])
+				for _, c := range w.all("core") {
+					links = append(links, both(g, c)...)
+				}
+			}
+			w.Run(w.now + time.Second)
+			w.cutFor(links, 5500*time.Millisecond)
+			full, samples := 0, 0
+			for range 25 {
+				w.Run(w.now + 200*time.Millisecond)
+				for _, g := range cut {
+					if samples++; g.in-w.now > 100*time.Millisecond {
+						full++
+					}
+				}
+			}
+			if part := float64(full) / float64(samples); part > 1.0/limit.PeerTableParts {
+				t.Errorf("links of proxies that are cut off were full for %.2f of the time", part)
+			} else {
+				t.Logf("full for %.2f of the time", part)
+			}
+			if !w.until(2500*time.Millisecond, func() bool { return granted(w) == 69 }) {
+				t.Errorf("%d of 69 proxies hold a lease 2 s after the cut", granted(w))
+			}
+			check(t, w)
+		})
+	}
+}
