The check of a history ends where dozens of orders are refused together

A refusal during which another on the same base was refused at the same revision fits wherever that one does, if no call tells that its order was taken; those are left out. As strict: an order that was refused and taken is still found (the test's second half). The daemons are untouched.

--- a/history/history.go
+++ b/history/history.go
@@ -161,29 +161,34 @@
 //   - an order on whose base another one was taken.
 //
 // So are reads during which another read began and ended with the same result: whatever
-// moment suits that one suits both.
+// moment suits that one suits both. And so are refusals during which another order on the same base was
+// refused at the same revision, if no call tells that the order itself was ever taken: where forty
+// wait for a leader that refuses them all at once, there would be an order to try for each set of them.
 func (l *Log) relevant() (calls []*Operation) {
-	type refusal struct {
+	type refusedOrder struct {
 		base uint64
 		key  string
 	}
-	refused, taken := map[refusal]bool{}, map[uint64]string{}
+	refused, taken := map[refusedOrder]bool{}, map[uint64]string{}
 	for _, o := range l.operations {
 		switch {
 		case o.outcome == stale:
-			refused[refusal{o.order.Base, o.order.Key}] = true
+			refused[refusedOrder{o.order.Base, o.order.Key}] = true
 		case o.built():
 			taken[o.order.Base] = o.order.Key
 		}
 	}
-	seen, reads := map[identity]bool{}, l.readsByResult()
+	seen, reads, refusals := map[identity]bool{}, l.readsByResult(), l.refusalsByResult()
 	for _, o := range l.operations {
+		if o.outcome == stale && refusals.spans(o) {
+			continue
+		}
 		if o.outcome == void || o.read && o.outcome == open || o.outcome == returned && reads.spans(o) {
 			continue
 		}
 		if o.outcome == open {
 			winner, decided := taken[o.order.Base]
-			if seen[o.identity()] || refused[refusal{o.order.Base, o.order.Key}] || decided && winner != o.order.Key {
+			if seen[o.identity()] || refused[refusedOrder{o.order.Base, o.order.Key}] || decided && winner != o.order.Key {
 				continue
 			}
 			seen[o.identity()] = true
@@ -216,9 +221,46 @@
 // spans says whether another read of the same result began and ended during a read, and is
 // shorter.
 func (r readsByResult) spans(o *Operation) bool {
-	return slices.ContainsFunc(r[result{o.revision, o.value}], func(x *Operation) bool {
-		return x.sent >= o.sent && x.ended <= o.ended && x.ended-x.sent < o.ended-o.sent
-	})
+	return slices.ContainsFunc(r[result{o.revision, o.value}], func(x *Operation) bool { return spans(o, x) })
+}
+
+// spans says whether x began and ended during o, and is shorter.
+func spans(o, x *Operation) bool {
+	return x.sent >= o.sent && x.ended <= o.ended && x.ended-x.sent < o.ended-o.sent
+}
+
+// refusal is on which base orders were refused, and the revision that they were refused at.
+type refusal struct{ base, revision uint64 }
+
+// refusalsByResult are the refused orders of which no call tells that they were taken, under their id or another.
+type refusalsByResult map[refusal][]*Operation
+
+func (l *Log) refusalsByResult() refusalsByResult {
+	type order struct {
+		base uint64
+		key  string
+	}
+	taken, takenTokens := map[order]bool{}, map[string]bool{}
+	for _, o := range l.operations {
+		if o.outcome == acknowledged {
+			taken[order{o.order.Base, o.order.Key}] = true
+			takenTokens[o.order.Token] = o.order.Token != ""
+		}
+	}
+	refusals := refusalsByResult{}
+	for _, o := range l.operations {
+		if o.outcome == stale && o.revision != 0 && !taken[order{o.order.Base, o.order.Key}] && !takenTokens[o.order.Token] {
+			k := refusal{o.order.Base, o.revision}
+			refusals[k] = append(refusals[k], o)
+		}
+	}
+	return refusals
+}
+
+// spans says whether an order is among those, and another that was refused alike began and ended during it.
+func (r refusalsByResult) spans(o *Operation) bool {
+	alike := r[refusal{o.order.Base, o.revision}]
+	return slices.Contains(alike, o) && slices.ContainsFunc(alike, func(x *Operation) bool { return spans(o, x) })
 }
 
 // explain shows the calls around the first one that fits in no longest order.
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -112,3 +112,27 @@
 		t.Error(err)
 	}
 }
+
+// Orders that wait for a leader together and are all refused within a few milliseconds: the check ends,
+// though some of them last longer than those that were sent before them, and it still finds one that was taken.
+func TestCheckOfRefusalsTogether(t *testing.T) {
+	for _, wrong := range []bool{false, true} {
+		var l Log
+		l.Write(0, order(0, "first")).Acknowledge(ms, 1)
+		l.Write(10*ms, order(1, "won")).Acknowledge(900*ms, 2)
+		for i := range 40 {
+			o := l.Write(time.Duration(20+i)*ms, order(1, "lost"+strconv.Itoa(i)))
+			o.Refuse(time.Duration(1000+(i*7)%10)*ms, 2)
+		}
+		l.Read(30*ms).Return(950*ms, 1, "first")
+		for i := range 3 {
+			l.Write(time.Duration(40+i)*ms, order(2, "open"+strconv.Itoa(i)))
+		}
+		if wrong {
+			l.Write(1100*ms, order(1, "lost5")).Acknowledge(1200*ms, 2)
+		}
+		if err := l.Check(); (err != nil) != wrong {
+			t.Errorf("an order refused and taken: %v; %v", wrong, err)
+		}
+	}
+}
