One start for the overload tests' fleets; the doc comment on idle connections says all of it

Three tests waited for the same fleet by the same lines. A target with more slots than half its connections keeps as many as it has slots (TestIdleConnectionsOfAFleet allows just that), which the comment left out. No behaviour, bound or check changed; daemons' code untouched but for that comment.

--- a/proxy/connections.go
+++ b/proxy/connections.go
@@ -12,8 +12,8 @@
 
 // idleConns is how many unused connections to a target this proxy may keep. A target that bounds its
 // connections is left half of them for requests under way and for probes; of the others each proxy may keep one for
-// each slot that is dealt to it, and what is left over is shared evenly. So all proxies together
-// keep no more than half, also when there are more proxies than connections.
+// each slot that is dealt to it, and what is left over is shared evenly. So all proxies together keep no more
+// than half, or than the target has slots, also when there are more proxies than connections.
 func (g *Proxy) idleConns(t *target, set model.Service) int {
 	if set.ConnCap <= 0 {
 		return limit.IdleConnsMax
--- a/sim/overload_test.go
+++ b/sim/overload_test.go
@@ -19,6 +19,16 @@
 	return p
 }
 
+// startLeased starts a ferry fleet and waits until its core has all members and each proxy a lease.
+func startLeased(t *testing.T, seed uint64, p Plan) *World {
+	t.Helper()
+	w := Start(seed, p)
+	if !w.until(10*time.Second, func() bool { return len(w.memberNames()) == 7 && granted(w) == 64 }) {
+		t.Fatalf("members %v, %d proxies leased", w.memberNames(), granted(w))
+	}
+	return w
+}
+
 // release replaces a part of all targets by later starts of them, so many at once and so far apart.
 func (w *World) release(share float64, atOnce int, gap time.Duration) {
 	var all []*Target
@@ -78,10 +88,7 @@
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			w := Start(seed, busyFerry())
-			if !w.until(10*time.Second, func() bool { return len(w.memberNames()) == 7 && granted(w) == 64 }) {
-				t.Fatalf("members %v, %d proxies leased", w.memberNames(), granted(w))
-			}
+			w := startLeased(t, seed, busyFerry())
 			leader, lost, since := w.Leader(), w.leadsLost(), w.now
 			before := maps.Clone(leader.spent)
 			w.release(0.6, 6, 600*time.Millisecond)
@@ -109,10 +116,7 @@
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			w := Start(seed, ferry())
-			if !w.until(10*time.Second, func() bool { return len(w.memberNames()) == 7 && granted(w) == 64 }) {
-				t.Fatalf("members %v, %d proxies leased", w.memberNames(), granted(w))
-			}
+			w := startLeased(t, seed, ferry())
 			leader, lost := w.Leader(), w.leadsLost()
 			before := maps.Clone(leader.spent)
 			w.release(0.3, 4, 900*time.Millisecond)
@@ -140,10 +144,7 @@
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			w := Start(seed, busyFerry())
-			if !w.until(10*time.Second, func() bool { return len(w.memberNames()) == 7 && granted(w) == 64 }) {
-				t.Fatalf("members %v, %d proxies leased", w.memberNames(), granted(w))
-			}
+			w := startLeased(t, seed, busyFerry())
 			for _, c := range w.all("core") {
 				w.Kill(w.procs[c])
 			}
