--- a/forward/ahead.go
+++ b/forward/ahead.go
@@ -35,7 +35,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &caller{Conn: conn, c: l.c, early: make(chan *early, limit.AheadMax)}
+	p := &caller{Conn: conn, c: l.c, early: make(chan *early, limit.AheadMax), late: l.c.Leaving.Load()}
+	l.c.Callers.Add(1)
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p, nil
 }
@@ -55,6 +56,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	early  chan *early
+	late   bool // it was opened after the proxy began to stop
+	closed atomic.Bool
 
 	// The reading side's.
 	buf   []byte
@@ -73,6 +76,9 @@
 }
 
 func (p *caller) Close() error {
+	if !p.closed.Swap(true) {
+		p.c.Callers.Add(-1)
+	}
 	p.cancel()
 	return p.Conn.Close()
 }
@@ -230,6 +236,17 @@
 	return e
 }
 
+// countLate counts a request that is taken although the proxy is stopping.
+func (p *caller) countLate() {
+	switch {
+	case !p.c.Leaving.Load():
+	case p.late:
+		p.c.Counts.LateNew.Add(1)
+	default:
+		p.c.Counts.LateKept.Add(1)
+	}
+}
+
 // last says that the connection may end after this answer: nothing is ahead, nor will be.
 func (p *caller) last() bool {
 	return p.ahead.Load() < 0 || p.ahead.CompareAndSwap(0, -1)
@@ -244,6 +261,7 @@
 	}
 	p.busy = true
 	defer func() { p.busy = false }()
+	p.countLate()
 	e := p.take(r)
 	if e == nil {
 		c.serve(ender{w, p}, r)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -82,6 +82,9 @@
 // Counts are the forwarder's counters.
 type Counts struct {
 	Exchanges, Served, Unknown, NotRun, Cut, Gone, Opened, Reused, Foreign, TurnedAway, Strange, Ahead, Deferred, GivenUp atomic.Uint64
+	// LateKept and LateNew are requests taken after the proxy began to stop, on callers' connections
+	// that were open before that and on later ones.
+	LateKept, LateNew atomic.Uint64
 }
 
 // Forwarder is the handler of the callers' address.
@@ -94,6 +97,8 @@
 	Observe func(svc string, status int, sec float64)
 	// Leaving has each answer end its caller's connection, so that callers move to other proxies.
 	Leaving atomic.Bool
+	// Callers is how many connections of callers are open.
+	Callers atomic.Int64
 	// Limits are the configuration's bounds on callers, nil: the program's own.
 	Limits atomic.Pointer[model.Limits]
 	// From is where connections leave from, nil for the system's choice.
--- a/host/gate.go
+++ b/host/gate.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
 
 	"myrtlefold/core"
 	"myrtlefold/forward"
@@ -52,10 +53,21 @@
 		code = 1
 	}
 	admin.Close()
-	d.Log.Info("stopped")
+	d.logEnd(code)
 	return code
 }
 
+// logEnd logs what callers are left with at the end of a stop.
+func (d *gateDaemon) logEnd(code int) {
+	counts := &d.forwarder.Counts
+	d.Log.WithFields(logrus.Fields{
+		"code":             code,
+		"open_connections": d.forwarder.Callers.Load(),
+		"late_kept":        counts.LateKept.Load(),
+		"late_new":         counts.LateNew.Load(),
+	}).Info("stopped")
+}
+
 func newGateDaemon(h *Host) *gateDaemon {
 	s := h.Settings
 	d := &gateDaemon{Host: h, pool: forward.NewPool()}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -132,14 +132,6 @@
 	ReadyWhenEmptied bool
 }
 
-// stop is how long a stopping proxy serves on in any case, and at most.
-func (s Settings) stop() (linger, most time.Duration) {
-	if s.Grace <= 0 {
-		return limit.StopLinger, limit.StopWait
-	}
-	return min(limit.StopLingerMost, s.Grace/2), max(s.Grace-limit.StopMargin, s.Grace/2)
-}
-
 // Retry bounds what a service's targets get beyond the first target of each request:
 // over all proxies, in any window, a ratio of the requests and a little slack.
 type Retry struct {
@@ -276,6 +268,7 @@
 	coldEnd      time.Duration // when the next target ends being cold, or a part of a warming one grows, 0: never
 	turn         uint64
 	stopping     bool
+	stopped      bool // the end has been asked for
 	stopAt       time.Duration
 	out          []any
 	dark         map[wire.ID]bool
@@ -305,10 +298,7 @@
 	case core.Ask:
 		g.ask(now, e)
 	case core.Stop:
-		if !g.stopping {
-			g.stopping, g.stopAt = true, now
-			g.emit(core.Change{What: "stop", From: "serving", To: "stopping", Why: "asked to"})
-		}
+		g.beginStop(now)
 	case Admit:
 		g.admit(now, e)
 	case Again:
@@ -433,9 +423,7 @@
 	}
 	g.queues(now)
 	g.darken(now)
-	if linger, most := g.settings.stop(); g.stopping && (now-g.stopAt > linger && len(g.requests) == 0 || now-g.stopAt > most) {
-		g.emit(core.Exit{})
-	}
+	g.tickStop(now)
 }
 
 // Seeds replaces the seed addresses.
