--- /dev/null
+++ b/proxy/shutdown_test.go
@@ -0,0 +1,72 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"myrtlefold/core"
+	"myrtlefold/limit"
+)
+
+// stopRun is a proxy that was asked to stop, and the requests that it has taken.
+type stopRun struct {
+	*bench
+	grace   time.Duration
+	stopAt  time.Duration
+	ends    map[uint64]time.Duration // when the requests under way are over
+	exitAt  time.Duration            // when the process ended, 0: it runs
+	takenAt time.Duration            // when the last request was taken
+}
+
+// pass moves time on by a tick: requests whose target is done end.
+func (r *stopRun) passTick() {
+	for id, end := range r.ends {
+		if end <= r.now {
+			delete(r.ends, id)
+			r.step(Done{ID: id, Outcome: Served, Last: true})
+		}
+	}
+	for _, cmd := range r.pass(limit.TickEvery) {
+		if _, ok := cmd.(core.Exit); ok && r.exitAt == 0 {
+			r.exitAt = r.now
+		}
+	}
+}
+
+// Clients may use a connection that they hold until the process is gone. Whenever they do, a stopping
+// proxy takes nothing that it may not be able to finish: after the linger each request is refused with
+// a promise, and the process ends as soon as what it took before is over.
+func TestStopEndsTheIntake(t *testing.T) {
+	for seed := range uint64(200) {
+		rnd := rand.New(rand.NewPCG(seed, 24))
+		r := &stopRun{bench: newBench("g1", 1, routed, to("a", slots(20)), to("b", slots(20))), ends: map[uint64]time.Duration{}}
+		r.grace = time.Duration(1000+rnd.IntN(9000)) * time.Millisecond
+		r.g.settings.Grace = r.grace
+		r.step(core.Stop{})
+		r.stopAt = r.now
+		longest := r.grace / 4
+		for id := uint64(1); r.exitAt == 0 && r.now-r.stopAt < r.grace; id++ {
+			switch a := r.call(id, "/a/", longest).(type) {
+			case Give:
+				r.takenAt = r.now
+				r.ends[id] = r.now + time.Duration(rnd.Int64N(int64(longest)))
+			case Refuse:
+				if a.Status != 503 || a.Retry <= 0 {
+					t.Fatalf("seed %d: refused with %d, to come back in %v", seed, a.Status, a.Retry)
+				}
+			}
+			for range 1 + rnd.IntN(3) {
+				r.passTick()
+			}
+		}
+		switch {
+		case r.exitAt == 0 || len(r.ends) > 0:
+			t.Fatalf("seed %d: grace %v, ended with %d requests under way", seed, r.grace, len(r.ends))
+		case r.takenAt-r.stopAt > r.grace/2:
+			t.Fatalf("seed %d: grace %v, took a request %v after it was asked to stop", seed, r.grace, r.takenAt-r.stopAt)
+		case r.takenAt == 0:
+			t.Fatalf("seed %d: grace %v, took nothing after it was asked to stop", seed, r.grace)
+		}
+	}
+}
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -126,6 +126,7 @@
 		w.exec(p, core.Exit{})
 		return
 	}
+	p.asked = true
 	w.deliver(p, stopEvent)
 }
 
--- a/sim/process.go
+++ b/sim/process.go
@@ -58,6 +58,7 @@
 	probed   map[wire.ID]bool         // targets to which it has a connection for probes
 	spent    map[string]time.Duration // processor time where that is scarce, by what it was spent on
 	attempts []*attempt
+	asked    bool // it was asked to stop
 	// pauseAfterStep is for how long the process is to stand still between the next step
 	// that tells others something and the telling, 0: not.
 	pauseAfterStep time.Duration
@@ -82,6 +83,7 @@
 func (w *World) start(p *Proc) {
 	p.gen++
 	p.alive, p.frozen, p.held, p.thawed, p.ticks = true, false, nil, nil, false
+	p.asked = false
 	p.boot, p.since = w.now, w.now
 	p.base = time.Duration(1 + w.rnd.Int64N(int64(time.Hour)))
 	p.rate = w.rate()
@@ -104,7 +106,7 @@
 		set.Self, set.Seeds, set.Domains = self, seeds, w.Plan.Known
 		p.core = core.New(p.local(), set, img)
 	} else {
-		p.gate = proxy.New(proxy.Settings{Self: self, Seeds: seeds})
+		p.gate = proxy.New(proxy.Settings{Self: self, Seeds: seeds, Grace: w.Plan.Grace})
 	}
 	gen := p.gen
 	var beat func()
--- a/sim/request.go
+++ b/sim/request.go
@@ -23,7 +23,8 @@
 	retry  bool
 	final  string
 	hard   int
-	rev    uint64 // the proxy's when it chose
+	rev    uint64          // the proxy's when it chose
+	kept   *keptConnection // the connection that it came on, nil: one of its own
 }
 
 type tick struct {
@@ -39,13 +40,26 @@
 			return
 		}
 		svcs := slices.Sorted(maps.Keys(w.Plan.Services))
-		w.request(svcs[w.rnd.IntN(len(svcs))], w.rnd.Float64() < w.Plan.Unsafe, 0)
+		svc, unsafe := svcs[w.rnd.IntN(len(svcs))], w.rnd.Float64() < w.Plan.Unsafe
+		if w.Plan.Kept > 0 {
+			w.requestOnKept(svc, unsafe)
+		} else {
+			w.request(svc, unsafe, 0)
+		}
 		w.at(time.Duration(w.rnd.ExpFloat64()*float64(time.Second)/w.Plan.Rate), next)
 	}
 	w.at(0, next)
 }
 
 func (w *World) request(svc string, unsafe bool, hard int) {
+	if p := w.pickProxy(); p != nil {
+		w.requestAt(p, svc, unsafe, hard)
+	}
+}
+
+// pickProxy draws one of the proxies that take new connections: those that are ready, or all that run if
+// none is; nil: none runs.
+func (w *World) pickProxy() *Proc {
 	var ready []*Proc
 	for _, n := range w.names {
 		if p := w.procs[n]; p.kind == "gate" && p.alive && !p.frozen && p.gate.Ready() {
@@ -60,14 +74,14 @@
 		}
 	}
 	if len(ready) == 0 {
-		return
+		return nil
 	}
-	w.requestAt(ready[w.rnd.IntN(len(ready))], svc, unsafe, hard)
+	return ready[w.rnd.IntN(len(ready))]
 }
 
 func (w *World) requestAt(p *Proc, svc string, unsafe bool, hard int) {
 	w.nextEx++
-	x := &request{id: w.nextEx, svc: svc, unsafe: unsafe, gate: p, gen: p.gen, hard: hard}
+	x := &request{id: w.nextEx, svc: svc, unsafe: unsafe, gate: p, gen: p.gen, hard: hard, kept: w.onKept}
 	w.open[x.id] = x
 	w.Stats.Exchanges++
 	m := "GET"
@@ -84,6 +98,7 @@
 func (w *World) end(x *request, final string) {
 	x.final = final
 	delete(w.open, x.id)
+	w.closeAfterAnswer(x)
 	switch final {
 	case "served":
 		w.Stats.Served++
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -39,6 +39,8 @@
 	Scarce       *Scarce        // nil: processors and links take no time
 	CatchUp      time.Duration  // from a successor's start until the core bears the next loss, 0: not told
 	Losses       int            // core machines that may be lost at once, 0: not told
+	Kept         int            // connections that callers keep and use on until they are closed; 0: callers go to a ready proxy each time
+	Grace        time.Duration  // how long after the polite signal a proxy is ended by force, as its settings tell; 0: not told
 }
 
 // Small is a fleet that shows all behaviour and still runs fast.
@@ -90,6 +92,8 @@
 	loss             float64
 	delay            time.Duration
 	nextEx           uint64
+	kept             []*keptConnection
+	onKept           *keptConnection // that of the request that begins now, nil: one of its own
 	open             map[uint64]*request
 	link             map[[2]string]time.Duration
 	resets           map[[2]string]linkReset
