mflab soak: planned work in series under callers that keep their connections

Verdict by the ledgers: cut requests that ran, runs twice, promises broken, processes that end by themselves or out of grace, and what was acknowledged after a loss of all daemons and one disk.

--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -85,7 +85,8 @@
 	broken  map[string]int
 	history history.Log
 	notes   []string
-	routes  bool // by routes: targets have health paths, slots, cold times and names of one start
+	grace   time.Duration // until a process that was asked to stop is ended by force, as daemons are told; 0: they are not
+	routes  bool          // by routes: targets have health paths, slots, cold times and names of one start
 }
 
 // options are the flags and arguments that do not stand in the lab itself.
@@ -101,6 +102,7 @@
 	phase       time.Duration
 	policyPhase time.Duration
 	hollow      hollowFlags
+	soak        soakOptions
 }
 
 // define puts the commands and flags on the command line; it returns the command that only mflab itself uses.
@@ -124,6 +126,7 @@
 	overload.Flag("phase", "how long each part lasts").Default("12s").DurationVar(&o.phase)
 	policies := app.Command("policies", "one target fails, then one is slow: load without and with the shipped policy, put in force under load, and compare on the recording")
 	policies.Flag("phase", "how long each load lasts").Default("12s").DurationVar(&o.policyPhase)
+	o.soak.bind(app.Command("soak", "stops, hangups and changes in series that overlap, under callers that use their connections until a process is gone"))
 	hidden := app.Command("hollow-part", "one process of a hollow fleet; hollow starts it").Hidden()
 	o.hollow.bind(app.Command("hollow", "measure what control costs with many gates and targets that share processes"), hidden)
 	return hidden.FullCommand()
@@ -145,6 +148,10 @@
 		os.Exit(runPart(&o.hollow))
 	}
 	l.dep = deployments[l.name]
+	if cmd == "soak" {
+		l.dep, l.routes, l.grace = o.soak.deployment(), true, o.soak.grace
+		o.config = filepath.Join("sample", "kelani-routes.json")
+	}
 	if err := l.readConfig(o.config); err != nil {
 		fmt.Fprintln(os.Stderr, "mflab:", err)
 		os.Exit(2)
@@ -204,6 +211,8 @@
 		done <- l.policies(o.policyPhase)
 	case "overload":
 		done <- l.overload(o.phase)
+	case "soak":
+		done <- l.runSoak(&o.soak)
 	case "measure":
 		done <- l.measure(o.rounds)
 	}
@@ -248,7 +257,7 @@
 				return err
 			}
 		}
-		s := host.Settings{Name: p.name, Domain: p.domain, Addr: p.addr, Bind: p.bind, From: hostOf(p.bind), HTTP: p.http, Listen: p.listen, Seeds: seeds, Log: "info"}
+		s := host.Settings{Name: p.name, Domain: p.domain, Addr: p.addr, Bind: p.bind, From: hostOf(p.bind), HTTP: p.http, Listen: p.listen, Seeds: seeds, Log: "info", GraceMs: int(l.grace.Milliseconds())}
 		if p.kind == "mfcore" {
 			s.Data, s.Size = l.path("data", p.name), l.dep.Cores
 		}
--- /dev/null
+++ b/cmd/mflab/soak_script.go
@@ -0,0 +1,278 @@
+// This file is a soak's script: stops of proxies, control daemons and back ends, hangups and, if wanted, kills, drawn
+// by seed. They come in series and overlap. One goroutine owns all processes while the script lasts.
+
+package main
+
+import (
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"slices"
+	"syscall"
+	"time"
+)
+
+const (
+	scriptStep    = 20 * time.Millisecond
+	scriptQuiet   = 2 // so many times the grace before the end nothing begins any more
+	restartPause  = 50 * time.Millisecond
+	restartSpread = 400 * time.Millisecond
+	stopSlack     = 500 * time.Millisecond // what a busy machine may add to a grace
+)
+
+// phase is where a process of the script is.
+type phase int
+
+const (
+	phaseUp phase = iota
+	phaseStopping
+	phaseDown
+)
+
+// actor is a process of the script.
+type actor struct {
+	*proc
+	phase   phase
+	stopAt  time.Time // when it was asked to stop
+	startAt time.Time // when it is started again
+	wipe    bool      // its disk is lost while it is down
+}
+
+// processEnd tells the script that a process is gone.
+type processEnd struct {
+	actor *actor
+	cmd   *exec.Cmd
+	err   error
+}
+
+// series is one kind of work, done again and again.
+type series struct {
+	next time.Time
+	gap  time.Duration // the mean
+	do   func()
+}
+
+// script is a run's processes and series.
+type script struct {
+	soak    *soak
+	rnd     *rand.Rand
+	proxies []*actor
+	cores   []*actor
+	targets []*actor
+	series  []*series
+	ends    chan processEnd
+}
+
+// playScript plays the script to its end, with all processes up again, and returns what operators were promised.
+func (s *soak) playScript() *soakOperator {
+	c := &script{soak: s, rnd: s.options.random(1), ends: make(chan processEnd, 16)}
+	c.proxies, c.cores, c.targets = c.actors(s.gates), c.actors(s.cores), c.actors(s.stubs)
+	c.plan()
+	operator := s.startOperator()
+	end := s.begin.Add(s.options.span)
+	quiet := end.Add(-scriptQuiet * s.options.grace)
+	step := time.NewTicker(scriptStep)
+	defer step.Stop()
+	for now := range step.C {
+		if now.Before(quiet) {
+			c.begin(now)
+		}
+		c.drainEnds(now)
+		c.tend(now)
+		if now.After(end) && c.allUp() {
+			break
+		}
+	}
+	operator.finish()
+	return operator
+}
+
+func (c *script) actors(procs []*proc) []*actor {
+	var all []*actor
+	for _, p := range procs {
+		a := &actor{proc: p}
+		all = append(all, a)
+		c.await(a)
+	}
+	return all
+}
+
+// await has the process's end told to the script.
+func (c *script) await(a *actor) {
+	cmd := a.cmd
+	go func() { c.ends <- processEnd{a, cmd, cmd.Wait()} }()
+}
+
+// plan draws how often each kind of work comes.
+func (c *script) plan() {
+	between := func(low, high time.Duration) time.Duration { return low + time.Duration(c.rnd.Int64N(int64(high-low))) }
+	fleet := time.Duration(max(1, len(c.proxies)/5))
+	c.add(between(800*time.Millisecond, 3*time.Second)/fleet, c.stopProxies)
+	c.add(between(3*time.Second, 9*time.Second), c.stopCore)
+	c.add(between(time.Second, 4*time.Second), c.stopTarget)
+	c.add(between(100*time.Millisecond, 600*time.Millisecond), c.hangUp)
+	if c.soak.options.faults {
+		c.add(between(3*time.Second, 8*time.Second), c.killProxy)
+		c.add(between(5*time.Second, 12*time.Second), c.killCore)
+		c.add(between(8*time.Second, 20*time.Second), c.killAllCores)
+	}
+}
+
+func (c *script) add(gap time.Duration, do func()) {
+	c.series = append(c.series, &series{next: time.Now().Add(gap), gap: gap, do: do})
+}
+
+// begin does what is due.
+func (c *script) begin(now time.Time) {
+	for _, s := range c.series {
+		if now.Before(s.next) {
+			continue
+		}
+		s.next = now.Add(time.Duration(c.rnd.ExpFloat64() * float64(s.gap)))
+		s.do()
+	}
+}
+
+// tend ends by force what has not stopped in its grace, and starts what is to come back.
+func (c *script) tend(now time.Time) {
+	for _, a := range slices.Concat(c.proxies, c.cores, c.targets) {
+		switch {
+		case a.phase == phaseStopping && now.Sub(a.stopAt) > c.soak.options.grace+stopSlack && a.kind != "mfstub":
+			c.soak.note("planned restart", "%s did not stop in its grace", a.name)
+			a.signal(syscall.SIGKILL)
+			a.stopAt = now
+		case a.phase == phaseDown && now.After(a.startAt):
+			c.start(a)
+		}
+	}
+}
+
+func (c *script) start(a *actor) {
+	if a.wipe {
+		os.RemoveAll(c.soak.path("data", a.name))
+		a.wipe = false
+	}
+	if err := c.soak.spawn(a.proc); err != nil {
+		c.soak.note("lab", "%v", err)
+		return
+	}
+	a.phase = phaseUp
+	c.soak.log.add(eventStart, a.name)
+	c.await(a)
+}
+
+// drainEnds takes in which processes are gone.
+func (c *script) drainEnds(now time.Time) {
+	for {
+		select {
+		case end := <-c.ends:
+			c.ended(now, end)
+		default:
+			return
+		}
+	}
+}
+
+func (c *script) ended(now time.Time, end processEnd) {
+	a := end.actor
+	if a.cmd != end.cmd {
+		return
+	}
+	c.soak.log.add(eventEnd, a.name)
+	switch {
+	case a.phase == phaseUp:
+		c.soak.note("ended by itself", "%s: %v", a.name, end.err)
+	case a.phase == phaseStopping && end.err != nil:
+		c.soak.note("planned restart", "%s: %v", a.name, end.err)
+	}
+	a.stopped, a.phase = true, phaseDown
+	a.startAt = now.Add(restartPause + time.Duration(c.rnd.Int64N(int64(restartSpread))))
+}
+
+func (c *script) allUp() bool {
+	for _, a := range slices.Concat(c.proxies, c.cores, c.targets) {
+		if a.phase != phaseUp {
+			return false
+		}
+	}
+	return true
+}
+
+// up is the actors that are neither stopping nor down, in an order drawn anew.
+func (c *script) up(of []*actor) []*actor {
+	up := slices.DeleteFunc(slices.Clone(of), func(a *actor) bool { return a.phase != phaseUp })
+	c.rnd.Shuffle(len(up), func(i, j int) { up[i], up[j] = up[j], up[i] })
+	return up
+}
+
+func (c *script) stop(a *actor) {
+	a.phase, a.stopAt = phaseStopping, time.Now()
+	c.soak.log.add(eventStop, a.name)
+	a.signal(syscall.SIGTERM)
+}
+
+// kill ends a process without a word.
+func (c *script) kill(a *actor) {
+	c.soak.log.add(eventKill, a.name)
+	a.phase = phaseDown
+	a.startAt = time.Now().Add(time.Hour) // until its end is told
+	a.signal(syscall.SIGKILL)
+}
+
+// stopProxies stops some proxies at once; one stays.
+func (c *script) stopProxies() {
+	up := c.up(c.proxies)
+	n := min(1+c.rnd.IntN(max(1, len(c.proxies)/4)), len(up)-1)
+	for i := range n {
+		c.stop(up[i])
+	}
+}
+
+// stopCore stops a control daemon if all others are up.
+func (c *script) stopCore() {
+	if up := c.up(c.cores); len(up) == len(c.cores) {
+		c.stop(up[0])
+	}
+}
+
+// stopTarget stops a back end whose service has others.
+func (c *script) stopTarget() {
+	up := c.up(c.targets)
+	for _, a := range up {
+		others := slices.ContainsFunc(up, func(o *actor) bool { return o != a && o.service == a.service })
+		if others {
+			c.stop(a)
+			return
+		}
+	}
+}
+
+// hangUp sends a SIGHUP to any daemon, also one that is starting or stopping.
+func (c *script) hangUp() {
+	daemons := slices.Concat(c.proxies, c.cores)
+	a := daemons[c.rnd.IntN(len(daemons))]
+	if a.phase != phaseDown {
+		c.soak.log.add(eventHangup, a.name)
+		a.signal(syscall.SIGHUP)
+	}
+}
+
+func (c *script) killProxy() {
+	if up := c.up(c.proxies); len(up) > 1 {
+		c.kill(up[0])
+	}
+}
+
+// killCore kills a control daemon if all others are up; at times its disk is lost.
+func (c *script) killCore() {
+	if up := c.up(c.cores); len(up) == len(c.cores) {
+		up[0].wipe = len(c.cores) > 2 && c.rnd.IntN(2) == 0
+		c.kill(up[0])
+	}
+}
+
+func (c *script) killAllCores() {
+	for _, a := range c.up(c.cores) {
+		c.kill(a)
+	}
+}
