A stopping control daemon answers the calls that it has read before its process ends

The same cause elsewhere: a member's stop ended its HTTP API at once, so a call that was passed on to a leader, or an answer that was just given, ended with a closed connection. The simulator now looks at each planned end whether calls are left.

--- a/core/core.go
+++ b/core/core.go
@@ -149,6 +149,7 @@
 	standbySince    map[string]time.Duration // since when standbys are there
 	batchOffset     uint64                   // number of the last founding batch; a node's batches count on from it
 	stopping        bool
+	ended           bool // it stopped, and has asked for its process's end: it takes no more calls
 	stopAt          time.Duration
 
 	lead                   Lead
--- a/core/operator.go
+++ b/core/operator.go
@@ -24,6 +24,10 @@
 // carries out as leader or passes to the leader.
 func (c *Core) handleCall(now time.Duration, e Ask) {
 	p := &pending{token: e.Token, ask: e.ID, at: now}
+	if c.ended {
+		c.answer(p, noLeader())
+		return
+	}
 	word := wire.Target{}
 	if strings.HasPrefix(e.Path, "/v1/targets") && e.Method != "GET" {
 		w, r := parseTargetReport(e)
--- a/core/shutdown.go
+++ b/core/shutdown.go
@@ -4,6 +4,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -36,11 +37,22 @@
 	if c.node != nil && c.node.Role() == quorum.Leader && c.node.CanChangeMembers() {
 		c.handOver(now)
 	}
-	if c.mayExit(now) {
+	if c.mayExit(now) && !c.ended {
+		c.ended = true
+		c.abandonCalls()
 		c.emit(Exit{})
 	}
 }
 
+// abandonCalls answers everybody who still waits here that it can't be told: the process ends.
+func (c *Core) abandonCalls() {
+	c.abandonWaiters()
+	for _, id := range slices.Sorted(maps.Keys(c.relayedCalls)) {
+		c.answerUnknown(c.relayedCalls[id])
+	}
+	clear(c.relayedCalls)
+}
+
 func (c *Core) mayExit(now time.Duration) bool {
 	waited := now - c.stopAt
 	switch {
--- a/host/core.go
+++ b/host/core.go
@@ -54,7 +54,7 @@
 	go d.disk.Run()
 	go d.Loop.Run(d.step, d.execute)
 	code := d.Wait(d.owner.Seeds)
-	server.Close()
+	d.closeAPI(server)
 	d.Log.Info("stopped")
 	return code
 }
--- a/host/gate.go
+++ b/host/gate.go
@@ -47,12 +47,12 @@
 	}
 	go d.Loop.Run(d.owner.Step, d.execute)
 	code := d.Wait(d.owner.Seeds)
+	d.closeAPI(admin)
 	if !d.awaitAnswers() {
 		code = 1
 	}
 	d.logEnd(code)
 	callers.Close()
-	admin.Close()
 	return code
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -5,9 +5,11 @@
 package host
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -178,6 +180,16 @@
 	}()
 }
 
+// closeAPI ends the HTTP API: it takes no more calls, and the answers that the owner has given are written.
+func (h *Host) closeAPI(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit.StopLast)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		h.Log.WithError(err).Warn("calls are left without an answer")
+		server.Close()
+	}
+}
+
 // Wait handles signals and changes of settings until the owner is done, and returns the exit code.
 // seeds takes new seeds, on the owner's goroutine.
 func (h *Host) Wait(seeds func([]string)) int {
--- a/sim/kept_test.go
+++ b/sim/kept_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"myrtlefold/core"
 )
 
 // keptPlan is a fleet whose callers rest for seconds on their connections, and whose targets take as long
@@ -37,3 +39,37 @@
 		}
 	}
 }
+
+// Operators use any member until its process is gone. One that ends by plan answers what it has read, if only to say
+// that it can't tell; the world looks for calls that are left (checkNoCallIsLeft).
+func TestStoppingMemberAnswersItsCalls(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(24) {
+		w := Start(seed, Small)
+		w.Run(w.now + 2*time.Second)
+		p := w.Leader()
+		if seed%2 == 1 {
+			p = w.followersOf(p)[0]
+		}
+		answered := 0
+		var ask func()
+		ask = func() {
+			if !p.alive {
+				return
+			}
+			w.call(p, "GET", "/v1/config", "", nil, "", func(core.Reply) { answered++ })
+			w.call(p, "PATCH", "/v1/config", "base=1", []byte(`{"services":{"pay":{"timeout_ms":1234}}}`), "again", func(core.Reply) { answered++ })
+			w.at(time.Millisecond, ask)
+		}
+		w.at(0, ask)
+		w.Run(w.now + 50*time.Millisecond)
+		w.isolate([]string{p.name}, stopGrace, true, true) // what it has passed on has no answer
+		w.Run(w.now + 100*time.Millisecond)
+		w.stop(p)
+		w.Run(w.now + stopGrace)
+		check(t, w)
+		if p.alive || answered < 50 {
+			t.Fatalf("seed %d: there: %v, %d answers", seed, p.alive, answered)
+		}
+	}
+}
--- a/sim/operator.go
+++ b/sim/operator.go
@@ -27,7 +27,10 @@
 }
 
 type ask struct {
-	fn func(core.Reply)
+	fn   func(core.Reply)
+	at   *Proc // who has read it, and in which start; nil: nobody yet
+	gen  int
+	what string
 }
 
 // call sends a call to a member; the answer goes to fn, and its arrival is the ask's.
@@ -42,7 +45,7 @@
 		recorded(r)
 		fn(r)
 	}
-	sent := &ask{answered}
+	sent := &ask{fn: answered, what: method + " " + path}
 	w.asks[id] = sent
 	late := 2
 	if w.sabotage == "base" {
@@ -58,12 +61,14 @@
 			return
 		}
 		if w.Plan.Scarce == nil {
+			sent.readBy(p)
 			w.deliver(p, call)
 			return
 		}
 		gen := p.gen
 		w.at(w.work(p, "call", costCall)-w.now, func() {
 			if p.gen == gen {
+				sent.readBy(p)
 				w.deliver(p, call)
 			}
 		})
@@ -71,6 +76,22 @@
 	return sent
 }
 
+// readBy notes that a process has read the call, if it runs.
+func (a *ask) readBy(p *Proc) {
+	if p.alive && !p.frozen {
+		a.at, a.gen = p, p.gen
+	}
+}
+
+// checkNoCallIsLeft looks whether a process that ends by plan leaves calls without an answer.
+func (w *World) checkNoCallIsLeft(p *Proc) {
+	for _, id := range slices.Sorted(maps.Keys(w.asks)) {
+		if a := w.asks[id]; a.at == p && a.gen == p.gen {
+			w.broken("in flight", "%s left %s without an answer at a planned stop", p.name, a.what)
+		}
+	}
+}
+
 // Doc is a configuration that tells its revisions apart by n.
 func (w *World) Doc(n int) []byte { return w.DocOf(n, 40, slices.Sorted(maps.Keys(w.Plan.Services))) }
 
--- a/sim/process.go
+++ b/sim/process.go
@@ -325,6 +325,7 @@
 			if p.gate != nil && p.gate.InFlight() > 0 {
 				w.broken("in flight", "%s left %d exchanges behind at a planned stop", p.name, p.gate.InFlight())
 			}
+			w.checkNoCallIsLeft(p)
 			w.Kill(p)
 		}
 	case proxy.Targets:
