SIGTERM is caught from a process's first moment on, as SIGHUP is

The same cause elsewhere: a proxy listens for callers before it waits for signals; a SIGTERM in between ended it by default, with whatever was under way. A member whose disk can't be opened yet still ends at once.

--- a/host/disk.go
+++ b/host/disk.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"os"
 	"slices"
 	"time"
 
@@ -116,7 +117,12 @@
 			said = err.Error()
 			h.Log.WithError(err).Error("disk can't be opened; tried again")
 		}
-		time.Sleep(limit.DiskRetry)
+		select {
+		case <-time.After(limit.DiskRetry):
+		case <-h.stops:
+			h.Log.Info("stopped; its disk was never opened")
+			os.Exit(0)
+		}
 	}
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -51,6 +51,7 @@
 	dialect     Dialect
 	rawSettings []byte         // the text that Settings were read from
 	hup         chan os.Signal // SIGHUP, caught from the start on: by default it ends a process
+	stops       chan os.Signal // SIGTERM and SIGINT, caught from the start on: requests may be under way before Wait
 	start       time.Time
 	queues      map[string]chan queued // messages to be sent, by address
 	tables      packedTables           // those that are sent to many
@@ -63,6 +64,8 @@
 func Start(kind string, args []string, dialect Dialect) *Host {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	stops := make(chan os.Signal, 2)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	app := kingpin.New("mf"+kind, map[string]string{
 		"core": "A control daemon: keeps the configuration, the roster and the judgement of targets.",
 		"gate": "A proxy daemon: carries callers' exchanges to back ends."}[kind])
@@ -100,7 +103,7 @@
 	lv, _ := logrus.ParseLevel(set.Log)
 	log.SetLevel(lv)
 	h := New(kind, set, log)
-	h.load, h.dialect, h.Headers, h.rawSettings, h.hup = load, dialect, dialect.Headers, raw, hup
+	h.load, h.dialect, h.Headers, h.rawSettings, h.hup, h.stops = load, dialect, dialect.Headers, raw, hup, stops
 	h.bound(set)
 	h.Metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return h
@@ -169,12 +172,10 @@
 
 // Signals has the first SIGTERM or SIGINT stop the owner, and a second one end the process.
 func (h *Host) Signals() {
-	ch := make(chan os.Signal, 2)
-	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-ch
+		<-h.stops
 		h.Loop.Tell(core.Stop{})
-		<-ch
+		<-h.stops
 		h.Log.Warn("second signal")
 		os.Exit(1)
 	}()
--- a/host/settings_test.go
+++ b/host/settings_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"os"
+	"os/signal"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"myrtlefold/core"
 )
 
 // settingsFile is a core member's, on its own folder.
@@ -62,3 +66,25 @@
 		t.Fatal("seeds changed after unsound settings were not taken")
 	}
 }
+
+// A SIGTERM that comes while a daemon starts does not end it at once: it serves callers before it waits for
+// signals, and stops as at any time.
+func TestStopWhileStarting(t *testing.T) {
+	h := Start("core", []string{"-s", settingsFile(t, "127.0.0.1:3")}, Own())
+	t.Cleanup(func() { signal.Stop(h.stops) })
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil { // would end this process by default
+		t.Fatal(err)
+	}
+	for len(h.stops) == 0 {
+		runtime.Gosched() // until it has arrived
+	}
+	h.Signals()
+	select {
+	case it := <-h.Loop.queue:
+		if _, ok := it.ev.(core.Stop); !ok {
+			t.Errorf("%T", it.ev)
+		}
+	case <-time.After(time.Minute):
+		t.Fatal("the owner was not told to stop")
+	}
+}
