In the tail of a stop a request is taken if its target has the aim's time and answers before the end

After the linger only requests whose deadline fits were taken; where deadlines are 8 to 10 s and the grace 6, that is none, and where most of a zone stops at once clients are still sent there. Now a request is also taken if its target can work on it for the route's aim, and the target is told to answer 0.5 s before the process ends, which the platforms' targets and ours obey: its own answer is passed on, so nothing is cut. Ruled out: taking by the route's usual time without telling the target (what takes longer would be cut).

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -472,6 +472,10 @@
 	}
 	defer func() { tell(&t, t.status != 0 || t.outcome == proxy.Dropped) }()
 	till := start.Add(g.Left)
+	workTill := till
+	if g.Work > 0 {
+		workTill = earlier(till, start.Add(g.Work))
+	}
 	idle := limit.ConnIdle
 	switch {
 	case g.Set.Asked() && r.Header.Get(c.Headers.Attempt) == "":
@@ -494,7 +498,7 @@
 			}
 			return tried{outcome: proxy.Closed, code: "closed", msg: "no connection to the target"}
 		}
-		p.out = c.compose(p.out, r, g, u, time.Until(till))
+		p.out = c.compose(p.out, r, g, u, time.Until(workTill))
 		if c.owner.Now() > g.Till {
 			c.give(g, p)
 			return tried{outcome: proxy.Stale, code: "stale", msg: "the choice of a target grew too old before anything was sent"}
--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
 	"myrtlefold/model"
 )
@@ -133,3 +135,24 @@
 	pipelined.ended()
 	until(t, "nothing is open", func() bool { return f.car.Intake.Open() == 0 && f.car.Intake.Busy() == 0 })
 }
+
+// A target is told how long it may work, which in a stopping proxy is less than its caller still gives.
+func TestWorkTimeIsToldToTheTarget(t *testing.T) {
+	told := make(chan string, 1)
+	a := serve(t, "a", func(w http.ResponseWriter, r *http.Request) {
+		told <- r.Header.Get("D")
+		w.Header().Set("P", "a")
+	})
+	f := carrier(t, a.Target).asked(model.Repeatable)
+	f.left = time.Minute
+	for _, work := range []time.Duration{0, 2 * time.Second} {
+		f.work = work
+		if status, _, _ := f.do(t, "GET", "/x", "", "D", "60000"); status != http.StatusOK {
+			t.Fatal(status)
+		}
+		ms, err := strconv.Atoi(<-told)
+		if most := f.left; err != nil || work == 0 && ms > int(most.Milliseconds()) || work > 0 && ms > int(work.Milliseconds()) {
+			t.Errorf("of %v, at work for at most %v, the target is told %d ms, %v", f.left, work, ms, err)
+		}
+	}
+}
--- a/limit/forward.go
+++ b/limit/forward.go
@@ -171,6 +171,11 @@
 	// known and long enough: two misses of a look each second, and a little. StopMargin is what it leaves of that time.
 	StopLingerMost = 2500 * time.Millisecond
 	StopMargin     = 300 * time.Millisecond
+	// StopTail is how long before the end of that time targets are told to answer what a stopping proxy gives them:
+	// their answer that it took too long still has to be passed on, by a machine that may be busy.
+	// Of a short grace it is a StopTailParts-th.
+	StopTail      = 500 * time.Millisecond
+	StopTailParts = 8
 	// StopLast is how much longer than its requests a stopping proxy waits for answers to be written: within
 	// what the owner leaves of the grace. StopLook is how often it looks.
 	StopLast = 200 * time.Millisecond
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -206,7 +206,7 @@
 	t.usedAt = now
 	s.inflight++
 	g.Counts.Admitted++
-	g.emit(Give{ID: x.id, Service: x.svc, Set: x.set, Name: x.name, Route: x.route, Target: t.Target, Left: x.deadline - now, Till: now + limit.ChoiceLife, More: x.tries < x.route.Attempts, Connect: connectTime(&x.route), Idle: g.idleConns(t, x.set)})
+	g.emit(Give{ID: x.id, Service: x.svc, Set: x.set, Name: x.name, Route: x.route, Target: t.Target, Left: x.deadline - now, Work: g.targetTime(now, x), Till: now + limit.ChoiceLife, More: x.tries < x.route.Attempts, Connect: connectTime(&x.route), Idle: g.idleConns(t, x.set)})
 }
 
 // tooLate says that a service under pressure better spends its time on others.
@@ -231,10 +231,7 @@
 		}
 		room = g.share(x.set.WaitLen, x.svc)
 	} else {
-		most = x.route.Aim() / limit.WaitPart
-		if most == 0 {
-			most = x.route.Timeout() / limit.WaitPart / limit.WaitAim
-		}
+		most = wantedTime(&x.route) / limit.WaitPart
 		most = min(x.start+most-now, x.deadline-now-x.way.usual())
 		if most <= 0 {
 			return false
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -81,6 +81,7 @@
 		Route   model.Route // what holds for the request; a rule's has its service's numbers
 		Target  wire.Target
 		Left    time.Duration // until the request's deadline
+		Work    time.Duration // how long the target may work on it: Left, or less in a proxy that stops
 		Till    time.Duration // nothing of it may be written to this target later than this
 		More    bool          // it has attempts left after this one
 		Connect time.Duration // how long a connection to the target may take to open
--- a/proxy/shutdown.go
+++ b/proxy/shutdown.go
@@ -11,6 +11,7 @@
 
 	"myrtlefold/core"
 	"myrtlefold/limit"
+	"myrtlefold/model"
 )
 
 // stop is how long a stopping proxy serves on in any case, and at most.
@@ -32,11 +33,38 @@
 	g.emit(core.Change{What: "stop", From: "serving", To: "stopping", Why: why})
 }
 
-// endsBeforeStop says whether a request that comes now is over, with an answer or by its deadline, before this
-// process ends. In the linger all are taken: callers have had no time to hear of the stop.
+// endsBeforeStop says whether a request that comes now is over before this process ends: by its deadline, or since
+// its target is told to answer before and has the time that the route aims at. In the linger all are taken:
+// callers have had no time to hear of the stop.
 func (g *Proxy) endsBeforeStop(now time.Duration, x *request) bool {
 	linger, most := g.settings.stop()
-	return !g.stopping || now-g.stopAt <= linger || x.deadline <= g.stopAt+most
+	switch {
+	case !g.stopping || now-g.stopAt <= linger || x.deadline <= g.stopAt+most:
+		return true
+	case x.way == nil:
+		return false
+	}
+	return g.targetTime(now, x) >= wantedTime(&x.route)
+}
+
+// targetTime is how long a target that gets the request now may work on it: until its deadline, or, if this
+// process stops, until so long before its end that the target's own answer can still be passed on.
+func (g *Proxy) targetTime(now time.Duration, x *request) time.Duration {
+	until := x.deadline
+	if g.stopping {
+		_, most := g.settings.stop()
+		until = min(until, g.stopAt+most-min(limit.StopTail, most/limit.StopTailParts))
+	}
+	return max(time.Millisecond, until-now)
+}
+
+// wantedTime is how long a request of a route is meant to take at most: its aim, or without one the part of its
+// timeout that stands for it.
+func wantedTime(r *model.Route) time.Duration {
+	if aim := r.Aim(); aim > 0 {
+		return aim
+	}
+	return r.Timeout() / limit.WaitAim
 }
 
 // refuseStopping sends a request to another proxy, which need not wait: nothing is wrong with the target.
