--- a/core/inforce.go
+++ b/core/inforce.go
@@ -3,6 +3,7 @@
 package core
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -24,6 +25,7 @@
 	joining      bool
 	majorityOnly bool      // confirmed by a majority of the proxies is enough
 	agreed       []wire.ID // targets whose leaving or sign-off has to be agreed
+	reported     bool      // that it waits long has been logged
 }
 
 // inForce says whether a table binds every proxy: a majority of the roster, and of
@@ -105,6 +107,7 @@
 			done = append(done, f)
 			return true
 		}
+		c.reportLongWait(now, f)
 		return c.waitedTooLong(now, f)
 	})
 	for _, f := range done {
@@ -121,6 +124,35 @@
 	}
 }
 
+// reportLongWait logs once what a change waits for that is not in force when it should be.
+func (c *Core) reportLongWait(now time.Duration, f *commitWaiter) {
+	if f.p == nil || f.reported || now-f.since <= limit.InForceUsual {
+		return
+	}
+	f.reported = true
+	c.emit(Change{What: "in force", From: "asked", To: "waiting", Why: c.whatHolds(now, f)})
+}
+
+// whatHolds says for people what a waiter waits for.
+func (c *Core) whatHolds(now time.Duration, f *commitWaiter) string {
+	if !c.majorityConfirmed(f.version) {
+		return fmt.Sprintf("table %d is not confirmed by a majority of %d proxies, and of %d before", f.version, len(c.state.Roster), len(c.state.PreviousRoster))
+	}
+	var past []string
+	for i := range c.state.Roster {
+		name := c.state.Roster[i].Name
+		if !c.mayBePast(now, name, f) {
+			continue
+		}
+		g := c.proxies[name]
+		past = append(past, fmt.Sprintf("%s on table %d of term %d, leased %v ago", name, g.key.Ver, g.key.Term, (now-g.grantAt).Round(time.Millisecond)))
+	}
+	if len(past) == 0 {
+		return fmt.Sprintf("table %d: members, targets or proxies of the list before", f.version)
+	}
+	return fmt.Sprintf("table %d: %d proxies, such as %s", f.version, len(past), past[0])
+}
+
 // waitedTooLong answers who has waited long enough, and says whether nothing waits any more.
 func (c *Core) waitedTooLong(now time.Duration, f *commitWaiter) bool {
 	if f.p == nil || now-f.since <= limit.CallWait && !(f.p.targetReport && now-f.p.at > limit.TargetReportWait) {
--- a/limit/lease.go
+++ b/limit/lease.go
@@ -78,6 +78,9 @@
 	WaitersKept = ElectMin + ElectSpread + 2*HeartbeatEvery
 	// WarmLeader is how long a new leader waits for tables from a majority of proxies.
 	WarmLeader = 1500 * time.Millisecond
+	// InForceUsual is within what time a change is in force, also with a proxy that asks and hears nothing: past it
+	// what it waits for is logged.
+	InForceUsual = 1600 * time.Millisecond
 	// CallWait bounds an operator's change: past it the answer is 'unknown'.
 	CallWait = 6 * time.Second
 	// ChangesKept is how many past changes can be asked about, and rolled back to while their
