--- a/cmd/mflab/soak_callers.go
+++ b/cmd/mflab/soak_callers.go
@@ -54,6 +54,7 @@
 	unsent  bool          // it was not written whole
 	wrong   string        // what is wrong with the answer
 	promise bool          // it was answered that it did not run
+	unknown bool          // it was answered that it may have run, by the proxy
 	again   time.Duration // when to come back, as a refusal says
 }
 
@@ -268,7 +269,8 @@
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		o.again = min(soakRestMost, time.Duration(seconds*float64(time.Second)))
 	}
-	o.promise = response.Header.Get(names.Ran) == "no"
+	ran := response.Header.Get(names.Ran)
+	o.promise, o.unknown = ran == "no", ran == "unknown"
 	if id := response.Header.Get(names.Attempt); id != "" && id != o.id {
 		o.wrong = "the answer is to " + strconv.Quote(id)
 	}
--- a/cmd/mfstub/main.go
+++ b/cmd/mfstub/main.go
@@ -49,6 +49,9 @@
 	Cold    bool   `json:"cold,omitempty"`
 }
 
+// longest is how long a request may take that says nothing of it.
+const longest = time.Hour
+
 // Modes, set by POST /.stub/mode?set=MODE, besides leave.
 const (
 	modeOK      = "ok"
@@ -366,24 +369,31 @@
 		return
 	}
 	work := s.workFor(r, mode, arg)
+	given, endGiven := context.WithTimeout(r.Context(), timeGiven(r))
+	defer endGiven()
 	s.waiting.Add(1)
 	select {
 	case s.slots <- struct{}{}:
 		s.waiting.Add(-1)
 		defer func() { <-s.slots }()
-	case <-r.Context().Done():
+	case <-given.Done():
 		s.waiting.Add(-1)
+		if r.Context().Err() == nil {
+			s.turned(w, r, http.StatusServiceUnavailable, "the time given is over")
+		}
 		return
 	}
 	e := s.entry(r, n)
 	if mode != modeFail {
 		s.ledger <- e
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), work)
-	<-ctx.Done()
-	cancel()
+	inTime := worked(given, work)
 	repeats(w, r)
 	s.load(w.Header())
+	if !inTime {
+		host.WriteJSON(w, http.StatusGatewayTimeout, failure{Error: "not done in the time given", ID: e.ID, Service: e.Service})
+		return
+	}
 	s.answer(w, mode, arg, s.answerTo(r, e, in))
 }
 
@@ -412,6 +422,30 @@
 	return s.work
 }
 
+// worked waits for so long, and returns false if the time given was over before. Work goes on when the caller has gone.
+func worked(given context.Context, work time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(given), work)
+	defer cancel()
+	deadline, bounded := given.Deadline()
+	if at, _ := ctx.Deadline(); !bounded || at.Before(deadline) {
+		<-ctx.Done()
+		return true
+	}
+	over := time.NewTimer(time.Until(deadline))
+	defer over.Stop()
+	<-over.C
+	return false
+}
+
+// timeGiven is how long the request may take, as its deadline header says; without one as long as it likes.
+func timeGiven(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get(names.Deadline))
+	if err != nil || ms < 0 {
+		return longest
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // entry is the ledger's line for a request.
 func (s *stub) entry(r *http.Request, inWork int64) Entry {
 	e := Entry{At: time.Now().UnixNano(), ID: r.Header.Get("Exchange-Id"), Service: s.service, Name: s.name, Inc: s.inc, Domain: s.domain,
--- a/limit/forward.go
+++ b/limit/forward.go
@@ -172,7 +172,8 @@
 	StopLingerMost = 2500 * time.Millisecond
 	StopMargin     = 300 * time.Millisecond
 	// StopTail is how long before the end of that time targets are told to answer what a stopping proxy gives them:
-	// their answer that it took too long still has to be passed on, by a machine that may be busy.
+	// their answer that it took too long still has to be passed on, by a machine that may be busy. After half
+	// of it the proxy answers by itself.
 	// Of a short grace it is a StopTailParts-th.
 	StopTail      = 500 * time.Millisecond
 	StopTailParts = 8
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -134,7 +134,7 @@
 		d = min(d, e.Timeout)
 	}
 	x.deadline = now + d
-	if !g.endsBeforeStop(now, x) {
+	if !g.boundByStop(now, x) {
 		g.refuseStopping(x)
 		return
 	}
--- a/proxy/shutdown.go
+++ b/proxy/shutdown.go
@@ -33,18 +33,26 @@
 	g.emit(core.Change{What: "stop", From: "serving", To: "stopping", Why: why})
 }
 
-// endsBeforeStop says whether a request that comes now is over before this process ends: by its deadline, or since
-// its target is told to answer before and has the time that the route aims at. In the linger all are taken:
+// tail is what a stopping proxy keeps of its time, for targets' last answers and for its own.
+func tail(most time.Duration) time.Duration {
+	return min(limit.StopTail, most/limit.StopTailParts)
+}
+
+// boundByStop ends a request that comes to a stopping proxy with the process, and says whether it may be taken: its
+// own deadline comes before, or its target has the time that the route aims at. In the linger all are taken:
 // callers have had no time to hear of the stop.
-func (g *Proxy) endsBeforeStop(now time.Duration, x *request) bool {
+func (g *Proxy) boundByStop(now time.Duration, x *request) bool {
+	if !g.stopping {
+		return true
+	}
 	linger, most := g.settings.stop()
-	switch {
-	case !g.stopping || now-g.stopAt <= linger || x.deadline <= g.stopAt+most:
+	answerBy := g.stopAt + most - tail(most)/2
+	fits := x.deadline <= answerBy
+	x.deadline = min(x.deadline, answerBy)
+	if fits || now-g.stopAt <= linger {
 		return true
-	case x.way == nil:
-		return false
 	}
-	return g.targetTime(now, x) >= wantedTime(&x.route)
+	return x.way != nil && g.targetTime(now, x) >= wantedTime(&x.route)
 }
 
 // targetTime is how long a target that gets the request now may work on it: until its deadline, or, if this
@@ -53,7 +61,7 @@
 	until := x.deadline
 	if g.stopping {
 		_, most := g.settings.stop()
-		until = min(until, g.stopAt+most-min(limit.StopTail, most/limit.StopTailParts))
+		until = min(until, g.stopAt+most-tail(most))
 	}
 	return max(time.Millisecond, until-now)
 }
