--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -93,7 +93,7 @@
 func (g *Proxy) admit(now time.Duration, e Admit) {
 	x := &request{id: e.ID, start: now, unknown: e.Timeout <= 0, deadline: now + e.Timeout}
 	if g.intakeClosed {
-		g.refuseStopping(x)
+		g.refuseStopping(now, x)
 		return
 	}
 	if !g.Serving() {
@@ -135,7 +135,7 @@
 	}
 	x.deadline = now + d
 	if !g.boundByStop(now, x) {
-		g.refuseStopping(x)
+		g.refuseStopping(now, x)
 		return
 	}
 	g.requests[x.id] = x
--- a/proxy/shutdown.go
+++ b/proxy/shutdown.go
@@ -75,10 +75,11 @@
 	return r.Timeout() / limit.WaitAim
 }
 
-// refuseStopping sends a request to another proxy, which need not wait: nothing is wrong with the target.
-func (g *Proxy) refuseStopping(x *request) {
+// refuseStopping sends a request to another proxy. It is to come back as after any refusal, not at once: where many
+// proxies stop together it would only meet the next of them.
+func (g *Proxy) refuseStopping(now time.Duration, x *request) {
 	g.Counts.Stopping++
-	g.emit(Refuse{ID: x.id, Status: 503, Retry: limit.RefuseMin, Code: "stopping", Message: "this proxy is stopping and takes no more such requests"})
+	g.refuse(now, x, 503, "stopping", "this proxy is stopping and takes no more such requests")
 }
 
 // tickStop ends the process when nothing is under way after the linger, or the time is up.
