--- a/cmd/mflab/main.go
+++ b/cmd/mflab/main.go
@@ -103,6 +103,7 @@
 	policyPhase time.Duration
 	hollow      hollowFlags
 	soak        soakOptions
+	net         int
 }
 
 // define puts the commands and flags on the command line; it returns the command that only mflab itself uses.
@@ -110,6 +111,7 @@
 	app.Flag("deployment", "kelani, kiyihat, small or press").Short('d').Default("small").EnumVar(&l.name, "kelani", "kiyihat", "small", "press")
 	app.Flag("dir", "folder for settings, state, logs and ledgers (made anew)").Default("lab").StringVar(&l.dir)
 	app.Flag("bin", "folder of the programs").Default("bin").StringVar(&l.bin)
+	app.Flag("loopback", "second number of the lab's loopback addresses; it takes the next one too").Default(strconv.Itoa(firstNet)).IntVar(&o.net)
 	app.Flag("config", "configuration (default: the deployment's sample)").StringVar(&o.config)
 	app.Flag("routes", "configure by routes; back ends tell health, slots and how long they are cold, and take a new name at each start").BoolVar(&l.routes)
 	app.Command("up", "start the fleet and leave it running until interrupted")
@@ -147,6 +149,7 @@
 	if cmd == part {
 		os.Exit(runPart(&o.hollow))
 	}
+	addresses = addressesOf(o.net)
 	l.dep = deployments[l.name]
 	if cmd == "soak" {
 		l.dep, l.routes, l.grace = o.soak.deployment(), true, o.soak.grace
@@ -222,9 +225,13 @@
 
 // machine gives each machine an address of its own on loopback, and one at which the
 // others reach it through the lab's relays.
-func (l *lab) machine(block, i int) string { return fmt.Sprintf("127.20.%d.%d", block, i+1) }
+func (l *lab) machine(block, i int) string {
+	return fmt.Sprintf("%s%d.%d", addresses.bound, block, i+1)
+}
 
-func (l *lab) reached(block, i int) string { return fmt.Sprintf("127.21.%d.%d", block, i+1) }
+func (l *lab) reached(block, i int) string {
+	return fmt.Sprintf("%s%d.%d", addresses.reached, block, i+1)
+}
 
 // up starts the fleet and waits until it serves.
 func (l *lab) up() error {
--- a/cmd/mflab/net.go
+++ b/cmd/mflab/net.go
@@ -7,6 +7,7 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -25,10 +26,26 @@
 }
 
 // machineOf is an address's machine, whichever of its addresses it is.
-func machineOf(addr string) string { return strings.TrimPrefix(boundAt(hostOf(addr)), "127.20.") }
+func machineOf(addr string) string { return strings.TrimPrefix(boundAt(hostOf(addr)), addresses.bound) }
 
-func reachedAt(addr string) string { return strings.Replace(addr, "127.20.", "127.21.", 1) }
-func boundAt(addr string) string   { return strings.Replace(addr, "127.21.", "127.20.", 1) }
+func reachedAt(addr string) string {
+	return strings.Replace(addr, addresses.bound, addresses.reached, 1)
+}
+func boundAt(addr string) string { return strings.Replace(addr, addresses.reached, addresses.bound, 1) }
+
+// firstNet is the second number of a lab's loopback addresses unless told otherwise.
+const firstNet = 20
+
+// addresses are the beginnings of this lab's loopback addresses: those at which its machines listen, and those at which the others
+// reach them. They are set once, before anything runs; labs with different ones run side by side.
+var addresses = addressesOf(firstNet)
+
+// labAddresses are two beginnings of loopback addresses.
+type labAddresses struct{ bound, reached string }
+
+func addressesOf(net int) labAddresses {
+	return labAddresses{fmt.Sprintf("127.%d.", net), fmt.Sprintf("127.%d.", net+1)}
+}
 
 // pairs are the ways between two groups of machines.
 func pairs(a, b []*proc, out, back bool) map[[2]string]bool {
