A request leaves an ejected target only if no answer has come; a read whose time is over does not look

The look's read has a deadline, and one that is over before the read begins reports a timeout although the answer lies there: on a processor that is held up the request was given up with its answer in the socket, and ended 502 where the retry budget was used up. Now the socket is looked at first. TestAnswerOfADarkTargetIsTaken fails without it.

--- a/forward/callers_test.go
+++ b/forward/callers_test.go
@@ -120,6 +120,40 @@
 	}
 }
 
+// An answer that has come when a target turns out to be out of reach is taken, however late the proxy looks: it
+// may have been held up, and the target has done its work.
+func TestAnswerOfADarkTargetIsTaken(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	p, err := Open(t.Context(), ln.Addr().String(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	target, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	till := time.Now().Add(time.Minute)
+	p.c.SetDeadline(till)
+	comes := func() bool { // the answer comes after the proxy has looked for it
+		fmt.Fprint(target, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+		p.c.SetReadDeadline(till)
+		until(t, "the answer is there", func() bool { return !p.quiet() })
+		return true
+	}
+	if !p.await(t.Context(), till, comes) {
+		t.Fatal("given up with its answer there")
+	}
+	if resp, err := p.head("GET"); err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+}
+
 // A caller that goes away ends a request that was begun ahead too, also while its answer
 // is on its way.
 func TestPipelinedCallerLeaves(t *testing.T) {
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -147,7 +147,7 @@
 		if err == nil || !errors.As(err, &ne) || !ne.Timeout() || ctx.Err() != nil {
 			break
 		}
-		if dark() {
+		if dark() && p.silent(till) {
 			return false
 		}
 	}
@@ -158,6 +158,13 @@
 	return true
 }
 
+// silent says whether nothing has come. A read whose time is over does not look: an answer may have come
+// meanwhile, and a process that is held up looks late.
+func (p *Conn) silent(till time.Time) bool {
+	p.c.SetReadDeadline(till)
+	return p.quiet()
+}
+
 // head reads an answer's status and header.
 func (p *Conn) head(method string) (*http.Response, error) {
 	req := &http.Request{Method: method}
