--- a/forward/ahead_test.go
+++ b/forward/ahead_test.go
@@ -64,7 +64,7 @@
 // The connection's end ends what was begun ahead on it.
 func TestAheadGone(t *testing.T) {
 	asked, ended := make(chan bool, 4), make(chan bool)
-	car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(ctx context.Context, id uint64, ev any) any {
+	car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(ctx context.Context, id uint64, _ any) any {
 		asked <- true
 		if id == 2 {
 			<-ctx.Done()
@@ -113,7 +113,7 @@
 // Whatever comes in whatever pieces, the server reads it unaltered, and what is begun
 // ahead is the request that the server will read at that place.
 func TestAheadIsWhatComes(t *testing.T) {
-	car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, ev any) any {
+	car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, _ any) any {
 		return proxy.Refuse{ID: id, Status: 503}
 	}}, nil)
 	begun := 0
@@ -180,12 +180,12 @@
 		second int64
 	}{{model.Repeatable, true, 1}, {model.Once, true, 0}, {model.Repeatable, false, 0}} {
 		over := make(chan bool)
-		a := serve(t, "a", func(w http.ResponseWriter, r *http.Request) {
+		a := serve(t, "a", func(w http.ResponseWriter, _ *http.Request) {
 			<-over
 			w.Header().Set("P", "a")
 			fmt.Fprint(w, "late")
 		})
-		b := serve(t, "b", func(w http.ResponseWriter, r *http.Request) {
+		b := serve(t, "b", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("P", "b")
 			fmt.Fprint(w, "fine")
 		})
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -310,7 +310,7 @@
 // Chunks of an answer go on before the next is there.
 func TestStreams(t *testing.T) {
 	next := make(chan bool)
-	a := serve(t, "a", func(w http.ResponseWriter, r *http.Request) {
+	a := serve(t, "a", func(w http.ResponseWriter, _ *http.Request) {
 		for i := range 3 {
 			fmt.Fprintf(w, "part %d\n", i)
 			w.(http.Flusher).Flush()
@@ -671,7 +671,7 @@
 // A caller that leaves gets nothing that looks like an answer, and its target learns of it.
 func TestCallerLeaves(t *testing.T) {
 	left := make(chan bool)
-	a := serve(t, "a", func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done(); close(left) })
+	a := serve(t, "a", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done(); close(left) })
 	f := carrier(t, a.Target).asked(model.Repeatable)
 	c, err := net.Dial("tcp", f.addr)
 	if err != nil {
@@ -873,7 +873,7 @@
 	pool := NewPool()
 	defer pool.Close()
 	pool.Live(map[wire.ID]string{a.ID(): a.Addr})
-	car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, ev any) any {
+	car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, _ any) any {
 		return proxy.Give{ID: id, Service: "s", Target: a.Target, Left: time.Minute, Till: time.Hour, Set: model.Service{BodyMax: 1 << 20, HealthPath: "/h"}, Route: model.Route{Kind: model.Repeatable}, Idle: limit.IdleConnsMax, Connect: limit.ConnectCap}
 	}}, pool)
 	car.Headers.Attempt = "A"
@@ -967,7 +967,7 @@
 	big := strings.Repeat("z", limit.AnswerHeld+1)
 	for _, cut := range []bool{false, true} {
 		for _, chunks := range []bool{false, true} {
-			a := bytesOf(t, "a", func(_, _ int, r *http.Request) (string, bool) {
+			a := bytesOf(t, "a", func(_, _ int, _ *http.Request) (string, bool) {
 				s := "HTTP/1.1 200 OK\r\nA: 1\r\nP: 1\r\n"
 				if chunks {
 					s += fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(big), big)
--- a/forward/limits_test.go
+++ b/forward/limits_test.go
@@ -98,7 +98,7 @@
 		{&model.Limits{HeaderMs: 10 * min}, [4]time.Duration{10 * time.Minute, 30 * time.Minute, limit.CallerIdle, 10 * time.Minute}},
 		{&model.Limits{IdleMs: 20 * min}, [4]time.Duration{limit.CallerHeader, 30 * time.Minute, 20*time.Minute + limit.IdleSlack, limit.CallerHeader}},
 	} {
-		car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, ev any) any {
+		car := New(Owner{Now: func() time.Duration { return 1 }, Tell: func(any) {}, Ask: func(_ context.Context, id uint64, _ any) any {
 			return proxy.Refuse{ID: id, Status: 503, Code: "busy"}
 		}}, NewPool())
 		car.Limits.Store(c.l)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -57,8 +57,10 @@
 // Load is what a target tells of itself with an answer.
 type Load struct{ Running, Waiting, Slots int }
 
+// Outcome is how a request's stay at a target ended.
 type Outcome int
 
+// The outcomes.
 const (
 	Served  Outcome = iota // a whole answer below 500
 	Broken                 // an answer of 500 and above
@@ -116,8 +118,10 @@
 // CodeNotAhead refuses a request that may run only once and was admitted ahead of its turn.
 const CodeNotAhead = "not_ahead"
 
+// State is by what right a proxy serves, if it does.
 type State int
 
+// The states.
 const (
 	Cold State = iota // no table yet
 	Granted
@@ -127,6 +131,7 @@
 
 func (s State) String() string { return [...]string{"cold", "granted", "orphan", "cut"}[s] }
 
+// Settings are what a proxy is told at its start.
 type Settings struct {
 	Self  wire.Daemon
 	Seeds []string
@@ -236,6 +241,7 @@
 	NoRoute, Dealt, Borrowed, ToCold, ColdWaits, Full, TooLate, Overtaken, LowRank, OnceKept, OtherShare                                         uint64
 }
 
+// Proxy is the state machine of a proxy daemon.
 type Proxy struct {
 	settings     Settings
 	directory    core.Directory
@@ -281,6 +287,7 @@
 	Counts       Counts
 }
 
+// New returns a proxy that has just started and knows no table.
 func New(set Settings) *Proxy {
 	if set.Retry.Window < limit.CountSlices {
 		set.Retry = Retry{1 / float64(limit.RetryShare), limit.RetryWindow, limit.RetryFree}
@@ -359,10 +366,13 @@
 	return g.Serving() && !g.stopping && (g.settings.ReadyWhenEmptied || !slices.Contains(g.table.Emptied, g.settings.Self.Domain))
 }
 
+// State returns by what right it serves.
 func (g *Proxy) State() State { return g.state }
 
+// Table returns the table that it stands on, nil: none yet.
 func (g *Proxy) Table() *wire.Table { return g.table }
 
+// InFlight returns how many requests are under way.
 func (g *Proxy) InFlight() int { return len(g.requests) }
 
 func (g *Proxy) send(name string, m *wire.Msg) {
--- a/proxy/view.go
+++ b/proxy/view.go
@@ -33,6 +33,7 @@
 	All  int `json:"all"`
 }
 
+// TargetView is a target as operators may read it.
 type TargetView struct {
 	wire.Target
 	InFlight int   `json:"in_flight"`
@@ -41,6 +42,7 @@
 	Room     int   `json:"room"`
 }
 
+// View returns the proxy's state as operators may read it.
 func (g *Proxy) View(now time.Duration) View {
 	v := View{Name: g.settings.Self.Name, State: g.state.String(), Ready: g.table != nil && g.Ready(), Leader: g.leader(now),
 		Revision: g.revision, InFlight: len(g.requests), Counts: g.Counts, Targets: []TargetView{}}
--- a/sim/backend.go
+++ b/sim/backend.go
@@ -37,6 +37,7 @@
 	number                      uint64
 }
 
+// AddTarget starts a back end, which is warming up for so long.
 func (w *World) AddTarget(svc, name, domain, addr string, warm time.Duration) *Target {
 	w.nextInc++
 	t := &Target{service: svc, name: name, domain: domain, addr: addr, inc: w.nextInc + uint64(w.rnd.IntN(1000))*100000, alive: true,
--- a/sim/process.go
+++ b/sim/process.go
@@ -164,6 +164,7 @@
 	p.disk = &disk{img: quorum.Image{Disk: w.rnd.Uint64() | 1}}
 }
 
+// Restart starts a dead process again, unless its machine is gone.
 func (w *World) Restart(p *Proc) {
 	if !p.alive && !p.gone {
 		w.log("start %s", p.name)
@@ -338,7 +339,7 @@
 	case proxy.Give:
 		w.give(p, c)
 	case proxy.Refuse:
-		w.refused(p, c)
+		w.refused(c)
 	default:
 		panic(fmt.Sprintf("%T", cmd))
 	}
--- a/sim/request.go
+++ b/sim/request.go
@@ -123,7 +123,7 @@
 	}
 }
 
-func (w *World) refused(p *Proc, c proxy.Refuse) {
+func (w *World) refused(c proxy.Refuse) {
 	x := w.open[c.ID]
 	if x == nil {
 		return
--- a/sim/rules.go
+++ b/sim/rules.go
@@ -134,7 +134,7 @@
 	}
 }
 
-// CheckBudget: retries stay within a fifth of the traffic of any 10 s, plus the allowance.
+// CheckBudget holds that retries stay within a fifth of the traffic of any 10 s, plus the allowance.
 func (w *World) CheckBudget() {
 	free := max(limit.RetryFree, w.Plan.Gates)
 	for svc, l := range w.sends {
@@ -158,7 +158,7 @@
 	}
 }
 
-// CheckState: what was acknowledged is still agreed by every member that leads,
+// CheckState holds that what was acknowledged is still agreed by every member that leads,
 // and what was refused never took effect.
 func (w *World) CheckState() {
 	l := w.Leader()
--- a/sim/scenes.go
+++ b/sim/scenes.go
@@ -112,7 +112,7 @@
 			}
 			w.Back(end - w.now)
 			w.Finish()
-		}, Caused: func(s *Stats) int { return 1 }, Sabotage: "hellos"},
+		}, Caused: func(*Stats) int { return 1 }, Sabotage: "hellos"},
 	{Name: "one-leader", Rule: "one leader", Threat: "leaders freeze, are isolated, stall and hand over",
 		Kinds: []string{"leader frozen", "leader isolated", "core split", "leader's disk stalls", "leader stopped"}, Times: 2,
 		Caused: func(s *Stats) int { return s.Steps }, Sabotage: "clocks"},
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -151,6 +151,7 @@
 	Gap                                         time.Duration // longest time without a served request of some service
 }
 
+// New returns a world whose machines have just been switched on.
 func New(seed uint64, p Plan) *World {
 	w := &World{Plan: p, Seed: seed, rnd: rand.New(rand.NewPCG(seed, 0x6d79727465)), procs: map[string]*Proc{}, byAddr: map[string]*Proc{},
 		listen: map[string]*Target{}, cut: map[[2]string]bool{}, thin: map[string]*thinLink{}, open: map[uint64]*request{}, link: map[[2]string]time.Duration{}, resets: map[[2]string]linkReset{},
