--- a/cmd/mflab/soak_script.go
+++ b/cmd/mflab/soak_script.go
@@ -35,6 +35,7 @@
 	phase   phase
 	stopAt  time.Time // when it was asked to stop
 	startAt time.Time // when it is started again
+	logged  int64     // how long its log was at its start
 	wipe    bool      // its disk is lost while it is down
 }
 
@@ -152,6 +153,7 @@
 		os.RemoveAll(c.soak.path("data", a.name))
 		a.wipe = false
 	}
+	a.logged = c.logLength(a)
 	if err := c.soak.spawn(a.proc); err != nil {
 		c.soak.note("lab", "%v", err)
 		return
@@ -161,6 +163,15 @@
 	c.await(a)
 }
 
+// logLength is how long a process's log is, over all its starts.
+func (c *script) logLength(a *actor) int64 {
+	info, err := os.Stat(c.soak.path("log", a.name+".log"))
+	if err != nil {
+		return 0
+	}
+	return info.Size()
+}
+
 // drainEnds takes in which processes are gone.
 func (c *script) drainEnds(now time.Time) {
 	for {
@@ -182,6 +193,8 @@
 	switch {
 	case a.phase == phaseUp:
 		c.soak.note("ended by itself", "%s: %v", a.name, end.err)
+	case a.phase == phaseStopping && c.logLength(a) == a.logged && a.kind != "mfstub":
+		// It was asked before the first line of its program ran: nothing was taken.
 	case a.phase == phaseStopping && end.err != nil:
 		c.soak.note("planned restart", "%s: %v", a.name, end.err)
 	}
