--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,9 @@
 	requestEvery   = 120 * time.Millisecond
 )
 
+// targetServices are the services of the targets of each zone.
+var targetServices = []string{plainService, signedService, plainService, signedService, plainService, plainService}
+
 // world is what a case plays with.
 type world struct {
 	record  *record
@@ -39,6 +42,8 @@
 // cases maps the number of a case to its function, which returns whether the rule held.
 var cases = map[int]func(*world) (held bool, err error){
 	1: lateRestore,
+	2: pipelineTerm,
+	3: pipelineBreak,
 }
 
 func main() {
@@ -110,7 +115,7 @@
 		return nil, err
 	}
 	for i, zone := range zones {
-		for n, service := range []string{plainService, signedService, plainService, signedService} {
+		for n, service := range targetServices {
 			ip := fmt.Sprintf("%s.%d", w.fleet.prefix, 100+10*i+n)
 			t, err := startTarget(w.record, fmt.Sprintf("i-%s-%d", zone, n), service, zone, ip, w.fleet.seeds, 50*time.Millisecond)
 			if err != nil {
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +26,10 @@
 	work    time.Duration
 	number  int // of the last report
 	stopped atomic.Bool
+	// answerBytes is the length of the body of an answer to a request for largeFile; 0: a short text, as for all others.
+	answerBytes atomic.Int64
+	// breakOff is how many of 1000 answers the target breaks off midway.
+	breakOff atomic.Int64
 
 	server *http.Server
 
@@ -38,6 +44,9 @@
 	from    string        // address of the proxy
 }
 
+// largeFile is the end of the paths of requests for long answers.
+const largeFile = "/file"
+
 // Interval of the reports of a target, and the time after which it calls another daemon.
 const (
 	reportEvery   = 1500 * time.Millisecond
@@ -88,8 +97,18 @@
 	time.Sleep(t.work)
 	w.Header().Set("X-Attempt-Id", attempt)
 	w.Header().Set("X-Postmark", fmt.Sprintf("%s.%s", t.id, attempt))
+	text := "ran " + attempt + " at " + t.id + "\n"
+	if length := int(t.answerBytes.Load()); length > 0 && strings.HasSuffix(r.URL.Path, largeFile) {
+		text = strings.Repeat(text, length/len(text)+1)[:length]
+	}
+	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
 	w.WriteHeader(http.StatusOK)
-	io.WriteString(w, "ran "+attempt+" at "+t.id+"\n")
+	if rand.Int64N(1000) < t.breakOff.Load() {
+		t.record.logf("server: %s breaks off its answer to %s", t.id, attempt)
+		io.WriteString(w, text[:len(text)/2])
+		panic(http.ErrAbortHandler)
+	}
+	io.WriteString(w, text)
 }
 
 // runs returns the requests that the target has run.
