--- a/review/standin/pipeline.go
+++ b/review/standin/pipeline.go
@@ -29,15 +29,15 @@
 
 // pipelineResult is how a request of a pipelineClient ended.
 type pipelineResult struct {
-	id        string
-	sentAt    time.Duration
-	endedAt   time.Duration
-	status    int  // 0: the connection ended before its answer
-	announced int  // length of the body, from the header of the answer
-	received  int  // bytes of the body
-	complete  bool // the whole answer came
-	kept      bool // an answer had come on the connection before the request was sent
-	err       error
+	id         string
+	sentAt     time.Duration
+	finishedAt time.Duration
+	status     int  // 0: the connection ended before its answer
+	announced  int  // length of the body, from the header of the answer
+	received   int  // bytes of the body
+	complete   bool // the whole answer came
+	kept       bool // an answer had come on the connection before the request was sent
+	err        error
 
 	retryAfter time.Duration // that the answer asks for
 }
@@ -97,7 +97,7 @@
 		waiting = waiting[1:]
 	}
 	for _, r := range waiting {
-		r.endedAt = c.record.now()
+		r.finishedAt = c.record.now()
 		c.finish(r)
 	}
 }
@@ -125,7 +125,7 @@
 // answer reads the answer to a request and reports whether the connection has ended.
 func (c *pipelineClient) answer(conn net.Conn, reader *bufio.Reader, r *pipelineResult) (ended bool) {
 	conn.SetReadDeadline(time.Now().Add(2 * clientTimeout))
-	defer func() { r.endedAt = c.record.now() }()
+	defer func() { r.finishedAt = c.record.now() }()
 	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		r.err = err
@@ -149,8 +149,8 @@
 	c.results = append(c.results, r)
 }
 
-// ended returns how the requests ended so far.
-func (c *pipelineClient) ended() []pipelineResult {
+// finished returns how the requests ended so far.
+func (c *pipelineClient) finished() []pipelineResult {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return append([]pipelineResult(nil), c.results...)
--- a/review/standin/pipelinebreak.go
+++ b/review/standin/pipelinebreak.go
@@ -61,12 +61,12 @@
 	}
 	unanswered := 0
 	for _, c := range readers {
-		for _, r := range c.ended() {
+		for _, r := range c.finished() {
 			if r.sentAt < from || r.sentAt > until || r.status != 0 || !r.kept || !sound[r.id] {
 				continue
 			}
 			unanswered++
-			w.record.announcef("no answer: %s, sent at %.3f on a kept connection, run by a sound server, connection closed at %.3f", r.id, r.sentAt.Seconds(), r.endedAt.Seconds())
+			w.record.announcef("no answer: %s, sent at %.3f on a kept connection, run by a sound server, connection closed at %.3f", r.id, r.sentAt.Seconds(), r.finishedAt.Seconds())
 		}
 	}
 	w.record.announcef("%d requests of kept connections were passed on to a sound server and got no answer; the rule allows %d", unanswered, unansweredMax)
--- a/review/standin/pipelineterm.go
+++ b/review/standin/pipelineterm.go
@@ -52,13 +52,13 @@
 	ran := w.runsByID()
 	lost := 0
 	for _, c := range readers {
-		for _, r := range c.ended() {
-			if r.endedAt < stoppedAt || r.endedAt > until || r.complete || ran[r.id] == 0 {
+		for _, r := range c.finished() {
+			if r.finishedAt < stoppedAt || r.finishedAt > until || r.complete || ran[r.id] == 0 {
 				continue
 			}
 			lost++
 			w.record.announcef("lost: %s, sent at %.3f, passed on to a server, status %d, %d of %d bytes until %.3f: %v",
-				r.id, r.sentAt.Seconds(), r.status, r.received, r.announced, r.endedAt.Seconds(), r.err)
+				r.id, r.sentAt.Seconds(), r.status, r.received, r.announced, r.finishedAt.Seconds(), r.err)
 		}
 	}
 	w.record.announcef("%d requests lost after the SIGTERM at %.3f", lost, stoppedAt.Seconds())
