--- a/review/standin/pipelinebreak.go
+++ b/review/standin/pipelinebreak.go
@@ -10,7 +10,7 @@
 const (
 	breakOffPerMille = 30
 	breakOffTime     = 6 * time.Second
-	breakOffRounds   = 2
+	breakOffRounds   = 3
 	unansweredMax    = 3  // requests that the rule allows
 	breakReaders     = 10 // clients
 )
--- a/review/standin/pipelineterm.go
+++ b/review/standin/pipelineterm.go
@@ -12,7 +12,7 @@
 
 // The clients of case 2, and how many requests each has unanswered at a time.
 const (
-	readerCount = 8
+	readerCount = 10
 	readerDepth = 3
 )
 
