Count what callers' connections have not read and not delivered when they are closed

Logs and counters did not tell apart why: the proxy closes with input unread (1), input arrives after the close (2), the process ends too early (3), the proxy breaks the answer off itself (4).

Counters at the close, from the socket's queues (SIOCINQ, SIOCOUTQ), also in the line "stopped".

--- a/internal/daemon/proxy.go
+++ b/internal/daemon/proxy.go
@@ -181,10 +181,14 @@
 func (d *proxyDaemon) logStopped(code int) {
 	counts := &d.forwarder.Counts
 	d.Log.WithFields(logrus.Fields{
-		"code":             code,
-		"open_connections": d.forwarder.Callers.Open(),
-		"unanswered":       d.forwarder.Callers.Busy(),
-		"late_kept":        counts.DrainingOldConns.Load(),
-		"late_new":         counts.DrainingNewConns.Load(),
+		"code":               code,
+		"open_connections":   d.forwarder.Callers.Open(),
+		"unanswered":         d.forwarder.Callers.Busy(),
+		"late_kept":          counts.DrainingOldConns.Load(),
+		"late_new":           counts.DrainingNewConns.Load(),
+		"truncated":          counts.Truncated.Load(),
+		"closed_unread":      counts.ClosedUnread.Load(),
+		"closed_undelivered": counts.ClosedUndelivered.Load(),
+		"closed_delivering":  counts.ClosedDelivering.Load(),
 	}).Info("stopped")
 }
