Close accepted connections in steps, so that written responses are delivered

Cause: http.Server closes the socket when it has written a response that ends its connection. With further input unread, or arriving later, the kernel resets the connection and drops what the caller has not acknowledged.

Change: package gracefulclose. The write side is closed first, input is discarded until the peer closes its side, then the socket is closed (RFC 9112, 9.6). It sits below http.Server on the listeners for callers and of the HTTP API, so each way to close a connection has it. Bounds for peers that are silent, read nothing or never stop sending are named, counted (mf_close_*) and tested; a stop waits for closing connections within the time that it had before.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -11,6 +11,7 @@
 	"myrtlefold/internal/controlplane"
 	"myrtlefold/internal/controlplane/consensus"
 	"myrtlefold/internal/shared/statemachine"
+	"myrtlefold/internal/shared/tuning"
 	"myrtlefold/internal/shared/wire"
 )
 
@@ -48,8 +49,10 @@
 	go d.disk.Run(ctx)
 	go d.Loop.Run(ctx, d.step, d.execute)
 	code = d.Wait(ctx, d.controller.SetSeeds)
+	deadline := d.Now() + tuning.ShutdownWriteTimeout
 	d.shutDownAPI(server)
-	d.Log.Info("stopped")
+	d.awaitClosed(deadline)
+	d.Log.WithField("closing_connections", d.closing.Closing()).Info("stopped")
 	return code
 }
 
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -84,12 +84,14 @@
 	}
 }
 
-// serve starts a server on addr. A forwarder, if not nil, wraps the listener and may close it.
+// serve starts a server on addr, whose connections are closed gracefully. A forwarder, if not nil, wraps the listener and
+// may close it.
 func (p *Process) serve(addr string, server *http.Server, forwarder *reverseproxy.Forwarder) (*http.Server, error) {
 	listener, err := reverseproxy.Listen(addr, tuning.CallerAckTimeout)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for HTTP on %s", addr)
 	}
+	listener = p.closing.Listener(listener)
 	if forwarder != nil {
 		listener = forwarder.WrapListener(listener)
 	}
--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -15,6 +15,7 @@
 	"myrtlefold/internal/controlplane"
 	"myrtlefold/internal/dataplane"
 	"myrtlefold/internal/dataplane/reverseproxy"
+	"myrtlefold/internal/shared/gracefulclose"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files in testdata, only for an intended change of names")
@@ -43,6 +44,7 @@
 	p.RegisterCounters("core", func() any { return &controlplane.Counts{} })
 	p.RegisterCounters("gate", func() any { return &dataplane.Counts{} })
 	p.RegisterCounters("carry", func() any { return &reverseproxy.Counts{} })
+	p.RegisterCounters("close", func() any { return &gracefulclose.Counts{} })
 	families, err := p.Metrics.Gather()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -20,6 +20,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/sirupsen/logrus"
 
+	"myrtlefold/internal/shared/gracefulclose"
 	"myrtlefold/internal/shared/statemachine"
 	"myrtlefold/internal/shared/tuning"
 	"myrtlefold/internal/shared/version"
@@ -64,10 +65,11 @@
 	Checker     *HealthChecker
 
 	platform      Platform
-	rawSettings   []byte         // text that Settings were read from
-	reloadSignals chan os.Signal // SIGHUP, caught before startup because its default action ends the process
-	stopSignals   chan os.Signal // SIGTERM and SIGINT, caught before startup since callers may be served before Wait
-	exitCode      chan int       // receives the exit code when the state machine has stopped
+	closing       *gracefulclose.Group // connections of the HTTP servers that are being closed
+	rawSettings   []byte               // text that Settings were read from
+	reloadSignals chan os.Signal       // SIGHUP, caught before startup because its default action ends the process
+	stopSignals   chan os.Signal       // SIGTERM and SIGINT, caught before startup since callers may be served before Wait
+	exitCode      chan int             // receives the exit code when the state machine has stopped
 }
 
 // Start parses the command line, loads the settings and returns the daemon's process. If either is invalid, or with the
@@ -130,7 +132,7 @@
 	localAddr := settings.localAddr()
 	metrics := prometheus.NewRegistry()
 	metrics.MustRegister(traffic, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	return &Process{
+	process := &Process{
 		Clock:       clock,
 		Kind:        kind,
 		Settings:    settings,
@@ -141,8 +143,11 @@
 		Transport:   &Transport{log: log, clock: clock, loop: loop, traffic: traffic, localAddr: localAddr, queues: map[string]chan outgoing{}},
 		Checker:     newHealthChecker(clock, loop, localAddr, platform.Headers),
 		platform:    platform,
+		closing:     gracefulclose.NewGroup(gracefulclose.DefaultBounds()),
 		exitCode:    make(chan int, 1),
 	}
+	process.RegisterCounters("close", func() any { return &process.closing.Counts })
+	return process
 }
 
 // limitMemory sets the memory limit of the Go runtime to tuning.MemoryShare of the process's limit, and its GC percentage.
--- a/internal/daemon/proxy.go
+++ b/internal/daemon/proxy.go
@@ -53,9 +53,11 @@
 	go d.Loop.Run(ctx, d.proxy.Step, d.execute)
 	code = d.Wait(ctx, d.proxy.SetSeeds)
 	d.shutDownAPI(api)
-	if !d.awaitResponses() {
+	deadline := time.Duration(d.stopDeadline.Load())
+	if !d.awaitResponses(deadline) {
 		code = exitFailed
 	}
+	d.awaitClosed(deadline)
 	d.logStopped(code)
 	callers.Close()
 	cancel()
@@ -117,6 +119,7 @@
 		d.forwarder.Draining.Store(true)
 	case statemachine.StopAccepting:
 		d.stopDeadline.Store(int64(d.Now() + c.TimeLeft + tuning.ShutdownWriteTimeout))
+		d.closing.Stop()
 		d.forwarder.Callers.Close()
 	default:
 		d.Execute(ctx, command)
@@ -166,29 +169,20 @@
 
 // awaitResponses waits, after the state machine has stopped, until no caller's connection is busy: responses may still
 // be written and request bodies read. It returns false if connections are still busy at the deadline.
-func (d *proxyDaemon) awaitResponses() bool {
-	poll := time.NewTicker(tuning.ShutdownPoll)
-	defer poll.Stop()
-	for deadline := d.stopDeadline.Load(); d.forwarder.Callers.Busy() > 0; <-poll.C {
-		if int64(d.Now()) > deadline {
-			return false
-		}
-	}
-	return true
+func (d *proxyDaemon) awaitResponses(deadline time.Duration) bool {
+	return d.awaitUntil(deadline, func() bool { return d.forwarder.Callers.Busy() == 0 })
 }
 
 // logStopped logs the exit code and how many connections and requests of callers the shutdown left open.
 func (d *proxyDaemon) logStopped(code int) {
 	counts := &d.forwarder.Counts
 	d.Log.WithFields(logrus.Fields{
-		"code":               code,
-		"open_connections":   d.forwarder.Callers.Open(),
-		"unanswered":         d.forwarder.Callers.Busy(),
-		"late_kept":          counts.DrainingOldConns.Load(),
-		"late_new":           counts.DrainingNewConns.Load(),
-		"truncated":          counts.Truncated.Load(),
-		"closed_unread":      counts.ClosedUnread.Load(),
-		"closed_undelivered": counts.ClosedUndelivered.Load(),
-		"closed_delivering":  counts.ClosedDelivering.Load(),
+		"code":                code,
+		"open_connections":    d.forwarder.Callers.Open(),
+		"closing_connections": d.closing.Closing(),
+		"undelivered":         d.closing.Counts.Undelivered.Load(),
+		"unanswered":          d.forwarder.Callers.Busy(),
+		"late_kept":           counts.DrainingOldConns.Load(),
+		"late_new":            counts.DrainingNewConns.Load(),
 	}).Info("stopped")
 }
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -42,12 +42,31 @@
 }
 
 // shutDownAPI shuts down the HTTP API: it accepts no more calls and writes the responses to calls in progress, within
-// tuning.ShutdownWriteTimeout.
+// tuning.ShutdownWriteTimeout. Connections may still be closing when it returns.
 func (p *Process) shutDownAPI(server *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), tuning.ShutdownWriteTimeout)
 	defer cancel()
+	p.closing.Stop()
 	if err := server.Shutdown(ctx); err != nil {
 		p.Log.WithError(err).Warn("HTTP API closed with calls in progress")
 		server.Close()
 	}
 }
+
+// awaitUntil waits until a condition holds or the deadline has passed, and reports whether the condition holds.
+func (p *Process) awaitUntil(deadline time.Duration, condition func() bool) bool {
+	poll := time.NewTicker(tuning.ShutdownPoll)
+	defer poll.Stop()
+	for ; !condition(); <-poll.C {
+		if p.Now() > deadline {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitClosed waits until the connections of the HTTP servers are closed and their peers have the responses. It returns
+// false if some are not at the deadline.
+func (p *Process) awaitClosed(deadline time.Duration) bool {
+	return p.awaitUntil(deadline, func() bool { return p.closing.Closing() == 0 })
+}
--- a/internal/dataplane/reverseproxy/counts.go
+++ b/internal/dataplane/reverseproxy/counts.go
@@ -41,13 +41,4 @@
 	// DrainingNewConns counts the requests that were read while the proxy was draining, on callers' connections that
 	// were opened while it was draining.
 	DrainingNewConns atomic.Uint64 `metric:"late_new"`
-	// ClosedUnread counts the callers' connections that were closed while input from the caller was unread. Closing
-	// resets such a connection.
-	ClosedUnread atomic.Uint64 `metric:"closed_unread"`
-	// ClosedUndelivered counts those of ClosedUnread on which the caller had not acknowledged all that was sent to it: the
-	// reset discards the rest.
-	ClosedUndelivered atomic.Uint64 `metric:"closed_undelivered"`
-	// ClosedDelivering counts the callers' connections that were closed with nothing unread, but before the caller had
-	// acknowledged all that was sent to it. They are reset only if the caller sends more.
-	ClosedDelivering atomic.Uint64 `metric:"closed_delivering"`
 }
--- a/internal/dataplane/reverseproxy/listener.go
+++ b/internal/dataplane/reverseproxy/listener.go
@@ -86,31 +86,14 @@
 // Close closes the connection and cancels its pipelined requests.
 func (c *callerConn) Close() error {
 	c.cancel()
-	c.countClose()
 	return c.Conn.Close()
 }
 
-// countClose counts what a connection that is about to be closed has not read and not delivered.
-func (c *callerConn) countClose() {
-	unread, unacknowledged, ok := socketQueues(c.Conn)
-	counts := &c.forwarder.Counts
-	switch {
-	case !ok:
-	case unread > 0:
-		counts.ClosedUnread.Add(1)
-		if unacknowledged > 0 {
-			counts.ClosedUndelivered.Add(1)
-		}
-	case unacknowledged > 0:
-		counts.ClosedDelivering.Add(1)
-	}
-}
-
 // CloseWrite closes the write side of the connection. The server uses it to end a connection on which the caller may
 // still be writing.
 func (c *callerConn) CloseWrite() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
 	}
 	return nil
 }
--- a/internal/dataplane/reverseproxy/sockets.go
+++ b/internal/dataplane/reverseproxy/sockets.go
@@ -49,25 +49,5 @@
 	}
 }
 
-// socketQueues returns how many bytes a TCP connection has received that were not read (unread), and how many it was
-// given to send that the peer has not acknowledged (unacknowledged). ok is false if the system does not tell, as on a
-// connection that is closed.
-func socketQueues(conn net.Conn) (unread, unacknowledged int, ok bool) {
-	socket, isSocket := conn.(syscall.Conn)
-	if !isSocket {
-		return 0, 0, false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, 0, false
-	}
-	var unreadErr, unacknowledgedErr error
-	err = raw.Control(func(fd uintptr) {
-		unread, unreadErr = unix.IoctlGetInt(int(fd), unix.SIOCINQ)
-		unacknowledged, unacknowledgedErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-	})
-	return unread, unacknowledged, err == nil && unreadErr == nil && unacknowledgedErr == nil
-}
-
 // expiredDeadline returns a deadline in the past, which ends all pending reads or writes of a connection.
 func expiredDeadline() time.Time { return time.Now().Add(-time.Second) }
--- /dev/null
+++ b/internal/shared/gracefulclose/conn.go
@@ -0,0 +1,118 @@
+package gracefulclose
+
+import (
+	"container/list"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// Conn is a TCP connection that is closed gracefully.
+type Conn struct {
+	net.Conn
+	tcp        *net.TCPConn // equal to Conn
+	group      *Group
+	closing    atomic.Bool   // Close was called
+	peerClosed atomic.Bool   // reading has failed: the peer has closed or reset the connection
+	position   *list.Element // in group.closing, nil if it is not there; guarded by the queue's mutex
+}
+
+// Read reads from the connection. Once Close was called it returns net.ErrClosed, also if input has arrived, so that no
+// request is served whose response could not be written.
+func (c *Conn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if c.closing.Load() {
+		return 0, net.ErrClosed
+	}
+	if err != nil && !isTimeout(err) {
+		c.peerClosed.Store(true)
+	}
+	return n, err
+}
+
+// isTimeout reports whether reading failed because its deadline has passed.
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// SetReadDeadline sets the deadline of Read. Once Close was called it returns net.ErrClosed.
+func (c *Conn) SetReadDeadline(deadline time.Time) error {
+	if c.closing.Load() {
+		return net.ErrClosed
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// SetDeadline sets the deadlines of Read and Write. Once Close was called it returns net.ErrClosed.
+func (c *Conn) SetDeadline(deadline time.Time) error {
+	if c.closing.Load() {
+		return net.ErrClosed
+	}
+	return c.Conn.SetDeadline(deadline)
+}
+
+// CloseWrite does the same as Close. http.Server calls it if the peer may still be sending a request's body, and calls Close
+// half a second later; the body is discarded meanwhile.
+func (c *Conn) CloseWrite() error { return c.Close() }
+
+// Close closes the write side and returns. The rest of the close follows in the background. A Read in progress returns
+// net.ErrClosed within Bounds.Check.
+func (c *Conn) Close() error {
+	if !c.closing.CompareAndSwap(false, true) {
+		return net.ErrClosed
+	}
+	if c.peerClosed.Load() || c.tcp.CloseWrite() != nil {
+		return c.Conn.Close()
+	}
+	c.group.Counts.Started.Add(1)
+	if oldest := c.group.closing.add(c, c.group.bounds.Conns); oldest != nil {
+		oldest.cutOff(&c.group.Counts.Crowded)
+	}
+	now := time.Now()
+	closing := pendingClose{conn: c, startedAt: now, progressAt: now, unacknowledged: unknown}
+	go closing.run()
+	return nil
+}
+
+// finish closes the socket of a connection that the peer has closed.
+func (c *Conn) finish() {
+	if c.group.closing.remove(c) {
+		c.group.Counts.Finished.Add(1)
+		c.Conn.Close()
+	}
+}
+
+// expire cuts the connection off for the bound that the counter belongs to, unless another bound has done so before.
+func (c *Conn) expire(bound *atomic.Uint64) {
+	if c.group.closing.remove(c) {
+		c.cutOff(bound)
+	}
+}
+
+// cutOff closes the socket of a connection that has left the group's queue.
+func (c *Conn) cutOff(bound *atomic.Uint64) {
+	if c.unacknowledged() > 0 {
+		c.group.Counts.Undelivered.Add(1)
+	}
+	bound.Add(1)
+	c.Conn.Close()
+}
+
+// unknown is the result of Conn.unacknowledged if the system does not tell.
+const unknown = -1
+
+// unacknowledged returns how many bytes of output the peer has not acknowledged. The end of the output counts as one.
+func (c *Conn) unacknowledged() int {
+	raw, err := c.tcp.SyscallConn()
+	if err != nil {
+		return unknown
+	}
+	bytes := unknown
+	controlErr := raw.Control(func(fd uintptr) { bytes, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	if controlErr != nil || err != nil {
+		return unknown
+	}
+	return bytes
+}
--- a/internal/shared/tuning/connection.go
+++ b/internal/shared/tuning/connection.go
@@ -47,6 +47,17 @@
 	CallerHeaderTimeout = 3 * TargetHeartbeatTimeout
 	// CallerAckTimeout is AckTimeout for callers. It exceeds the pauses of a caller that reads slowly.
 	CallerAckTimeout = 10 * time.Second
+	// CloseTimeout is how long a closed connection may take to deliver its output while the caller keeps its side open.
+	// Like CallerAckTimeout it exceeds the pauses of a caller that reads slowly.
+	CloseTimeout = CallerAckTimeout
+	// CloseStallTimeout is how long a closed connection waits for the caller to close its side after the last progress:
+	// a round trip and the caller's reaction.
+	CloseStallTimeout = 500 * time.Millisecond
+	// CloseCheckInterval is how often the progress of a closed connection is checked.
+	CloseCheckInterval = 100 * time.Millisecond
+	// ClosingConnsMax is how many closed connections may wait for their callers at a time. It is a small part of the file
+	// descriptors of a process.
+	ClosingConnsMax = 1024
 	// HeaderMax is the largest accepted header, in bytes.
 	HeaderMax = 32 << 10
 	// ServerHeaderMax is the number of bytes up to which a header is read. It exceeds HeaderMax, so that a header
