--- a/cmd/mfchaos/soak.go
+++ b/cmd/mfchaos/soak.go
@@ -23,6 +23,7 @@
 	controls int
 	targets  int // back ends of both services together
 	callers  int
+	readers  int  // callers that send ahead and read long responses through a small window
 	faults   bool // also kill daemons and delete data
 }
 
@@ -35,6 +36,7 @@
 	command.Flag("cores", "control daemons").Default("3").IntVar(&o.controls)
 	command.Flag("targets", "back ends").Default("15").IntVar(&o.targets)
 	command.Flag("callers", "callers, with one connection each").Default("100").IntVar(&o.callers)
+	command.Flag("readers", "further callers, which send ahead and read long responses through a small window").Default("12").IntVar(&o.readers)
 	command.Flag("faults", "also kill daemons and delete their data").BoolVar(&o.faults)
 }
 
@@ -64,6 +66,12 @@
 	return s.report(outcomes)
 }
 
+// Parts of a run that have a random source for each caller, by the number of the first one.
+const (
+	firstCallerPart = 1_000
+	firstReaderPart = 1_000_000
+)
+
 // random returns a separate random source for each part of a run, so that the draws of one part don't change those of another.
 func (o *soakOptions) random(part uint64) *rand.Rand { return rand.New(rand.NewPCG(o.seed, part)) }
 
--- a/cmd/mfchaos/soak_callers.go
+++ b/cmd/mfchaos/soak_callers.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"myrtlefold/internal/dataplane/reverseproxy"
+	"myrtlefold/internal/verification/testbackend"
 )
 
 const (
@@ -70,11 +71,14 @@
 
 // startCallers starts the callers.
 func (s *soak) startCallers() *soakCallers {
-	c := &soakCallers{soak: s, stop: make(chan struct{}), outcomes: make(chan []requestOutcome, s.options.callers)}
+	c := &soakCallers{soak: s, stop: make(chan struct{}), outcomes: make(chan []requestOutcome, s.options.callers+s.options.readers)}
 	c.refreshReady()
 	c.running.Go(c.pollReady)
 	for i := range s.options.callers {
-		c.running.Go(func() { c.outcomes <- c.runCaller(i, s.options.random(1000+uint64(i))) })
+		c.running.Go(func() { c.outcomes <- c.runCaller(i, s.options.random(firstCallerPart+uint64(i))) })
+	}
+	for i := range s.options.readers {
+		c.running.Go(func() { c.outcomes <- c.runReader(i, s.options.random(firstReaderPart+uint64(i))) })
 	}
 	return c
 }
@@ -135,30 +139,37 @@
 	c.ready.Store(&ready)
 }
 
-// runCaller runs one caller: it opens connections until the run ends, and uses each until it is closed. Every fourth caller
-// always uses the same proxy, ready or not; every fifth pipelines requests.
-func (c *soakCallers) runCaller(number int, rnd *rand.Rand) []requestOutcome {
-	var outcomes []requestOutcome
+// runCaller runs one caller. Every fourth one always uses the same proxy, ready or not; every fifth pipelines requests.
+func (c *soakCallers) runCaller(number int, rnd *rand.Rand) (outcomes []requestOutcome) {
 	keepsProxy := number%4 == 0
 	pipelines := number%5 == 0
+	c.useConnections(strconv.Itoa(number), keepsProxy, rnd, net.Dialer{}, func(connection *callerConnection) {
+		connection.pipelines = pipelines
+		outcomes = append(outcomes, connection.run()...)
+	})
+	return outcomes
+}
+
+// useConnections opens connections one after the other until the run ends, and passes each to use. name distinguishes the
+// callers' requests. A caller that keepsProxy always uses the same proxy, any other one a proxy that is ready.
+func (c *soakCallers) useConnections(name string, keepsProxy bool, rnd *rand.Rand, dialer net.Dialer, use func(*callerConnection)) {
+	dialer.Timeout = time.Second
 	assigned := c.soak.proxies[rnd.IntN(len(c.soak.proxies))]
 	for round := 0; !c.isStopped(); round++ {
 		to := assigned
 		if ready := *c.ready.Load(); !keepsProxy {
 			to = ready[rnd.IntN(len(ready))]
 		}
-		conn, err := net.DialTimeout("tcp", to.listen, time.Second)
+		conn, err := dialer.Dial("tcp", to.listen)
 		if err != nil {
 			c.sleep(time.Duration(20+rnd.IntN(80)) * time.Millisecond)
 			continue
 		}
-		connection := &callerConnection{callers: c, conn: conn, reader: bufio.NewReader(conn), proxy: to.name, random: rnd, pipelines: pipelines,
-			prefix: fmt.Sprintf("%d-%d-%d", c.soak.options.seed, number, round)}
-		outcomes = append(outcomes, connection.run()...)
+		use(&callerConnection{callers: c, conn: conn, reader: bufio.NewReader(conn), proxy: to.name, random: rnd,
+			prefix: fmt.Sprintf("%d-%s-%d", c.soak.options.seed, name, round)})
 		conn.Close()
 		c.sleep(time.Duration(rnd.IntN(50)) * time.Millisecond)
 	}
-	return outcomes
 }
 
 // isStopped reports whether the run has ended.
@@ -220,12 +231,11 @@
 		if requests > 1 {
 			kind = &requestKinds[0]
 		}
-		id := fmt.Sprintf("%s-%d", c.prefix, c.sent)
-		c.sent++
+		id := c.nextID()
 		batch = append(batch, requestOutcome{id: id, kind: kind, proxy: c.proxy, pipelined: i > 0})
-		text = append(text, c.buildRequest(kind, id)...)
+		text = append(text, c.buildRequest(kind, id, time.Duration(20+c.random.IntN(1000))*time.Millisecond, 0)...)
 	}
-	c.conn.SetDeadline(time.Now().Add(2 * c.callers.soak.options.grace))
+	c.setDeadline()
 	_, err := c.conn.Write(text)
 	sent := time.Now()
 	for i := range batch {
@@ -243,13 +253,25 @@
 	return batch, open
 }
 
-// buildRequest returns the bytes of a request with a random processing time.
-func (c *callerConnection) buildRequest(kind *requestKind, id string) []byte {
+// nextID returns the id of the next request.
+func (c *callerConnection) nextID() string {
+	id := fmt.Sprintf("%s-%d", c.prefix, c.sent)
+	c.sent++
+	return id
+}
+
+// setDeadline sets the deadline of the connection's next reads and writes, which no proxy should let pass.
+func (c *callerConnection) setDeadline() {
+	c.conn.SetDeadline(time.Now().Add(2 * c.callers.soak.options.grace))
+}
+
+// buildRequest returns the bytes of a request with the given processing time and size of its response's padding in bytes.
+func (c *callerConnection) buildRequest(kind *requestKind, id string, processing time.Duration, padding int) []byte {
 	names := reverseproxy.DefaultHeaders()
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: soak\r\nExchange-Id: %s\r\nExchange-Service: %s\r\n%s: %s\r\n%s: %d\r\n",
 		kind.method, kind.path, id, kind.service, names.Attempt, id, names.Deadline, requestDeadline.Milliseconds())
-	fmt.Fprintf(&b, "Stub-Work-Ms: %d\r\n", 20+c.random.IntN(1000))
+	fmt.Fprintf(&b, "%s: %d\r\n%s: %d\r\n", testbackend.ProcessingTimeHeader, processing.Milliseconds(), testbackend.PaddingHeader, padding)
 	if kind.body > 0 {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", kind.body)
 	}
