Cut off callers that would hold up a proxy's stop until its time is up

A caller that read nothing of a long response, or did not send the rest of a request's body, kept a stopping proxy until the end of its grace period; the proxy then ended with exit code 1.

Cause: the stop waits for every request in progress, and nothing bounds how long a caller may make no progress. While the proxy drains, a response of which the caller acknowledges nothing for 2 s (ShutdownStallTimeout) is now broken off; when the proxy stops accepting requests, a body that is still being received ends with 408, which says that the request has not run. Both are counted in mf_carry_stalled_total.

The soak has stalled callers now (--stalled): silent, reading nothing, only sending, stopping in the middle of an upload.

--- a/cmd/mfchaos/soak.go
+++ b/cmd/mfchaos/soak.go
@@ -24,6 +24,7 @@
 	targets  int // back ends of both services together
 	callers  int
 	readers  int  // callers that send ahead and read long responses through a small window
+	stalled  int  // callers that neither read nor close their connections
 	faults   bool // also kill daemons and delete data
 }
 
@@ -37,6 +38,7 @@
 	command.Flag("targets", "back ends").Default("15").IntVar(&o.targets)
 	command.Flag("callers", "callers, with one connection each").Default("100").IntVar(&o.callers)
 	command.Flag("readers", "further callers, which send ahead and read long responses through a small window").Default("12").IntVar(&o.readers)
+	command.Flag("stalled", "further callers, which neither read nor close their connections").Default("4").IntVar(&o.stalled)
 	command.Flag("faults", "also kill daemons and delete their data").BoolVar(&o.faults)
 }
 
@@ -68,8 +70,9 @@
 
 // Parts of a run that have a random source for each caller, by the number of the first one.
 const (
-	firstCallerPart = 1_000
-	firstReaderPart = 1_000_000
+	firstCallerPart  = 1_000
+	firstReaderPart  = 1_000_000
+	firstStalledPart = 2_000_000
 )
 
 // random returns a separate random source for each part of a run, so that the draws of one part don't change those of another.
--- a/cmd/mfchaos/soak_callers.go
+++ b/cmd/mfchaos/soak_callers.go
@@ -80,6 +80,9 @@
 	for i := range s.options.readers {
 		c.running.Go(func() { c.outcomes <- c.runReader(i, s.options.random(firstReaderPart+uint64(i))) })
 	}
+	for i := range s.options.stalled {
+		c.running.Go(func() { c.runStalledCaller(i, s.options.random(firstStalledPart+uint64(i))) })
+	}
 	return c
 }
 
--- a/internal/daemon/proxy.go
+++ b/internal/daemon/proxy.go
@@ -117,6 +117,7 @@
 		d.forwarder.Limits.Store(c.Limits)
 	case statemachine.CloseAfterResponse:
 		d.forwarder.Draining.Store(true)
+		go d.forwarder.CutOffStalledCallers(ctx, tuning.ShutdownStallTimeout)
 	case statemachine.StopAccepting:
 		d.stopDeadline.Store(int64(d.Now() + c.TimeLeft + tuning.ShutdownWriteTimeout))
 		d.closing.Stop()
--- a/internal/dataplane/reverseproxy/counts.go
+++ b/internal/dataplane/reverseproxy/counts.go
@@ -17,6 +17,9 @@
 	Truncated atomic.Uint64 `metric:"cut"`
 	// CallersGone counts the requests whose caller disconnected before the response.
 	CallersGone atomic.Uint64 `metric:"gone"`
+	// StalledCallers counts the callers that were cut off while the proxy was draining: they read nothing of a response, or
+	// had not sent a request's body when the proxy stopped accepting requests.
+	StalledCallers atomic.Uint64 `metric:"stalled"`
 	// ConnsOpened counts the connections that were opened to targets.
 	ConnsOpened atomic.Uint64 `metric:"opened"`
 	// ConnsReused counts how often an attempt took an idle connection from the pool.
--- a/internal/dataplane/reverseproxy/draining.go
+++ b/internal/dataplane/reverseproxy/draining.go
@@ -30,16 +30,20 @@
 func (c *CallerConns) Closed() bool { return c.closed.Load() }
 
 // Close closes the listener and each connection without a request in progress. The other connections are closed once
-// their requests have been answered. After Close the state machine must reject new requests, since one may still be
-// read from a connection while Close closes it.
+// their requests have been answered. A request whose body is still being received is answered at once. After Close the
+// state machine must reject new requests, since one may still be read from a connection while Close closes it.
 func (c *CallerConns) Close() {
 	c.closed.Store(true)
 	if listener := c.listener.Load(); listener != nil {
 		(*listener).Close()
 	}
 	c.states.Range(func(key, state any) bool {
-		if conn := key.(*callerConn); state != http.StateActive && !conn.hasPipelined() {
+		conn := key.(*callerConn)
+		switch {
+		case state != http.StateActive && !conn.hasPipelined():
 			conn.Close()
+		default:
+			conn.receiving.stop(conn)
 		}
 		return true
 	})
@@ -74,6 +78,40 @@
 // hasPipelined reports whether the connection has pipelined requests that were started and are not answered yet.
 func (c *callerConn) hasPipelined() bool { return c.unanswered.Load() > 0 }
 
+// bodyReceipt tells whether a request's body is being read before the state machine is asked for a target. The mutex
+// orders this with the read deadline that ends it. The zero value means that none is being read.
+type bodyReceipt struct {
+	mutex      sync.Mutex
+	inProgress bool
+}
+
+// begin is called before a body is read from conn, after its read deadline has been set. If callers' connections were
+// closed, reading times out at once.
+func (b *bodyReceipt) begin(conn *callerConn) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.inProgress = true
+	if conn.forwarder.Callers.Closed() {
+		conn.Conn.SetReadDeadline(expiredDeadline())
+	}
+}
+
+// end is called when reading has ended, before the read deadline is removed.
+func (b *bodyReceipt) end() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.inProgress = false
+}
+
+// stop makes the reading of a body from conn time out, if it is in progress.
+func (b *bodyReceipt) stop(conn *callerConn) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.inProgress {
+		conn.Conn.SetReadDeadline(expiredDeadline())
+	}
+}
+
 // countIfDraining counts a request that arrives while the proxy is draining.
 func (c *callerConn) countIfDraining() {
 	switch {
--- a/internal/dataplane/reverseproxy/listener.go
+++ b/internal/dataplane/reverseproxy/listener.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -54,6 +55,12 @@
 	return ctx
 }
 
+// callerConnOf returns the connection that a request arrived on, or nil if the server's listener was not wrapped.
+func callerConnOf(incoming *http.Request) *callerConn {
+	conn, _ := incoming.Context().Value(callerConnKey{}).(*callerConn)
+	return conn
+}
+
 // callerConn is a connection from a caller. The server reads it from one goroutine at a time and serves its requests
 // one after another, but also reads from it while a request is being served.
 type callerConn struct {
@@ -62,6 +69,8 @@
 	ctx                 context.Context // context of the pipelined requests, canceled when the connection is closed
 	cancel              context.CancelFunc
 	openedWhileDraining bool
+	writing             atomic.Bool // a Write is in progress
+	receiving           bodyReceipt
 
 	// pipelined passes the requests that were started before their turn, in order, from the reading goroutine to the
 	// serving goroutine.
@@ -83,6 +92,13 @@
 	requestActive  bool              // the handler is running
 }
 
+// Write writes to the caller.
+func (c *callerConn) Write(data []byte) (int, error) {
+	c.writing.Store(true)
+	defer c.writing.Store(false)
+	return c.Conn.Write(data)
+}
+
 // Close closes the connection and cancels its pipelined requests.
 func (c *callerConn) Close() error {
 	c.cancel()
--- a/internal/dataplane/reverseproxy/reverseproxy.go
+++ b/internal/dataplane/reverseproxy/reverseproxy.go
@@ -86,7 +86,7 @@
 // panics with http.ErrAbortHandler to close the connection of a caller that has disconnected or whose response was
 // truncated.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	conn, _ := r.Context().Value(callerConnKey{}).(*callerConn)
+	conn := callerConnOf(r)
 	if conn == nil {
 		f.serve(w, r)
 		return
--- a/internal/dataplane/reverseproxy/uploads.go
+++ b/internal/dataplane/reverseproxy/uploads.go
@@ -52,6 +52,9 @@
 	}
 	var netError net.Error
 	if errors.As(err, &netError) && netError.Timeout() {
+		if q.forwarder.Callers.Closed() {
+			q.forwarder.Counts.StalledCallers.Add(1)
+		}
 		return errBodyTimeout
 	}
 	if q.incoming.Context().Err() != nil {
@@ -63,12 +66,21 @@
 // readBody reads the buffered part of the body with a read deadline on the caller's connection. After an error the
 // deadline remains set.
 func (q *request) readBody(timeout time.Duration) (*requestBody, error) {
-	if timeout == 0 || q.incoming.ContentLength == 0 {
+	if q.incoming.ContentLength == 0 {
 		return newRequestBody(q.incoming)
 	}
 	controller := http.NewResponseController(q.writer)
-	controller.SetReadDeadline(q.start.Add(timeout))
+	if timeout > 0 {
+		controller.SetReadDeadline(q.start.Add(timeout))
+	}
+	conn := callerConnOf(q.incoming)
+	if conn != nil {
+		conn.receiving.begin(conn)
+	}
 	body, err := newRequestBody(q.incoming)
+	if conn != nil {
+		conn.receiving.end()
+	}
 	if err == nil {
 		controller.SetReadDeadline(time.Time{})
 	}
--- a/internal/shared/gracefulclose/conn.go
+++ b/internal/shared/gracefulclose/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,6 +54,9 @@
 	return c.Conn.SetDeadline(deadline)
 }
 
+// SyscallConn returns the raw connection, for socket options.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.tcp.SyscallConn() }
+
 // CloseWrite does the same as Close. http.Server calls it if the peer may still be sending a request's body, and calls Close
 // half a second later; the body is discarded meanwhile.
 func (c *Conn) CloseWrite() error { return c.Close() }
@@ -105,7 +109,7 @@
 
 // unacknowledged returns how many bytes of output the peer has not acknowledged. The end of the output counts as one.
 func (c *Conn) unacknowledged() int {
-	raw, err := c.tcp.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return unknown
 	}
--- a/internal/shared/tuning/shutdown.go
+++ b/internal/shared/tuning/shutdown.go
@@ -12,6 +12,9 @@
 	ShutdownLingerMax = 2500 * time.Millisecond
 	// ShutdownTimeout is how long a proxy that shuts down completes its requests if no grace period is configured.
 	ShutdownTimeout = 20 * time.Second
+	// ShutdownStallTimeout is how long a caller may acknowledge nothing of a response that is being written while the proxy
+	// shuts down. It is below ShutdownLingerMax, so that such a caller does not prolong the shutdown.
+	ShutdownStallTimeout = 2 * time.Second
 	// ShutdownMargin is the part of the grace period that is left unused.
 	ShutdownMargin = 300 * time.Millisecond
 	// ShutdownReserve is the last part of a shutdown, in which a machine that may be busy forwards the last responses.
--- a/internal/shared/tuning/sums_test.go
+++ b/internal/shared/tuning/sums_test.go
@@ -29,6 +29,8 @@
 		{"three lost heartbeats, before the heartbeat timeout", 3*TargetHeartbeatEvery + TickEvery, TargetHeartbeatTimeout},
 		{"two rounds of peer lease requests, before half the leader's lease is over", PullEvery*2 + TickEvery, ProxyLease / 2},
 		{"from the loss of all members to a leader that decides, one machine missing", 4*HelloEvery + BootstrapWait + 3*HelloEvery + ElectionTimeoutMin + ElectionTimeoutSpread + RecoveryWait + GatherTablesWait + FirstProxiesWait, 15 * time.Second},
+		{"a caller that reads nothing is cut off, before a proxy that shuts down stops to accept requests", ShutdownStallTimeout + 2*CloseCheckInterval, ShutdownLingerMax},
+		{"from the end of a shutdown's linger time until connections of silent callers are closed", CloseStallTimeout + 2*CloseCheckInterval, time.Second},
 		{"the event interval at which half a policy's window covers the retry window", RetryWindow / (PolicyWindow / 2), StatsEvery * 2},
 	} {
 		if c.sum > c.max {
