Reset the connection of an HTTP/1.0 caller whose response is truncated

A caller that speaks HTTP/1.0 took a response for complete that its target had broken off after more than 64 KiB, if the response had no length: 131,072 bytes without an error.

Cause: a truncated response ends its connection, and for such a response the end of the connection is its end. The connection is now reset. Others lack their announced length or their last chunk and are closed in steps as before.

--- a/internal/dataplane/reverseproxy/listener.go
+++ b/internal/dataplane/reverseproxy/listener.go
@@ -105,6 +105,13 @@
 	return c.Conn.Close()
 }
 
+// reset closes the connection with a reset, so that the caller does not take a response for complete that ends with it.
+func (c *callerConn) reset() {
+	if conn, ok := c.Conn.(interface{ Reset() error }); ok {
+		conn.Reset()
+	}
+}
+
 // CloseWrite closes the write side of the connection. The server uses it to end a connection on which the caller may
 // still be writing.
 func (c *callerConn) CloseWrite() error {
--- a/internal/dataplane/reverseproxy/retries.go
+++ b/internal/dataplane/reverseproxy/retries.go
@@ -131,12 +131,16 @@
 }
 
 // countServed counts a request whose response was passed on. If the response was truncated, countServed panics with
-// http.ErrAbortHandler, which closes the caller's connection.
+// http.ErrAbortHandler, which closes the caller's connection. For HTTP/1.0 the end of the connection may be the end of the
+// response, so the connection is reset.
 func (q *request) countServed(result *attemptResult) {
 	q.status = result.status
 	q.forwarder.Counts.Served.Add(1)
 	if result.truncated {
 		q.forwarder.Counts.Truncated.Add(1)
+		if conn := callerConnOf(q.incoming); conn != nil && !q.incoming.ProtoAtLeast(1, 1) {
+			conn.reset()
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/dataplane/reverseproxy/testproxy_test.go
+++ b/internal/dataplane/reverseproxy/testproxy_test.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"myrtlefold/internal/shared/config"
+	"myrtlefold/internal/shared/gracefulclose"
 	"myrtlefold/internal/shared/statemachine"
 	"myrtlefold/internal/shared/tuning"
 	"myrtlefold/internal/shared/wire"
@@ -182,7 +183,8 @@
 		},
 	}, f.pool)
 	server := httptest.NewUnstartedServer(f.forwarder)
-	server.Listener = f.forwarder.WrapListener(server.Listener)
+	closing := gracefulclose.NewGroup(gracefulclose.DefaultBounds())
+	server.Listener = f.forwarder.WrapListener(closing.Listener(server.Listener))
 	server.Config.ConnContext, server.Config.ConnState = f.forwarder.ConnContext, f.forwarder.Callers.ConnState
 	server.Start()
 	t.Cleanup(func() { server.Close(); f.pool.Close() })
--- a/internal/shared/gracefulclose/conn.go
+++ b/internal/shared/gracefulclose/conn.go
@@ -80,6 +80,15 @@
 	return nil
 }
 
+// Reset closes the connection at once with a reset, which discards output that the peer has not acknowledged.
+func (c *Conn) Reset() error {
+	if !c.closing.CompareAndSwap(false, true) {
+		return net.ErrClosed
+	}
+	c.tcp.SetLinger(0)
+	return c.Conn.Close()
+}
+
 // finish closes the socket of a connection that the peer has closed.
 func (c *Conn) finish() {
 	if c.group.closing.remove(c) {
