--- a/cmd/mfchaos/soak_readers.go
+++ b/cmd/mfchaos/soak_readers.go
@@ -6,10 +6,10 @@
 
 import (
 	"math/rand/v2"
-	"net"
 	"strconv"
-	"syscall"
 	"time"
+
+	"myrtlefold/internal/verification/testnet"
 )
 
 const (
@@ -19,24 +19,10 @@
 	readerProcessingMax = 200 * time.Millisecond // longest processing time of a request
 )
 
-// smallWindow returns a dialer whose connections have a receive buffer of the given size in bytes.
-func smallWindow(size int) net.Dialer {
-	return net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		var optionErr error
-		err := raw.Control(func(fd uintptr) {
-			optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size)
-		})
-		if err != nil {
-			return err
-		}
-		return optionErr
-	}}
-}
-
 // runReader runs one caller that sends ahead. Every third one always uses the same proxy, ready or not.
 func (c *soakCallers) runReader(number int, rnd *rand.Rand) (outcomes []requestOutcome) {
 	name := "reader" + strconv.Itoa(number)
-	c.useConnections(name, number%3 == 0, rnd, smallWindow(readerWindow), func(connection *callerConnection) {
+	c.useConnections(name, number%3 == 0, rnd, testnet.SmallWindow(readerWindow), func(connection *callerConnection) {
 		outcomes = append(outcomes, connection.sendAhead()...)
 	})
 	return outcomes
--- a/cmd/mfchaos/soak_stalled.go
+++ b/cmd/mfchaos/soak_stalled.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"strconv"
 	"time"
+
+	"myrtlefold/internal/verification/testnet"
 )
 
 const (
@@ -28,7 +30,7 @@
 // runStalledCaller runs one stalled caller.
 func (c *soakCallers) runStalledCaller(number int, rnd *rand.Rand) {
 	behave := stalledBehaviors[number%len(stalledBehaviors)]
-	c.useConnections("stalled"+strconv.Itoa(number), false, rnd, smallWindow(readerWindow), func(connection *callerConnection) {
+	c.useConnections("stalled"+strconv.Itoa(number), false, rnd, testnet.SmallWindow(readerWindow), func(connection *callerConnection) {
 		hold := stalledHoldMin + time.Duration(rnd.Int64N(int64(stalledHoldMax)))
 		connection.conn.SetDeadline(time.Now().Add(hold))
 		behave(connection)
--- a/internal/daemon/closing_test.go
+++ b/internal/daemon/closing_test.go
@@ -11,7 +11,6 @@
 	"runtime"
 	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -23,6 +22,7 @@
 	"myrtlefold/internal/shared/statemachine"
 	"myrtlefold/internal/shared/tuning"
 	"myrtlefold/internal/shared/wire"
+	"myrtlefold/internal/verification/testnet"
 )
 
 // Lengths of responses in bytes. Both are longer than what a caller with smallWindow receives without reading, and shorter
@@ -41,11 +41,13 @@
 // closingTest is a daemon's process with a server for callers, in front of one target, and a server of the HTTP API.
 type closingTest struct {
 	*testing.T
-	process   *Process
-	forwarder *reverseproxy.Forwarder
-	api       *http.Server
-	respond   chan int  // receives the lengths of the responses of the target and of the API
-	started   chan bool // a request has reached the target or the API
+	process     *Process
+	forwarder   *reverseproxy.Forwarder
+	api         *http.Server
+	callersAddr string
+	apiAddr     string
+	respond     chan int  // receives the lengths of the responses of the target and of the API
+	started     chan bool // a request has reached the target or the API
 }
 
 func newClosingTest(t *testing.T) *closingTest {
@@ -55,8 +57,7 @@
 	t.Cleanup(target.Close)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	settings := Settings{Name: "p", Listen: unusedAddr(t), HTTP: unusedAddr(t)}
-	test.process = newProcess(wire.ProxyDaemon, settings, log, DefaultPlatform())
+	test.process = newProcess(wire.ProxyDaemon, Settings{Name: "p"}, log, DefaultPlatform())
 	pool := reverseproxy.NewPool()
 	t.Cleanup(pool.Close)
 	chosen := wire.Target{Service: "s", Name: "a", Incarnation: 7, Addr: target.Listener.Addr().String()}
@@ -68,27 +69,25 @@
 			return forwardTo(chosen, id)
 		},
 	}, pool)
-	callers, err := test.process.serveCallers(test.forwarder)
-	if err != nil {
-		t.Fatal(err)
-	}
+	callers, listener := newCallersServer(test.forwarder), listen(t)
+	test.process.serveOn(listener, callers, test.forwarder)
 	t.Cleanup(func() { callers.Close() })
-	if test.api, err = test.process.serveAPI(http.HandlerFunc(test.answerCall)); err != nil {
-		t.Fatal(err)
-	}
+	test.callersAddr = listener.Addr().String()
+	test.api, listener = newServer(http.HandlerFunc(test.answerCall)), listen(t)
+	test.process.serveOn(listener, test.api, nil)
 	t.Cleanup(func() { test.api.Close() })
+	test.apiAddr = listener.Addr().String()
 	return test
 }
 
-// unusedAddr returns an address on which nothing listens.
-func unusedAddr(t *testing.T) string {
+// listen opens a listener on the loopback interface.
+func listen(t *testing.T) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return listener
 }
 
 // forwardTo returns the command to send a request to a target.
@@ -131,9 +130,7 @@
 // dial opens a connection with a small window.
 func (test *closingTest) dial(addr string) net.Conn {
 	test.Helper()
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallWindow) })
-	}}
+	dialer := testnet.SmallWindow(smallWindow)
 	conn, err := dialer.Dial("tcp", addr)
 	if err != nil {
 		test.Fatal(err)
@@ -150,6 +147,15 @@
 	}
 }
 
+// begin opens a connection to the proxy, sends the beginning of a request and waits until it has reached the target.
+func (test *closingTest) begin(request string) net.Conn {
+	test.Helper()
+	conn := test.dial(test.callersAddr)
+	test.send(conn, request)
+	<-test.started
+	return conn
+}
+
 // waitFor waits until a condition holds, and fails the test if it does not within 20 s.
 func (test *closingTest) waitFor(description string, condition func() bool) {
 	test.Helper()
@@ -190,9 +196,7 @@
 	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	for name, run := range map[string]func(test *closingTest){
 		"draining, requests unread": func(test *closingTest) {
-			conn := test.dial(test.process.Settings.Listen)
-			test.send(conn, request)
-			<-test.started
+			conn := test.begin(request)
 			test.forwarder.Draining.Store(true)
 			test.send(conn, furtherRequests)
 			test.respond <- streamedResponse
@@ -200,9 +204,7 @@
 			test.expectResponse(conn, streamedResponse)
 		},
 		"draining, requests later": func(test *closingTest) {
-			conn := test.dial(test.process.Settings.Listen)
-			test.send(conn, request)
-			<-test.started
+			conn := test.begin(request)
 			test.forwarder.Draining.Store(true)
 			test.respond <- streamedResponse
 			test.waitForClose()
@@ -210,18 +212,14 @@
 			test.expectResponse(conn, streamedResponse)
 		},
 		"the caller asks to close and sends more": func(test *closingTest) {
-			conn := test.dial(test.process.Settings.Listen)
-			test.send(conn, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
-			<-test.started
+			conn := test.begin("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
 			test.send(conn, furtherRequests)
 			test.respond <- streamedResponse
 			test.waitForClose()
 			test.expectResponse(conn, streamedResponse)
 		},
 		"idle connection of a stopping proxy": func(test *closingTest) {
-			conn := test.dial(test.process.Settings.Listen)
-			test.send(conn, request)
-			<-test.started
+			conn := test.begin(request)
 			test.respond <- streamedResponse
 			test.waitFor("the response is written", func() bool { return test.forwarder.Callers.Busy() == 0 })
 			test.forwarder.Callers.Close()
@@ -230,23 +228,21 @@
 			test.expectResponse(conn, streamedResponse)
 		},
 		"upload that is answered early": func(test *closingTest) {
-			conn := test.dial(test.process.Settings.Listen)
-			test.send(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n")
-			<-test.started
+			conn := test.begin("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n")
 			test.respond <- bufferedResponse
 			test.waitForClose()
 			test.send(conn, furtherRequests)
 			test.expectResponse(conn, bufferedResponse)
 		},
 		"call of the HTTP API while it shuts down": func(test *closingTest) {
-			conn := test.dial(test.process.Settings.HTTP)
+			conn := test.dial(test.apiAddr)
 			test.send(conn, request)
 			<-test.started
 			test.send(conn, furtherRequests)
 			down := make(chan error)
 			go func() { down <- test.api.Shutdown(context.Background()) }()
 			test.waitFor("the API accepts no more connections", func() bool {
-				unwanted, err := net.Dial("tcp", test.process.Settings.HTTP)
+				unwanted, err := net.Dial("tcp", test.apiAddr)
 				if err == nil {
 					unwanted.Close()
 				}
@@ -271,9 +267,8 @@
 func TestCallersDoNotHoldUpAStop(t *testing.T) {
 	test := newClosingTest(t)
 	counts := &test.process.closing.Counts
-	silent, deaf, sending := test.dial(test.process.Settings.Listen), test.dial(test.process.Settings.Listen), test.dial(test.process.Settings.Listen)
-	test.send(deaf, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	<-test.started
+	silent, sending := test.dial(test.callersAddr), test.dial(test.callersAddr)
+	test.begin("GET / HTTP/1.1\r\nHost: h\r\n\r\n") // its response is not read
 	test.respond <- streamedResponse
 	test.waitFor("all connections are known and the response is written", func() bool {
 		return test.forwarder.Callers.Open() == 3 && test.forwarder.Callers.Busy() == 0
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -70,9 +71,13 @@
 
 // serveCallers starts the server for callers. It accepts connections until the forwarder closes its listener.
 func (p *Process) serveCallers(forwarder *reverseproxy.Forwarder) (*http.Server, error) {
+	return p.serve(p.Settings.Listen, newCallersServer(forwarder), forwarder)
+}
+
+func newCallersServer(forwarder *reverseproxy.Forwarder) *http.Server {
 	server := newServer(forwarder)
 	server.ConnContext, server.ConnState = forwarder.ConnContext, forwarder.Callers.ConnState
-	return p.serve(p.Settings.Listen, server, forwarder)
+	return server
 }
 
 func newServer(handler http.Handler) *http.Server {
@@ -84,13 +89,19 @@
 	}
 }
 
-// serve starts a server on addr, whose connections are closed gracefully. A forwarder, if not nil, wraps the listener and
-// may close it.
+// serve starts a server on addr. A forwarder, if not nil, wraps the listener and may close it.
 func (p *Process) serve(addr string, server *http.Server, forwarder *reverseproxy.Forwarder) (*http.Server, error) {
 	listener, err := reverseproxy.Listen(addr, tuning.CallerAckTimeout)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for HTTP on %s", addr)
 	}
+	p.serveOn(listener, server, forwarder)
+	return server, nil
+}
+
+// serveOn is serve for a listener that is open. The server's connections are closed gracefully.
+func (p *Process) serveOn(listener net.Listener, server *http.Server, forwarder *reverseproxy.Forwarder) {
+	addr := listener.Addr().String()
 	listener = p.closing.Listener(listener)
 	if forwarder != nil {
 		listener = forwarder.WrapListener(listener)
@@ -102,7 +113,6 @@
 			p.Log.WithError(err).WithField("addr", addr).Fatal("HTTP server failed")
 		}
 	}()
-	return server, nil
 }
 
 // CallHandler returns a handler that passes calls of operators and targets to the state machine and writes its reply.
--- a/internal/shared/gracefulclose/gracefulclose_test.go
+++ b/internal/shared/gracefulclose/gracefulclose_test.go
@@ -5,11 +5,12 @@
 	"io"
 	"net"
 	"runtime"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"myrtlefold/internal/verification/testnet"
 )
 
 // largeOutput is longer than what a peer with smallWindow receives without reading, and shorter than what the kernel takes
@@ -30,9 +31,7 @@
 		t.Fatal(err)
 	}
 	defer inner.Close()
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallWindow) })
-	}}
+	dialer := testnet.SmallWindow(smallWindow)
 	dialed, err := dialer.Dial("tcp", inner.Addr().String())
 	if err != nil {
 		t.Fatal(err)
