--- a/internal/dataplane/reverseproxy/errors.go
+++ b/internal/dataplane/reverseproxy/errors.go
@@ -31,6 +31,10 @@
 		status: http.StatusRequestTimeout, retryAfter: tuning.RetryAfterMin,
 		code: "late", message: "the body did not arrive before the request's deadline",
 	}
+	errBodyStopped = &requestError{
+		status: http.StatusRequestTimeout, retryAfter: tuning.RetryAfterMin,
+		code: "late", message: "the body did not arrive before the proxy stopped accepting requests",
+	}
 )
 
 // badRequest returns an error with status 400.
--- a/internal/dataplane/reverseproxy/uploads.go
+++ b/internal/dataplane/reverseproxy/uploads.go
@@ -54,6 +54,7 @@
 	if errors.As(err, &netError) && netError.Timeout() {
 		if q.forwarder.Callers.Closed() {
 			q.forwarder.Counts.StalledCallers.Add(1)
+			return errBodyStopped
 		}
 		return errBodyTimeout
 	}
--- a/internal/shared/tuning/connection.go
+++ b/internal/shared/tuning/connection.go
@@ -55,8 +55,7 @@
 	CloseStallTimeout = 500 * time.Millisecond
 	// CloseCheckInterval is how often the progress of a closed connection is checked.
 	CloseCheckInterval = 100 * time.Millisecond
-	// ClosingConnsMax is how many closed connections may wait for their callers at a time. It is a small part of the file
-	// descriptors of a process.
+	// ClosingConnsMax is how many closed connections may wait for their callers at a time. Each holds a file descriptor.
 	ClosingConnsMax = 1024
 	// HeaderMax is the largest accepted header, in bytes.
 	HeaderMax = 32 << 10
