Test back end: handles signals before it serves

The back end serves and sends heartbeats before it calls signal.Notify, so a SIGTERM in between ends it at once.

It now handles signals first and then prints a line. A process that gets SIGTERM before its program has logged anything can't handle it; the soak allowed that for daemons and allows it for back ends now, which did not log before.

--- a/cmd/mfbackend/main.go
+++ b/cmd/mfbackend/main.go
@@ -75,6 +75,9 @@
 
 // run serves requests until a signal or a caller asks the back end to leave, and returns after it has left.
 func run(opts options) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	fmt.Println("handling signals")
 	log, err := requestlog.Create(opts.requestLog)
 	if err != nil {
 		return err
@@ -91,8 +94,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go target.sendHeartbeats(ctx)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	select {
 	case <-signals:
 	case <-target.leaveRequests:
--- a/cmd/mfchaos/soak_script.go
+++ b/cmd/mfchaos/soak_script.go
@@ -200,7 +200,7 @@
 	switch {
 	case p.phase == phaseUp:
 		c.soak.recordViolation(ruleNoCrash, "%s: %v", p.name, exit.err)
-	case p.phase == phaseStopping && c.logSize(p) == p.logSizeAtStart && p.kind != backendProgram:
+	case p.phase == phaseStopping && c.logSize(p) == p.logSizeAtStart:
 		// It got SIGTERM before its program had logged anything, so it may not handle the signal yet and has accepted nothing.
 	case p.phase == phaseStopping && exit.err != nil:
 		c.soak.recordViolation(ruleGracefulStop, "%s: %v", p.name, exit.err)
