Answer a body that was not received by the time of a stop with 503

The stop is the proxy's reason and not the caller's fault: it is answered like every other request that a stopping proxy rejects, with 503, Retry-After and "not run".

--- a/internal/dataplane/reverseproxy/errors.go
+++ b/internal/dataplane/reverseproxy/errors.go
@@ -32,8 +32,8 @@
 		code: "late", message: "the body did not arrive before the request's deadline",
 	}
 	errBodyStopped = &requestError{
-		status: http.StatusRequestTimeout, retryAfter: tuning.RetryAfterMin,
-		code: "late", message: "the body did not arrive before the proxy stopped accepting requests",
+		status: http.StatusServiceUnavailable, retryAfter: tuning.RetryAfterMin,
+		code: "stopping", message: "the body did not arrive before this proxy stopped accepting requests",
 	}
 )
 
