A proxy that stops is not failed by a caller that does not read

A caller that reads nothing had come late, so that the 2 s after which it is cut off were not over at the end.

A proxy that ends knows now which of its busy connections wait for callers that have acknowledged nothing for 0.5 s, and fails only for others; the line "stopped" says how many there are (stalled). The end of the grace period stays the bound for them.

--- a/internal/daemon/proxy.go
+++ b/internal/daemon/proxy.go
@@ -169,9 +169,11 @@
 }
 
 // awaitResponses waits, after the state machine has stopped, until no caller's connection is busy: responses may still
-// be written and request bodies read. It returns false if connections are still busy at the deadline.
+// be written and request bodies read. It returns false if connections are still busy at the deadline, other than those of
+// callers that do not read.
 func (d *proxyDaemon) awaitResponses(deadline time.Duration) bool {
-	return d.awaitUntil(deadline, func() bool { return d.forwarder.Callers.Busy() == 0 })
+	callers := &d.forwarder.Callers
+	return d.awaitUntil(deadline, func() bool { return callers.Busy() == 0 }) || callers.Busy() <= callers.Stalled(tuning.CloseStallTimeout)
 }
 
 // logStopped logs the exit code and how many connections and requests of callers the shutdown left open.
@@ -183,6 +185,7 @@
 		"closing_connections": d.closing.Closing(),
 		"undelivered":         d.closing.Counts.Undelivered.Load(),
 		"unanswered":          d.forwarder.Callers.Busy(),
+		"stalled":             d.forwarder.Callers.Stalled(tuning.CloseStallTimeout),
 		"late_kept":           counts.DrainingOldConns.Load(),
 		"late_new":            counts.DrainingNewConns.Load(),
 	}).Info("stopped")
--- a/internal/dataplane/reverseproxy/listener.go
+++ b/internal/dataplane/reverseproxy/listener.go
@@ -70,6 +70,7 @@
 	cancel              context.CancelFunc
 	openedWhileDraining bool
 	writing             atomic.Bool // a Write is in progress
+	stall               callerStall
 	receiving           bodyReceipt
 
 	// pipelined passes the requests that were started before their turn, in order, from the reading goroutine to the
--- a/internal/dataplane/reverseproxy/stalledcallers.go
+++ b/internal/dataplane/reverseproxy/stalledcallers.go
@@ -4,16 +4,39 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"myrtlefold/internal/shared/tuning"
 )
 
-// stalledWrite is a write to a caller that has made no progress since a time.
-type stalledWrite struct {
-	since        time.Time
-	acknowledged uint64 // bytes of the connection's output that the caller had acknowledged
+// callerStall records since when a caller has acknowledged nothing of a response that is being written.
+type callerStall struct {
+	since        atomic.Int64 // in ns since 1970, 0 if the caller has not stalled
+	acknowledged uint64       // bytes of the connection's output; used only by the goroutine of CutOffStalledCallers
+}
+
+// duration returns for how long the caller has stalled.
+func (s *callerStall) duration(now time.Time) time.Duration {
+	since := s.since.Load()
+	if since == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, since))
+}
+
+// update is called regularly while a response is being written to conn.
+func (s *callerStall) update(now time.Time, conn net.Conn) {
+	acknowledged, known := bytesAcknowledged(conn)
+	switch {
+	case !known:
+		s.since.Store(0)
+	case s.since.Load() == 0 || s.acknowledged != acknowledged:
+		s.since.Store(now.UnixNano())
+		s.acknowledged = acknowledged
+	}
 }
 
 // CutOffStalledCallers cuts off callers that acknowledge nothing of a response for the given time while it is being
@@ -22,41 +45,52 @@
 func (f *Forwarder) CutOffStalledCallers(ctx context.Context, timeout time.Duration) {
 	ticker := time.NewTicker(tuning.CloseCheckInterval)
 	defer ticker.Stop()
-	stalled := map[*callerConn]stalledWrite{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			stalled = f.checkStalledCallers(now, timeout, stalled)
+			f.Callers.updateStalls(now)
+			f.cutOffStalled(now, timeout)
 		}
 	}
 }
 
-// checkStalledCallers cuts off the callers that have exceeded the timeout. before holds the writes that had stalled at the
-// last check; checkStalledCallers returns those that have now.
-func (f *Forwarder) checkStalledCallers(now time.Time, timeout time.Duration, before map[*callerConn]stalledWrite) map[*callerConn]stalledWrite {
-	stalled := map[*callerConn]stalledWrite{}
-	f.Callers.states.Range(func(key, state any) bool {
+// cutOffStalled breaks off the responses of callers that have stalled for at least the given time.
+func (f *Forwarder) cutOffStalled(now time.Time, timeout time.Duration) {
+	f.Callers.states.Range(func(key, _ any) bool {
 		conn := key.(*callerConn)
-		if state != http.StateActive || !conn.writing.Load() {
-			return true
+		if conn.stall.duration(now) >= timeout {
+			conn.stall.since.Store(0)
+			f.Counts.StalledCallers.Add(1)
+			conn.Conn.SetWriteDeadline(expiredDeadline())
 		}
-		acknowledged, ok := bytesAcknowledged(conn.Conn)
-		if !ok {
-			return true
-		}
-		last, known := before[conn]
-		if !known || last.acknowledged != acknowledged {
-			last = stalledWrite{since: now, acknowledged: acknowledged}
+		return true
+	})
+}
+
+// Stalled returns the number of busy connections whose callers have stalled for at least the given time. They are known
+// only while CutOffStalledCallers runs.
+func (c *CallerConns) Stalled(atLeast time.Duration) (n int64) {
+	now := time.Now()
+	c.states.Range(func(key, state any) bool {
+		if conn := key.(*callerConn); state == http.StateActive && conn.stall.duration(now) >= atLeast {
+			n++
 		}
-		if now.Sub(last.since) < timeout {
-			stalled[conn] = last
-			return true
+		return true
+	})
+	return n
+}
+
+// updateStalls records which callers have stalled.
+func (c *CallerConns) updateStalls(now time.Time) {
+	c.states.Range(func(key, state any) bool {
+		conn := key.(*callerConn)
+		if state == http.StateActive && conn.writing.Load() {
+			conn.stall.update(now, conn.Conn)
+		} else {
+			conn.stall.since.Store(0)
 		}
-		f.Counts.StalledCallers.Add(1)
-		conn.Conn.SetWriteDeadline(expiredDeadline())
 		return true
 	})
-	return stalled
 }
--- a/internal/dataplane/reverseproxy/stalledcallers_test.go
+++ b/internal/dataplane/reverseproxy/stalledcallers_test.go
@@ -47,6 +47,19 @@
 	}
 }
 
+// TestStalledCallersAreKnown checks that a proxy that ends can tell callers that read nothing from those that it owes a
+// response.
+func TestStalledCallersAreKnown(t *testing.T) {
+	proxy := newDrainingProxy(t, time.Hour)
+	caller := dialRaw(t, proxy.addr)
+	caller.send("/")
+	waitFor(t, "the caller has stalled", func() bool { return proxy.forwarder.Callers.Stalled(300*time.Millisecond) == 1 })
+	if !caller.expectResponse(strings.Repeat("x", unbufferedBytes)) {
+		t.Error("the response does not close its connection")
+	}
+	waitFor(t, "the caller has not stalled", func() bool { return proxy.forwarder.Callers.Stalled(time.Nanosecond) == 0 })
+}
+
 // TestDrainingWaitsForCallersThatRead checks that a caller that reads gets a long response whole.
 func TestDrainingWaitsForCallersThatRead(t *testing.T) {
 	proxy := newDrainingProxy(t, time.Minute)
