A connection that is being closed does not read further requests

A request that crosses a close had then been read, so that its caller could not know whether it may be sent again. Before, it lay unread and the connection was reset.

A closing connection now leaves input unread and waits, after it has closed its write side, until the peer has acknowledged all output; the reset that follows then costs no response and refuses the requests. The queues of the socket are looked at every 20 ms (SIOCOUTQ, MSG_PEEK). What the peer sends can't keep a connection open any more, so input is no progress.

--- a/internal/shared/gracefulclose/conn.go
+++ b/internal/shared/gracefulclose/conn.go
@@ -23,8 +23,11 @@
 }
 
 // Read reads from the connection. Once Close was called it returns net.ErrClosed, also if input has arrived, so that no
-// request is served whose response could not be written.
+// request is served whose response could not be written, and leaves the input unread.
 func (c *Conn) Read(buffer []byte) (int, error) {
+	if c.closing.Load() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Read(buffer)
 	if c.closing.Load() {
 		return 0, net.ErrClosed
@@ -57,12 +60,11 @@
 // SyscallConn returns the raw connection, for socket options.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.tcp.SyscallConn() }
 
-// CloseWrite does the same as Close. http.Server calls it if the peer may still be sending a request's body, and calls Close
-// half a second later; the body is discarded meanwhile.
-func (c *Conn) CloseWrite() error { return c.Close() }
+// CloseWrite closes the write side of the connection.
+func (c *Conn) CloseWrite() error { return c.tcp.CloseWrite() }
 
 // Close closes the write side and returns. The rest of the close follows in the background. A Read in progress returns
-// net.ErrClosed within Bounds.Check.
+// net.ErrClosed.
 func (c *Conn) Close() error {
 	if !c.closing.CompareAndSwap(false, true) {
 		return net.ErrClosed
@@ -70,6 +72,7 @@
 	if c.peerClosed.Load() || c.tcp.CloseWrite() != nil {
 		return c.Conn.Close()
 	}
+	c.Conn.SetReadDeadline(time.Unix(0, 1)) // ends a Read in progress
 	c.group.Counts.Started.Add(1)
 	if oldest := c.group.closing.add(c, c.group.bounds.Conns); oldest != nil {
 		oldest.cutOff(&c.group.Counts.Crowded)
@@ -89,10 +92,11 @@
 	return c.Conn.Close()
 }
 
-// finish closes the socket of a connection that the peer has closed.
-func (c *Conn) finish() {
+// leave closes the socket of a connection whose output is delivered, unless a bound has done so before, and counts how it
+// was closed.
+func (c *Conn) leave(count *atomic.Uint64) {
 	if c.group.closing.remove(c) {
-		c.group.Counts.Finished.Add(1)
+		count.Add(1)
 		c.Conn.Close()
 	}
 }
@@ -113,6 +117,36 @@
 	c.Conn.Close()
 }
 
+// inputState is what a connection's receive queue holds.
+type inputState int
+
+// States of the receive queue.
+const (
+	inputNone   inputState = iota // nothing
+	inputUnread                   // input that was not read
+	inputEnded                    // the end of the input, or the connection was reset
+)
+
+// peekInput looks at the receive queue without reading from it.
+func (c *Conn) peekInput() inputState {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return inputEnded
+	}
+	var n int
+	buffer := make([]byte, 1)
+	controlErr := raw.Control(func(fd uintptr) { n, _, err = unix.Recvfrom(int(fd), buffer, unix.MSG_PEEK|unix.MSG_DONTWAIT) })
+	switch {
+	case controlErr != nil:
+		return inputEnded
+	case errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR):
+		return inputNone
+	case err != nil || n == 0:
+		return inputEnded
+	}
+	return inputUnread
+}
+
 // unknown is the result of Conn.unacknowledged if the system does not tell.
 const unknown = -1
 
--- a/internal/shared/gracefulclose/gracefulclose.go
+++ b/internal/shared/gracefulclose/gracefulclose.go
@@ -2,9 +2,11 @@
 //
 // A socket that is closed while input is unread, or that receives input after it was closed, resets its connection. The
 // reset discards all output that the peer has not acknowledged, such as the end of a long response. A Conn is closed in
-// steps instead (RFC 9112, section 9.6): its write side is closed, its input is read and discarded until the peer closes
-// its side, and only then is the socket closed. A Group bounds how long this takes and for how many connections at a time
-// (Bounds), so that a peer that reads nothing or never closes occupies neither a stopping process nor memory.
+// steps instead (after RFC 9112, section 9.6): its write side is closed, and the socket only once the peer has acknowledged
+// all output and has closed its side or sent further input. Such input is not read: the reset that follows tells the peer
+// that its request was not read and may be sent again, whatever it is. A Group bounds how long a close takes and for how
+// many connections at a time (Bounds), so that a peer that reads nothing or never closes occupies neither a stopping
+// process nor memory.
 package gracefulclose
 
 import (
@@ -19,11 +21,10 @@
 type Bounds struct {
 	// Total is the longest time from the close of the write side to that of the socket.
 	Total time.Duration
-	// Stall is the longest time without progress once the peer has acknowledged all output. Input and acknowledgements
-	// are progress. While the process stops (Group.Stop), only acknowledgements are, and the bound applies before all
-	// output is acknowledged, too.
+	// Stall is the longest time for which the peer neither closes its side nor sends input after it has acknowledged all
+	// output. While the process stops (Group.Stop), it is also the longest time without an acknowledgement before that.
 	Stall time.Duration
-	// Check is the interval at which progress is checked.
+	// Check is the interval at which connections are checked.
 	Check time.Duration
 	// Conns is the largest number of connections that are being closed at a time. One more cuts off the oldest.
 	Conns int
@@ -40,8 +41,8 @@
 }
 
 // Counts holds a group's counters, which count from the start of the process. On /metrics each is named after its tag:
-// mf_close_TAG_total. Each connection in Started is later counted in one of Finished, TimedOut, Stalled and Crowded, unless
-// the process ends before.
+// mf_close_TAG_total. Each connection in Started is later counted in one of Finished, Refused, TimedOut, Stalled and Crowded,
+// unless the process ends before.
 type Counts struct {
 	// Started counts the graceful closes. A connection whose peer had closed its side before is closed at once and not
 	// counted.
@@ -54,9 +55,8 @@
 	Stalled atomic.Uint64 `metric:"stalled"`
 	// Crowded counts the connections that were cut off by Bounds.Conns.
 	Crowded atomic.Uint64 `metric:"crowded"`
-	// Discarding counts the connections on which input arrived that was discarded. Closing them at once would have reset
-	// them.
-	Discarding atomic.Uint64 `metric:"discarding"`
+	// Refused counts the connections that were closed with unread input once all output was acknowledged.
+	Refused atomic.Uint64 `metric:"refused"`
 	// Undelivered counts the connections that were cut off before the peer had acknowledged all output.
 	Undelivered atomic.Uint64 `metric:"undelivered"`
 }
--- a/internal/shared/gracefulclose/pending.go
+++ b/internal/shared/gracefulclose/pending.go
@@ -5,46 +5,42 @@
 	"time"
 )
 
-// discardBytes is the size of the buffer for input that is discarded.
-const discardBytes = 1 << 10
-
 // pendingClose is the part of a graceful close that waits for the peer. It is used by one goroutine.
 type pendingClose struct {
 	conn           *Conn
 	startedAt      time.Time
-	progressAt     time.Time // time of the last progress, or startedAt
+	progressAt     time.Time // time of the last acknowledgement, or startedAt
 	unacknowledged int       // result of Conn.unacknowledged at the last check
-	discarding     bool      // input has arrived
 }
 
-// run discards input until the peer closes the connection or a bound is reached, and closes the socket.
+// run closes the socket when the peer has closed the connection, when the peer has acknowledged all output and sends
+// more input, or when a bound is reached.
 func (p *pendingClose) run() {
-	buffer := make([]byte, discardBytes)
+	ticker := time.NewTicker(p.conn.group.bounds.Check)
+	defer ticker.Stop()
 	for {
-		p.conn.Conn.SetReadDeadline(time.Now().Add(p.conn.group.bounds.Check))
-		n, err := p.conn.Conn.Read(buffer)
-		if err != nil && !isTimeout(err) {
-			p.conn.finish()
+		input := p.conn.peekInput()
+		if input == inputEnded {
+			p.conn.leave(&p.conn.group.Counts.Finished)
 			return
 		}
 		now := time.Now()
-		p.update(now, n > 0)
+		p.update(now)
+		if input == inputUnread && p.unacknowledged == 0 {
+			p.conn.leave(&p.conn.group.Counts.Refused)
+			return
+		}
 		if bound := p.exceededBound(now); bound != nil {
 			p.conn.expire(bound)
 			return
 		}
+		<-ticker.C
 	}
 }
 
-// update records the connection's progress. received means that input has arrived since the last update.
-func (p *pendingClose) update(now time.Time, received bool) {
-	group := p.conn.group
-	if received && !p.discarding {
-		p.discarding = true
-		group.Counts.Discarding.Add(1)
-	}
-	unacknowledged := p.conn.unacknowledged()
-	if unacknowledged != p.unacknowledged || received && !group.stopping.Load() {
+// update records whether the peer has acknowledged output since the last check.
+func (p *pendingClose) update(now time.Time) {
+	if unacknowledged := p.conn.unacknowledged(); unacknowledged != p.unacknowledged {
 		p.unacknowledged, p.progressAt = unacknowledged, now
 	}
 }
--- a/internal/shared/tuning/connection.go
+++ b/internal/shared/tuning/connection.go
@@ -50,11 +50,11 @@
 	// CloseTimeout is how long a closed connection may take to deliver its output while the caller keeps its side open.
 	// Like CallerAckTimeout it exceeds the pauses of a caller that reads slowly.
 	CloseTimeout = CallerAckTimeout
-	// CloseStallTimeout is how long a closed connection waits for the caller to close its side after the last progress:
-	// a round trip and the caller's reaction.
+	// CloseStallTimeout is how long a closed connection waits for the caller to close its side after the last
+	// acknowledgement: a round trip and the caller's reaction.
 	CloseStallTimeout = 500 * time.Millisecond
 	// CloseCheckInterval is how often the progress of a closed connection is checked.
-	CloseCheckInterval = 100 * time.Millisecond
+	CloseCheckInterval = 20 * time.Millisecond
 	// ClosingConnsMax is how many closed connections may wait for their callers at a time. Each holds a file descriptor.
 	ClosingConnsMax = 1024
 	// HeaderMax is the largest accepted header, in bytes.
