--- a/internal/shared/gracefulclose/conn.go
+++ b/internal/shared/gracefulclose/conn.go
@@ -124,25 +124,25 @@
 const (
 	inputNone   inputState = iota // nothing
 	inputUnread                   // input that was not read
-	inputEnded                    // the end of the input, or the connection was reset
+	inputClosed                   // the end of the input, or the connection was reset
 )
 
 // peekInput looks at the receive queue without reading from it.
 func (c *Conn) peekInput() inputState {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return inputEnded
+		return inputClosed
 	}
 	var n int
 	buffer := make([]byte, 1)
 	controlErr := raw.Control(func(fd uintptr) { n, _, err = unix.Recvfrom(int(fd), buffer, unix.MSG_PEEK|unix.MSG_DONTWAIT) })
 	switch {
 	case controlErr != nil:
-		return inputEnded
+		return inputClosed
 	case errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR):
 		return inputNone
 	case err != nil || n == 0:
-		return inputEnded
+		return inputClosed
 	}
 	return inputUnread
 }
--- a/internal/shared/gracefulclose/pending.go
+++ b/internal/shared/gracefulclose/pending.go
@@ -20,7 +20,7 @@
 	defer ticker.Stop()
 	for {
 		input := p.conn.peekInput()
-		if input == inputEnded {
+		if input == inputClosed {
 			p.conn.leave(&p.conn.group.Counts.Finished)
 			return
 		}
