Measure callers' stalls with the monotonic clock

A jump of the wall clock during a stop could cut off a caller that reads, or spare one that does not.

The start of a stall is now a time.Time with its monotonic reading. The test scans gracefulclose as well, which took a past deadline from 1970. It failed before and passes now; the tests of reverseproxy and gracefulclose pass with -race.

--- a/internal/dataplane/reverseproxy/stalledcallers.go
+++ b/internal/dataplane/reverseproxy/stalledcallers.go
@@ -14,17 +14,17 @@
 
 // callerStall records since when a caller has acknowledged nothing of a response that is being written.
 type callerStall struct {
-	since        atomic.Int64 // in ns since 1970, 0 if the caller has not stalled
-	acknowledged uint64       // bytes of the connection's output; used only by the goroutine of CutOffStalledCallers
+	since        atomic.Pointer[time.Time] // with a monotonic clock reading, nil if the caller has not stalled
+	acknowledged uint64                    // bytes of the connection's output; used only by the goroutine of CutOffStalledCallers
 }
 
 // duration returns for how long the caller has stalled.
 func (s *callerStall) duration(now time.Time) time.Duration {
 	since := s.since.Load()
-	if since == 0 {
+	if since == nil {
 		return 0
 	}
-	return now.Sub(time.Unix(0, since))
+	return now.Sub(*since)
 }
 
 // update is called regularly while a response is being written to conn.
@@ -32,9 +32,9 @@
 	acknowledged, known := bytesAcknowledged(conn)
 	switch {
 	case !known:
-		s.since.Store(0)
-	case s.since.Load() == 0 || s.acknowledged != acknowledged:
-		s.since.Store(now.UnixNano())
+		s.since.Store(nil)
+	case s.since.Load() == nil || s.acknowledged != acknowledged:
+		s.since.Store(&now)
 		s.acknowledged = acknowledged
 	}
 }
@@ -61,7 +61,7 @@
 	f.Callers.states.Range(func(key, _ any) bool {
 		conn := key.(*callerConn)
 		if conn.stall.duration(now) >= timeout {
-			conn.stall.since.Store(0)
+			conn.stall.since.Store(nil)
 			f.Counts.StalledCallers.Add(1)
 			conn.Conn.SetWriteDeadline(expiredDeadline())
 		}
@@ -89,7 +89,7 @@
 		if state == http.StateActive && conn.writing.Load() {
 			conn.stall.update(now, conn.Conn)
 		} else {
-			conn.stall.since.Store(0)
+			conn.stall.since.Store(nil)
 		}
 		return true
 	})
--- a/internal/shared/gracefulclose/conn.go
+++ b/internal/shared/gracefulclose/conn.go
@@ -72,7 +72,7 @@
 	if c.peerClosed.Load() || c.tcp.CloseWrite() != nil {
 		return c.Conn.Close()
 	}
-	c.Conn.SetReadDeadline(time.Unix(0, 1)) // ends a Read in progress
+	c.Conn.SetReadDeadline(time.Now().Add(-time.Second)) // ends a Read in progress
 	c.group.Counts.Started.Add(1)
 	if oldest := c.group.closing.add(c, c.group.bounds.Conns); oldest != nil {
 		oldest.cutOff(&c.group.Counts.Crowded)
--- a/internal/verification/simulator/clocks_test.go
+++ b/internal/verification/simulator/clocks_test.go
@@ -20,7 +20,7 @@
 	forbiddenImports := []string{"math/rand", "math/rand/v2", "os", "net", "net/http", "sync", "sync/atomic", "context"}
 	wallTimeMethods := []string{"Unix", "UnixNano", "UnixMilli", "UnixMicro", "UTC", "Local", "Date", "Clock", "Format", "Round", "Truncate"}
 	allowedUses := map[string]int{"../../shared/changeid/changeid.go": 2} // by file; a change's id begins with the date
-	for _, dir := range append(slices.Clone(stateMachineDirs), "dataplane/reverseproxy", "daemon", "mfctl", "shared/changeid", "controlplane/wal", "shared/wire", "shared/config") {
+	for _, dir := range append(slices.Clone(stateMachineDirs), "dataplane/reverseproxy", "daemon", "mfctl", "shared/changeid", "shared/gracefulclose", "controlplane/wal", "shared/wire", "shared/config") {
 		files, _ := filepath.Glob("../../" + dir + "/*.go")
 		if len(files) == 0 {
 			t.Fatalf("no Go files in %s", dir)
