End calls of the HTTP API whose bodies do not arrive

A caller that stopped in the middle of the body of a call held its connection, a goroutine and what it had sent, up to 512 KiB, for as long as the daemon ran: the servers limit the time for headers only. Found by reading while the places that end a connection were listed.

A body has 10 s now (CallBodyTimeout). Then the call gets 408 and is not executed, its connection is closed, and mf_call_body_timeouts_total counts it. The limit ends with the body, so a call may wait for its reply. The handler of calls moves to a file of its own.

Without the limit TestCallWhoseBodyDoesNotArriveEnds does not end (10 s).

--- /dev/null
+++ b/internal/daemon/calls.go
@@ -0,0 +1,94 @@
+// The handler of calls of the HTTP API, which the state machine answers.
+
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"myrtlefold/internal/dataplane/reverseproxy"
+	"myrtlefold/internal/shared/changeid"
+	"myrtlefold/internal/shared/config"
+	"myrtlefold/internal/shared/statemachine"
+	"myrtlefold/internal/shared/tuning"
+)
+
+// callCounts holds the counters of calls of the HTTP API. On /metrics each is named after its tag: mf_call_TAG_total.
+type callCounts struct {
+	// BodyTimeouts counts the calls whose body did not arrive within tuning.CallBodyTimeout.
+	BodyTimeouts atomic.Uint64 `metric:"body_timeouts"`
+}
+
+// CallHandler returns a handler that passes calls of operators and targets to the state machine and writes its reply.
+// The calls get consecutive ids from firstID on.
+func (p *Process) CallHandler(firstID uint64) http.HandlerFunc {
+	var lastID atomic.Uint64
+	lastID.Store(firstID - 1)
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := readCall(w, r, p.callBodyTimeout)
+		if err != nil {
+			p.rejectUnreadCall(w, err)
+			return
+		}
+		call := statemachine.Call{
+			ID:     lastID.Add(1),
+			Token:  changeid.New(),
+			Method: r.Method,
+			Path:   r.URL.Path,
+			Query:  callQuery(r),
+			Body:   body,
+		}
+		reply, ok := p.Loop.Call(r.Context(), call.ID, call, nil).(statemachine.Reply)
+		if !ok { // the client has disconnected or the loop has stopped
+			return
+		}
+		if reply.RetryAfter > 0 {
+			w.Header().Set("Retry-After", reverseproxy.RetryAfter(reply.RetryAfter))
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(reply.Status)
+		w.Write(reply.Body)
+	}
+}
+
+// readCall reads the body of a call within the given time.
+func readCall(w http.ResponseWriter, r *http.Request, timeout time.Duration) (body []byte, err error) {
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return nil, err
+	}
+	body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, tuning.DocumentMax+1))
+	if err != nil {
+		return nil, err
+	}
+	return body, controller.SetReadDeadline(time.Time{})
+}
+
+// rejectUnreadCall responds to a call whose body could not be read. Such a call is not executed.
+func (p *Process) rejectUnreadCall(w http.ResponseWriter, err error) {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		writeError(w, http.StatusRequestEntityTooLarge, 0, config.ErrorBody{Code: "too_large", Message: fmt.Sprintf("the request body exceeds %d bytes", tuning.DocumentMax)})
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		p.callCounts.BodyTimeouts.Add(1)
+		w.Header().Set("Connection", "close")
+		writeError(w, http.StatusRequestTimeout, 0, config.ErrorBody{Code: "body_timeout", Message: "the request body did not arrive in time"})
+	}
+}
+
+// callQuery returns the query of a call. The header If-Match sets the parameter base if the query doesn't.
+func callQuery(r *http.Request) string {
+	query := r.URL.Query()
+	if base := strings.Trim(r.Header.Get("If-Match"), `"`); base != "" && !query.Has("base") {
+		query.Set("base", base)
+	}
+	return query.Encode()
+}
--- /dev/null
+++ b/internal/daemon/calls_test.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// serveCalls starts a server of the HTTP API whose calls are passed to the process, and returns its address.
+func (test *closingTest) serveCalls() string {
+	server, listener := newServer(test.process.CallHandler(firstCallID)), listen(test.T)
+	test.process.serveOn(listener, server, nil)
+	test.Cleanup(func() { server.Close() })
+	return listener.Addr().String()
+}
+
+// TestCallWhoseBodyDoesNotArriveEnds guards against a caller that stops in the middle of the body of a call and occupies its
+// connection and memory for as long as the daemon runs.
+func TestCallWhoseBodyDoesNotArriveEnds(t *testing.T) {
+	test := newClosingTest(t)
+	test.process.callBodyTimeout = 50 * time.Millisecond
+	conn := test.dial(test.serveCalls())
+	test.send(conn, "PUT /v1/config HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n{")
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response.StatusCode != http.StatusRequestTimeout || !response.Close {
+		t.Errorf("status %d, closes %v; want 408 and the end of the connection", response.StatusCode, response.Close)
+	}
+	if rest, err := io.ReadAll(reader); err != nil {
+		t.Errorf("read %q, %v; want the end of the connection", rest, err)
+	}
+	if n := test.process.callCounts.BodyTimeouts.Load(); n != 1 {
+		t.Errorf("BodyTimeouts: %d, want 1", n)
+	}
+}
+
+// deadlineRecorder is a response writer that records the deadlines for reading the request.
+type deadlineRecorder struct {
+	http.ResponseWriter
+	deadlines []time.Time
+}
+
+// SetReadDeadline records a deadline.
+func (r *deadlineRecorder) SetReadDeadline(deadline time.Time) error {
+	r.deadlines = append(r.deadlines, deadline)
+	return nil
+}
+
+// TestCallMayTakeLongerThanItsBody checks that the limit for the body of a call ends once the body has been read. It would
+// cancel a call that waits for its reply.
+func TestCallMayTakeLongerThanItsBody(t *testing.T) {
+	recorder := &deadlineRecorder{ResponseWriter: httptest.NewRecorder()}
+	body, err := readCall(recorder, httptest.NewRequest(http.MethodPut, "/v1/config", strings.NewReader("{}")), time.Minute)
+	if string(body) != "{}" || err != nil {
+		t.Fatalf("read %q, %v", body, err)
+	}
+	if n := len(recorder.deadlines); n != 2 || recorder.deadlines[0].IsZero() || !recorder.deadlines[n-1].IsZero() {
+		t.Errorf("deadlines %v; want one for the body, then none", recorder.deadlines)
+	}
+}
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -4,21 +4,15 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"myrtlefold/internal/dataplane/reverseproxy"
-	"myrtlefold/internal/shared/changeid"
 	"myrtlefold/internal/shared/config"
-	"myrtlefold/internal/shared/statemachine"
 	"myrtlefold/internal/shared/tuning"
 )
 
@@ -114,54 +108,3 @@
 		}
 	}()
 }
-
-// CallHandler returns a handler that passes calls of operators and targets to the state machine and writes its reply.
-// The calls get consecutive ids from firstID on.
-func (p *Process) CallHandler(firstID uint64) http.HandlerFunc {
-	var lastID atomic.Uint64
-	lastID.Store(firstID - 1)
-	return func(w http.ResponseWriter, r *http.Request) {
-		body, ok := readCall(w, r)
-		if !ok {
-			return
-		}
-		call := statemachine.Call{
-			ID:     lastID.Add(1),
-			Token:  changeid.New(),
-			Method: r.Method,
-			Path:   r.URL.Path,
-			Query:  callQuery(r),
-			Body:   body,
-		}
-		reply, ok := p.Loop.Call(r.Context(), call.ID, call, nil).(statemachine.Reply)
-		if !ok { // the client has disconnected or the loop has stopped
-			return
-		}
-		if reply.RetryAfter > 0 {
-			w.Header().Set("Retry-After", reverseproxy.RetryAfter(reply.RetryAfter))
-		}
-		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(reply.Status)
-		w.Write(reply.Body)
-	}
-}
-
-// readCall reads the body of a call. It returns false if reading fails. If the body is too large, it also sends the
-// error response.
-func readCall(w http.ResponseWriter, r *http.Request) (body []byte, ok bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, tuning.DocumentMax+1))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		writeError(w, http.StatusRequestEntityTooLarge, 0, config.ErrorBody{Code: "too_large", Message: fmt.Sprintf("the request body exceeds %d bytes", tuning.DocumentMax)})
-	}
-	return body, err == nil
-}
-
-// callQuery returns the query of a call. The header If-Match sets the parameter base if the query doesn't.
-func callQuery(r *http.Request) string {
-	query := r.URL.Query()
-	if base := strings.Trim(r.Header.Get("If-Match"), `"`); base != "" && !query.Has("base") {
-		query.Set("base", base)
-	}
-	return query.Encode()
-}
--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -45,6 +45,7 @@
 	p.RegisterCounters("gate", func() any { return &dataplane.Counts{} })
 	p.RegisterCounters("carry", func() any { return &reverseproxy.Counts{} })
 	p.RegisterCounters("close", func() any { return &gracefulclose.Counts{} })
+	p.RegisterCounters("call", func() any { return &callCounts{} })
 	families, err := p.Metrics.Gather()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -64,12 +64,14 @@
 	Transport   *Transport
 	Checker     *HealthChecker
 
-	platform      Platform
-	closing       *gracefulclose.Group // connections of the HTTP servers that are being closed
-	rawSettings   []byte               // text that Settings were read from
-	reloadSignals chan os.Signal       // SIGHUP, caught before startup because its default action ends the process
-	stopSignals   chan os.Signal       // SIGTERM and SIGINT, caught before startup since callers may be served before Wait
-	exitCode      chan int             // receives the exit code when the state machine has stopped
+	platform        Platform
+	closing         *gracefulclose.Group // connections of the HTTP servers that are being closed
+	callBodyTimeout time.Duration
+	callCounts      callCounts
+	rawSettings     []byte         // text that Settings were read from
+	reloadSignals   chan os.Signal // SIGHUP, caught before startup because its default action ends the process
+	stopSignals     chan os.Signal // SIGTERM and SIGINT, caught before startup since callers may be served before Wait
+	exitCode        chan int       // receives the exit code when the state machine has stopped
 }
 
 // Start parses the command line, loads the settings and returns the daemon's process. If either is invalid, or with the
@@ -133,20 +135,22 @@
 	metrics := prometheus.NewRegistry()
 	metrics.MustRegister(traffic, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	process := &Process{
-		Clock:       clock,
-		Kind:        kind,
-		Settings:    settings,
-		Log:         log,
-		Metrics:     metrics,
-		Incarnation: rand.Uint64() | 1, // 0 means no incarnation
-		Loop:        loop,
-		Transport:   &Transport{log: log, clock: clock, loop: loop, traffic: traffic, localAddr: localAddr, queues: map[string]chan outgoing{}},
-		Checker:     newHealthChecker(clock, loop, localAddr, platform.Headers),
-		platform:    platform,
-		closing:     gracefulclose.NewGroup(gracefulclose.DefaultBounds()),
-		exitCode:    make(chan int, 1),
+		Clock:           clock,
+		Kind:            kind,
+		Settings:        settings,
+		Log:             log,
+		Metrics:         metrics,
+		Incarnation:     rand.Uint64() | 1, // 0 means no incarnation
+		Loop:            loop,
+		Transport:       &Transport{log: log, clock: clock, loop: loop, traffic: traffic, localAddr: localAddr, queues: map[string]chan outgoing{}},
+		Checker:         newHealthChecker(clock, loop, localAddr, platform.Headers),
+		platform:        platform,
+		closing:         gracefulclose.NewGroup(gracefulclose.DefaultBounds()),
+		callBodyTimeout: tuning.CallBodyTimeout,
+		exitCode:        make(chan int, 1),
 	}
 	process.RegisterCounters("close", func() any { return &process.closing.Counts })
+	process.RegisterCounters("call", func() any { return &process.callCounts })
 	return process
 }
 
--- a/internal/shared/config/rejection.go
+++ b/internal/shared/config/rejection.go
@@ -31,7 +31,7 @@
 	case http.StatusBadRequest, http.StatusMethodNotAllowed, http.StatusRequestEntityTooLarge,
 		http.StatusUnprocessableEntity, http.StatusPreconditionRequired:
 		return RejectedInvalid
-	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+	case http.StatusRequestTimeout, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		return RejectedUndecided
 	case http.StatusConflict:
 		return RejectedConflict
--- a/internal/shared/tuning/connection.go
+++ b/internal/shared/tuning/connection.go
@@ -45,6 +45,9 @@
 	IdleSlack = time.Second
 	// CallerHeaderTimeout is the time limit for receiving a request header.
 	CallerHeaderTimeout = 3 * TargetHeartbeatTimeout
+	// CallBodyTimeout is the time limit for receiving the body of a call of the HTTP API. A body of DocumentMax bytes takes
+	// 4.2 s at 1 Mbit/s.
+	CallBodyTimeout = 10 * time.Second
 	// CallerAckTimeout is AckTimeout for callers. It exceeds the pauses of a caller that reads slowly.
 	CallerAckTimeout = 10 * time.Second
 	// CloseTimeout is how long a closed connection may take to deliver its output while the caller keeps its side open.
