Don't execute a change that its caller has given up and overtaken

Cause: changes that name no base (zones, places of proxies and members) take effect whenever the leader executes them.

The daemon that reads such a change now records up to where it has applied the log, then checks that the caller is still connected (CheckCaller), and the leader rejects the change if its log may have a later one about the same subject. What a caller does after it gave the change up has a later position. A daemon that is only behind checks once more after the leader's position.

Statuses have two more counters (recorded forms).

--- a/internal/controlplane/answer.go
+++ b/internal/controlplane/answer.go
@@ -40,13 +40,18 @@
 		c.emit(response)
 		return
 	}
-	c.send(call.relayedFrom, &wire.Message{Kind: wire.KindCall, Call: &wire.Call{
+	c.send(call.relayedFrom, &wire.Message{Kind: wire.KindCall, Call: relayedReply(call, response)})
+}
+
+// relayedReply returns a response in the form for the daemon that relayed the call.
+func relayedReply(call *pendingCall, response statemachine.Reply) *wire.Call {
+	return &wire.Call{
 		ID:           call.relayedFromID,
 		Reply:        true,
 		Status:       uint16(response.Status),
 		RetryAfterMs: uint32(response.RetryAfter.Milliseconds()),
 		Body:         response.Body,
-	}})
+	}
 }
 
 // recvCallReply handles a leader's reply to a call that this daemon relayed to it.
@@ -55,6 +60,9 @@
 	if call == nil || call.relayedTo != from {
 		return
 	}
+	if c.recheckOvertaken(call, response) {
+		return
+	}
 	if response.Status == statusUnavailable && call.targetReport {
 		return // tickRelayedCalls relays it again until it expires
 	}
--- a/internal/controlplane/api.go
+++ b/internal/controlplane/api.go
@@ -30,6 +30,9 @@
 // methodGet is the HTTP method of calls that change nothing.
 const methodGet = "GET"
 
+// methodPost is the HTTP method of changes that name no base.
+const methodPost = "POST"
+
 // isTargetReport reports whether a call comes from a target itself: a heartbeat, a leave notice or a sign-off.
 func isTargetReport(method, path string) bool {
 	return strings.HasPrefix(path, targetsPath) && method != methodGet
@@ -37,7 +40,17 @@
 
 // handleCall handles a call from a client of this daemon.
 func (c *Controller) handleCall(now time.Duration, event statemachine.Call) {
-	call := &pendingCall{token: event.Token, callID: event.ID, receivedAt: now}
+	if !c.exited && isOrderedCall(event.Method, event.Path) {
+		c.checkCaller(uncheckedCall{event: event, receivedAt: now}, c.appliedPosition())
+		return
+	}
+	c.dispatchCall(now, uncheckedCall{event: event, receivedAt: now})
+}
+
+// dispatchCall answers a client's call, executes it as the leader or relays it to the leader.
+func (c *Controller) dispatchCall(now time.Duration, received uncheckedCall) {
+	event := received.event
+	call := &pendingCall{token: event.Token, callID: event.ID, receivedAt: received.receivedAt, rechecked: received.rechecked}
 	if c.exited {
 		c.answer(call, noLeaderReply())
 		return
@@ -52,7 +65,7 @@
 		report, call.targetReport = parsed, true
 	}
 	switch {
-	case event.Path == recoveryPath && event.Method == "POST":
+	case event.Path == recoveryPath && event.Method == methodPost:
 		c.answer(call, c.handleRecoveryConsent(now, queryValue(event.Query, "gone")))
 		return
 	case event.Path == statusPath:
@@ -137,6 +150,10 @@
 	if request.Method != methodGet && c.answerRepeated(now, call) {
 		return
 	}
+	if c.isOvertaken(request) {
+		c.answerOvertaken(call)
+		return
+	}
 	c.executeRoute(now, call, request)
 }
 
@@ -175,6 +192,15 @@
 	return true
 }
 
+// proposeOrdered proposes an operator's change that names no base, see ordering.go, and reports whether it did.
+func (c *Controller) proposeOrdered(request *apiRequest, command state.Command) (proposed bool) {
+	if !c.proposeChange(request.now, request.call, command) {
+		return false
+	}
+	c.order.record(request.path, c.node.LastIndex())
+	return true
+}
+
 // queryValue returns the first value of a key in a query string, "" if the key is absent.
 func queryValue(query, key string) string {
 	values, _ := url.ParseQuery(query)
--- a/internal/controlplane/apiroutes.go
+++ b/internal/controlplane/apiroutes.go
@@ -185,7 +185,7 @@
 		c.reject(request.call, 404, config.ErrorBody{Code: "not_found", Message: fmt.Sprintf("no target or proxy is in domain %q", domain)})
 		return
 	}
-	c.proposeChange(request.now, request.call, state.Command{Operation: state.Operation(request.path.action), Name: domain})
+	c.proposeOrdered(request, state.Command{Operation: state.Operation(request.path.action), Name: domain})
 }
 
 // forgetProxy removes a proxy from the proxy membership if it has stopped pulling its table. A proxy that still routes
@@ -200,7 +200,7 @@
 		c.reject(request.call, 409, config.ErrorBody{Code: "alive", Message: "that proxy is still pulling its table"})
 		return
 	}
-	c.proposeChange(request.now, request.call, state.Command{Operation: state.OpForgetProxy, Name: name})
+	c.proposeOrdered(request, state.Command{Operation: state.OpForgetProxy, Name: name})
 }
 
 // addMember requests that a control daemon become a member. The daemon is a learner of the log until it has caught up.
@@ -214,7 +214,7 @@
 		c.reject(request.call, 404, config.ErrorBody{Code: "not_found", Message: "no control daemon of that name is known"})
 		return
 	}
-	c.proposeChange(request.now, request.call, state.Command{Operation: state.OpAddMember, Name: name})
+	c.proposeOrdered(request, state.Command{Operation: state.OpAddMember, Name: name})
 }
 
 // removeMemberByOperator removes a member on an operator's request. If the member is the leader itself, it rejects the
@@ -232,7 +232,7 @@
 		c.node.TransferLeadership(request.now)
 	default:
 		command := state.Command{Operation: state.OpRemoveMember, Name: name}
-		if c.proposeChange(request.now, request.call, command) && c.node.CanChangeMembers() {
+		if c.proposeOrdered(request, command) && c.node.CanChangeMembers() {
 			c.node.ProposeMembers(request.now, slices.Delete(slices.Clone(members), i, i+1))
 		}
 	}
--- a/internal/controlplane/controller.go
+++ b/internal/controlplane/controller.go
@@ -163,6 +163,8 @@
 
 	// Calls.
 
+	uncheckedCalls map[uint64]uncheckedCall // by call ID, changes whose callers are being checked
+	order          changeOrder
 	pendingChanges map[string]*pendingCall // by token, changes that are proposed and not committed yet
 	relayedCalls   map[uint64]*pendingCall // by relay ID, calls that were relayed to the leader and not answered yet
 	lastRelayID    uint64                  // relay ID of the last call that was relayed
@@ -187,6 +189,7 @@
 		learners:              map[string]learnerProgress{},
 		domainRestoredAt:      map[string]time.Duration{},
 		proxies:               map[string]*proxyState{},
+		uncheckedCalls:        map[uint64]uncheckedCall{},
 		pendingChanges:        map[string]*pendingCall{},
 		relayedCalls:          map[uint64]*pendingCall{},
 		lastRelayID:           settings.Self.Incarnation << relayIDBits,
@@ -249,6 +252,8 @@
 		c.handleProbeResult(now, e)
 	case statemachine.Call:
 		c.handleCall(now, e)
+	case statemachine.CallerChecked:
+		c.callerChecked(now, e)
 	case statemachine.Stop:
 		c.stop(now)
 	}
--- a/internal/controlplane/counts.go
+++ b/internal/controlplane/counts.go
@@ -50,6 +50,10 @@
 	DamageReports uint64 `json:"Damaged" metric:"damaged"`
 	// LeavingsUnacknowledged counts leave notices and sign-offs of targets that were not acknowledged in time.
 	LeavingsUnacknowledged uint64
+	// CallsAbandoned counts changes that were not executed since their callers had disconnected, and Overtaken those that
+	// the leader rejected since a later change may have been made.
+	CallsAbandoned uint64
+	Overtaken      uint64
 }
 
 // countOutput updates the counters of snapshots sent and member changes from the consensus node's output.
--- a/internal/controlplane/idlefleet_test.go
+++ b/internal/controlplane/idlefleet_test.go
@@ -58,6 +58,8 @@
 		case statemachine.Probe:
 			report := config.TargetReport{Service: c.ID.Service, Name: c.ID.Name, Incarnation: c.ID.Incarnation, Address: c.Addr, State: wire.TargetReady}
 			f.step(statemachine.ProbeResult{ID: c.ID, SentAt: f.now, Milliseconds: 1, Report: &report})
+		case statemachine.CheckCaller:
+			f.step(statemachine.CallerChecked{ID: c.ID, Connected: true})
 		case statemachine.Send:
 			f.receiveTable(c.Message)
 		}
--- a/internal/controlplane/leadership.go
+++ b/internal/controlplane/leadership.go
@@ -48,6 +48,7 @@
 	if c.leadershipTerm != c.node.Term() {
 		c.revokeLeadership(now, "new term")
 		c.leadershipTerm = c.node.Term()
+		c.order = newChangeOrder(c.node.LastIndex())
 	}
 	switch c.leadership {
 	case NotLeading:
--- a/internal/controlplane/rejection_test.go
+++ b/internal/controlplane/rejection_test.go
@@ -34,6 +34,7 @@
 	"leading":      {config.RejectedUndecided},
 	"unheard":      {config.RejectedUndecided},
 	"unknown":      {config.RejectedUndecided},
+	"overtaken":    {config.RejectedUndecided},
 	"body_timeout": {config.RejectedUndecided},
 	"stream":       {config.RejectedUndecided},
 	"busy":         {config.RejectedUndecided, config.RejectedConflict},
--- a/internal/controlplane/shutdown.go
+++ b/internal/controlplane/shutdown.go
@@ -48,6 +48,10 @@
 // abandonCalls answers all calls that wait here before the process ends: their outcome is unknown.
 func (c *Controller) abandonCalls() {
 	c.abandonWaiters()
+	for _, id := range slices.Sorted(maps.Keys(c.uncheckedCalls)) {
+		c.answer(&pendingCall{callID: id}, noLeaderReply())
+	}
+	clear(c.uncheckedCalls)
 	for _, id := range slices.Sorted(maps.Keys(c.relayedCalls)) {
 		c.answerUnknown(c.relayedCalls[id])
 	}
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -3,8 +3,10 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -16,6 +18,7 @@
 	"myrtlefold/internal/dataplane/reverseproxy"
 	"myrtlefold/internal/shared/changeid"
 	"myrtlefold/internal/shared/config"
+	"myrtlefold/internal/shared/gracefulclose"
 	"myrtlefold/internal/shared/statemachine"
 	"myrtlefold/internal/shared/tuning"
 )
@@ -45,7 +48,7 @@
 			Query:  callQuery(r),
 			Body:   body,
 		}
-		reply, ok := p.Loop.Call(r.Context(), call.ID, call, nil).(statemachine.Reply)
+		reply, ok := p.call(r.Context(), call)
 		if !ok { // the client has disconnected or the loop has stopped
 			return
 		}
@@ -58,6 +61,43 @@
 	}
 }
 
+// call passes a call to the state machine and returns its reply. It checks the caller's connection if the state machine
+// asks for it. It returns false if the caller has disconnected or the loop has stopped.
+func (p *Process) call(ctx context.Context, call statemachine.Call) (reply statemachine.Reply, ok bool) {
+	disconnected := statemachine.CallerChecked{ID: call.ID}
+	answer := p.Loop.Call(ctx, call.ID, call, disconnected)
+	for isCheck(answer) {
+		if !callerConnected(ctx) {
+			p.Loop.Post(disconnected)
+			return statemachine.Reply{}, false
+		}
+		answer = p.Loop.Call(ctx, call.ID, statemachine.CallerChecked{ID: call.ID, Connected: true}, disconnected)
+	}
+	reply, ok = answer.(statemachine.Reply)
+	return reply, ok
+}
+
+// isCheck reports whether a command asks for a check of the caller.
+func isCheck(command statemachine.Command) bool {
+	_, check := command.(statemachine.CheckCaller)
+	return check
+}
+
+// connKey is the key of a connection in the contexts of its requests.
+type connKey struct{}
+
+// withConn returns a context that holds a connection, for callerConnected.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// callerConnected reports whether the connection of a request's context is open at the caller's side, as far as the kernel
+// knows. The context itself may be cancelled later, or not at all if further input arrived before the end.
+func callerConnected(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(*gracefulclose.Conn)
+	return !ok || conn.PeerConnected()
+}
+
 // readCall reads the body of a call within the given time.
 func readCall(w http.ResponseWriter, r *http.Request, timeout time.Duration) (body []byte, err error) {
 	controller := http.NewResponseController(w)
--- a/internal/daemon/calls_test.go
+++ b/internal/daemon/calls_test.go
@@ -8,11 +8,13 @@
 	"strings"
 	"testing"
 	"time"
+
+	"myrtlefold/internal/shared/statemachine"
 )
 
 // serveCalls starts a server of the HTTP API whose calls are passed to the process, and returns its address.
 func (test *closingTest) serveCalls() string {
-	server, listener := newServer(test.process.CallHandler(firstCallID)), listen(test.T)
+	server, listener := newAPIServer(test.process.CallHandler(firstCallID)), listen(test.T)
 	test.process.serveOn(listener, server, nil)
 	test.Cleanup(func() { server.Close() })
 	return listener.Addr().String()
@@ -65,3 +67,35 @@
 		t.Errorf("deadlines %v; want one for the body, then none", recorder.deadlines)
 	}
 }
+
+// TestCallerIsCheckedWhenAsked guards against a call that is executed although its caller has given it up: a daemon that stood
+// still reads it from a connection that the caller closed long before, with or without further input in between.
+func TestCallerIsCheckedWhenAsked(t *testing.T) {
+	const call = "POST /v1/domains/z/restore HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		sent      string
+		closes    bool
+		connected bool
+	}{
+		"connected":               {call, false, true},
+		"closed":                  {call, true, false},
+		"closed behind more sent": {call + furtherRequests, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			test := newClosingTest(t)
+			conn := test.dial(test.serveCalls())
+			test.send(conn, c.sent)
+			received := <-test.process.Loop.queue
+			if c.closes {
+				conn.Close()
+			}
+			received.reply <- statemachine.CheckCaller{ID: received.callID}
+			item := <-test.process.Loop.queue
+			want := statemachine.CallerChecked{ID: received.callID, Connected: c.connected}
+			if item.event != want {
+				t.Errorf("the state machine gets %+v, want %+v", item.event, want)
+			}
+		})
+	}
+}
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -60,7 +60,7 @@
 
 // serveAPI starts the server of the HTTP API.
 func (p *Process) serveAPI(handler http.Handler) (*http.Server, error) {
-	return p.serve(p.Settings.HTTP, newServer(handler), nil)
+	return p.serve(p.Settings.HTTP, newAPIServer(handler), nil)
 }
 
 // serveCallers starts the server for callers. It accepts connections until the forwarder closes its listener.
@@ -68,6 +68,12 @@
 	return p.serve(p.Settings.Listen, newCallersServer(forwarder), forwarder)
 }
 
+func newAPIServer(handler http.Handler) *http.Server {
+	server := newServer(handler)
+	server.ConnContext = withConn
+	return server
+}
+
 func newCallersServer(forwarder *reverseproxy.Forwarder) *http.Server {
 	server := newServer(forwarder)
 	server.ConnContext, server.ConnState = forwarder.ConnContext, forwarder.Callers.ConnState
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -200,6 +200,8 @@
 		p.Checker.Check(c)
 	case statemachine.Reply:
 		p.Loop.Respond(c.ID, c)
+	case statemachine.CheckCaller:
+		p.Loop.Respond(c.ID, c)
 	case statemachine.StateChange:
 		p.logStateChange(c)
 	case statemachine.Exit:
--- a/internal/shared/statemachine/command.go
+++ b/internal/shared/statemachine/command.go
@@ -44,6 +44,8 @@
 type (
 	// Sync writes a batch to the disk and syncs it. A Synced event follows.
 	Sync struct{ Batch *wire.Batch }
+	// CheckCaller checks whether the caller of the Call with the same ID is still connected. A CallerChecked follows.
+	CheckCaller struct{ ID uint64 }
 	// Publish writes a target event or a decision to the event stream. Exactly one field is set.
 	Publish struct {
 		Event    *outlier.Event    `json:"event,omitempty"`
@@ -57,4 +59,5 @@
 func (StateChange) isCommand() {}
 func (Exit) isCommand()        {}
 func (Sync) isCommand()        {}
+func (CheckCaller) isCommand() {}
 func (Publish) isCommand()     {}
--- a/internal/shared/statemachine/event.go
+++ b/internal/shared/statemachine/event.go
@@ -45,14 +45,21 @@
 type (
 	// Synced confirms that the batch with this number and all earlier ones are on disk.
 	Synced struct{ Seq uint64 }
+	// CallerChecked is the result of a CheckCaller. Without a connection nobody receives a reply to the call. It may also
+	// occur for any other call, whose caller has disconnected.
+	CallerChecked struct {
+		ID        uint64 // of the Call
+		Connected bool
+	}
 	// DiskHealth reports a disk failure or, with a nil Err, that the disk works again.
 	DiskHealth struct{ Err error }
 )
 
-func (Receive) isEvent()     {}
-func (Tick) isEvent()        {}
-func (ProbeResult) isEvent() {}
-func (Call) isEvent()        {}
-func (Stop) isEvent()        {}
-func (Synced) isEvent()      {}
-func (DiskHealth) isEvent()  {}
+func (Receive) isEvent()       {}
+func (Tick) isEvent()          {}
+func (ProbeResult) isEvent()   {}
+func (Call) isEvent()          {}
+func (Stop) isEvent()          {}
+func (Synced) isEvent()        {}
+func (DiskHealth) isEvent()    {}
+func (CallerChecked) isEvent() {}
--- a/internal/verification/simulator/bulk_changes.go
+++ b/internal/verification/simulator/bulk_changes.go
@@ -56,8 +56,8 @@
 	return c.repetitions > 0 && r.Status == http.StatusServiceUnavailable
 }
 
-// losesReply randomly decides whether a reply is lost. Only replies to configuration changes are lost, since a repeated change
-// of a domain could take effect after a later change of the same domain.
+// losesReply randomly decides whether a reply is lost. Only replies to configuration changes are lost here. Changes of domains are
+// given up and repeated by sendImpatiently.
 func (w *World) losesReply(c *operatorChange) bool {
 	return w.now < w.operators.repliesLostUntil && c.repetitions < maxRepetitions &&
 		changesConfiguration(c.method, c.path) && w.random.Float64() < replyLossShare
@@ -65,13 +65,17 @@
 
 // repeatChange sends a change again to another running member, or to the same one if there is no other.
 func (w *World) repeatChange(before *Process, c *operatorChange, onReply func(statemachine.Reply)) {
+	c.repetitions++
+	w.sendRepeatedly(w.otherMember(before), c, onReply)
+}
+
+// otherMember returns a random control daemon that is running, other than the given one if there is one.
+func (w *World) otherMember(before *Process) *Process {
 	others := slices.DeleteFunc(w.daemons(wire.ControlDaemon), func(p *Process) bool { return !p.alive || p == before })
-	to := before
-	if len(others) > 0 {
-		to = others[w.random.IntN(len(others))]
+	if len(others) == 0 {
+		return before
 	}
-	c.repetitions++
-	w.sendRepeatedly(to, c, onReply)
+	return others[w.random.IntN(len(others))]
 }
 
 // reserveBulkChanges reports whether the run's maximum allows that many more bulk changes, and if so counts them.
--- a/internal/verification/simulator/commands.go
+++ b/internal/verification/simulator/commands.go
@@ -102,6 +102,8 @@
 		w.startHealthCheck(process, c)
 	case statemachine.Reply:
 		w.reply(c)
+	case statemachine.CheckCaller:
+		w.checkCaller(process, c)
 	case statemachine.StateChange:
 		w.recordStateChange(process, c)
 	case statemachine.Publish:
--- a/internal/verification/simulator/digest.go
+++ b/internal/verification/simulator/digest.go
@@ -52,6 +52,10 @@
 	case statemachine.Synced:
 		d.text("synced")
 		d.number(e.Seq)
+	case statemachine.CallerChecked:
+		d.text("caller")
+		d.number(e.ID)
+		d.flag(e.Connected)
 	case statemachine.DiskHealth:
 		d.text("disk refuses")
 		d.flag(e.Err != nil)
@@ -131,6 +135,9 @@
 		d.number(uint64(c.Status))
 		d.duration(c.RetryAfter)
 		d.bytes(c.Body)
+	case statemachine.CheckCaller:
+		d.text("caller")
+		d.number(c.ID)
 	case statemachine.Publish:
 		d.text("note")
 		d.json(c)
--- a/internal/verification/simulator/guards.go
+++ b/internal/verification/simulator/guards.go
@@ -46,6 +46,10 @@
 	// guardFreshClock ensures that the time of a step is read after its event has arrived. Otherwise a process that was
 	// frozen in between would use an expired lease.
 	guardFreshClock Guard = "clock read after event"
+	// guardCallerCheck ensures that a change which names no base is executed only if its caller is still connected.
+	guardCallerCheck Guard = "caller check"
+	// guardChangePosition ensures that such a change is executed only if no later one may be in the log.
+	guardChangePosition Guard = "position of changes"
 )
 
 // replyWithoutGuard returns the reply that a member would give to a call without the disabled guard, and whether it replaces the
@@ -92,6 +96,11 @@
 		table := *m.Push.Table
 		table.EmptiedDomains = nil
 		return withTable(m, &table)
+	case w.disabledGuard == guardChangePosition && m.Call != nil && !m.Call.Reply:
+		changed, call := *m, *m.Call
+		call.Query = ""
+		changed.Call = &call
+		return &changed
 	}
 	return m
 }
--- a/internal/verification/simulator/operator.go
+++ b/internal/verification/simulator/operator.go
@@ -33,6 +33,8 @@
 	// has read the call yet.
 	reader            *Process
 	readerIncarnation int
+	// abandoned is set once the caller has given the call up and closed its connection.
+	abandoned bool
 }
 
 // change is an operator's change of the configuration or of a domain, and its outcome.
@@ -146,9 +148,25 @@
 	}
 }
 
+// checkCaller executes a daemon's command to check the caller of a call.
+func (w *World) checkCaller(process *Process, command statemachine.CheckCaller) {
+	pending := w.operators.pending[command.ID]
+	result := statemachine.CallerChecked{ID: command.ID, Connected: pending != nil && !pending.abandoned || w.disabledGuard == guardCallerCheck}
+	if process.pauseAfterCheck > 0 {
+		w.Freeze(process, process.pauseAfterCheck)
+		process.pauseAfterCheck = 0
+	}
+	incarnation := process.incarnation
+	w.schedule(0, func() {
+		if process.incarnation == incarnation {
+			w.deliver(process, result)
+		}
+	})
+}
+
 // reply executes a daemon's command to reply to a call.
 func (w *World) reply(r statemachine.Reply) {
-	if c := w.operators.pending[r.ID]; c != nil {
+	if c := w.operators.pending[r.ID]; c != nil && !c.abandoned {
 		delete(w.operators.pending, r.ID)
 		w.schedule(w.randomMilliseconds(0, callTime), func() { c.onReply(r) })
 	}
@@ -160,7 +178,7 @@
 // checkNoCallPending checks that a process which exits gracefully has replied to all calls that it has read.
 func (w *World) checkNoCallPending(p *Process) {
 	for _, id := range slices.Sorted(maps.Keys(w.operators.pending)) {
-		if c := w.operators.pending[id]; c.reader == p && c.readerIncarnation == p.incarnation {
+		if c := w.operators.pending[id]; c.reader == p && c.readerIncarnation == p.incarnation && !c.abandoned {
 			w.violated(ruleGracefulStop, "%s exited at a planned stop without a reply to %s", p.name, c.description)
 		}
 	}
@@ -179,7 +197,11 @@
 		delete(w.checks.emptiedAt, sent.domain) // the domain may get requests again as soon as the call is sent
 	}
 	operation := &operatorChange{method: method, path: path, query: query, body: body, token: sent.token}
-	w.sendRepeatedly(process, operation, func(r statemachine.Reply) {
+	send := w.sendRepeatedly
+	if sent.domain != "" {
+		send = w.sendImpatiently
+	}
+	send(process, operation, func(r statemachine.Reply) {
 		switch {
 		case r.Status == http.StatusOK:
 			w.accepted(sent, revisionOf(r))
--- a/internal/verification/simulator/process.go
+++ b/internal/verification/simulator/process.go
@@ -56,7 +56,8 @@
 	rejectsConnections bool
 	// pauseAfterStep is how long to freeze the process between the next step that discloses a decision to others and the
 	// commands of that step; 0: no pause.
-	pauseAfterStep time.Duration
+	pauseAfterStep  time.Duration
+	pauseAfterCheck time.Duration // freezes the process after it has checked the next caller, 0: never
 
 	disk       *disk
 	diskLostAt time.Duration // time of the last loss of its disk; 0: never
--- a/internal/verification/simulator/proxy_membership_test.go
+++ b/internal/verification/simulator/proxy_membership_test.go
@@ -26,6 +26,7 @@
 				}
 			}
 		}
+		partitionEnd := w.now + 12*time.Second
 		w.partition(links, 12*time.Second)
 		for i := range 8 {
 			name := fmt.Sprintf("g%d", 60+i)
@@ -46,7 +47,7 @@
 		}
 		w.SendChange(w.Leader(), "POST", "/v1/domains/d1/empty", "", nil, emptyChange("d1"))
 		w.PutConfig(w.Leader(), 1, 2)
-		w.Run(w.now + 9*time.Second)
+		w.Run(min(w.now+9*time.Second, partitionEnd)) // afterwards an acknowledgement is right
 		requireNoFailure(t, w)
 		if w.checks.acknowledged == 2 {
 			t.Fatalf("seed %d: revision 2 was acknowledged without a majority of the old proxies", seed)
