Check changes of domains for linearizability

The check covered the configuration only, so a change of a domain that took effect after a later one was acknowledged could not be seen. DomainHistory has a register for each domain: a change without a definite reply may take effect until a later one that was sent after it was given up is acknowledged.

TestGuardsOfOvertakenChanges: with either guard disabled the history is not accepted wherever the overtaken change was executed.

--- a/internal/verification/simulator/history.go
+++ b/internal/verification/simulator/history.go
@@ -32,6 +32,9 @@
 	case readsConfiguration(method, path) && query == "":
 		read := w.checks.history.Read(w.now)
 		return func(r statemachine.Reply) { w.recordRead(read, r) }
+	case method == http.MethodGet && path == domainsPath:
+		sentAt := w.now
+		return func(r statemachine.Reply) { w.recordDomainRead(sentAt, r) }
 	case changesConfiguration(method, path):
 		write := w.checks.history.Write(w.now, changeOf(method, path, query, body, token))
 		return func(r statemachine.Reply) { w.recordWrite(write, r) }
@@ -107,11 +110,14 @@
 	}
 }
 
-// CheckHistory checks that the history of operators' reads and changes is linearizable.
+// CheckHistory checks that the histories of operators' reads and changes are linearizable.
 func (w *World) CheckHistory() {
 	if err := w.checks.history.Check(); err != nil && w.Failure == "" {
 		w.violated(ruleLinearizable, "%v", err)
 	}
+	if err := w.checks.domains.Check(); err != nil && w.Failure == "" {
+		w.violated(ruleLinearizable, "%v", err)
+	}
 }
 
 // StartReaders starts periodic reads of the configuration at random control daemons.
@@ -138,5 +144,6 @@
 	}
 	if 2*lost >= len(w.daemonNames(wire.ControlDaemon)) {
 		w.checks.history.ForgetUnacknowledged(w.checks.acknowledged)
+		w.checks.domains.Reset()
 	}
 }
--- a/internal/verification/simulator/impatient_operator.go
+++ b/internal/verification/simulator/impatient_operator.go
@@ -18,19 +18,16 @@
 // new call, to another member.
 func (w *World) sendImpatiently(process *Process, change *operatorChange, onReply func(statemachine.Reply)) {
 	answered := false
-	var pending *pendingCall
 	token := fmt.Sprintf("%s-%d", change.token, change.repetitions)
-	pending = w.call(process, change.method, change.path, change.query, change.body, token, func(r statemachine.Reply) {
-		if !pending.abandoned {
-			answered = true
-			onReply(r)
-		}
+	pending := w.call(process, change.method, change.path, change.query, change.body, token, func(r statemachine.Reply) {
+		answered = true
+		onReply(r)
 	})
 	w.schedule(callerPatience, func() {
 		if answered || change.repetitions >= maxResends {
 			return
 		}
-		pending.abandoned = true
+		pending.abandon(w.now)
 		w.Stats.AbandonedCalls++
 		change.repetitions++
 		w.sendImpatiently(w.otherMember(process), change, onReply)
--- a/internal/verification/simulator/operator.go
+++ b/internal/verification/simulator/operator.go
@@ -11,6 +11,7 @@
 
 	"myrtlefold/internal/shared/statemachine"
 	"myrtlefold/internal/shared/wire"
+	"myrtlefold/internal/verification/linearizability"
 )
 
 // operators holds the state of the daemons' API clients: operators, and targets that report.
@@ -35,6 +36,16 @@
 	readerIncarnation int
 	// abandoned is set once the caller has given the call up and closed its connection.
 	abandoned bool
+	// domainChange is the call in the history of domains, nil if it does not change one.
+	domainChange *linearizability.DomainOperation
+}
+
+// abandon gives the call up.
+func (c *pendingCall) abandon(now time.Duration) {
+	c.abandoned = true
+	if c.domainChange != nil {
+		c.domainChange.Abandon(now)
+	}
 }
 
 // change is an operator's change of the configuration or of a domain, and its outcome.
@@ -103,10 +114,15 @@
 	if token == "" {
 		token = fmt.Sprintf("t%d", id)
 	}
-	pending := &pendingCall{description: method + " " + path, onReply: func(r statemachine.Reply) {
+	pending := &pendingCall{description: method + " " + path, domainChange: w.recordDomainChange(method, path, token)}
+	pending.onReply = func(r statemachine.Reply) {
+		if pending.abandoned {
+			return
+		}
 		recorded(r)
+		w.recordDomainReply(pending.domainChange, r)
 		onReply(r)
-	}}
+	}
 	w.operators.pending[id] = pending
 	longest := callTime
 	if w.disabledGuard == guardBaseRevision {
--- a/internal/verification/simulator/overtaken_test.go
+++ b/internal/verification/simulator/overtaken_test.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -81,7 +82,7 @@
 	c.freeze(w, frozen)
 	late := w.call(sentTo, http.MethodPost, "/v1/domains/d1/restore", "", nil, "", func(statemachine.Reply) {})
 	w.Run(w.now + callerPatience)
-	late.abandoned = true
+	late.abandon(w.now)
 	w.changeDomainUntilAccepted(t, "d1", "restore")
 	w.changeDomainUntilAccepted(t, "d1", "empty")
 	if !frozen.frozen {
@@ -109,7 +110,8 @@
 	}
 }
 
-// TestGuardsOfOvertakenChanges checks that TestOvertakenChangeIsNotExecuted fails without the guards.
+// TestGuardsOfOvertakenChanges checks that without the guards TestOvertakenChangeIsNotExecuted fails, and the check of the
+// history of domains with it.
 func TestGuardsOfOvertakenChanges(t *testing.T) {
 	t.Parallel()
 	for guard, c := range map[Guard]overtakenCase{
@@ -122,8 +124,12 @@
 				w := Start(seed, Small)
 				w.disabledGuard = guard
 				w.Run(w.now + time.Second)
-				if len(c.overtake(t, w)) == 0 {
-					executed++
+				if len(c.overtake(t, w)) > 0 {
+					continue
+				}
+				executed++
+				if w.checks.domains.Check() == nil {
+					t.Errorf("seed %d: the history of domains is accepted although an overtaken change was executed", seed)
 				}
 			}
 			if executed == 0 {
@@ -132,3 +138,52 @@
 		})
 	}
 }
+
+// changeDomainWhileDaemonsFreeze has an impatient operator empty and restore a domain in turn, and reads the domains, while
+// control daemons stand still: before they read a change, after the check of its caller, or for other reasons.
+func (w *World) changeDomainWhileDaemonsFreeze(changes int) {
+	w.schedule(0, func() { w.readDomains(40 * time.Millisecond) })
+	for i := range changes {
+		for !w.hasLeader() {
+			w.Run(w.now + 50*time.Millisecond)
+		}
+		process := w.daemons(wire.ControlDaemon)[w.random.IntN(w.Plan.ControlDaemons)]
+		switch w.random.IntN(4) {
+		case 0:
+			w.Freeze(process, w.randomMilliseconds(1000, 4000))
+		case 1:
+			process.pauseAfterCheck = w.randomMilliseconds(1000, 4000)
+		}
+		action := []changeKind{changeEmpty, changeRestore}[i%2]
+		change := &operatorChange{method: http.MethodPost, path: domainsPath + "/d1/" + string(action), token: fmt.Sprint("turn", i)}
+		done := false
+		w.sendImpatiently(process, change, func(statemachine.Reply) { done = true })
+		for end := w.now + (maxResends+1)*callerPatience; !done && w.now < end; {
+			w.Run(w.now + 10*time.Millisecond)
+		}
+	}
+	w.Run(w.now + lateRunTime)
+}
+
+// readDomains reads the domains at random control daemons at each interval.
+func (w *World) readDomains(interval time.Duration) {
+	if p := w.pickProcess(wire.ControlDaemon, true); p != nil {
+		w.call(p, http.MethodGet, domainsPath, "", nil, "", w.ignoreReply)
+	}
+	w.schedule(interval, func() { w.readDomains(interval) })
+}
+
+// TestDomainChangesAreLinearizable checks that changes of domains which are given up take effect before later ones are
+// acknowledged, or never.
+func TestDomainChangesAreLinearizable(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		w := Start(seed, Small)
+		w.changeDomainWhileDaemonsFreeze(20)
+		w.CheckHistory()
+		requireNoFailure(t, w)
+		if n := w.checks.domains.Len(); n < 300 {
+			t.Errorf("seed %d: the history has %d calls, want at least 300", seed, n)
+		}
+	}
+}
--- a/internal/verification/simulator/rules.go
+++ b/internal/verification/simulator/rules.go
@@ -67,6 +67,7 @@
 // checks holds what the rules' checks need to know about the run so far.
 type checks struct {
 	history        linearizability.History
+	domains        linearizability.DomainHistory
 	acknowledged   uint64                   // highest acknowledged revision
 	acknowledgedAt map[uint64]time.Duration // time of the first acknowledgement of each revision
 	emptiedAt      map[string]time.Duration // time at which the emptying of each emptied domain was acknowledged
--- a/internal/verification/simulator/scenes.go
+++ b/internal/verification/simulator/scenes.go
@@ -165,6 +165,7 @@
 	}
 	w.forgetAcknowledgements()
 	w.checks.history.Reset()
+	w.checks.domains.Reset()
 	end := w.now + recoveryBound
 	for w.Leader() == nil && w.now < end {
 		w.Run(w.now + 100*time.Millisecond)
