Test of a back end's termination: no listener to find a free port

It did not serve: the test had opened and closed a listener to find a free port, and a process that another subtest forked in between has that listener until it executes its program, so the connection was accepted there.

The back ends now get fixed ports on addresses of their own, and the test shows what they wrote to stderr.

--- a/cmd/mfbackend/main_test.go
+++ b/cmd/mfbackend/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
@@ -22,15 +23,17 @@
 	os.Exit(m.Run())
 }
 
-// freeAddr returns an address that nothing listens on.
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
+// Ports of the processes, below those that the system gives to outgoing connections.
+const (
+	backendPort = 18600
+	daemonPort  = 18601 // nothing listens there
+)
+
+// loopbackIP returns a loopback address that belongs to one subtest of this process. The test must not listen on it to find a
+// free port: a process that another subtest forks has that listener, too, until it executes its program.
+func loopbackIP(subtest int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&63, pid&255, subtest+1)
 }
 
 // waitUntilServing returns when the address accepts connections. It dials from another IP address, since a connection
@@ -54,24 +57,24 @@
 	for i := range starts {
 		t.Run(strconv.Itoa(i), func(t *testing.T) {
 			t.Parallel()
-			terminateOnceServing(t)
+			terminateOnceServing(t, loopbackIP(i))
 		})
 	}
 }
 
 // terminateOnceServing starts a back end, sends it SIGTERM as soon as it serves and checks how it ends.
-func terminateOnceServing(t *testing.T) {
-	addr := freeAddr(t)
-	process := exec.Command(os.Args[0], "--service", "s", "--name", "a", "--addr", addr, "--daemon", freeAddr(t))
+func terminateOnceServing(t *testing.T, ip string) {
+	addr, daemon := fmt.Sprintf("%s:%d", ip, backendPort), fmt.Sprintf("%s:%d", ip, daemonPort)
+	process := exec.Command(os.Args[0], "--service", "s", "--name", "a", "--addr", addr, "--daemon", daemon)
 	process.Env = append(os.Environ(), mainEnvironment+"=1")
-	var output bytes.Buffer
-	process.Stdout = &output
+	var output, errorOutput bytes.Buffer
+	process.Stdout, process.Stderr = &output, &errorOutput
 	if err := process.Start(); err != nil {
 		t.Fatal(err)
 	}
 	waitUntilServing(addr)
 	process.Process.Signal(syscall.SIGTERM)
 	if err := process.Wait(); err != nil || output.Len() == 0 {
-		t.Errorf("a serving back end ended by SIGTERM with %v, having logged %q; want no error and a line", err, &output)
+		t.Errorf("a serving back end ended by SIGTERM with %v, having logged %q; want no error and a line\n%s", err, &output, &errorOutput)
 	}
 }
