A leadership belongs to a term of an epoch, not to a term alone

Found by reading again. Terms and indexes begin again in each epoch. A member that recovered without a restart and led in the same term number as in the epoch before kept what it knew of the order of changes there, so changes of domains changed in that epoch got 503 (overtaken) until the new log had grown as long.

updateLeadership now compares the epoch as well as the term.

--- a/internal/controlplane/controller.go
+++ b/internal/controlplane/controller.go
@@ -97,6 +97,7 @@
 
 	leadership              Leadership
 	leadershipSince         time.Duration   // when leadership last changed
+	leadershipEpoch         uint64          // epoch of the current or last leadership
 	leadershipTerm          uint64          // term of the current or last leadership
 	leadershipTerms         []uint64        // terms of this leadership, several if it was lost and resumed
 	lostLeadership          lostLeadership  // the last one that was lost
--- a/internal/controlplane/leadership.go
+++ b/internal/controlplane/leadership.go
@@ -45,9 +45,10 @@
 		return
 	}
 	// A new term means that the lease was lost in between, even if only within one event: another member may have led.
-	if c.leadershipTerm != c.node.Term() {
+	// Terms begin again in each epoch.
+	if c.leadershipEpoch != c.node.Epoch() || c.leadershipTerm != c.node.Term() {
 		c.revokeLeadership(now, "new term")
-		c.leadershipTerm = c.node.Term()
+		c.leadershipEpoch, c.leadershipTerm = c.node.Epoch(), c.node.Term()
 		c.order = newChangeOrder(c.node.LastIndex())
 	}
 	switch c.leadership {
