Read TCP_INFO in one place

The check of a caller's connection and that of a stalled caller each read it through the raw connection. Package tcpinfo does so for both; nothing else changes.

--- a/internal/dataplane/reverseproxy/sockets.go
+++ b/internal/dataplane/reverseproxy/sockets.go
@@ -49,24 +49,5 @@
 	}
 }
 
-// bytesAcknowledged returns how many bytes of a TCP connection's output the peer has acknowledged so far (tcpi_bytes_acked
-// in tcp(7)). ok is false if the system does not tell.
-func bytesAcknowledged(conn net.Conn) (bytes uint64, ok bool) {
-	socket, isSocket := conn.(syscall.Conn)
-	if !isSocket {
-		return 0, false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, false
-	}
-	var info *unix.TCPInfo
-	controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if controlErr != nil || err != nil {
-		return 0, false
-	}
-	return info.Bytes_acked, true
-}
-
 // expiredDeadline returns a deadline in the past, which ends all pending reads or writes of a connection.
 func expiredDeadline() time.Time { return time.Now().Add(-time.Second) }
--- a/internal/dataplane/reverseproxy/stalledcallers.go
+++ b/internal/dataplane/reverseproxy/stalledcallers.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"myrtlefold/internal/shared/tcpinfo"
 	"myrtlefold/internal/shared/tuning"
 )
 
@@ -29,13 +30,13 @@
 
 // update is called regularly while a response is being written to conn.
 func (s *callerStall) update(now time.Time, conn net.Conn) {
-	acknowledged, known := bytesAcknowledged(conn)
+	info, known := tcpinfo.Get(conn)
 	switch {
 	case !known:
 		s.since.Store(nil)
-	case s.since.Load() == nil || s.acknowledged != acknowledged:
+	case s.since.Load() == nil || s.acknowledged != info.Bytes_acked:
 		s.since.Store(&now)
-		s.acknowledged = acknowledged
+		s.acknowledged = info.Bytes_acked
 	}
 }
 
--- a/internal/shared/gracefulclose/conn.go
+++ b/internal/shared/gracefulclose/conn.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"myrtlefold/internal/shared/tcpinfo"
 )
 
 // Conn is a TCP connection that is closed gracefully.
@@ -92,19 +94,11 @@
 	return c.Conn.Close()
 }
 
-// tcpEstablished is the state TCP_ESTABLISHED in tcp_info, in which neither side has closed the connection.
-const tcpEstablished = 1
-
 // PeerConnected reports whether the peer has neither closed its side nor reset the connection. It asks the kernel, which
 // knows also if input from before that has not been read.
 func (c *Conn) PeerConnected() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var info *unix.TCPInfo
-	controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	return controlErr == nil && err == nil && info.State == tcpEstablished
+	info, known := tcpinfo.Get(c.tcp)
+	return known && info.State == tcpinfo.Established
 }
 
 // leave closes the socket of a connection whose output is delivered, unless a bound has done so before, and counts how it
