Ignore a consent to a recovery that is read in a later epoch

What an operator would see: a consent that the network has held, and that was repeated and acted on meanwhile, is granted again when it arrives. For a minute (ConsentTTL) it would let the remaining members begin an epoch, or an epoch begin empty, without anybody having consented to that loss.

Every recovery begins another epoch, so a consent now counts only in the epoch of the time at which its caller was certainly waiting, and does not replace a later consent given to the same daemon.

Found by reading. TestLateConsentIsIgnored and TestConsentDoesNotReplaceALaterOne fail without the epoch and without the time.

--- a/internal/controlplane/api.go
+++ b/internal/controlplane/api.go
@@ -66,6 +66,10 @@
 	}
 	switch {
 	case event.Path == recoveryPath && event.Method == methodPost:
+		if c.isConsentOvertaken(event) {
+			c.answerOvertaken(call)
+			return
+		}
 		c.answer(call, c.handleRecoveryConsent(now, queryValue(event.Query, "gone")))
 		return
 	case event.Path == statusPath:
--- a/internal/controlplane/recoveredstate_test.go
+++ b/internal/controlplane/recoveredstate_test.go
@@ -179,3 +179,31 @@
 		t.Errorf("leading: %v, revision %d, damage %v; want the leader with revision 5 and a damage report", c.Leading(), c.state.Revision, c.damage)
 	}
 }
+
+// TestLateConsentIsIgnored guards against an operator's consent that the network has held while the control plane was
+// recovered: it must not make the next epoch begin empty.
+func TestLateConsentIsIgnored(t *testing.T) {
+	member := newRecoveringMember(unreadableAt(unreadableStates[0].text))
+	beforeTheEpoch := member.now - time.Millisecond
+	member.runSeconds(t, 20)
+	member.step(statemachine.Call{ID: 1, Method: "POST", Path: recoveryPath, CallerKnownAt: beforeTheEpoch})
+	member.runSeconds(t, 3)
+	if c := member.controller; c.Leading() || c.counts.Overtaken != 1 {
+		t.Errorf("leading: %v, %d overtaken; want no leader, since nobody consented in this epoch", c.Leading(), c.counts.Overtaken)
+	}
+}
+
+// TestConsentDoesNotReplaceALaterOne guards against a late consent that replaces a later one given to the same daemon.
+func TestConsentDoesNotReplaceALaterOne(t *testing.T) {
+	fleet := newIdleFleet(1, 1)
+	c := fleet.controller
+	c.recoveryConsent.Granted, c.recoveryConsent.GrantedAt = true, fleet.now
+	for _, call := range []struct {
+		knownAt   time.Duration
+		overtaken bool
+	}{{fleet.now - 1, true}, {fleet.now, false}} {
+		if overtaken := c.isConsentOvertaken(statemachine.Call{CallerKnownAt: call.knownAt}); overtaken != call.overtaken {
+			t.Errorf("the caller waited at %v, the consent was given at %v: overtaken %v, want %v", call.knownAt, fleet.now, overtaken, call.overtaken)
+		}
+	}
+}
--- a/internal/controlplane/recovery.go
+++ b/internal/controlplane/recovery.go
@@ -75,6 +75,13 @@
 	return statemachine.Reply{Status: 202, Body: reply.Body(answer)}
 }
 
+// isConsentOvertaken reports whether a later consent may have been given, or acted on, since the caller was certainly waiting:
+// this daemon has another consent since then, or has entered another epoch. The latter follows each recovery.
+func (c *Controller) isConsentOvertaken(event statemachine.Call) bool {
+	anotherConsent := c.recoveryConsent.Granted && c.recoveryConsent.GrantedAt > event.CallerKnownAt
+	return anotherConsent || c.positions.at(event.CallerKnownAt).epoch != c.position().epoch
+}
+
 // checkConsent returns the rejection of a consent that is invalid regardless of the survey: a visible daemon has a
 // leader, or there was contact with a supposedly lost daemon less than tuning.DaemonExpiry ago. It returns nil if
 // neither is so.
