A late request to forget a proxy is overtaken by the proxy's return

What an operator would see: a request to forget a proxy, held by the network while the proxy was forgotten and came back, removes the proxy a second time if it arrives while the proxy is out of reach again. That proxy may still serve on a lease of its peers, and tables would count as in force without it.

Cause: of changes about a proxy the leader remembered only operators' requests. It now remembers the admission of a proxy as a change about the same subject.

--- a/internal/controlplane/idlefleet_test.go
+++ b/internal/controlplane/idlefleet_test.go
@@ -26,6 +26,9 @@
 	proxies    []wire.Daemon
 	tables     []*wire.Table // by proxy, the latest table that it was sent
 	targets    []wire.Target
+
+	observe     func([]statemachine.Command) // gets the commands of each step, nil: nothing does
+	unreachable string                       // address of a target that misses its health checks, "": none
 }
 
 // newIdleFleet returns a fleet after 12 seconds, when the member is Leading and has published all proxies and targets.
@@ -51,12 +54,20 @@
 
 // step applies an event to the member and carries out the resulting commands at once, without delays.
 func (f *idleFleet) step(event statemachine.Event) {
-	for _, command := range f.controller.Step(f.now, event) {
+	commands := f.controller.Step(f.now, event)
+	if f.observe != nil {
+		f.observe(commands)
+	}
+	for _, command := range commands {
 		switch c := command.(type) {
 		case statemachine.Sync:
 			f.step(statemachine.Synced{Seq: c.Batch.Seq})
 		case statemachine.Probe:
 			report := config.TargetReport{Service: c.ID.Service, Name: c.ID.Name, Incarnation: c.ID.Incarnation, Address: c.Addr, State: wire.TargetReady}
+			if c.Addr == f.unreachable {
+				f.step(statemachine.ProbeResult{ID: c.ID, SentAt: f.now})
+				continue
+			}
 			f.step(statemachine.ProbeResult{ID: c.ID, SentAt: f.now, Milliseconds: 1, Report: &report})
 		case statemachine.CheckCaller:
 			f.step(statemachine.CallerChecked{ID: c.ID, Connected: true})
--- a/internal/controlplane/proxymembership.go
+++ b/internal/controlplane/proxymembership.go
@@ -82,6 +82,11 @@
 	c.proposeProxyChange(now, state.Command{Operation: state.OpProxiesInForce, Base: c.state.ProxiesIndex})
 }
 
+// proposeProxyChange proposes a change of the membership. An operator's request to forget a proxy that was made before the proxy
+// was admitted is overtaken by that.
 func (c *Controller) proposeProxyChange(now time.Duration, command state.Command) {
 	c.proxyChangeIndex = c.propose(now, command)
+	for _, proxy := range command.Proxies {
+		c.order.record(apiPath{resource: proxiesResource, name: proxy.Name}, c.proxyChangeIndex)
+	}
 }
