Soak: operators give up, repeat elsewhere and change again beside late links and frozen daemons

A second operator now changes a domain without processes (so that callers are not concerned): it withdraws an emptying at every control daemon on connections on which the call arrives 1.8 to 3.8 s late, with the end 60 ms behind it, and at one that may stand still; gives up after a second, repeats it elsewhere, empties the domain again, and checks that it stays emptied. The script stops control daemons with SIGSTOP for 1.5 to 4.5 s, the leader among them.

Violations are recorded under a lock, since several goroutines record them.

--- a/cmd/mfchaos/checks.go
+++ b/cmd/mfchaos/checks.go
@@ -42,6 +42,7 @@
 	ruleChangeAccepted       = "valid changes accepted" // a change on the newest acknowledged revision is accepted
 	ruleDurability           = "durability"             // acknowledged changes survive the loss of all processes
 	ruleNoDamage             = "no unreadable data"     // no control daemon reports unreadable data
+	ruleLateChange           = "no late changes"        // a change has no effect after a later one about the same subject is acknowledged
 )
 
 // ruleWidth is the width of the column of rules in printed verdicts: that of the longest name.
@@ -52,6 +53,8 @@
 
 // recordViolation counts and logs a violation of a rule.
 func (f *fleet) recordViolation(rule, format string, args ...any) {
+	f.violationsMutex.Lock()
+	defer f.violationsMutex.Unlock()
 	f.violations[rule]++
 	f.violationMessages = append(f.violationMessages, rule+": "+fmt.Sprintf(format, args...))
 	f.logf("BROKEN %s: %s", rule, fmt.Sprintf(format, args...))
--- a/cmd/mfchaos/fleet.go
+++ b/cmd/mfchaos/fleet.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -36,6 +37,7 @@
 	inForceSeconds    []float64 // duration of each accepted configuration change
 	network           network
 	initial           programs       // program that each kind of process is first started with; a kind without an entry uses the one in bin
+	violationsMutex   sync.Mutex     // guards the next two fields while several goroutines check rules
 	violations        map[string]int // count by rule
 	history           linearizability.History
 	violationMessages []string
@@ -143,6 +145,9 @@
 			Seeds: seeds, LogLevel: "info", GraceMs: int(f.grace.Milliseconds())}
 		if p.kind == controlProgram {
 			settings.Data, settings.Size = f.path("data", p.name), f.deployment.Controls
+			if f.deployment.ReserveDomain != "" {
+				settings.Domains = append(slices.Clone(f.deployment.Domains), f.deployment.ReserveDomain)
+			}
 		}
 		if err := f.writeSettings(p, settings); err != nil {
 			return err
--- a/cmd/mfchaos/soak.go
+++ b/cmd/mfchaos/soak.go
@@ -47,7 +47,7 @@
 // deployment returns the fleet of a soak: a third of the back ends belong to service monitoring, the others to records.
 func (o *soakOptions) deployment() Deployment {
 	monitoring := max(1, o.targets/3)
-	return Deployment{Controls: o.controls, Proxies: o.proxies, Domains: []string{"hill", "port", "coast"}, Services: []Service{
+	return Deployment{Controls: o.controls, Proxies: o.proxies, Domains: []string{"hill", "port", "coast"}, ReserveDomain: "reserve", Services: []Service{
 		{"records", max(1, o.targets-monitoring), "250ms", 6, "0s"}, {"monitoring", monitoring, "90ms", 6, "0s"}}}
 }
 
@@ -89,8 +89,9 @@
 		counts[s.classify(&outcomes[i], ran)]++
 	}
 	s.checkRequestLogs(outcomes, ran)
-	fmt.Printf("\nsoak seed %d: %d requests, %v; %d stops, %d SIGHUPs, %d changes acknowledged, %d calls without a conclusive reply, %d kills\n",
-		s.options.seed, len(outcomes), counts, s.log.count(eventStop), s.log.count(eventSIGHUP), s.log.count(eventChange), s.log.count(eventUnanswered), s.log.count(eventKill))
+	fmt.Printf("\nsoak seed %d: %d requests, %v; %d stops, %d SIGHUPs, %d changes acknowledged, %d calls without a conclusive reply, %d kills, %d freezes, %d overtaken changes\n",
+		s.options.seed, len(outcomes), counts, s.log.count(eventStop), s.log.count(eventSIGHUP), s.log.count(eventChange), s.log.count(eventUnanswered), s.log.count(eventKill),
+		s.log.count(eventFreeze), s.log.count(eventOvertaken))
 	if len(s.violations) == 0 {
 		fmt.Println("  all rules held")
 		return 0
--- a/cmd/mfchaos/soak_log.go
+++ b/cmd/mfchaos/soak_log.go
@@ -16,6 +16,8 @@
 	eventSIGHUP                      // SIGHUP
 	eventChange                      // a configuration change was acknowledged
 	eventUnanswered                  // an operator's call got no conclusive reply
+	eventFreeze                      // SIGSTOP
+	eventOvertaken                   // a change was acknowledged while an earlier one about the same subject was on its way
 )
 
 // soakEvent is an entry of an eventLog.
--- a/cmd/mfchaos/soak_operator.go
+++ b/cmd/mfchaos/soak_operator.go
@@ -40,13 +40,36 @@
 	emptied  map[string]bool // by domain; true: acknowledged as emptied, false: the outcome of the last call is unknown
 }
 
+// newOperator returns an operator with the random source of a part of the run.
+func (s *soak) newOperator(part uint64) *soakOperator {
+	return &soakOperator{soak: s, random: s.options.random(part), stop: make(chan struct{}), emptied: map[string]bool{}}
+}
+
 // startOperator starts an operator.
 func (s *soak) startOperator() *soakOperator {
-	o := &soakOperator{soak: s, random: s.options.random(2), stop: make(chan struct{}), emptied: map[string]bool{}}
+	o := s.newOperator(2)
 	o.running.Go(o.run)
 	return o
 }
 
+// isStopped reports whether finish was called.
+func (o *soakOperator) isStopped() bool {
+	select {
+	case <-o.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// sleep waits for a time, or until finish is called.
+func (o *soakOperator) sleep(duration time.Duration) {
+	select {
+	case <-o.stop:
+	case <-time.After(duration):
+	}
+}
+
 // finish stops the operator after its current action.
 func (o *soakOperator) finish() {
 	close(o.stop)
@@ -56,10 +79,9 @@
 // run changes the configuration until it is stopped; every eighth action empties or restores a failure domain.
 func (o *soakOperator) run() {
 	for i := 0; ; i++ {
-		select {
-		case <-o.stop:
+		o.sleep(time.Duration(o.random.Int64N(int64(2 * meanChangePause))))
+		if o.isStopped() {
 			return
-		case <-time.After(time.Duration(o.random.Int64N(int64(2 * meanChangePause)))):
 		}
 		if i%8 == 7 {
 			o.emptyOrRestore()
@@ -218,14 +240,22 @@
 func (o *soakOperator) readEmptiedDomains() []string {
 	for started := time.Now(); time.Since(started) < recoverWait; time.Sleep(changeRetryInterval) {
 		for _, control := range o.soak.controls {
-			status, reply := o.send(control, http.MethodGet, "/v1/domains", nil)
-			var v struct {
-				Emptied []string `json:"emptied"`
-			}
-			if status == http.StatusOK && json.Unmarshal(reply, &v) == nil {
-				return v.Emptied
+			if emptied, known := o.readEmptied(control); known {
+				return emptied
 			}
 		}
 	}
 	return nil
 }
+
+// readEmptied returns the emptied domains that a control daemon reports. known is false if it has no conclusive reply.
+func (o *soakOperator) readEmptied(control *process) (emptied []string, known bool) {
+	status, reply := o.send(control, http.MethodGet, "/v1/domains", nil)
+	var v struct {
+		Emptied []string `json:"emptied"`
+	}
+	if status != http.StatusOK || json.Unmarshal(reply, &v) != nil {
+		return nil, false
+	}
+	return v.Emptied, true
+}
--- a/cmd/mfchaos/soak_script.go
+++ b/cmd/mfchaos/soak_script.go
@@ -28,6 +28,7 @@
 	phaseUp       phase = iota
 	phaseStopping       // after SIGTERM, until its exit
 	phaseDown           // after its exit or SIGKILL, until its restart
+	phaseFrozen         // after SIGSTOP, until its SIGCONT
 )
 
 // managedProcess is a process that the script stops and restarts.
@@ -35,7 +36,7 @@
 	*process
 	phase          phase
 	signaledAt     time.Time // when it was sent SIGTERM, or SIGKILL after the grace period
-	startAt        time.Time // when it is to be started again
+	startAt        time.Time // when it is to be started again, or continued if it is frozen
 	logSizeAtStart int64     // size of its log in bytes when it was last started; 0 for the first start
 	wipe           bool      // its data is deleted before its next start
 }
@@ -71,7 +72,7 @@
 	script := &script{soak: s, random: s.options.random(1), exits: make(chan processExit, 16)}
 	script.proxies, script.controls, script.targets = script.manage(s.proxies), script.manage(s.controls), script.manage(s.backends)
 	script.scheduleAll()
-	operator := s.startOperator()
+	operator, late := s.startOperator(), s.startLateOperator(s.deployment.ReserveDomain)
 	end := s.startedAt.Add(s.options.span)
 	quiet := end.Add(-quietGracePeriods * s.options.grace)
 	ticker := time.NewTicker(scriptInterval)
@@ -87,6 +88,7 @@
 		}
 	}
 	operator.finish()
+	late.finish()
 	return operator
 }
 
@@ -117,6 +119,7 @@
 	c.schedule(randomBetween(3*time.Second, 9*time.Second), c.stopControl)
 	c.schedule(randomBetween(time.Second, 4*time.Second), c.stopTarget)
 	c.schedule(randomBetween(100*time.Millisecond, 600*time.Millisecond), c.sendSIGHUP)
+	c.schedule(lateFreezeMeanGap, c.freezeControl)
 	if c.soak.options.faults {
 		c.schedule(randomBetween(3*time.Second, 8*time.Second), c.killProxy)
 		c.schedule(randomBetween(5*time.Second, 12*time.Second), c.killControl)
@@ -151,6 +154,9 @@
 			p.signaledAt = now
 		case p.phase == phaseDown && now.After(p.startAt):
 			c.start(p)
+		case p.phase == phaseFrozen && now.After(p.startAt):
+			p.signal(syscall.SIGCONT)
+			p.phase = phaseUp
 		}
 	}
 }
@@ -295,6 +301,16 @@
 	}
 }
 
+// freezeControl suspends a control daemon for a while if all of them are up.
+func (c *script) freezeControl() {
+	if up := c.shuffledUp(c.controls); len(up) == len(c.controls) {
+		p := up[0]
+		p.phase, p.startAt = phaseFrozen, time.Now().Add(lateFreezeMin+time.Duration(c.random.Int64N(int64(lateFreezeSpan))))
+		c.soak.log.add(eventFreeze, p.name)
+		p.signal(syscall.SIGSTOP)
+	}
+}
+
 // killAllControls kills all control daemons that are up.
 func (c *script) killAllControls() {
 	for _, p := range c.shuffledUp(c.controls) {
