Simulator: the network holds calls and the ends of their connections; search domains in one pass

Calls of simulated operators took 2 ms at most, and the end of a connection no time, so that a call could not be late on an open connection. The fault "changes of a domain given up and overtaken" holds calls for 1 to 6 s and the end up to 0.3 s longer, while an operator empties, restores and empties a domain, and reads the domains from then on.

The search for an order of the changes of a domain took 50 s in TestDomainChangesAreLinearizable and did not end for wrong histories.

--- a/internal/verification/linearizability/check.go
+++ b/internal/verification/linearizability/check.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"strings"
+	"time"
 
 	"github.com/anishathalye/porcupine"
 	"github.com/cockroachdb/errors"
@@ -12,9 +13,17 @@
 // that the search need not consider a call without effect at every earlier point.
 var endOfHistory = &Operation{outcome: historyEnd}
 
-// Check returns an error if the calls are not linearizable. The error lists the calls around the first one that the
+// searchLimit bounds the search for an order of the calls. It may not end for a long history that is wrong.
+const searchLimit = 2 * time.Minute
+
+// ErrNotDecided marks the error for a history whose search was ended by searchLimit. It counts as a failure.
+var ErrNotDecided = errors.New("not decided whether the calls are linearizable")
+
+// Check returns an error if the calls are not linearizable, or if that was not decided. The error lists the calls around the first one that the
 // longest linearizable prefix found does not contain.
-func (h *History) Check() error {
+func (h *History) Check() error { return h.checkWithin(searchLimit) }
+
+func (h *History) checkWithin(limit time.Duration) error {
 	calls := h.relevantOperations()
 	var operations []porcupine.Operation
 	for _, o := range calls {
@@ -25,9 +34,12 @@
 		operations = append(operations, porcupine.Operation{ClientId: len(operations), Input: o, Output: o, Call: int64(o.sentAt), Return: end})
 	}
 	operations = append(operations, porcupine.Operation{ClientId: len(operations), Input: endOfHistory, Output: endOfHistory, Call: math.MaxInt64 - 1, Return: math.MaxInt64})
-	result, info := porcupine.CheckOperationsVerbose(register, operations, 0)
-	if result == porcupine.Ok {
+	result, info := porcupine.CheckOperationsVerbose(register, operations, limit)
+	switch result {
+	case porcupine.Ok:
 		return nil
+	case porcupine.Unknown:
+		return errors.Wrapf(ErrNotDecided, "%d calls, %v", len(operations), limit)
 	}
 	return errors.Newf("%d calls are not linearizable:\n%s", len(operations), explain(calls, info))
 }
--- a/internal/verification/linearizability/domains.go
+++ b/internal/verification/linearizability/domains.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/anishathalye/porcupine"
 	"github.com/cockroachdb/errors"
 )
 
@@ -45,7 +44,8 @@
 // at a time: once a change is acknowledged that was sent after another one was given up, the other one must not take effect any
 // more. The zero value is empty.
 type DomainHistory struct {
-	operations map[string][]*DomainOperation // by domain
+	operations   map[string][]*DomainOperation // by domain
+	startUnknown bool                          // domains may have been emptied before their first recorded call
 }
 
 // Change records the invocation of a change. One with a token that was used before repeats that call and changes nothing, so it
@@ -73,8 +73,14 @@
 	h.operations[domain] = append(h.operations[domain], operation)
 }
 
-// Reset removes all calls recorded so far, for a run that loses state deliberately.
-func (h *DomainHistory) Reset() { h.operations = nil }
+// Reset removes what is known of the domains, for a run that loses state deliberately. Changes without a definite reply may
+// still take effect, so they remain.
+func (h *DomainHistory) Reset() {
+	h.startUnknown = true
+	for domain, operations := range h.operations {
+		h.operations[domain] = slices.DeleteFunc(operations, func(o *DomainOperation) bool { return o.read || o.outcome != open })
+	}
+}
 
 // Len returns the number of recorded calls.
 func (h *DomainHistory) Len() (n int) {
@@ -84,11 +90,20 @@
 	return n
 }
 
-// Check returns an error with the calls of a domain whose history is not that of a register.
-func (h *DomainHistory) Check() error {
+// maxCombinations bounds the search for an order of the calls of a domain.
+const maxCombinations = 1 << 20
+
+// Check returns an error with the calls of a domain whose history is not that of a register, or for which that was not decided.
+func (h *DomainHistory) Check() error { return h.checkWithin(maxCombinations) }
+
+func (h *DomainHistory) checkWithin(limit int) error {
 	for _, domain := range slices.Sorted(maps.Keys(h.operations)) {
-		if operations := h.operations[domain]; !isRegister(operations) {
+		operations := h.operations[domain]
+		switch search(operations, h.startUnknown, limit) {
+		case notLinearizable:
 			return errors.Newf("the changes of domain %s are not linearizable:\n%s", domain, describe(operations))
+		case notDecided:
+			return errors.Wrapf(ErrNotDecided, "%d calls about domain %s, %d combinations", len(operations), domain, limit)
 		}
 	}
 	return nil
@@ -103,17 +118,6 @@
 	return strings.Join(lines, "\n")
 }
 
-// isRegister reports whether the calls of one domain are linearizable.
-func isRegister(operations []*DomainOperation) bool {
-	var calls []porcupine.Operation
-	for _, o := range operations {
-		if o.outcome != noEffect {
-			calls = append(calls, porcupine.Operation{ClientId: len(calls), Input: o, Output: o, Call: int64(o.sentAt), Return: lastEffect(o, operations)})
-		}
-	}
-	return porcupine.CheckOperations(domainModel, calls)
-}
-
 // lastEffect returns the time after which a call must not take effect: that of its reply or, without a definite one, the time
 // at which a change was acknowledged that was sent after the call was given up.
 func lastEffect(operation *DomainOperation, operations []*DomainOperation) int64 {
@@ -128,23 +132,3 @@
 	}
 	return last
 }
-
-// domainNondeterministic is a register of one bool. A change without a definite reply may have taken effect or not.
-var domainNondeterministic = porcupine.NondeterministicModel{
-	Init: func() []any { return []any{false} },
-	Step: func(state, input, _ any) []any {
-		operation := input.(*DomainOperation)
-		switch {
-		case operation.read && state != operation.emptied:
-			return nil
-		case operation.read:
-			return []any{state}
-		case operation.outcome == open && state != operation.emptied:
-			return []any{state, operation.emptied}
-		}
-		return []any{operation.emptied}
-	},
-}
-
-// domainModel is domainNondeterministic in the form that the search takes.
-var domainModel = domainNondeterministic.ToModel()
--- a/internal/verification/linearizability/domains_test.go
+++ b/internal/verification/linearizability/domains_test.go
@@ -1,6 +1,13 @@
 package linearizability
 
-import "testing"
+import (
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+)
 
 // Check of a domain's history accepts late effects of a change that was given up, until a later change is acknowledged.
 func TestCheckOfDomains(t *testing.T) {
@@ -48,6 +55,20 @@
 			h.Change(20*ms, "z", "b", false).Acknowledge(25 * ms)
 			h.Read(40*ms, 41*ms, emptied)
 		}},
+		{"emptied before state was lost, then read", true, func(h *DomainHistory) {
+			h.Change(0, "z", "a", true).Acknowledge(10 * ms)
+			late := h.Change(20*ms, "z", "b", true)
+			h.Reset()
+			h.Read(30*ms, 31*ms, restored)
+			h.Read(40*ms, 41*ms, emptied)
+			late.Abandon(50 * ms)
+		}},
+		{"two states of a domain that nobody changes after state was lost", false, func(h *DomainHistory) {
+			h.Change(0, "z", "a", true).Acknowledge(10 * ms)
+			h.Reset()
+			h.Read(30*ms, 31*ms, restored)
+			h.Read(40*ms, 41*ms, emptied)
+		}},
 		{"repeated with its token", true, func(h *DomainHistory) {
 			h.Change(0, "z", "a", true).Acknowledge(10 * ms)
 			h.Change(20*ms, "z", "b", false).Acknowledge(30 * ms)
@@ -64,3 +85,86 @@
 		})
 	}
 }
+
+// TestUndecidedHistoryFails checks that a search that takes too long is reported as such and counts as a failure.
+func TestUndecidedHistoryFails(t *testing.T) {
+	const overlapping = 24 // changes whose order a search has to try
+	var h DomainHistory
+	var configurations History
+	for i := range time.Duration(overlapping) {
+		h.Change(i, "z", string(rune('a'+i)), i%2 == 0).Abandon(0)
+		h.Read(i, time.Second+i, [][]string{{"z"}, {}}[i%2])
+		configurations.Read(i).Return(time.Second+i, uint64(i), "a")
+	}
+	h.Change(0, "z", "first", true).Acknowledge(ms)
+	h.Read(2*time.Second, 2*time.Second+1, []string{"z"})
+	h.Read(3*time.Second, 3*time.Second+1, nil)
+	const fewCombinations, noTime = 1000, time.Nanosecond
+	for name, err := range map[string]error{"domains": h.checkWithin(fewCombinations), "configurations": configurations.checkWithin(noTime)} {
+		if !errors.Is(err, ErrNotDecided) {
+			t.Errorf("%s: %v, want ErrNotDecided", name, err)
+		}
+	}
+}
+
+// registerModel is a domain as porcupine's search takes it. A change without a definite reply may have taken effect or not.
+var registerModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{false} },
+	Step: func(state, input, _ any) []any {
+		operation := input.(*DomainOperation)
+		switch {
+		case operation.read && state != operation.emptied:
+			return nil
+		case operation.read:
+			return []any{state}
+		case operation.outcome == open && state != operation.emptied:
+			return []any{state, operation.emptied}
+		}
+		return []any{operation.emptied}
+	},
+}
+
+// TestSearchOfDomainsAgreesWithPorcupine compares the search with porcupine's on short random histories.
+func TestSearchOfDomainsAgreesWithPorcupine(t *testing.T) {
+	model, results := registerModel.ToModel(), map[bool]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		var h DomainHistory
+		at := func(label string, from int) time.Duration {
+			return time.Duration(rapid.IntRange(from, from+12).Draw(t, label))
+		}
+		h.Change(0, "z", "first", rapid.Bool().Draw(t, "first")).Acknowledge(1)
+		for i := range rapid.IntRange(1, 9).Draw(t, "calls") {
+			sent := at("sent", 2+i)
+			ended := at("ended", int(sent)+1)
+			emptied := rapid.Bool().Draw(t, "emptied")
+			if rapid.Bool().Draw(t, "read") {
+				h.Read(sent, ended, map[bool][]string{true: {"z"}}[emptied])
+				continue
+			}
+			change := h.Change(sent, "z", string(rune('a'+i)), emptied)
+			switch rapid.IntRange(0, 3).Draw(t, "outcome") {
+			case 0:
+				change.Abandon(ended)
+			case 1:
+				change.NoEffect(ended)
+			case 2:
+				change.Acknowledge(ended)
+			}
+		}
+		operations := h.operations["z"]
+		var calls []porcupine.Operation
+		for _, o := range operations {
+			if o.outcome != noEffect {
+				calls = append(calls, porcupine.Operation{ClientId: len(calls), Input: o, Output: o, Call: int64(o.sentAt), Return: lastEffect(o, operations)})
+			}
+		}
+		want, got := porcupine.CheckOperations(model, calls), h.Check() == nil
+		if got != want {
+			t.Fatalf("linearizable: %v, porcupine says %v:\n%s", got, want, describe(operations))
+		}
+		results[want]++
+	})
+	if results[true] == 0 || results[false] == 0 {
+		t.Errorf("%d histories were linearizable and %d were not, want some of each", results[true], results[false])
+	}
+}
--- a/internal/verification/simulator/faults.go
+++ b/internal/verification/simulator/faults.go
@@ -20,13 +20,15 @@
 // existing seeds.
 var Faults = slices.Concat(targetFaults, proxyFaults, controlFaults, networkFaults, operatorFaults)
 
-// FaultByName returns the fault with the given name, ignoring case. The result is false if there is none.
+// FaultByName returns the fault with the given name, ignoring case: one of Faults or of those that are drawn by name only. The
+// result is false if there is none.
 func FaultByName(name string) (Fault, bool) {
-	i := slices.IndexFunc(Faults, func(f Fault) bool { return strings.EqualFold(f.Name, name) })
-	if i < 0 {
-		return Fault{}, false
+	for _, f := range append(slices.Clone(Faults), lateCalls) {
+		if strings.EqualFold(f.Name, name) {
+			return f, true
+		}
 	}
-	return Faults[i], true
+	return Fault{}, false
 }
 
 // defaultLossPause is the value of lossPause for plans without CatchUp.
--- a/internal/verification/simulator/faults_operator.go
+++ b/internal/verification/simulator/faults_operator.go
@@ -90,6 +90,10 @@
 	{"eight concurrent changes", (*World).changeConcurrently},
 }
 
+// lateCalls is the fault that the network holds calls of an operator that gives them up. From the first one on the domains are
+// read periodically, for the check of their history. It is drawn only where it is named, so that the other runs remain the same.
+var lateCalls = Fault{"changes of a domain given up and overtaken", (*World).overtakeDomainChanges}
+
 // replacePolicies replaces the default policy, and shortly afterwards adds a policy in shadow mode.
 func (w *World) replacePolicies() {
 	base, p := w.Revision(), w.pickProcess(wire.ControlDaemon, true)
@@ -165,18 +169,67 @@
 	})
 }
 
-// emptyAndRestoreDomain lets an operator empty a domain and restore it later. It does nothing if a domain was emptied or restored
-// in the last 12 s.
+// emptyAndRestoreDomain lets an operator empty a domain and restore it later.
 func (w *World) emptyAndRestoreDomain() {
-	p := w.pickProcess(wire.ControlDaemon, true)
-	if p == nil {
+	p, domain, ok := w.domainToChange()
+	if !ok {
 		return
 	}
-	domain := w.randomDomain()
+	w.SendChange(p, "POST", "/v1/domains/"+domain+"/empty", "", nil, emptyChange(domain))
+	w.schedule(w.randomMilliseconds(3000, 8000), func() { w.restoreDomain(domain) })
+}
+
+// domainToChange returns a random domain and a control daemon to which an operator may send changes of it. ok is false if there
+// is no such daemon, or if a domain was emptied or restored in the last 12 s.
+func (w *World) domainToChange() (p *Process, domain string, ok bool) {
+	if p = w.pickProcess(wire.ControlDaemon, true); p == nil {
+		return nil, "", false
+	}
+	domain = w.randomDomain()
 	lately := func(c *change) bool { return c.domain != "" && w.now-c.sentAt < 12*time.Second }
-	if slices.ContainsFunc(w.operators.changes, lately) {
+	return p, domain, !slices.ContainsFunc(w.operators.changes, lately)
+}
+
+// overtakeDomainChanges lets an operator empty, restore and empty a domain as fast as the changes are acknowledged, while the
+// network holds calls. The operator gives up those that it gets no reply to, and they arrive after later changes.
+func (w *World) overtakeDomainChanges() {
+	_, domain, ok := w.domainToChange()
+	if !ok {
 		return
 	}
-	w.SendChange(p, "POST", "/v1/domains/"+domain+"/empty", "", nil, emptyChange(domain))
-	w.schedule(w.randomMilliseconds(3000, 8000), func() { w.restoreDomain(domain) })
+	if w.operators.callsHeldUntil == 0 {
+		w.StartDomainReaders(readInterval)
+	}
+	w.operators.callsHeldUntil = w.now + maxCallHold
+	w.changeDomainInTurn(domain, []changeKind{changeEmpty, changeRestore, changeEmpty})
+}
+
+// changeDomainInTurn sends changes of a domain to random control daemons, each once the one before is acknowledged, and restores
+// the domain in the end.
+func (w *World) changeDomainInTurn(domain string, kinds []changeKind) {
+	p := w.pickProcess(wire.ControlDaemon, true)
+	if len(kinds) == 0 || p == nil {
+		w.schedule(w.randomMilliseconds(3000, 8000), func() { w.restoreDomain(domain) })
+		return
+	}
+	sent := &change{kind: kinds[0], domain: domain}
+	w.SendChange(p, "POST", "/v1/domains/"+domain+"/"+string(kinds[0]), "", nil, sent)
+	w.whenAnswered(sent, func() {
+		if sent.state != changeAccepted {
+			kinds = nil
+		} else {
+			kinds = kinds[1:]
+		}
+		w.changeDomainInTurn(domain, kinds)
+	})
+}
+
+// whenAnswered calls a function once the outcome of a change is known, or no longer expected.
+func (w *World) whenAnswered(sent *change, then func()) {
+	const interval, latest = 50 * time.Millisecond, 2 * (maxResends + 1) * callerPatience
+	if sent.state != changeOpen || w.now-sent.sentAt > latest {
+		then()
+		return
+	}
+	w.schedule(interval, func() { w.whenAnswered(sent, then) })
 }
--- a/internal/verification/simulator/history.go
+++ b/internal/verification/simulator/history.go
@@ -129,6 +129,14 @@
 	w.schedule(interval/2+time.Duration(w.random.Int64N(int64(interval))), func() { w.StartReaders(interval) })
 }
 
+// StartDomainReaders starts periodic reads of the domains at random control daemons.
+func (w *World) StartDomainReaders(interval time.Duration) {
+	if p := w.pickProcess(wire.ControlDaemon, true); p != nil && !w.callers.stopped {
+		w.call(p, "GET", domainsPath, "", nil, "", w.ignoreReply)
+	}
+	w.schedule(interval, func() { w.StartDomainReaders(interval) })
+}
+
 // recordDiskLoss records the loss of a control daemon's disk. If at least half of the disks are lost within diskLossWindow,
 // the history allows that committed changes which were not acknowledged are lost too.
 func (w *World) recordDiskLoss(p *Process) {
--- a/internal/verification/simulator/overtaken_test.go
+++ b/internal/verification/simulator/overtaken_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -226,7 +227,7 @@
 // changeDomainWhileDaemonsFreeze has an impatient operator empty and restore a domain in turn, and reads the domains, while
 // control daemons stand still: before they read a change, after the check of its caller, or for other reasons.
 func (w *World) changeDomainWhileDaemonsFreeze(changes int) {
-	w.schedule(0, func() { w.readDomains(40 * time.Millisecond) })
+	w.schedule(0, func() { w.StartDomainReaders(40 * time.Millisecond) })
 	for i := range changes {
 		for !w.hasLeader() {
 			w.Run(w.now + 50*time.Millisecond)
@@ -249,14 +250,6 @@
 	w.Run(w.now + lateRunTime)
 }
 
-// readDomains reads the domains at random control daemons at each interval.
-func (w *World) readDomains(interval time.Duration) {
-	if p := w.pickProcess(wire.ControlDaemon, true); p != nil {
-		w.call(p, http.MethodGet, domainsPath, "", nil, "", w.ignoreReply)
-	}
-	w.schedule(interval, func() { w.readDomains(interval) })
-}
-
 // TestDomainChangesAreLinearizable checks that changes of domains which are given up take effect before later ones are
 // acknowledged, or never.
 func TestDomainChangesAreLinearizable(t *testing.T) {
@@ -271,3 +264,28 @@
 		}
 	}
 }
+
+// TestRandomFaultsFindLateChanges checks that random runs execute late changes of domains if they are judged by the position of
+// their read, and that the check of the history finds that. Without that change none is found.
+func TestRandomFaultsFindLateChanges(t *testing.T) {
+	t.Parallel()
+	const runs, span = 6, 60 * time.Second
+	kinds := append(faultsNamed(t, "leader killed", "leader frozen", "control daemon killed"), lateCalls, lateCalls, lateCalls)
+	broken := map[Guard]int{}
+	for _, guard := range []Guard{guardNone, guardCallerKnown} {
+		for seed := range uint64(runs) {
+			w := runRandomFaults(seed, Small, kinds, 12, span, func(w *World) { w.disabledGuard = guard })
+			if w.Stats.HeldCalls == 0 {
+				t.Errorf("seed %d: no call was held", seed)
+			}
+			if strings.HasPrefix(w.Failure, string(ruleLinearizable)+":") || strings.HasPrefix(w.Failure, string(ruleEmptiedDomain)+":") {
+				broken[guard]++
+			} else {
+				requireNoFailure(t, w)
+			}
+		}
+	}
+	if broken[guardNone] > 0 || broken[guardCallerKnown] == 0 {
+		t.Errorf("late changes found in %d of %d runs, and in %d with the position of the read; want none, and some", broken[guardNone], runs, broken[guardCallerKnown])
+	}
+}
--- a/internal/verification/simulator/stats.go
+++ b/internal/verification/simulator/stats.go
@@ -36,6 +36,7 @@
 	Changes, AcceptedChanges, RejectedChanges, UnknownChanges int
 	LostReplies                                               int             // lost replies to changes, after each of which the change was sent again
 	AbandonedCalls                                            int             // changes of domains that operators gave up without a reply and sent again
+	HeldCalls                                                 int             // changes of domains that the network held
 	EmptiedDomains                                            int             // number of times that the emptying of a domain was acknowledged
 	ChangeLatencies                                           []time.Duration // times from sending to acknowledgement of the accepted changes
 	SlowestChange                                             time.Duration   // the longest of these
