--- a/internal/verification/simulator/random_faults_test.go
+++ b/internal/verification/simulator/random_faults_test.go
@@ -36,6 +36,14 @@
 	}
 }
 
+// TestCrashedTargetGetsNoRequestsAfterElection guards against requests to a target that crashed while there was no leader, sent by
+// a proxy that follows the next leader's first table.
+func TestCrashedTargetGetsNoRequestsAfterElection(t *testing.T) {
+	t.Parallel()
+	const seed = 21705
+	requireNoFailure(t, RunRandomFaults(seed, Small, nil, 12, 25*time.Second))
+}
+
 // Runs of random faults violate no rule at any size of the control plane, even one that tolerates no loss of a member.
 func TestRandomFaultsAtAnyControlPlaneSize(t *testing.T) {
 	t.Parallel()
