Model checker: a late call that leaders judge by a recorded position

In the scenario late-call a caller opens its connection to a process, which records its position; a leader appends a later change about the subject; copies of the call reach any leader at any time after that. The new invariant: no late call is committed after a later change.

Positions move to package consensus as a type of its own, so that the model checker uses the same CoveredIndex as the control plane.

--- a/internal/controlplane/consensus/mutation_test.go
+++ b/internal/controlplane/consensus/mutation_test.go
@@ -35,6 +35,8 @@
 	clockRates []int64  // replaces the clock rates of the scenario, nil to keep them
 	violates   []string // one of these invariants must be violated
 }{
+	{name: "late call judged by the position of its arrival", scenario: "late-call", violates: []string{modelcheck.LateCallsIgnored},
+		faults: modelcheck.Faults{LateCallPosition: func(leader *consensus.Node, _ consensus.Position) consensus.Position { return leader.Position() }}},
 	{name: "vote sent before it is synced", scenario: "election", violates: []string{modelcheck.SyncedBeforeSent},
 		faults: modelcheck.Faults{AcknowledgeEarly: func(b *wire.Batch) bool { return b.HasHardState }}},
 	{name: "vote sent before it is synced: consequence", seed: 8, scenario: "election", walks: 3000, violates: []string{modelcheck.OneVotePerTerm},
--- a/internal/controlplane/consensus/node.go
+++ b/internal/controlplane/consensus/node.go
@@ -153,26 +153,6 @@
 // LastIndex returns the index of the last entry of the node's log.
 func (n *Node) LastIndex() uint64 { return n.lastIndex() }
 
-// LastEntry returns the term and index of the last log entry, or of the snapshot's last entry.
-func (n *Node) LastEntry() (term, index uint64) {
-	index = n.lastIndex()
-	term, _ = n.termAt(index)
-	return term, index
-}
-
-// HasEntry reports whether the log holds an entry of that index and term, or a snapshot that ends there. It then equals every
-// other log that does, up to that entry. It returns false for an entry that is compacted.
-func (n *Node) HasEntry(index, term uint64) bool { return n.matchesTerm(index, term) }
-
-// LastIndexBeforeTerm returns the index of the last log entry that is not of this node's term.
-func (n *Node) LastIndexBeforeTerm() uint64 {
-	index := n.lastIndex()
-	for index > n.snapshot.Index && n.matchesTerm(index, n.term) {
-		index--
-	}
-	return index
-}
-
 // Log returns the entries after the snapshot. The caller must not modify them.
 func (n *Node) Log() []wire.Entry { return n.log }
 
--- a/internal/controlplane/controller.go
+++ b/internal/controlplane/controller.go
@@ -167,7 +167,7 @@
 	uncheckedCalls map[uint64]uncheckedCall // by call ID, changes whose callers are being checked
 	order          changeOrder
 	positions      positionHistory         // positions in the log that this member has known
-	leaderPosition logPosition             // in the latest reply of a leader to a call that this daemon relayed
+	leaderPosition consensus.Position      // in the latest reply of a leader to a call that this daemon relayed
 	pendingChanges map[string]*pendingCall // by token, changes that are proposed and not committed yet
 	relayedCalls   map[uint64]*pendingCall // by relay ID, calls that were relayed to the leader and not answered yet
 	lastRelayID    uint64                  // relay ID of the last call that was relayed
--- a/internal/controlplane/ordering.go
+++ b/internal/controlplane/ordering.go
@@ -18,6 +18,7 @@
 	"slices"
 	"time"
 
+	"myrtlefold/internal/controlplane/consensus"
 	"myrtlefold/internal/shared/config"
 	"myrtlefold/internal/shared/reply"
 	"myrtlefold/internal/shared/statemachine"
@@ -120,28 +121,27 @@
 
 // position returns this member's position in the log. What a leader's replies tell of the commits counts too, since this member
 // may be behind.
-func (c *Controller) position() logPosition {
+func (c *Controller) position() consensus.Position {
 	if c.node == nil {
-		return logPosition{}
+		return consensus.Position{}
 	}
-	term, last := c.node.LastEntry()
-	position := logPosition{epoch: c.node.Epoch(), committed: c.node.Commit(), term: term, last: last}
-	if c.leaderPosition.epoch == position.epoch {
-		position.committed = max(position.committed, c.leaderPosition.committed)
+	position := c.node.Position()
+	if c.leaderPosition.Epoch == position.Epoch {
+		position.Committed = max(position.Committed, c.leaderPosition.Committed)
 	}
 	return position
 }
 
 // recordLeaderPosition records the position in a leader's reply.
 func (c *Controller) recordLeaderPosition(response *wire.Call) {
-	position, err := parseLogPosition(queryValue(response.Query, leaderPositionKey))
+	position, err := consensus.ParsePosition(queryValue(response.Query, leaderPositionKey))
 	if err == nil {
 		c.leaderPosition = position
 	}
 }
 
 // withPosition sets the position in the query of a change. A position that the caller itself has set is replaced.
-func withPosition(query string, position logPosition) string {
+func withPosition(query string, position consensus.Position) string {
 	return withKey(query, positionKey, position.String())
 }
 
@@ -158,17 +158,8 @@
 	if !isOrderedCall(request.Method, request.Path) || !queryHas(request.Query, positionKey) {
 		return false
 	}
-	position, err := parseLogPosition(queryValue(request.Query, positionKey))
-	return err != nil || position.epoch != c.node.Epoch() || c.coveredIndex(position) < c.order.latest(parsePath(request.Path))
-}
-
-// coveredIndex returns the index up to which this leader's log is what the member with the given position knew: up to its last
-// entry if this log has it too, and otherwise up to its commits.
-func (c *Controller) coveredIndex(position logPosition) uint64 {
-	if c.node.HasEntry(position.last, position.term) {
-		return max(position.committed, position.last)
-	}
-	return position.committed
+	position, err := consensus.ParsePosition(queryValue(request.Query, positionKey))
+	return err != nil || position.Epoch != c.node.Epoch() || c.node.CoveredIndex(position) < c.order.latest(parsePath(request.Path))
 }
 
 // answerOvertaken rejects a change that may have been overtaken. No leader has executed it, since this one has looked for its
--- a/internal/controlplane/ordering_test.go
+++ b/internal/controlplane/ordering_test.go
@@ -126,14 +126,20 @@
 	c := fleet.controller
 	committed := c.node.Commit()
 	fleet.changeDomain(1, "d1", "empty")
-	term, last := c.node.LastEntry()
-	for position, overtaken := range map[logPosition]bool{
-		{c.node.Epoch(), committed, term, last}:         false,
-		{c.node.Epoch(), committed, term + 1, last}:     true,
-		{c.node.Epoch(), committed, term, last + 1}:     true,
-		{c.node.Epoch(), committed, 0, 0}:               true,
-		{c.node.Epoch() + 1, committed, term, last}:     true,
-		{c.node.Epoch(), c.node.Commit(), term + 1, 99}: false,
+	after := c.node.Position()
+	term, last := after.Term, after.Last
+	position := func(epoch, committed, term, last uint64) consensus.Position {
+		return consensus.Position{Epoch: epoch, Committed: committed, Term: term, Last: last}
+	}
+	epoch := c.node.Epoch()
+	for position, overtaken := range map[consensus.Position]bool{
+		position(epoch, committed, term, last):         false,
+		position(epoch, committed, term+1, last):       true,
+		position(epoch, committed, term, last+1):       true,
+		position(epoch, committed, 0, 0):               true,
+		position(epoch+1, committed, term, last):       true,
+		position(epoch, c.node.Commit(), term+1, 99):   false,
+		position(epoch+1, c.node.Commit(), term, last): true,
 	} {
 		request := &wire.Call{Method: methodPost, Path: "/v1/domains/d1/restore", Query: withPosition("", position)}
 		if got := c.isOvertaken(request); got != overtaken {
--- a/internal/controlplane/positionhistory.go
+++ b/internal/controlplane/positionhistory.go
@@ -4,45 +4,17 @@
 package controlplane
 
 import (
-	"fmt"
 	"sort"
-	"strconv"
-	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"myrtlefold/internal/controlplane/consensus"
 	"myrtlefold/internal/shared/tuning"
 )
 
-// logPosition is a position in the log of an epoch, as a member knows it: all entries up to committed are in the log of every
-// leader. The entries after it up to last, which is of the given term, may be replaced by others.
-type logPosition struct{ epoch, committed, term, last uint64 }
-
-// String returns the position in the form of a query value. An earlier release reads the first two numbers only.
-func (p logPosition) String() string {
-	return fmt.Sprintf("%d.%d.%d.%d", p.epoch, p.committed, p.term, p.last)
-}
-
-// parseLogPosition parses the result of String. A position from an earlier release has no term and last entry.
-func parseLogPosition(text string) (position logPosition, err error) {
-	fields := strings.Split(text, ".")
-	numbers := []*uint64{&position.epoch, &position.committed, &position.term, &position.last}
-	if len(fields) != 2 && len(fields) != len(numbers) {
-		return position, errors.Newf("%d numbers, want 2 or %d", len(fields), len(numbers))
-	}
-	for i, field := range fields {
-		if *numbers[i], err = strconv.ParseUint(field, 10, 64); err != nil {
-			return position, err
-		}
-	}
-	return position, nil
-}
-
 // knownPosition is a position that a member knew from a time on.
 type knownPosition struct {
 	since    time.Duration
-	position logPosition
+	position consensus.Position
 }
 
 // positionHistory holds the latest known positions, in the order of their times. The zero value is empty.
@@ -50,7 +22,7 @@
 
 // record adds a position that is known at the time now. Of positions within tuning.PositionInterval only the last one is
 // kept, with its own time: an earlier lookup then finds the one before, which was known too.
-func (h *positionHistory) record(now time.Duration, position logPosition) {
+func (h *positionHistory) record(now time.Duration, position consensus.Position) {
 	n := len(h.known)
 	if n > 0 && h.known[n-1].position == position {
 		return
@@ -67,10 +39,10 @@
 }
 
 // at returns the latest position that was known at a time, the zero value if none is recorded.
-func (h *positionHistory) at(when time.Duration) logPosition {
+func (h *positionHistory) at(when time.Duration) consensus.Position {
 	later := sort.Search(len(h.known), func(i int) bool { return h.known[i].since > when })
 	if later == 0 {
-		return logPosition{}
+		return consensus.Position{}
 	}
 	return h.known[later-1].position
 }
--- a/internal/controlplane/positionhistory_test.go
+++ b/internal/controlplane/positionhistory_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"myrtlefold/internal/controlplane/consensus"
 	"myrtlefold/internal/shared/tuning"
 )
 
@@ -18,7 +19,7 @@
 		now := time.Duration(0)
 		for i := range rapid.IntRange(1, 200).Draw(t, "records") {
 			now += time.Duration(rapid.IntRange(1, 300).Draw(t, "microseconds")) * time.Microsecond
-			position := logPosition{epoch: 1, committed: uint64(i + 1)}
+			position := consensus.Position{Epoch: 1, Committed: uint64(i + 1)}
 			history.record(now, position)
 			all = append(all, knownPosition{now, position})
 		}
@@ -26,8 +27,8 @@
 			t.Fatalf("at the end: found %v, want %v", history.at(now), latest)
 		}
 		when := time.Duration(rapid.Int64Range(0, int64(now)).Draw(t, "when"))
-		if found := history.at(when); found.committed > 0 && all[found.committed-1].since > when {
-			t.Fatalf("at %v: found %v, which was known only at %v", when, found, all[found.committed-1].since)
+		if found := history.at(when); found.Committed > 0 && all[found.Committed-1].since > when {
+			t.Fatalf("at %v: found %v, which was known only at %v", when, found, all[found.Committed-1].since)
 		}
 	})
 }
@@ -39,35 +40,18 @@
 	const records = tuning.PositionsKept + 10
 	at := func(i int) time.Duration { return time.Second + time.Duration(i)*tuning.PositionInterval }
 	for i := range records {
-		history.record(at(i), logPosition{epoch: 1, committed: uint64(i)})
+		history.record(at(i), consensus.Position{Epoch: 1, Committed: uint64(i)})
 	}
 	if n := len(history.known); n != tuning.PositionsKept {
 		t.Errorf("%d positions are kept, want %d", n, tuning.PositionsKept)
 	}
 	for i := range records {
-		want := logPosition{epoch: 1, committed: uint64(i)}
+		want := consensus.Position{Epoch: 1, Committed: uint64(i)}
 		if i < records-tuning.PositionsKept {
-			want = logPosition{}
+			want = consensus.Position{}
 		}
 		if found := history.at(at(i)); found != want {
 			t.Errorf("at record %d: found %v, want %v", i, found, want)
 		}
 	}
 }
-
-// TestPositionsOfAnEarlierReleaseAreRead checks that a position without the last entry is read, and nothing else.
-func TestPositionsOfAnEarlierReleaseAreRead(t *testing.T) {
-	for text, want := range map[string]logPosition{
-		"3.17":     {epoch: 3, committed: 17},
-		"3.17.4.9": {3, 17, 4, 9},
-	} {
-		if position, err := parseLogPosition(text); err != nil || position != want {
-			t.Errorf("%q: %v, %v; want %v", text, position, err, want)
-		}
-	}
-	for _, text := range []string{"", "3", "3.x", "x", "3.17.", "3.17.4", "-1.5", "3.99999999999999999999999"} {
-		if position, err := parseLogPosition(text); err == nil {
-			t.Errorf("%q: %v, want an error", text, position)
-		}
-	}
-}
--- a/internal/controlplane/recovery.go
+++ b/internal/controlplane/recovery.go
@@ -79,7 +79,7 @@
 // this daemon has another consent since then, or has entered another epoch. The latter follows each recovery.
 func (c *Controller) isConsentOvertaken(event statemachine.Call) bool {
 	anotherConsent := c.recoveryConsent.Granted && c.recoveryConsent.GrantedAt > event.CallerKnownAt
-	return anotherConsent || c.positions.at(event.CallerKnownAt).epoch != c.position().epoch
+	return anotherConsent || c.positions.at(event.CallerKnownAt).Epoch != c.position().Epoch
 }
 
 // checkConsent returns the rejection of a consent that is invalid regardless of the survey: a visible daemon has a
--- a/internal/verification/modelcheck/canonical.go
+++ b/internal/verification/modelcheck/canonical.go
@@ -152,6 +152,9 @@
 		c.writeServer(s, i)
 	}
 	c.encoder.Bytes = append(c.encoder.Bytes, s.spent[:]...)
+	if call := s.lateCall; call.opened {
+		c.encoder.Uints(call.position.Committed, call.position.Term, call.position.Last)
+	}
 	c.writeNetwork(s)
 	c.writeHistory(s)
 }
--- a/internal/verification/modelcheck/invariant.go
+++ b/internal/verification/modelcheck/invariant.go
@@ -26,6 +26,7 @@
 	OneVotePerTerm       = "one vote per term"
 	SyncedBeforeSent     = "state is synced before it is announced"
 	NoPanic              = "no step panics"
+	LateCallsIgnored     = "late calls have no effect after later changes"
 )
 
 type (
@@ -73,6 +74,7 @@
 	server := s.servers[i]
 	s.checkLeader(server)
 	s.checkCommitted(server)
+	s.checkLateCall(server)
 	s.checkMemberLists(server)
 	for j, other := range s.servers {
 		if j != i {
--- a/internal/verification/modelcheck/scenario.go
+++ b/internal/verification/modelcheck/scenario.go
@@ -33,6 +33,8 @@
 	Budget Budget
 	// Setup brings the newly started servers to the first state. If it is nil, they stay as they are.
 	Setup func(s *State)
+	// LateCall adds a call that is late, see latecall.go.
+	LateCall bool
 	// Faults are the faults to inject.
 	Faults Faults
 }
@@ -50,6 +52,8 @@
 	AfterStep func(node *consensus.Node, now time.Duration)
 	// ChangeMembers is called instead of Node.ProposeMembers.
 	ChangeMembers func(node *consensus.Node, now time.Duration, members []wire.Member)
+	// LateCallPosition returns the position by which a leader judges the late call in place of the recorded one.
+	LateCallPosition func(leader *consensus.Node, recorded consensus.Position) consensus.Position
 	// Ignore names invariants whose violations are not reported, so that a test can show the violations that follow from them.
 	Ignore []string
 }
@@ -202,6 +206,18 @@
 		Budget:           Budget{Advance: 2, Propose: 1, Restart: 1},
 		Setup:            setupLeader,
 	},
+	{
+		Name:             "late-call",
+		Description:      "a caller gives a call up and makes a later change; copies of the call reach each leader late",
+		Servers:          3,
+		Voters:           3,
+		SynchronousDisks: true,
+		MaxInFlight:      4,
+		TimeSteps:        []time.Duration{longestTimeout},
+		Budget:           Budget{Advance: 2, Restart: 1, OpenLateCall: 1, ChangeSubject: 1, ExecuteLateCall: 2},
+		Setup:            setupLeader,
+		LateCall:         true,
+	},
 }
 
 // ScenarioByName returns the scenario with the given name, or nil if there is none.
--- a/internal/verification/modelcheck/state.go
+++ b/internal/verification/modelcheck/state.go
@@ -40,6 +40,7 @@
 	network   []networkMessage // messages in flight, oldest first
 	spent     Budget           // number of budgeted transitions of each kind taken so far
 	history   history
+	lateCall  lateCall
 	violation string // violated invariant and a description; "" if none
 }
 
--- a/internal/verification/modelcheck/transition.go
+++ b/internal/verification/modelcheck/transition.go
@@ -29,12 +29,15 @@
 	DropMember                               // a leader proposes the member list with Member removed
 	Compact                                  // a process replaces its applied log entries with a snapshot
 	TransferLeadership                       // a leader transfers its leadership
+	OpenLateCall                             // the caller of the late call opens its connection to a process
+	ChangeSubject                            // a leader appends a later change about the subject of the late call
+	ExecuteLateCall                          // a copy of the late call reaches a leader
 	kindCount
 )
 
 // String returns the name of the kind as counterexamples print it.
 func (k TransitionKind) String() string {
-	return [...]string{"deliver", "duplicate", "tick", "sync", "advance", "restart", "wipe", "propose", "add learner", "add member", "drop member", "compact", "transfer leadership"}[k]
+	return [...]string{"deliver", "duplicate", "tick", "sync", "advance", "restart", "wipe", "propose", "add learner", "add member", "drop member", "compact", "transfer leadership", "open late call", "change subject", "execute late call"}[k]
 }
 
 // Budget is the maximum number of transitions of each kind on a path from the first state. The kinds in unlimited have none.
@@ -134,6 +137,7 @@
 		add(Transition{Kind: Propose, Server: i})
 		s.membershipTransitions(i, add)
 	}
+	s.lateCallTransitions(i, add)
 }
 
 // membershipTransitions adds the membership changes that a leader may propose. It allows every single change, which is more
@@ -190,6 +194,8 @@
 		next.restart(t.Server, t.Count)
 	case Wipe:
 		next.wipe(t.Server)
+	case OpenLateCall:
+		next.openLateCall(t.Server)
 	default:
 		next.step(t.Server, func(node *consensus.Node, now time.Duration) { next.stepServer(t, node, now) })
 	}
@@ -221,6 +227,12 @@
 		node.Compact(now, server.applied.encode())
 	case TransferLeadership:
 		node.TransferLeadership(now)
+	case ChangeSubject:
+		node.Propose(now, laterChangeData)
+	case ExecuteLateCall:
+		if s.mayExecuteLateCall(node) {
+			node.Propose(now, lateCallData)
+		}
 	}
 }
 
--- a/internal/verification/modelcheck/walk.go
+++ b/internal/verification/modelcheck/walk.go
@@ -11,6 +11,7 @@
 var walkWeights = weights{
 	Deliver: 60, Duplicate: 3, Tick: 25, Sync: 25, Advance: 10, Restart: 2, Wipe: 1, Propose: 10,
 	AddLearner: 4, AddMember: 6, DropMember: 2, Compact: 2, TransferLeadership: 1,
+	OpenLateCall: 2, ChangeSubject: 10, ExecuteLateCall: 20,
 }
 
 // weights holds the relative frequency of each kind of transition.
@@ -58,7 +59,7 @@
 	chosen := walkWeights
 	for kind := range chosen {
 		switch TransitionKind(kind) {
-		case Deliver, Tick, Sync, Advance:
+		case Deliver, Tick, Sync, Advance, OpenLateCall, ChangeSubject, ExecuteLateCall:
 			continue
 		}
 		if rnd.IntN(2) == 0 {
