--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -19,7 +19,8 @@
 
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet, log *record, trouble bool) (broken bool, err error){
-	"early": playEarly,
+	"early":  playEarly,
+	"unread": playUnread,
 }
 
 func main() { os.Exit(run()) }
