--- a/review/standin2/early.go
+++ b/review/standin2/early.go
@@ -47,7 +47,7 @@
 	answered := 0
 	for i := range earlyRequests {
 		gate := f.gates[i%len(f.gates)]
-		if c.send(f.counter(gate), fmt.Sprintf("long-%d", i)) {
+		if c.send(f.counter(gate), fmt.Sprintf("long-%d", i), i%2 == 1) {
 			answered++
 		}
 		if c.sendShort(f.counter(gate), fmt.Sprintf("short-%d", i)) {
@@ -81,7 +81,7 @@
 }
 
 // send sends a request with a long body in pieces and reads the answer. It reports whether the answer is a whole success.
-func (c *earlyCase) send(addr, id string) (answered bool) {
+func (c *earlyCase) send(addr, id string, chunked bool) (answered bool) {
 	body := bytes.Repeat([]byte(id+"."), earlyBodyBytes/len(id)+1)[:earlyBodyBytes]
 	for i := range body {
 		body[i] += byte(i / 1000 % 7) // so that a piece at another place differs
@@ -95,17 +95,15 @@
 		return false
 	}
 	defer conn.Close()
-	fmt.Fprintf(conn, "POST /yukle/1 HTTP/1.1\r\nHost: sefer.example\r\nX-Attempt-Id: %s\r\nX-Time-Left-Ms: 5000\r\nContent-Length: %d\r\n\r\n", id, len(body))
-	c.log.printf("%s: sent to %s, %d bytes of body follow", id, addr, len(body))
+	framing := fmt.Sprintf("Content-Length: %d", len(body))
+	if chunked {
+		framing = "Transfer-Encoding: chunked"
+	}
+	fmt.Fprintf(conn, "POST /yukle/1 HTTP/1.1\r\nHost: sefer.example\r\nX-Attempt-Id: %s\r\nX-Time-Left-Ms: 5000\r\n%s\r\n\r\n", id, framing)
+	c.log.printf("%s: sent to %s, %s, %d bytes of body follow", id, addr, framing, len(body))
 	go func() {
-		for rest := body; len(rest) > 0; {
-			n := min(len(rest), earlyPieceBytes)
-			if _, err := conn.Write(rest[:n]); err != nil {
-				c.log.printf("%s: sending ended with %d bytes left: %v", id, len(rest), err)
-				return
-			}
-			rest = rest[n:]
-			time.Sleep(earlyPieceEvery)
+		if err := sendPieces(conn, body, chunked); err != nil {
+			c.log.printf("%s: sending ended: %v", id, err)
 		}
 	}()
 	conn.SetReadDeadline(time.Now().Add(6 * time.Second))
@@ -119,6 +117,26 @@
 	return err == nil && response.StatusCode == http.StatusOK && len(received) == earlyAnswerBytes
 }
 
+// sendPieces sends a body in pieces, each as a chunk if the body is chunked.
+func sendPieces(conn net.Conn, body []byte, chunked bool) error {
+	for len(body) > 0 {
+		piece := body[:min(len(body), earlyPieceBytes)]
+		body = body[len(piece):]
+		if chunked {
+			piece = fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece)
+		}
+		if _, err := conn.Write(piece); err != nil {
+			return err
+		}
+		time.Sleep(earlyPieceEvery)
+	}
+	if chunked {
+		_, err := io.WriteString(conn, "0\r\n\r\n")
+		return err
+	}
+	return nil
+}
+
 // sendShort sends a request of another client with a short body. It reports whether the answer is a whole success.
 func (c *earlyCase) sendShort(addr, id string) (answered bool) {
 	body := []byte("the whole body of " + id)
@@ -161,13 +179,17 @@
 	if early {
 		go t.answer(conn, request, answer)
 	}
-	received := make([]byte, len(sent))
-	n, err := io.ReadFull(request.Body, received)
-	if at := firstDifference(sent[:n], received[:n]); at >= 0 {
+	received, err := io.ReadAll(request.Body)
+	c.log.printf("%s: %d of %d bytes of the body of %s read, error %v", t.id, len(received), len(sent), id, err)
+	n := min(len(sent), len(received))
+	switch at := firstDifference(sent[:n], received[:n]); {
+	case at >= 0:
+		c.changed.Add(1)
+		c.log.printf("%s: the body of %s differs from byte %d on: sent %q, received %q", t.id, id, at, excerpt(sent[at:]), excerpt(received[at:]))
+	case err == nil && len(received) != len(sent):
 		c.changed.Add(1)
-		c.log.printf("%s: the body of %s differs from byte %d on: sent %q, received %q", t.id, id, at, excerpt(sent[at:]), excerpt(received[at:n]))
+		c.log.printf("%s: the body of %s is whole, with another length", t.id, id)
 	}
-	c.log.printf("%s: %d of %d bytes of the body of %s read, error %v", t.id, n, len(sent), id, err)
 	if err != nil {
 		return false
 	}
