--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(f *fleet, log *record, trouble bool) (broken bool, err error){
 	"early":  playEarly,
 	"unread": playUnread,
+	"pause":  playPause,
 }
 
 func main() { os.Exit(run()) }
