--- a/review/standin2/early.go
+++ b/review/standin2/early.go
@@ -46,7 +46,7 @@
 	}
 	answered := 0
 	for i := range earlyRequests {
-		gate := f.gates[i%len(f.gates)]
+		gate := f.proxies[i%len(f.proxies)]
 		if c.send(f.counter(gate), fmt.Sprintf("long-%d", i), i%2 == 1) {
 			answered++
 		}
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -28,11 +28,11 @@
 
 // fleet is a small deployment on loopback addresses: core machines and gates in several zones.
 type fleet struct {
-	folder string
-	port   int // of the API of core machines; the others follow it
-	cores  []*machine
-	gates  []*machine
-	mutex  sync.Mutex
+	folder  string
+	port    int // of the API of core machines; the others follow it
+	cores   []*machine
+	proxies []*machine
+	mutex   sync.Mutex
 }
 
 // zones are the zones of the deployment.
@@ -41,8 +41,8 @@
 // coreZones holds the zone of each core machine, as an index of zones.
 var coreZones = []int{0, 0, 1, 2, 3}
 
-// gatesPerZone is the number of gates in each zone.
-const gatesPerZone = 2
+// proxiesPerZone is the number of gates in each zone.
+const proxiesPerZone = 2
 
 // portsUsed is how many ports a machine uses, from fleet.port on.
 const portsUsed = 20
@@ -58,8 +58,8 @@
 		f.cores = append(f.cores, f.newMachine("core", zone, i))
 	}
 	for zone := range zones {
-		for i := range gatesPerZone {
-			f.gates = append(f.gates, f.newMachine("gate", zone, 10+i))
+		for i := range proxiesPerZone {
+			f.proxies = append(f.proxies, f.newMachine("gate", zone, 10+i))
 		}
 	}
 	if err := f.choosePorts(); err != nil {
@@ -88,7 +88,7 @@
 }
 
 // machines returns all machines, the core machines first.
-func (f *fleet) machines() []*machine { return append(append([]*machine{}, f.cores...), f.gates...) }
+func (f *fleet) machines() []*machine { return append(append([]*machine{}, f.cores...), f.proxies...) }
 
 // choosePorts chooses ports that are free at the addresses of all machines.
 func (f *fleet) choosePorts() error {
@@ -247,7 +247,7 @@
 // awaitReady waits until all gates say that they are ready.
 func (f *fleet) awaitReady(within time.Duration) error {
 	end := time.Now().Add(within)
-	for _, m := range f.gates {
+	for _, m := range f.proxies {
 		for !f.isReady(m) {
 			if time.Now().After(end) {
 				return fmt.Errorf("%s is not ready", m.name)
--- a/review/standin2/pause.go
+++ b/review/standin2/pause.go
@@ -27,12 +27,12 @@
 	log     *record
 	trouble bool
 	mutex   sync.Mutex
-	ended   map[string]string // by the requests' ids, how their runs ended
+	results map[string]string // by the requests' ids, how their runs ended
 }
 
 // playPause stops a gate while targets are at work on long requests of which they have not read all.
 func playPause(f *fleet, log *record, trouble bool) (broken bool, err error) {
-	c := &pauseCase{log: log, trouble: trouble, ended: map[string]string{}}
+	c := &pauseCase{log: log, trouble: trouble, results: map[string]string{}}
 	for i, zone := range zones {
 		t, err := startTarget(f, fmt.Sprintf("i-%d", i), "belge", zone, fmt.Sprintf("127.77.%d.100", i+1), c.serve)
 		if err != nil {
@@ -43,7 +43,7 @@
 	if err := configure(f, log, "once"); err != nil {
 		return false, err
 	}
-	gate := f.gates[0]
+	gate := f.proxies[0]
 	statuses, endedAt := make([]int, pauseRequests), make([]time.Time, pauseRequests)
 	var clients sync.WaitGroup
 	sentAt := time.Now()
@@ -63,7 +63,7 @@
 	for i, status := range statuses {
 		id := fmt.Sprintf("long-%d", i)
 		c.mutex.Lock()
-		end, started := c.ended[id]
+		end, started := c.results[id]
 		c.mutex.Unlock()
 		log.printf("%s: its client got %d, %v after the SIGTERM; its run: %s", id, status, endedAt[i].Sub(stoppedAt).Round(time.Millisecond), end)
 		if status != http.StatusOK && started && endedAt[i].After(stoppedAt) && endedAt[i].Sub(sentAt) < pauseDeadline {
@@ -129,5 +129,5 @@
 	c.log.printf("run of %s: %s", id, end)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.ended[id] = end
+	c.results[id] = end
 }
--- a/review/standin2/target.go
+++ b/review/standin2/target.go
@@ -26,8 +26,8 @@
 	serve func(t *target, conn net.Conn, reader *bufio.Reader, request *http.Request) bool
 }
 
-// beat is the body of a target's report.
-type beat struct {
+// heartbeat is the body of a target's report.
+type heartbeat struct {
 	Service  string `json:"service"`
 	Address  string `json:"address"`
 	Domain   string `json:"domain"`
@@ -63,7 +63,7 @@
 		}
 		for i := range f.cores {
 			t.number.Add(1)
-			body, _ := json.Marshal(beat{t.service, t.addr, t.zone, "v1", t.slots, state, 0, t.number.Load()})
+			body, _ := json.Marshal(heartbeat{t.service, t.addr, t.zone, "v1", t.slots, state, 0, t.number.Load()})
 			status, _, err := f.call(f.cores[(first+i)%len(f.cores)], http.MethodPut, "/v1/targets/"+t.id, "", body)
 			if err == nil && status/100 == 2 {
 				break
