--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,6 +20,7 @@
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet, log *record, trouble bool) (broken bool, err error){
 	"early":  playEarly,
+	"leave":  playLeave,
 	"unread": playUnread,
 	"pause":  playPause,
 }
