A call whose body can't be read whole is rejected, not answered with an empty 200

Callers saw: a configuration whose body ended early, or had a malformed chunk, was answered 200 with no body, as if it were acknowledged; so were leave notices of targets, at control daemons and proxies, and calls whose caller had closed its side or whose daemon was stopping. None was executed by that answer.

Cause: the handler of calls had answers for two errors of reading a body and returned without one for any other, as it did when the state machine gave no reply. net/http completes a response that was not written as 200.

Change: every path of the handler writes a response. An unreadable body gets 400 body_incomplete (413 and 408 as before) and the end of the connection, and reaches no state machine; a call without a reply gets 504 unanswered, outcome unknown. Two counters.

--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -25,10 +26,16 @@
 type callCounts struct {
 	// BodyTimeouts counts the calls whose body did not arrive within tuning.CallBodyTimeout.
 	BodyTimeouts atomic.Uint64 `metric:"body_timeouts"`
+	// BodiesIncomplete counts the calls whose body ended early or was not framed as its header says.
+	BodiesIncomplete atomic.Uint64 `metric:"bodies_incomplete"`
+	// Unanswered counts the calls for which the state machine gave no reply, since the caller had closed its side of the
+	// connection or the daemon was stopping.
+	Unanswered atomic.Uint64 `metric:"unanswered"`
 }
 
 // CallHandler returns a handler that passes calls of operators and targets to the state machine and writes its reply.
-// The calls get consecutive ids from firstID on.
+// The calls get consecutive ids from firstID on. The handler writes a response on every path: net/http completes one that was
+// not written as a success.
 func (p *Process) CallHandler(firstID uint64) http.HandlerFunc {
 	var lastID atomic.Uint64
 	lastID.Store(firstID - 1)
@@ -49,7 +56,8 @@
 			CallerKnownAt: caller.knownAt,
 		}
 		reply, ok := p.call(r.Context(), caller, call)
-		if !ok { // the client has disconnected or the loop has stopped
+		if !ok {
+			p.rejectUnanswered(w, cmp.Or(r.URL.Query().Get("id"), call.Token))
 			return
 		}
 		caller.responding()
@@ -97,19 +105,30 @@
 	return body, controller.SetReadDeadline(time.Time{})
 }
 
-// rejectUnreadCall responds to a call whose body could not be read. Such a call is not executed.
+// rejectUnreadCall responds to a call whose body could not be read, and ends its connection. Such a call is not executed.
 func (p *Process) rejectUnreadCall(w http.ResponseWriter, err error) {
+	w.Header().Set("Connection", "close") // where the next call begins is not known
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		writeError(w, http.StatusRequestEntityTooLarge, 0, config.ErrorBody{Code: "too_large", Message: fmt.Sprintf("the request body exceeds %d bytes", tuning.DocumentMax)})
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		p.callCounts.BodyTimeouts.Add(1)
-		w.Header().Set("Connection", "close")
 		writeError(w, http.StatusRequestTimeout, 0, config.ErrorBody{Code: "body_timeout", Message: "the request body did not arrive in time"})
+	default:
+		p.callCounts.BodiesIncomplete.Add(1)
+		writeError(w, http.StatusBadRequest, 0, config.ErrorBody{Code: "body_incomplete", Message: "the request body could not be read whole: " + err.Error()})
 	}
 }
 
+// rejectUnanswered responds to the call with this id for which the state machine gave no reply. It may have been executed or may be yet, so
+// the response reports its outcome as unknown. A caller that has only closed its side of the connection can still read it.
+func (p *Process) rejectUnanswered(w http.ResponseWriter, id string) {
+	p.callCounts.Unanswered.Add(1)
+	writeError(w, http.StatusGatewayTimeout, 0, config.ErrorBody{Code: "unanswered", Ran: config.RanUnknown, ID: id,
+		Message: "the connection was closed on the caller's side or this daemon is stopping; it is unknown whether the call was executed"})
+}
+
 // callQuery returns the query of a call. The header If-Match sets the parameter base if the query doesn't.
 func callQuery(r *http.Request) string {
 	query := r.URL.Query()
--- a/internal/daemon/calls_test.go
+++ b/internal/daemon/calls_test.go
@@ -14,10 +14,7 @@
 
 // serveCalls starts a server of the HTTP API whose calls are passed to the process, and returns its address.
 func (test *closingTest) serveCalls() string {
-	server, listener := test.process.newAPIServer(test.process.CallHandler(firstCallID)), listen(test.T)
-	test.process.serveOn(listener, server, nil)
-	test.Cleanup(func() { server.Close() })
-	return listener.Addr().String()
+	return test.serveAPI(test.process.CallHandler(firstCallID))
 }
 
 // TestCallWhoseBodyDoesNotArriveEnds guards against a caller that stops in the middle of the body of a call and occupies its
--- a/internal/daemon/session.go
+++ b/internal/daemon/session.go
@@ -138,7 +138,8 @@
 // ServeHTTP serves one session until the client ends the request.
 func (s *Sessions) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	controller := http.NewResponseController(w)
-	if controller.EnableFullDuplex() != nil { // without full duplex the response would wait for the end of the request
+	if err := controller.EnableFullDuplex(); err != nil { // without full duplex the response would wait for the end of the request
+		writeError(w, http.StatusServiceUnavailable, tuning.RetryAfterMin, config.ErrorBody{Code: "stream", Message: err.Error()})
 		return
 	}
 	session, err := s.open(r.URL.Query().Get("resume"))
