Proxies that ended as planned hold up neither changes nor newcomers nor serving

Callers saw: after half of the proxies had left as planned, no configuration, no emptying of a domain and no leaving target was ever acknowledged again, new proxies did not become ready, and after a loss of the whole control plane the rest answered 503.

Cause: a table is in force once a majority of the proxy membership has confirmed it, and a proxy that ended stayed in it, as if it could still serve. Nothing signed it off; the removal after 60 s waited for a majority of those that it removes. The log line 'in force' told this apart from leases that had not ended and from a removal that is not proposed.

Change: a proxy that stops reports that it has departed once it routes no more requests, and waits until it is taken off the membership (3 s and its grace at most). The leader takes it off by an entry that needs nobody of those that departed, once half of the others have each table that it has. A table is in force with half of a membership: the others are then no majority for peer leases nor for a new leader. So the half that crashes and stays away holds up changes for its leases only. 'mfctl gate forget' counts as the word that a process is off.

--- a/internal/controlplane/apiroutes.go
+++ b/internal/controlplane/apiroutes.go
@@ -188,8 +188,9 @@
 	c.proposeOrdered(request, state.Command{Operation: state.Operation(request.path.action), Name: domain})
 }
 
-// forgetProxy removes a proxy from the proxy membership if it has stopped pulling its table. A proxy that still routes
-// requests must stay a member, since a table is in force only once no proxy routes by an earlier one.
+// forgetProxy removes a proxy from the proxy membership if it has stopped pulling its table, and takes the operator's word that
+// its process is off. A proxy that still routes requests must stay a member, since a table is in force only once no proxy routes by
+// an earlier one.
 func (c *Controller) forgetProxy(request *apiRequest) {
 	name := request.path.name
 	if !c.isProxyMember(name) {
--- a/internal/controlplane/controller.go
+++ b/internal/controlplane/controller.go
@@ -161,6 +161,7 @@
 
 	proxies          map[string]*proxyState // by name
 	proxyChangeIndex uint64                 // log index of the last proposed change of the proxy membership
+	proxiesRemoved   []string               // the proxies that this change removes
 
 	// Calls.
 
--- a/internal/controlplane/idlefleet_test.go
+++ b/internal/controlplane/idlefleet_test.go
@@ -196,7 +196,7 @@
 // addWaiters adds waiters for a table that is not built yet, as there are many during a release of a service.
 func (f *idleFleet) addWaiters(count int) {
 	for range count {
-		f.controller.waiters = append(f.controller.waiters, &inForceWaiter{version: f.controller.tableVersion + 1, waitingSince: f.now, majorityOnly: true})
+		f.controller.waiters = append(f.controller.waiters, &inForceWaiter{version: f.controller.tableVersion + 1, waitingSince: f.now, quorumOnly: true})
 	}
 }
 
--- a/internal/controlplane/inforce.go
+++ b/internal/controlplane/inforce.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"myrtlefold/internal/shared/proxyquorum"
 	"myrtlefold/internal/shared/statemachine"
 	"myrtlefold/internal/shared/tuning"
 	"myrtlefold/internal/shared/wire"
@@ -16,10 +17,10 @@
 
 // inForceWaiter holds what to do once a table is in force and the further conditions, if any are set, are met.
 type inForceWaiter struct {
-	version             uint64        // of the table
-	waitingSince        time.Duration // when the waiter was created
-	majorityConfirmedAt time.Duration // when a majority of the proxies had confirmed the table, 0: not yet
-	longWaitReported    bool          // reportLongWait has logged the delay
+	version           uint64        // of the table
+	waitingSince      time.Duration // when the waiter was created
+	quorumConfirmedAt time.Duration // when a quorum of the proxies had confirmed the table, 0: not yet
+	longWaitReported  bool          // reportLongWait has logged the delay
 
 	// What to do once the table is in force.
 
@@ -30,17 +31,17 @@
 
 	// Further conditions.
 
-	member       string          // this member of the control plane has joined or left, "": no condition
-	joining      bool            // true: member has to join, false: it has to leave
-	departures   []wire.TargetID // the leave notices or sign-offs of these targets are committed
-	majorityOnly bool            // waives a condition: the leases of proxies that have not confirmed the table need not have expired
+	member     string          // this member of the control plane has joined or left, "": no condition
+	joining    bool            // true: member has to join, false: it has to leave
+	departures []wire.TargetID // the leave notices or sign-offs of these targets are committed
+	quorumOnly bool            // waives a condition: the leases of proxies that have not confirmed the table need not have expired
 }
 
 // isInForce reports whether a waiter's table is in force and its further conditions are met. A table is in force once
 // both of these hold:
 //
-//   - A majority of the proxies has confirmed it, in the current membership and, until that is retired, in the previous
-//     one. Any two majorities have a proxy in common, and that proxy reports the later table to a new leader.
+//   - So many proxies have confirmed it that the others are no majority, see proxyquorum.Count. A majority grants each
+//     peer lease and reports its tables to a new leader, so it has a proxy with the table.
 //   - The lease of each proxy that has not confirmed it has expired, whether it was granted by the leader or by a peer
 //     that had not confirmed the table either.
 func (c *Controller) isInForce(now time.Duration, waiter *inForceWaiter) bool {
@@ -50,15 +51,15 @@
 	if slices.ContainsFunc(waiter.departures, func(id wire.TargetID) bool { return !c.departureCommitted(id) }) {
 		return false
 	}
-	if !c.majorityConfirmed(waiter.version) {
-		waiter.majorityConfirmedAt = 0
+	if !c.quorumConfirmed(waiter.version) {
+		waiter.quorumConfirmedAt = 0
 		return false
 	}
-	if waiter.majorityOnly {
+	if waiter.quorumOnly {
 		return true
 	}
-	if waiter.majorityConfirmedAt == 0 {
-		waiter.majorityConfirmedAt = now
+	if waiter.quorumConfirmedAt == 0 {
+		waiter.quorumConfirmedAt = now
 	}
 	for i := range c.state.Proxies {
 		if c.mayServeEarlierTable(now, c.state.Proxies[i].Name, waiter) {
@@ -88,38 +89,42 @@
 	return proxy != nil && proxy.tableKey.Epoch == c.node.Epoch() && proxy.tableKey.Term == c.node.Term() && proxy.tableKey.Version >= version
 }
 
-// majorityConfirmed reports whether a table is confirmed by a majority of the proxies and, until the previous
-// membership is retired, by a majority of that too. It returns true if there are no proxies. It allocates no lists,
-// since it runs after every event for every waiter.
-func (c *Controller) majorityConfirmed(version uint64) bool {
-	confirmed := 0
+// currentConfirmation counts the confirmations of a table in the proxy membership.
+func (c *Controller) currentConfirmation(version uint64) (count proxyquorum.Count) {
 	for i := range c.state.Proxies {
-		if c.hasConfirmed(c.state.Proxies[i].Name, version) {
-			confirmed++
-		}
-	}
-	if total := len(c.state.Proxies); total > 0 && 2*confirmed <= total {
-		return false
+		name := c.state.Proxies[i].Name
+		count.Add(c.hasConfirmed(name, version), c.hasSignedOff(name))
 	}
-	confirmed = 0
+	return count
+}
+
+// previousConfirmation counts the confirmations of a table in the previous membership, without the proxies whose end is
+// committed.
+func (c *Controller) previousConfirmation(version uint64) (count proxyquorum.Count) {
 	for _, name := range c.state.PreviousProxies {
-		if c.hasConfirmed(name, version) {
-			confirmed++
+		if !slices.Contains(c.state.DepartedProxies, name) {
+			count.Add(c.hasConfirmed(name, version), c.hasSignedOff(name))
 		}
 	}
-	total := len(c.state.PreviousProxies)
-	return total == 0 || 2*confirmed > total
+	return count
+}
+
+// quorumConfirmed reports whether a table is confirmed by a quorum of the proxies and, until the previous membership is
+// retired, by a quorum of that too. It allocates no lists, since it runs after every event for every waiter.
+func (c *Controller) quorumConfirmed(version uint64) bool {
+	current, previous := c.currentConfirmation(version), c.previousConfirmation(version)
+	return current.IsQuorum() && previous.IsQuorum()
 }
 
 // mayServeEarlierTable reports whether a proxy may still route requests by an earlier table than that of w, on a lease from
 // this leader or on leases from peers that had not confirmed the table either. A proxy needs such leases from a majority of
-// the proxies, so it can't get them any more once a majority has confirmed the table.
+// the proxies, so it can't get them any more once a quorum has confirmed the table.
 func (c *Controller) mayServeEarlierTable(now time.Duration, name string, w *inForceWaiter) bool {
 	proxy := c.proxies[name]
-	if proxy == nil || c.hasConfirmed(name, w.version) {
+	if proxy == nil || proxy.signedOff || c.hasConfirmed(name, w.version) {
 		return false
 	}
-	return now-proxy.leaseGrantedAt <= tuning.ProxyLease+tuning.LeaseMargin || now-w.majorityConfirmedAt <= tuning.PeerLease+tuning.LeaseMargin
+	return now-proxy.leaseGrantedAt <= tuning.ProxyLease+tuning.LeaseMargin || now-w.quorumConfirmedAt <= tuning.PeerLease+tuning.LeaseMargin
 }
 
 // answerWaiters completes the waiters whose tables are in force now. It runs after every event, so it must be cheap for
@@ -159,9 +164,9 @@
 
 // describeWait returns a log text that describes what a waiter waits for.
 func (c *Controller) describeWait(now time.Duration, waiter *inForceWaiter) string {
-	if !c.majorityConfirmed(waiter.version) {
-		return fmt.Sprintf("table %d is not confirmed by a majority of the %d proxies and of the %d in the previous membership",
-			waiter.version, len(c.state.Proxies), len(c.state.PreviousProxies))
+	if !c.quorumConfirmed(waiter.version) {
+		return fmt.Sprintf("table %d is not confirmed by half of the %d proxies and of the %d in the previous membership",
+			waiter.version, len(c.state.Proxies), len(c.state.PreviousProxies)-len(c.state.DepartedProxies))
 	}
 	var lagging []string
 	for i := range c.state.Proxies {
@@ -194,7 +199,7 @@
 }
 
 // retainWaiters keeps the waiters when leadership is lost but may be resumed, which usually happens soon, so that
-// callers still get a definite answer. Their majorityConfirmedAt is reset, since a new term may begin, in which earlier
+// callers still get a definite answer. Their quorumConfirmedAt is reset, since a new term may begin, in which earlier
 // confirmations don't count.
 func (c *Controller) retainWaiters(now time.Duration) {
 	if c.stopping || !c.mayResumeLeadership(now) {
@@ -202,7 +207,7 @@
 		return
 	}
 	for _, w := range c.waiters {
-		w.majorityConfirmedAt = 0
+		w.quorumConfirmedAt = 0
 	}
 }
 
--- a/internal/controlplane/leadership.go
+++ b/internal/controlplane/leadership.go
@@ -12,6 +12,7 @@
 
 	"myrtlefold/internal/shared/discovery"
 	"myrtlefold/internal/shared/outlier"
+	"myrtlefold/internal/shared/proxyquorum"
 	"myrtlefold/internal/shared/state"
 	"myrtlefold/internal/shared/statemachine"
 	"myrtlefold/internal/shared/tuning"
@@ -154,7 +155,7 @@
 	// An earlier leader may have granted a lease to any proxy until just now, and a table is in force only after such
 	// leases have expired. So every proxy, known in memory or only from the log, is treated as if it got a lease now.
 	for _, proxy := range c.proxies {
-		proxy.leaseGrantedAt, proxy.tableMerged = now, false
+		proxy.leaseGrantedAt, proxy.tableMerged, proxy.signedOff = now, false, false
 		if !resumed {
 			proxy.tableKey, proxy.revision, proxy.stateIndex = wire.TableKey{}, 0, 0
 		}
@@ -170,31 +171,42 @@
 
 // tickGathering enters Leading once enough of the proxies' tables are merged.
 func (c *Controller) tickGathering(now time.Duration) {
-	merged, total := 0, len(c.state.Proxies)
+	var current, previous proxyquorum.Count
 	for i := range c.state.Proxies {
-		if proxy := c.proxies[c.state.Proxies[i].Name]; proxy != nil && proxy.tableMerged {
-			merged++
+		current.Add(c.isTableMerged(c.state.Proxies[i].Name), false)
+	}
+	for _, name := range c.state.PreviousProxies {
+		if !slices.Contains(c.state.DepartedProxies, name) {
+			previous.Add(c.isTableMerged(name), false)
 		}
 	}
-	if hasGatheredEnough(merged, total, now-c.leadershipSince) {
-		c.establishLeadership(now, fmt.Sprintf("merged the tables of %d of %d proxies", merged, total), true)
+	if hasGatheredEnough(current, previous, now-c.leadershipSince) {
+		c.establishLeadership(now, fmt.Sprintf("merged the tables of %d of %d proxies", current.Confirmed(), current.Members()), true)
 	}
 }
 
-// hasGatheredEnough reports whether the tables of enough proxies are merged, out of total in the membership. Any table
-// that was in force is held by a majority of the proxies, so the tables of a majority include the latest such table. With
+// isTableMerged reports whether a proxy's table from before this leadership has been merged, or it has none.
+func (c *Controller) isTableMerged(name string) bool {
+	proxy := c.proxies[name]
+	return proxy != nil && proxy.tableMerged
+}
+
+// hasGatheredEnough reports whether the tables of enough proxies are merged, of the membership and of the previous one. Any table
+// that was in force is held by half of the proxies, so the tables of a majority include the latest such table. With
 // a majority it still waits for the remaining proxies for some time, since only they may know of some ejections and
 // drains. With an empty membership it waits for the first proxies. It waits no longer than tuning.GatherTablesWait.
-func hasGatheredEnough(merged, total int, waited time.Duration) bool {
+func hasGatheredEnough(current, previous proxyquorum.Count, waited time.Duration) bool {
 	switch {
 	case waited > tuning.GatherTablesWait:
 		return true
-	case total == 0:
+	case current.Members() == 0:
 		return waited > tuning.FirstProxiesWait
-	case merged == total:
+	case previous.Members() > 0 && !previous.IsMajority():
+		return false
+	case current.Confirmed() == current.Members():
 		return true
 	}
-	return 2*merged > total && waited > tuning.GatherTablesWait/3
+	return current.IsMajority() && waited > tuning.GatherTablesWait/3
 }
 
 // establishLeadership enters Leading and publishes the first table. With refresh set it always builds a new one, otherwise
--- a/internal/controlplane/proxylease.go
+++ b/internal/controlplane/proxylease.go
@@ -24,6 +24,8 @@
 	revision, stateIndex uint64        // of the configuration and of the state that it has
 	progressAt           time.Duration // when a pull last confirmed the latest table, or another one than the pull before
 	tableMerged          bool          // its table from before this leadership has been merged, or it has none
+	departed             bool          // it reports wire.ProxyDeparted: it gets no more leases
+	signedOff            bool          // it has ended within the present term, see recordDeparture
 
 	// Tables sent and not confirmed yet, see inFlightTimeout.
 
@@ -59,6 +61,7 @@
 		return
 	}
 	c.confirmTable(now, proxy, message)
+	c.recordDeparture(message.From, proxy)
 	if pull.Table != nil && c.leadership >= Gathering && !proxy.tableMerged {
 		proxy.tableMerged = true
 		c.mergeTable(now, pull.Table)
@@ -105,6 +108,7 @@
 	p.pastIncarnations = append(p.pastIncarnations, p.incarnation)
 	p.incarnation, p.pullTimestamp = incarnation, 0
 	p.tableKey, p.revision, p.stateIndex = wire.TableKey{}, 0, 0
+	p.departed, p.signedOff = false, false
 	p.sentKey, p.bytesInFlight = wire.TableKey{}, 0
 	return true
 }
@@ -124,10 +128,24 @@
 	}
 }
 
+// recordDeparture records that a proxy has ended as planned. It has signed off once it reports so and has confirmed a table of the
+// present term: it was then alive in this term, so no later process of that name can have a lease from an earlier leader.
+func (c *Controller) recordDeparture(name string, proxy *proxyState) {
+	proxy.departed = proxy.departed || c.directory[name].State == wire.ProxyDeparted
+	proxy.signedOff = proxy.signedOff || proxy.departed && c.hasConfirmed(name, 1)
+}
+
+// hasSignedOff reports whether the latest process of a proxy has ended as planned, as far as this leader knows.
+func (c *Controller) hasSignedOff(name string) bool {
+	proxy := c.proxies[name]
+	return proxy != nil && proxy.signedOff
+}
+
 // mayGrantLease reports whether a proxy gets a lease with its push. A proxy that pulls but does not confirm the tables
-// that it is sent gets none: a change is in force only once the leases of all proxies without it have run out.
+// that it is sent gets none: a change is in force only once the leases of all proxies without it have run out. Neither does a
+// new process of a proxy whose removal is proposed: once that is committed, no change waits for it any more.
 func (c *Controller) mayGrantLease(now time.Duration, name string, proxy *proxyState) bool {
-	return c.isProxyMember(name) && now-proxy.progressAt < tuning.TableAckTimeout && !c.isLagging(now, proxy.tableKey)
+	return c.isProxyMember(name) && !proxy.departed && !c.removalProposed(name) && now-proxy.progressAt < tuning.TableAckTimeout && !c.isLagging(now, proxy.tableKey)
 }
 
 // isLagging reports whether a table of this leadership was superseded tuning.TableAckTimeout ago or earlier, which is the
--- a/internal/controlplane/table.go
+++ b/internal/controlplane/table.go
@@ -68,6 +68,7 @@
 		Revision:        c.state.Revision,
 		Document:        c.documentForTables(),
 		PreviousProxies: c.state.PreviousProxies,
+		DepartedProxies: c.state.DepartedProxies,
 		EmptiedDomains:  c.state.EmptiedDomains,
 		Targets:         make([]wire.Target, 0, len(c.targets)),
 	}
--- a/internal/controlplane/targetapi.go
+++ b/internal/controlplane/targetapi.go
@@ -36,7 +36,7 @@
 		waitingSince: now,
 		call:         call,
 		reply:        targetreport.Acknowledgement(report),
-		majorityOnly: true,
+		quorumOnly:   true,
 		departures:   ids,
 	})
 }
--- a/internal/dataplane/admission.go
+++ b/internal/dataplane/admission.go
@@ -12,7 +12,7 @@
 // timeout, and schedules it. It rejects the request if this proxy is shutting down or not serving.
 func (p *Proxy) admit(now time.Duration, event statemachine.Admit) {
 	req := &request{id: event.ID, startedAt: now, timeoutUnknown: event.Timeout <= 0, deadline: now + event.Timeout}
-	if p.acceptingStopped {
+	if p.departed {
 		p.rejectStopping(now, req)
 		return
 	}
--- a/internal/dataplane/peers.go
+++ b/internal/dataplane/peers.go
@@ -10,32 +10,24 @@
 	"time"
 
 	"myrtlefold/internal/shared/discovery"
+	"myrtlefold/internal/shared/proxyquorum"
 	"myrtlefold/internal/shared/tuning"
 	"myrtlefold/internal/shared/wire"
 )
 
 // hasPeerMajority reports whether a majority of the member proxies confirms this proxy's table, see confirms. While
-// a membership change is under way, a majority of the previous members is needed too.
+// a membership change is under way, a majority of the previous members that have not ended is needed too.
 func (p *Proxy) hasPeerMajority(now time.Duration) bool {
-	confirmed := 0
+	var current, previous proxyquorum.Count
 	for i := range p.table.Proxies {
-		if p.confirms(now, p.table.Proxies[i].Name) {
-			confirmed++
-		}
-	}
-	if 2*confirmed <= len(p.table.Proxies) {
-		return false
-	}
-	if len(p.table.PreviousProxies) == 0 {
-		return true
+		current.Add(p.confirms(now, p.table.Proxies[i].Name), false)
 	}
-	confirmed = 0
 	for _, name := range p.table.PreviousProxies {
-		if p.confirms(now, name) {
-			confirmed++
+		if !slices.Contains(p.table.DepartedProxies, name) {
+			previous.Add(p.confirms(now, name), false)
 		}
 	}
-	return 2*confirmed > len(p.table.PreviousProxies)
+	return current.IsMajority() && (previous.Members() == 0 || previous.IsMajority())
 }
 
 // confirms reports whether a proxy counts towards the majority: a peer whose peer lease is valid, or this proxy
@@ -127,7 +119,7 @@
 	if pull.Self.Kind == wire.ProxyDaemon {
 		p.directory[message.From] = &discovery.Peer{Daemon: pull.Self, LastContact: now}
 	}
-	push := &wire.Push{LeaseGranted: p.hasServed && p.table != nil}
+	push := &wire.Push{LeaseGranted: p.hasServed && p.table != nil && !p.departed}
 	if p.table != nil {
 		push.Key = p.table.Key
 	}
--- a/internal/dataplane/proxy.go
+++ b/internal/dataplane/proxy.go
@@ -116,9 +116,11 @@
 	lastResortBuffer []*targetState
 
 	// Shutdown.
-	stopping         bool
-	stopRequestedAt  time.Duration
-	acceptingStopped bool // no more requests are accepted
+	stopping        bool
+	stopRequestedAt time.Duration
+	departed        bool // no more requests are accepted or forwarded; the process waits for the leader to know
+	departedAt      time.Duration
+	exited          bool // Exit has been emitted
 
 	// Counts holds the proxy's counters.
 	Counts Counts
@@ -214,7 +216,7 @@
 }
 
 // Serving reports whether requests may be admitted now.
-func (p *Proxy) Serving() bool { return p.state == Leased || p.state == PeerServing }
+func (p *Proxy) Serving() bool { return !p.departed && (p.state == Leased || p.state == PeerServing) }
 
 // Ready reports whether the proxy is ready for callers, for the platform's readiness check. The proxy of an
 // emptied domain keeps serving but is not ready, so that it gets no more callers.
@@ -250,6 +252,9 @@
 func (p *Proxy) selfReport() wire.Daemon {
 	self := p.settings.Self
 	self.State, self.Ready = p.state.String(), p.table != nil && p.Ready()
+	if p.departed {
+		self.State = wire.ProxyDeparted
+	}
 	if p.table != nil {
 		self.Epoch = p.table.Key.Epoch
 	}
--- a/internal/dataplane/shutdown.go
+++ b/internal/dataplane/shutdown.go
@@ -2,17 +2,19 @@
 // callers move away; its responses close their connections. After the linger time it accepts only requests that
 // can finish before the process ends. It still accepts those because callers may use open connections until the
 // process ends. As soon as no request is in flight, or when the time is up, it stops accepting requests on all
-// connections and the process ends.
+// connections. The process ends once the leader has taken the proxy off the membership, or when the time is up.
 
 package dataplane
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"myrtlefold/internal/shared/config"
 	"myrtlefold/internal/shared/statemachine"
 	"myrtlefold/internal/shared/tuning"
+	"myrtlefold/internal/shared/wire"
 )
 
 // shutdownTimes returns how long a stopping proxy keeps serving at least (linger) and at most (longest).
@@ -89,26 +91,55 @@
 	p.reject(now, req, rejectedStopping)
 }
 
-// tickShutdown ends the process if no request is in flight after the linger time, or if the time is up.
+// tickShutdown ends the service if no request is in flight after the linger time, or if the time is up, and then the process.
 func (p *Proxy) tickShutdown(now time.Duration) {
-	if !p.stopping || p.acceptingStopped {
+	if !p.stopping {
+		return
+	}
+	if p.departed {
+		p.tickSignOff(now)
 		return
 	}
 	linger, longest := p.settings.shutdownTimes()
 	waited := now - p.stopRequestedAt
 	switch {
 	case waited > longest && len(p.requests) > 0:
-		p.finishShutdown(longest-waited, fmt.Sprintf("shutdown timed out with %d requests in flight", len(p.requests)))
+		p.endService(now, longest-waited, fmt.Sprintf("shutdown timed out with %d requests in flight", len(p.requests)))
 	case waited > linger && len(p.requests) == 0:
-		p.finishShutdown(longest-waited, "no requests are in flight")
+		p.endService(now, longest-waited, "no requests are in flight")
 	}
 }
 
-// finishShutdown stops accepting requests and ends the process. Responses that are still being written have
+// endService stops accepting and forwarding requests, and tells the control plane. Responses that are still being written have
 // timeLeft to finish.
-func (p *Proxy) finishShutdown(timeLeft time.Duration, reason string) {
-	p.acceptingStopped = true
+func (p *Proxy) endService(now, timeLeft time.Duration, reason string) {
+	p.departed, p.departedAt = true, now
 	p.emit(statemachine.StopAccepting{TimeLeft: timeLeft})
-	p.emit(statemachine.StateChange{Subject: statemachine.SubjectShutdown, From: "stopping", To: "stopped", Reason: reason})
+	p.emit(statemachine.StateChange{Subject: statemachine.SubjectShutdown, From: "stopping", To: "departed", Reason: reason})
+	p.sendHellos(now)
+	p.pullTable(now)
+	p.tickSignOff(now)
+}
+
+// tickSignOff ends the process once the leader has removed this proxy from the membership, so that no change waits for it and
+// no other proxy needs its lease. It pulls tables until then, for tuning.SignOffWait and until the end of the longest shutdown at
+// most.
+func (p *Proxy) tickSignOff(now time.Duration) {
+	_, longest := p.settings.shutdownTimes()
+	timeIsUp := now > min(p.departedAt+tuning.SignOffWait, p.stopRequestedAt+longest)
+	if p.exited || p.isMember() && !timeIsUp {
+		return
+	}
+	p.exited = true
+	reason := "removed from the proxy membership"
+	if p.isMember() {
+		reason = "still in the proxy membership when the time to sign off was up"
+	}
+	p.emit(statemachine.StateChange{Subject: statemachine.SubjectShutdown, From: "departed", To: "stopped", Reason: reason})
 	p.emit(statemachine.Exit{})
 }
+
+// isMember reports whether this proxy is in the membership of its table.
+func (p *Proxy) isMember() bool {
+	return p.table != nil && slices.ContainsFunc(p.table.Proxies, func(proxy wire.Proxy) bool { return proxy.Name == p.settings.Self.Name })
+}
--- a/internal/dataplane/table.go
+++ b/internal/dataplane/table.go
@@ -137,7 +137,8 @@
 	if delta.DeltaBase == (wire.TableKey{}) || len(delta.Document)+len(delta.State)+len(delta.Proxies)+len(delta.RemovedTargets) > 0 {
 		return false
 	}
-	if !slices.Equal(delta.EmptiedDomains, p.table.EmptiedDomains) || !slices.Equal(delta.PreviousProxies, p.table.PreviousProxies) {
+	if !slices.Equal(delta.EmptiedDomains, p.table.EmptiedDomains) || !slices.Equal(delta.PreviousProxies, p.table.PreviousProxies) ||
+		!slices.Equal(delta.DepartedProxies, p.table.DepartedProxies) {
 		return false
 	}
 	for i := range delta.Targets {
--- a/internal/shared/state/apply.go
+++ b/internal/shared/state/apply.go
@@ -20,6 +20,7 @@
 	switch command.Operation {
 	case OpChangeProxies:
 		s.changeProxies(index, command.Proxies, command.RemovedProxies)
+		s.recordDepartures(command.DepartedProxies)
 	case OpProxiesInForce:
 		s.confirmProxies(command.Base)
 	case OpRecover:
@@ -62,6 +63,7 @@
 		s.restoreDomain(command.Name)
 	case OpForgetProxy:
 		s.changeProxies(index, nil, []string{command.Name})
+		s.recordDepartures([]string{command.Name})
 	case OpRemoveMember:
 		s.RemovedMembers[command.Name] = index
 	case OpAddMember:
@@ -137,11 +139,27 @@
 	s.Proxies, s.ProxiesIndex = proxies, index
 }
 
+// recordDepartures records that the processes of proxies have ended as planned, after these were removed. A majority of the previous
+// membership is then one of its other proxies: those that ended can't serve by an earlier table.
+func (s *State) recordDepartures(names []string) {
+	if len(names) == 0 {
+		return
+	}
+	departed := slices.Clone(s.DepartedProxies)
+	for _, name := range names {
+		if slices.Contains(s.PreviousProxies, name) && !slices.Contains(departed, name) {
+			departed = append(departed, name)
+		}
+	}
+	slices.Sort(departed)
+	s.DepartedProxies = departed
+}
+
 // confirmProxies drops the previous proxy membership, unless Proxies has changed again since the change at
 // this log index.
 func (s *State) confirmProxies(changeIndex uint64) {
 	if changeIndex == s.ProxiesIndex {
-		s.PreviousProxies = nil
+		s.PreviousProxies, s.DepartedProxies = nil, nil
 	}
 }
 
--- a/internal/shared/state/command.go
+++ b/internal/shared/state/command.go
@@ -12,7 +12,7 @@
 	OpRestoreDomain   Operation = "restore"  // allows new requests to a failure domain again
 	OpChangeProxies   Operation = "roster"   // adds and removes proxies, decided by the leader
 	OpProxiesInForce  Operation = "enrolled" // confirms that the last change of proxies is in force everywhere
-	OpForgetProxy     Operation = "forget"   // removes a proxy, requested by an operator
+	OpForgetProxy     Operation = "forget"   // removes a proxy whose process is off, according to an operator
 	OpRemoveMember    Operation = "out"      // removes a member of the control plane, requested by an operator
 	OpAddMember       Operation = "in"       // adds a member or readmits a removed one, requested by an operator
 	OpRecover         Operation = "adopt"    // sets an epoch's first state, recovered from an earlier epoch
@@ -40,6 +40,9 @@
 	Proxies []ProxyEntry `json:"gates,omitempty"`
 	// RemovedProxies are the names of the proxies that an OpChangeProxies removes.
 	RemovedProxies []string `json:"gone,omitempty"`
+	// DepartedProxies are those of RemovedProxies whose processes have ended as planned: they neither serve nor grant leases
+	// any more, and a later process of that name has to be added again before it may.
+	DepartedProxies []string `json:"departed,omitempty"`
 	// State is the encoded state of an OpRecover.
 	State json.RawMessage `json:"state,omitempty"`
 	// RequestedRevision is the operator's number for the configuration of an OpConfigure, 0 for the next one.
--- a/internal/shared/state/state.go
+++ b/internal/shared/state/state.go
@@ -37,6 +37,8 @@
 	// PreviousProxies are the names in the proxy membership before the last change, until that change is in force
 	// everywhere; until then decisions need a majority of both memberships. Empty otherwise.
 	PreviousProxies []string `json:"was,omitempty"`
+	// DepartedProxies are those of PreviousProxies whose processes have ended as planned, sorted. Decisions don't need them.
+	DepartedProxies []string `json:"departed,omitempty"`
 	// ProxiesIndex is the log index of the last change of Proxies.
 	ProxiesIndex uint64 `json:"roster_at,omitempty"`
 	// EmptiedDomains are the names of the failure domains that get no new requests, sorted.
--- a/internal/shared/tuning/shutdown.go
+++ b/internal/shared/tuning/shutdown.go
@@ -25,6 +25,9 @@
 	// ShutdownWriteTimeout is how much longer a proxy that shuts down waits for responses to be written. It is below
 	// ShutdownMargin.
 	ShutdownWriteTimeout = 200 * time.Millisecond
+	// SignOffWait is how long a proxy that serves no more waits until the leader has removed it from the membership. An election
+	// and the gathering of tables fit into it.
+	SignOffWait = 3 * time.Second
 	// ShutdownPoll is how often a proxy that shuts down checks whether all responses are written.
 	ShutdownPoll = 5 * time.Millisecond
 )
--- a/internal/shared/wire/daemon.go
+++ b/internal/shared/wire/daemon.go
@@ -10,6 +10,10 @@
 	ProxyDaemon   DaemonKind = "gate" // proxy of the data plane
 )
 
+// ProxyDeparted is the state of a proxy that has ended as planned, except that its process waits until the leader knows: it routes
+// no more requests and grants no more leases.
+const ProxyDeparted = "departed"
+
 // Daemon describes a control daemon or a proxy. Each daemon sends its own description to the others.
 type Daemon struct {
 	Name           string     `json:"name"`              // unique in the fleet
--- a/internal/shared/wire/encode_table.go
+++ b/internal/shared/wire/encode_table.go
@@ -65,6 +65,9 @@
 	if list, ok := newList(e, len(table.RemovedTargets), out.NewRemovedTargets); ok {
 		e.identities(list, table.RemovedTargets)
 	}
+	if list, ok := newList(e, len(table.DepartedProxies), out.NewDepartedProxies); ok {
+		e.texts(list, table.DepartedProxies)
+	}
 }
 
 func (e *encoder) key(out TableKeyC, k TableKey) {
--- a/internal/shared/wire/msg.capnp
+++ b/internal/shared/wire/msg.capnp
@@ -182,6 +182,7 @@
   previousProxies @8 :List(Text);
   deltaBase @9 :TableKeyC;
   removedTargets @10 :List(IdentityC);
+  departedProxies @11 :List(Text);
 }
 
 # A target's identity.
--- a/internal/shared/wire/size.go
+++ b/internal/shared/wire/size.go
@@ -175,7 +175,7 @@
 		return 0
 	}
 	n := tableSize + tableKeySize + dataSize(t.Document) + dataSize(t.State) + listSize(len(t.Proxies), proxySize) +
-		textsSize(t.EmptiedDomains) + listSize(len(t.Targets), 0) + textsSize(t.PreviousProxies) + tableKeySize + identitiesSize(t.RemovedTargets)
+		textsSize(t.EmptiedDomains) + listSize(len(t.Targets), 0) + textsSize(t.PreviousProxies) + textsSize(t.DepartedProxies) + tableKeySize + identitiesSize(t.RemovedTargets)
 	for i := range t.Proxies {
 		n += textSize(t.Proxies[i].Name) + textSize(t.Proxies[i].Addr) + textSize(t.Proxies[i].Domain)
 	}
--- a/internal/shared/wire/table.go
+++ b/internal/shared/wire/table.go
@@ -36,6 +36,8 @@
 	EmptiedDomains  []string // failure domains whose targets get no new requests
 	Targets         []Target // in a delta: only new and changed targets
 	PreviousProxies []string // names of the proxies in the previous membership; empty once the current one is in force at all of them
+	// DepartedProxies are those of PreviousProxies whose processes have ended as planned. No majority needs them any more.
+	DepartedProxies []string
 	// DeltaBase is set in a delta, which applies to any table of its term with this key or a later one.
 	DeltaBase      TableKey
 	RemovedTargets []TargetID // in a delta: targets that were removed since DeltaBase
--- a/internal/verification/simulator/faults.go
+++ b/internal/verification/simulator/faults.go
@@ -20,10 +20,13 @@
 // existing seeds.
 var Faults = slices.Concat(targetFaults, proxyFaults, controlFaults, networkFaults, operatorFaults)
 
+// faultsByNameOnly are drawn only if they are named, so that they change no run of an existing seed.
+var faultsByNameOnly = []Fault{lateCalls, proxiesLeave, proxiesCrash}
+
 // FaultByName returns the fault with the given name, ignoring case: one of Faults or of those that are drawn by name only. The
 // result is false if there is none.
 func FaultByName(name string) (Fault, bool) {
-	for _, f := range append(slices.Clone(Faults), lateCalls) {
+	for _, f := range append(slices.Clone(Faults), faultsByNameOnly...) {
 		if strings.EqualFold(f.Name, name) {
 			return f, true
 		}
--- a/internal/verification/simulator/faults_proxy.go
+++ b/internal/verification/simulator/faults_proxy.go
@@ -74,6 +74,32 @@
 	}},
 }
 
+// proxiesLeave is the fault that any number of proxies but one leave as planned, in turn or together, and return much later.
+var proxiesLeave = Fault{"proxies leave", func(w *World) {
+	w.loseProxies(func(p *Process) {
+		w.logf("stop %s", p.name)
+		w.stopProcess(p)
+	})
+}}
+
+// proxiesCrash is the same for proxies that crash.
+var proxiesCrash = Fault{"proxies crash and stay away", func(w *World) { w.loseProxies(w.Kill) }}
+
+// loseProxies ends any number of proxies but one, in turn or together, and restarts each after a while.
+func (w *World) loseProxies(end func(p *Process)) {
+	proxies := w.daemons(wire.ProxyDaemon)
+	w.random.Shuffle(len(proxies), func(i, j int) { proxies[i], proxies[j] = proxies[j], proxies[i] })
+	gap := w.randomMilliseconds(0, 2000)
+	for i, p := range proxies[:1+w.random.IntN(len(proxies)-1)] {
+		w.schedule(time.Duration(i)*gap, func() {
+			if p.alive && !p.stopping {
+				end(p)
+				w.restartLater(p, w.randomMilliseconds(2000, 15000))
+			}
+		})
+	}
+}
+
 // replaceProxy adds a proxy and kills another one, which never restarts. An operator then asks the leader to forget it.
 func (w *World) replaceProxy() {
 	if len(w.daemonNames(wire.ProxyDaemon)) > w.Plan.Proxies+2 {
--- a/internal/verification/simulator/guards.go
+++ b/internal/verification/simulator/guards.go
@@ -30,13 +30,14 @@
 
 // Guards of the control plane.
 const (
-	guardReplyInForce    Guard = "reply once in force"         // a change is acknowledged once all proxies follow it
-	guardTableVersions   Guard = "table versions"              // a message carries the version of the table that it was sent with, however late it arrives
-	guardBaseRevision    Guard = "base revision"               // a change names the revision on which it is based
-	guardSync            Guard = "sync before acknowledgement" // a write is synced before it is acknowledged
-	guardGracefulStop    Guard = "graceful stop"               // a stopping proxy completes its requests before it exits
-	guardBootstrapHellos Guard = "bootstrap hellos"            // control daemons find each other by hello messages before they bootstrap
-	guardClockRate       Guard = "clock rate"                  // clock rates differ from true time by at most 2 %
+	guardReplyInForce    Guard = "reply once in force"            // a change is acknowledged once all proxies follow it
+	guardTableVersions   Guard = "table versions"                 // a message carries the version of the table that it was sent with, however late it arrives
+	guardBaseRevision    Guard = "base revision"                  // a change names the revision on which it is based
+	guardSync            Guard = "sync before acknowledgement"    // a write is synced before it is acknowledged
+	guardGracefulStop    Guard = "graceful stop"                  // a stopping proxy completes its requests before it exits
+	guardEndOfService    Guard = "end of service before sign-off" // a stopping proxy signs off once it routes no more requests
+	guardBootstrapHellos Guard = "bootstrap hellos"               // control daemons find each other by hello messages before they bootstrap
+	guardClockRate       Guard = "clock rate"                     // clock rates differ from true time by at most 2 %
 	// guardReadsAtLeader ensures that only the leader answers reads from its own state.
 	guardReadsAtLeader Guard = "reads at leader"
 	// guardMajorityBeforeReply ensures that a leader acknowledges a change only once a majority has it.
@@ -97,6 +98,11 @@
 		table := *m.Push.Table
 		table.EmptiedDomains = nil
 		return withTable(m, &table)
+	case w.disabledGuard == guardEndOfService && m.Pull != nil && from.proxy != nil && from.stopping && m.Pull.Self.Name != "":
+		changed, pull := *m, *m.Pull
+		pull.Self.State = wire.ProxyDeparted
+		changed.Pull = &pull
+		return &changed
 	case w.disabledGuard == guardChangePosition && m.Call != nil && !m.Call.Reply:
 		changed, call := *m, *m.Call
 		call.Query = ""
