A target that answers early gets the rest of the body, and no connection is used before

Callers saw: a body of more than 64 KiB lost pieces on its way if its target answered with more than 64 KiB before it had read the body; a body in chunks arrived as a whole one with holes; with a length the connection went back to the pool, and the next caller's request became the missing end of the first body. With shorter answers the target was reset in the middle of the body.

Cause: two readers of one body. net/http's server discards up to 256 KiB of a request's body when it writes a response's header, while the upload reads it. A response of up to 64 KiB ends the upload first and its bodies have no holes, which rules out short writes and a shared connection.

A response that comes meanwhile is passed on at once, the upload goes on, and the connection is put back when all was sent; it ends early if the target closes, at the deadline, and if the caller goes. A caller's connection whose body was not read to its end is closed after the response and read no more. The part of a request beyond 16 KiB is written beside the reading of the response.

--- a/internal/dataplane/reverseproxy/attempt.go
+++ b/internal/dataplane/reverseproxy/attempt.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,10 +25,10 @@
 	reported bool // the state machine has been notified that the attempt ended
 
 	// Set once the attempt has a connection.
-	conn       *Conn
-	unwatch    func() bool // stops watching for the caller's disconnect; returns false if the caller has disconnected
-	uploadDone chan error  // receives the result of sending the rest of the body; nil if there is no rest
-	released   bool        // the attempt no longer uses the connection
+	conn     *Conn
+	unwatch  func() bool // stops watching for the caller's disconnect; returns false if the caller has disconnected
+	upload   *upload     // sends what was not written with the header; nil if there is nothing left
+	released bool        // the attempt no longer uses the connection
 
 	load *statemachine.TargetLoad // load that the target reported with the response, nil if none
 }
@@ -86,7 +85,8 @@
 			a.keepConn()
 			return attemptResult{outcome: statemachine.ChoiceExpired, err: errChoiceExpired}
 		}
-		written, err := a.write()
+		first, later := splitFirstWrite(a.conn.writeBuffer)
+		written, err := a.write(first)
 		if written == 0 && err != nil {
 			a.unwatch()
 			a.conn.Close()
@@ -98,8 +98,8 @@
 		}
 		a.conn.fresh = false
 		a.conn.partlyWritten = err != nil
-		if a.request.body.rest != nil {
-			a.startUpload()
+		if a.request.body.rest != nil || len(later) > 0 {
+			a.startUpload(later)
 		}
 		return a.readResponse()
 	}
@@ -184,11 +184,11 @@
 	return attemptResult{outcome: statemachine.ConnectFailed, err: errNoConnection}
 }
 
-// write writes the request's header and the buffered part of its body. It returns how many bytes the kernel accepted.
-func (a *attempt) write() (written int, err error) {
+// write writes the request's header and the first part of its body. It returns how many bytes the kernel accepted.
+func (a *attempt) write(first []byte) (written int, err error) {
 	conn := a.conn
 	a.unwatch = context.AfterFunc(a.request.incoming.Context(), func() { conn.netConn.SetDeadline(expiredDeadline()) })
-	written, err = conn.netConn.Write(conn.writeBuffer)
+	written, err = conn.netConn.Write(first)
 	if cap(conn.writeBuffer) > tuning.HeaderMax {
 		conn.writeBuffer = nil
 	}
@@ -203,38 +203,17 @@
 	return attemptResult{outcome: statemachine.ConnectFailed, err: errConnectionClosed, deadlineExceeded: a.pastDeadline()}
 }
 
-// startUpload starts a goroutine that sends the rest of the body while the attempt waits for the response. The
-// goroutine ends when the body has been sent, when the connection is closed, or when reading from the caller fails or
-// is stopped. release waits for it.
-func (a *attempt) startUpload() {
-	uploadDone, conn, body := make(chan error, 1), a.conn, a.request.body
-	a.uploadDone = uploadDone
-	go func() {
-		err := body.sendRest(conn.netConn)
-		incomplete := body.aborted || body.tooLarge
-		uploadDone <- err
-		if incomplete {
-			conn.Close() // the target would wait for the missing part of the body
-		}
-	}()
-}
-
 // release ends the attempt's use of its connection. The connection goes back to the pool if it is reusable and
 // neither the request nor the response has a part left on it. Otherwise it is closed, so that a late response is
-// never read as the response to another request.
+// never read as the response to another request. If it is reusable and the rest of the body is still being sent, release waits
+// for that.
 func (a *attempt) release(reusable bool) {
 	if a.released {
 		return
 	}
 	a.released = true
-	if a.uploadDone != nil {
-		select {
-		case err := <-a.uploadDone:
-			reusable = reusable && err == nil
-		default:
-			a.abortUpload()
-			reusable = false
-		}
+	if a.upload != nil && !a.endUpload(reusable) {
+		reusable = false
 	}
 	callerConnected := a.unwatch()
 	if !callerConnected || !reusable || a.conn.partlyWritten || a.conn.reader.Buffered() > 0 {
@@ -244,20 +223,6 @@
 	a.keepConn()
 }
 
-// abortUpload stops sending a body after the attempt has ended early, typically because the response came before the
-// end of the body. The caller need not send the rest.
-func (a *attempt) abortUpload() {
-	body, writer := a.request.body, a.request.writer
-	a.conn.Close()
-	body.readStopped, body.callerGoneWhenStopped = true, a.request.incoming.Context().Err() != nil
-	http.NewResponseController(writer).SetReadDeadline(expiredDeadline())
-	writer.Header().Set("Connection", "close")
-	<-a.uploadDone
-	// The proxy stopped the upload, not the caller. Whatever the caller still sends is lost, so no other target can
-	// get the complete body.
-	body.restRead, body.aborted = true, false
-}
-
 // keepConn puts the connection into the pool, within the number of idle connections that the state machine allows.
 func (a *attempt) keepConn() {
 	a.request.forwarder.pool.put(a.target.Target.ID(), a.conn, a.target.MaxIdle)
--- a/internal/dataplane/reverseproxy/counts.go
+++ b/internal/dataplane/reverseproxy/counts.go
@@ -20,6 +20,9 @@
 	// StalledCallers counts the callers that were cut off while the proxy was draining: they read nothing of a response, or
 	// had not sent a request's body when the proxy stopped accepting requests.
 	StalledCallers atomic.Uint64 `metric:"stalled"`
+	// UnreadBodies counts the requests whose bodies were not read to their ends while they were passed on. Their connections
+	// are closed after the response.
+	UnreadBodies atomic.Uint64 `metric:"unread_bodies"`
 	// ConnsOpened counts the connections that were opened to targets.
 	ConnsOpened atomic.Uint64 `metric:"opened"`
 	// ConnsReused counts how often an attempt took an idle connection from the pool.
--- a/internal/dataplane/reverseproxy/draining.go
+++ b/internal/dataplane/reverseproxy/draining.go
@@ -68,7 +68,7 @@
 	case http.StateActive:
 		c.busy.Add(1)
 	case http.StateIdle:
-		if c.Closed() && !conn.hasPipelined() {
+		if c.Closed() && !conn.hasPipelined() || conn.inputEnded.Load() {
 			conn.Close()
 		}
 	}
@@ -124,7 +124,7 @@
 }
 
 // closingWriter makes the responses of a draining proxy close their connections, including those to requests that
-// were read before draining began. No response closes a connection that still has unanswered pipelined requests.
+// were read before draining began, and responses to requests whose bodies will not be read to their ends. No response closes a connection that still has unanswered pipelined requests.
 type closingWriter struct {
 	http.ResponseWriter
 	conn *callerConn
@@ -135,7 +135,7 @@
 
 // WriteHeader sets or removes "Connection: close" as needed and writes the response's header.
 func (w closingWriter) WriteHeader(status int) {
-	if w.conn.forwarder.Draining.Load() {
+	if w.conn.forwarder.Draining.Load() || bodyState(w.conn.body.Load()) == bodyUnread {
 		w.Header().Set("Connection", "close")
 	}
 	if w.Header().Get("Connection") == "close" && !w.conn.endPipelining() {
--- a/internal/dataplane/reverseproxy/listener.go
+++ b/internal/dataplane/reverseproxy/listener.go
@@ -69,7 +69,9 @@
 	ctx                 context.Context // context of the pipelined requests, canceled when the connection is closed
 	cancel              context.CancelFunc
 	openedWhileDraining bool
-	writing             atomic.Bool // a Write is in progress
+	writing             atomic.Bool  // a Write is in progress
+	body                atomic.Int32 // bodyState of the current request
+	inputEnded          atomic.Bool  // nothing more is read: the body of the last request was not read to its end
 	stall               callerStall
 	receiving           bodyReceipt
 
--- a/internal/dataplane/reverseproxy/pipelining.go
+++ b/internal/dataplane/reverseproxy/pipelining.go
@@ -12,6 +12,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -27,6 +28,9 @@
 // Read returns at most the bytes that complete the current header, so that anything after it stays in the connection's
 // buffer.
 func (c *callerConn) Read(buffer []byte) (int, error) {
+	if c.inputEnded.Load() {
+		return 0, io.EOF
+	}
 	if len(c.unread) == 0 {
 		if c.opaque {
 			return c.Conn.Read(buffer)
--- a/internal/dataplane/reverseproxy/response.go
+++ b/internal/dataplane/reverseproxy/response.go
@@ -121,11 +121,12 @@
 		a.release(resp.complete && !resp.http.Close)
 		return attemptResult{sent: true, mayHaveRun: true, outcome: statemachine.ServerError, err: errAmbiguousStatus, load: a.load}
 	}
-	if !resp.complete {
+	retries := a.mayRetryServerError(resp.http)
+	if !resp.complete || a.isUploading() && !retries && !resp.http.Close {
 		return a.stream(resp, outcome)
 	}
-	a.release(!resp.http.Close)
-	if a.mayRetryServerError(resp.http) {
+	a.release(!resp.http.Close && !a.isUploading())
+	if retries {
 		return attemptResult{sent: true, mayHaveRun: true, outcome: outcome, fallback: resp, err: errTargetFailed, load: a.load}
 	}
 	result := attemptResult{status: resp.http.StatusCode, outcome: outcome, load: a.load}
@@ -135,16 +136,20 @@
 }
 
 // mayRetryServerError reports whether the request may be sent to another target after a target's server error. This
-// holds only for idempotent requests on routes with a kind. A 504 is passed on as the target's response, and a retry
-// needs at least tuning.RetryTimeMin.
+// holds only for idempotent requests on routes with a kind, and not while the body is being read from the caller. A 504 is
+// passed on as the target's response, and a retry needs at least tuning.RetryTimeMin.
 func (a *attempt) mayRetryServerError(received *http.Response) bool {
-	return isServerError(received) && a.idempotent && a.target.Route.Kind != "" &&
+	readsBody := a.request.body.rest != nil && a.isUploading()
+	return !readsBody && isServerError(received) && a.idempotent && a.target.Route.Kind != "" &&
 		received.StatusCode != http.StatusGatewayTimeout && time.Until(a.deadline) > tuning.RetryTimeMin
 }
 
-// stream passes a response on as it arrives.
+// stream passes a response on as it arrives, and then lets the target have the rest of the request.
 func (a *attempt) stream(resp *response, outcome statemachine.Outcome) attemptResult {
 	result := attemptResult{status: resp.http.StatusCode, outcome: outcome, load: a.load}
+	if a.isUploading() && resp.http.Close { // the target reads no more once it has sent its response
+		a.request.writer.Header().Set("Connection", "close")
+	}
 	if err := resp.writeTo(a.request.writer, a.request.incoming.Method); err != nil {
 		result.truncated = true
 		result.outcome = statemachine.ResponseLost
@@ -153,6 +158,9 @@
 		}
 		return result
 	}
+	if a.isUploading() {
+		http.NewResponseController(a.request.writer).Flush() // an error means that the caller is gone, which ends the upload
+	}
 	a.release(!resp.http.Close)
 	return result
 }
--- a/internal/shared/tuning/connection.go
+++ b/internal/shared/tuning/connection.go
@@ -60,6 +60,9 @@
 	CloseCheckInterval = 20 * time.Millisecond
 	// ClosingConnsMax is how many closed connections may wait for their callers at a time. Each holds a file descriptor.
 	ClosingConnsMax = 1024
+	// FirstWriteMax is the part of a request that is written to a target before its response is read, in bytes. It fits into a
+	// small receive window.
+	FirstWriteMax = 16 << 10
 	// HeaderMax is the largest accepted header, in bytes.
 	HeaderMax = 32 << 10
 	// ServerHeaderMax is the number of bytes up to which a header is read. It exceeds HeaderMax, so that a header
