--- a/internal/dataplane/reverseproxy/draining.go
+++ b/internal/dataplane/reverseproxy/draining.go
@@ -68,7 +68,7 @@
 	case http.StateActive:
 		c.busy.Add(1)
 	case http.StateIdle:
-		if c.Closed() && !conn.hasPipelined() || conn.inputEnded.Load() {
+		if c.Closed() && !conn.hasPipelined() || conn.inputClosed.Load() {
 			conn.Close()
 		}
 	}
--- a/internal/dataplane/reverseproxy/listener.go
+++ b/internal/dataplane/reverseproxy/listener.go
@@ -71,7 +71,7 @@
 	openedWhileDraining bool
 	writing             atomic.Bool  // a Write is in progress
 	body                atomic.Int32 // bodyState of the current request
-	inputEnded          atomic.Bool  // nothing more is read: the body of the last request was not read to its end
+	inputClosed         atomic.Bool  // nothing more is read: the body of the last request was not read to its end
 	stall               callerStall
 	receiving           bodyReceipt
 
--- a/internal/dataplane/reverseproxy/pipelining.go
+++ b/internal/dataplane/reverseproxy/pipelining.go
@@ -28,7 +28,7 @@
 // Read returns at most the bytes that complete the current header, so that anything after it stays in the connection's
 // buffer.
 func (c *callerConn) Read(buffer []byte) (int, error) {
-	if c.inputEnded.Load() {
+	if c.inputClosed.Load() {
 		return 0, io.EOF
 	}
 	if len(c.unread) == 0 {
--- a/internal/dataplane/reverseproxy/reverseproxy.go
+++ b/internal/dataplane/reverseproxy/reverseproxy.go
@@ -91,13 +91,13 @@
 		f.serve(w, r)
 		return
 	}
-	if conn.inputEnded.Load() {
+	if conn.inputClosed.Load() {
 		panic(http.ErrAbortHandler)
 	}
 	conn.body.Store(int32(bodyRead))
 	conn.requestActive = true
 	defer func() { conn.requestActive = false }()
-	defer conn.endInput()
+	defer conn.closeInput()
 	conn.countIfDraining()
 	writer := closingWriter{w, conn}
 	if started := conn.takePipelined(r); started != nil {
--- a/internal/dataplane/reverseproxy/upload.go
+++ b/internal/dataplane/reverseproxy/upload.go
@@ -12,14 +12,14 @@
 // upload sends the rest of a request on its own goroutine. It ends when all is sent, when the connection is closed, or when reading
 // from the caller fails or is stopped.
 type upload struct {
-	ended chan struct{}
-	err   error // why not all was sent, nil if it was; final once ended is closed
+	done chan struct{}
+	err  error // why not all was sent, nil if it was; final once done is closed
 }
 
-// hasEnded reports whether the upload has ended.
-func (u *upload) hasEnded() bool {
+// isDone reports whether the upload has ended.
+func (u *upload) isDone() bool {
 	select {
-	case <-u.ended:
+	case <-u.done:
 		return true
 	default:
 		return false
@@ -42,15 +42,15 @@
 		http.NewResponseController(a.request.writer).EnableFullDuplex() // HTTP/1 only, where it does not fail
 		a.request.recordBody(bodyUploading)
 	}
-	started := &upload{ended: make(chan struct{})}
+	started := &upload{done: make(chan struct{})}
 	a.upload = started
 	go func() {
-		defer close(started.ended)
+		defer close(started.done)
 		if _, started.err = conn.netConn.Write(later); started.err != nil || body.rest == nil {
 			return
 		}
 		started.err = body.sendRest(conn.netConn)
-		if body.restEnded {
+		if body.restComplete {
 			a.request.recordBody(bodyRead)
 			return
 		}
@@ -62,7 +62,7 @@
 }
 
 // isUploading reports whether part of the request is still to be sent.
-func (a *attempt) isUploading() bool { return a.upload != nil && !a.upload.hasEnded() }
+func (a *attempt) isUploading() bool { return a.upload != nil && !a.upload.isDone() }
 
 // endUpload ends the upload and reports whether all was sent. With wait set it first lets the upload end by itself: the target has
 // answered and keeps the connection.
@@ -70,7 +70,7 @@
 	if wait {
 		a.awaitUpload()
 	}
-	if !a.upload.hasEnded() {
+	if !a.upload.isDone() {
 		a.abortUpload()
 		return false
 	}
@@ -80,7 +80,7 @@
 // awaitUpload waits until the upload has ended. It gives up at the attempt's deadline, and when the target closes the connection or
 // sends more than its response: it then reads no more of the request.
 func (a *attempt) awaitUpload() {
-	if a.upload.hasEnded() {
+	if a.upload.isDone() {
 		return
 	}
 	unwanted := make(chan struct{})
@@ -89,7 +89,7 @@
 		a.conn.reader.Peek(1)
 	}()
 	select {
-	case <-a.upload.ended:
+	case <-a.upload.done:
 	case <-unwanted:
 		return
 	}
@@ -106,7 +106,7 @@
 		http.NewResponseController(writer).SetReadDeadline(expiredDeadline())
 		writer.Header().Set("Connection", "close")
 	}
-	<-a.upload.ended
+	<-a.upload.done
 	if body.rest != nil {
 		// The proxy stopped the upload, not the caller. No other target can get the complete body.
 		body.restRead, body.aborted = true, false
@@ -129,11 +129,11 @@
 	}
 }
 
-// endInput ends the input of a connection whose current request is answered, if part of its body is unread: what follows must not be
+// closeInput closes the input of a connection whose current request is answered, if part of its body is unread: what follows must not be
 // read as the next request. It is called when the handler returns; the server has then still to write the end of the response.
-func (c *callerConn) endInput() {
+func (c *callerConn) closeInput() {
 	if bodyState(c.body.Load()) != bodyRead {
-		c.inputEnded.Store(true)
+		c.inputClosed.Store(true)
 		c.forwarder.Counts.UnreadBodies.Add(1)
 	}
 }
--- a/internal/dataplane/reverseproxy/uploads.go
+++ b/internal/dataplane/reverseproxy/uploads.go
@@ -19,18 +19,18 @@
 
 // requestBody is the body of a caller's request: the part that was read before the state machine was asked for a
 // target, and the rest, which is sent on as it arrives. While sendRest runs on its own goroutine, the fields remaining,
-// restEnded, restRead, tooLarge and aborted belong to that goroutine.
+// restComplete, restRead, tooLarge and aborted belong to that goroutine.
 type requestBody struct {
 	buffered []byte
 	rest     io.Reader   // nil if the whole body is buffered
 	size     int64       // in bytes; negative if unknown, and the body is chunked
 	trailer  http.Header // complete once the whole body has been read
 
-	remaining int64 // how many more bytes the service's limit allows
-	restEnded bool  // the rest was read to its end
-	restRead  bool  // part of the rest was read, so no other target can get the complete body
-	tooLarge  bool  // the body exceeds the service's limit
-	aborted   bool  // reading from the caller failed before the end of the body
+	remaining    int64 // how many more bytes the service's limit allows
+	restComplete bool  // the rest was read to its end
+	restRead     bool  // part of the rest was read, so no other target can get the complete body
+	tooLarge     bool  // the body exceeds the service's limit
+	aborted      bool  // reading from the caller failed before the end of the body
 
 	readStopped           bool // the proxy stopped reading from the caller, which also cancels the context of the request
 	callerGoneWhenStopped bool // the caller had disconnected before the proxy stopped reading
@@ -161,7 +161,7 @@
 			return err
 		}
 		if readErr == io.EOF {
-			b.restEnded = true
+			b.restComplete = true
 			return b.sendEnd(target)
 		}
 		if readErr != nil {
