An early rejection does not wait until the rest of the body is sent

Callers of a target that rejected a long request early would have got the rejection only once the whole body was sent, since a reusable connection now waits for its upload. A request that is given up gets its answer at once: the upload is ended there, as before. TestEarlyRejectionDoesNotWaitForTheBody guards it.

--- a/internal/dataplane/reverseproxy/earlyresponses_test.go
+++ b/internal/dataplane/reverseproxy/earlyresponses_test.go
@@ -328,3 +328,25 @@
 		})
 	}
 }
+
+// TestEarlyRejectionDoesNotWaitForTheBody guards against a request that its target rejects before it has read the body, and whose
+// caller gets the rejection only once the whole body is sent.
+func TestEarlyRejectionDoesNotWaitForTheBody(t *testing.T) {
+	for name, notRun := range map[string]string{"marked as not run": "N: 1\r\n", "not marked": ""} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			target := newEarlyTarget(t, func(string) string {
+				return "HTTP/1.1 503 X\r\nA: 1\r\nP: yes\r\n" + notRun + "Content-Length: 0\r\n\r\n"
+			})
+			proxy := newEarlyProxy(t, target)
+			proxy.timeLeft = 2 * bodyWait // beyond the deadline of the caller's reads
+			caller := dialRaw(t, proxy.addr)
+			fmt.Fprintf(caller, "PUT /x HTTP/1.1\r\nHost: h\r\nA: 1\r\n%s\r\n", bodyHeaders["length"])
+			caller.sendPart("length", earlyBody[:begunBytes])
+			if response, _ := caller.readBody(); response.StatusCode < http.StatusInternalServerError || !response.Close {
+				t.Errorf("status %d, closes %v; want an error that closes the connection", response.StatusCode, response.Close)
+			}
+			close(target.mayRead)
+		})
+	}
+}
--- a/internal/dataplane/reverseproxy/response.go
+++ b/internal/dataplane/reverseproxy/response.go
@@ -106,7 +106,7 @@
 // rejectedByTarget returns the result of an attempt whose response is marked as not run.
 func (a *attempt) rejectedByTarget(resp *response) attemptResult {
 	a.request.forwarder.Counts.TargetRejected.Add(1)
-	a.release(resp.complete && !resp.http.Close)
+	a.release(resp.complete && !resp.http.Close && !a.isUploading())
 	return attemptResult{sent: true, outcome: statemachine.TargetRejected, err: errTargetRejected, load: a.load}
 }
 
@@ -118,7 +118,7 @@
 	}
 	if a.target.ServiceConfig.HasHealthCheck() && !a.idempotent && impliesNotRun(resp.http.StatusCode) {
 		// The status would tell the caller that the request did not run, but the target has not said so.
-		a.release(resp.complete && !resp.http.Close)
+		a.release(resp.complete && !resp.http.Close && !a.isUploading())
 		return attemptResult{sent: true, mayHaveRun: true, outcome: statemachine.ServerError, err: errAmbiguousStatus, load: a.load}
 	}
 	retries := a.mayRetryServerError(resp.http)
